Set up the Maven build and the ports between the parts

Cause: nothing exists yet; the parts are to be written side by side, so the build, the ports towards the platform and the interfaces between the daemon's parts come first. Conclusion: the empty modules build, format and lint in one command.

--- /dev/null
+++ b/bench/src/main/kotlin/sycamoremast/bench/Module.kt
@@ -0,0 +1,4 @@
+/** Placeholder. */
+package sycamoremast.bench
+
+internal const val MODULE_NAME = "bench"
--- /dev/null
+++ b/cli/src/main/kotlin/sycamoremast/cli/Module.kt
@@ -0,0 +1,4 @@
+/** Placeholder. */
+package sycamoremast.cli
+
+internal const val MODULE_NAME = "cli"
--- /dev/null
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/HostList.kt
@@ -0,0 +1,42 @@
+/** The port to the platform's lagging list of live and leaving hosts. */
+package sycamoremast.coordination
+
+import arrow.core.Either
+import kotlinx.serialization.Serializable
+
+/** Access to the platform's list of hosts. */
+fun interface HostList {
+    /** Returns the hosts as the platform last saw them; the list lags behind the truth. */
+    fun hosts(): Either<HostListError, List<ListedHost>>
+}
+
+/** What runs on a listed host. */
+@Serializable
+enum class HostRole { WORKER, BACKEND_SERVER }
+
+/** Whether a listed host is to get new work. */
+@Serializable
+enum class HostState { LIVE, LEAVING }
+
+/**
+ * A host on the platform's list.
+ *
+ * [address] is an IP number with a port. [service] names the service of a backend server and is
+ * empty for a worker; [slots] and [connections] bound a backend server's use.
+ */
+@Serializable
+data class ListedHost(
+    val name: String,
+    val address: String,
+    val availabilityZone: String,
+    val rack: String,
+    val role: HostRole,
+    val state: HostState,
+    val service: String = "",
+    val slots: Int = 0,
+    val connections: Int = 0,
+    val capacity: Resources = Resources.NONE,
+)
+
+/** The list could not be read; [step] and [peer] say where that failed. */
+data class HostListError(val step: String, val peer: String, val reason: String)
--- /dev/null
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/ModuleTest.kt
@@ -0,0 +1,12 @@
+package sycamoremast.coordination
+
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isNotEmpty
+
+class ModuleTest {
+    @Test
+    fun `module has a name`() {
+        expectThat("coordination").isNotEmpty()
+    }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/sycamoremast/standins/Module.kt
@@ -0,0 +1,4 @@
+/** Placeholder. */
+package sycamoremast.standins
+
+internal const val MODULE_NAME = "standins"
