--- a/configuration/src/main/kotlin/sycamoremast/configuration/TeamConfiguration.kt
+++ b/configuration/src/main/kotlin/sycamoremast/configuration/TeamConfiguration.kt
@@ -12,7 +12,7 @@
     val team: String,
     val quota: Quota,
     val services: List<Service> = emptyList(),
-    val jobs: List<Job> = emptyList(),
+    val jobs: List<Job> = emptyList()
 )
 
 /** The most that a team's batch tasks may hold at one time, over all availability zones. */
@@ -28,7 +28,7 @@
     val name: String,
     val deadline: Duration,
     val routes: List<Route> = emptyList(),
-    val retryPercent: Int = DEFAULT_RETRY_PERCENT,
+    val retryPercent: Int = DEFAULT_RETRY_PERCENT
 ) {
     companion object {
         /** The share of requests that may be retried unless a service says otherwise. */
@@ -45,7 +45,7 @@
     val name: String,
     val pathPrefix: String,
     val expected: Duration,
-    val idempotent: Boolean = false,
+    val idempotent: Boolean = false
 )
 
 /** Whether a job's tasks may be run again after their worker was lost. */
@@ -71,5 +71,5 @@
     val repeat: Repeat = Repeat.FROM_CHECKPOINT,
     val urgency: Urgency = Urgency.NORMAL,
     val moveAfter: Duration? = null,
-    val command: String = "",
+    val command: String = ""
 )
--- a/configuration/src/main/kotlin/sycamoremast/configuration/operator/OperatorApi.kt
+++ b/configuration/src/main/kotlin/sycamoremast/configuration/operator/OperatorApi.kt
@@ -31,7 +31,7 @@
     val draining: Boolean = false,
     val members: List<MemberView> = emptyList(),
     val documents: List<RevisionView> = emptyList(),
-    val shards: List<ShardView> = emptyList(),
+    val shards: List<ShardView> = emptyList()
 )
 
 /** An entry host as seen by the answering one; [state] is live, suspect or gone. */
@@ -41,7 +41,7 @@
     val availabilityZone: String,
     val incarnation: Long,
     val state: String,
-    val peerAddress: String,
+    val peerAddress: String
 )
 
 /** The [revision] of a team's configuration that is in force on the answering host. */
@@ -56,7 +56,7 @@
     val epoch: Long,
     val workers: Int,
     val runningTasks: Int,
-    val waitingTasks: Int,
+    val waitingTasks: Int
 )
 
 /** A team's accepted configuration. */
@@ -66,7 +66,7 @@
     val revision: Long,
     val text: String,
     val operator: String,
-    val atMillis: Long,
+    val atMillis: Long
 )
 
 /** An accepted submission. */
@@ -83,7 +83,7 @@
     val team: String,
     val revision: Long,
     val inForce: List<String>,
-    val unconfirmed: List<String>,
+    val unconfirmed: List<String>
 )
 
 /** A batch job; [state] is accepted, running, finished, failed, cancelled or unknown. */
@@ -96,7 +96,7 @@
     val tasks: Int,
     val tasksFinished: Int,
     val tasksRunning: Int = 0,
-    val reason: String = "",
+    val reason: String = ""
 )
 
 /** The answering daemon has begun its graceful shutdown. */
@@ -112,7 +112,7 @@
     val evidence: String,
     val raisedBy: String,
     val raisedAtMillis: Long,
-    val clearedAtMillis: Long? = null,
+    val clearedAtMillis: Long? = null
 )
 
 /** A change: who made it, what it was, when, and from which revision to which. */
@@ -124,7 +124,7 @@
     val subject: String,
     val fromRevision: Long,
     val toRevision: Long,
-    val host: String,
+    val host: String
 )
 
 /** A call that was not carried out, with the step and the peer at which it failed. */
@@ -134,5 +134,5 @@
     val peer: String,
     val reason: String,
     val retryAfterMillis: Long? = null,
-    val outcomeUnknown: Boolean = false,
+    val outcomeUnknown: Boolean = false
 )
--- a/coordination/src/main/kotlin/sycamoremast/coordination/HostList.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/HostList.kt
@@ -35,7 +35,7 @@
     val service: String = "",
     val slots: Int = 0,
     val connections: Int = 0,
-    val capacity: Resources = Resources.NONE,
+    val capacity: Resources = Resources.NONE
 )
 
 /** The list could not be read; [step] and [peer] say where that failed. */
--- a/coordination/src/main/kotlin/sycamoremast/coordination/KeyValueStore.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/KeyValueStore.kt
@@ -28,7 +28,7 @@
         key: String,
         expected: Long,
         value: String,
-        lease: LeaseId? = null,
+        lease: LeaseId? = null
     ): Either<StoreError, SwapOutcome>
 
     /** Returns the outcome of deleting [key] if its version is still [expected]. */
@@ -94,13 +94,13 @@
     data class NotSent(
         override val step: String,
         override val peer: String,
-        override val reason: String,
+        override val reason: String
     ) : StoreError
 
     /** The call may or may not have taken effect. */
     data class AnswerLost(
         override val step: String,
         override val peer: String,
-        override val reason: String,
+        override val reason: String
     ) : StoreError
 }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/Resources.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/Resources.kt
@@ -16,7 +16,7 @@
     operator fun plus(other: Resources) = Resources(
         milliCpus + other.milliCpus,
         memoryMib + other.memoryMib,
-        accelerators + other.accelerators,
+        accelerators + other.accelerators
     )
 
     /** Returns whether this amount is within [other] in every dimension. */
@@ -28,7 +28,7 @@
     fun minusFloored(other: Resources) = Resources(
         (milliCpus - other.milliCpus).coerceAtLeast(0),
         (memoryMib - other.memoryMib).coerceAtLeast(0),
-        (accelerators - other.accelerators).coerceAtLeast(0),
+        (accelerators - other.accelerators).coerceAtLeast(0)
     )
 
     companion object {
--- a/coordination/src/main/kotlin/sycamoremast/coordination/WorkerPort.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/WorkerPort.kt
@@ -38,7 +38,7 @@
     val epoch: Long,
     val ttlMillis: Long,
     val echoMillis: Long,
-    val acknowledged: List<String> = emptyList(),
+    val acknowledged: List<String> = emptyList()
 )
 
 /** Starts a task; [resumeFrom] is the checkpoint to go on from, if any. */
@@ -50,7 +50,7 @@
     val resources: Resources,
     val workMillis: Long,
     val resumeFrom: Checkpoint? = null,
-    val command: String = "",
+    val command: String = ""
 )
 
 /** A saved state of a task, after [doneMillis] of its work. */
@@ -72,7 +72,7 @@
     val checkpoint: Checkpoint? = null,
     val throttled: Boolean = false,
     val result: String? = null,
-    val usage: Resources = Resources.NONE,
+    val usage: Resources = Resources.NONE
 )
 
 /** A worker's account of itself; [incarnation] changes whenever the worker restarts. */
@@ -85,7 +85,7 @@
     val leaseRemainingMillis: Long,
     val capacity: Resources,
     val rack: String,
-    val tasks: List<TaskReport>,
+    val tasks: List<TaskReport>
 )
 
 /** A failed call on a worker, with the [step] and the [peer] at which it failed. */
@@ -101,7 +101,7 @@
     data class AnswerLost(
         override val step: String,
         override val peer: String,
-        val reason: String,
+        val reason: String
     ) : WorkerError
 
     /** The worker has seen a higher epoch, [current]: the caller is no longer the owner. */
--- a/daemon/src/main/kotlin/sycamoremast/daemon/control/AuditTrail.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/control/AuditTrail.kt
@@ -13,5 +13,5 @@
     val action: String,
     val subject: String,
     val fromRevision: Long,
-    val toRevision: Long,
+    val toRevision: Long
 )
--- a/daemon/src/main/kotlin/sycamoremast/daemon/control/ConfigurationView.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/control/ConfigurationView.kt
@@ -16,5 +16,5 @@
 data class AppliedConfiguration(
     val team: String,
     val revision: Long,
-    val configuration: TeamConfiguration,
+    val configuration: TeamConfiguration
 )
--- a/daemon/src/main/kotlin/sycamoremast/daemon/control/MembershipView.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/control/MembershipView.kt
@@ -19,5 +19,5 @@
     val availabilityZone: String,
     val incarnation: Long,
     val peerAddress: String,
-    val state: MemberState,
+    val state: MemberState
 )
