--- a/daemon/src/test/kotlin/sycamoremast/daemon/request/OutcomeTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/request/OutcomeTest.kt
@@ -139,7 +139,7 @@
         }
         PathHarness(backend).ready().use { harness ->
             val first = harness.send("/invoices", "POST", "invoice 1")
-            backend.awaitAfterwards()
+            backend.doAfterwards()
             val second = harness.send("/invoices", "POST", "invoice 2")
             expectThat(first.text()).isEqualTo("paid invoice 1")
             expectThat(second.text()).isEqualTo("paid invoice 2")
--- a/daemon/src/test/kotlin/sycamoremast/daemon/request/RawBackend.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/request/RawBackend.kt
@@ -27,7 +27,7 @@
     private val server = ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"))
     private val sockets = CopyOnWriteArrayList<Socket>()
     private val connectionCounter = AtomicInteger()
-    private val afterwardsDone = CountDownLatch(1)
+    private val afterwards = Afterwards()
 
     val port: Int get() = server.localPort
 
@@ -55,7 +55,7 @@
 
     private fun serve(socket: Socket) {
         try {
-            val connection = RawConnection(socket, afterwardsDone::countDown)
+            val connection = RawConnection(socket, afterwards)
             while (true) {
                 val request = connection.read() ?: break
                 requests += request
@@ -67,8 +67,8 @@
         }
     }
 
-    /** Waits until what a script does after its answer has been done. */
-    fun awaitAfterwards() = check(afterwardsDone.await(BOUND_SECONDS, TimeUnit.SECONDS))
+    /** Lets a script do what it does after its answer, and waits until that is done. */
+    fun doAfterwards() = afterwards.run()
 
     override fun close() {
         server.close()
@@ -77,12 +77,11 @@
 
     private companion object {
         const val BACKLOG = 200
-        const val BOUND_SECONDS = 20L
     }
 }
 
 /** One connection of a [RawBackend]. */
-internal class RawConnection(private val socket: Socket, private val afterwardsDone: () -> Unit) {
+internal class RawConnection(private val socket: Socket, private val afterwards: Afterwards) {
     private val input = socket.getInputStream().buffered()
     private val output = socket.getOutputStream()
 
@@ -117,11 +116,8 @@
         return write(lines.joinToString("\r\n", postfix = "\r\n\r\n") + body)
     }
 
-    /** Does [action] once the caller has had time to take the answer, and tells the backend. */
-    fun afterwards(action: () -> Unit) {
-        action()
-        afterwardsDone()
-    }
+    /** Does [action] once the test says that the answer has been taken. */
+    fun afterwards(action: () -> Unit) = afterwards.await(action)
 
     /** Resets the connection, so that the other side sees an error rather than an end. */
     fun reset(): Boolean {
@@ -159,3 +155,24 @@
 
     override fun close() = server.close()
 }
+
+/** Makes a script's thread wait for the test, and the test for the script. */
+internal class Afterwards {
+    private val allowed = CountDownLatch(1)
+    private val done = CountDownLatch(1)
+
+    fun await(action: () -> Unit) {
+        check(allowed.await(BOUND_SECONDS, TimeUnit.SECONDS))
+        action()
+        done.countDown()
+    }
+
+    fun run() {
+        allowed.countDown()
+        check(done.await(BOUND_SECONDS, TimeUnit.SECONDS))
+    }
+
+    private companion object {
+        const val BOUND_SECONDS = 20L
+    }
+}
