Add a group-commit writer for documents in the key-value service

Callers hand in pure changes and block for their own typed outcomes; the changes that wait together share one compare-and-swap. A lost answer is resolved by the writer's id and sequence number in the document, and the same write is sent again only against the same version.

A budget of calls (token bucket) and jittered exponential back-off bound the load on the service.

--- /dev/null
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/store/CallBudget.kt
@@ -0,0 +1,68 @@
+/** A token bucket that bounds and counts the calls made on the key-value service. */
+package sycamoremast.coordination.store
+
+import sycamoremast.coordination.MonotonicClock
+
+/**
+ * Allows [ratePerSecond] calls on average and up to [burst] at once.
+ *
+ * One budget is shared by all parts of a process that call the service.
+ */
+class CallBudget(
+    val ratePerSecond: Double,
+    val burst: Int,
+    private val clock: MonotonicClock = MonotonicClock.system()
+) {
+    private var tokens = burst.toDouble()
+    private var refilledAt = clock.nowMillis()
+    private var takenCount = 0L
+    private var delayedCount = 0L
+
+    init {
+        require(ratePerSecond > 0 && burst > 0) { "no calls allowed: $ratePerSecond/s, $burst" }
+    }
+
+    /** The calls that were allowed so far. */
+    val taken: Long
+        @Synchronized get() = takenCount
+
+    /** The calls that had to wait for the budget so far. */
+    val delayed: Long
+        @Synchronized get() = delayedCount
+
+    /** Takes a call if one is allowed now; returns the milliseconds to wait otherwise, else 0. */
+    @Synchronized
+    fun tryTake(): Long {
+        refill()
+        if (tokens >= 1) {
+            tokens -= 1
+            takenCount++
+            return 0
+        }
+        delayedCount++
+        return ((1 - tokens) * MILLIS_PER_SECOND / ratePerSecond).toLong() + 1
+    }
+
+    /** Waits up to [timeoutMillis] for a call; returns whether it was taken. */
+    fun take(timeoutMillis: Long, pause: Pause = Pause.system()): Boolean {
+        val end = clock.nowMillis() + timeoutMillis
+        var wait = tryTake()
+        while (wait > 0) {
+            if (clock.nowMillis() + wait > end) return false
+            pause.pause(wait)
+            wait = tryTake()
+        }
+        return true
+    }
+
+    private fun refill() {
+        val now = clock.nowMillis()
+        val earned = (now - refilledAt) * ratePerSecond / MILLIS_PER_SECOND
+        tokens = (tokens + earned).coerceAtMost(burst.toDouble())
+        refilledAt = now
+    }
+
+    private companion object {
+        const val MILLIS_PER_SECOND = 1000.0
+    }
+}
--- /dev/null
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/store/DocumentSwapper.kt
@@ -0,0 +1,231 @@
+/** One group of changes at a time: apply, compare-and-swap, and resolve what became of it. */
+package sycamoremast.coordination.store
+
+import arrow.core.Either
+import sycamoremast.coordination.KeyValueStore
+import sycamoremast.coordination.StoreEntry
+import sycamoremast.coordination.StoreError
+import sycamoremast.coordination.SwapOutcome
+
+/** Writes groups of changes to the document at [key]; not safe for concurrent use. */
+internal class DocumentSwapper(
+    private val store: KeyValueStore,
+    private val key: String,
+    private val calls: BudgetedCalls,
+    private val limits: WriterLimits,
+    private val writerId: String
+) {
+    private var cached: Base? = null
+    private var sequence = 0L
+
+    fun read(): Either<StoreError, VersionedDocument?> {
+        val attempts = calls.begin()
+        while (true) {
+            if (!attempts.admit()) return Either.Left(StoreError.NotSent("read", "", OVER_BUDGET))
+            val answer = store.get(key)
+            if (answer is Either.Right || !attempts.backOff()) {
+                return answer.map { entry ->
+                    entry?.let {
+                        VersionedDocument(StoredDocument.parse(it.value).body, it.version)
+                    }
+                }
+            }
+        }
+    }
+
+    fun commit(group: List<PendingChange<*>>) {
+        var result: CommitOutcome<Nothing> = INTERRUPTED
+        try {
+            result = commitWithin(group, calls.begin())
+        } finally {
+            if (result !is CommitOutcome.Committed) cached = null
+            group.forEach { it.finish(result) }
+        }
+    }
+
+    private fun commitWithin(
+        group: List<PendingChange<*>>,
+        attempts: BudgetedCalls.Attempts
+    ): CommitOutcome<Nothing> {
+        while (true) {
+            val base = cached ?: when (val found = readBase(attempts)) {
+                is Either.Left -> return found.value
+                is Either.Right -> found.value
+            }
+            val body = group.fold(base.body) { current, change ->
+                change.apply(current, limits.maxBytes)
+            }
+            if (body == null || body == base.body) {
+                if (base.fresh) return CommitOutcome.Committed(base.version)
+                cached = null
+                continue
+            }
+            val written = Swap(base, base.next(writerId, ++sequence, body), attempts).run()
+            if (written != null) return written
+        }
+    }
+
+    private fun readBase(attempts: BudgetedCalls.Attempts): Either<CommitOutcome<Nothing>, Base> {
+        while (true) {
+            if (!attempts.admit()) return Either.Left(notCommitted("read", "", OVER_BUDGET))
+            when (val answer = store.get(key)) {
+                is Either.Left -> if (!attempts.backOff()) {
+                    return Either.Left(answer.value.notCommitted())
+                }
+
+                is Either.Right -> return decode(answer.value)
+            }
+        }
+    }
+
+    private fun decode(entry: StoreEntry?): Either<CommitOutcome<Nothing>, Base> {
+        if (entry == null) return Either.Right(remember(Base(StoreEntry.ABSENT, null, true)))
+        val document = StoredDocument.parseOrNull(entry.value)
+            ?: return Either.Left(notCommitted("decode", "", "$key holds no document"))
+        return Either.Right(remember(Base(entry.version, document, true)))
+    }
+
+    private fun remember(base: Base): Base {
+        cached = base
+        return base
+    }
+
+    /** A write of [next] over [base], with all its attempts. */
+    private inner class Swap(
+        private val base: Base,
+        private val next: StoredDocument,
+        private val attempts: BudgetedCalls.Attempts
+    ) {
+        private val text = next.print()
+        private var uncertain = false
+
+        /** Returns the outcome, or null if the changes have to be applied to a newer document. */
+        fun run(): CommitOutcome<Nothing>? {
+            while (true) {
+                if (!attempts.admit()) return failed("compare-and-swap", "", OVER_BUDGET)
+                val step = when (val answer = store.compareAndSwap(key, base.version, text)) {
+                    is Either.Left -> afterError(answer.value)
+                    is Either.Right -> afterAnswer(answer.value)
+                }
+                when (step) {
+                    Step.SendAgain -> Unit
+                    Step.ApplyAgain -> return null
+                    is Step.Ended -> return step.outcome
+                }
+            }
+        }
+
+        private fun afterAnswer(answer: SwapOutcome): Step = when (answer) {
+            is SwapOutcome.Applied -> applied(answer.version)
+            is SwapOutcome.Conflict -> resolveConflict(answer.current)
+        }
+
+        private fun resolveConflict(current: StoreEntry?) =
+            if (uncertain) resolve(current) else superseded(current)
+
+        private fun afterError(error: StoreError): Step {
+            if (error is StoreError.AnswerLost) uncertain = true
+            if (!attempts.backOff()) return Step.Ended(failed(error))
+            return if (uncertain) readBack() else Step.SendAgain
+        }
+
+        private fun readBack(): Step {
+            while (true) {
+                if (!attempts.admit()) return Step.Ended(failed("read back", "", OVER_BUDGET))
+                when (val answer = store.get(key)) {
+                    is Either.Left ->
+                        if (!attempts.backOff()) return Step.Ended(failed(answer.value))
+
+                    is Either.Right -> return resolve(answer.value)
+                }
+            }
+        }
+
+        private fun resolve(current: StoreEntry?): Step {
+            if ((current?.version ?: StoreEntry.ABSENT) == base.version) return Step.SendAgain
+            val document = current?.let { StoredDocument.parseOrNull(it.value) }
+                ?: return Step.Ended(failed("resolve", "", "the document is gone"))
+            val written = document.commits - base.commits
+            return when {
+                document.writers[writerId] == sequence -> applied(current.version, document)
+                written in 1..StoredDocument.MAX_WRITERS -> superseded(current)
+                else -> Step.Ended(failed("resolve", "", "the writer's mark was dropped"))
+            }
+        }
+
+        private fun superseded(current: StoreEntry?): Step = when (val newer = decode(current)) {
+            is Either.Left -> Step.Ended(newer.value)
+            is Either.Right -> if (attempts.backOff()) Step.ApplyAgain else Step.Ended(CONTENDED)
+        }
+
+        private fun applied(version: Long, document: StoredDocument = next): Step {
+            cached = Base(version, document, false)
+            return Step.Ended(CommitOutcome.Committed(version))
+        }
+
+        private fun failed(error: StoreError) = failed(error.step, error.peer, error.reason)
+
+        private fun failed(step: String, peer: String, reason: String) = if (uncertain) {
+            CommitOutcome.Unknown(step, peer, reason)
+        } else {
+            notCommitted(step, peer, reason)
+        }
+    }
+
+    /** What to do after an attempt to write. */
+    private sealed interface Step {
+        data object SendAgain : Step
+
+        data object ApplyAgain : Step
+
+        data class Ended(val outcome: CommitOutcome<Nothing>) : Step
+    }
+
+    /** The document that a write starts from; [fresh] if it was just read. */
+    private class Base(val version: Long, val document: StoredDocument?, val fresh: Boolean) {
+        val body = document?.body
+        val commits = document?.commits ?: 0
+
+        fun next(writer: String, sequence: Long, body: String) =
+            (document ?: StoredDocument(body = "")).next(writer, sequence, body)
+    }
+
+    private companion object {
+        const val OVER_BUDGET = "the budget of calls allowed none in time"
+        val INTERRUPTED =
+            CommitOutcome.Unknown("commit", "", "the writing thread was interrupted")
+        val CONTENDED =
+            CommitOutcome.NotCommitted("compare-and-swap", "", "other writers were always first")
+
+        fun notCommitted(step: String, peer: String, reason: String) =
+            CommitOutcome.NotCommitted(step, peer, reason)
+
+        fun StoreError.notCommitted() = CommitOutcome.NotCommitted(step, peer, reason)
+    }
+}
+
+/** Bounds the calls of a writer in number and time. */
+internal class BudgetedCalls(
+    private val budget: CallBudget,
+    private val limits: WriterLimits,
+    private val timing: Timing
+) {
+    fun begin() = Attempts(timing.clock.nowMillis() + limits.giveUpAfter.inWholeMilliseconds)
+
+    inner class Attempts(private val deadlineMillis: Long) {
+        private var made = 0
+
+        /** Waits for the budget; returns whether it allowed a call in time. */
+        fun admit(): Boolean = budget.take(remainingMillis(), timing.pause)
+
+        /** Waits before the next attempt; returns false if there is no time for one. */
+        fun backOff(): Boolean {
+            val delay = limits.backoff.delayMillis(++made, timing.random)
+            if (delay >= remainingMillis()) return false
+            timing.pause.pause(delay)
+            return true
+        }
+
+        private fun remainingMillis() = deadlineMillis - timing.clock.nowMillis()
+    }
+}
