--- /dev/null
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/http/BoundHttpServer.kt
@@ -0,0 +1,50 @@
+/** HTTP servers that listen on one IP number, with a bounded number of threads. */
+package sycamoremast.daemon.http
+
+import io.undertow.Undertow
+import io.undertow.UndertowOptions
+import io.undertow.server.handlers.BlockingHandler
+import java.net.InetSocketAddress
+import org.http4k.core.HttpHandler
+import org.http4k.server.Http4kServer
+import org.http4k.server.Http4kUndertowHttpHandler
+import org.http4k.server.ServerConfig
+
+private const val IO_THREADS = 2
+private const val IDLE_TIMEOUT_MILLIS = 60_000
+private const val REQUEST_PARSE_TIMEOUT_MILLIS = 10_000
+
+/**
+ * Configures an Undertow server on [address] with [workerThreads] threads for handlers.
+ *
+ * Port 0 takes any free port. A request whose headers or body are longer than Undertow's limit for
+ * headers or [maxBodyBytes] is refused before the handler sees it.
+ */
+internal data class BoundHttpServer(
+    val address: InetSocketAddress,
+    val workerThreads: Int,
+    val maxBodyBytes: Long
+) : ServerConfig {
+    override val stopMode: ServerConfig.StopMode = ServerConfig.StopMode.Immediate
+
+    override fun toServer(http: HttpHandler): Http4kServer {
+        val server = Undertow.builder()
+            .addHttpListener(address.port, address.hostString)
+            .setIoThreads(IO_THREADS)
+            .setWorkerThreads(workerThreads)
+            .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, maxBodyBytes)
+            .setServerOption(UndertowOptions.IDLE_TIMEOUT, IDLE_TIMEOUT_MILLIS)
+            .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, REQUEST_PARSE_TIMEOUT_MILLIS)
+            .setHandler(BlockingHandler(Http4kUndertowHttpHandler(http)))
+            .build()
+        return RunningServer(server)
+    }
+}
+
+private class RunningServer(private val server: Undertow) : Http4kServer {
+    override fun start(): Http4kServer = apply { server.start() }
+
+    override fun stop(): Http4kServer = apply { server.stop() }
+
+    override fun port(): Int = (server.listenerInfo.single().address as InetSocketAddress).port
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/operator/HealthRoutes.kt
@@ -0,0 +1,31 @@
+/** The balancer's probes and the metrics page. */
+package sycamoremast.daemon.operator
+
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
+import org.http4k.core.HttpHandler
+import org.http4k.core.Method.GET
+import org.http4k.core.Response
+import org.http4k.core.Status
+import org.http4k.routing.bind
+import org.http4k.routing.routes
+
+/**
+ * Returns the handler of `/live`, `/ready` and `/metrics`.
+ *
+ * [notReadyBecause] gives the reasons why callers must not be sent here; none means ready.
+ */
+internal fun healthRoutes(
+    registry: PrometheusMeterRegistry,
+    notReadyBecause: () -> List<String>
+): HttpHandler = routes(
+    "/live" bind GET to { Response(Status.OK).body("live\n") },
+    "/ready" bind GET to { readiness(notReadyBecause()) },
+    "/metrics" bind GET to {
+        Response(Status.OK).header("Content-Type", "text/plain").body(registry.scrape())
+    }
+)
+
+private fun readiness(reasons: List<String>): Response = when {
+    reasons.isEmpty() -> Response(Status.OK).body("ready\n")
+    else -> Response(Status.SERVICE_UNAVAILABLE).body(reasons.joinToString("\n", postfix = "\n"))
+}
