--- /dev/null
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/membership/IncarnationClaim.kt
@@ -0,0 +1,41 @@
+/** The incarnation under which a process speaks for its host. */
+package sycamoremast.coordination.membership
+
+/**
+ * Holds this process's incarnation, which starts at [first].
+ *
+ * Until the incarnation is established, it is raised past any other that is seen for the same host:
+ * the other process must have ended, since this one was started in its place. Afterwards a higher
+ * one means that this process itself has been replaced.
+ */
+class IncarnationClaim(first: Long) {
+    private var current = first
+    private var established = false
+    private var replacedBy = 0L
+
+    /** The incarnation to introduce this process with. */
+    val value: Long
+        @Synchronized get() = current
+
+    /** The higher incarnation that has replaced this process, or null. */
+    val supersededBy: Long?
+        @Synchronized get() = replacedBy.takeIf { it > current }
+
+    /** Marks the incarnation as accepted by the registry or a peer. */
+    @Synchronized
+    fun establish() {
+        established = true
+    }
+
+    /** Takes note that [seen] is in use for this host; returns whether [value] was raised. */
+    @Synchronized
+    fun observe(seen: Long): Boolean {
+        if (seen <= current) return false
+        if (established) {
+            replacedBy = maxOf(replacedBy, seen)
+            return false
+        }
+        current = seen + 1
+        return true
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/peer/PeerConnection.kt
@@ -0,0 +1,121 @@
+/** One connection to another entry host: its frames, its bounded queue and its end. */
+package sycamoremast.daemon.peer
+
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.openReadChannel
+import io.ktor.network.sockets.openWriteChannel
+import io.ktor.utils.io.readByteArray
+import io.ktor.utils.io.readInt
+import io.ktor.utils.io.writeByteArray
+import io.ktor.utils.io.writeInt
+import java.util.concurrent.atomic.AtomicLong
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.channels.getOrElse
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeout
+import kotlinx.coroutines.withTimeoutOrNull
+
+/** Thrown when a peer breaks the protocol or its bounds; [kind] names how, for a metric. */
+internal class PeerViolationException(val kind: String, message: String) :
+    IllegalStateException(message)
+
+/** A connection over [socket], to whatever answers at [address]. */
+internal class PeerConnection(
+    private val socket: Socket,
+    val address: String,
+    private val limits: PeerLimits,
+    private val counters: PeerCounters
+) {
+    private val input = socket.openReadChannel()
+    private val output = socket.openWriteChannel(autoFlush = false)
+    private val queue = Channel<ByteArray>(limits.maxQueuedMessages)
+    private val queuedBytes = AtomicLong()
+
+    /** The peer, once it has introduced itself. */
+    @Volatile
+    var peer: PeerIdentity? = null
+
+    /** Queues [frame]; returns false if the queue is full or the connection has ended. */
+    fun offer(frame: PeerFrame): Boolean {
+        val bytes = PeerCodec.encode(frame)
+        if (bytes.size > limits.maxMessageBytes) return false
+        if (queuedBytes.addAndGet(bytes.size.toLong()) > limits.maxQueuedBytes) {
+            queuedBytes.addAndGet(-bytes.size.toLong())
+            return false
+        }
+        if (queue.trySend(bytes).isSuccess) return true
+        queuedBytes.addAndGet(-bytes.size.toLong())
+        return false
+    }
+
+    /** Sends [frame] past the queue, before [run]. */
+    suspend fun sendNow(frame: PeerFrame) {
+        withTimeout(limits.connectTimeout) { write(PeerCodec.encode(frame)) }
+    }
+
+    /** Returns the first frame, which is short and comes soon. */
+    suspend fun receiveFirst(): PeerFrame =
+        withTimeout(limits.connectTimeout) { read(MAX_FIRST_FRAME_BYTES) }
+
+    /** Sends what is queued and gives what is received to [onFrame], until the end. */
+    suspend fun run(onFrame: (PeerFrame) -> Unit) = coroutineScope {
+        launch { writeLoop() }
+        while (true) {
+            val frame = withTimeoutOrNull(limits.dropAfterSilence) { read(limits.maxMessageBytes) }
+                ?: throw PeerViolationException("silent", "nothing received in time")
+            if (frame !is PeerFrame.Ping) onFrame(frame)
+        }
+    }
+
+    /** Ends the connection. */
+    fun close() {
+        queue.close()
+        socket.close()
+    }
+
+    private suspend fun writeLoop() {
+        while (true) {
+            val next = withTimeoutOrNull(limits.pingAfter) { queue.receiveCatching() }
+            val bytes = if (next == null) PING else next.getOrElse { return }
+            withTimeoutOrNull(limits.dropAfterSilence) { write(bytes) }
+                ?: throw PeerViolationException("slow", "the peer took nothing in time")
+            if (next != null) queuedBytes.addAndGet(-bytes.size.toLong())
+        }
+    }
+
+    private suspend fun write(bytes: ByteArray) {
+        output.writeInt(bytes.size)
+        output.writeByteArray(bytes)
+        output.flush()
+        counters.sent(bytes.size + LENGTH_BYTES)
+    }
+
+    private suspend fun read(maxBytes: Int): PeerFrame {
+        val length = input.readInt()
+        if (length !in 1..maxBytes) {
+            throw PeerViolationException("oversized", "a frame of $length bytes, limit $maxBytes")
+        }
+        val bytes = input.readByteArray(length)
+        counters.received(length + LENGTH_BYTES)
+        return try {
+            PeerCodec.decode(bytes)
+        } catch (e: MalformedFrameException) {
+            throw PeerViolationException("malformed", e.message.orEmpty())
+        }
+    }
+
+    private companion object {
+        const val LENGTH_BYTES = 4
+        const val MAX_FIRST_FRAME_BYTES = 4_096
+        val PING = PeerCodec.encode(PeerFrame.Ping)
+    }
+}
+
+/** Returns why a connection ended, in few words. */
+internal fun Throwable.endReason(): String = when (this) {
+    is PeerViolationException -> "$kind: $message"
+    is CancellationException -> "timed out or closed"
+    else -> message ?: this::class.simpleName.orEmpty()
+}
