Read INI with the line of every entry and error

Settings and configurations need errors with file, line, section and key, and duplicates have to be refused. ini4j's parser calls a handler per entry; a reader that hands over one line a call gives the line numbers. commons-configuration2 was ruled out: it merges duplicate sections and keys silently and its layout keeps no line numbers (by its documentation, not run).

The parser stops at the first unreadable line, so that line is replaced and the text parsed again until all are listed.

--- /dev/null
+++ b/configuration/src/main/kotlin/sycamoremast/configuration/ini/IniDocument.kt
@@ -0,0 +1,55 @@
+/**
+ * INI text as sections and entries that remember their lines.
+ *
+ * The syntax is the one of ini4j without escapes, includes and line continuations: `[section]`
+ * headers, `key = value` entries, and comments on lines of their own that start with `#` or `;`.
+ */
+package sycamoremast.configuration.ini
+
+import arrow.core.Either
+import arrow.core.NonEmptyList
+
+/** The sections of an INI [file] in their order, and the number of its lines. */
+data class IniDocument(val file: String, val sections: List<IniSection>, val lineCount: Int) {
+    /** Returns the section [name], or null where there is none. */
+    fun section(name: String): IniSection? = sections.find { it.name == name }
+
+    companion object {
+        /**
+         * Returns the document that [text] holds.
+         *
+         * Duplicate sections, duplicate keys of a section, entries outside of a section and
+         * control characters are errors. All errors are listed, in order of their lines.
+         */
+        fun parse(file: String, text: String): Either<NonEmptyList<IniError>, IniDocument> =
+            IniParsing(file, text).parse()
+    }
+}
+
+/** A section with the [line] of its header. */
+data class IniSection(val name: String, val line: Int, val entries: List<IniEntry>) {
+    /** Returns the entry with [key], or null where there is none. */
+    fun entry(key: String): IniEntry? = entries.find { it.key == key }
+}
+
+/** A [key] with its [value], without the blanks around them. */
+data class IniEntry(val key: String, val value: String, val line: Int)
+
+/** An error at a [line] of [file]; [section] and [key] are empty where there is none. */
+data class IniError(
+    val file: String,
+    val line: Int,
+    val section: String,
+    val key: String,
+    val message: String
+) {
+    /** Returns `file:line: [section] key: message`, without the parts that are empty. */
+    fun render(): String = buildString {
+        append("$file:$line: ")
+        if (section.isNotEmpty()) append("[$section] ")
+        if (key.isNotEmpty()) append("$key: ")
+        append(message)
+    }
+
+    override fun toString(): String = render()
+}
