Check a daemon's settings in full before anything starts

Every section, key, range and relation (heartbeat below half of the lease, no wildcard address without one to advertise) is checked, and all errors are listed at once in order of their lines. Unknown sections and keys are errors.

--- /dev/null
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/settings/SettingsReader.kt
@@ -0,0 +1,253 @@
+/** Turns the sections of a settings file into typed settings, and checks how they relate. */
+package sycamoremast.daemon.settings
+
+import arrow.core.Either
+import arrow.core.NonEmptyList
+import arrow.core.left
+import arrow.core.right
+import arrow.core.toNonEmptyListOrNull
+import sycamoremast.configuration.Endpoint
+import sycamoremast.configuration.ini.IniDocument
+import sycamoremast.configuration.ini.IniError
+import sycamoremast.configuration.ini.IniSection
+import sycamoremast.configuration.ini.SectionReader
+
+internal class SettingsReader(private val document: IniDocument) {
+    private val errors = mutableListOf<IniError>()
+
+    fun read(): Either<NonEmptyList<IniError>, DaemonSettings> {
+        val settings = readAll()
+        rejectOtherSections()
+        val sorted = errors.sortedBy { it.line }.toNonEmptyListOrNull()
+        return sorted?.left() ?: checkNotNull(settings).right()
+    }
+
+    private fun readAll(): DaemonSettings? {
+        val host = required("host") { readHost() }
+        val listen = required("listen") { readListen() }
+        val advertise = optional("advertise", AdvertiseSettings()) { readAdvertise() }
+        if (listen != null && advertise != null) rejectWildcards(listen, advertise)
+        val keyValue = required("key-value") { readKeyValue() }
+        val hostList = required("host-list") { readHostList() }
+        val peers = optional("peers", PeerSettings()) { readPeers() }
+        val requests = optional("requests", RequestSettings()) { readRequests() }
+        val batch = optional("batch", BatchSettings()) { readBatch() }
+        val shutdown = optional("shutdown", ShutdownSettings()) { readShutdown() }
+        val log = optional("log", LogSettings()) { readLog() }
+        return DaemonSettings(
+            host = host ?: return null,
+            listen = listen ?: return null,
+            advertise = advertise ?: return null,
+            keyValue = keyValue ?: return null,
+            hostList = hostList ?: return null,
+            peers = peers ?: return null,
+            requests = requests ?: return null,
+            batch = batch ?: return null,
+            shutdown = shutdown ?: return null,
+            log = log ?: return null
+        )
+    }
+
+    private fun <T : Any> required(name: String, read: SectionReader.() -> T?): T? {
+        val section = document.section(name)
+        if (section != null) return read(section, read)
+        errors += IniError(document.file, document.lineCount, name, "", "the section is missing")
+        return null
+    }
+
+    private fun <T : Any> optional(name: String, default: T, read: SectionReader.() -> T?): T? {
+        val section = document.section(name) ?: return default
+        return read(section, read)
+    }
+
+    private fun <T : Any> read(section: IniSection, read: SectionReader.() -> T?): T? {
+        val reader = SectionReader(document, section, errors)
+        val value = reader.read()
+        reader.rejectOtherKeys()
+        return value
+    }
+
+    private fun rejectWildcards(listen: ListenSettings, advertise: AdvertiseSettings) {
+        rejectWildcard("requests", listen.requests, advertise.requests)
+        rejectWildcard("operators", listen.operators, advertise.operators)
+        rejectWildcard("peers", listen.peers, advertise.peers)
+    }
+
+    private fun rejectWildcard(key: String, bound: Endpoint, advertised: Endpoint?) {
+        if (bound.ip !in WILDCARDS || advertised != null) return
+        val line = document.section("listen")?.entry(key)?.line ?: document.lineCount
+        val message = "${bound.ip} stands for all addresses; name one for others in [advertise]"
+        errors += IniError(document.file, line, "listen", key, message)
+    }
+
+    private fun rejectOtherSections() {
+        document.sections
+            .filter { it.name !in SECTIONS }
+            .forEach {
+                val message = "the section is unknown; known are ${SECTIONS.joinToString()}"
+                errors += IniError(document.file, it.line, it.name, "", message)
+            }
+    }
+
+    private companion object {
+        val WILDCARDS = setOf("0.0.0.0", "::")
+        val SECTIONS = listOf(
+            "host", "listen", "advertise", "key-value", "host-list",
+            "peers", "requests", "batch", "shutdown", "log"
+        )
+    }
+}
+
+private val NAME = Regex("[a-z0-9-]{1,63}")
+private const val NAME_RULE = "must be 1 to 63 of a-z, 0-9 and -"
+
+private fun SectionReader.name(key: String): String? =
+    convert(key, null, NAME_RULE) { it.takeIf(NAME::matches) }
+
+private fun SectionReader.readHost(): HostSettings? {
+    val name = name("name")
+    val zone = name("availability-zone")
+    return HostSettings(name ?: return null, zone ?: return null)
+}
+
+private fun SectionReader.readListen(): ListenSettings? {
+    val requests = endpoint("requests")
+    val operators = endpoint("operators")
+    val peers = endpoint("peers")
+    val bound = mapOf("requests" to requests, "operators" to operators, "peers" to peers)
+    rejectSharedPorts(bound)
+    return ListenSettings(requests ?: return null, operators ?: return null, peers ?: return null)
+}
+
+private fun SectionReader.rejectSharedPorts(bound: Map<String, Endpoint?>) {
+    val fixed = bound.filterValues { it != null && it.port != 0 }.entries.toList()
+    for ((i, entry) in fixed.withIndex()) {
+        val earlier = fixed.take(i).find { it.value == entry.value } ?: continue
+        reject(entry.key, "${entry.value} is already the address of ${earlier.key}")
+    }
+}
+
+private fun SectionReader.readAdvertise(): AdvertiseSettings = AdvertiseSettings(
+    requests = advertised("requests"),
+    operators = advertised("operators"),
+    peers = advertised("peers")
+)
+
+private fun SectionReader.advertised(key: String): Endpoint? = if (has(key)) remote(key) else null
+
+/** Returns the address at [key], which others are to connect to. */
+private fun SectionReader.remote(key: String): Endpoint? {
+    val endpoint = endpoint(key) ?: return null
+    if (endpoint.port == 0) reject(key, "the port must not be 0")
+    return endpoint
+}
+
+private fun SectionReader.readKeyValue(): KeyValueSettings? {
+    val address = remote("address")
+    val timeout = long(
+        "timeout-millis",
+        KeyValueSettings.TIMEOUT_MILLIS_RANGE,
+        KeyValueSettings.DEFAULT_TIMEOUT_MILLIS
+    )
+    val lease = long(
+        "lease-millis",
+        KeyValueSettings.LEASE_MILLIS_RANGE,
+        KeyValueSettings.DEFAULT_LEASE_MILLIS
+    )
+    rejectUnlessBelowHalf("timeout-millis", timeout, "lease-millis", lease)
+    return KeyValueSettings(
+        address ?: return null,
+        timeout ?: return null,
+        lease ?: return null
+    )
+}
+
+private fun SectionReader.rejectUnlessBelowHalf(
+    key: String,
+    value: Long?,
+    leaseKey: String,
+    lease: Long?
+) {
+    if (value == null || lease == null || value < lease / 2) return
+    reject(key, "must be less than half of $leaseKey, but is $value of $lease")
+}
+
+private fun SectionReader.readHostList(): HostListSettings? {
+    val address = remote("address")
+    val refresh = long(
+        "refresh-millis",
+        HostListSettings.REFRESH_MILLIS_RANGE,
+        HostListSettings.DEFAULT_REFRESH_MILLIS
+    )
+    return HostListSettings(address ?: return null, refresh ?: return null)
+}
+
+private fun SectionReader.readPeers(): PeerSettings? {
+    val addresses = convert("addresses", emptyList(), ADDRESSES_RULE, ::parseAddresses)
+    val heartbeat = long(
+        "heartbeat-millis",
+        PeerSettings.HEARTBEAT_MILLIS_RANGE,
+        PeerSettings.DEFAULT_HEARTBEAT_MILLIS
+    )
+    val bytes = int(
+        "max-message-bytes",
+        PeerSettings.MAX_MESSAGE_BYTES_RANGE,
+        PeerSettings.DEFAULT_MAX_MESSAGE_BYTES
+    )
+    return PeerSettings(addresses ?: return null, heartbeat ?: return null, bytes ?: return null)
+}
+
+private fun parseAddresses(text: String): List<Endpoint>? {
+    val addresses = text.split(',').map { Endpoint.parseOrNull(it.trim()) }
+    return addresses.filterNotNull().takeIf { it.size == addresses.size && it.none(::isUnbound) }
+}
+
+private fun isUnbound(endpoint: Endpoint) = endpoint.port == 0
+
+private fun SectionReader.readRequests(): RequestSettings? {
+    val bytes = int(
+        "max-body-bytes",
+        RequestSettings.MAX_BODY_BYTES_RANGE,
+        RequestSettings.DEFAULT_MAX_BODY_BYTES
+    )
+    val queue = int(
+        "queue-limit",
+        RequestSettings.QUEUE_LIMIT_RANGE,
+        RequestSettings.DEFAULT_QUEUE_LIMIT
+    )
+    val deadline = long(
+        "default-deadline-millis",
+        RequestSettings.DEADLINE_MILLIS_RANGE,
+        RequestSettings.DEFAULT_DEADLINE_MILLIS
+    )
+    return RequestSettings(bytes ?: return null, queue ?: return null, deadline ?: return null)
+}
+
+private fun SectionReader.readBatch(): BatchSettings? {
+    val shards = int("shards", BatchSettings.SHARDS_RANGE, BatchSettings.DEFAULT_SHARDS)
+    val lease = long(
+        "worker-lease-millis",
+        BatchSettings.WORKER_LEASE_MILLIS_RANGE,
+        BatchSettings.DEFAULT_WORKER_LEASE_MILLIS
+    )
+    val heartbeat = long(
+        "heartbeat-millis",
+        BatchSettings.HEARTBEAT_MILLIS_RANGE,
+        BatchSettings.DEFAULT_HEARTBEAT_MILLIS
+    )
+    rejectUnlessBelowHalf("heartbeat-millis", heartbeat, "worker-lease-millis", lease)
+    return BatchSettings(shards ?: return null, lease ?: return null, heartbeat ?: return null)
+}
+
+private fun SectionReader.readShutdown(): ShutdownSettings? = long(
+    "grace-millis",
+    ShutdownSettings.GRACE_MILLIS_RANGE,
+    ShutdownSettings.DEFAULT_GRACE_MILLIS
+)?.let(::ShutdownSettings)
+
+private fun SectionReader.readLog(): LogSettings? =
+    choice("level", LogLevel.entries.associateBy { it.name.lowercase() }, LogLevel.INFO)
+        ?.let(::LogSettings)
+
+private const val ADDRESSES_RULE =
+    "must be IP numbers with ports, separated by commas, such as 127.0.0.1:8082, 127.0.0.1:8083"
