--- a/daemon/src/main/kotlin/sycamoremast/daemon/settings/SettingsReader.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/settings/SettingsReader.kt
@@ -4,6 +4,7 @@
 import arrow.core.Either
 import arrow.core.NonEmptyList
 import arrow.core.left
+import arrow.core.raise.nullable
 import arrow.core.right
 import arrow.core.toNonEmptyListOrNull
 import sycamoremast.configuration.Endpoint
@@ -34,18 +35,20 @@
         val batch = optional("batch", BatchSettings()) { readBatch() }
         val shutdown = optional("shutdown", ShutdownSettings()) { readShutdown() }
         val log = optional("log", LogSettings()) { readLog() }
-        return DaemonSettings(
-            host = host ?: return null,
-            listen = listen ?: return null,
-            advertise = advertise ?: return null,
-            keyValue = keyValue ?: return null,
-            hostList = hostList ?: return null,
-            peers = peers ?: return null,
-            requests = requests ?: return null,
-            batch = batch ?: return null,
-            shutdown = shutdown ?: return null,
-            log = log ?: return null
-        )
+        return nullable {
+            DaemonSettings(
+                host = host.bind(),
+                listen = listen.bind(),
+                advertise = advertise.bind(),
+                keyValue = keyValue.bind(),
+                hostList = hostList.bind(),
+                peers = peers.bind(),
+                requests = requests.bind(),
+                batch = batch.bind(),
+                shutdown = shutdown.bind(),
+                log = log.bind()
+            )
+        }
     }
 
     private fun <T : Any> required(name: String, read: SectionReader.() -> T?): T? {
@@ -107,7 +110,7 @@
 private fun SectionReader.readHost(): HostSettings? {
     val name = name("name")
     val zone = name("availability-zone")
-    return HostSettings(name ?: return null, zone ?: return null)
+    return nullable { HostSettings(name.bind(), zone.bind()) }
 }
 
 private fun SectionReader.readListen(): ListenSettings? {
@@ -116,7 +119,7 @@
     val peers = endpoint("peers")
     val bound = mapOf("requests" to requests, "operators" to operators, "peers" to peers)
     rejectSharedPorts(bound)
-    return ListenSettings(requests ?: return null, operators ?: return null, peers ?: return null)
+    return nullable { ListenSettings(requests.bind(), operators.bind(), peers.bind()) }
 }
 
 private fun SectionReader.rejectSharedPorts(bound: Map<String, Endpoint?>) {
@@ -155,11 +158,7 @@
         KeyValueSettings.DEFAULT_LEASE_MILLIS
     )
     rejectUnlessBelowHalf("timeout-millis", timeout, "lease-millis", lease)
-    return KeyValueSettings(
-        address ?: return null,
-        timeout ?: return null,
-        lease ?: return null
-    )
+    return nullable { KeyValueSettings(address.bind(), timeout.bind(), lease.bind()) }
 }
 
 private fun SectionReader.rejectUnlessBelowHalf(
@@ -179,7 +178,7 @@
         HostListSettings.REFRESH_MILLIS_RANGE,
         HostListSettings.DEFAULT_REFRESH_MILLIS
     )
-    return HostListSettings(address ?: return null, refresh ?: return null)
+    return nullable { HostListSettings(address.bind(), refresh.bind()) }
 }
 
 private fun SectionReader.readPeers(): PeerSettings? {
@@ -194,7 +193,7 @@
         PeerSettings.MAX_MESSAGE_BYTES_RANGE,
         PeerSettings.DEFAULT_MAX_MESSAGE_BYTES
     )
-    return PeerSettings(addresses ?: return null, heartbeat ?: return null, bytes ?: return null)
+    return nullable { PeerSettings(addresses.bind(), heartbeat.bind(), bytes.bind()) }
 }
 
 private fun parseAddresses(text: String): List<Endpoint>? {
@@ -220,7 +219,7 @@
         RequestSettings.DEADLINE_MILLIS_RANGE,
         RequestSettings.DEFAULT_DEADLINE_MILLIS
     )
-    return RequestSettings(bytes ?: return null, queue ?: return null, deadline ?: return null)
+    return nullable { RequestSettings(bytes.bind(), queue.bind(), deadline.bind()) }
 }
 
 private fun SectionReader.readBatch(): BatchSettings? {
@@ -236,7 +235,7 @@
         BatchSettings.DEFAULT_HEARTBEAT_MILLIS
     )
     rejectUnlessBelowHalf("heartbeat-millis", heartbeat, "worker-lease-millis", lease)
-    return BatchSettings(shards ?: return null, lease ?: return null, heartbeat ?: return null)
+    return nullable { BatchSettings(shards.bind(), lease.bind(), heartbeat.bind()) }
 }
 
 private fun SectionReader.readShutdown(): ShutdownSettings? = long(
