Build, check, print and parse a team's configuration

A small DSL builds the values, one check lists every error for both the DSL and the parser, and printing leaves out what stands at its default. A job whose task is larger than its team's quota is refused with the reason, since it could never run.

--- a/configuration/src/main/kotlin/sycamoremast/configuration/TeamConfiguration.kt
+++ b/configuration/src/main/kotlin/sycamoremast/configuration/TeamConfiguration.kt
@@ -1,11 +1,15 @@
 /**
  * What a team has submitted: its quota, its services and its batch jobs.
  *
- * These are immutable values; [sycamoremast.configuration] prints them as INI and reads them back.
+ * These are immutable values. [team] builds and checks them, [TeamConfiguration.toIni] prints them
+ * as INI, and [TeamConfiguration.parse] reads that back.
  */
 package sycamoremast.configuration
 
+import arrow.core.Either
+import arrow.core.NonEmptyList
 import kotlin.time.Duration
+import sycamoremast.configuration.ini.IniError
 
 /** The whole configuration of one team. */
 data class TeamConfiguration(
@@ -13,7 +17,30 @@
     val quota: Quota,
     val services: List<Service> = emptyList(),
     val jobs: List<Job> = emptyList()
-)
+) {
+    /** Returns this configuration as INI text, which parses back to an equal value. */
+    fun toIni(): String = IniPrinter.print(this)
+
+    /** Returns all errors of this configuration; none means that it can be submitted. */
+    fun check(): List<ConfigurationError> = ConfigurationCheck(this).errors()
+
+    companion object {
+        /** The most bytes that the text of a configuration may have. */
+        const val MAX_TEXT_BYTES = 524_288
+
+        /**
+         * Returns the configuration that [text] holds.
+         *
+         * Sections and keys that are not known are errors. All errors are listed with the line in
+         * [file], in order; those of [check] only if the text can be read.
+         */
+        fun parse(file: String, text: String): Either<NonEmptyList<IniError>, TeamConfiguration> =
+            TeamParsing.parse(file, text)
+
+        /** Returns the configuration that [text] holds, or null if it has an error. */
+        fun parseOrNull(text: String): TeamConfiguration? = parse("", text).getOrNull()
+    }
+}
 
 /** The most that a team's batch tasks may hold at one time, over all availability zones. */
 data class Quota(val milliCpus: Long, val memoryMib: Long, val accelerators: Long = 0)
