--- a/standins/src/main/kotlin/sycamoremast/standins/Module.kt
+++ /dev/null
@@ -1,4 +0,0 @@
-/** Placeholder. */
-package sycamoremast.standins
-
-internal const val MODULE_NAME = "standins"
