--- /dev/null
+++ b/standins/src/main/kotlin/sycamoremast/standins/HostListMain.kt
@@ -0,0 +1,16 @@
+/** The host list as a program: `--port=N --lagMillis=N --file=PATH` with the first list as JSON. */
+package sycamoremast.standins
+
+import java.io.File
+import sycamoremast.coordination.ListedHost
+
+/** Runs the host list until the process is stopped. */
+fun main(args: Array<String>) {
+    val options = ProgramOptions.parse(args, setOf("port", "lagMillis", "file"))
+    val server = HostListServer.start(options.int("port", 0), options.long("lagMillis", 0))
+    val file = options.string("file", "")
+    if (file.isNotEmpty()) {
+        server.setHosts(standInJson.decodeFromString<List<ListedHost>>(File(file).readText()))
+    }
+    runUntilStopped(server)
+}
--- a/standins/src/main/kotlin/sycamoremast/standins/KeyValueWire.kt
+++ b/standins/src/main/kotlin/sycamoremast/standins/KeyValueWire.kt
@@ -6,9 +6,7 @@
 import kotlinx.serialization.builtins.LongAsStringSerializer
 
 @Serializable
-internal data class WireHeader(
-    @Serializable(LongAsStringSerializer::class) val revision: Long
-)
+internal data class WireHeader(@Serializable(LongAsStringSerializer::class) val revision: Long)
 
 @Serializable
 internal data class WireEntry(
--- /dev/null
+++ b/standins/src/main/kotlin/sycamoremast/standins/WorkerServer.kt
@@ -0,0 +1,192 @@
+/**
+ * A stand-in for the platform's workers; one server may hold many of them.
+ *
+ * Worker n answers under `/w/n`, the first one also without that prefix: `POST renew`, `POST start`
+ * and `POST control` take and give the JSON of the coordination module's types. A stale epoch is
+ * answered by 409, a refusal by 422. `GET history` lists every run, `POST faults` replaces the
+ * faults in force. `GET /history` without a prefix covers all workers of the server.
+ */
+package sycamoremast.standins
+
+import java.util.concurrent.Executors
+import java.util.concurrent.TimeUnit.MILLISECONDS
+import kotlinx.serialization.Serializable
+import org.tinylog.kotlin.Logger
+import sycamoremast.coordination.LeaseRenewal
+import sycamoremast.coordination.MonotonicClock
+import sycamoremast.coordination.Resources
+import sycamoremast.coordination.StartOrder
+import sycamoremast.coordination.TaskAction
+
+/** The body of a control call. */
+@Serializable
+data class ControlOrder(val taskId: String, val epoch: Long, val action: TaskAction)
+
+/** The highest epoch that the worker has seen. */
+@Serializable
+data class StaleEpochBody(val currentEpoch: Long)
+
+/** Why a call was refused. */
+@Serializable
+data class RefusalBody(val reason: String)
+
+/**
+ * The faults of one worker.
+ *
+ * [failEveryTask] fails each task soon after its start; [freeze] holds back all answers, though
+ * calls take effect; [unreachable] closes connections before any effect; [refuse] refuses each
+ * start; [slowMillis] delays each call; [restart] loses all tasks once, at once.
+ */
+@Serializable
+data class WorkerFaults(
+    val failEveryTask: Boolean = false,
+    val freeze: Boolean = false,
+    val unreachable: Boolean = false,
+    val refuse: Boolean = false,
+    val slowMillis: Long = 0,
+    val restart: Boolean = false
+)
+
+/** How the workers of a server are made: their number, names, rack and capacity. */
+data class WorkerSettings(
+    val port: Int = 0,
+    val workers: Int = 1,
+    val name: String = "worker",
+    val rack: String = "rack-0",
+    val capacity: Resources = Resources(milliCpus = 32_000, memoryMib = 128_000),
+    val usageLagMillis: Long = 500
+)
+
+/** A running server of workers. */
+class WorkerServer private constructor(settings: WorkerSettings) : AutoCloseable {
+    private val clock = MonotonicClock.system()
+    private val workers = List(settings.workers) { Worker(it, settings) }
+
+    @Volatile
+    private var closed = false
+
+    private val ticker = Executors.newSingleThreadScheduledExecutor {
+        Thread(it, "worker-tasks").apply { isDaemon = true }
+    }
+    private val server = StandInServer("worker", settings.port, handle = ::handle)
+
+    /** The port that the server listens on. */
+    val port: Int get() = server.port
+
+    private inner class Worker(index: Int, settings: WorkerSettings) {
+        val state = WorkerState(
+            WorkerProfile(
+                if (settings.workers == 1) settings.name else "${settings.name}-$index",
+                settings.rack,
+                settings.capacity,
+                settings.usageLagMillis
+            ),
+            clock.nowMillis()
+        )
+
+        @Volatile
+        var faults = WorkerFaults()
+    }
+
+    init {
+        ticker.scheduleWithFixedDelay(::tick, TICK_MILLIS, TICK_MILLIS, MILLISECONDS)
+    }
+
+    /** Returns the address of worker [index], with its path. */
+    fun address(index: Int = 0): String = "127.0.0.1:$port/w/$index"
+
+    /** Puts [faults] in force at worker [index] in place of the earlier ones. */
+    fun setFaults(faults: WorkerFaults, index: Int = 0) {
+        val worker = workers[index]
+        worker.faults = faults.copy(restart = false)
+        worker.state.failEveryTask = faults.failEveryTask
+        if (faults.restart) worker.state.restart(clock.nowMillis())
+    }
+
+    /** Returns every run on the server's workers so far. */
+    fun history(): List<RunRecord> = workers.flatMap { it.state.history() }
+
+    override fun close() {
+        closed = true
+        ticker.shutdownNow()
+        server.close()
+    }
+
+    private fun tick() {
+        try {
+            workers.forEach { it.state.advance(clock.nowMillis()) }
+        } catch (e: RuntimeException) {
+            Logger.error(e, "event=tick-failed")
+        }
+    }
+
+    private fun handle(call: Call) {
+        if (call.path == "/history") return call.answer(history())
+        val match = PREFIXED.matchEntire(call.path)
+        val index = match?.groupValues?.get(1)?.toInt() ?: 0
+        val action = match?.groupValues?.get(2) ?: call.path.removePrefix("/")
+        val worker = workers.getOrNull(index)
+        if (worker == null) {
+            call.answer(RefusalBody("no worker $index"), Call.STATUS_NOT_FOUND)
+            return
+        }
+        handle(call, worker, action, index)
+    }
+
+    private fun handle(call: Call, worker: Worker, action: String, index: Int) {
+        when (action) {
+            "history" -> call.answer(worker.state.history())
+            "faults" -> {
+                if (call.method == "POST") setFaults(call.read(), index)
+                call.answer(worker.faults)
+            }
+            else -> serve(call, worker, action)
+        }
+    }
+
+    private fun serve(call: Call, worker: Worker, action: String) {
+        val faults = worker.faults
+        if (faults.slowMillis > 0) Thread.sleep(faults.slowMillis)
+        if (faults.unreachable) return call.abort()
+        when (action) {
+            "renew" -> {
+                val renewal = call.read<LeaseRenewal>()
+                answer(call, worker, worker.state.renew(renewal, clock.nowMillis()))
+            }
+            "start" -> {
+                val order = call.read<StartOrder>()
+                answer(call, worker, start(worker, order))
+            }
+            "control" ->
+                answer(call, worker, worker.state.control(call.read(), clock.nowMillis()))
+            else -> call.answer(RefusalBody("no such call: $action"), Call.STATUS_NOT_FOUND)
+        }
+    }
+
+    private fun start(worker: Worker, order: StartOrder) = if (worker.faults.refuse) {
+        WorkerAnswer.Refused("worker refuses all tasks")
+    } else {
+        worker.state.start(order, clock.nowMillis())
+    }
+
+    private inline fun <reified T> answer(call: Call, worker: Worker, answer: WorkerAnswer<T>) {
+        while (worker.faults.freeze && !closed) Thread.sleep(FREEZE_POLL_MILLIS)
+        when (answer) {
+            is WorkerAnswer.Done -> call.answer(answer.value)
+            is WorkerAnswer.Stale ->
+                call.answer(StaleEpochBody(answer.currentEpoch), Call.STATUS_CONFLICT)
+            is WorkerAnswer.Refused ->
+                call.answer(RefusalBody(answer.reason), Call.STATUS_UNPROCESSABLE)
+        }
+    }
+
+    companion object {
+        private const val TICK_MILLIS = 10L
+        private const val FREEZE_POLL_MILLIS = 20L
+        private val PREFIXED = Regex("/w/(\\d+)/(\\w+)")
+
+        /** Returns a server with the workers that [settings] describe. */
+        fun start(settings: WorkerSettings = WorkerSettings()): WorkerServer =
+            WorkerServer(settings)
+    }
+}
