--- a/coordination/src/main/kotlin/sycamoremast/coordination/document/DocumentChange.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/document/DocumentChange.kt
@@ -39,7 +39,8 @@
     }
 
     private fun isAlready(current: ConfigurationDocument) = current.fromRevision == fromRevision &&
-        current.text == text && current.operator == operator
+        current.text == text &&
+        current.operator == operator
 
     private fun follow(current: ConfigurationDocument?): ConfigurationDocument {
         val past = listOfNotNull(current?.change) + current?.history.orEmpty()
--- a/coordination/src/main/kotlin/sycamoremast/coordination/membership/MemberTable.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/membership/MemberTable.kt
@@ -22,11 +22,7 @@
 )
 
 /** A known host, its [state], and whether it [isRegistered], where that is known. */
-data class KnownMember(
-    val process: HostProcess,
-    val state: MemberState,
-    val isRegistered: Boolean?
-)
+data class KnownMember(val process: HostProcess, val state: MemberState, val isRegistered: Boolean?)
 
 /** When a silent host is suspect, gone, and no longer listed. */
 data class MemberTimes(
@@ -70,7 +66,8 @@
             if (known !== entry) entry.move(MemberEvent.REGISTERED, nowMillis)
         }
         for (entry in entries.values) {
-            entry.isRegistered = entry.process.incarnation == byHost[entry.process.host]?.incarnation
+            entry.isRegistered =
+                entry.process.incarnation == byHost[entry.process.host]?.incarnation
         }
     }
 
--- /dev/null
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/control/BoundedQueue.kt
@@ -0,0 +1,34 @@
+/** A queue that drops its oldest element when it is full. */
+package sycamoremast.daemon.control
+
+/** Holds up to [capacity] elements; safe to use from any thread. */
+internal class BoundedQueue<T>(private val capacity: Int, private val onDropped: () -> Unit) {
+    private val elements = ArrayDeque<T>()
+
+    @Synchronized
+    fun add(element: T) {
+        elements.addLast(element)
+        dropExcess()
+    }
+
+    /** Puts back [taken], which come before all others. */
+    @Synchronized
+    fun putBack(taken: List<T>) {
+        elements.addAll(0, taken)
+        dropExcess()
+    }
+
+    /** Returns and removes up to [count] elements, oldest first. */
+    @Synchronized
+    fun take(count: Int): List<T> = List(minOf(count, elements.size)) { elements.removeFirst() }
+
+    @Synchronized
+    fun size(): Int = elements.size
+
+    private fun dropExcess() {
+        while (elements.size > capacity) {
+            elements.removeFirst()
+            onDropped()
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/control/ConfigurationReplica.kt
@@ -0,0 +1,283 @@
+/**
+ * This host's replica of the accepted configuration.
+ *
+ * Documents come from the relay of this host's availability zone, from other hosts whose heartbeats
+ * show other revisions, and from the key-value service itself. Whatever the way and the order, the
+ * [DocumentTable] takes only higher revisions.
+ */
+package sycamoremast.daemon.control
+
+import arrow.core.Either
+import java.util.concurrent.CopyOnWriteArrayList
+import org.tinylog.kotlin.Logger
+import sycamoremast.configuration.TeamConfiguration
+import sycamoremast.configuration.operator.ConfirmationView
+import sycamoremast.configuration.operator.DocumentView
+import sycamoremast.coordination.StoreError
+import sycamoremast.coordination.StoreListing
+import sycamoremast.coordination.document.ConfigurationDocument
+import sycamoremast.coordination.document.DocumentInForce
+import sycamoremast.coordination.document.DocumentTable
+import sycamoremast.coordination.document.Offer
+import sycamoremast.coordination.store.StoredDocument
+import sycamoremast.daemon.log.event
+import sycamoremast.daemon.peer.Documents
+import sycamoremast.daemon.peer.DocumentsQuery
+import sycamoremast.daemon.peer.Heartbeat
+import sycamoremast.daemon.peer.InForce
+import sycamoremast.daemon.peer.InForceQuery
+import sycamoremast.daemon.peer.Revisions
+import sycamoremast.daemon.peer.RevisionsQuery
+
+/** The accepted configuration on this host; [start] begins to follow it. */
+class ConfigurationReplica private constructor(
+    private val context: ControlContext,
+    private val membership: Membership,
+    private val peers: ControlPeers,
+    audit: AuditTrail,
+    relayTimes: RelayTimes
+) : ConfigurationView,
+    AutoCloseable {
+    private val table = DocumentTable(parse = ::parseConfiguration)
+    private val listeners = CopyOnWriteArrayList<(AppliedConfiguration) -> Unit>()
+    private val applying = Any()
+    private val submitter = ConfigurationSubmitter(context, this, audit)
+    private val confirmer = Confirmer(context.host, membership, peers)
+    private val catchUp = PeerCatchUp(context, this, peers)
+    private val relay = ZoneRelay(context, this, membership, relayTimes)
+    private val storeLoop = ControlLoop("configuration", STEP_MILLIS) { storeStep() }
+    private val peerLoop = ControlLoop("catch-up", STEP_MILLIS) { catchUp.step() }
+
+    @Volatile
+    private var listingError: StoreError? = null
+
+    /** Whether this replica has once held all that the service, or a host in sync with it, held. */
+    @Volatile
+    var isSynced = false
+        private set
+
+    override fun inForce(): Map<String, AppliedConfiguration> =
+        table.allInForce().mapValues { it.value.toApplied() }
+
+    override fun onApplied(listener: (AppliedConfiguration) -> Unit) = synchronized(applying) {
+        listeners += listener
+        inForce().values.forEach(listener)
+    }
+
+    /** Begins to follow the configuration. */
+    fun start() {
+        membership.describeBy(::heartbeat)
+        membership.onHeartbeat { process, beat ->
+            relay.heard(process, beat)
+            catchUp.heard(process.host, beat.digest)
+        }
+        handleQueries()
+        storeLoop.start()
+        peerLoop.start()
+    }
+
+    override fun close() {
+        storeLoop.close()
+        peerLoop.close()
+        relay.close()
+        confirmer.close()
+    }
+
+    /** Returns why this host must not serve yet; empty if it may. */
+    fun notReadyBecause(): List<String> {
+        if (isSynced) return emptyList()
+        val error = listingError ?: return listOf("configuration has not been read yet")
+        return listOf(
+            "no configuration: ${error.step} at key-value service ${error.peer} failed " +
+                "(${error.reason}), and no connected host holds it"
+        )
+    }
+
+    /** Returns the document of [team] that is in force here, or null. */
+    fun document(team: String): DocumentView? = table.inForce(team)?.document?.toView()
+
+    /** Returns the teams whose newest document this version can't read. */
+    fun unreadableTeams(): Set<String> = table.unreadableTeams()
+
+    /** Returns what became of submitting [text] for [team] on top of [fromRevision]. */
+    fun submit(team: String, fromRevision: Long, text: String, operator: String): SubmitOutcome =
+        submitter.submit(team, fromRevision, text, operator)
+
+    /** Returns on which hosts [revision] of [team] or a higher one is in force. */
+    fun confirmations(team: String, revision: Long, timeoutMillis: Long): ConfirmationView =
+        confirmer.confirm(team, revision, timeoutMillis) { inForceRevision(team) }
+
+    /** Returns the documents in force, with the changes that they remember. */
+    internal fun documents(): List<ConfigurationDocument> =
+        table.allInForce().values.map { it.document }
+
+    internal fun documentInForce(team: String) = table.inForce(team)?.document
+
+    internal fun inForceRevision(team: String) = table.inForce(team)?.document?.revision ?: 0
+
+    internal fun revisions() = table.revisions()
+
+    internal fun texts(teams: Collection<String>) = table.texts(teams)
+
+    internal fun digest() = table.digest()
+
+    internal fun markSynced() {
+        if (isSynced) return
+        isSynced = true
+        Logger.info { event("configuration-synced", "teams" to table.revisions().size) }
+    }
+
+    /** Offers [text], which came by way of [source]; returns whether it was new to this host. */
+    internal fun offer(text: String, source: String): Boolean = synchronized(applying) {
+        when (val offer = table.offer(text)) {
+            is Offer.Taken -> {
+                applied(offer.taken, source)
+                true
+            }
+
+            is Offer.Unreadable -> {
+                unreadable(offer, source)
+                offer.team.isNotEmpty()
+            }
+
+            is Offer.NotNewer -> false
+        }
+    }
+
+    /** Offers the value at [key] in the service; returns its document's text if it was new. */
+    internal fun offerStored(key: String, value: String, source: String): String? {
+        if (!ControlKeys.isConfiguration(key)) return null
+        val text = StoredDocument.parseOrNull(value)?.body ?: value
+        return text.takeIf { offer(it, source) }
+    }
+
+    /** Reads all documents from the service. */
+    internal fun readAll(): Either<StoreError, StoreListing> {
+        val listing = context.budgeted.list(ControlKeys.TEAMS)
+        listingError = listing.leftOrNull()
+        listing.onRight { read ->
+            val wasSynced = isSynced
+            val news = read.entries.mapNotNull { offerStored(it.key, it.value, "listing") }
+            if (wasSynced) pushToZone(news)
+            markSynced()
+        }
+        return listing
+    }
+
+    /** Passes [texts] on to the hosts of this availability zone. */
+    internal fun pushToZone(texts: List<String>) {
+        for (text in texts) {
+            val message = Documents(listOf(text))
+            peers.zonePeers(context.availabilityZone).forEach { peers.network.send(it, message) }
+        }
+    }
+
+    internal fun storeStep() {
+        if (!isSynced) readAll()
+        relay.step()
+    }
+
+    private fun heartbeat() = Heartbeat(
+        incarnation = 0,
+        digest = table.digest(),
+        relayVersion = relay.keyVersion,
+        watching = relay.isWatching,
+        synced = isSynced
+    )
+
+    private fun handleQueries() {
+        peers.network.handle(Documents::class) { from, documents ->
+            documents.texts.forEach { offer(it, from) }
+            null
+        }
+        peers.network.handle(RevisionsQuery::class) { _, _ ->
+            Revisions(table.revisions(), isSynced)
+        }
+        peers.network.handle(DocumentsQuery::class) { _, query ->
+            Documents(withinBytes(table.texts(query.teams)))
+        }
+        peers.network.handle(InForceQuery::class) { _, query ->
+            InForce(query.team, inForceRevision(query.team))
+        }
+    }
+
+    private fun withinBytes(texts: List<String>): List<String> {
+        var bytes = 0
+        return texts.takeWhile { text ->
+            val isFirst = bytes == 0
+            bytes += text.length
+            isFirst || bytes <= MAX_ANSWER_CHARACTERS
+        }
+    }
+
+    private fun applied(taken: DocumentInForce<TeamConfiguration>, source: String) {
+        context.count("documents.applied")
+        Logger.info {
+            event(
+                "configuration-applied",
+                "team" to taken.document.team,
+                "revision" to taken.document.revision,
+                "source" to source
+            )
+        }
+        listeners.forEach { it(taken.toApplied()) }
+    }
+
+    private fun unreadable(offer: Offer.Unreadable, source: String) {
+        context.count("documents.unreadable")
+        Logger.warn {
+            event(
+                "configuration-unreadable",
+                "step" to "parse",
+                "peer" to source,
+                "team" to offer.team,
+                "revision" to offer.revision,
+                "reason" to offer.reason
+            )
+        }
+    }
+
+    companion object {
+        private const val STEP_MILLIS = 500L
+        private const val MAX_ANSWER_CHARACTERS = 500_000
+
+        /** Returns a replica that follows the configuration by [peers] and the service. */
+        fun create(
+            context: ControlContext,
+            membership: Membership,
+            peers: ControlPeers,
+            audit: AuditTrail,
+            relayTimes: RelayTimes = RelayTimes()
+        ): ConfigurationReplica =
+            ConfigurationReplica(context, membership, peers, audit, relayTimes)
+    }
+}
+
+/** Returns the configuration in [text] for [team], or its errors. */
+internal fun parseConfiguration(team: String, text: String): Either<String, TeamConfiguration> =
+    configurationErrors(team, text).mapLeft { it.joinToString("; ") }
+
+/** Returns the configuration in [text], or all reasons why it can't be that of [team]. */
+internal fun configurationErrors(
+    team: String,
+    text: String
+): Either<List<String>, TeamConfiguration> {
+    val bytes = text.toByteArray().size
+    if (bytes > TeamConfiguration.MAX_TEXT_BYTES) {
+        return Either.Left(listOf("$bytes bytes exceed ${TeamConfiguration.MAX_TEXT_BYTES}"))
+    }
+    return when (val parsed = TeamConfiguration.parse(team, text)) {
+        is Either.Left -> Either.Left(parsed.value.map { it.toString() })
+
+        is Either.Right -> if (parsed.value.team == team) {
+            parsed
+        } else {
+            Either.Left(listOf("the text is for team ${parsed.value.team}, not $team"))
+        }
+    }
+}
+
+internal fun ConfigurationDocument.toView() = DocumentView(team, revision, text, operator, atMillis)
+
+private fun DocumentInForce<TeamConfiguration>.toApplied() =
+    AppliedConfiguration(document.team, document.revision, configuration)
--- /dev/null
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/control/ControlContext.kt
@@ -0,0 +1,49 @@
+/** What the parts of the control plane have in common. */
+package sycamoremast.daemon.control
+
+import io.micrometer.core.instrument.MeterRegistry
+import sycamoremast.coordination.KeyValueStore
+import sycamoremast.coordination.store.BudgetedStore
+import sycamoremast.coordination.store.CallBudget
+import sycamoremast.coordination.store.DocumentWriter
+import sycamoremast.coordination.store.Timing
+import sycamoremast.coordination.store.WriterLimits
+
+/** This [host], and its access to the key-value service within the budget of [calls]. */
+data class ControlContext(
+    val host: String,
+    val availabilityZone: String,
+    val store: KeyValueStore,
+    val calls: CallBudget,
+    val registry: MeterRegistry,
+    val timing: Timing = Timing(),
+    val wallClockMillis: () -> Long = System::currentTimeMillis
+) {
+    /** The store as single calls use it; writers of documents take from the budget themselves. */
+    internal val budgeted: KeyValueStore = BudgetedStore(store, calls, pause = timing.pause)
+
+    internal fun nowMillis() = timing.clock.nowMillis()
+
+    internal fun writer(key: String, limits: WriterLimits = WriterLimits()) =
+        DocumentWriter.create(store, key, calls, limits, timing)
+
+    internal fun count(name: String, vararg tags: String) =
+        registry.counter("sycamoremast.control.$name", *tags).increment()
+}
+
+/** The keys of the control plane in the key-value service. */
+internal object ControlKeys {
+    const val TEAMS = "sycamoremast/teams/"
+    const val HOSTS = "sycamoremast/hosts/"
+    const val AUDIT = "sycamoremast/audit/"
+    const val PROBLEMS = "sycamoremast/problems/recent"
+    private const val CONFIGURATION = "/configuration"
+
+    fun configuration(team: String) = "$TEAMS$team$CONFIGURATION"
+
+    fun isConfiguration(key: String) = key.startsWith(TEAMS) && key.endsWith(CONFIGURATION)
+
+    fun host(host: String) = "$HOSTS$host"
+
+    fun relay(availabilityZone: String) = "sycamoremast/relays/$availabilityZone"
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/control/ControlPeers.kt
@@ -0,0 +1,22 @@
+/** The peer network as the control plane uses it. */
+package sycamoremast.daemon.control
+
+import sycamoremast.daemon.peer.KtorPeerNetwork
+import sycamoremast.daemon.peer.PeerConnections
+import sycamoremast.daemon.peer.PeerNetwork
+
+/** Messages to, and connections with, the other hosts; [ownAddress] is where they reach this one. */
+class ControlPeers(
+    val network: PeerNetwork,
+    val connections: PeerConnections,
+    val ownAddress: () -> String
+) {
+    /** Returns the connected hosts of [availabilityZone]. */
+    internal fun zonePeers(availabilityZone: String): List<String> =
+        connections.connected().filter { it.availabilityZone == availabilityZone }.map { it.host }
+
+    companion object {
+        /** Returns the peers of a started [network]. */
+        fun of(network: KtorPeerNetwork) = ControlPeers(network, network) { network.address }
+    }
+}
--- a/daemon/src/main/kotlin/sycamoremast/daemon/control/MembershipView.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/control/MembershipView.kt
@@ -11,7 +11,7 @@
 }
 
 /** How sure this host is of another. */
-enum class MemberState { LIVE, SUSPECT, GONE }
+typealias MemberState = sycamoremast.coordination.membership.MemberState
 
 /** An entry host; a restart gives it a higher [incarnation]. */
 data class Member(
--- a/daemon/src/main/kotlin/sycamoremast/daemon/peer/KtorPeerNetwork.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/peer/KtorPeerNetwork.kt
@@ -140,8 +140,7 @@
 
     private fun connectionTo(host: String) = connections.lastOrNull { it.peer?.host == host }
 
-    private fun identity() =
-        PeerIdentity(local.host, local.availabilityZone, address, claim.value)
+    private fun identity() = PeerIdentity(local.host, local.availabilityZone, address, claim.value)
 
     private suspend fun dialLoop(peerAddress: String) {
         var attempt = 0
--- a/daemon/src/main/kotlin/sycamoremast/daemon/peer/PeerFrame.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/peer/PeerFrame.kt
@@ -70,8 +70,7 @@
     private val knownTypes = PeerMessage.serializer().descriptor.getElementDescriptor(1)
         .elementDescriptors.mapTo(hashSetOf()) { it.serialName }
 
-    fun encode(frame: PeerFrame): ByteArray =
-        cbor.encodeToByteArray(PeerFrame.serializer(), frame)
+    fun encode(frame: PeerFrame): ByteArray = cbor.encodeToByteArray(PeerFrame.serializer(), frame)
 
     /** @throws MalformedFrameException if [bytes] are no frame */
     fun decode(bytes: ByteArray): PeerFrame = decoding("frame") {
