--- /dev/null
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/platform/JsonClient.kt
@@ -0,0 +1,107 @@
+/**
+ * JSON calls over HTTP that tell whether any byte of a request may have left this host.
+ *
+ * OkHttp's own repeats are off: neither a failed connection nor a redirect is ever tried again.
+ */
+package sycamoremast.daemon.platform
+
+import java.io.IOException
+import java.util.concurrent.TimeUnit.MILLISECONDS
+import kotlin.time.Duration
+import kotlinx.serialization.json.Json
+import okhttp3.Call
+import okhttp3.ConnectionPool
+import okhttp3.EventListener
+import okhttp3.MediaType.Companion.toMediaType
+import okhttp3.OkHttpClient
+import okhttp3.Request
+import okhttp3.RequestBody.Companion.toRequestBody
+import okhttp3.Response
+
+/** The time allowed for a call to the platform and for connecting to it. */
+data class PlatformTimeouts(val call: Duration, val connect: Duration)
+
+/** The result of an HTTP call. */
+internal sealed interface CallResult {
+    /** The peer answered with [status] and the whole [body]. */
+    data class Answered(val status: Int, val body: String) : CallResult
+
+    /** No byte of the request left this host. */
+    data class NotSent(val reason: String) : CallResult
+
+    /** The request may have reached the peer. */
+    data class AnswerLost(val reason: String) : CallResult
+}
+
+/** Calls one peer, by the base [address] of an IP number, a port and perhaps a path. */
+internal class JsonClient(address: String, private val http: OkHttpClient) {
+    private val base = "http://$address"
+
+    fun get(path: String): CallResult = execute(Request.Builder().url(base + path))
+
+    fun post(path: String, body: String): CallResult = execute(
+        Request.Builder().url(base + path).post(body.toRequestBody(CONTENT_TYPE_JSON))
+    )
+
+    /** Returns a call whose answer is streamed without a limit on its total time. */
+    fun streamed(path: String, body: String, idleTimeout: Duration): Call {
+        val client = http.newBuilder()
+            .callTimeout(0, MILLISECONDS)
+            .readTimeout(idleTimeout.inWholeMilliseconds, MILLISECONDS)
+            .build()
+        val request = Request.Builder().url(base + path)
+            .post(body.toRequestBody(CONTENT_TYPE_JSON))
+            .tag(SendMark::class.java, SendMark())
+            .build()
+        return client.newCall(request)
+    }
+
+    private fun execute(builder: Request.Builder): CallResult {
+        val mark = SendMark()
+        val request = builder.tag(SendMark::class.java, mark).build()
+        return try {
+            http.newCall(request).execute().use(::read)
+        } catch (e: IOException) {
+            val reason = e.message ?: e.javaClass.simpleName
+            if (mark.sent) CallResult.AnswerLost(reason) else CallResult.NotSent(reason)
+        }
+    }
+
+    private fun read(response: Response) =
+        CallResult.Answered(response.code, response.body.string())
+
+    companion object {
+        private val CONTENT_TYPE_JSON = "application/json".toMediaType()
+    }
+}
+
+/** Remembers whether a call has begun to send its request. */
+internal class SendMark : EventListener() {
+    @Volatile
+    var sent = false
+        private set
+
+    override fun requestHeadersStart(call: Call) {
+        sent = true
+    }
+}
+
+/** The JSON of the platform's services: unknown fields are ignored. */
+internal val platformJson = Json {
+    ignoreUnknownKeys = true
+    explicitNulls = false
+}
+
+/** Returns a client for the platform's services, which may be shared by all adapters. */
+fun platformHttpClient(timeouts: PlatformTimeouts): OkHttpClient = OkHttpClient.Builder()
+    .retryOnConnectionFailure(false)
+    .followRedirects(false)
+    .connectTimeout(timeouts.connect.inWholeMilliseconds, MILLISECONDS)
+    .callTimeout(timeouts.call.inWholeMilliseconds, MILLISECONDS)
+    .readTimeout(timeouts.call.inWholeMilliseconds, MILLISECONDS)
+    .connectionPool(ConnectionPool(MAX_IDLE_CONNECTIONS, KEEP_ALIVE_MILLIS, MILLISECONDS))
+    .eventListenerFactory { it.request().tag(SendMark::class.java) ?: EventListener.NONE }
+    .build()
+
+private const val MAX_IDLE_CONNECTIONS = 64
+private const val KEEP_ALIVE_MILLIS = 60_000L
--- /dev/null
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/platform/HttpHostListTest.kt
@@ -0,0 +1,40 @@
+package sycamoremast.daemon.platform
+
+import arrow.core.Either
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import sycamoremast.coordination.HostListError
+import sycamoremast.coordination.HostRole
+import sycamoremast.coordination.HostState
+import sycamoremast.coordination.ListedHost
+import sycamoremast.coordination.Resources
+import sycamoremast.standins.HostListFaults
+import sycamoremast.standins.HostListServer
+
+class HttpHostListTest {
+    @Test
+    fun `hosts are read and a list that is down is told with its peer`() {
+        HostListServer.start().use { server ->
+            val address = "127.0.0.1:${server.port}"
+            val hosts = listOf(
+                ListedHost(
+                    "w",
+                    "127.0.0.1:1",
+                    "gauja",
+                    "r1",
+                    HostRole.WORKER,
+                    HostState.LEAVING,
+                    capacity = Resources(1, 2, 3)
+                )
+            )
+            server.setHosts(hosts)
+            val list = HttpHostList.at(address, testClient())
+            expectThat(list.hosts()).isEqualTo(Either.Right(hosts))
+            server.setFaults(HostListFaults(down = true))
+            expectThat(list.hosts()).isA<Either.Left<HostListError>>()
+                .get { value.peer }.isEqualTo(address)
+        }
+    }
+}
--- a/standins/src/main/kotlin/sycamoremast/standins/StandInServer.kt
+++ b/standins/src/main/kotlin/sycamoremast/standins/StandInServer.kt
@@ -13,6 +13,7 @@
 import io.undertow.util.Headers
 import io.undertow.util.HttpString
 import java.net.InetSocketAddress
+import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.serializer
 import org.tinylog.kotlin.Logger
@@ -39,7 +40,7 @@
         .setIoThreads(IO_THREADS)
         .setWorkerThreads(threads)
         .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, MAX_BODY_BYTES)
-        .setHandler(BlockingHandler { handle(Call(it)) })
+        .setHandler(BlockingHandler { serve(Call(it)) })
         .build()
         .also { it.start() }
 
@@ -54,6 +55,14 @@
         server.stop()
     }
 
+    private fun serve(call: Call) {
+        try {
+            handle(call)
+        } catch (e: SerializationException) {
+            call.answerText(e.message.orEmpty(), Call.STATUS_BAD_REQUEST)
+        }
+    }
+
     companion object {
         private const val DEFAULT_THREADS = 128
         private const val IO_THREADS = 2
@@ -115,6 +124,7 @@
 
     companion object {
         const val STATUS_OK = 200
+        const val STATUS_BAD_REQUEST = 400
         const val STATUS_NOT_FOUND = 404
         const val STATUS_CONFLICT = 409
         const val STATUS_UNPROCESSABLE = 422
