Own shards of workers by fenced epochs and run batch jobs on them

A shard's owner is a state machine without threads or calls. Completions go into the shard's document before the worker may forget them.

Not yet covered: random fault schedules.

--- /dev/null
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/JobRow.kt
@@ -0,0 +1,70 @@
+/** What a shard's owner knows of one job beyond its record. */
+package sycamoremast.coordination.shard
+
+import sycamoremast.coordination.Checkpoint
+import sycamoremast.coordination.record.JobKey
+import sycamoremast.coordination.record.JobRecord
+import sycamoremast.coordination.record.JobSpec
+import sycamoremast.coordination.record.JobState
+
+internal class JobRow(var record: JobRecord) {
+    val key: JobKey = record.key
+    val live = LinkedHashMap<Int, LiveTask>()
+    val checkpoints = HashMap<Int, Checkpoint>()
+    private val failures = HashMap<Int, Int>()
+
+    /** Whether the job's end is on its way into the document. */
+    var isEnding = false
+    private val attempts = HashMap<Int, Int>()
+    private val deciding = HashSet<Int>()
+    private val requeued = ArrayDeque<Int>()
+    private var cursor = 0
+
+    val spec: JobSpec? get() = record.spec
+    val isOpen: Boolean get() = record.state == JobState.ACCEPTED && !isEnding
+
+    /** Whether the outcome of the task [index] is decided, or on its way into the document. */
+    fun isDecided(index: Int) =
+        index in deciding || index in record.finished || index in record.unknown
+
+    fun decide(index: Int) {
+        deciding += index
+    }
+
+    fun takeRecord(newer: JobRecord) {
+        record = newer
+        deciding.removeIf { it in newer.finished || it in newer.unknown }
+    }
+
+    fun requeue(index: Int) {
+        requeued.addLast(index)
+    }
+
+    /** Returns a task that waits for a place, without taking it, or null if there is none. */
+    fun nextWaiting(): Int? {
+        while (requeued.isNotEmpty() && !isWaiting(requeued.first())) requeued.removeFirst()
+        requeued.firstOrNull()?.let { return it }
+        while (cursor < record.tasks && !isWaiting(cursor)) cursor++
+        return cursor.takeIf { it < record.tasks }
+    }
+
+    /** Counts a failure of the task [index] and returns how often it has failed. */
+    fun sawFailure(index: Int): Int = failures.merge(index, 1, Int::plus) ?: 1
+
+    fun attemptOf(index: Int) = attempts[index] ?: 0
+
+    fun sawAttempt(index: Int, attempt: Int) {
+        attempts[index] = maxOf(attempt, attemptOf(index))
+    }
+
+    /** Remembers [checkpoint] if it is further than what is known. */
+    fun sawCheckpoint(index: Int, checkpoint: Checkpoint?) {
+        val known = checkpoints[index]
+        if (checkpoint == null) return
+        if (known == null || known.doneMillis < checkpoint.doneMillis) {
+            checkpoints[index] = checkpoint
+        }
+    }
+
+    private fun isWaiting(index: Int) = index !in live && !isDecided(index)
+}
--- /dev/null
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/Ownership.kt
@@ -0,0 +1,149 @@
+/**
+ * How a host comes to own a shard and keeps it.
+ *
+ * The steps are: see that the owner's leased key is gone, get a lease, create the key under it, read
+ * the document and raise its epoch. The last of these decides; the key only tells the other hosts
+ * that the owner lives.
+ */
+package sycamoremast.coordination.shard
+
+import arrow.core.Either
+import sycamoremast.coordination.LeaseId
+import sycamoremast.coordination.SwapOutcome
+import sycamoremast.coordination.lease.OwnerLease
+
+/** Where a host stands on its way to owning a shard. */
+internal enum class OwnershipPhase {
+    STANDBY,
+    READING_OWNER,
+    GRANTING,
+    CLAIMING,
+    TAKING_OVER,
+    OWNING,
+    RELEASED
+}
+
+internal class Ownership(private val settings: ShardSettings, private val newCall: () -> Long) {
+    var phase = OwnershipPhase.STANDBY
+        private set
+    private var lease: OwnerLease? = null
+    private var call: Long? = null
+    private var sentMillis = 0L
+    private var dueMillis = Long.MIN_VALUE
+
+    fun isReliable(nowMillis: Long) =
+        phase == OwnershipPhase.OWNING && lease?.isReliable(nowMillis) == true
+
+    /** Makes the next call, if one is due; returns false if the lease lapsed on the way. */
+    fun tick(nowMillis: Long, out: MutableList<ShardAction>): Boolean {
+        if (phase == OwnershipPhase.TAKING_OVER) return lease?.isReliable(nowMillis) == true
+        if (call != null || nowMillis < dueMillis) return true
+        when (phase) {
+            OwnershipPhase.STANDBY -> {
+                phase = OwnershipPhase.READING_OWNER
+                out += ShardAction.ReadOwner(send(nowMillis))
+            }
+
+            OwnershipPhase.OWNING -> lease?.let {
+                out += ShardAction.KeepLease(send(nowMillis), it.id)
+            }
+
+            else -> Unit
+        }
+        return true
+    }
+
+    fun onOwnerRead(event: ShardEvent.OwnerRead, nowMillis: Long, out: MutableList<ShardAction>) {
+        if (!isAnswer(event.call)) return
+        val isFree = event.result.fold({ false }, { it == null })
+        if (!isFree) return abandon(nowMillis, out)
+        phase = OwnershipPhase.GRANTING
+        out += ShardAction.GrantLease(send(nowMillis))
+    }
+
+    fun onLeaseGranted(
+        event: ShardEvent.LeaseGranted,
+        nowMillis: Long,
+        out: MutableList<ShardAction>
+    ) {
+        if (!isAnswer(event.call)) return
+        when (val result = event.result) {
+            is Either.Left -> abandon(nowMillis, out)
+            is Either.Right -> claim(result.value, nowMillis, out)
+        }
+    }
+
+    private fun claim(id: LeaseId, nowMillis: Long, out: MutableList<ShardAction>) {
+        lease = OwnerLease(id, settings.ownerTiming.reliableUntil(sentMillis))
+        phase = OwnershipPhase.CLAIMING
+        out += ShardAction.ClaimOwner(send(nowMillis), id, settings.owner)
+    }
+
+    /** Returns whether the key is created, so that the document is next. */
+    fun onOwnerClaimed(
+        event: ShardEvent.OwnerClaimed,
+        nowMillis: Long,
+        out: MutableList<ShardAction>
+    ): Boolean {
+        if (!isAnswer(event.call)) return false
+        val applied = event.result.fold({ false }, { it is SwapOutcome.Applied })
+        if (!applied || lease?.isReliable(nowMillis) != true) {
+            abandon(nowMillis, out)
+            return false
+        }
+        phase = OwnershipPhase.TAKING_OVER
+        return true
+    }
+
+    fun onTakenOver(nowMillis: Long) {
+        phase = OwnershipPhase.OWNING
+        dueMillis = nowMillis
+    }
+
+    /** Returns false if the service says that the lease is gone. */
+    fun onLeaseKept(event: ShardEvent.LeaseKept, nowMillis: Long): Boolean {
+        if (!isAnswer(event.call)) return true
+        return when (val result = event.result) {
+            is Either.Left -> {
+                dueMillis = nowMillis + settings.retryMillis
+                true
+            }
+
+            is Either.Right -> {
+                if (result.value) lease = lease?.prolonged(sentMillis, settings.ownerTiming)
+                dueMillis = sentMillis + settings.ownerTiming.ttlMillis / RENEWALS_PER_LEASE
+                result.value
+            }
+        }
+    }
+
+    /** Gives up what was reached and tries again after a pause. */
+    fun abandon(nowMillis: Long, out: MutableList<ShardAction>) {
+        lease?.let { out += ShardAction.RevokeLease(it.id) }
+        lease = null
+        call = null
+        dueMillis = nowMillis + settings.retryMillis
+        phase = OwnershipPhase.STANDBY
+    }
+
+    /** Gives the shard up for good. */
+    fun release(nowMillis: Long, out: MutableList<ShardAction>) {
+        abandon(nowMillis, out)
+        phase = OwnershipPhase.RELEASED
+    }
+
+    private fun send(nowMillis: Long): Long {
+        sentMillis = nowMillis
+        return newCall().also { call = it }
+    }
+
+    private fun isAnswer(answered: Long): Boolean {
+        if (answered != call) return false
+        call = null
+        return true
+    }
+
+    private companion object {
+        const val RENEWALS_PER_LEASE = 3
+    }
+}
--- /dev/null
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/ShardMachine.kt
@@ -0,0 +1,241 @@
+/**
+ * The decisions of a shard's owner, free of threads, clocks and calls.
+ *
+ * The machine takes one event at a time together with the present time on the owner's monotonic
+ * clock and returns the actions that follow. It is deterministic: the same events at the same times
+ * give the same actions. It keeps its tables in place, as a copy of ten thousand workers' state for
+ * every heartbeat would cost more than the decisions themselves.
+ */
+package sycamoremast.coordination.shard
+
+import sycamoremast.coordination.ListedHost
+import sycamoremast.coordination.record.DocumentChange
+import sycamoremast.coordination.record.JobKey
+import sycamoremast.coordination.record.JobRecord
+import sycamoremast.coordination.record.JobSpec
+import sycamoremast.coordination.record.ShardDocument
+
+/** The owner, or would-be owner, of one shard of workers. */
+class ShardMachine(private val settings: ShardSettings) {
+    private var calls = 0L
+    private val ownership = Ownership(settings, ::newCall)
+    private val ledger = DocumentLedger(settings.writer, BackOff(settings.retryMillis))
+    private var out = ArrayList<ShardAction>()
+    private val tasks = TaskTable(settings, ledger::submit) { out += it }
+    private val workers = WorkerTable(settings, tasks, ::newCall)
+    private val dispatcher = Dispatcher(tasks)
+    private val listedJobs = HashMap<String, ShardEvent.JobsListed>()
+    private var listedWorkers = emptyList<ListedHost>()
+    private var epoch = 0L
+    private var recovered = false
+    private var releasing = false
+
+    /** Returns the actions that follow from [event] at [nowMillis]. */
+    fun handle(event: ShardEvent, nowMillis: Long): List<ShardAction> {
+        out = ArrayList()
+        when (event) {
+            is ShardEvent.Tick -> Unit
+            is ShardEvent.ReleaseRequested -> releasing = true
+            is ShardEvent.Listing -> onListing(event)
+            is ShardEvent.OwnershipAnswer -> onOwnership(event, nowMillis)
+            is ShardEvent.DocumentAnswer -> onDocument(event, nowMillis)
+            is ShardEvent.WorkerAnswer -> onWorker(event, nowMillis)
+        }
+        proceed(nowMillis)
+        return out
+    }
+
+    /** Returns what the machine knows, for operators and tests. */
+    fun snapshot(): ShardSnapshot = ShardSnapshot(
+        isOwner = isOwner,
+        isReleased = ownership.phase == OwnershipPhase.RELEASED,
+        epoch = epoch,
+        document = ledger.document,
+        workers = workers.size,
+        running = tasks.jobs.values.associate { it.key to it.live.size }.filterValues { it > 0 }
+    )
+
+    private val isOwner get() = ownership.phase == OwnershipPhase.OWNING
+
+    private fun newCall() = ++calls
+
+    private fun proceed(nowMillis: Long) {
+        if (!ownership.tick(nowMillis, out)) stepDown("lease-lapsed", nowMillis)
+        if (isOwner) {
+            workers.expire(nowMillis)
+            recover()
+        }
+        if (ownership.isReliable(nowMillis) && !releasing) {
+            workers.renew(nowMillis, out)
+            place(nowMillis)
+            workers.stopTasks(nowMillis, out)
+        }
+        if (isOwner || ownership.phase == OwnershipPhase.TAKING_OVER) {
+            ledger.nextCall(nowMillis, ::newCall)?.let { out += it }
+        }
+        if (releasing) release(nowMillis)
+    }
+
+    private fun place(nowMillis: Long) {
+        val usable = workers.usable(nowMillis)
+        if (usable.isEmpty()) return
+        dispatcher.place(usable, epoch, recovered, ledger::submit, out)
+    }
+
+    private fun release(nowMillis: Long) {
+        val isDone = ownership.phase == OwnershipPhase.RELEASED
+        if (isDone || (isOwner && !ledger.isSettled)) return
+        clear()
+        ownership.release(nowMillis, out)
+    }
+
+    private fun stepDown(reason: String, nowMillis: Long) {
+        out += ShardAction.Note("step-down", settings.owner, reason)
+        clear()
+        ownership.abandon(nowMillis, out)
+    }
+
+    private fun clear() {
+        workers.clear()
+        tasks.clear()
+        ledger.reset()
+        recovered = false
+        epoch = 0
+    }
+
+    private fun onOwnership(event: ShardEvent.OwnershipAnswer, nowMillis: Long) {
+        when (event) {
+            is ShardEvent.OwnerRead -> ownership.onOwnerRead(event, nowMillis, out)
+
+            is ShardEvent.LeaseGranted -> ownership.onLeaseGranted(event, nowMillis, out)
+
+            is ShardEvent.OwnerClaimed ->
+                if (ownership.onOwnerClaimed(event, nowMillis, out)) ledger.reset()
+
+            is ShardEvent.LeaseKept ->
+                if (!ownership.onLeaseKept(event, nowMillis)) stepDown("lease-gone", nowMillis)
+        }
+    }
+
+    private fun onDocument(event: ShardEvent.DocumentAnswer, nowMillis: Long) {
+        val outcome = when (event) {
+            is ShardEvent.DocumentRead -> ledger.onRead(event, nowMillis)
+            is ShardEvent.DocumentWritten -> ledger.onWritten(event, nowMillis)
+        }
+        when (outcome) {
+            LedgerOutcome.Undecided -> Unit
+            LedgerOutcome.Refreshed -> onRefreshed(nowMillis)
+            is LedgerOutcome.Applied -> onApplied(outcome.changes, nowMillis)
+        }
+    }
+
+    private fun onRefreshed(nowMillis: Long) {
+        val document = ledger.document
+        when {
+            isOwner && document.epoch != epoch -> stepDown("epoch ${document.epoch}", nowMillis)
+
+            isOwner -> tasks.sync(document)
+
+            epoch == 0L -> {
+                epoch = document.epoch + 1
+                ledger.submit(DocumentChange.TakeOver(settings.owner, epoch))
+            }
+
+            document.epoch >= epoch -> stepDown("epoch ${document.epoch}", nowMillis)
+        }
+    }
+
+    private fun onApplied(changes: List<DocumentChange>, nowMillis: Long) {
+        if (ledger.document.epoch != epoch) return stepDown("overtaken", nowMillis)
+        tasks.sync(ledger.document)
+        if (!isOwner) takeOver(nowMillis)
+        for (change in changes) {
+            when (change) {
+                is DocumentChange.FinishTasks -> tasks.onFinishDurable(change.key, change.indices)
+                is DocumentChange.RecordStart -> dispatcher.onStartRecorded(change, out)
+                is DocumentChange.AddWorkers -> workers.markRecorded(change.workers)
+                else -> Unit
+            }
+        }
+    }
+
+    private fun takeOver(nowMillis: Long) {
+        ownership.onTakenOver(nowMillis)
+        workers.takeOver(epoch, ledger.document.workers, nowMillis)
+        out += ShardAction.Note("take-over", settings.owner, "epoch $epoch")
+        listWorkers()
+        listedJobs.values.forEach { acceptJobs(it) }
+    }
+
+    private fun onListing(event: ShardEvent.Listing) {
+        when (event) {
+            is ShardEvent.DocumentChanged -> ledger.requireRead()
+
+            is ShardEvent.WorkersListed -> {
+                listedWorkers = event.workers
+                if (isOwner) listWorkers()
+            }
+
+            is ShardEvent.JobsListed -> listJobs(event)
+
+            is ShardEvent.CancelRequested -> if (isOwner) cancel(event)
+        }
+    }
+
+    private fun listWorkers() {
+        val added = workers.list(listedWorkers)
+        if (added.isNotEmpty()) ledger.submit(DocumentChange.AddWorkers(added))
+    }
+
+    private fun listJobs(event: ShardEvent.JobsListed) {
+        val known = listedJobs[event.team]
+        if (known != null && known.revision >= event.revision) return
+        listedJobs[event.team] = event
+        if (isOwner) acceptJobs(event)
+    }
+
+    private fun acceptJobs(event: ShardEvent.JobsListed) {
+        if (event.revision < (ledger.document.revisions[event.team] ?: 0)) return
+        event.jobs
+            .filterKeys { JobKey(event.team, it) !in tasks.jobs }
+            .forEach { (name, spec) -> accept(event, name, spec) }
+    }
+
+    private fun accept(event: ShardEvent.JobsListed, name: String, spec: JobSpec) {
+        val record = JobRecord(event.team, name, epoch, spec.tasks, spec = spec)
+        ledger.submit(DocumentChange.AcceptJob(record, event.revision))
+    }
+
+    private fun cancel(event: ShardEvent.CancelRequested) {
+        tasks.jobs[event.key]?.let {
+            it.isEnding = true
+            tasks.settle(it)
+        }
+        ledger.submit(DocumentChange.CancelJob(event.key, event.tasks, event.reason))
+    }
+
+    private fun onWorker(event: ShardEvent.WorkerAnswer, nowMillis: Long) {
+        val isStillOwner = when (event) {
+            is ShardEvent.Renewed -> workers.onRenewed(event, nowMillis)
+            is ShardEvent.Started -> workers.onStarted(event, nowMillis)
+            is ShardEvent.Controlled -> workers.onControlled(event)
+        }
+        if (!isStillOwner) stepDown("refused by ${event.worker}", nowMillis)
+    }
+
+    private fun recover() {
+        if (recovered || !workers.areSettled) return
+        recovered = true
+        tasks.loseUnfoundStarts(epoch)
+    }
+}
+
+/** What a shard's machine knows; [running] counts each job's placed tasks. */
+data class ShardSnapshot(
+    val isOwner: Boolean,
+    val isReleased: Boolean,
+    val epoch: Long,
+    val document: ShardDocument,
+    val workers: Int,
+    val running: Map<JobKey, Int>
+)
--- /dev/null
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/ShardSettings.kt
@@ -0,0 +1,27 @@
+/** The timing and identity of a shard's owner. */
+package sycamoremast.coordination.shard
+
+import sycamoremast.coordination.lease.LeaseTiming
+
+/**
+ * How [owner] runs a shard.
+ *
+ * [writer] differs between any two runs of the program, so that their writes can be told apart.
+ */
+data class ShardSettings(
+    val owner: String,
+    val writer: String,
+    val ownerTiming: LeaseTiming,
+    val workerTiming: LeaseTiming,
+    val heartbeatMillis: Long,
+    val retryMillis: Long = DEFAULT_RETRY_MILLIS,
+    val attemptsPerTask: Int = DEFAULT_ATTEMPTS_PER_TASK
+) {
+    companion object {
+        /** The pause before a failed call on the service is repeated. */
+        const val DEFAULT_RETRY_MILLIS = 200L
+
+        /** The number of failed attempts of one task that fail its job. */
+        const val DEFAULT_ATTEMPTS_PER_TASK = 4
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/batch/BatchMeters.kt
@@ -0,0 +1,33 @@
+/** What is counted of the batch scheduler's calls. */
+package sycamoremast.daemon.batch
+
+import io.micrometer.core.instrument.Counter
+import io.micrometer.core.instrument.MeterRegistry
+import sycamoremast.coordination.shard.ShardAction
+
+internal class BatchMeters(registry: MeterRegistry) {
+    private val storeReads = counter(registry, "batch.store.reads")
+    private val storeWrites = counter(registry, "batch.store.writes")
+    private val workerCalls = counter(registry, "batch.worker.calls")
+    private val taskStarts = counter(registry, "batch.task.starts")
+
+    fun count(action: ShardAction) {
+        when (action) {
+            is ShardAction.ReadOwner, is ShardAction.ReadDocument -> storeReads.increment()
+
+            is ShardAction.GrantLease, is ShardAction.KeepLease, is ShardAction.RevokeLease,
+            is ShardAction.ClaimOwner, is ShardAction.WriteDocument -> storeWrites.increment()
+
+            is ShardAction.Renew, is ShardAction.Control -> workerCalls.increment()
+
+            is ShardAction.Start -> {
+                workerCalls.increment()
+                taskStarts.increment()
+            }
+
+            is ShardAction.ReportUnknown, is ShardAction.Note -> Unit
+        }
+    }
+
+    private fun counter(registry: MeterRegistry, name: String): Counter = registry.counter(name)
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/batch/ShardId.kt
@@ -0,0 +1,22 @@
+/** Which shard it is, and its keys in the platform's service. */
+package sycamoremast.daemon.batch
+
+internal const val SHARDS_PREFIX = "sycamoremast/shards/"
+
+/** Identifies the shard [number] of [availabilityZone]. */
+internal data class ShardId(val availabilityZone: String, val number: Int) {
+    val documentKey get() = "$SHARDS_PREFIX$availabilityZone/$number"
+    val ownerKey get() = "sycamoremast/owners/$availabilityZone/$number"
+
+    override fun toString() = "$availabilityZone/$number"
+
+    companion object {
+        /** Returns the shard whose document is at [key], or null if it is no such key. */
+        fun fromDocumentKeyOrNull(key: String): ShardId? {
+            if (!key.startsWith(SHARDS_PREFIX)) return null
+            val path = key.removePrefix(SHARDS_PREFIX)
+            val number = path.substringAfterLast('/').toIntOrNull() ?: return null
+            return ShardId(path.substringBeforeLast('/'), number)
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/batch/ShardLoop.kt
@@ -0,0 +1,162 @@
+/** Runs one shard's state machine on a thread of its own and carries out its actions. */
+package sycamoremast.daemon.batch
+
+import arrow.core.left
+import java.util.concurrent.ExecutorService
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration.Companion.milliseconds
+import org.tinylog.kotlin.Logger
+import sycamoremast.coordination.KeyValueStore
+import sycamoremast.coordination.MonotonicClock
+import sycamoremast.coordination.StoreEntry
+import sycamoremast.coordination.WorkerError
+import sycamoremast.coordination.WorkerPort
+import sycamoremast.coordination.shard.ShardAction
+import sycamoremast.coordination.shard.ShardEvent
+import sycamoremast.coordination.shard.ShardMachine
+import sycamoremast.coordination.shard.ShardSnapshot
+import sycamoremast.daemon.control.ProblemKind
+import sycamoremast.daemon.control.ProblemReporter
+
+/** What a shard's loop calls. */
+internal data class ShardPorts(
+    val store: KeyValueStore,
+    val workers: (String) -> WorkerPort?,
+    val problems: ProblemReporter,
+    val clock: MonotonicClock,
+    val executor: ExecutorService,
+    val meters: BatchMeters
+)
+
+internal class ShardLoop(
+    val id: ShardId,
+    private val settings: BatchSettings,
+    private val machine: ShardMachine,
+    private val ports: ShardPorts
+) {
+    private val events = LinkedBlockingQueue<ShardEvent>()
+    private val thread = Thread(::run, "shard-$id").apply { isDaemon = true }
+
+    @Volatile
+    private var snapshot = machine.snapshot()
+
+    @Volatile
+    private var stopped = false
+
+    fun start() = thread.start()
+
+    fun post(event: ShardEvent) {
+        events += event
+    }
+
+    fun snapshot(): ShardSnapshot = snapshot
+
+    /** Hands the shard over; returns whether that was done within [timeoutMillis]. */
+    fun stop(timeoutMillis: Long): Boolean {
+        post(ShardEvent.ReleaseRequested)
+        thread.join(timeoutMillis)
+        stopped = true
+        return !thread.isAlive
+    }
+
+    private fun run() {
+        while (!stopped && !snapshot.isReleased) {
+            val event = events.poll(TICK_MILLIS, TimeUnit.MILLISECONDS) ?: ShardEvent.Tick
+            step(event)
+        }
+    }
+
+    private fun step(event: ShardEvent) {
+        try {
+            val actions = machine.handle(event, ports.clock.nowMillis())
+            snapshot = machine.snapshot()
+            actions.forEach(::carryOut)
+        } catch (e: RuntimeException) {
+            Logger.error(e, "event=failed step=shard-event peer=$id")
+        }
+    }
+
+    private fun carryOut(action: ShardAction) {
+        when (action) {
+            is ShardAction.ReportUnknown ->
+                ports.problems.raise(ProblemKind.UNKNOWN, action.subject, action.evidence)
+
+            is ShardAction.Note -> Logger.info(
+                "event=shard step=${action.step} peer=${action.peer} shard=$id " +
+                    "detail=\"${action.detail}\""
+            )
+
+            else -> ports.executor.execute { call(action)?.let(::post) }
+        }
+    }
+
+    private fun call(action: ShardAction): ShardEvent? {
+        ports.meters.count(action)
+        val store = ports.store
+        return when (action) {
+            is ShardAction.GrantLease -> ShardEvent.LeaseGranted(
+                action.call,
+                store.grantLease(settings.ownerLeaseMillis.milliseconds)
+            )
+
+            is ShardAction.KeepLease ->
+                ShardEvent.LeaseKept(action.call, store.keepAlive(action.lease))
+
+            is ShardAction.RevokeLease -> {
+                store.revokeLease(action.lease)
+                null
+            }
+
+            is ShardAction.ReadOwner -> ShardEvent.OwnerRead(action.call, store.get(id.ownerKey))
+
+            is ShardAction.ClaimOwner -> ShardEvent.OwnerClaimed(
+                action.call,
+                store.compareAndSwap(id.ownerKey, StoreEntry.ABSENT, action.owner, action.lease)
+            )
+
+            is ShardAction.ReadDocument ->
+                ShardEvent.DocumentRead(action.call, store.get(id.documentKey))
+
+            is ShardAction.WriteDocument -> ShardEvent.DocumentWritten(
+                action.call,
+                store.compareAndSwap(id.documentKey, action.expected, action.text)
+            )
+
+            is ShardAction.Renew -> ShardEvent.Renewed(
+                action.worker,
+                action.call,
+                onWorker(action.worker, "renew") { renew(action.renewal) }
+            )
+
+            is ShardAction.Start -> ShardEvent.Started(
+                action.worker,
+                action.order,
+                onWorker(action.worker, "start") { start(action.order) }
+            )
+
+            is ShardAction.Control -> ShardEvent.Controlled(
+                action.worker,
+                action.taskId,
+                action.epoch,
+                action.action,
+                onWorker(action.worker, "control") {
+                    control(action.taskId, action.epoch, action.action)
+                }
+            )
+
+            is ShardAction.ReportUnknown, is ShardAction.Note -> null
+        }
+    }
+
+    private fun <T> onWorker(
+        name: String,
+        step: String,
+        call: WorkerPort.() -> arrow.core.Either<WorkerError, T>
+    ): arrow.core.Either<WorkerError, T> =
+        ports.workers(name)?.call() ?: WorkerError.NotSent(step, name, "not listed").left()
+
+    private companion object {
+        const val TICK_MILLIS = 25L
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/batch/ShardedBatchScheduler.kt
@@ -0,0 +1,205 @@
+/** Runs one state machine for each shard of the availability zone. */
+package sycamoremast.daemon.batch
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import java.util.UUID
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.Executors
+import java.util.concurrent.ScheduledExecutorService
+import java.util.concurrent.TimeUnit
+import org.tinylog.kotlin.Logger
+import sycamoremast.configuration.Job
+import sycamoremast.configuration.Repeat
+import sycamoremast.configuration.Urgency
+import sycamoremast.configuration.operator.ErrorView
+import sycamoremast.configuration.operator.JobView
+import sycamoremast.configuration.operator.ShardView
+import sycamoremast.coordination.HostRole
+import sycamoremast.coordination.ListedHost
+import sycamoremast.coordination.Resources
+import sycamoremast.coordination.StoreError
+import sycamoremast.coordination.WorkerPort
+import sycamoremast.coordination.record.DocumentChange
+import sycamoremast.coordination.record.JobKey
+import sycamoremast.coordination.record.JobRecord
+import sycamoremast.coordination.record.JobSpec
+import sycamoremast.coordination.record.ShardDocument
+import sycamoremast.coordination.shard.ShardEvent
+import sycamoremast.coordination.shard.ShardMachine
+import sycamoremast.coordination.shard.ShardSnapshot
+import sycamoremast.daemon.control.AppliedConfiguration
+import sycamoremast.daemon.control.AuditedChange
+
+internal class ShardedBatchScheduler(
+    private val ports: BatchPorts,
+    private val settings: BatchSettings
+) : BatchScheduler {
+    private val zone = ports.membership.self.availabilityZone
+    private val host = ports.membership.self.host
+    private val writer = "$host#${UUID.randomUUID()}"
+    private val listed = ConcurrentHashMap<String, ListedHost>()
+    private val workerPorts = ConcurrentHashMap<ListedHost, WorkerPort>()
+    private val calls = Executors.newCachedThreadPool { Thread(it).apply { isDaemon = true } }
+    private val timer: ScheduledExecutorService =
+        Executors.newSingleThreadScheduledExecutor { Thread(it).apply { isDaemon = true } }
+    private val loops = (0 until settings.shards).map { newLoop(ShardId(zone, it)) }
+    private val editors = ConcurrentHashMap<ShardId, DocumentEditor>()
+
+    @Volatile
+    private var documents = emptyMap<ShardId, ShardDocument>()
+
+    override fun start() {
+        loops.forEach { it.start() }
+        ports.configuration.onApplied(::onConfiguration)
+        every(LIST_PERIOD_MILLIS, ::listWorkers)
+        every(settings.ownerLeaseMillis, ::readForeignChanges)
+    }
+
+    override fun stop() {
+        timer.shutdownNow()
+        loops.forEach { it.post(ShardEvent.ReleaseRequested) }
+        val handedOver = loops.map { it.stop(HAND_OVER_MILLIS) }.all { it }
+        Logger.info("event=stopped step=hand-over-shards peer=$host complete=$handedOver")
+        calls.shutdown()
+        calls.awaitTermination(HAND_OVER_MILLIS, TimeUnit.MILLISECONDS)
+    }
+
+    override fun jobs(team: String?): List<JobView> {
+        val records = readDocuments().flatMap { (id, document) ->
+            document.jobs.map { it.view(id.availabilityZone) }
+        }
+        val known = records.mapTo(HashSet()) { it.team to it.job }
+        val accepted = ports.configuration.inForce().values.flatMap { applied ->
+            applied.configuration.jobs.map { it.view(applied.team) }
+        }
+        return (records + accepted.filter { (it.team to it.job) !in known })
+            .filter { team == null || it.team == team }
+            .sortedWith(compareBy({ it.team }, { it.job }))
+    }
+
+    override fun cancel(team: String, job: String, operator: String): Either<ErrorView, JobView> {
+        val view = jobs(team).firstOrNull { it.job == job }
+            ?: return ErrorView("cancel", host, "no job $team/$job").left()
+        if (view.state in FINAL_STATES) return view.right()
+        val key = JobKey(team, job)
+        val id = ShardId(view.availabilityZone, settings.shardOf("$key"))
+        val change = DocumentChange.CancelJob(key, view.tasks, "cancelled by $operator")
+        return when (val result = editor(id).apply(change)) {
+            is Either.Left -> result.value.view().left()
+
+            is Either.Right -> {
+                loops.firstOrNull { it.id == id }?.post(ShardEvent.DocumentChanged)
+                ports.audit.record(AuditedChange(operator, "cancel", "$key", 0, 0))
+                (result.value.job(key)?.view(id.availabilityZone) ?: view).right()
+            }
+        }
+    }
+
+    override fun shards(): List<ShardView> = loops
+        .map { it.id to it.snapshot() }
+        .filter { (_, snapshot) -> snapshot.isOwner }
+        .map { (id, snapshot) -> snapshot.view(id) }
+
+    private fun newLoop(id: ShardId) = ShardLoop(
+        id,
+        settings,
+        ShardMachine(settings.forShard(host, writer)),
+        ShardPorts(
+            ports.store,
+            ::workerPort,
+            ports.problems,
+            ports.clock,
+            calls,
+            BatchMeters(ports.meters)
+        )
+    )
+
+    private fun workerPort(name: String): WorkerPort? =
+        listed[name]?.let { host -> workerPorts.computeIfAbsent(host, ports.worker) }
+
+    private fun editor(id: ShardId) =
+        editors.computeIfAbsent(id) { DocumentEditor(ports.store, it.documentKey, "$writer-edit") }
+
+    private fun every(periodMillis: Long, action: () -> Unit) {
+        timer.scheduleWithFixedDelay({ guarded(action) }, 0, periodMillis, TimeUnit.MILLISECONDS)
+    }
+
+    private fun guarded(action: () -> Unit) {
+        try {
+            action()
+        } catch (e: RuntimeException) {
+            Logger.error(e, "event=failed step=batch-timer peer=$host")
+        }
+    }
+
+    private fun onConfiguration(applied: AppliedConfiguration) {
+        val jobs = applied.configuration.jobs
+            .filter { it.availabilityZone == zone }
+            .groupBy { settings.shardOf("${applied.team}/${it.name}") }
+        for (loop in loops) {
+            val specs = jobs[loop.id.number].orEmpty().associate { it.name to it.toSpec() }
+            loop.post(ShardEvent.JobsListed(applied.team, applied.revision, specs))
+        }
+    }
+
+    private fun listWorkers() {
+        val hosts = ports.hosts.hosts().getOrNull() ?: return
+        val workers = hosts.filter { it.role == HostRole.WORKER && it.availabilityZone == zone }
+        workers.forEach { listed[it.name] = it }
+        val byShard = workers.groupBy { settings.shardOf(it.name) }
+        loops.forEach { it.post(ShardEvent.WorkersListed(byShard[it.id.number].orEmpty())) }
+    }
+
+    private fun readForeignChanges() {
+        loops.filter { it.snapshot().isOwner }.forEach { it.post(ShardEvent.DocumentChanged) }
+    }
+
+    private fun readDocuments(): Map<ShardId, ShardDocument> {
+        val listing = ports.store.list(SHARDS_PREFIX).getOrNull()
+        if (listing != null) {
+            documents = listing.entries.mapNotNull { entry ->
+                val id = ShardId.fromDocumentKeyOrNull(entry.key) ?: return@mapNotNull null
+                ShardDocument.parseOrNull(entry.value)?.let { id to it }
+            }.toMap()
+        }
+        val owned = loops.filter { it.snapshot().isOwner }
+            .associate { it.id to it.snapshot().document }
+        return if (listing != null) documents else documents + owned
+    }
+
+    private fun JobRecord.view(availabilityZone: String): JobView {
+        val running = loops.sumOf { it.snapshot().running[key] ?: 0 }
+        return view(availabilityZone, running)
+    }
+
+    private companion object {
+        const val LIST_PERIOD_MILLIS = 1_000L
+        const val HAND_OVER_MILLIS = 5_000L
+    }
+}
+
+internal fun Job.toSpec() = JobSpec(
+    tasks = tasks,
+    resources = Resources(milliCpus, memoryMib, accelerators),
+    expectedMillis = expected.inWholeMilliseconds,
+    neverRepeat = repeat == Repeat.NEVER,
+    urgent = urgency == Urgency.URGENT,
+    moveAfterMillis = moveAfter?.inWholeMilliseconds,
+    command = command
+)
+
+internal fun StoreError.view() =
+    ErrorView(step, peer, reason, RETRY_AFTER_MILLIS, this is StoreError.AnswerLost)
+
+internal fun ShardSnapshot.view(id: ShardId) = ShardView(
+    shard = "$id",
+    owner = document.owner,
+    epoch = epoch,
+    workers = workers,
+    runningTasks = running.values.sum(),
+    waitingTasks = document.waitingTasks() - running.values.sum()
+)
+
+private const val RETRY_AFTER_MILLIS = 1_000L
