--- /dev/null
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/ControlPlane.kt
@@ -0,0 +1,95 @@
+/** The parts of a daemon that keep hosts, configuration, audit trail and problems. */
+package sycamoremast.daemon
+
+import io.micrometer.core.instrument.MeterRegistry
+import kotlin.time.Duration.Companion.milliseconds
+import sycamoremast.configuration.Endpoint
+import sycamoremast.coordination.KeyValueStore
+import sycamoremast.coordination.membership.IncarnationClaim
+import sycamoremast.coordination.store.CallBudget
+import sycamoremast.daemon.control.AuditLog
+import sycamoremast.daemon.control.ConfigurationReplica
+import sycamoremast.daemon.control.ControlContext
+import sycamoremast.daemon.control.ControlPeers
+import sycamoremast.daemon.control.Membership
+import sycamoremast.daemon.control.MembershipTimes
+import sycamoremast.daemon.control.ProblemLog
+import sycamoremast.daemon.peer.KtorPeerNetwork
+import sycamoremast.daemon.peer.LocalPeer
+import sycamoremast.daemon.peer.PeerLimits
+import sycamoremast.daemon.settings.DaemonSettings
+
+/** The control plane of one entry host. */
+internal class ControlPlane private constructor(
+    val store: KeyValueStore,
+    val network: KtorPeerNetwork,
+    val membership: Membership,
+    val replica: ConfigurationReplica,
+    val audit: AuditLog,
+    val problems: ProblemLog
+) : AutoCloseable {
+    /** The address at which other hosts reach this one; known once started. */
+    val peerAddress: String get() = network.address
+
+    /** Starts all parts. */
+    fun start() {
+        network.start()
+        membership.start()
+        audit.start()
+        problems.start()
+        replica.start()
+    }
+
+    /** Returns why callers must not be sent to this host yet. */
+    fun notReadyBecause(): List<String> = membership.notReadyBecause() + replica.notReadyBecause()
+
+    override fun close() {
+        replica.close()
+        problems.close()
+        audit.close()
+        membership.close()
+        network.close()
+    }
+
+    companion object {
+        /** Returns the control plane that [settings] describe; it is not started yet. */
+        fun from(
+            settings: DaemonSettings,
+            store: KeyValueStore,
+            calls: CallBudget,
+            registry: MeterRegistry
+        ): ControlPlane {
+            val context = ControlContext(
+                host = settings.host.name,
+                availabilityZone = settings.host.availabilityZone,
+                store = store,
+                calls = calls,
+                registry = registry
+            )
+            val claim = IncarnationClaim(System.currentTimeMillis())
+            val network =
+                KtorPeerNetwork.create(localPeer(settings), claim, registry, limits(settings))
+            val peers = ControlPeers.of(network)
+            val seeds = settings.peers.addresses.map(Endpoint::toString).toSet()
+            val membership = Membership.create(context, claim, peers, seeds, times(settings))
+            val audit = AuditLog.create(context)
+            val replica = ConfigurationReplica.create(context, membership, peers, audit)
+            val problems = ProblemLog.create(context)
+            return ControlPlane(store, network, membership, replica, audit, problems)
+        }
+
+        private fun localPeer(settings: DaemonSettings) = LocalPeer(
+            host = settings.host.name,
+            availabilityZone = settings.host.availabilityZone,
+            bindHost = settings.listen.peers.ip,
+            bindPort = settings.listen.peers.port,
+            advertised = settings.advertise.peers?.toString()
+        )
+
+        private fun limits(settings: DaemonSettings) =
+            PeerLimits(maxMessageBytes = settings.peers.maxMessageBytes)
+
+        private fun times(settings: DaemonSettings) =
+            MembershipTimes(heartbeat = settings.peers.heartbeatMillis.milliseconds)
+    }
+}
--- a/daemon/src/main/kotlin/sycamoremast/daemon/operator/HealthRoutes.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/operator/HealthRoutes.kt
@@ -2,10 +2,10 @@
 package sycamoremast.daemon.operator
 
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry
-import org.http4k.core.HttpHandler
 import org.http4k.core.Method.GET
 import org.http4k.core.Response
 import org.http4k.core.Status
+import org.http4k.routing.RoutingHttpHandler
 import org.http4k.routing.bind
 import org.http4k.routing.routes
 
@@ -17,7 +17,7 @@
 internal fun healthRoutes(
     registry: PrometheusMeterRegistry,
     notReadyBecause: () -> List<String>
-): HttpHandler = routes(
+): RoutingHttpHandler = routes(
     "/live" bind GET to { Response(Status.OK).body("live\n") },
     "/ready" bind GET to { readiness(notReadyBecause()) },
     "/metrics" bind GET to {
--- a/daemon/src/main/kotlin/sycamoremast/daemon/operator/OperatorRoutes.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/operator/OperatorRoutes.kt
@@ -5,13 +5,13 @@
 import kotlinx.serialization.SerializationStrategy
 import kotlinx.serialization.builtins.ListSerializer
 import kotlinx.serialization.json.Json
-import org.http4k.core.HttpHandler
 import org.http4k.core.Method.GET
 import org.http4k.core.Method.POST
 import org.http4k.core.Method.PUT
 import org.http4k.core.Request
 import org.http4k.core.Response
 import org.http4k.core.Status
+import org.http4k.routing.RoutingHttpHandler
 import org.http4k.routing.bind
 import org.http4k.routing.path
 import org.http4k.routing.routes
@@ -37,7 +37,7 @@
 private val json = Json { encodeDefaults = true }
 
 /** Returns the handler of the operators' API on top of [actions]. */
-internal fun operatorRoutes(actions: OperatorActions): HttpHandler = routes(
+internal fun operatorRoutes(actions: OperatorActions): RoutingHttpHandler = routes(
     "/v1/status" bind GET to { answer(StatusView.serializer(), actions.status()) },
     "/v1/teams/{team}/configuration" bind GET to { document(actions, it) },
     "/v1/teams/{team}/configuration" bind PUT to { submit(actions, it) },
