--- a/cli/src/main/kotlin/sycamoremast/cli/Module.kt
+++ /dev/null
@@ -1,4 +0,0 @@
-/** Placeholder. */
-package sycamoremast.cli
-
-internal const val MODULE_NAME = "cli"
--- a/configuration/src/main/kotlin/sycamoremast/configuration/ConfigurationCheck.kt
+++ b/configuration/src/main/kotlin/sycamoremast/configuration/ConfigurationCheck.kt
@@ -66,8 +66,8 @@
     private fun checkJob(job: Job) {
         val section = Sections.job(job.name)
         checkName(section, job.name)
-        if (!isName(job.availabilityZone)) {
-            val message = "$NAME_RULE, but is '${job.availabilityZone}'"
+        if (!NameRule.matches(job.availabilityZone)) {
+            val message = "${NameRule.TEXT}, but is '${job.availabilityZone}'"
             reject(section, Keys.AVAILABILITY_ZONE, message)
         }
         checkRange(section, Keys.TASKS, job.tasks.toLong(), TASKS_RANGE)
@@ -90,7 +90,12 @@
     }
 
     private fun checkName(section: String, name: String) {
-        if (!isName(name)) reject(section, "", "the name $NAME_RULE, but is '$name'")
+        if (!NameRule.matches(
+                name
+            )
+        ) {
+            reject(section, "", "the name ${NameRule.TEXT}, but is '$name'")
+        }
     }
 
     private fun checkRange(section: String, key: String, value: Long, range: LongRange) {
@@ -116,15 +121,11 @@
     }
 
     private companion object {
-        val NAME = Regex("[a-z0-9-]{1,63}")
-        const val NAME_RULE = "must be 1 to 63 of a-z, 0-9 and -"
         val PATH_PREFIX = Regex("/[!-~&&[^?#]]{0,1023}")
         val QUOTA_RANGE = 0L..1_000_000_000_000L
         val PERCENT_RANGE = 0L..100L
         val TASKS_RANGE = 1L..100_000L
         val SHORTEST = 1.milliseconds
         val LONGEST = 400.days
-
-        fun isName(text: String) = NAME.matches(text)
     }
 }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/settings/SettingsReader.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/settings/SettingsReader.kt
@@ -8,6 +8,7 @@
 import arrow.core.right
 import arrow.core.toNonEmptyListOrNull
 import sycamoremast.configuration.Endpoint
+import sycamoremast.configuration.NameRule
 import sycamoremast.configuration.ini.IniDocument
 import sycamoremast.configuration.ini.IniError
 import sycamoremast.configuration.ini.IniSection
@@ -101,11 +102,8 @@
     }
 }
 
-private val NAME = Regex("[a-z0-9-]{1,63}")
-private const val NAME_RULE = "must be 1 to 63 of a-z, 0-9 and -"
-
 private fun SectionReader.name(key: String): String? =
-    convert(key, null, NAME_RULE) { it.takeIf(NAME::matches) }
+    convert(key, null, NameRule.TEXT) { it.takeIf(NameRule::matches) }
 
 private fun SectionReader.readHost(): HostSettings? {
     val name = name("name")
