--- a/coordination/src/main/kotlin/sycamoremast/coordination/record/DocumentChange.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/record/DocumentChange.kt
@@ -20,28 +20,30 @@
 
     /** Records that [indices] of the job [key] are finished. */
     data class FinishTasks(val key: JobKey, val indices: List<Int>) : DocumentChange {
-        override fun applyTo(document: ShardDocument) = document.update(key) {
-            copy(
-                finished = finished + indices,
-                starts = starts.filter { it.index !in indices }
+        override fun applyTo(document: ShardDocument) = document.update(key) { job ->
+            job.copy(
+                finished = job.finished + indices,
+                starts = job.starts.filter { it.index !in indices }
             ).endedIfComplete()
         }
     }
 
     /** Records that a never-repeated task is about to be started. */
     data class RecordStart(val key: JobKey, val start: TaskStart) : DocumentChange {
-        override fun applyTo(document: ShardDocument) = document.update(key) {
-            copy(starts = starts.filter { it.index != start.index } + start)
+        override fun applyTo(document: ShardDocument) = document.update(key) { job ->
+            val isDecided = start.index in job.finished || start.index in job.unknown
+            if (isDecided) return@update job
+            job.copy(starts = job.starts.filter { it.index != start.index } + start)
         }
     }
 
     /** Records that the outcome of the task [index] can't be told. */
     data class LoseOutcome(val key: JobKey, val index: Int) : DocumentChange {
-        override fun applyTo(document: ShardDocument) = document.update(key) {
-            if (index in finished) return@update this
-            copy(
-                unknown = unknown + listOf(index),
-                starts = starts.filter { it.index != index }
+        override fun applyTo(document: ShardDocument) = document.update(key) { job ->
+            if (index in job.finished) return@update job
+            job.copy(
+                unknown = job.unknown + listOf(index),
+                starts = job.starts.filter { it.index != index }
             ).endedIfComplete()
         }
     }
@@ -49,14 +51,14 @@
     /** Ends the job [key] in the final [state]. */
     data class EndJob(val key: JobKey, val state: JobState, val reason: String) : DocumentChange {
         override fun applyTo(document: ShardDocument) =
-            document.update(key) { ended(state, reason) }
+            document.update(key) { it.ended(state, reason) }
     }
 
     /** Cancels the job [key] of [tasks] tasks, also one that has no record yet. */
     data class CancelJob(val key: JobKey, val tasks: Int, val reason: String) : DocumentChange {
         override fun applyTo(document: ShardDocument): ShardDocument {
             if (document.job(key) != null) {
-                return document.update(key) { ended(JobState.CANCELLED, reason) }
+                return document.update(key) { it.ended(JobState.CANCELLED, reason) }
             }
             val record = JobRecord(key.team, key.name, document.epoch, tasks)
             return document.copy(jobs = document.jobs + record.ended(JobState.CANCELLED, reason))
@@ -81,10 +83,10 @@
     }
 }
 
-private fun ShardDocument.update(key: JobKey, change: JobRecord.() -> JobRecord): ShardDocument =
+private fun ShardDocument.update(key: JobKey, change: (JobRecord) -> JobRecord): ShardDocument =
     copy(
         jobs = jobs.map {
             val open = it.state == JobState.ACCEPTED
-            if (open && it.team == key.team && it.name == key.name) it.change() else it
+            if (open && it.team == key.team && it.name == key.name) change(it) else it
         }
     )
--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/JobRow.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/JobRow.kt
@@ -27,6 +27,11 @@
     fun isDecided(index: Int) =
         index in deciding || index in record.finished || index in record.unknown
 
+    /** Whether the outcome of the task [index] is in the document. */
+    fun isDurablyDecided(index: Int) = record.state != JobState.ACCEPTED ||
+        index in record.finished ||
+        index in record.unknown
+
     fun decide(index: Int) {
         deciding += index
     }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/TaskTable.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/TaskTable.kt
@@ -142,18 +142,23 @@
     private fun observeUnplaced(worker: WorkerRow, report: TaskReport, call: Long) {
         val (key, index) = JobKey.parseTaskIdOrNull(report.taskId) ?: (null to 0)
         val job = jobs[key]
-        val wanted = job != null && job.isOpen && !job.isDecided(index) && index !in job.live
+        val undecided = job != null && job.isOpen && !job.isDecided(index)
+        val other = job?.live?.get(index)
+        val wanted = undecided && (other == null || canSupersede(other, report))
         if (job != null && wanted) {
             job.sawAttempt(index, report.attempt)
             job.sawCheckpoint(index, report.checkpoint)
         }
         when {
-            job == null || !wanted -> dismiss(worker, report)
+            job == null -> dismiss(worker, report, isDurable = true)
+
+            !wanted -> dismiss(worker, report, job.isDurablyDecided(index))
 
             report.phase == TaskPhase.STOPPED && !isNeverRepeated(job) ->
                 worker.acknowledged += report.taskId
 
             else -> {
+                other?.let(::supersede)
                 val task = LiveTask(job, index, report.attempt, worker, report.resources)
                 add(task)
                 observePlaced(task, report, call)
@@ -161,17 +166,28 @@
         }
     }
 
-    private fun dismiss(worker: WorkerRow, report: TaskReport) {
-        if (report.phase == TaskPhase.RUNNING) {
-            worker.foreign[report.taskId] = report.resources
-        } else {
-            worker.acknowledged += report.taskId
+    /** A start that is still under way must not reach its worker after the task has finished. */
+    private fun canSupersede(task: LiveTask, report: TaskReport) =
+        report.phase == TaskPhase.FINISHED && task.confirmedByCall > 0
+
+    /** Stops a task whose earlier attempt turns out to have finished. */
+    private fun supersede(task: LiveTask) {
+        task.job.live.remove(task.index)
+        task.phase = LivePhase.STOPPING
+    }
+
+    private fun dismiss(worker: WorkerRow, report: TaskReport, isDurable: Boolean) {
+        when (report.phase) {
+            TaskPhase.RUNNING -> worker.foreign[report.taskId] = report.resources
+            TaskPhase.FINISHED -> if (isDurable) worker.acknowledged += report.taskId
+            else -> worker.acknowledged += report.taskId
         }
     }
 
     private fun finish(task: LiveTask) {
-        if (task.phase == LivePhase.HELD) return
-        if (!task.job.isOpen || task.job.isDecided(task.index)) return acknowledge(task)
+        val job = task.job
+        if (job.isDurablyDecided(task.index)) return acknowledge(task)
+        if (task.phase == LivePhase.HELD || !job.isOpen || job.isDecided(task.index)) return
         task.phase = LivePhase.HELD
         task.job.decide(task.index)
         submit(DocumentChange.FinishTasks(task.job.key, listOf(task.index)))
--- /dev/null
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/shard/Schedule.kt
@@ -0,0 +1,388 @@
+/** One seeded random schedule of faults against hosts, workers and the service in virtual time. */
+package sycamoremast.coordination.shard
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import java.util.PriorityQueue
+import kotlin.random.Random
+import sycamoremast.coordination.HostRole
+import sycamoremast.coordination.HostState
+import sycamoremast.coordination.ListedHost
+import sycamoremast.coordination.Resources
+import sycamoremast.coordination.StoreError
+import sycamoremast.coordination.SwapOutcome
+import sycamoremast.coordination.WorkerError
+import sycamoremast.coordination.lease.LeaseTiming
+import sycamoremast.coordination.record.DocumentChange
+import sycamoremast.coordination.record.JobKey
+import sycamoremast.coordination.record.JobSpec
+import sycamoremast.coordination.record.JobState
+
+internal class Schedule(private val seed: Long, private val bugs: Set<PlantedBug> = emptySet()) {
+    private val random = Random(seed)
+    private val jobs = randomJobs()
+    private val checker: Checker = Checker(
+        seed,
+        { workers.values },
+        { store.truth },
+        jobs.filterValues { it.neverRepeat }.keys
+    )
+    val store = SimulatedStore(checker)
+    private val workers: Map<String, SimulatedWorker> = (1..3).map { newWorker("w$it") }
+        .associateBy { it.name }
+    private val hosts = (1..2).map { Host("h$it") }
+    private val queue = PriorityQueue<Timed>(compareBy<Timed>({ it.atMillis }, { it.order }))
+    private var order = 0L
+    private var now = 0L
+    private var isStoreUp = true
+    private val cut = HashSet<Pair<String, String>>()
+
+    private class Timed(val atMillis: Long, val order: Long, val action: () -> Unit)
+
+    /** An entry host: its machine, its clock, and whether it is paused. */
+    private inner class Host(val name: String) {
+        private val rate = 1 + random.nextDouble(-DRIFT, DRIFT)
+        private val offset = random.nextLong(1_000_000)
+        private var life = 0
+        private var machine = newMachine()
+        var isAlive = true
+        var isPaused = false
+        private val inbox = ArrayDeque<ShardEvent>()
+
+        private fun newMachine(): ShardMachine {
+            life++
+            val margin = if (PlantedBug.MARGIN_OFF in bugs) 0 else MARGIN_MILLIS
+            return ShardMachine(
+                ShardSettings(
+                    owner = name,
+                    writer = "$name#$life",
+                    ownerTiming = LeaseTiming(OWNER_TTL_MILLIS, margin),
+                    workerTiming = LeaseTiming(WORKER_TTL_MILLIS, margin),
+                    heartbeatMillis = HEARTBEAT_MILLIS
+                )
+            )
+        }
+
+        fun begin() {
+            deliver(ShardEvent.WorkersListed(workers.keys.map(::listing)), life)
+            deliver(ShardEvent.JobsListed("team", 1, jobs.mapKeys { it.key.name }), life)
+            tick(life)
+            poll(life)
+        }
+
+        private fun tick(of: Int) {
+            deliver(ShardEvent.Tick, of)
+            if (of == life) after(TICK_MILLIS) { tick(of) }
+        }
+
+        private fun poll(of: Int) {
+            deliver(ShardEvent.DocumentChanged, of)
+            if (of == life) after(POLL_MILLIS) { poll(of) }
+        }
+
+        fun deliver(event: ShardEvent, of: Int = life) {
+            if (!isAlive || of != life) return
+            if (isPaused) {
+                if (event != ShardEvent.Tick) inbox += event
+                return
+            }
+            val local = offset + (now * rate).toLong()
+            val sender = life
+            for (action in machine.handle(event, local)) carryOut(action, sender)
+        }
+
+        fun resume() {
+            isPaused = false
+            while (isAlive && inbox.isNotEmpty()) deliver(inbox.removeFirst())
+        }
+
+        fun restart() {
+            inbox.clear()
+            isAlive = true
+            isPaused = false
+            machine = newMachine()
+            begin()
+        }
+
+        private fun carryOut(action: ShardAction, of: Int) {
+            val answer = { event: ShardEvent -> deliver(event, of) }
+            when (action) {
+                is ShardAction.GrantLease -> onStore(
+                    { store.grant(now, OWNER_TTL_MILLIS).right() },
+                    { answer(ShardEvent.LeaseGranted(action.call, it)) }
+                )
+
+                is ShardAction.KeepLease -> onStore(
+                    { store.keepAlive(action.lease, now, OWNER_TTL_MILLIS).right() },
+                    { answer(ShardEvent.LeaseKept(action.call, it)) }
+                )
+
+                is ShardAction.RevokeLease ->
+                    onStore({ store.revoke(action.lease).right() }, { })
+
+                is ShardAction.ReadOwner -> onStore(
+                    { store.owner(now).right() },
+                    { answer(ShardEvent.OwnerRead(action.call, it)) }
+                )
+
+                is ShardAction.ClaimOwner -> onStore(
+                    { store.claimOwner(action.lease, action.owner, now) },
+                    { answer(ShardEvent.OwnerClaimed(action.call, it)) }
+                )
+
+                is ShardAction.ReadDocument -> onStore(
+                    { store.documentEntry.right() },
+                    { answer(ShardEvent.DocumentRead(action.call, it)) }
+                )
+
+                is ShardAction.WriteDocument -> onStore(
+                    { store.writeDocument(action.expected, action.text).right() },
+                    { answer(ShardEvent.DocumentWritten(action.call, readBack(it, action))) }
+                )
+
+                is ShardAction.Renew -> onWorker(
+                    action.worker,
+                    { renew(action.renewal, now) },
+                    { answer(ShardEvent.Renewed(action.worker, action.call, it)) }
+                )
+
+                is ShardAction.Start -> {
+                    checkStart(action)
+                    onWorker(
+                        action.worker,
+                        { start(action.order, now) },
+                        { answer(ShardEvent.Started(action.worker, action.order, it)) }
+                    )
+                }
+
+                is ShardAction.Control -> onWorker(
+                    action.worker,
+                    { control(action.taskId, action.epoch, action.action, now) },
+                    {
+                        val id = action.taskId
+                        val name = action.worker
+                        answer(ShardEvent.Controlled(name, id, action.epoch, action.action, it))
+                    }
+                )
+
+                is ShardAction.ReportUnknown, is ShardAction.Note -> Unit
+            }
+        }
+
+        private fun checkStart(action: ShardAction.Start) {
+            val key = JobKey.parseTaskIdOrNull(action.order.taskId)?.first
+            val record = key?.let { machine.snapshot().document.job(it) }
+            checker.require(record?.state == JobState.ACCEPTED) {
+                "$name starts ${action.order.taskId}, whose job is ${record?.state}"
+            }
+        }
+
+        private fun <T> onWorker(
+            worker: String,
+            call: SimulatedWorker.() -> Either<WorkerError, T>,
+            answer: (Either<WorkerError, T>) -> Unit
+        ) {
+            val target = workers.getValue(worker)
+            exchange(
+                { target.isUp && (name to worker) !in cut },
+                { target.call() },
+                { WorkerError.NotSent("call", worker, "no connection").left() },
+                { WorkerError.AnswerLost("call", worker, "timeout").left() },
+                answer
+            )
+        }
+    }
+
+    /** How often a host took the shard over, and how many workers restarted. */
+    val takeOvers: Long get() = store.truth.epoch
+    var workerCrashes = 0
+        private set
+
+    /** Runs the schedule; throws [BrokenPromise] if a promise is broken. */
+    fun run() {
+        hosts.forEach { it.begin() }
+        plantFaults()
+        val keys = jobs.keys
+        while (queue.isNotEmpty() && now < END_MILLIS) {
+            val next = queue.remove()
+            now = next.atMillis
+            next.action()
+            if (now > CALM_MILLIS + OWNER_TTL_MILLIS && isDone()) break
+        }
+        checker.atEnd(store.truth, keys, now)
+    }
+
+    private fun isDone() = jobs.keys.all { (store.truth.job(it)?.state ?: ACTIVE) != ACTIVE } &&
+        workers.values.all { it.running(now).isEmpty() }
+
+    private fun randomJobs(): Map<JobKey, JobSpec> = (1..random.nextInt(2, 4)).associate {
+        JobKey("team", "job$it") to JobSpec(
+            tasks = random.nextInt(1, 6),
+            resources = Resources(random.nextLong(1, 4) * 1_000, random.nextLong(1, 4) * 1_000),
+            expectedMillis = random.nextLong(100, 5_000),
+            neverRepeat = random.nextInt(4) == 0,
+            urgent = random.nextInt(4) == 0
+        )
+    }
+
+    private fun newWorker(name: String) = SimulatedWorker(
+        name = name,
+        capacity = Resources(4_000, 4_000),
+        rate = 1 + random.nextDouble(-DRIFT, DRIFT),
+        stopMillis = random.nextLong(1, 1_500),
+        bugs = bugs,
+        checker = checker,
+        fails = { Random(seed + it.taskId.hashCode() + it.attempt).nextInt(FAILURE_ODDS) == 0 }
+    )
+
+    private fun listing(name: String) =
+        ListedHost(name, "127.0.0.1:1", "Gauja", "rack", HostRole.WORKER, HostState.LIVE)
+
+    private fun after(millis: Long, action: () -> Unit) {
+        queue += Timed(now + millis, order++, action)
+    }
+
+    // Calls
+
+    private fun <T> onStore(
+        call: () -> Either<StoreError, T>,
+        answer: (Either<StoreError, T>) -> Unit
+    ) = exchange(
+        { isStoreUp },
+        call,
+        { StoreError.NotSent("call", "store", "no connection").left() },
+        { StoreError.AnswerLost("call", "store", "timeout").left() },
+        answer
+    )
+
+    private fun <T> exchange(
+        isReachable: () -> Boolean,
+        call: () -> T,
+        notSent: () -> T,
+        lost: () -> T,
+        answer: (T) -> Unit
+    ) {
+        val there = random.nextLong(1, 5)
+        val fate = if (now < CALM_MILLIS) random.nextInt(100) else 100
+        when {
+            fate < 2 -> after(there) { answer(notSent()) }
+
+            fate < 4 -> after(TIMEOUT_MILLIS) { answer(lost()) }
+
+            fate < 6 -> {
+                after(random.nextLong(TIMEOUT_MILLIS, LATEST_MILLIS)) { if (isReachable()) call() }
+                after(TIMEOUT_MILLIS) { answer(lost()) }
+            }
+
+            fate < 8 -> {
+                after(there) { if (isReachable()) call() }
+                after(TIMEOUT_MILLIS) { answer(lost()) }
+            }
+
+            else -> after(if (fate < 12) random.nextLong(TIMEOUT_MILLIS / 2) else there) {
+                if (isReachable()) {
+                    val result = call()
+                    after(random.nextLong(1, 5)) { answer(result) }
+                } else {
+                    after(TIMEOUT_MILLIS / 2) { answer(lost()) }
+                }
+            }
+        }
+    }
+
+    private fun readBack(
+        result: Either<StoreError, SwapOutcome>,
+        action: ShardAction.WriteDocument
+    ): Either<StoreError, SwapOutcome> {
+        val isLost = result is Either.Left && result.value is StoreError.AnswerLost
+        if (PlantedBug.READ_BACK_OFF !in bugs || !isLost) return result
+        return SwapOutcome.Applied(store.documentEntry?.version ?: action.expected).right()
+    }
+
+    // Faults
+
+    private fun plantFaults() {
+        repeat(random.nextInt(1, 7)) {
+            after(random.nextLong(CALM_MILLIS)) { plant(random.nextInt(7)) }
+        }
+        after(CALM_MILLIS) { calm() }
+    }
+
+    private fun plant(kind: Int) {
+        val host = hosts.random(random)
+        val worker = workers.values.random(random)
+        val span = random.nextLong(100, LONGEST_FAULT_MILLIS)
+        when (kind) {
+            0 -> if (host.isAlive) {
+                host.isAlive = false
+                after(span) { if (!host.isAlive) host.restart() }
+            }
+
+            1 -> {
+                host.isPaused = true
+                after(span) { host.resume() }
+            }
+
+            2 -> if (worker.isUp) {
+                worker.crash(now)
+                workerCrashes++
+                after(span) { if (!worker.isUp) worker.restart(now) }
+            }
+
+            3 -> {
+                isStoreUp = false
+                after(span) { isStoreUp = true }
+            }
+
+            4 -> {
+                val link = host.name to worker.name
+                cut += link
+                after(span) { cut -= link }
+            }
+
+            5 -> cancelAtOwner()
+
+            6 -> cancelInDocument()
+        }
+    }
+
+    private fun cancelAtOwner() {
+        val (key, spec) = jobs.entries.random(random)
+        hosts.forEach { it.deliver(ShardEvent.CancelRequested(key, spec.tasks, "test")) }
+    }
+
+    private fun cancelInDocument() {
+        val (key, spec) = jobs.entries.random(random)
+        val change = DocumentChange.CancelJob(key, spec.tasks, "test")
+        val next = store.truth.with(listOf(change), "editor", now)
+        store.writeDocument(store.documentEntry?.version ?: 0, next.print())
+    }
+
+    private fun calm() {
+        isStoreUp = true
+        cut.clear()
+        hosts.filter { !it.isAlive }.forEach { it.restart() }
+        hosts.filter { it.isPaused }.forEach { it.resume() }
+        workers.values.filter { !it.isUp }.forEach { it.restart(now) }
+    }
+
+    companion object {
+        private val ACTIVE = JobState.ACCEPTED
+        private const val DRIFT = 0.02
+        private const val MARGIN_MILLIS = 150L
+        private const val OWNER_TTL_MILLIS = 2_000L
+        private const val WORKER_TTL_MILLIS = 2_000L
+        private const val HEARTBEAT_MILLIS = 500L
+        private const val TICK_MILLIS = 50L
+        private const val POLL_MILLIS = 1_000L
+        private const val TIMEOUT_MILLIS = 800L
+        private const val LATEST_MILLIS = 6_000L
+        private const val LONGEST_FAULT_MILLIS = 6_000L
+        private const val FAILURE_ODDS = 30
+
+        /** When the faults end; after that every job has to come to its end. */
+        private const val CALM_MILLIS = 15_000L
+        private const val END_MILLIS = 120_000L
+    }
+}
--- /dev/null
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/shard/SimulatedStore.kt
@@ -0,0 +1,87 @@
+/** A key-value service in virtual time that checks every write of a shard's document. */
+package sycamoremast.coordination.shard
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import sycamoremast.coordination.LeaseId
+import sycamoremast.coordination.StoreEntry
+import sycamoremast.coordination.StoreError
+import sycamoremast.coordination.SwapOutcome
+import sycamoremast.coordination.record.JobState
+import sycamoremast.coordination.record.ShardDocument
+
+internal class SimulatedStore(private val checker: Checker) {
+    private var revision = 0L
+    private var nextLease = 0L
+    private val leases = HashMap<LeaseId, Long>()
+    private var owner: Pair<StoreEntry, LeaseId>? = null
+    var documentEntry: StoreEntry? = null
+        private set
+
+    /** The document as it truly stands. */
+    var truth = ShardDocument()
+        private set
+    var documentWrites = 0
+        private set
+
+    fun owner(now: Long): StoreEntry? = held(now)?.first
+
+    fun grant(now: Long, ttlMillis: Long): LeaseId {
+        val id = LeaseId(++nextLease)
+        leases[id] = now + ttlMillis
+        return id
+    }
+
+    fun keepAlive(lease: LeaseId, now: Long, ttlMillis: Long): Boolean {
+        val until = leases[lease] ?: return false
+        if (until <= now) return false
+        leases[lease] = now + ttlMillis
+        return true
+    }
+
+    fun revoke(lease: LeaseId) {
+        leases.remove(lease)
+    }
+
+    fun claimOwner(lease: LeaseId, name: String, now: Long): Either<StoreError, SwapOutcome> {
+        held(now)?.let { return SwapOutcome.Conflict(it.first).right() }
+        if ((leases[lease] ?: 0) <= now) {
+            return StoreError.NotSent("claim", "store", "no such lease").left()
+        }
+        owner = StoreEntry("owner", name, ++revision) to lease
+        return SwapOutcome.Applied(revision).right()
+    }
+
+    fun writeDocument(expected: Long, text: String): SwapOutcome {
+        val current = documentEntry
+        if ((current?.version ?: StoreEntry.ABSENT) != expected) {
+            return SwapOutcome.Conflict(current)
+        }
+        val next = ShardDocument.parseOrNull(text) ?: error("unreadable document")
+        check(next)
+        truth = next
+        documentWrites++
+        documentEntry = StoreEntry("document", text, ++revision)
+        return SwapOutcome.Applied(revision)
+    }
+
+    private fun held(now: Long) = owner?.takeIf { (leases[it.second] ?: 0) > now }
+
+    private fun check(next: ShardDocument) {
+        checker.require(next.epoch >= truth.epoch) { "epoch fell to ${next.epoch}" }
+        for (old in truth.jobs) {
+            val new = next.job(old.key)
+            checker.require(new != null) { "record of ${old.key} vanished" }
+            if (new == null) continue
+            val isFinal = old.state != JobState.ACCEPTED
+            checker.require(!isFinal || new.state == old.state) {
+                "${old.key} went from ${old.state} to ${new.state}"
+            }
+            checker.require(new.finished.size >= old.finished.size) {
+                "completions of ${old.key} were lost"
+            }
+            checker.onFinished(new)
+        }
+    }
+}
