Queue, retry, lend and drain on the request path

Requests beyond the slots were refused; they now wait in the scheduler's order. Retries follow the budget and only where a request certainly did not run or is idempotent. Backend servers are left by list, refusal, failed connect or their own word. A drain serves on for a grace, then refuses.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/request/ServiceScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/request/ServiceScheduler.kt
@@ -109,12 +109,6 @@
         }
     }
 
-    /** Puts the request [number], which was not run after all, back in its place. */
-    fun putBack(number: Long) {
-        val request = running.remove(number) ?: return
-        queue.putBack(request, request)
-    }
-
     /** Drops [request], which waited in vain; returns when its caller may come back. */
     fun giveUp(request: WaitingRequest, slots: Int, nowMillis: Double): Duration {
         queue.remove(request.number)
--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/AnswerReader.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/AnswerReader.kt
@@ -29,7 +29,8 @@
             return AnswerBody.Buffered(head)
         }
         val whole = SequenceInputStream(head.inputStream(), stream)
-        return AnswerBody.Streamed(CheckedStream(whole), length.takeIf { it >= 0 })
+        val checked = CheckedStream(whole)
+        return AnswerBody.Streamed(checked, length.takeIf { it >= 0 }) { checked.isWhole }
     }
 
     /** Reads a refusal to its end, or gives up its connection. */
@@ -65,6 +66,10 @@
     private inner class CheckedStream(input: InputStream) : FilterInputStream(input) {
         private var passed = 0L
 
+        /** Whether the end was reached and checked. */
+        var isWhole = false
+            private set
+
         override fun read(): Int {
             val single = ByteArray(1)
             return if (read(single, 0, 1) < 0) -1 else single[0].toInt() and BYTE_MASK
@@ -73,7 +78,10 @@
         override fun read(buffer: ByteArray, offset: Int, count: Int): Int {
             val read = attempt { super.read(buffer, offset, count) }
             if (read > 0) passed += read
-            if (read < 0 || passed == length) checkEnd()
+            if (!isWhole && (read < 0 || passed == length)) {
+                checkEnd()
+                isWhole = true
+            }
             return read
         }
 
--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/AttemptResult.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/AttemptResult.kt
@@ -18,10 +18,11 @@
         override val isDraining: Boolean
     ) : AttemptResult
 
-    /** The backend server refused the request; it did not run. */
+    /** The backend server refused the request, perhaps only for want of a slot; it did not run. */
     data class Refused(
         val failure: RequestFailure,
         val retryAfter: Duration?,
+        val isBusy: Boolean,
         override val isDraining: Boolean
     ) : AttemptResult
 
@@ -38,5 +39,6 @@
     class Buffered(val bytes: ByteArray) : AnswerBody
 
     /** A body on its way; reading [stream] fails if it does not arrive whole. */
-    class Streamed(val stream: InputStream, val length: Long?) : AnswerBody
+    class Streamed(val stream: InputStream, val length: Long?, val isWhole: () -> Boolean) :
+        AnswerBody
 }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/Backend.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/Backend.kt
@@ -1,20 +1,25 @@
 /** One backend server, as this host uses it. */
 package sycamoremast.daemon.request
 
-import sycamoremast.coordination.HostState
 import sycamoremast.coordination.ListedHost
+import sycamoremast.coordination.request.BackendHealth
+import sycamoremast.coordination.request.ConcurrencyLimit
 
-/** A backend server; its mutable state is guarded by the directory that holds it. */
+/** A backend server; its mutable state is guarded by the dispatcher's lock. */
 internal class Backend(val host: ListedHost) : AutoCloseable {
+    val name: String get() = host.name
     val client = BackendClient(host.address, host.connections.coerceAtLeast(1))
+    val health = BackendHealth()
+    val concurrency = ConcurrencyLimit()
 
     /** Requests of this host that hold one of the backend server's slots. */
     var inUse = 0
 
-    /** Whether it has been seen to leave, on the list or by its own word. */
-    var isLeaving = host.state == HostState.LEAVING
+    /** Whether the server refused for want of a slot, so that it is left alone until then. */
+    var busyUntilMillis = Long.MIN_VALUE
 
-    fun isFree() = !isLeaving && inUse < host.slots
+    /** The most connections that this host may keep, as last computed. */
+    var connectionShare = Int.MAX_VALUE
 
     override fun close() = client.close()
 }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/BackendClient.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/BackendClient.kt
@@ -75,7 +75,8 @@
             reader.discard()
             val failure = RequestFailure(life.state, address, "the backend server refused")
             life.on(RequestEvent.REFUSE)
-            return Refused(failure, retryAfterOf(response), draining)
+            val isBusy = response.header(RequestHeaders.NOT_RUN) in RequestHeaders.BUSY
+            return Refused(failure, retryAfterOf(response), isBusy, draining)
         }
         life.on(RequestEvent.ANSWER_BEGUN)
         val named = response.header(RequestHeaders.REQUEST_ID)
--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/ForwardingRequestPath.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/ForwardingRequestPath.kt
@@ -1,9 +1,10 @@
 /** The request path that forwards to the backend servers on the platform's list. */
 package sycamoremast.daemon.request
 
+import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicReference
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Duration.Companion.milliseconds
 import org.http4k.core.HttpHandler
 import org.http4k.core.Request
 import org.http4k.core.Response
@@ -13,39 +14,75 @@
 import sycamoremast.coordination.request.RequestLife
 import sycamoremast.coordination.request.RequestOutcome
 import sycamoremast.coordination.request.RequestState
-import sycamoremast.daemon.request.AttemptResult.Failed
+import sycamoremast.daemon.log.event
 
 internal class ForwardingRequestPath(
     private val ports: RequestPathPorts,
     private val settings: RequestPathSettings
 ) : RequestPath {
-    private enum class Phase { SERVING, DRAINING, CLOSED }
+    private sealed interface Phase {
+        data object Serving : Phase
 
+        /** Requests are still taken until [graceEndsMillis]. */
+        data class Draining(val graceEndsMillis: Double) : Phase
+
+        data object Closed : Phase
+    }
+
+    private val meters = RequestMeters(ports.meters)
     private val reader = CallerRequestReader(ports.configuration, settings)
-    private val backends =
-        BackendDirectory(ports.hostList, settings, ports.membership.self.availabilityZone)
+    private val dispatcher = Dispatcher(ports.membership, settings)
+    private val runner = RequestRunner(dispatcher, meters)
+    private val lending = SlotLending(dispatcher, ports.peers)
     private val inProgress = InProgress()
-    private val phase = AtomicReference(Phase.SERVING)
+    private val phase = AtomicReference<Phase>(Phase.Serving)
+    private val hostList = Loop("host-list", settings.hostListRefreshMillis, ::readHostList)
+    private val ticks = Loop("dispatch", TICK_MILLIS, dispatcher::tick)
 
     override val handler: HttpHandler = ::handle
 
-    override fun start() = backends.start()
+    override fun start() {
+        meters.watchInProgress(inProgress::count)
+        dispatcher.tick()
+        hostList.start()
+        ticks.start()
+        lending.start()
+    }
+
+    override fun notReadyBecause(): List<String> = listOfNotNull(
+        "this host has no share of the backend servers yet".takeUnless { dispatcher.hasShare() }
+    )
 
     override fun beginDrain() {
-        phase.compareAndSet(Phase.SERVING, Phase.DRAINING)
+        val ends = dispatcher.nowMillis() + settings.drainGraceMillis
+        phase.compareAndSet(Phase.Serving, Phase.Draining(ends))
     }
 
-    override fun awaitIdle(timeout: Duration) = inProgress.awaitZero(timeout)
+    override fun awaitIdle(timeout: Duration): Boolean {
+        val began = dispatcher.nowMillis()
+        val grace = (phase.get() as? Phase.Draining)?.let { it.graceEndsMillis - began } ?: 0.0
+        val wait = grace.coerceIn(0.0, timeout.inWholeMilliseconds.toDouble())
+        TimeUnit.MILLISECONDS.sleep(wait.toLong())
+        return inProgress.awaitZero(timeout - wait.milliseconds)
+    }
 
     override fun inProgress() = inProgress.count()
 
     override fun close() {
-        phase.set(Phase.CLOSED)
-        backends.close()
+        phase.set(Phase.Closed)
+        hostList.close()
+        ticks.close()
+        lending.close()
+        dispatcher.close()
     }
 
     /** Returns the backend servers of [service] that get new work. */
-    internal fun backendCount(service: String) = backends.count(service)
+    internal fun backendCount(service: String) = dispatcher.usableCount(service)
+
+    private fun readHostList() = ports.hostList.hosts().fold(
+        { Logger.warn { event("host-list-unread", "step" to it.step, "peer" to it.peer) } },
+        dispatcher::listed
+    )
 
     private fun handle(http: Request): Response {
         inProgress.begin()
@@ -54,79 +91,58 @@
                 { refusal(http.header(RequestHeaders.REQUEST_ID), it) },
                 { run(it) }
             )
-        } catch (e: RuntimeException) {
-            Logger.error(e, "event=request-failed step=handle")
+        } catch (e: Exception) {
+            Logger.error(e) { event("request-failed", "step" to "handle") }
             val failure = RequestFailure(RequestState.UNKNOWN, "self", "internal error")
             refusal(http.header(RequestHeaders.REQUEST_ID), RequestOutcome.Unknown(failure))
         }
-        return inProgress.endWith(response)
+        return inProgress.endWith(announced(response))
     }
 
     private fun run(request: CallerRequest): Response {
+        val received = dispatcher.nowMillis()
         val life = RequestLife()
+        if (isRefusing()) return ended(request, leaving(life))
         val body = try {
             CallerBody.of(request.http, settings.maxBodyBytes)
         } catch (e: CallerException) {
             life.on(RequestEvent.REJECT)
-            return refusal(request.id, RequestOutcome.Malformed(BAD_REQUEST, e.message.orEmpty()))
+            return ended(request, RequestOutcome.Malformed(BAD_REQUEST, e.message.orEmpty()))
         }
-        life.on(RequestEvent.QUEUE)
-        if (phase.get() != Phase.SERVING) return end(request, life, "self", "the host is leaving")
-        val backend = backends.acquire(request.service)
-            ?: return end(request, life, "self", "no backend server of ${request.service} is free")
-        return answer(request, life, backend, attempt(request, body, life, backend))
-    }
+        return when (val result = runner.run(request, body, life, received)) {
+            is RunResult.Answered -> relay(request, result.answer) { isWhole ->
+                result.onEnd(isWhole)
+                meters.ended(request.service, if (isWhole) "answered" else "cut")
+            }
 
-    /** Sends on another connection where the one at hand turned out to be unfit beforehand. */
-    private fun attempt(
-        request: CallerRequest,
-        body: CallerBody,
-        life: RequestLife,
-        backend: Backend
-    ): AttemptResult {
-        while (true) {
-            life.on(RequestEvent.DISPATCH)
-            val result = backend.client.send(request, body, life, request.deadline)
-            if (result !is Failed || result.kind != FailureKind.STALE_CONNECTION) return result
-            life.on(RequestEvent.RETRY)
+            is RunResult.Ended -> ended(request, result.outcome)
         }
     }
 
-    private fun answer(
-        request: CallerRequest,
-        life: RequestLife,
-        backend: Backend,
-        result: AttemptResult
-    ): Response {
-        if (result.isDraining) backends.leaving(backend)
-        return when (result) {
-            is AttemptResult.Answer -> relay(request, life, result) { backends.release(backend) }
-
-            is AttemptResult.Refused -> {
-                backends.release(backend)
-                end(request, life, result.failure)
-            }
-
-            is Failed -> {
-                backends.release(backend)
-                end(request, life, result.failure)
-            }
-        }
+    private fun ended(request: CallerRequest, outcome: RequestOutcome): Response {
+        val response = refusal(request.id, outcome)
+        meters.ended(request.service, response.header(RequestHeaders.OUTCOME).orEmpty())
+        return response
     }
 
-    private fun end(request: CallerRequest, life: RequestLife, peer: String, reason: String) =
-        end(request, life, RequestFailure(life.state, peer, reason))
+    private fun leaving(life: RequestLife): RequestOutcome {
+        val failure = RequestFailure(life.state, "self", "this host is leaving")
+        life.on(RequestEvent.FAIL)
+        return RequestOutcome.NotRun(failure, Duration.ZERO)
+    }
 
-    private fun end(request: CallerRequest, life: RequestLife, failure: RequestFailure): Response {
-        val outcome = when (life.on(RequestEvent.FAIL)) {
-            RequestState.NOT_RUN -> RequestOutcome.NotRun(failure, RETRY_AFTER)
-            else -> RequestOutcome.Unknown(failure)
-        }
-        return refusal(request.id, outcome)
+    private fun isRefusing() = when (val now = phase.get()) {
+        is Phase.Serving -> false
+        is Phase.Draining -> dispatcher.nowMillis() > now.graceEndsMillis
+        is Phase.Closed -> true
     }
 
+    /** Has callers leave their connections once this host is leaving. */
+    private fun announced(response: Response) =
+        if (phase.get() is Phase.Serving) response else response.header("Connection", "close")
+
     private companion object {
         const val BAD_REQUEST = 400
-        val RETRY_AFTER = 1.seconds
+        const val TICK_MILLIS = 10L
     }
 }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/RequestHeaders.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/RequestHeaders.kt
@@ -14,6 +14,9 @@
     const val NOT_RUN = "X-Not-Run"
     const val DRAINING = "X-Draining"
 
+    /** What [NOT_RUN] says of a backend server that has all its slots or connections in use. */
+    val BUSY = setOf("slots", "connections")
+
     /** Headers that concern one connection only, or that are written anew for each hop. */
     private val HOP_BY_HOP = setOf(
         "connection",
--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/RequestPath.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/RequestPath.kt
@@ -23,9 +23,12 @@
     /** Answers callers' requests; it never throws. */
     val handler: HttpHandler
 
-    /** Begins to follow the host list. */
+    /** Begins to follow the host list and the membership. */
     fun start()
 
+    /** Returns why callers must not be sent here yet; empty once they may. */
+    fun notReadyBecause(): List<String>
+
     /** Begins a graceful stop: requests in progress are finished, then new ones are refused. */
     fun beginDrain()
 
--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/RequestPathSettings.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/RequestPathSettings.kt
@@ -1,22 +1,29 @@
 /** The settings of the request path. */
 package sycamoremast.daemon.request
 
+import sycamoremast.coordination.request.LedgerTimes
+
 /**
  * Bounds of the request path of one entry host.
  *
- * [queueLimit] bounds the requests that wait for a slot, over all services.
+ * [queueLimit] bounds the requests of each service that wait for a slot. After a drain has begun,
+ * new requests are still taken for [drainGraceMillis], in which the balancer learns of it.
+ * [slotTimes] rule the shares of the backend servers' slots and their loans.
  */
 data class RequestPathSettings(
     val maxBodyBytes: Long = DEFAULT_MAX_BODY_BYTES,
     val queueLimit: Int = 1_000,
     val defaultDeadlineMillis: Long = 30_000,
-    val hostListRefreshMillis: Long = 500
+    val hostListRefreshMillis: Long = 500,
+    val drainGraceMillis: Long = 1_000,
+    val slotTimes: LedgerTimes = LedgerTimes()
 ) {
     init {
         require(maxBodyBytes > 0) { "maxBodyBytes must be positive: $maxBodyBytes" }
         require(queueLimit >= 0) { "queueLimit must not be negative: $queueLimit" }
         require(defaultDeadlineMillis > 0) { "deadline must be positive: $defaultDeadlineMillis" }
         require(hostListRefreshMillis > 0) { "refresh must be positive: $hostListRefreshMillis" }
+        require(drainGraceMillis >= 0) { "drain grace must not be negative: $drainGraceMillis" }
     }
 
     companion object {
--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/Responses.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/Responses.kt
@@ -6,9 +6,7 @@
 import kotlin.time.DurationUnit
 import org.http4k.core.Response
 import org.http4k.core.Status
-import sycamoremast.coordination.request.RequestEvent
 import sycamoremast.coordination.request.RequestFailure
-import sycamoremast.coordination.request.RequestLife
 import sycamoremast.coordination.request.RequestOutcome
 import sycamoremast.coordination.request.RequestOutcome.Answered
 import sycamoremast.coordination.request.RequestOutcome.Malformed
@@ -33,12 +31,11 @@
         .body(outcome.reason + "\n")
 }.let { if (requestId == null) it else it.header(RequestHeaders.REQUEST_ID, requestId) }
 
-/** Returns [answer] for the caller; [onEnd] is called once, when it has been passed on or cut. */
+/** Returns [answer] for the caller; [onEnd] is called once, with whether it was received whole. */
 internal fun relay(
     request: CallerRequest,
-    life: RequestLife,
     answer: AttemptResult.Answer,
-    onEnd: () -> Unit
+    onEnd: (Boolean) -> Unit
 ): Response {
     val head = Response(statusOf(answer.status))
         .headers(answer.headers.filter { (name) -> RequestHeaders.isPassedOn(name) })
@@ -46,13 +43,12 @@
         .header(RequestHeaders.REQUEST_ID, request.id)
     return when (val body = answer.body) {
         is AnswerBody.Buffered -> {
-            life.on(RequestEvent.COMPLETE)
-            onEnd()
+            onEnd(true)
             head.withBody(answer, body.bytes.inputStream(), body.bytes.size.toLong())
         }
 
         is AnswerBody.Streamed ->
-            head.withBody(answer, OnClose(body.stream, onEnd), body.length)
+            head.withBody(answer, OnClose(body.stream) { onEnd(body.isWhole()) }, body.length)
     }
 }
 
--- a/daemon/src/test/kotlin/sycamoremast/daemon/request/OutcomeTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/request/OutcomeTest.kt
@@ -200,6 +200,17 @@
         expectThat(answer.outcome).isEqualTo("unknown")
     }
 
+    @Test
+    fun `concurrent callers each get the answer to their own request`() {
+        val backend = RawBackend { answer(it, "answer to ${it.body}") }
+        PathHarness(backend).ready().use { harness ->
+            val answers = (1..200).toList().parallelStream()
+                .map { harness.send("/invoices", "POST", "invoice $it").text() }
+                .toList()
+            expectThat(answers).isEqualTo((1..200).map { "answer to invoice $it" })
+        }
+    }
+
     private fun <T> call(backend: RawBackend, block: PathHarness.() -> T): T =
         backend.use { PathHarness(backend).ready().use(block) }
 }
--- a/daemon/src/test/kotlin/sycamoremast/daemon/request/PathHarness.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/request/PathHarness.kt
@@ -11,10 +11,19 @@
 import java.time.Duration
 import java.util.concurrent.TimeUnit
 import org.http4k.server.Http4kServer
+import sycamoremast.coordination.request.LedgerTimes
+import sycamoremast.coordination.request.ShareTimes
+
+/** Settings with which a host that is alone has all slots at once. */
+internal val TEST_SETTINGS = RequestPathSettings(
+    hostListRefreshMillis = 20,
+    drainGraceMillis = 100,
+    slotTimes = LedgerTimes(ShareTimes(joinMillis = 0, settleMillis = 0))
+)
 
 internal class PathHarness(
     vararg backends: RawBackend,
-    settings: RequestPathSettings = RequestPathSettings(hostListRefreshMillis = 20),
+    settings: RequestPathSettings = TEST_SETTINGS,
     hostList: FakeHostList = FakeHostList(backends.map { FakeHostList.backend(it.port) }),
     val ports: RequestPathPorts = testPorts(hostList)
 ) : Closeable {
