--- a/daemon/src/main/kotlin/sycamoremast/daemon/control/ConfigurationReplica.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/control/ConfigurationReplica.kt
@@ -22,12 +22,7 @@
 import sycamoremast.coordination.store.StoredDocument
 import sycamoremast.daemon.log.event
 import sycamoremast.daemon.peer.Documents
-import sycamoremast.daemon.peer.DocumentsQuery
 import sycamoremast.daemon.peer.Heartbeat
-import sycamoremast.daemon.peer.InForce
-import sycamoremast.daemon.peer.InForceQuery
-import sycamoremast.daemon.peer.Revisions
-import sycamoremast.daemon.peer.RevisionsQuery
 
 /** The accepted configuration on this host; [start] begins to follow it. */
 class ConfigurationReplica private constructor(
@@ -38,7 +33,8 @@
     relayTimes: RelayTimes
 ) : ConfigurationView,
     AutoCloseable {
-    private val table = DocumentTable(parse = ::parseConfiguration)
+    /** The documents held here; only [offer] may add to them. */
+    internal val table = DocumentTable(parse = ::parseConfiguration)
     private val listeners = CopyOnWriteArrayList<(AppliedConfiguration) -> Unit>()
     private val applying = Any()
     private val submitter = ConfigurationSubmitter(context, this, audit)
@@ -71,7 +67,7 @@
             relay.heard(process, beat)
             catchUp.heard(process.host, beat.digest)
         }
-        handleQueries()
+        ReplicaQueries(this).answerOn(peers.network)
         storeLoop.start()
         peerLoop.start()
     }
@@ -115,12 +111,6 @@
 
     internal fun inForceRevision(team: String) = table.inForce(team)?.document?.revision ?: 0
 
-    internal fun revisions() = table.revisions()
-
-    internal fun texts(teams: Collection<String>) = table.texts(teams)
-
-    internal fun digest() = table.digest()
-
     internal fun markSynced() {
         if (isSynced) return
         isSynced = true
@@ -185,31 +175,6 @@
         synced = isSynced
     )
 
-    private fun handleQueries() {
-        peers.network.handle(Documents::class) { from, documents ->
-            documents.texts.forEach { offer(it, from) }
-            null
-        }
-        peers.network.handle(RevisionsQuery::class) { _, _ ->
-            Revisions(table.revisions(), isSynced)
-        }
-        peers.network.handle(DocumentsQuery::class) { _, query ->
-            Documents(withinBytes(table.texts(query.teams)))
-        }
-        peers.network.handle(InForceQuery::class) { _, query ->
-            InForce(query.team, inForceRevision(query.team))
-        }
-    }
-
-    private fun withinBytes(texts: List<String>): List<String> {
-        var bytes = 0
-        return texts.takeWhile { text ->
-            val isFirst = bytes == 0
-            bytes += text.length
-            isFirst || bytes <= MAX_ANSWER_CHARACTERS
-        }
-    }
-
     private fun applied(taken: DocumentInForce<TeamConfiguration>, source: String) {
         context.count("documents.applied")
         Logger.info {
@@ -220,7 +185,17 @@
                 "source" to source
             )
         }
-        listeners.forEach { it(taken.toApplied()) }
+        listeners.forEach { notify(it, taken.toApplied()) }
+    }
+
+    private fun notify(listener: (AppliedConfiguration) -> Unit, applied: AppliedConfiguration) {
+        try {
+            listener(applied)
+        } catch (e: Exception) {
+            Logger.error(e) {
+                event("configuration-listener-failed", "step" to "apply", "team" to applied.team)
+            }
+        }
     }
 
     private fun unreadable(offer: Offer.Unreadable, source: String) {
@@ -239,7 +214,6 @@
 
     companion object {
         private const val STEP_MILLIS = 500L
-        private const val MAX_ANSWER_CHARACTERS = 500_000
 
         /** Returns a replica that follows the configuration by [peers] and the service. */
         fun create(
--- a/daemon/src/main/kotlin/sycamoremast/daemon/control/Membership.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/control/Membership.kt
@@ -103,13 +103,18 @@
 
     /** Announces this host's end to the others and ends its registration. */
     override fun close() {
-        registrations.close()
-        heartbeats.close()
+        stopWithoutFarewell()
         val leaving = Leaving(claim.value)
         peers.connections.connected().forEach { peers.network.send(it.host, leaving) }
         registration.end()
     }
 
+    /** Ends the loops alone, so that this host seems to have been killed. */
+    internal fun stopWithoutFarewell() {
+        registrations.close()
+        heartbeats.close()
+    }
+
     /** Has [content] describe this host in each heartbeat. */
     internal fun describeBy(content: () -> Heartbeat) {
         describe = content
--- a/daemon/src/main/kotlin/sycamoremast/daemon/control/PeerCatchUp.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/control/PeerCatchUp.kt
@@ -25,7 +25,7 @@
 
     /** Takes note of the [digest] in a heartbeat of [host]. */
     fun heard(host: String, digest: Long) {
-        val own = replica.digest()
+        val own = replica.table.digest()
         if (digest == own || compared[host] == own to digest) {
             differing.remove(host)
         } else {
@@ -43,7 +43,7 @@
         val due = differing.filterValues { now - it.sinceMillis >= GRACE_MILLIS }.entries.toList()
         val (host, difference) = due.randomOrNull(context.timing.random) ?: return
         fetchFrom(host) ?: return
-        compared[host] = replica.digest() to difference.digest
+        compared[host] = replica.table.digest() to difference.digest
         differing.remove(host)
     }
 
@@ -51,7 +51,7 @@
     private fun syncFromPeers() {
         val answers = peers.connections.connected().mapNotNull { fetchFrom(it.host) }
         if (answers.none { it.synced }) return
-        val held = replica.revisions()
+        val held = replica.table.revisions()
         val complete = answers.all { answer ->
             answer.byTeam.all { (team, revision) -> (held[team] ?: 0) >= revision }
         }
@@ -76,7 +76,7 @@
     }
 
     private fun missingOf(revisions: Revisions): List<String> {
-        val held = replica.revisions()
+        val held = replica.table.revisions()
         return revisions.byTeam.filter { (team, revision) -> revision > (held[team] ?: 0) }
             .keys.sorted()
     }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/peer/KtorPeerNetwork.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/peer/KtorPeerNetwork.kt
@@ -15,11 +15,12 @@
 import io.ktor.network.sockets.ServerSocket
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
+import io.ktor.network.sockets.isClosed
 import io.ktor.network.sockets.toJavaAddress
 import io.micrometer.core.instrument.MeterRegistry
+import java.io.IOException
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.CopyOnWriteArrayList
-import java.util.concurrent.ExecutionException
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.TimeoutException
 import java.util.concurrent.atomic.AtomicLong
@@ -62,12 +63,12 @@
     @Volatile
     private var server: ServerSocket? = null
 
+    @Volatile
+    private var boundAddress: String? = null
+
     /** The address that other hosts dial; known once the network has started. */
     val address: String
-        get() = local.advertised ?: "${local.bindHost}:$boundPort"
-
-    private val boundPort
-        get() = (checkNotNull(server) { "not started" }.localAddress as InetSocketAddress).port
+        get() = local.advertised ?: checkNotNull(boundAddress) { "not started" }
 
     /** Binds the listening socket and accepts peers. */
     fun start() {
@@ -75,20 +76,16 @@
             aSocket(selector).tcp().bind(local.bindHost, local.bindPort) { reuseAddress = true }
         }
         server = bound
+        boundAddress = "${local.bindHost}:${(bound.localAddress as InetSocketAddress).port}"
         counters.watchConnections { connections.size }
-        scope.launch {
-            while (isActive) {
-                val socket = bound.accept()
-                scope.launch { serve(socket) }
-            }
-        }
+        scope.launch { acceptLoop(bound) }
     }
 
     override fun close() {
         connections.forEach { it.close() }
         server?.close()
         scope.cancel()
-        selector.close()
+        runCatching { selector.close() }
     }
 
     override fun dial(addresses: Set<String>) {
@@ -118,16 +115,15 @@
             ?: return PeerError.NotConnected(ASK_STEP, host).left()
         val id = lastQuestion.incrementAndGet()
         val answer = handlers.expectAnswer(id)
-        try {
-            if (!connection.offer(PeerCodec.wrap(message, id, asks = true))) {
+        return try {
+            if (connection.offer(PeerCodec.wrap(message, id, asks = true))) {
+                answer.get(timeout.inWholeMilliseconds, TimeUnit.MILLISECONDS).right()
+            } else {
                 counters.refusedSend()
-                return PeerError.NotConnected(ASK_STEP, host).left()
+                PeerError.NotConnected(ASK_STEP, host).left()
             }
-            return answer.get(timeout.inWholeMilliseconds, TimeUnit.MILLISECONDS).right()
         } catch (_: TimeoutException) {
-            return PeerError.NoAnswer(ASK_STEP, host).left()
-        } catch (_: ExecutionException) {
-            return PeerError.NoAnswer(ASK_STEP, host).left()
+            PeerError.NoAnswer(ASK_STEP, host).left()
         } finally {
             handlers.forget(id)
         }
@@ -142,6 +138,19 @@
 
     private fun identity() = PeerIdentity(local.host, local.availabilityZone, address, claim.value)
 
+    private suspend fun acceptLoop(bound: ServerSocket) {
+        while (scope.isActive && !bound.isClosed) {
+            try {
+                val socket = bound.accept()
+                scope.launch { serve(socket) }
+            } catch (e: IOException) {
+                if (!scope.isActive || bound.isClosed) return
+                Logger.warn { event("accept-failed", "step" to "accept", "reason" to e.message) }
+                delay(limits.redial.delayMillis(1, random))
+            }
+        }
+    }
+
     private suspend fun dialLoop(peerAddress: String) {
         var attempt = 0
         while (peerAddress in dialled.keys) {
@@ -161,7 +170,7 @@
                 val (host, port) = splitAddress(peerAddress)
                 aSocket(selector).tcp().connect(host, port) { noDelay = true }
             }
-        } catch (e: java.io.IOException) {
+        } catch (e: IOException) {
             Logger.debug { event("peer-unreachable", "peer" to peerAddress, "reason" to e.message) }
             null
         } ?: return false
