--- /dev/null
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/document/DocumentTableTest.kt
@@ -0,0 +1,89 @@
+package sycamoremast.coordination.document
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import kotlin.random.Random
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isNotEqualTo
+import strikt.assertions.isNull
+
+class DocumentTableTest {
+    private fun table() = DocumentTable(maxBytes = 10_000, parse = ::parse)
+
+    private fun parse(team: String, text: String): Either<String, String> =
+        if (text.startsWith("broken")) "$team can't be read".left() else text.right()
+
+    private fun document(team: String, revision: Long, text: String = "r$revision") =
+        ConfigurationDocument(team, revision, text, "ilze", 0, revision - 1).print()
+
+    @Test
+    fun `no order, repetition or restored watch puts a lower revision in force`() {
+        for (seed in 1..300) {
+            val random = Random(seed)
+            val teams = listOf("nets", "fish", "reviews")
+            val sent = teams.flatMap { team -> (1L..12L).map { document(team, it) } }
+            val restored = sent.filter { random.nextInt(4) == 0 }
+            val duplicated = sent.filter { random.nextInt(3) == 0 }
+            val table = table()
+            val applied = mutableMapOf<String, Long>()
+            for (text in (sent + duplicated).shuffled(random) + restored.shuffled(random)) {
+                val offer = table.offer(text)
+                if (offer is Offer.Taken) {
+                    val taken = offer.taken.document
+                    expectThat(taken.revision).describedAs("seed $seed")
+                        .isGreaterThan(applied[taken.team] ?: 0)
+                    applied[taken.team] = taken.revision
+                }
+            }
+            expectThat(table.revisions()).isEqualTo(teams.associateWith { 12L })
+            expectThat(table.allInForce().values.map { it.configuration }.toSet())
+                .isEqualTo(setOf("r12"))
+        }
+    }
+
+    @Test
+    fun `a document that can't be read is held to be passed on and leaves the last in force`() {
+        val newer = """{"team":"nets","revision":2,"schema":99,"anything":{"else":1}}"""
+        val unreadable = listOf(document("nets", 2, "broken"), newer)
+        for (text in unreadable) {
+            val table = table()
+            table.offer(document("nets", 1))
+            expectThat(table.offer(text)).isA<Offer.Unreadable>()
+            expectThat(table.inForce("nets")?.document?.revision).isEqualTo(1)
+            expectThat(table.revisions()).isEqualTo(mapOf("nets" to 2L))
+            expectThat(table.texts(listOf("nets"))).containsExactly(text)
+            expectThat(table.unreadableTeams()).isEqualTo(setOf("nets"))
+            expectThat(table.offer(document("nets", 3))).isA<Offer.Taken<String>>()
+            expectThat(table.unreadableTeams()).isEqualTo(emptySet())
+        }
+    }
+
+    @Test
+    fun `texts that are no document at all are refused`() {
+        val texts = listOf("", "{}", "[]", "null", """{"team":"nets"}""", "x".repeat(10_001))
+        for (text in texts) {
+            val table = table()
+            expectThat(table.offer(text)).describedAs(text.take(20)).isA<Offer.Unreadable>()
+            expectThat(table.revisions()).isEqualTo(emptyMap())
+        }
+    }
+
+    @Test
+    fun `equal tables have equal digests whatever the order`() {
+        val random = Random(11)
+        val texts = (1..20).map { document("team$it", random.nextLong(1, 100)) }
+        val digests = (1..5).map {
+            table().apply { texts.shuffled(random).forEach(::offer) }.digest()
+        }
+        expectThat(digests.toSet().size).isEqualTo(1)
+        val other = table().apply { texts.drop(1).forEach(::offer) }
+        expectThat(other.digest()).isNotEqualTo(digests.first())
+        expectThat(table().inForce("nobody")).isNull()
+    }
+}
