Test retries, queueing, leaving and lending through the request path

Seen failing first: a host whose slots were all lent or paused refused new requests outright; it now counts on its share and lets them wait.

--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/ServiceLane.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/ServiceLane.kt
@@ -110,6 +110,7 @@
     /** Returns when the caller of a request that is refused for another reason may come back. */
     fun bookReturn(nowMillis: Double) = scheduler.bookReturn(capacity(nowMillis).slots, nowMillis)
 
+    /** The [slots] that this host can count on before long, and those that are [free] now. */
     private class Capacity(val slots: Int, val free: Int)
 
     private fun capacity(nowMillis: Double): Capacity {
@@ -117,7 +118,7 @@
         var free = 0
         for (backend in usable(nowMillis)) {
             val limit = limitOf(backend, nowMillis)
-            slots += limit
+            slots += maxOf(limit, shareOf(backend, nowMillis), 1)
             free += (limit - backend.inUse).coerceAtLeast(0)
         }
         usage.observe(inUse(), nowMillis)
@@ -135,6 +136,9 @@
         return backend.concurrency.allowed(minOf(share, backend.connectionShare), nowMillis)
     }
 
+    private fun shareOf(backend: Backend, nowMillis: Double) =
+        ledger.share(backend.name, backend.host.slots, nowMillis.toLong())
+
     private fun freeOwn(backend: Backend, nowMillis: Double) =
         limitOf(backend, nowMillis) - ledger.borrowed(backend.name, nowMillis.toLong()) -
             backend.inUse
--- /dev/null
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/request/LeavingTest.kt
@@ -0,0 +1,121 @@
+/** Backend servers and entry hosts that leave. */
+package sycamoremast.daemon.request
+
+import java.util.concurrent.CompletableFuture.supplyAsync
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration.Companion.seconds
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isNotEmpty
+import strikt.assertions.isTrue
+import sycamoremast.coordination.HostState
+
+class LeavingTest {
+    @Test
+    fun `a server that is leaving by the list gets no more work`() {
+        withTwo { harness, list, first, second ->
+            list.listed = listOf(
+                FakeHostList.backend(first.port, state = HostState.LEAVING),
+                FakeHostList.backend(second.port)
+            )
+            expectOnlySecond(harness, first, second)
+        }
+    }
+
+    @Test
+    fun `a server that vanishes from the list gets no more work`() {
+        withTwo { harness, list, first, second ->
+            list.listed = listOf(FakeHostList.backend(second.port))
+            expectOnlySecond(harness, first, second)
+        }
+    }
+
+    @Test
+    fun `a list from which most servers vanish at once is doubted`() {
+        val backends = List(6) { RawBackend { answer(it, "done") } }
+        val list = FakeHostList(backends.map { FakeHostList.backend(it.port) })
+        PathHarness(hostList = list).ready().use { harness ->
+            list.listed = list.listed.take(1)
+            val unlisted = backends.drop(1)
+            unlisted.forEach { it.requests.clear() }
+            repeat(100) { harness.send("/photos/$it") }
+            expectThat(unlisted.flatMap { it.requests }).isNotEmpty()
+        }
+        backends.forEach { it.close() }
+    }
+
+    @Test
+    fun `a server that announces its drain gets no more work although the list lags`() {
+        val draining = RawBackend { answer(it, "last", headers = listOf("X-Draining: true")) }
+        val staying = RawBackend { answer(it, "done") }
+        val list = FakeHostList(listOf(draining, staying).map { FakeHostList.backend(it.port) })
+        PathHarness(hostList = list).ready().use { harness ->
+            val answers = List(50) { harness.send("/invoices", "POST", "invoice $it").text() }
+            expectThat(draining.requests.size <= 1).isTrue()
+            expectThat(answers.count { it == "last" }).isEqualTo(draining.requests.size)
+        }
+        listOf(draining, staying).forEach { it.close() }
+    }
+
+    @Test
+    fun `requests in progress on a leaving server are finished`() {
+        val gate = CountDownLatch(1)
+        val backend = RawBackend {
+            gate.await(20, TimeUnit.SECONDS)
+            answer(it, "done")
+        }
+        val list = FakeHostList(listOf(FakeHostList.backend(backend.port)))
+        PathHarness(hostList = list).ready().use { harness ->
+            val call = supplyAsync { harness.send("/photos/1") }
+            eventually { backend.requests.size == 1 }
+            list.listed = listOf(FakeHostList.backend(backend.port, state = HostState.LEAVING))
+            eventually { (harness.path as ForwardingRequestPath).backendCount(SERVICE) == 0 }
+            gate.countDown()
+            expectThat(call.join().text()).isEqualTo("done")
+        }
+        backend.close()
+    }
+
+    @Test
+    fun `a drain cuts off no request and then refuses new ones`() {
+        val gate = CountDownLatch(1)
+        val backend = RawBackend {
+            gate.await(20, TimeUnit.SECONDS)
+            answer(it, "done")
+        }
+        PathHarness(backend).ready().use { harness ->
+            val call = supplyAsync { harness.send("/photos/1") }
+            eventually { backend.requests.size == 1 }
+            harness.path.beginDrain()
+            expectThat(harness.path.awaitIdle(0.3.seconds)).isFalse()
+            val refused = harness.send("/photos/2")
+            expectThat(refused.outcome).isEqualTo("not-run")
+            expectThat(refused.header("Connection")).isEqualTo("close")
+            gate.countDown()
+            expectThat(call.join().text()).isEqualTo("done")
+            expectThat(harness.path.awaitIdle(20.seconds)).isTrue()
+            expectThat(harness.path.inProgress()).isEqualTo(0)
+        }
+        backend.close()
+    }
+
+    private fun withTwo(test: (PathHarness, FakeHostList, RawBackend, RawBackend) -> Unit) {
+        val first = RawBackend { answer(it, "done") }
+        val second = RawBackend { answer(it, "done") }
+        val list = FakeHostList(listOf(first, second).map { FakeHostList.backend(it.port) })
+        PathHarness(hostList = list).ready().use { test(it, list, first, second) }
+        listOf(first, second).forEach { it.close() }
+    }
+
+    private fun expectOnlySecond(harness: PathHarness, first: RawBackend, second: RawBackend) {
+        eventually { (harness.path as ForwardingRequestPath).backendCount(SERVICE) == 1 }
+        first.requests.clear()
+        repeat(30) { harness.send("/invoices", "POST", "invoice $it") }
+        expectThat(first.requests).isEmpty()
+        expectThat(second.requests).isNotEmpty()
+    }
+}
--- /dev/null
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/request/QueueTest.kt
@@ -0,0 +1,144 @@
+/** Waiting for slots, through the whole request path. */
+package sycamoremast.daemon.request
+
+import java.net.http.HttpResponse
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.CompletableFuture.supplyAsync
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.Executors
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThanOrEqualTo
+import strikt.assertions.isNotNull
+
+class QueueTest {
+    private val callers = Executors.newCachedThreadPool()
+    private val gate = CountDownLatch(1)
+
+    @AfterEach
+    fun stop() {
+        gate.countDown()
+        callers.shutdownNow()
+    }
+
+    /** Holds requests below `/archive` until the gate opens. */
+    private fun gated(running: AtomicInteger = AtomicInteger()) = RawBackend {
+        running.incrementAndGet()
+        if ("/archive" in it.line) gate.await(20, TimeUnit.SECONDS)
+        running.decrementAndGet()
+        answer(it, "done")
+    }
+
+    @Test
+    fun `no more requests run at a time than there are slots`() {
+        val running = AtomicInteger()
+        val most = AtomicInteger()
+        val backend = RawBackend {
+            most.accumulateAndGet(running.incrementAndGet(), ::maxOf)
+            Thread.sleep(5)
+            running.decrementAndGet()
+            answer(it, "done")
+        }
+        backend.use {
+            PathHarness(hostList = slots(backend, 3)).ready().use { harness ->
+                val calls = List(60) { call(harness, "/photos/$it") }
+                expectThat(calls.map { it.join().outcome }.toSet()).isEqualTo(setOf("answered"))
+            }
+        }
+        expectThat(most.get()).isLessThanOrEqualTo(3)
+    }
+
+    @Test
+    fun `short work gets a slot while long work waits for one`() {
+        gated().use { backend ->
+            PathHarness(hostList = slots(backend, 4)).ready().use { harness ->
+                harness.send("/photos/0")
+                val longs = List(10) { call(harness, "/archive/$it") }
+                eventually { harness.path.inProgress() == 10 }
+                val short = harness.send("/photos/1")
+                expectThat(short.text()).isEqualTo("done")
+                gate.countDown()
+                longs.forEach { it.join() }
+            }
+        }
+    }
+
+    @Test
+    fun `a request that can't run by its deadline is refused at once`() {
+        gated().use { backend ->
+            PathHarness(hostList = slots(backend, 1)).ready().use { harness ->
+                val first = call(harness, "/archive/1")
+                eventually { backend.requests.size == 1 }
+                val waiting = call(harness, "/archive/2")
+                eventually { harness.path.inProgress() == 2 }
+                val late = harness.send(
+                    "/archive/3",
+                    headers = mapOf("X-Deadline-Millis" to "1000")
+                )
+                expectThat(late.statusCode()).isEqualTo(503)
+                expectThat(late.outcome).isEqualTo("not-run")
+                expectThat(late.header("X-Failure")).isNotNull().contains("step=queued")
+                expectThat(late.header("X-Retry-After-Millis")!!.toLong()).isGreaterThan(0)
+                gate.countDown()
+                expectThat(first.join().text()).isEqualTo("done")
+                expectThat(waiting.join().text()).isEqualTo("done")
+            }
+            expectThat(backend.requests.none { "/archive/3" in it.line }).isEqualTo(true)
+        }
+    }
+
+    @Test
+    fun `a request that waits in vain is refused before its deadline`() {
+        gated().use { backend ->
+            PathHarness(hostList = slots(backend, 1)).ready().use { harness ->
+                val first = call(harness, "/archive/1")
+                eventually { backend.requests.size == 1 }
+                val vain = harness.send("/photos/1", headers = mapOf("X-Deadline-Millis" to "500"))
+                expectThat(vain.outcome).isEqualTo("not-run")
+                gate.countDown()
+                first.join()
+            }
+            expectThat(backend.requests.size).isEqualTo(1)
+        }
+    }
+
+    @Test
+    fun `the queue has a limit`() {
+        val settings = TEST_SETTINGS.copy(queueLimit = 2)
+        gated().use { backend ->
+            val list = slots(backend, 1)
+            PathHarness(hostList = list, settings = settings).ready().use { harness ->
+                val held = List(3) { call(harness, "/archive/$it") }
+                eventually { harness.path.inProgress() == 3 && backend.requests.size == 1 }
+                val refused = harness.send("/archive/4")
+                expectThat(refused.outcome).isEqualTo("not-run")
+                expectThat(refused.text()).contains("the queue is full")
+                gate.countDown()
+                held.forEach { expectThat(it.join().text()).isEqualTo("done") }
+            }
+        }
+    }
+
+    @Test
+    fun `a service without backend servers is refused at once`() {
+        PathHarness(hostList = FakeHostList()).use {
+            val answer = it.send("/photos/1")
+            expectThat(answer.statusCode()).isEqualTo(503)
+            expectThat(answer.outcome).isEqualTo("not-run")
+        }
+    }
+
+    private fun slots(backend: RawBackend, count: Int) =
+        FakeHostList(listOf(FakeHostList.backend(backend.port, slots = count)))
+
+    private fun call(
+        harness: PathHarness,
+        target: String
+    ): CompletableFuture<HttpResponse<ByteArray>> = supplyAsync({ harness.send(target) }, callers)
+}
--- /dev/null
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/request/SlotLendingTest.kt
@@ -0,0 +1,69 @@
+/** Several entry hosts over the same backend server. */
+package sycamoremast.daemon.request
+
+import java.util.concurrent.CompletableFuture.supplyAsync
+import java.util.concurrent.Executors
+import java.util.concurrent.atomic.AtomicInteger
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThanOrEqualTo
+
+class SlotLendingTest {
+    private val callers = Executors.newCachedThreadPool()
+    private val hub = PeerHub()
+    private val running = AtomicInteger()
+    private val most = AtomicInteger()
+    private val backend = RawBackend {
+        most.accumulateAndGet(running.incrementAndGet(), ::maxOf)
+        Thread.sleep(10)
+        running.decrementAndGet()
+        answer(it, "done")
+    }
+    private val hosts = listOf("entry-1", "entry-2", "entry-3")
+    private val paths = hosts.map { host ->
+        val others = (hosts - host).map { FakeMembership.member(it) }
+        val membership = FakeMembership(FakeMembership.member(host), others)
+        val list = FakeHostList(listOf(FakeHostList.backend(backend.port, slots = 6)))
+        val ports = testPorts(list, membership = membership, peers = hub.networkOf(host))
+        PathHarness(hostList = list, ports = ports).ready()
+    }
+
+    @AfterEach
+    fun stop() {
+        paths.forEach { it.close() }
+        backend.close()
+        callers.shutdownNow()
+    }
+
+    @Test
+    fun `a busy host borrows the slots that idle ones do not use`() {
+        load(listOf(paths.first()))
+        expectThat(most.get()).isGreaterThan(2)
+        expectThat(most.get()).isLessThanOrEqualTo(6)
+    }
+
+    @Test
+    fun `a busy host keeps to its share while it is cut off from the others`() {
+        hub.isCut = true
+        load(listOf(paths.first()))
+        expectThat(most.get()).isEqualTo(2)
+    }
+
+    @Test
+    fun `all hosts together never exceed the slots`() {
+        load(paths)
+        load(listOf(paths.last()))
+        load(paths)
+        expectThat(most.get()).isLessThanOrEqualTo(6)
+    }
+
+    private fun load(busy: List<PathHarness>) {
+        val calls = busy.flatMap { path ->
+            List(120) { supplyAsync({ path.send("/photos/$it") }, callers) }
+        }
+        expectThat(calls.map { it.join().outcome }.toSet()).isEqualTo(setOf("answered"))
+    }
+}
--- a/daemon/src/test/kotlin/sycamoremast/daemon/request/TestPorts.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/request/TestPorts.kt
@@ -85,6 +85,38 @@
     ) = Unit
 }
 
+/** A network in memory between several hosts, which can be cut. */
+internal class PeerHub {
+    private val handlers =
+        ConcurrentHashMap<Pair<String, KClass<*>>, (String, PeerMessage) -> PeerMessage?>()
+
+    @Volatile
+    var isCut = false
+
+    /** Returns the network as [host] uses it. */
+    fun networkOf(host: String): PeerNetwork = object : PeerNetwork {
+        override fun send(host: String, message: PeerMessage) =
+            ask(host, message, Duration.ZERO).isRight()
+
+        override fun ask(host: String, message: PeerMessage, timeout: Duration) =
+            deliver(host, message)
+
+        @Suppress("UNCHECKED_CAST")
+        override fun <T : PeerMessage> handle(
+            type: KClass<T>,
+            handler: (from: String, T) -> PeerMessage?
+        ) {
+            handlers[host to type] = { from, message -> handler(from, message as T) }
+        }
+
+        private fun deliver(to: String, message: PeerMessage): Either<PeerError, PeerMessage> {
+            val handler = handlers[to to message::class]
+            if (isCut || handler == null) return PeerError.NotConnected("ask", to).left()
+            return handler(host, message)?.right() ?: PeerError.NoAnswer("ask", to).left()
+        }
+    }
+}
+
 internal class RecordedProblems : ProblemReporter {
     val raised = ConcurrentHashMap<Pair<ProblemKind, String>, String>()
 
@@ -194,11 +226,12 @@
     store: KeyValueStore = MemoryStore(),
     membership: MembershipView = FakeMembership(),
     problems: ProblemReporter = RecordedProblems(),
-    service: Service = REPORTS
+    service: Service = REPORTS,
+    peers: PeerNetwork = NoPeers
 ) = RequestPathPorts(
     configuration = FixedConfiguration(service),
     membership = membership,
-    peers = NoPeers,
+    peers = peers,
     store = store,
     hostList = hostList,
     problems = problems,
