--- a/daemon/src/test/kotlin/sycamoremast/daemon/batch/BatchSchedulerTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/batch/BatchSchedulerTest.kt
@@ -21,10 +21,10 @@
 import sycamoremast.coordination.HostState
 import sycamoremast.coordination.ListedHost
 import sycamoremast.coordination.MonotonicClock
+import sycamoremast.coordination.membership.MemberState
 import sycamoremast.daemon.control.AppliedConfiguration
 import sycamoremast.daemon.control.ConfigurationView
 import sycamoremast.daemon.control.Member
-import sycamoremast.daemon.control.MemberState
 import sycamoremast.daemon.control.MembershipView
 import sycamoremast.daemon.control.ProblemKind
 import sycamoremast.daemon.control.ProblemReporter
--- a/daemon/src/test/kotlin/sycamoremast/daemon/request/TestPorts.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/request/TestPorts.kt
@@ -25,10 +25,10 @@
 import sycamoremast.coordination.StoreListing
 import sycamoremast.coordination.SwapOutcome
 import sycamoremast.coordination.WatchListener
+import sycamoremast.coordination.membership.MemberState
 import sycamoremast.daemon.control.AppliedConfiguration
 import sycamoremast.daemon.control.ConfigurationView
 import sycamoremast.daemon.control.Member
-import sycamoremast.daemon.control.MemberState
 import sycamoremast.daemon.control.MembershipView
 import sycamoremast.daemon.control.ProblemKind
 import sycamoremast.daemon.control.ProblemReporter
