--- a/bench/src/main/kotlin/sycamoremast/bench/Module.kt
+++ /dev/null
@@ -1,4 +0,0 @@
-/** Placeholder. */
-package sycamoremast.bench
-
-internal const val MODULE_NAME = "bench"
--- /dev/null
+++ b/bench/src/main/kotlin/sycamoremast/bench/ResultWriter.kt
@@ -0,0 +1,44 @@
+/** Writes what a run measured to files, and shows its tables. */
+package sycamoremast.bench
+
+import java.io.PrintStream
+import java.nio.file.Files
+import java.nio.file.Path
+import java.time.Instant
+import java.time.temporal.ChronoUnit
+
+/** Writes results below [directory]; each CSV begins with the command, seed and machine. */
+class ResultWriter(private val directory: Path) {
+    /** Writes [result] of [experiment], which ran with [seed]. */
+    fun write(experiment: Experiment, seed: Long, result: ExperimentResult) {
+        Files.createDirectories(directory)
+        val remarks = remarks(experiment, seed)
+        result.tables.forEach { table ->
+            Files.writeString(directory.resolve("${table.name}.csv"), table.toCsv(remarks))
+        }
+        result.plots.forEach { it.writeTo(directory) }
+        result.latencies.forEach(::writeHistogram)
+    }
+
+    private fun remarks(experiment: Experiment, seed: Long): List<String> {
+        val runtime = Runtime.getRuntime()
+        val now = Instant.now().truncatedTo(ChronoUnit.SECONDS)
+        return listOf(
+            "command: bin/bench ${experiment.name} --seed=$seed",
+            "measured: $now, ${runtime.availableProcessors()} processors, " +
+                "Java ${System.getProperty("java.version")}, " +
+                "heap limit ${runtime.maxMemory() / BYTES_PER_MIB} MiB, machine shared with builds"
+        )
+    }
+
+    private fun writeHistogram(latency: NamedLatency) {
+        val file = directory.resolve("${latency.name}.hgrm")
+        PrintStream(Files.newOutputStream(file)).use {
+            latency.histogram.outputPercentileDistribution(it, MICROS_PER_MILLI)
+        }
+    }
+
+    companion object {
+        private const val BYTES_PER_MIB = 1024 * 1024
+    }
+}
--- a/daemon/src/main/kotlin/sycamoremast/daemon/platform/JsonClient.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/platform/JsonClient.kt
@@ -94,6 +94,7 @@
 
 /** Returns a client for the platform's services, which may be shared by all adapters. */
 fun platformHttpClient(timeouts: PlatformTimeouts): OkHttpClient = OkHttpClient.Builder()
+    .socketFactory(UndelayedSockets)
     .retryOnConnectionFailure(false)
     .followRedirects(false)
     .connectTimeout(timeouts.connect.inWholeMilliseconds, MILLISECONDS)
