Run requests with idempotency keys at most once

Repeats through any entry host get the first answer or its state; a claim without a result whose host is gone or restarted is unknown and never run again. With the service down a keyed request is refused as not run; other requests write nothing.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/request/ServiceScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/request/ServiceScheduler.kt
@@ -62,15 +62,18 @@
     /** Returns whether [arrival] may wait for one of [slots], of which [free] are free. */
     fun arrive(arrival: Arrival, slots: Int, free: Int, nowMillis: Double): Admission {
         returns.arrived(nowMillis)
-        val runTime = estimator.estimate(arrival.key, arrival.declaredMillis)
-        val isLong = bound.isLong(arrival.key, runTime.medianMillis, nowMillis)
+        refusalOf(arrival, slots, free, nowMillis)?.let { return it }
+        return Admission.Admitted(enqueue(arrival, nowMillis))
+    }
+
+    /** Returns the refusal that [arrival] would meet now, or null if it may wait. */
+    fun refusalOf(arrival: Arrival, slots: Int, free: Int, nowMillis: Double): Admission.Refused? {
         val refusal = when {
             slots <= 0 -> "no slot of any backend server is usable"
             queue.size >= settings.queueLimit -> "the queue is full"
-            else -> lateness(arrival, runTime, isLong, slots, free, nowMillis)
+            else -> lateness(arrival, slots, free, nowMillis)
         }
-        if (refusal != null) return refuse(refusal, slots, nowMillis)
-        return Admission.Admitted(enqueue(arrival, runTime, isLong, nowMillis))
+        return refusal?.let { refuse(it, slots, nowMillis) }
     }
 
     /** Returns the next request to run, or null if none may take one of [slots] now. */
@@ -124,15 +127,10 @@
     fun estimate(arrival: Arrival): RunTime =
         estimator.estimate(arrival.key, arrival.declaredMillis)
 
-    private fun lateness(
-        arrival: Arrival,
-        runTime: RunTime,
-        isLong: Boolean,
-        slots: Int,
-        free: Int,
-        nowMillis: Double
-    ): String? {
+    private fun lateness(arrival: Arrival, slots: Int, free: Int, nowMillis: Double): String? {
         if (queue.size == 0 && free > 0) return null
+        val runTime = estimate(arrival)
+        val isLong = bound.isLong(arrival.key, runTime.medianMillis, nowMillis)
         val usable = if (isLong) bound.longLimit(slots, nowMillis) else slots
         val wait = queue.millisAhead(arrival.key.team, isLong) / usable
         val delayLimit = (DELAY_FACTOR * runTime.medianMillis)
@@ -145,18 +143,14 @@
         }
     }
 
-    private fun enqueue(
-        arrival: Arrival,
-        runTime: RunTime,
-        isLong: Boolean,
-        nowMillis: Double
-    ): WaitingRequest {
+    private fun enqueue(arrival: Arrival, nowMillis: Double): WaitingRequest {
+        val runTime = estimate(arrival)
         val request = WaitingRequest(
             number = ++lastNumber,
             team = arrival.key.team,
             expectedMillis = runTime.medianMillis,
             highMillis = runTime.highMillis,
-            isLong = isLong,
+            isLong = bound.isLong(arrival.key, runTime.medianMillis, nowMillis),
             arrivedMillis = nowMillis,
             deadlineMillis = nowMillis + arrival.remainingMillis
         )
@@ -166,7 +160,7 @@
         return request
     }
 
-    private fun refuse(reason: String, slots: Int, nowMillis: Double): Admission {
+    private fun refuse(reason: String, slots: Int, nowMillis: Double): Admission.Refused {
         if (queue.size == 0) returns.recovered(nowMillis)
         return Admission.Refused(reason, bookReturn(slots, nowMillis))
     }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/CallerBody.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/CallerBody.kt
@@ -10,7 +10,7 @@
 
 /** The body's bytes; [isRepeatable] tells whether it can be sent again. */
 internal class CallerBody private constructor(
-    private val head: ByteArray,
+    val head: ByteArray,
     private val rest: InputStream?,
     private val length: Long,
     private val maxBytes: Long
--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/Dispatcher.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/Dispatcher.kt
@@ -49,6 +49,12 @@
         return checkNotNull(ticket.decision)
     }
 
+    /** Returns the refusal that [arrival] would meet now, or null if it might wait. */
+    fun refusalOf(service: String, arrival: Arrival): Decision.Refused? = lock.withLock {
+        val lane = lanes[service] ?: return unlisted(service)
+        lane.refusalOf(arrival, nowMillis())
+    }
+
     private fun unlisted(service: String) =
         Decision.Refused("no backend server of $service is listed", UNLISTED_RETRY)
 
@@ -68,7 +74,7 @@
         lock.withLock { lanes[service]?.usableCount(nowMillis()) ?: 0 }
 
     /** Returns whether this host has its share of the slots. */
-    fun hasShare(): Boolean = lock.withLock { ledger.share("", 1 shl 20, nowMillis().toLong()) > 0 }
+    fun hasShare(): Boolean = lock.withLock { ledger.share("", MANY, nowMillis().toLong()) > 0 }
 
     /** Takes over the platform's list of hosts. */
     fun listed(hosts: List<ListedHost>) = lock.withLock {
@@ -145,6 +151,7 @@
     private companion object {
         const val NANOS_PER_MILLI = 1e6
         const val ROUNDS = 1_000_000L
+        const val MANY = 1_000
         const val BUSY_MILLIS = 20L
         val UNLISTED_RETRY = 1.seconds
 
--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/ForwardingRequestPath.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/ForwardingRequestPath.kt
@@ -34,6 +34,8 @@
     private val dispatcher = Dispatcher(ports.membership, settings)
     private val runner = RequestRunner(dispatcher, meters)
     private val lending = SlotLending(dispatcher, ports.peers)
+    private val claims = ClaimLedger(ports.store, ports.storeCalls, ports.membership)
+    private val keyed = KeyedRequests(claims, runner)
     private val inProgress = InProgress()
     private val phase = AtomicReference<Phase>(Phase.Serving)
     private val hostList = Loop("host-list", settings.hostListRefreshMillis, ::readHostList)
@@ -63,7 +65,9 @@
         val grace = (phase.get() as? Phase.Draining)?.let { it.graceEndsMillis - began } ?: 0.0
         val wait = grace.coerceIn(0.0, timeout.inWholeMilliseconds.toDouble())
         TimeUnit.MILLISECONDS.sleep(wait.toLong())
-        return inProgress.awaitZero(timeout - wait.milliseconds)
+        val ends = began + timeout.inWholeMilliseconds
+        return inProgress.awaitZero((ends - dispatcher.nowMillis()).milliseconds) &&
+            claims.awaitRecorded((ends - dispatcher.nowMillis()).milliseconds)
     }
 
     override fun inProgress() = inProgress.count()
@@ -73,6 +77,7 @@
         hostList.close()
         ticks.close()
         lending.close()
+        claims.close()
         dispatcher.close()
     }
 
@@ -109,18 +114,27 @@
             life.on(RequestEvent.REJECT)
             return ended(request, RequestOutcome.Malformed(BAD_REQUEST, e.message.orEmpty()))
         }
-        return when (val result = runner.run(request, body, life, received)) {
-            is RunResult.Answered -> relay(request, result.answer) { isWhole ->
-                result.onEnd(isWhole)
-                meters.ended(request.service, if (isWhole) "answered" else "cut")
-            }
+        val key = request.idempotencyKey.takeUnless { request.isIdempotent }
+            ?: return told(request, runner.run(request, body, life, received))
+        return when (val result = keyed.run(request, key, body, life, received)) {
+            is KeyedResult.Ran -> told(request, result.result)
+            is KeyedResult.Replayed -> counted(request, result.response)
+        }
+    }
 
-            is RunResult.Ended -> ended(request, result.outcome)
+    private fun told(request: CallerRequest, result: RunResult): Response = when (result) {
+        is RunResult.Answered -> relay(request, result.answer) { isWhole ->
+            result.onEnd(isWhole)
+            meters.ended(request.service, if (isWhole) "answered" else "cut")
         }
+
+        is RunResult.Ended -> ended(request, result.outcome)
     }
 
-    private fun ended(request: CallerRequest, outcome: RequestOutcome): Response {
-        val response = refusal(request.id, outcome)
+    private fun ended(request: CallerRequest, outcome: RequestOutcome): Response =
+        counted(request, refusal(request.id, outcome))
+
+    private fun counted(request: CallerRequest, response: Response): Response {
         meters.ended(request.service, response.header(RequestHeaders.OUTCOME).orEmpty())
         return response
     }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/RequestPath.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/RequestPath.kt
@@ -13,6 +13,7 @@
 import sycamoremast.coordination.HostList
 import sycamoremast.coordination.KeyValueStore
 import sycamoremast.coordination.MonotonicClock
+import sycamoremast.coordination.store.CallBudget
 import sycamoremast.daemon.control.ConfigurationView
 import sycamoremast.daemon.control.MembershipView
 import sycamoremast.daemon.control.ProblemReporter
@@ -48,9 +49,13 @@
     val hostList: HostList,
     val problems: ProblemReporter,
     val meters: MeterRegistry,
+    val storeCalls: CallBudget = CallBudget(STORE_CALLS_PER_SECOND, STORE_CALL_BURST),
     val clock: MonotonicClock = MonotonicClock.system()
 )
 
+private const val STORE_CALLS_PER_SECOND = 100.0
+private const val STORE_CALL_BURST = 200
+
 /** Returns the request path over [ports]. */
 fun requestPath(ports: RequestPathPorts, settings: RequestPathSettings): RequestPath =
     ForwardingRequestPath(ports, settings)
--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/RequestRunner.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/RequestRunner.kt
@@ -49,13 +49,28 @@
     ): RunResult {
         budget(request).requestArrived(request.retryPercent)
         life.on(RequestEvent.QUEUE)
-        return Run(request, body, life, received + request.deadline.inWholeMilliseconds).run()
+        val deadline = received + request.deadline.inWholeMilliseconds
+        return Attempts(request, body, life, deadline).run()
+    }
+
+    /** Returns the outcome of [request] if it would be refused at once, or null. */
+    fun refusalOf(request: CallerRequest): RequestOutcome.NotRun? {
+        val arrival = arrivalOf(request, request.deadline.inWholeMilliseconds.toDouble())
+        val refused = dispatcher.refusalOf(request.service, arrival) ?: return null
+        val failure = RequestFailure(RequestState.RECEIVED, "self", refused.reason)
+        return RequestOutcome.NotRun(failure, refused.retryAfter)
+    }
+
+    private fun arrivalOf(request: CallerRequest, remainingMillis: Double): Arrival {
+        val key = RunTimeKey(request.team, request.routeName)
+        val declared = request.route?.expected?.inWholeMilliseconds ?: DEFAULT_EXPECTED_MILLIS
+        return Arrival(key, declared.toDouble(), remainingMillis)
     }
 
     private fun budget(request: CallerRequest) =
         budgets.computeIfAbsent(request.service) { RetryBudget() }
 
-    private inner class Run(
+    private inner class Attempts(
         private val request: CallerRequest,
         private val body: CallerBody,
         private val life: RequestLife,
@@ -75,9 +90,7 @@
         }
 
         private fun acquire(): Decision {
-            val key = RunTimeKey(request.team, request.routeName)
-            val declared = request.route?.expected?.inWholeMilliseconds ?: DEFAULT_EXPECTED_MILLIS
-            val arrival = Arrival(key, declared.toDouble(), remainingMillis())
+            val arrival = arrivalOf(request, remainingMillis())
             val began = dispatcher.nowMillis()
             return dispatcher.acquire(request.service, arrival, avoid)
                 .also { meters.waited(request.service, dispatcher.nowMillis() - began) }
@@ -88,7 +101,7 @@
             life.on(RequestEvent.DISPATCH)
             attempts++
             val remaining = remainingMillis().milliseconds.coerceAtLeast(1.milliseconds)
-            val result = granted.backend.client.send(request, body, life, remaining)
+            val result = send(granted, remaining)
             if (result is Answer) return answered(granted, result)
             dispatcher.release(request.service, granted, signOf(result, granted))
             avoid += granted.backend.name
@@ -99,6 +112,17 @@
             return null
         }
 
+        /** Gives the slot back, too, if sending fails in a way that was not foreseen. */
+        private fun send(granted: Decision.Granted, remaining: Duration): AttemptResult {
+            var result: AttemptResult? = null
+            try {
+                return granted.backend.client.send(request, body, life, remaining)
+                    .also { result = it }
+            } finally {
+                if (result == null) dispatcher.release(request.service, granted, BackendSign.Broken)
+            }
+        }
+
         private fun answered(granted: Decision.Granted, answer: Answer): RunResult {
             val whole = BackendSign.Answered(answer.isDraining)
             return RunResult.Answered(answer) { isWhole ->
--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/ServiceLane.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/ServiceLane.kt
@@ -49,6 +49,13 @@
         }
     }
 
+    /** Returns the refusal that [arrival] would meet now, or null. */
+    fun refusalOf(arrival: Arrival, nowMillis: Double): Decision.Refused? {
+        val capacity = capacity(nowMillis)
+        return scheduler.refusalOf(arrival, capacity.slots, capacity.free, nowMillis)
+            ?.let { Decision.Refused(it.reason, it.retryAfter) }
+    }
+
     /** Gives free slots to the requests whose turn it is. */
     fun dispatch(nowMillis: Double) {
         while (scheduler.waiting > 0) {
--- /dev/null
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/request/ClaimTest.kt
@@ -0,0 +1,193 @@
+/** Idempotency keys, through two entry hosts over one store. */
+package sycamoremast.daemon.request
+
+import java.util.concurrent.CompletableFuture.supplyAsync
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.Executors
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration.Companion.seconds
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.hasSize
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotNull
+import strikt.assertions.isTrue
+import sycamoremast.coordination.membership.MemberState
+
+class ClaimTest {
+    private val store = MemoryStore()
+    private val failNext = AtomicInteger()
+    private val gate = CountDownLatch(1)
+
+    @Volatile
+    private var isGated = false
+    private val backend = RawBackend {
+        if (isGated) gate.await(20, TimeUnit.SECONDS)
+        when {
+            failNext.getAndSet(0) == 1 -> reset()
+            else -> answer(it, "paid ${it.body}", "201 Created", listOf("X-Invoice: 7"))
+        }
+    }
+    private val list = FakeHostList(listOf(FakeHostList.backend(backend.port)))
+    private val memberships = listOf("entry-1" to "entry-2", "entry-2" to "entry-1")
+        .map { (self, other) ->
+            FakeMembership(FakeMembership.member(self), listOf(FakeMembership.member(other)))
+        }
+    private val hosts = memberships.map { membership ->
+        val ports = testPorts(list, store = store, membership = membership)
+        PathHarness(hostList = list, ports = ports).ready()
+    }
+    private val first = hosts[0]
+    private val second = hosts[1]
+
+    @AfterEach
+    fun stop() {
+        gate.countDown()
+        hosts.forEach { it.close() }
+        backend.close()
+    }
+
+    @Test
+    fun `a repeat through the same host gets the first answer`() {
+        val answers = List(2) { pay(first) }
+        expectThat(answers.map { it.text() }.toSet()).isEqualTo(setOf("paid invoice 7"))
+        expectThat(answers.map { it.statusCode() }.toSet()).isEqualTo(setOf(201))
+        expectThat(answers.last().header("X-Invoice")).isEqualTo("7")
+        expectThat(answers.last().header("X-Idempotency-State")).isEqualTo("answered")
+        expectThat(backend.requests).hasSize(1)
+    }
+
+    @Test
+    fun `a repeat through another host gets the first answer`() {
+        pay(first)
+        eventually { pay(second).outcome == "answered" }
+        expectThat(pay(second).text()).isEqualTo("paid invoice 7")
+        expectThat(backend.requests).hasSize(1)
+    }
+
+    @Test
+    fun `a repeat while the first is in progress does not run`() {
+        isGated = true
+        val running = supplyAsync { pay(first) }
+        eventually { backend.requests.size == 1 }
+        for (host in hosts) {
+            val repeat = pay(host)
+            expectThat(repeat.statusCode()).isEqualTo(409)
+            expectThat(repeat.outcome).isEqualTo("unknown")
+            expectThat(repeat.header("X-Idempotency-State")).isEqualTo("in-progress")
+        }
+        gate.countDown()
+        expectThat(running.join().text()).isEqualTo("paid invoice 7")
+        expectThat(backend.requests).hasSize(1)
+    }
+
+    @Test
+    fun `of many at once one runs`() {
+        val callers = Executors.newCachedThreadPool()
+        val calls = List(40) { supplyAsync({ pay(hosts[it % 2]) }, callers) }
+        calls.forEach { it.join() }
+        expectThat(backend.requests).hasSize(1)
+        callers.shutdown()
+    }
+
+    @Test
+    fun `with the store down a keyed request is refused as not run`() {
+        store.isDown = true
+        val answer = pay(first)
+        expectThat(answer.statusCode()).isEqualTo(503)
+        expectThat(answer.outcome).isEqualTo("not-run")
+        expectThat(answer.header("X-Failure")).isNotNull().contains("step=claiming")
+        expectThat(backend.requests).isEmpty()
+    }
+
+    @Test
+    fun `with the store down other requests run`() {
+        store.isDown = true
+        val answer = first.send("/invoices", "POST", "invoice 7")
+        expectThat(answer.outcome).isEqualTo("answered")
+        expectThat(store.writes).isEqualTo(0)
+    }
+
+    @Test
+    fun `a claim whose write's answer was lost still runs once`() {
+        store.answersToLose = 1
+        expectThat(pay(first).text()).isEqualTo("paid invoice 7")
+        eventually { pay(second).outcome == "answered" }
+        expectThat(backend.requests).hasSize(1)
+    }
+
+    @Test
+    fun `a key whose host died before the result was recorded is never run again`() {
+        isGated = true
+        supplyAsync { pay(first) }
+        eventually { backend.requests.size == 1 }
+        memberships[1].others = listOf(FakeMembership.member("entry-1", state = MemberState.GONE))
+        val repeat = pay(second)
+        expectThat(repeat.statusCode()).isEqualTo(504)
+        expectThat(repeat.outcome).isEqualTo("unknown")
+        expectThat(repeat.header("X-Idempotency-State")).isEqualTo("unknown")
+        expectThat(backend.requests).hasSize(1)
+    }
+
+    @Test
+    fun `a key whose host was restarted is never run again`() {
+        isGated = true
+        supplyAsync { pay(first) }
+        eventually { backend.requests.size == 1 }
+        memberships[1].others = listOf(FakeMembership.member("entry-1", incarnation = 2))
+        expectThat(pay(second).header("X-Idempotency-State")).isEqualTo("unknown")
+        expectThat(backend.requests).hasSize(1)
+    }
+
+    @Test
+    fun `a key whose request's outcome is unknown is never run again`() {
+        failNext.set(1)
+        expectThat(pay(first).outcome).isEqualTo("unknown")
+        expectThat(pay(first).header("X-Idempotency-State")).isEqualTo("unknown")
+        expectThat(first.path.awaitIdle(20.seconds)).isTrue()
+        expectThat(pay(second).header("X-Idempotency-State")).isEqualTo("unknown")
+        expectThat(backend.requests).hasSize(1)
+    }
+
+    @Test
+    fun `a key whose request was not run can be used again`() {
+        val listed = list.listed
+        list.listed = emptyList()
+        eventually { pay(first).outcome == "not-run" }
+        list.listed = listed
+        eventually { pay(second).outcome == "answered" }
+        expectThat(backend.requests).hasSize(1)
+    }
+
+    @Test
+    fun `a key that is used for another request is refused`() {
+        pay(first)
+        val other = first.send("/invoices", "POST", "invoice 8", KEY)
+        expectThat(other.statusCode()).isEqualTo(422)
+        expectThat(backend.requests).hasSize(1)
+    }
+
+    @Test
+    fun `a result that could not be recorded at first is recorded once the store is back`() {
+        isGated = true
+        val running = supplyAsync { pay(first) }
+        eventually { backend.requests.size == 1 }
+        store.isDown = true
+        gate.countDown()
+        expectThat(running.join().text()).isEqualTo("paid invoice 7")
+        store.isDown = false
+        expectThat(first.path.awaitIdle(20.seconds)).isTrue()
+        expectThat(pay(second).text()).isEqualTo("paid invoice 7")
+        expectThat(backend.requests).hasSize(1)
+    }
+
+    private fun pay(host: PathHarness) = host.send("/invoices", "POST", "invoice 7", KEY)
+
+    private companion object {
+        val KEY = mapOf("Idempotency-Key" to "invoice-7")
+    }
+}
