Add request experiments and capacity probes of shards, configuration and peers

The request experiments offer seeded Poisson arrivals to the daemon's request path, over real HTTP and stand-in backend servers, and to a baseline of one queue in order of arrival with backend servers in turn. Callers that are refused come back when they were told to.

Each probe runs once unmeasured first: without that, the first size paid for class loading, and memory of 50 workers came out as 0.

--- a/bench/src/main/kotlin/sycamoremast/bench/BenchMain.kt
+++ b/bench/src/main/kotlin/sycamoremast/bench/BenchMain.kt
@@ -11,9 +11,21 @@
 import java.nio.file.Path
 import kotlin.system.exitProcess
 import sycamoremast.bench.capacity.CapacityExperiment
+import sycamoremast.bench.request.AddedLatency
+import sycamoremast.bench.request.Crest
+import sycamoremast.bench.request.RollingRestart
+import sycamoremast.bench.request.ShortBehindLong
+import sycamoremast.bench.request.SlowInstance
 
 /** All experiments, in the order in which they are listed. */
-internal val experiments: List<Experiment> = listOf(CapacityExperiment)
+internal val experiments: List<Experiment> = listOf(
+    CapacityExperiment,
+    ShortBehindLong,
+    Crest,
+    SlowInstance,
+    RollingRestart,
+    AddedLatency
+)
 
 private class BenchCommand : CliktCommand(name = "bench") {
     override fun help(context: Context) = "Runs experiments and writes what they measured."
--- a/bench/src/main/kotlin/sycamoremast/bench/capacity/CapacityExperiment.kt
+++ b/bench/src/main/kotlin/sycamoremast/bench/capacity/CapacityExperiment.kt
@@ -17,7 +17,8 @@
         return ExperimentResult(listOf(points(results), slopes(results)), results.map(::plot))
     }
 
-    private fun allProbes(): List<Probe> = platformCallProbes() + workerRoundProbes()
+    private fun allProbes(): List<Probe> = shardProbes() + configurationProbes() +
+        peerProbes() + platformCallProbes() + workerRoundProbes()
 
     private fun points(results: List<ProbeResult>) = ResultTable(
         "capacity-points",
@@ -47,7 +48,8 @@
         val x = probe.sizes.map { it.toDouble() }
         val line = x.map { result.slope.intercept + result.slope.slope * it }
         return ResultPlot(
-            name = "capacity-${probe.role}-${probe.quantity}".replace(' ', '-'),
+            name = "capacity-${probe.role}-${probe.quantity}-${probe.unit}"
+                .replace(Regex("[^A-Za-z0-9]+"), "-"),
             title = "${probe.role}: ${probe.quantity}",
             xLabel = probe.sizeName,
             yLabel = probe.unit,
--- /dev/null
+++ b/bench/src/main/kotlin/sycamoremast/bench/capacity/PeerProbes.kt
@@ -0,0 +1,104 @@
+/** Probes of the messages between entry hosts, over real connections in this process. */
+package sycamoremast.bench.capacity
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
+import java.lang.management.ManagementFactory
+import java.util.concurrent.atomic.AtomicLong
+import sycamoremast.coordination.membership.IncarnationClaim
+import sycamoremast.daemon.peer.Heartbeat
+import sycamoremast.daemon.peer.KtorPeerNetwork
+import sycamoremast.daemon.peer.LocalPeer
+
+private const val ROLE = "membership"
+private const val HEARTBEATS = 500
+private const val WARM_UP_HEARTBEATS = 1_000
+private const val WAIT_MILLIS = 20_000L
+private const val POLL_MILLIS = 1L
+private const val NANOS_PER_MICRO = 1000.0
+private val PEERS = listOf(2, 5, 11, 22)
+
+internal fun peerProbes(): List<Probe> = listOf(
+    Probe(ROLE, "heartbeat round", "bytes sent", "other hosts", PEERS) { peers, _ ->
+        PeerGroup(peers).use { it.measure().bytes }
+    },
+    Probe(ROLE, "heartbeat round", "CPU us, both ends", "other hosts", PEERS) { peers, _ ->
+        PeerGroup(peers).use { it.measure().cpuMicros }
+    },
+    Probe(ROLE, "connections", "heap bytes, both ends", "other hosts", PEERS) { peers, _ ->
+        var group: PeerGroup? = null
+        val bytes = retainedBytes { PeerGroup(peers).also { group = it } }
+        group?.close()
+        bytes
+    }
+)
+
+/** What one round of heartbeats from one host to all others took. */
+private data class RoundCost(val bytes: Double, val cpuMicros: Double)
+
+/** One host that is connected to [others] other ones. */
+private class PeerGroup(others: Int) : AutoCloseable {
+    private val registry = SimpleMeterRegistry()
+    private val received = AtomicLong()
+    private val sender = network("entry-0", registry)
+    private val receivers = List(others) { network("entry-${it + 1}", SimpleMeterRegistry()) }
+
+    init {
+        receivers.forEach { receiver ->
+            receiver.handle(Heartbeat::class) { _, _ -> null.also { received.incrementAndGet() } }
+        }
+        sender.dial(receivers.map { it.address }.toSet())
+        await { sender.connected().size == others }
+    }
+
+    fun measure(): RoundCost {
+        send(WARM_UP_HEARTBEATS)
+        val bytes = sentBytes()
+        val cpu = processCpuMicros()
+        send(HEARTBEATS)
+        return RoundCost(
+            (sentBytes() - bytes) / HEARTBEATS,
+            (processCpuMicros() - cpu) / HEARTBEATS
+        )
+    }
+
+    override fun close() {
+        sender.close()
+        receivers.forEach { it.close() }
+    }
+
+    private fun send(rounds: Int) {
+        val expected = received.get() + rounds * receivers.size
+        repeat(rounds) { round ->
+            val beat = Heartbeat(System.currentTimeMillis(), round.toLong().inv(), synced = true)
+            sender.connected().forEach { check(sender.send(it.host, beat)) { "not queued" } }
+            if (round % PACE == 0) Thread.sleep(POLL_MILLIS)
+        }
+        await { received.get() >= expected }
+    }
+
+    private fun sentBytes() = registry.counter("sycamoremast.peers.sent.bytes").count()
+
+    private fun network(host: String, registry: SimpleMeterRegistry): KtorPeerNetwork {
+        val local = LocalPeer(host, "sigulda", "127.0.0.1", 0)
+        val network = KtorPeerNetwork.create(local, IncarnationClaim(1), registry)
+        return network.also { it.start() }
+    }
+
+    private fun await(condition: () -> Boolean) {
+        val end = System.nanoTime() + WAIT_MILLIS * NANOS_PER_MILLI
+        while (!condition()) {
+            check(System.nanoTime() < end) { "the heartbeats did not arrive" }
+            Thread.sleep(POLL_MILLIS)
+        }
+    }
+
+    private companion object {
+        const val PACE = 10
+        const val NANOS_PER_MILLI = 1_000_000
+    }
+}
+
+private fun processCpuMicros(): Double {
+    val system = ManagementFactory.getOperatingSystemMXBean()
+    return (system as com.sun.management.OperatingSystemMXBean).processCpuTime / NANOS_PER_MICRO
+}
--- a/bench/src/main/kotlin/sycamoremast/bench/capacity/Probe.kt
+++ b/bench/src/main/kotlin/sycamoremast/bench/capacity/Probe.kt
@@ -22,6 +22,8 @@
     val slope = Slope.through(probe.sizes.map { it.toDouble() }, values)
 }
 
-/** Runs the probe; each size gets a generator of its own from [seed]. */
-internal fun Probe.run(seed: Long): ProbeResult =
-    ProbeResult(this, sizes.map { measure(it, Random(seed)) })
+/** Runs the probe, once unmeasured; each size gets a generator of its own from [seed]. */
+internal fun Probe.run(seed: Long): ProbeResult {
+    measure(sizes.first(), Random(seed))
+    return ProbeResult(this, sizes.map { measure(it, Random(seed)) })
+}
--- /dev/null
+++ b/bench/src/main/kotlin/sycamoremast/bench/request/LoadGenerator.kt
@@ -0,0 +1,130 @@
+/**
+ * Sends requests at the times of their arrival, however many are still unanswered.
+ *
+ * A refused caller comes back after the time that it was told, a bounded number of times. The JDK's
+ * client is used for its calls without a thread each; all calls are POST, which it never repeats.
+ */
+package sycamoremast.bench.request
+
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
+import java.security.MessageDigest
+import java.time.Duration
+import java.util.concurrent.ConcurrentLinkedQueue
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.Executors
+import java.util.concurrent.ScheduledThreadPoolExecutor
+import java.util.concurrent.TimeUnit.NANOSECONDS
+import java.util.concurrent.TimeUnit.SECONDS
+import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
+
+internal class LoadGenerator(private val maxReturns: Int, private val ports: () -> List<Int>) :
+    AutoCloseable {
+    private val executor = Executors.newFixedThreadPool(CLIENT_THREADS) { daemonThread(it) }
+    private val timer = ScheduledThreadPoolExecutor(1) { daemonThread(it) }
+    private val client = HttpClient.newBuilder()
+        .version(HttpClient.Version.HTTP_1_1)
+        .connectTimeout(Duration.ofSeconds(CONNECT_SECONDS))
+        .executor(executor)
+        .build()
+    private val samples = ConcurrentLinkedQueue<Sample>()
+    private val nextPort = AtomicInteger()
+    private val lastId = AtomicLong()
+
+    /** Returns the samples of all [arrivals], once each has its final answer. */
+    fun run(arrivals: List<Arrival>): List<Sample> {
+        samples.clear()
+        val pending = CountDownLatch(arrivals.size)
+        val start = System.nanoTime()
+        arrivals.forEach { arrival ->
+            val at = (arrival.atMillis * NANOS_PER_MILLI).toLong() - (System.nanoTime() - start)
+            timer.schedule({ send(arrival.workload, start, 0, pending) }, at, NANOSECONDS)
+        }
+        check(pending.await(MAX_RUN_SECONDS, SECONDS)) { "${pending.count} calls never ended" }
+        return samples.sortedBy { it.atMillis }
+    }
+
+    override fun close() {
+        timer.shutdownNow()
+        executor.shutdownNow()
+    }
+
+    private fun send(workload: Workload, start: Long, attempt: Int, pending: CountDownLatch) {
+        val id = "r${lastId.incrementAndGet()}"
+        val sent = System.nanoTime()
+        client.sendAsync(request(workload, id), HttpResponse.BodyHandlers.ofString())
+            .whenComplete { response, _ ->
+                val micros = (System.nanoTime() - sent) / NANOS_PER_MICRO
+                val outcome = outcomeOf(workload, id, response, micros)
+                val at = (sent - start) / NANOS_PER_MILLI
+                val (kind, _, work) = workload
+                samples += Sample(kind, work, at, micros, outcome, attempt)
+                val comesBack = outcome == SampleOutcome.NOT_RUN && attempt < maxReturns
+                if (!comesBack) return@whenComplete pending.countDown()
+                val again = Runnable { send(workload, start, attempt + 1, pending) }
+                timer.schedule(again, returnNanos(response), NANOSECONDS)
+            }
+    }
+
+    private fun request(workload: Workload, id: String): HttpRequest {
+        val open = ports()
+        val port = open[Math.floorMod(nextPort.getAndIncrement(), open.size)]
+        return HttpRequest.newBuilder(URI("http://127.0.0.1:$port${workload.path}"))
+            .timeout(Duration.ofMillis(workload.deadlineMillis + GRACE_MILLIS))
+            .header("X-Request-Id", id)
+            .header("X-Work-Millis", workload.workMillis.toString())
+            .header("X-Deadline-Millis", workload.deadlineMillis.toString())
+            .header("X-Team", workload.team)
+            .POST(HttpRequest.BodyPublishers.ofString("photo"))
+            .build()
+    }
+
+    private fun outcomeOf(
+        workload: Workload,
+        id: String,
+        response: HttpResponse<String>?,
+        micros: Long
+    ): SampleOutcome = when {
+        response == null -> SampleOutcome.CUT_OFF
+
+        response.statusCode() == STATUS_OK -> when {
+            !isWhole(id, response) -> SampleOutcome.MISMATCHED
+            micros > workload.deadlineMillis * MICROS_PER_MILLI -> SampleOutcome.LATE
+            else -> SampleOutcome.ANSWERED
+        }
+
+        response.headers().firstValue("X-Outcome").orElse("") == "not-run" -> SampleOutcome.NOT_RUN
+
+        response.headers().firstValue("X-Not-Run").isPresent -> SampleOutcome.NOT_RUN
+
+        else -> SampleOutcome.UNKNOWN
+    }
+
+    private fun isWhole(id: String, response: HttpResponse<String>): Boolean {
+        val (digest, content) = response.body().split('\n', limit = 2)
+        val bytes = MessageDigest.getInstance("SHA-256").digest(content.encodeToByteArray())
+        return content.startsWith("$id\n") && digest == bytes.joinToString("") { "%02x".format(it) }
+    }
+
+    private fun returnNanos(response: HttpResponse<String>): Long {
+        val millis = response.headers().firstValue("X-Retry-After-Millis").map { it.toLong() }
+        return millis.orElse(DEFAULT_RETURN_MILLIS) * NANOS_PER_MILLI.toLong()
+    }
+
+    private fun daemonThread(task: Runnable) = Thread(task, "load").apply { isDaemon = true }
+
+    companion object {
+        private const val CLIENT_THREADS = 4
+        private const val CONNECT_SECONDS = 5L
+        private const val MAX_RUN_SECONDS = 120L
+        private const val GRACE_MILLIS = 5_000L
+        private const val DEFAULT_RETURN_MILLIS = 1_000L
+        private const val STATUS_OK = 200
+        private const val NANOS_PER_MILLI = 1_000_000.0
+        private const val NANOS_PER_MICRO = 1_000L
+        private const val MICROS_PER_MILLI = 1_000L
+    }
+}
--- /dev/null
+++ b/bench/src/main/kotlin/sycamoremast/bench/request/RequestExperiments.kt
@@ -0,0 +1,303 @@
+/** The request experiments: each runs the daemon's request path and its baseline in turn. */
+package sycamoremast.bench.request
+
+import java.util.concurrent.CompletableFuture
+import kotlin.random.Random
+import sycamoremast.bench.Experiment
+import sycamoremast.bench.ExperimentResult
+import sycamoremast.bench.NamedLatency
+import sycamoremast.bench.ResultPlot
+import sycamoremast.bench.ResultTable
+import sycamoremast.bench.cell
+import sycamoremast.bench.latencyTable
+import sycamoremast.bench.millisAt
+import sycamoremast.standins.BackendFaults
+
+private const val BACKENDS = 4
+private const val SLOTS = 32
+private const val P99 = 99.0
+private const val PHOTOS = "photos"
+private const val ARCHIVE = "archive"
+private const val MILLIS_PER_SECOND = 1000.0
+
+/** Returns the rate at which requests of [workMillis] keep [share] of all slots busy. */
+private fun rate(share: Double, workMillis: Long) = share * SLOTS * MILLIS_PER_SECOND / workMillis
+
+private fun steady(kind: String, workMillis: Long, share: Double, deadlineMillis: Long): Workload {
+    val rate = rate(share, workMillis)
+    return Workload(kind, "/$kind", workMillis, Rate.constant(rate), rate, deadlineMillis)
+}
+
+/** Runs [workloads] against a new system; [during] runs beside, with the time of the start. */
+private fun measure(
+    workloads: List<Workload>,
+    durationMillis: Long,
+    seed: Long,
+    maxReturns: Int = 0,
+    label: String? = null,
+    during: (EntrySystem, BackendFleet) -> Unit = { _, _ -> },
+    system: (BackendFleet) -> EntrySystem
+): SystemRun = BackendFleet(BACKENDS).use { fleet ->
+    system(fleet).use { entry ->
+        LoadGenerator(maxReturns, entry::ports).use { load ->
+            warmUp(load, entry)
+            val placed = workloads.map { it.copy(path = entry.pathPrefix + it.path) }
+            val beside = CompletableFuture.runAsync { during(entry, fleet) }
+            val samples = load.run(arrivals(placed, durationMillis, Random(seed)))
+            beside.join()
+            SystemRun(label ?: entry.name, samples, fleet.refused())
+        }
+    }
+}
+
+private fun warmUp(load: LoadGenerator, entry: EntrySystem) {
+    val workload = steady(PHOTOS, WARM_UP_WORK_MILLIS, WARM_UP_SHARE, WARM_UP_MILLIS)
+        .let { it.copy(path = entry.pathPrefix + it.path) }
+    load.run(arrivals(listOf(workload), WARM_UP_MILLIS, Random(0)))
+}
+
+private const val WARM_UP_MILLIS = 2_000L
+private const val WARM_UP_WORK_MILLIS = 20L
+private const val WARM_UP_SHARE = 0.3
+
+/** Short work behind long work: how much longer short work waits because of long work. */
+internal object ShortBehindLong : Experiment {
+    override val name = "short-behind-long"
+    override val summary = "Wait of 20 ms requests beside 2 s ones, against FIFO and round-robin"
+
+    private const val DURATION_MILLIS = 10_000L
+    private const val SHORT_MILLIS = 20L
+    private const val LONG_MILLIS = 2_000L
+    private const val SHORT_SHARE = 0.12
+    private const val LONG_SHARE = 0.95
+    private const val DEADLINE_MILLIS = 20_000L
+
+    override fun run(seed: Long): ExperimentResult {
+        val short = steady(PHOTOS, SHORT_MILLIS, SHORT_SHARE, DEADLINE_MILLIS)
+        val long = steady(ARCHIVE, LONG_MILLIS, LONG_SHARE, DEADLINE_MILLIS)
+        val both = listOf(short, long)
+        val alone = measure(listOf(short), DURATION_MILLIS, seed, label = "daemon-short-only") {
+            DaemonEntry(it, 1)
+        }
+        val mixed = measure(both, DURATION_MILLIS, seed) { DaemonEntry(it, 1) }
+        val fifo = measure(both, DURATION_MILLIS, seed) { FifoRoundRobinEntry(it) }
+        val runs = listOf(alone, mixed, fifo)
+        val waits = runs.map { namedWaits(it, PHOTOS) } + listOf(mixed, fifo).map {
+            namedWaits(it, ARCHIVE)
+        }
+        val tables = listOf(
+            latencyTable("$name-waits", waits),
+            outcomeTable("$name-outcomes", runs),
+            ratios(waits[0], waits[1], waits[2], runs)
+        )
+        return ExperimentResult(tables, latencies = waits.map { it.prefixed(name) })
+    }
+
+    private fun ratios(
+        alone: NamedLatency,
+        mixed: NamedLatency,
+        fifo: NamedLatency,
+        runs: List<SystemRun>
+    ): ResultTable {
+        val (a, m, f) = listOf(alone, mixed, fifo).map { it.histogram.millisAt(P99) }
+        return ResultTable(
+            "$name-ratios",
+            listOf("what", "measured", "target"),
+            listOf(
+                listOf("p99 wait of short work, with long over without", cell(m / a), "up to 1.5"),
+                listOf("p99 wait of short work, FIFO over daemon", cell(f / m), "at least 20")
+            ) + runs.map { listOf("short work answered by ${it.system}", answeredShare(it), "1") }
+        )
+    }
+
+    private fun answeredShare(run: SystemRun): String {
+        val short = run.samples.ofKind(PHOTOS)
+        return cell(short.answered().size.toDouble() / short.size)
+    }
+}
+
+/** A crest of three times the capacity. */
+internal object Crest : Experiment {
+    override val name = "crest"
+    override val summary = "Goodput and refusals at 3 times the capacity for 20 s, against FIFO"
+
+    private const val WORK_MILLIS = 100L
+    private const val DEADLINE_MILLIS = 2_000L
+    private const val FROM_MILLIS = 4_000L
+    private const val UNTIL_MILLIS = 24_000L
+    private const val DURATION_MILLIS = 32_000L
+    private const val SETTLED_MILLIS = 2_000L
+    private const val BASE_SHARE = 0.6
+    private const val PEAK_SHARE = 3.0
+    private const val MAX_RETURNS = 2
+
+    override fun run(seed: Long): ExperimentResult {
+        val (base, peak) = rate(BASE_SHARE, WORK_MILLIS) to rate(PEAK_SHARE, WORK_MILLIS)
+        val (from, until) = FROM_MILLIS.toDouble() to UNTIL_MILLIS.toDouble()
+        val surge = Rate.surge(base, peak, from, until)
+        val workload = Workload(PHOTOS, "/$PHOTOS", WORK_MILLIS, surge, peak, DEADLINE_MILLIS)
+        val load = listOf(workload)
+        val daemon = measure(load, DURATION_MILLIS, seed, MAX_RETURNS) { DaemonEntry(it, 1) }
+        val fifo = measure(load, DURATION_MILLIS, seed, MAX_RETURNS) { FifoRoundRobinEntry(it) }
+        val runs = listOf(daemon, fifo)
+        val series = runs.map { goodputSeries(it, SLOTS, DURATION_MILLIS) }
+        val plot = ResultPlot(
+            "$name-goodput",
+            "Goodput at a crest of 3 times the capacity, 4 s to 24 s",
+            "second",
+            "answered in time, share of all slots",
+            series
+        )
+        val tables = listOf(
+            figures(runs),
+            outcomeTable("$name-outcomes", runs),
+            latencyTable("$name-latency", runs.map { latency(it) }),
+            latencyTable("$name-refusals", runs.map { refusals(it) }),
+            seriesTable("$name-goodput", series)
+        )
+        return ExperimentResult(tables, listOf(plot))
+    }
+
+    private fun figures(runs: List<SystemRun>) = ResultTable(
+        "$name-figures",
+        listOf("system", "goodput_at_crest", "goodput_after", "offered_after", "target_at_crest"),
+        runs.map { run ->
+            val crest = goodput(run, SLOTS, FROM_MILLIS + SETTLED_MILLIS, UNTIL_MILLIS)
+            val after = goodput(run, SLOTS, UNTIL_MILLIS + SETTLED_MILLIS, DURATION_MILLIS)
+            listOf(run.system, cell(crest), cell(after), "$BASE_SHARE and returns", "0.95")
+        }
+    )
+
+    private fun latency(run: SystemRun) = NamedLatency(
+        "${run.system} answered at the crest",
+        run.samples.within(FROM_MILLIS, UNTIL_MILLIS).answered().latencies { it.latencyMicros }
+    )
+
+    private fun refusals(run: SystemRun) = NamedLatency(
+        "${run.system} refusals at the crest",
+        run.samples.within(FROM_MILLIS, UNTIL_MILLIS)
+            .filter { it.outcome == SampleOutcome.NOT_RUN }.latencies { it.latencyMicros }
+    )
+}
+
+/** One of four backend servers becomes ten times slower for a while. */
+internal object SlowInstance : Experiment {
+    override val name = "slow-instance"
+    override val summary = "Latency while one of 4 instances is 10 times slower, against FIFO"
+
+    private const val WORK_MILLIS = 20L
+    private const val DEADLINE_MILLIS = 5_000L
+    private const val SHARE = 0.5
+    private const val FROM_MILLIS = 4_000L
+    private const val UNTIL_MILLIS = 12_000L
+    private const val DURATION_MILLIS = 16_000L
+    private const val SLOWDOWN_PERCENT = 1_000L
+
+    override fun run(seed: Long): ExperimentResult {
+        val load = listOf(steady(PHOTOS, WORK_MILLIS, SHARE, DEADLINE_MILLIS))
+        val daemon = measure(load, DURATION_MILLIS, seed, during = ::slowDown) {
+            DaemonEntry(it, 1)
+        }
+        val fifo = measure(load, DURATION_MILLIS, seed, during = ::slowDown) {
+            FifoRoundRobinEntry(it)
+        }
+        val runs = listOf(daemon, fifo)
+        val latencies = runs.flatMap { run ->
+            listOf(
+                part(run, "before", 0, FROM_MILLIS),
+                part(run, "while slow", FROM_MILLIS, UNTIL_MILLIS),
+                part(run, "after", UNTIL_MILLIS, DURATION_MILLIS)
+            )
+        }
+        val tables = listOf(
+            latencyTable("$name-latency", latencies),
+            outcomeTable("$name-outcomes", runs)
+        )
+        return ExperimentResult(tables)
+    }
+
+    private fun slowDown(entry: EntrySystem, fleet: BackendFleet) {
+        Thread.sleep(FROM_MILLIS)
+        fleet.servers[0].setFaults(BackendFaults(slowdownPercent = SLOWDOWN_PERCENT))
+        Thread.sleep(UNTIL_MILLIS - FROM_MILLIS)
+        fleet.servers[0].setFaults(BackendFaults())
+    }
+
+    private fun part(run: SystemRun, part: String, from: Long, until: Long) = NamedLatency(
+        "${run.system} $part",
+        run.samples.within(from, until).answered().latencies { it.latencyMicros }
+    )
+}
+
+/** Each of three entry hosts is restarted in turn under load. */
+internal object RollingRestart : Experiment {
+    override val name = "rolling-restart"
+    override val summary = "Requests cut off while 3 hosts restart in turn, against abrupt stops"
+
+    private const val HOSTS = 3
+    private const val WORK_MILLIS = 100L
+    private const val DEADLINE_MILLIS = 5_000L
+    private const val SHARE = 0.4
+    private const val DURATION_MILLIS = 14_000L
+    private const val BALANCER_LAG_MILLIS = 500L
+    private const val PAUSE_MILLIS = 2_000L
+
+    override fun run(seed: Long): ExperimentResult {
+        val load = listOf(steady(PHOTOS, WORK_MILLIS, SHARE, DEADLINE_MILLIS))
+        val graceful = measure(load, seed) { host -> stopGracefully(host, BALANCER_LAG_MILLIS) }
+        val abrupt = measure(load, seed) { host -> stopAbruptly(host, BALANCER_LAG_MILLIS) }
+        val runs = listOf(graceful.copy(system = "graceful"), abrupt.copy(system = "abrupt"))
+        val latencies = runs.map { run ->
+            NamedLatency(run.system, run.samples.answered().latencies { it.latencyMicros })
+        }
+        val tables = listOf(
+            outcomeTable("$name-outcomes", runs),
+            latencyTable("$name-latency", latencies)
+        )
+        return ExperimentResult(tables)
+    }
+
+    private fun measure(
+        load: List<Workload>,
+        seed: Long,
+        stop: DaemonEntry.(Int) -> Unit
+    ): SystemRun {
+        val restartAll = { entry: EntrySystem, _: BackendFleet ->
+            repeat(HOSTS) { host -> restart(entry as DaemonEntry, host, stop) }
+        }
+        return measure(load, DURATION_MILLIS, seed, during = restartAll) { DaemonEntry(it, HOSTS) }
+    }
+
+    private fun restart(entry: DaemonEntry, host: Int, stop: DaemonEntry.(Int) -> Unit) {
+        Thread.sleep(PAUSE_MILLIS)
+        entry.stop(host)
+        entry.restart(host, 2)
+    }
+}
+
+/** What an entry host adds to a call at half load. */
+internal object AddedLatency : Experiment {
+    override val name = "added-latency"
+    override val summary = "Latency at half load through an entry host, against calling directly"
+
+    private const val WORK_MILLIS = 20L
+    private const val DEADLINE_MILLIS = 5_000L
+    private const val SHARE = 0.5
+    private const val DURATION_MILLIS = 10_000L
+
+    override fun run(seed: Long): ExperimentResult {
+        val load = listOf(steady(PHOTOS, WORK_MILLIS, SHARE, DEADLINE_MILLIS))
+        val direct = measure(load, DURATION_MILLIS, seed) { DirectEntry(it) }
+        val daemon = measure(load, DURATION_MILLIS, seed) { DaemonEntry(it, 1) }
+        val fifo = measure(load, DURATION_MILLIS, seed) { FifoRoundRobinEntry(it) }
+        val runs = listOf(direct, daemon, fifo)
+        val waits = runs.map { namedWaits(it, PHOTOS) }
+        val tables = listOf(
+            latencyTable("$name-waits", waits),
+            outcomeTable("$name-outcomes", runs)
+        )
+        return ExperimentResult(tables, latencies = waits.map { it.prefixed(name) })
+    }
+}
+
+private fun NamedLatency.prefixed(prefix: String) = copy(name = "$prefix-${name.replace(' ', '-')}")
