--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/RequestRunner.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/RequestRunner.kt
@@ -84,7 +84,7 @@
             while (true) {
                 when (val decision = acquire()) {
                     is Decision.Refused -> return refused(decision)
-                    is Decision.Granted -> attempt(decision)?.let { return it }
+                    is Decision.Granted -> sendOnce(decision)?.let { return it }
                 }
             }
         }
@@ -97,7 +97,7 @@
         }
 
         /** Returns the end of the request, or null if it is to be tried again. */
-        private fun attempt(granted: Decision.Granted): RunResult? {
+        private fun sendOnce(granted: Decision.Granted): RunResult? {
             life.on(RequestEvent.DISPATCH)
             attempts++
             val remaining = remainingMillis().milliseconds.coerceAtLeast(1.milliseconds)
