--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/RequestRunner.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/RequestRunner.kt
@@ -77,7 +77,7 @@
         private val deadlineMillis: Double
     ) {
         private val avoid = hashSetOf<String>()
-        private var attempts = 0
+        private var sent = 0
         private var staleConnections = 0
 
         fun run(): RunResult {
@@ -99,7 +99,7 @@
         /** Returns the end of the request, or null if it is to be tried again. */
         private fun sendOnce(granted: Decision.Granted): RunResult? {
             life.on(RequestEvent.DISPATCH)
-            attempts++
+            sent++
             val remaining = remainingMillis().milliseconds.coerceAtLeast(1.milliseconds)
             val result = send(granted, remaining)
             if (result is Answer) return answered(granted, result)
@@ -161,7 +161,7 @@
         private fun pause(result: AttemptResult) {
             if (isStale(result)) return
             val most = (remainingMillis() - MIN_RETRY_MILLIS).coerceAtLeast(0.0)
-            val millis = minOf(retryDelay(attempts, random).inWholeMilliseconds, most.toLong())
+            val millis = minOf(retryDelay(sent, random).inWholeMilliseconds, most.toLong())
             TimeUnit.MILLISECONDS.sleep(millis)
         }
 
