Leave out all servers that can't be reached while another can be

After most servers of a pool had ended at once, the cap that guards against wrong signals kept dead ones in use, and retries ran out on them. The cap now holds for servers that answer badly only. Unknown outcomes of requests that must not be repeated are reported as problems, once a service.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/request/BackendHealth.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/request/BackendHealth.kt
@@ -2,8 +2,8 @@
  * Whether a backend server gets new work.
  *
  * A server that is leaving gets none, by whichever sign says so first. A server that can't be
- * reached, or that fails far more often than others, is left out for a while; at most a part of the
- * pool is left out in this way, so that a wrong signal can't empty it.
+ * reached is left out for a while, unless none can be. A server that fails most requests is left out
+ * for a while, too, but at most a part of the pool, so that a wrong signal can't empty it.
  */
 package sycamoremast.coordination.request
 
@@ -15,6 +15,7 @@
     private var drainingUntilMillis = Long.MIN_VALUE
     private var outUntilMillis = Long.MIN_VALUE
     private var outSinceMillis = Long.MIN_VALUE
+    private var isUnreachable = false
     private var timesOut = 0
     private var failureShare = 0.0
     private var outcomes = 0
@@ -33,6 +34,7 @@
     fun connectFailed(nowMillis: Long) {
         count(failed = true)
         leaveOut(nowMillis)
+        isUnreachable = true
     }
 
     /** An attempt on the server failed after it had been sent. */
@@ -50,6 +52,9 @@
     /** Returns whether the server is leaving. */
     fun isLeaving(nowMillis: Long) = leavingByList || nowMillis < drainingUntilMillis
 
+    /** Returns whether the server is left out because it could not be reached. */
+    fun isUnreachable(nowMillis: Long) = isUnreachable && leftOutSince(nowMillis) != null
+
     /** Returns since when the server is left out for its failures, or null if it is not. */
     fun leftOutSince(nowMillis: Long): Long? = outSinceMillis.takeIf { nowMillis < outUntilMillis }
 
@@ -63,6 +68,7 @@
         if (nowMillis < outUntilMillis) return
         val span = FIRST_OUT_MILLIS shl timesOut.coerceAtMost(MAX_DOUBLINGS)
         timesOut++
+        isUnreachable = false
         outSinceMillis = nowMillis
         outUntilMillis = nowMillis + span
         outcomes = 0
@@ -79,7 +85,7 @@
         private const val MAX_FAILURE_SHARE = 0.5
         private const val RECOVERED_FAILURE_SHARE = 0.1
 
-        /** The part of a pool that may be left out for failures. */
+        /** The part of the reachable servers that may be left out for failures. */
         private const val MAX_LEFT_OUT_SHARE = 0.5
 
         /**
@@ -89,13 +95,15 @@
          */
         fun <T> usable(pool: List<T>, nowMillis: Long, healthOf: (T) -> BackendHealth): List<T> {
             val staying = pool.filterNot { healthOf(it).isLeaving(nowMillis) }
-            val cap = (staying.size * MAX_LEFT_OUT_SHARE).toInt()
-            val leftOut = staying
+            val reachable = staying.filterNot { healthOf(it).isUnreachable(nowMillis) }
+            if (reachable.isEmpty()) return staying
+            val cap = (reachable.size * MAX_LEFT_OUT_SHARE).toInt()
+            val leftOut = reachable
                 .filter { healthOf(it).leftOutSince(nowMillis) != null }
                 .sortedByDescending { healthOf(it).leftOutSince(nowMillis) }
                 .take(cap)
                 .toSet()
-            return staying.filterNot { it in leftOut }
+            return reachable.filterNot { it in leftOut }
         }
     }
 }
--- a/coordination/src/test/kotlin/sycamoremast/coordination/request/BackendHealthTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/request/BackendHealthTest.kt
@@ -52,17 +52,30 @@
     @Test
     fun `failures of all servers leave at least half of the pool in use`() {
         val pool = List(5) { live() }
-        pool.forEachIndexed { at, health -> health.connectFailed(at.toLong()) }
+        pool.forEachIndexed { at, health -> repeat(5) { health.failed(at.toLong()) } }
         val usable = BackendHealth.usable(pool, 10) { it }
         expectThat(usable).hasSize(3)
         expectThat(usable).isEqualTo(pool.take(3))
     }
 
+    @Test
+    fun `servers that can't be reached are all left out while another can be`() {
+        val pool = List(5) { live() }
+        pool.take(4).forEach { it.connectFailed(0) }
+        expectThat(BackendHealth.usable(pool, 10) { it }).isEqualTo(pool.takeLast(1))
+    }
+
+    @Test
+    fun `all are tried if none can be reached`() {
+        val pool = List(5) { live().apply { connectFailed(0) } }
+        expectThat(BackendHealth.usable(pool, 10) { it }).isEqualTo(pool)
+    }
+
     @Test
     fun `servers that are leaving do not count for the cap`() {
         val pool = List(4) { live() }
         pool.take(3).forEach { it.draining(0) }
-        pool.last().connectFailed(0)
+        repeat(5) { pool.last().failed(0) }
         expectThat(BackendHealth.usable(pool, 10) { it }).isEqualTo(pool.takeLast(1))
     }
 
--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/ForwardingRequestPath.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/ForwardingRequestPath.kt
@@ -36,10 +36,14 @@
     private val lending = SlotLending(dispatcher, ports.peers)
     private val claims = ClaimLedger(ports.store, ports.storeCalls, ports.membership)
     private val keyed = KeyedRequests(claims, runner)
+    private val unknownOutcomes = UnknownOutcomes(ports.problems, dispatcher::nowMillis)
     private val inProgress = InProgress()
     private val phase = AtomicReference<Phase>(Phase.Serving)
     private val hostList = Loop("host-list", settings.hostListRefreshMillis, ::readHostList)
-    private val ticks = Loop("dispatch", TICK_MILLIS, dispatcher::tick)
+    private val ticks = Loop("dispatch", TICK_MILLIS) {
+        dispatcher.tick()
+        unknownOutcomes.tick()
+    }
 
     override val handler: HttpHandler = ::handle
 
@@ -131,8 +135,12 @@
         is RunResult.Ended -> ended(request, result.outcome)
     }
 
-    private fun ended(request: CallerRequest, outcome: RequestOutcome): Response =
-        counted(request, refusal(request.id, outcome))
+    private fun ended(request: CallerRequest, outcome: RequestOutcome): Response {
+        if (outcome is RequestOutcome.Unknown && !request.isIdempotent) {
+            unknownOutcomes.seen(request, outcome.failure)
+        }
+        return counted(request, refusal(request.id, outcome))
+    }
 
     private fun counted(request: CallerRequest, response: Response): Response {
         meters.ended(request.service, response.header(RequestHeaders.OUTCOME).orEmpty())
--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/RequestServer.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/RequestServer.kt
@@ -33,7 +33,8 @@
         val server = Undertow.builder()
             .addHttpListener(port, address)
             .setWorkerThreads(workerThreads)
-            .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
+            .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, UNUSED_TIMEOUT_MILLIS)
+            .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, PARSE_TIMEOUT_MILLIS)
             .setHandler(BlockingHandler(AbortingHandler(http)))
             .build()
         return RunningServer(server)
@@ -62,5 +63,9 @@
     companion object {
         /** Threads enough for the default limits of slots and waiting requests. */
         const val DEFAULT_WORKER_THREADS = 1_200
+
+        /** How long a connection is kept without a request; one in progress may take longer. */
+        private const val UNUSED_TIMEOUT_MILLIS = 60_000
+        private const val PARSE_TIMEOUT_MILLIS = 10_000
     }
 }
