Read the document again after each rejection

A document that had just been read stayed marked as current for the next change, so that a repeat of a keyed request through another host was told for good that the first was in progress: ClaimTest failed once in a full run, by its bound of 20 s. The writer's new test failed with the second change rejected as well; both pass now.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/store/DocumentSwapper.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/store/DocumentSwapper.kt
@@ -56,8 +56,8 @@
                 change.apply(current, limits.maxBytes)
             }
             if (body == null || body == base.body) {
-                if (base.fresh) return CommitOutcome.Committed(base.version)
                 cached = null
+                if (base.fresh) return CommitOutcome.Committed(base.version)
                 continue
             }
             val written = Swap(base, base.next(writerId, ++sequence, body), attempts).run()
--- a/coordination/src/test/kotlin/sycamoremast/coordination/store/DocumentWriterTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/store/DocumentWriterTest.kt
@@ -145,6 +145,25 @@
         expectThat(first.commit { "no".left() }).isEqualTo(CommitOutcome.Rejected("no"))
     }
 
+    @Test
+    fun `a rejection on a document that was just read does not outlive that document`() {
+        val other = writer("b")
+        other.commit(append("open"))
+        val rejectsOpen: (String?) -> Either<String, String> = { body ->
+            if (body == "open") "still open".left() else body.orEmpty().right()
+        }
+        expectThat(
+            writer().let { rejecting ->
+                val first = rejecting.commit(rejectsOpen)
+                other.commit { "closed".right() }
+                first to rejecting.commit(rejectsOpen)
+            }
+        ).and {
+            get { first }.isA<CommitOutcome.Rejected<String>>()
+            get { second }.isA<CommitOutcome.Committed>()
+        }
+    }
+
     @Test
     fun `a body over the size limit is not committed and leaves the others alone`() {
         val large = "\"".repeat(WriterLimits().maxBytes - 1)
