--- a/coordination/src/main/kotlin/sycamoremast/coordination/request/LongWorkBound.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/request/LongWorkBound.kt
@@ -2,18 +2,19 @@
  * Keeps slots free of long work, so that short work finds one soon.
  *
  * A request is long if it is expected to run many times longer than the shortest kind of request in
- * recent use. The slots kept free follow the recent peak of the slots that short work asked for.
+ * recent use. The slots kept free follow the mean and the deviation of those that short work
+ * asks for.
  */
 package sycamoremast.coordination.request
 
 import kotlin.math.ceil
 import kotlin.math.exp
+import kotlin.math.sqrt
 
 /** Tells long requests from short ones and bounds the slots that long ones may hold. */
 class LongWorkBound {
     private val lastSeenMillis = linkedMapOf<RunTimeKey, Seen>()
-    private var peak = 0.0
-    private var peakAtMillis = 0.0
+    private val demand = DemandMeter()
 
     /** Returns whether a request of [key] that is expected to run [expectedMillis] is long. */
     fun isLong(key: RunTimeKey, expectedMillis: Double, nowMillis: Double): Boolean {
@@ -23,24 +24,18 @@
         return expectedMillis > maxOf(LONG_FACTOR * shortest, MIN_LONG_MILLIS)
     }
 
-    /** Takes into account that short work holds or waits for [slots]. */
-    fun shortDemand(slots: Int, nowMillis: Double) {
-        peak = maxOf(decayedPeak(nowMillis), slots.toDouble())
-        peakAtMillis = nowMillis
-    }
+    /** Takes into account that from now on short work holds or waits for [slots]. */
+    fun shortDemand(slots: Int, nowMillis: Double) = demand.set(slots.toDouble(), nowMillis)
 
     /** Returns how many of [slots] long work may hold; at least one, so that it never starves. */
     fun longLimit(slots: Int, nowMillis: Double): Int {
-        val wanted = ceil(decayedPeak(nowMillis) * HEADROOM).toInt()
-        val reserve = wanted.coerceIn(
-            ceil(slots * MIN_RESERVE).toInt(),
-            ceil(slots * MAX_RESERVE).toInt()
-        )
-        return (slots - reserve).coerceAtLeast(1)
+        val wanted = ceil(demand.mean(nowMillis) + DEVIATIONS * demand.deviation()).toInt()
+        val least = ceil(slots * MIN_RESERVE).toInt()
+        return (slots - maxOf(wanted, least)).coerceAtLeast(1)
     }
 
-    private fun decayedPeak(nowMillis: Double) =
-        peak * exp((peakAtMillis - nowMillis) / PEAK_DECAY_MILLIS)
+    /** Returns how many of [slots] long work gets before short work, if any of it waits. */
+    fun longFloor(slots: Int): Int = (slots * LONG_FLOOR).toInt()
 
     private data class Seen(val atMillis: Double, val expectedMillis: Double)
 
@@ -48,9 +43,49 @@
         const val LONG_FACTOR = 8.0
         const val MIN_LONG_MILLIS = 20.0
         const val RECENT_MILLIS = 60_000.0
-        const val PEAK_DECAY_MILLIS = 30_000.0
-        const val HEADROOM = 1.25
         const val MIN_RESERVE = 0.125
-        const val MAX_RESERVE = 0.75
+
+        /** The share of the slots that long work gets in any case; none of a few slots. */
+        const val LONG_FLOOR = 0.05
+
+        /** The standard deviations above its mean that the demand of short work hardly exceeds. */
+        const val DEVIATIONS = 3.0
+    }
+}
+
+/** The mean and the deviation of a demand over time, exponentially weighted. */
+internal class DemandMeter(private val decayMillis: Double = DEFAULT_DECAY_MILLIS) {
+    private var current = 0.0
+    private var sinceMillis = Double.NaN
+    private var observedMillis = 0.0
+    private var mean = 0.0
+    private var variance = 0.0
+
+    /** Sets the demand from [nowMillis] on. */
+    fun set(demand: Double, nowMillis: Double) {
+        advance(nowMillis)
+        current = demand
+    }
+
+    fun mean(nowMillis: Double): Double {
+        advance(nowMillis)
+        return mean
+    }
+
+    fun deviation() = sqrt(variance)
+
+    private fun advance(nowMillis: Double) {
+        val span = if (sinceMillis.isNaN()) 0.0 else nowMillis - sinceMillis
+        sinceMillis = nowMillis
+        if (span <= 0) return
+        observedMillis += span
+        val gain = maxOf(1 - exp(-span / decayMillis), span / observedMillis)
+        val error = current - mean
+        mean += gain * error
+        variance = (1 - gain) * (variance + gain * error * error)
+    }
+
+    private companion object {
+        const val DEFAULT_DECAY_MILLIS = 10_000.0
     }
 }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/request/RequestQueue.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/request/RequestQueue.kt
@@ -4,7 +4,7 @@
  * Teams take turns by the slot time that they were given (the team that got least comes first).
  * Within a team, the order is by arrival plus a multiple of the expected run time: short requests
  * overtake long ones, but only those that arrived at most that much later, so that every request's
- * turn comes. Long requests are taken only while [poll] allows them.
+ * turn comes. Long requests are taken only while [poll] allows them, or before all short ones.
  */
 package sycamoremast.coordination.request
 
@@ -25,6 +25,9 @@
     val deadlineMillis: Double
 )
 
+/** Which requests may be taken from a queue. */
+enum class Lanes { SHORT, LONG, BOTH }
+
 /** Waiting requests in the order in which they are served; not safe for concurrent use. */
 class RequestQueue(private val ageing: Double = DEFAULT_AGEING) {
     private val teams = linkedMapOf<String, Team>()
@@ -53,9 +56,9 @@
         account(request, 1)
     }
 
-    /** Returns the next request and removes it; a long one only if [longAllowed]. */
-    fun poll(longAllowed: Boolean): WaitingRequest? {
-        val next = peek(longAllowed) ?: return null
+    /** Returns the next request of [lanes] and removes it. */
+    fun poll(lanes: Lanes): WaitingRequest? {
+        val next = peek(lanes) ?: return null
         virtualMillis = maxOf(virtualMillis, served.getValue(next.team))
         served[next.team] = served.getValue(next.team) + next.expectedMillis
         remove(next.number)
@@ -63,20 +66,20 @@
     }
 
     /** Returns the next request, which stays in the queue. */
-    fun peek(longAllowed: Boolean): WaitingRequest? = teams.entries
-        .filter { it.value.head(longAllowed) != null }
+    fun peek(lanes: Lanes): WaitingRequest? = teams.entries
+        .filter { it.value.head(lanes) != null }
         .minByOrNull { served.getValue(it.key) }
-        ?.value?.head(longAllowed)
+        ?.value?.head(lanes)
 
     /**
-     * Returns the expected run time of the requests that go before a new one of [team].
+     * Returns the expected run time of the requests in [lanes] that go before a new one of [team].
      *
      * A team waits for its own requests, and for as much work of each other team that waits.
      */
-    fun millisAhead(team: String, isLong: Boolean): Double {
-        val own = teams[team]?.millisAhead(isLong) ?: 0.0
+    fun millisAhead(team: String, lanes: Lanes): Double {
+        val own = teams[team]?.millisAhead(lanes) ?: 0.0
         val others = teams.filterKeys { it != team }.values.sumOf { other ->
-            minOf(other.millisAhead(isLong), own)
+            minOf(other.millisAhead(lanes), own)
         }
         return own + others
     }
@@ -139,7 +142,11 @@
         fun remove(request: WaitingRequest): Boolean =
             lane(request).remove(request).also { if (it) account(request, -1) }
 
-        fun millisAhead(isLong: Boolean) = if (isLong) shortMillis + longMillis else shortMillis
+        fun millisAhead(lanes: Lanes) = when (lanes) {
+            Lanes.SHORT -> shortMillis
+            Lanes.LONG -> longMillis
+            Lanes.BOTH -> shortMillis + longMillis
+        }
 
         private fun lane(request: WaitingRequest) = if (request.isLong) long else short
 
@@ -153,10 +160,11 @@
 
         fun isEmpty() = short.isEmpty() && long.isEmpty()
 
-        fun head(longAllowed: Boolean): WaitingRequest? {
-            val firstShort = short.firstOrNull()
-            val firstLong = if (longAllowed) long.firstOrNull() else null
-            return listOfNotNull(firstShort, firstLong).minWithOrNull(order)
+        fun head(lanes: Lanes): WaitingRequest? = when (lanes) {
+            Lanes.SHORT -> short.firstOrNull()
+            Lanes.LONG -> long.firstOrNull()
+            Lanes.BOTH -> listOfNotNull(short.firstOrNull(), long.firstOrNull())
+                .minWithOrNull(order)
         }
     }
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/request/ServiceScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/request/ServiceScheduler.kt
@@ -81,7 +81,7 @@
         learnFromRunning(nowMillis)
         while (true) {
             val longAllowed = longRunning < bound.longLimit(slots, nowMillis)
-            val polled = queue.poll(longAllowed) ?: return null
+            val polled = poll(longAllowed, slots) ?: return null
             if (isLate(polled, nowMillis)) {
                 arrivals.remove(polled.number)
                 return Next.Late(polled, bookReturn(slots, nowMillis))
@@ -104,6 +104,7 @@
         val request = running.remove(number) ?: return
         val key = arrivals.remove(number)?.key ?: return
         queue.ran(request, ranMillis)
+        observeDemand(nowMillis)
         if (completed) {
             estimator.ran(key, ranMillis)
             returns.completed(nowMillis)
@@ -131,8 +132,7 @@
         if (queue.size == 0 && free > 0) return null
         val runTime = estimate(arrival)
         val isLong = bound.isLong(arrival.key, runTime.medianMillis, nowMillis)
-        val usable = if (isLong) bound.longLimit(slots, nowMillis) else slots
-        val wait = queue.millisAhead(arrival.key.team, isLong) / usable
+        val wait = expectedWait(arrival.key.team, isLong, slots, nowMillis)
         val delayLimit = (DELAY_FACTOR * runTime.medianMillis)
             .coerceIn(settings.minDelayLimitMillis, settings.maxDelayLimitMillis)
             .coerceAtMost(arrival.remainingMillis * MAX_WAIT_SHARE)
@@ -143,6 +143,19 @@
         }
     }
 
+    private fun expectedWait(team: String, isLong: Boolean, slots: Int, nowMillis: Double): Double {
+        if (!isLong) return queue.millisAhead(team, Lanes.SHORT) / slots
+        val inTurn = queue.millisAhead(team, Lanes.BOTH) / bound.longLimit(slots, nowMillis)
+        val floor = bound.longFloor(slots)
+        return if (floor ==
+            0
+        ) {
+            inTurn
+        } else {
+            minOf(inTurn, queue.millisAhead(team, Lanes.LONG) / floor)
+        }
+    }
+
     private fun enqueue(arrival: Arrival, nowMillis: Double): WaitingRequest {
         val runTime = estimate(arrival)
         val request = WaitingRequest(
@@ -156,7 +169,7 @@
         )
         arrivals[request.number] = arrival
         queue.offer(request)
-        bound.shortDemand(running.shortCount + queue.shortSize, nowMillis)
+        observeDemand(nowMillis)
         return request
     }
 
@@ -165,6 +178,15 @@
         return Admission.Refused(reason, bookReturn(slots, nowMillis))
     }
 
+    /** Long work below its floor goes first, lest short work beyond the capacity starve it. */
+    private fun poll(longAllowed: Boolean, slots: Int): WaitingRequest? {
+        val first = if (longRunning < bound.longFloor(slots)) queue.poll(Lanes.LONG) else null
+        return first ?: queue.poll(if (longAllowed) Lanes.BOTH else Lanes.SHORT)
+    }
+
+    private fun observeDemand(nowMillis: Double) =
+        bound.shortDemand(running.shortCount + queue.shortSize, nowMillis)
+
     /** While others wait, a slot is not spent on a request that may well miss its deadline. */
     private fun isLate(request: WaitingRequest, nowMillis: Double): Boolean {
         val needed = if (queue.size > 0) request.highMillis else request.expectedMillis
