--- /dev/null
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/request/StandInFaultTest.kt
@@ -0,0 +1,75 @@
+/** The outcomes that callers are told, against what a stand-in backend server really ran. */
+package sycamoremast.daemon.request
+
+import java.util.concurrent.CompletableFuture.supplyAsync
+import java.util.concurrent.Executors
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.EnumSource
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThanOrEqualTo
+import sycamoremast.standins.BackendFaults
+import sycamoremast.standins.BackendServer
+import sycamoremast.standins.BackendSettings
+
+class StandInFaultTest {
+    /** A fault, the outcome that it leads to, and how often the request then ran. */
+    enum class Fault(val faults: BackendFaults, val outcome: String, val runs: Int) {
+        NONE(BackendFaults(), "answered", 1),
+        TRUNCATE(BackendFaults(truncate = true), "unknown", 1),
+        LATE(BackendFaults(lateMillis = 3_000), "unknown", 1),
+        REFUSE(BackendFaults(refuse = true), "not-run", 0),
+        RESET_BEFORE(BackendFaults(resetBefore = true), "unknown", 0),
+        RESET_AFTER(BackendFaults(resetAfter = true), "unknown", 1),
+        LEAVING(BackendFaults(leaving = true), "not-run", 0),
+        DRAIN_NOTICE(BackendFaults(drainNotice = true), "answered", 1),
+        WRONG_ID(BackendFaults(wrongId = true), "unknown", 1)
+    }
+
+    private val backend = BackendServer.start(BackendSettings(workMillis = 3))
+    private val callers = Executors.newCachedThreadPool()
+
+    @AfterEach
+    fun stop() {
+        backend.close()
+        callers.shutdownNow()
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    fun `what is told of a request agrees with what ran`(fault: Fault) {
+        backend.setFaults(fault.faults)
+        PathHarness(hostList = list()).ready().use {
+            val headers = mapOf("X-Deadline-Millis" to "1500")
+            val answer = it.send("/invoices", "POST", "invoice 1", headers)
+            expectThat(answer.outcome).isEqualTo(fault.outcome)
+            expectThat(backend.executions().size).isEqualTo(fault.runs)
+        }
+    }
+
+    @Test
+    fun `several hosts keep to the slots and connections of a server`() {
+        val hub = PeerHub()
+        val names = List(4) { "entry-$it" }
+        val hosts = names.map { name ->
+            val others = (names - name).map { FakeMembership.member(it) }
+            val membership = FakeMembership(FakeMembership.member(name), others)
+            val ports = testPorts(list(), membership = membership, peers = hub.networkOf(name))
+            PathHarness(hostList = list(), ports = ports).ready()
+        }
+        val calls = List(400) { number ->
+            supplyAsync({ hosts[number % 4].send("/invoices", "POST", "invoice $number") }, callers)
+        }
+        expectThat(calls.map { it.join().outcome }.toSet()).isEqualTo(setOf("answered"))
+        hosts.forEach { it.close() }
+        val usage = backend.usage()
+        expectThat(usage.maxSlots).isLessThanOrEqualTo(8)
+        expectThat(usage.maxConnections).isLessThanOrEqualTo(64)
+        expectThat(usage.refused).isEqualTo(0)
+        expectThat(backend.executions().map { it.requestId }.toSet().size).isEqualTo(400)
+    }
+
+    private fun list() = FakeHostList(listOf(FakeHostList.backend(backend.port)))
+}
