--- a/bench/src/main/kotlin/sycamoremast/bench/capacity/ConfigurationProbes.kt
+++ b/bench/src/main/kotlin/sycamoremast/bench/capacity/ConfigurationProbes.kt
@@ -53,7 +53,14 @@
         Quota(milliCpus = 1_000_000, memoryMib = 1_000_000),
         listOf(Service("reports", 2.seconds, listOf(Route("photos", "/photos", 1.seconds)))),
         List(jobs) {
-            Job("survey-2027-03-$it", "sigulda", 4, 1_000, 2_000, expected = 30.minutes)
+            Job(
+                name = "survey-2027-03-$it",
+                availabilityZone = "sigulda",
+                tasks = 4,
+                milliCpus = 1_000,
+                memoryMib = 2_000,
+                expected = 30.minutes
+            )
         }
     )
     val text = configuration.toIni()
--- a/bench/src/main/kotlin/sycamoremast/bench/request/RequestExperiments.kt
+++ b/bench/src/main/kotlin/sycamoremast/bench/request/RequestExperiments.kt
@@ -195,10 +195,11 @@
 
     override fun run(seed: Long): ExperimentResult {
         val load = listOf(steady(PHOTOS, WORK_MILLIS, SHARE, DEADLINE_MILLIS))
-        val daemon = measure(load, DURATION_MILLIS, seed, during = ::slowDown) {
-            DaemonEntry(it, 1)
-        }
-        val fifo = measure(load, DURATION_MILLIS, seed, during = ::slowDown) {
+        val daemon =
+            measure(load, DURATION_MILLIS, seed, during = { _, fleet -> slowDown(fleet) }) {
+                DaemonEntry(it, 1)
+            }
+        val fifo = measure(load, DURATION_MILLIS, seed, during = { _, fleet -> slowDown(fleet) }) {
             FifoRoundRobinEntry(it)
         }
         val runs = listOf(daemon, fifo)
@@ -216,7 +217,7 @@
         return ExperimentResult(tables)
     }
 
-    private fun slowDown(entry: EntrySystem, fleet: BackendFleet) {
+    private fun slowDown(fleet: BackendFleet) {
         Thread.sleep(FROM_MILLIS)
         fleet.servers[0].setFaults(BackendFaults(slowdownPercent = SLOWDOWN_PERCENT))
         Thread.sleep(UNTIL_MILLIS - FROM_MILLIS)
--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/Dispatcher.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/Dispatcher.kt
@@ -68,7 +68,10 @@
         lock.withLock { lanes[service]?.usableCount(nowMillis()) ?: 0 }
 
     /** Returns whether this host has its share of the slots. */
-    fun hasShare(): Boolean = lock.withLock { ledger.share("", 1 shl 20, nowMillis().toLong()) > 0 }
+    fun hasShare(): Boolean = lock.withLock {
+        ledger.share("", PROBED_LIMIT, nowMillis().toLong()) >
+            0
+    }
 
     /** Takes over the platform's list of hosts. */
     fun listed(hosts: List<ListedHost>) = lock.withLock {
@@ -143,6 +146,7 @@
     }
 
     private companion object {
+        const val PROBED_LIMIT = 1_048_576
         const val NANOS_PER_MILLI = 1e6
         const val ROUNDS = 1_000_000L
         const val BUSY_MILLIS = 20L
--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/RequestRunner.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/RequestRunner.kt
@@ -49,7 +49,7 @@
     ): RunResult {
         budget(request).requestArrived(request.retryPercent)
         life.on(RequestEvent.QUEUE)
-        return Run(request, body, life, received + request.deadline.inWholeMilliseconds).run()
+        return Run(request, body, life, received + request.deadline.inWholeMilliseconds).execute()
     }
 
     private fun budget(request: CallerRequest) =
@@ -65,7 +65,7 @@
         private var attempts = 0
         private var staleConnections = 0
 
-        fun run(): RunResult {
+        fun execute(): RunResult {
             while (true) {
                 when (val decision = acquire()) {
                     is Decision.Refused -> return refused(decision)
