Establish an incarnation only once a peer has accepted it

A host that came back with its clock set back took the acceptance of a connection for the acceptance of its incarnation: it had already registered the connection when the other side's refusal arrived, so the refusal counted as malformed and the host redialled for ever.

--- a/daemon/src/main/kotlin/sycamoremast/daemon/control/ProblemLog.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/control/ProblemLog.kt
@@ -32,6 +32,9 @@
     private var known = ProblemList()
     private var nextReadingMillis = Long.MIN_VALUE
 
+    /** The reports that are not written yet. */
+    internal val waitingReports: Int get() = synchronized(waiting) { waiting.size }
+
     override fun raise(kind: ProblemKind, subject: String, evidence: String) {
         val key = ProblemKey(kind, subject)
         synchronized(waiting) {
--- a/daemon/src/main/kotlin/sycamoremast/daemon/peer/KtorPeerNetwork.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/peer/KtorPeerNetwork.kt
@@ -193,7 +193,8 @@
             if (!dials) connection.sendNow(PeerFrame.Hello(identity = identity()))
             introduced = true
             register(connection, peer)
-            connection.run { frame -> handlers.receive(connection, peer.host, frame) }
+            if (dials) connection.offer(PeerFrame.Ping)
+            connection.run { frame -> receive(connection, peer.host, frame) }
         } catch (e: Exception) {
             ended(connection, e)
         } finally {
@@ -203,6 +204,13 @@
         return introduced
     }
 
+    /** Takes [frame], the first of which shows that the peer has accepted this host. */
+    private fun receive(connection: PeerConnection, from: String, frame: PeerFrame) {
+        if (frame is PeerFrame.Refusal) refusedBy(connection, frame)
+        claim.establish()
+        if (frame !is PeerFrame.Ping) handlers.receive(connection, from, frame)
+    }
+
     private suspend fun introduce(connection: PeerConnection): PeerIdentity {
         val hello = when (val frame = connection.receiveFirst()) {
             is PeerFrame.Hello -> frame
@@ -246,7 +254,6 @@
 
     private fun register(connection: PeerConnection, peer: PeerIdentity) {
         connection.peer = peer
-        claim.establish()
         connections.filter { it.peer?.host == peer.host && it.isOlderThan(peer) }
             .forEach { it.close() }
         connections += connection
--- a/daemon/src/main/kotlin/sycamoremast/daemon/peer/PeerConnection.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/peer/PeerConnection.kt
@@ -65,7 +65,7 @@
         while (true) {
             val frame = withTimeoutOrNull(limits.dropAfterSilence) { read(limits.maxMessageBytes) }
                 ?: throw PeerViolationException("silent", "nothing received in time")
-            if (frame !is PeerFrame.Ping) onFrame(frame)
+            onFrame(frame)
         }
     }
 
--- /dev/null
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/control/ControlFaultsTest.kt
@@ -0,0 +1,247 @@
+package sycamoremast.daemon.control
+
+import java.util.concurrent.Callable
+import java.util.concurrent.Executors
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.any
+import strikt.assertions.contains
+import strikt.assertions.isA
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isTrue
+import strikt.assertions.single
+import sycamoremast.coordination.StoreEntry
+import sycamoremast.coordination.store.StoredDocument
+import sycamoremast.standins.KeyValueFaults
+import sycamoremast.standins.KeyValueServer
+
+class ControlFaultsTest {
+    private val service = KeyValueServer.start()
+    private val nodes = mutableListOf<ControlNode>()
+
+    @AfterEach
+    fun close() {
+        service.setFaults(KeyValueFaults())
+        nodes.forEach { it.close() }
+        service.close()
+    }
+
+    private fun node(host: String, zone: String = host.take(1), seeds: Set<String> = emptySet()) =
+        ControlNode(host, zone, "127.0.0.1:${service.port}", seeds).also { nodes += it }
+
+    private fun ControlNode.submit(from: Long, milliCpus: Long, operator: String = "ilze") =
+        replica.submit("nets", from, configurationText("nets", milliCpus), operator)
+
+    private fun ControlNode.relaysBegun() =
+        registry.find("sycamoremast.control.relays.begun").counter()?.count() ?: 0.0
+
+    private fun ControlNode.killed() = also {
+        it.kill()
+        nodes -= it
+    }
+
+    @Test
+    fun `a submit whose answer is lost is found accepted`() {
+        val a = node("a1")
+        service.setFaults(KeyValueFaults(dropAnswers = 1))
+        expectThat(a.submit(0, 1_000)).isEqualTo(SubmitOutcome.Accepted(1, true))
+        service.setFaults(KeyValueFaults(dropAnswers = 3))
+        expectThat(a.submit(1, 2_000)).isEqualTo(SubmitOutcome.Accepted(2, true))
+        expectThat(a.replica.document("nets")?.revision).isEqualTo(2)
+    }
+
+    @Test
+    fun `a submit during an outage is never called accepted and can be repeated`() {
+        val a = node("a1")
+        service.setFaults(KeyValueFaults(down = true))
+        expectThat(a.submit(0, 1_000)).isA<SubmitOutcome.Failed>()
+        expectThat(a.replica.document("nets")).isEqualTo(null)
+        service.setFaults(KeyValueFaults())
+        expectThat(a.submit(0, 1_000)).isEqualTo(SubmitOutcome.Accepted(1, true))
+        expectThat(node("b1").submit(0, 1_000)).isEqualTo(SubmitOutcome.Accepted(1, true))
+    }
+
+    @Test
+    fun `of operators who race each other one wins and the others learn of it`() {
+        val racers = listOf(node("a1"), node("a2"), node("b1"))
+        val pool = Executors.newFixedThreadPool(12)
+        val outcomes = (0 until 12).map { number ->
+            pool.submit(
+                Callable {
+                    "op$number" to
+                        racers[number % 3].submit(0, 1_000L + number, "op$number")
+                }
+            )
+        }.map { it.get() }
+        pool.shutdown()
+        val (accepted, others) = outcomes.partition { it.second is SubmitOutcome.Accepted }
+        val winner = accepted.single().first
+        for ((_, outcome) in others) {
+            expectThat(outcome).isA<SubmitOutcome.LostRace>()
+                .get { current?.operator }.isEqualTo(winner)
+        }
+    }
+
+    @Test
+    fun `another host takes over the watch when the relay dies`() {
+        val a1 = node("a1").start()
+        eventually("a1 is the relay") { a1.relaysBegun() == 1.0 }
+        val a2 = node("a2").start()
+        val b1 = node("b1").start()
+        eventually("all are live") { b1.states().values.count { it == MemberState.LIVE } == 3 }
+        expectThat(a2.relaysBegun()).isEqualTo(0.0)
+        a1.killed()
+        eventually("a2 is the relay") { a2.relaysBegun() == 1.0 }
+        b1.submit(0, 1_000)
+        eventually("in force on a2") { a2.revision("nets") == 1L }
+    }
+
+    @Test
+    fun `a frozen watch does not keep a change from being in force`() {
+        val all = listOf("a1", "a2", "b1").map { node(it).start() }
+        eventually("all are live") {
+            all.all { node -> node.states().values.count { it == MemberState.LIVE } == 3 }
+        }
+        service.setFaults(KeyValueFaults(freezeWatch = true))
+        all[2].submit(0, 1_000)
+        eventually("in force everywhere") { all.all { it.revision("nets") == 1L } }
+    }
+
+    @Test
+    fun `a host started during an outage takes the configuration from its peers`() {
+        val a1 = node("a1").start()
+        a1.submit(0, 1_000)
+        a1.submit(1, 2_000)
+        eventually("a1 is ready") { a1.replica.notReadyBecause().isEmpty() }
+        service.setFaults(KeyValueFaults(down = true))
+        val a2 = node("a2", seeds = setOf(a1.network.address)).start()
+        eventually("a2 is ready") { a2.replica.notReadyBecause().isEmpty() }
+        expectThat(a2.revision("nets")).isEqualTo(2)
+    }
+
+    @Test
+    fun `a host started during an outage without peers is not ready and says why`() {
+        service.setFaults(KeyValueFaults(down = true))
+        val a1 = node("a1").start()
+        eventually("it has tried") { "key-value" in a1.replica.notReadyBecause().joinToString() }
+        expectThat(a1.replica.notReadyBecause()).single().contains("127.0.0.1:${service.port}")
+        service.setFaults(KeyValueFaults())
+        eventually("it is ready") { a1.replica.notReadyBecause().isEmpty() }
+    }
+
+    @Test
+    fun `a document that this version can't read does not take it down`() {
+        val a1 = node("a1").start()
+        val a2 = node("a2").start()
+        a1.submit(0, 1_000)
+        eventually("in force") { a2.revision("nets") == 1L }
+        val key = ControlKeys.configuration("nets")
+        val entry = a1.context.store.get(key).getOrNull() ?: error("no document")
+        val body = """{"team":"nets","revision":2,"schema":99}"""
+        val newer = StoredDocument.parse(entry.value).copy(body = body).print()
+        a1.context.store.compareAndSwap(key, entry.version, newer)
+        eventually("both know of it") {
+            listOf(a1, a2).all { it.replica.unreadableTeams() == setOf("nets") }
+        }
+        for (node in listOf(a1, a2)) {
+            expectThat(node.revision("nets")).isEqualTo(1)
+            expectThat(node.replica.notReadyBecause()).isEmpty()
+        }
+        expectThat(a1.submit(2, 3_000)).isA<SubmitOutcome.Failed>()
+            .get { outcomeUnknown }.isFalse()
+        expectThat(a1.context.store.get(key).getOrNull()?.value).isEqualTo(newer)
+    }
+
+    @Test
+    fun `a host that returns with a clock set back raises its incarnation`() {
+        val former = ControlNode("a1", "a", "127.0.0.1:${service.port}", incarnation = 9_000)
+        former.start()
+        val b1 = node("b1").start()
+        eventually("b1 sees it") { b1.states()["a1"] == MemberState.LIVE }
+        former.kill()
+        val returned = ControlNode("a1", "a", "127.0.0.1:${service.port}", incarnation = 50)
+        nodes += returned.start()
+        eventually("b1 sees the new one") {
+            b1.membership.members().any {
+                it.host == "a1" && it.incarnation == 9_001L && it.state == MemberState.LIVE
+            }
+        }
+        expectThat(returned.membership.notReadyBecause()).isEmpty()
+    }
+
+    @Test
+    fun `a problem is raised once and outlives the host that raised it`() {
+        val a1 = node("a1").start()
+        val b1 = node("b1").start()
+        repeat(3) { a1.problems.raise(ProblemKind.LATE, "nets/anchor", "due 07:00, still running") }
+        eventually("b1 lists it") { b1.problems.list().isNotEmpty() }
+        b1.problems.raise(ProblemKind.LATE, "nets/anchor", "seen here too")
+        a1.killed()
+        eventually("b1's report is written") { b1.problems.waitingReports == 0 }
+        expectThat(b1.problems.list()).single().and {
+            get { raisedBy }.isEqualTo("a1")
+            get { clearedAtMillis }.isEqualTo(null)
+        }
+        b1.problems.clear(ProblemKind.LATE, "nets/anchor")
+        eventually("it is cleared") { b1.problems.list().single().clearedAtMillis != null }
+    }
+
+    @Test
+    fun `reports and audited changes made during an outage are written after it`() {
+        val a1 = node("a1").start()
+        val b1 = node("b1").start()
+        eventually("ready") { a1.replica.isSynced && b1.replica.isSynced }
+        service.setFaults(KeyValueFaults(down = true))
+        a1.problems.raise(ProblemKind.LOST, "nets/review", "no result after 2 h")
+        a1.audit.record(AuditedChange("ilze", "drain", "a1", 0, 0))
+        service.setFaults(KeyValueFaults())
+        eventually("the problem is there") {
+            b1.problems.list().any { it.subject == "nets/review" }
+        }
+        eventually("the change is audited") {
+            b1.audit.list(10, emptyList()).getOrNull().orEmpty().any { it.action == "drain" }
+        }
+    }
+
+    @Test
+    fun `a change is audited though the host that accepted it died before recording it`() {
+        val a1 = node("a1")
+        val b1 = node("b1").start()
+        a1.submit(0, 1_000, "ousmane")
+        a1.killed()
+        eventually("in force on b1") { b1.revision("nets") == 1L }
+        val listed = b1.audit.list(10, b1.replica.documents()).getOrNull().orEmpty()
+        expectThat(listed).any { get { operator }.isEqualTo("ousmane") }
+    }
+
+    @Test
+    fun `a host whose peers are silent but registered is suspect and never gone`() {
+        val a1 = node("a1").start()
+        val b1 = node("b1").start()
+        eventually("live") { a1.states()["b1"] == MemberState.LIVE }
+        b1.network.close()
+        eventually("suspect") { a1.states()["b1"] == MemberState.SUSPECT }
+        val goneAfter = quickTimes.members.goneAfter.inWholeMilliseconds
+        val end = System.nanoTime() + 2 * goneAfter * 1_000_000
+        while (System.nanoTime() < end) {
+            expectThat(a1.states()["b1"]).isEqualTo(MemberState.SUSPECT)
+            Thread.sleep(100)
+        }
+        b1.membership.close()
+        eventually("gone") { a1.states()["b1"] == MemberState.GONE }
+    }
+
+    @Test
+    fun `leases that expire together are granted again`() {
+        val a1 = node("a1").start()
+        val b1 = node("b1").start()
+        val key = ControlKeys.host("a1")
+        eventually("registered") { a1.context.store.get(key).getOrNull() is StoreEntry }
+        service.setFaults(KeyValueFaults(expireLeases = true))
+        eventually("registered again") { a1.context.store.get(key).getOrNull() is StoreEntry }
+        expectThat(b1.states()["a1"] != MemberState.GONE).isTrue()
+    }
+}
--- /dev/null
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/peer/KtorPeerNetworkTest.kt
@@ -0,0 +1,208 @@
+package sycamoremast.daemon.peer
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
+import java.io.DataInputStream
+import java.io.DataOutputStream
+import java.net.ServerSocket
+import java.net.Socket
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isNull
+import strikt.assertions.isTrue
+import sycamoremast.coordination.membership.IncarnationClaim
+import sycamoremast.daemon.control.eventually
+import sycamoremast.daemon.control.quickLimits
+
+class KtorPeerNetworkTest {
+    private val started = mutableListOf<AutoCloseable>()
+
+    private inner class Node(
+        host: String,
+        incarnation: Long = 1,
+        port: Int = 0,
+        limits: PeerLimits = quickLimits
+    ) : AutoCloseable {
+        val registry = SimpleMeterRegistry()
+        val claim = IncarnationClaim(incarnation)
+        val network = KtorPeerNetwork.create(
+            LocalPeer(host, "a", "127.0.0.1", port),
+            claim,
+            registry,
+            limits
+        )
+
+        init {
+            network.start()
+            started += this
+        }
+
+        val hosts get() = network.connected().map { it.host }
+
+        fun dropped(kind: String) =
+            registry.find("sycamoremast.peers.dropped").tag("kind", kind).counter()?.count() ?: 0.0
+
+        override fun close() = network.close()
+    }
+
+    @AfterEach
+    fun close() = started.forEach { it.close() }
+
+    private fun connect(address: String): Socket {
+        val (host, port) = splitAddress(address)
+        return Socket(host, port).also { started += it }
+    }
+
+    private fun Socket.write(frame: PeerFrame) = write(PeerCodec.encode(frame))
+
+    private fun Socket.write(bytes: ByteArray) {
+        val output = DataOutputStream(getOutputStream())
+        output.writeInt(bytes.size)
+        output.write(bytes)
+        output.flush()
+    }
+
+    private fun Socket.readFrame(): PeerFrame {
+        val input = DataInputStream(getInputStream())
+        return PeerCodec.decode(input.readNBytes(input.readInt()))
+    }
+
+    private fun hello(host: String = "raw", incarnation: Long = 1, newest: Int = 1) =
+        PeerFrame.Hello(
+            oldest = newest,
+            newest = newest,
+            identity = PeerIdentity(host, "a", "127.0.0.1:1", incarnation)
+        )
+
+    @Test
+    fun `messages and answers pass both ways over a connection that one side dialled`() {
+        val a = Node("a1")
+        val b = Node("b1")
+        b.network.handle(InForceQuery::class) { from, query -> InForce("$from ${query.team}", 7) }
+        a.network.handle(InForceQuery::class) { _, query -> InForce(query.team, 8) }
+        a.network.dial(setOf(b.network.address))
+        eventually("both are connected") { "b1" in a.hosts && "a1" in b.hosts }
+        expectThat(a.network.ask("b1", InForceQuery("nets"), 5.seconds).getOrNull())
+            .isEqualTo(InForce("a1 nets", 7))
+        expectThat(b.network.ask("a1", InForceQuery("nets"), 5.seconds).getOrNull())
+            .isEqualTo(InForce("nets", 8))
+    }
+
+    @Test
+    fun `a question says whether the peer can have got it`() {
+        val a = Node("a1")
+        val b = Node("b1")
+        expectThat(a.network.ask("b1", RevisionsQuery, 1.seconds).leftOrNull())
+            .isA<PeerError.NotConnected>()
+        expectThat(a.network.send("b1", RevisionsQuery)).isFalse()
+        a.network.dial(setOf(b.network.address))
+        eventually("connected") { "b1" in a.hosts }
+        expectThat(a.network.ask("b1", RevisionsQuery, 50.milliseconds).leftOrNull())
+            .isA<PeerError.NoAnswer>()
+    }
+
+    @Test
+    fun `a malformed or oversized peer is dropped and counted and the others stay`() {
+        val node = Node("a1")
+        val other = Node("b1")
+        other.network.dial(setOf(node.network.address))
+        eventually("the other is connected") { "b1" in node.hosts }
+        val random = Random(5)
+        val cases = listOf<Pair<String, (Socket) -> Unit>>(
+            "malformed" to { it.write(random.nextBytes(40)) },
+            "malformed" to { it.write(PeerFrame.Ping) },
+            "oversized" to { DataOutputStream(it.getOutputStream()).writeInt(Int.MAX_VALUE) },
+            "oversized" to { DataOutputStream(it.getOutputStream()).writeInt(-5) },
+            "oversized" to { it.write(ByteArray(5_000)) },
+            "malformed" to {
+                it.write(hello())
+                it.write(random.nextBytes(300))
+            },
+            "malformed" to {
+                it.write(hello())
+                it.write(PeerFrame.Message("hb", random.nextBytes(30)))
+            },
+            "oversized" to {
+                it.write(hello())
+                DataOutputStream(it.getOutputStream()).writeInt(quickLimits.maxMessageBytes + 1)
+            }
+        )
+        for ((index, case) in cases.withIndex()) {
+            val (kind, attack) = case
+            val before = node.dropped(kind)
+            attack(connect(node.network.address))
+            eventually("case $index is counted as $kind") { node.dropped(kind) == before + 1 }
+        }
+        expectThat(node.hosts).isEqualTo(listOf("b1"))
+    }
+
+    @Test
+    fun `a message of a type that only a later version knows is passed over`() {
+        val node = Node("a1")
+        val raw = connect(node.network.address)
+        raw.write(hello())
+        raw.readFrame()
+        raw.write(PeerFrame.Message("from-the-future", byteArrayOf(1, 2, 3)))
+        eventually("it is counted") {
+            val counter = node.registry.find("sycamoremast.peers.unknown.messages").counter()
+            counter?.count() == 1.0
+        }
+        expectThat(node.hosts).isEqualTo(listOf("raw"))
+    }
+
+    @Test
+    fun `a peer without a common version or with an outdated incarnation is turned away`() {
+        val node = Node("a1")
+        val future = connect(node.network.address)
+        future.write(hello("future", newest = 99))
+        expectThat(future.readFrame()).isA<PeerFrame.Refusal>()
+        val newer = connect(node.network.address)
+        newer.write(hello("raw", incarnation = 9))
+        expectThat(newer.readFrame()).isA<PeerFrame.Hello>()
+        val older = connect(node.network.address)
+        older.write(hello("raw", incarnation = 8))
+        expectThat(older.readFrame()).isA<PeerFrame.Refusal>()
+            .get { knownIncarnation }.isEqualTo(9)
+    }
+
+    @Test
+    fun `a host that returns under its old address replaces its former connection`() {
+        val a = Node("a1")
+        val former = Node("b1", incarnation = 5)
+        a.network.dial(setOf(former.network.address))
+        eventually("connected") { "b1" in a.hosts }
+        val port = splitAddress(former.network.address).second
+        former.close()
+        val returned = Node("b1", incarnation = 3, port = port)
+        eventually("it is back") { "b1" in a.hosts && "a1" in returned.hosts }
+        expectThat(returned.claim.value).isEqualTo(6)
+        expectThat(a.network.connected().single().incarnation).isEqualTo(6)
+        expectThat(returned.claim.supersededBy).isNull()
+    }
+
+    @Test
+    fun `a peer that takes nothing fills a bounded queue and is dropped`() {
+        val server = ServerSocket(0).also { started += it }
+        val limits = quickLimits.copy(maxQueuedMessages = 50, pingAfter = 100.milliseconds)
+        val node = Node("a1", limits = limits)
+        node.network.dial(setOf("127.0.0.1:${server.localPort}"))
+        val raw = server.accept().also { started += it }
+        raw.write(hello("slow"))
+        eventually("connected") { "slow" in node.hosts }
+        val large = Documents(listOf("x".repeat(1_000_000)))
+        var refused = false
+        eventually("the queue is full") {
+            raw.write(PeerFrame.Ping)
+            refused = refused || !node.network.send("slow", large)
+            refused
+        }
+        expectThat(refused).isTrue()
+        eventually("it is dropped") { "slow" !in node.hosts }
+    }
+}
