Wait until a former address is free before binding it again in a test

Cause: the test of a host that returns under its old address bound the port while the closed network still held it, and failed once with 'Address already in use'. Ruled out: a fault of the network itself; closing is asynchronous there. Change: the test waits for the port as a condition.

--- a/daemon/src/test/kotlin/sycamoremast/daemon/peer/KtorPeerNetworkTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/peer/KtorPeerNetworkTest.kt
@@ -3,6 +3,7 @@
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import java.io.DataInputStream
 import java.io.DataOutputStream
+import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.net.Socket
 import kotlin.random.Random
@@ -179,6 +180,7 @@
         eventually("connected") { "b1" in a.hosts }
         val port = splitAddress(former.network.address).second
         former.close()
+        eventually("its address is free again") { isFree(port) }
         val returned = Node("b1", incarnation = 3, port = port)
         eventually("it is back") { "b1" in a.hosts && "a1" in returned.hosts }
         expectThat(returned.claim.value).isEqualTo(6)
@@ -205,4 +207,8 @@
         expectThat(refused).isTrue()
         eventually("it is dropped") { "slow" !in node.hosts }
     }
+
+    private fun isFree(port: Int): Boolean = runCatching {
+        ServerSocket().use { it.bind(InetSocketAddress("127.0.0.1", port)) }
+    }.isSuccess
 }
