--- a/daemon/src/main/kotlin/sycamoremast/daemon/peer/KtorPeerNetwork.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/peer/KtorPeerNetwork.kt
@@ -15,7 +15,6 @@
 import io.ktor.network.sockets.ServerSocket
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
-import io.ktor.network.sockets.isClosed
 import io.ktor.network.sockets.toJavaAddress
 import io.micrometer.core.instrument.MeterRegistry
 import java.io.IOException
@@ -32,7 +31,6 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeoutOrNull
@@ -60,6 +58,9 @@
     private val dialled = ConcurrentHashMap<String, String>()
     private val lastQuestion = AtomicLong()
 
+    @Volatile
+    private var closed = false
+
     @Volatile
     private var server: ServerSocket? = null
 
@@ -82,6 +83,7 @@
     }
 
     override fun close() {
+        closed = true
         connections.forEach { it.close() }
         server?.close()
         scope.cancel()
@@ -139,12 +141,12 @@
     private fun identity() = PeerIdentity(local.host, local.availabilityZone, address, claim.value)
 
     private suspend fun acceptLoop(bound: ServerSocket) {
-        while (scope.isActive && !bound.isClosed) {
+        while (!closed) {
             try {
                 val socket = bound.accept()
                 scope.launch { serve(socket) }
             } catch (e: IOException) {
-                if (!scope.isActive || bound.isClosed) return
+                if (closed) return
                 Logger.warn { event("accept-failed", "step" to "accept", "reason" to e.message) }
                 delay(limits.redial.delayMillis(1, random))
             }
@@ -271,7 +273,7 @@
         (peer?.incarnation ?: other.incarnation) < other.incarnation
 
     private fun ended(connection: PeerConnection, cause: Exception) {
-        if (!scope.isActive) return
+        if (closed) return
         if (cause is PeerViolationException) counters.dropped(cause.kind)
         val name = if (cause is PeerViolationException) "peer-dropped" else "peer-disconnected"
         Logger.warn {
--- a/daemon/src/test/kotlin/sycamoremast/daemon/control/ControlNode.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/control/ControlNode.kt
@@ -55,7 +55,8 @@
     relayTimes: RelayTimes = quickRelay,
     limits: PeerLimits = quickLimits,
     bindPort: Int = 0,
-    advertised: String? = null
+    advertised: String? = null,
+    http: OkHttpClient = quickHttpClient()
 ) : AutoCloseable {
     val registry = SimpleMeterRegistry()
     val claim = IncarnationClaim(incarnation)
@@ -65,7 +66,7 @@
         registry,
         limits
     ).also { it.start() }
-    private val store = HttpKeyValueStore.at(storeAddress, quickHttpClient(), 10.seconds)
+    private val store = HttpKeyValueStore.at(storeAddress, http, 10.seconds)
     val context = ControlContext(host, zone, store, CallBudget(100.0, 100), registry)
     private val peers = ControlPeers.of(network)
     val membership = Membership.create(context, claim, peers, seeds, times)
--- /dev/null
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/control/ControlPartitionTest.kt
@@ -0,0 +1,132 @@
+package sycamoremast.daemon.control
+
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import org.netcrusher.core.reactor.NioReactor
+import strikt.api.expectThat
+import strikt.assertions.containsExactlyInAnyOrder
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThan
+import strikt.assertions.isNotEqualTo
+import sycamoremast.standins.KeyValueFaults
+import sycamoremast.standins.KeyValueServer
+
+class ControlPartitionTest {
+    private val service = KeyValueServer.start()
+    private val reactor = NioReactor()
+    private val proxies = mutableMapOf<String, PeerProxy>()
+    private val nodes = mutableMapOf<String, ControlNode>()
+
+    @AfterEach
+    fun close() {
+        proxies.values.forEach { it.unfreeze() }
+        nodes.values.forEach { it.close() }
+        proxies.values.forEach { it.close() }
+        reactor.close()
+        service.close()
+    }
+
+    private fun startAll(vararg hosts: String) {
+        for (host in hosts) {
+            val proxy = PeerProxy(reactor)
+            proxies[host] = proxy
+            nodes[host] = ControlNode(
+                host,
+                host.take(1),
+                "127.0.0.1:${service.port}",
+                bindPort = proxy.port,
+                advertised = proxy.address
+            ).start()
+        }
+        eventually("all are live") { nodes.values.all { it.liveCount() == hosts.size } }
+    }
+
+    private fun node(host: String) = nodes.getValue(host)
+
+    private fun proxy(host: String) = proxies.getValue(host)
+
+    private fun ControlNode.liveCount() = states().values.count { it == MemberState.LIVE }
+
+    private fun ControlNode.submit(from: Long) =
+        replica.submit("nets", from, configurationText("nets", 1_000 + from), "ilze")
+
+    private fun neverGone(vararg hosts: String) = hosts.forEach { host ->
+        nodes.values.forEach { expectThat(it.states()[host]).isNotEqualTo(MemberState.GONE) }
+    }
+
+    @Test
+    fun `a host that is heard by nobody but hears all is suspect, and back when the cut heals`() {
+        startAll("a1", "b1", "c1")
+        proxy("a1").discardsFromHost = true
+        listOf("b1", "c1").forEach { proxy(it).discardsToHost = true }
+        eventually("suspect on both") {
+            listOf("b1", "c1").all { node(it).states()["a1"] == MemberState.SUSPECT }
+        }
+        neverGone("a1")
+        node("b1").submit(0)
+        eventually("in force on the host that is cut off from its peers") {
+            node("a1").revision("nets") == 1L
+        }
+        proxies.values.forEach {
+            it.discardsFromHost = false
+            it.discardsToHost = false
+        }
+        eventually("live again") { nodes.values.all { it.liveCount() == 3 } }
+    }
+
+    @Test
+    fun `hosts that can't be asked are unconfirmed and catch up when the cut heals`() {
+        startAll("a1", "a2", "b1")
+        proxies.values.forEach { it.freeze() }
+        eventually("a1 is alone") { node("a1").liveCount() == 1 }
+        service.setFaults(KeyValueFaults(freezeWatch = true))
+        node("a1").submit(0)
+        val confirmed = node("a1").replica.confirmations("nets", 1, 1_000)
+        expectThat(confirmed.inForce).containsExactlyInAnyOrder("a1")
+        expectThat(confirmed.unconfirmed).containsExactlyInAnyOrder("a2", "b1")
+        proxies.values.forEach { it.unfreeze() }
+        eventually("all have caught up") { nodes.values.all { it.revision("nets") == 1L } }
+    }
+
+    @Test
+    fun `a host whose address can't be reached stays live as long as it reaches the others`() {
+        startAll("a1", "b1", "c1")
+        proxy("c1").freeze()
+        val end = System.nanoTime() + 2 * quickTimes.members.goneAfter.inWholeNanoseconds
+        while (System.nanoTime() < end) {
+            neverGone("c1")
+            Thread.sleep(100)
+        }
+        eventually("live again by its own dialling") { nodes.values.all { it.liveCount() == 3 } }
+    }
+
+    @Test
+    fun `hosts cut from the service and then from each other never revert and heal`() {
+        startAll("a1", "a2", "b1", "c1")
+        node("a1").submit(0)
+        node("a1").submit(1)
+        eventually("in force") { nodes.values.all { it.revision("nets") == 2L } }
+        service.setFaults(KeyValueFaults(down = true))
+        proxies.values.forEach { it.freeze() }
+        eventually("each is alone") { nodes.values.all { it.liveCount() == 1 } }
+        neverGone("a1", "a2", "b1", "c1")
+        for (node in nodes.values) {
+            expectThat(node.revision("nets")).isEqualTo(2)
+            expectThat(node.replica.notReadyBecause()).isEmpty()
+        }
+        proxies.values.forEach { it.unfreeze() }
+        service.setFaults(KeyValueFaults())
+        val before = service.calls().values.sum()
+        eventually("all are live") { nodes.values.all { it.liveCount() == 4 } }
+        val submitted = node("c1").submit(2)
+        expectThat(submitted).isEqualTo(SubmitOutcome.Accepted(3, true))
+        eventually("in force") { nodes.values.all { it.revision("nets") == 3L } }
+        expectThat(service.calls().values.sum() - before).isLessThan(HEALING_CALLS)
+    }
+
+    private companion object {
+        /** Ten calls a second for each of four hosts over the longest wait. */
+        const val HEALING_CALLS = 800L
+    }
+}
--- /dev/null
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/control/PeerProxy.kt
@@ -0,0 +1,49 @@
+/** A fault-injecting proxy in front of one host's peer address. */
+package sycamoremast.daemon.control
+
+import java.net.ServerSocket
+import java.nio.ByteBuffer
+import org.netcrusher.core.filter.TransformFilter
+import org.netcrusher.core.filter.TransformFilterFactory
+import org.netcrusher.core.reactor.NioReactor
+import org.netcrusher.tcp.TcpCrusherBuilder
+
+/** Passes connections on to [port], and discards what is to be cut off in either direction. */
+internal class PeerProxy(reactor: NioReactor) : AutoCloseable {
+    /** The port that the host itself listens on. */
+    val port = freePort()
+
+    private val bindPort = freePort()
+
+    @Volatile
+    var discardsToHost = false
+
+    @Volatile
+    var discardsFromHost = false
+
+    private val crusher = TcpCrusherBuilder.builder()
+        .withReactor(reactor)
+        .withBindAddress("127.0.0.1", bindPort)
+        .withConnectAddress("127.0.0.1", port)
+        .withOutgoingTransformFilterFactory(filter { discardsToHost })
+        .withIncomingTransformFilterFactory(filter { discardsFromHost })
+        .buildAndOpen()
+
+    /** The address that the host's peers dial. */
+    val address get() = "127.0.0.1:$bindPort"
+
+    /** Stops passing anything on, in either direction, without closing connections. */
+    fun freeze() = crusher.freeze()
+
+    fun unfreeze() {
+        if (crusher.isFrozen) crusher.unfreeze()
+    }
+
+    override fun close() = crusher.close()
+
+    private fun filter(discards: () -> Boolean) = TransformFilterFactory {
+        TransformFilter { bytes: ByteBuffer -> if (discards()) bytes.position(bytes.limit()) }
+    }
+
+    private fun freePort() = ServerSocket(0).use { it.localPort }
+}
