Read all documents again at a bounded rate, in case watches are held back

A service that holds back what watches would see hid a change for good if the host that had accepted it died at once: no heartbeat showed the gap, and a renewed watch was held back too. A relay now reads all documents again every 30 s, or more seldom where they are so large that it would cost more than 500 B/s.

--- a/daemon/src/main/kotlin/sycamoremast/daemon/control/ControlContext.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/control/ControlContext.kt
@@ -22,6 +22,11 @@
     /** The store as single calls use it; writers of documents take from the budget themselves. */
     internal val budgeted: KeyValueStore = BudgetedStore(store, calls, pause = timing.pause)
 
+    init {
+        registry.gauge("sycamoremast.store.calls.taken", calls) { it.taken.toDouble() }
+        registry.gauge("sycamoremast.store.calls.delayed", calls) { it.delayed.toDouble() }
+    }
+
     internal fun nowMillis() = timing.clock.nowMillis()
 
     internal fun writer(key: String, limits: WriterLimits = WriterLimits()) =
--- a/daemon/src/main/kotlin/sycamoremast/daemon/control/ZoneRelay.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/control/ZoneRelay.kt
@@ -16,6 +16,7 @@
 import org.tinylog.kotlin.Logger
 import sycamoremast.coordination.StoreEntry
 import sycamoremast.coordination.StoreError
+import sycamoremast.coordination.StoreListing
 import sycamoremast.coordination.SwapOutcome
 import sycamoremast.coordination.WatchListener
 import sycamoremast.coordination.membership.HostProcess
@@ -27,15 +28,31 @@
  * The intervals of a relay.
  *
  * A watch is renewed from the last revision seen every [renewWatch], so that one which has silently
- * stopped costs no more than that.
+ * stopped costs no more than that. In case the service itself holds back what watches would see, all
+ * documents are read again after [readAgain], or later where they are so large that reading them
+ * would exceed [READ_AGAIN_BYTES_PER_SECOND].
  */
 data class RelayTimes(
     val silentAfter: Duration = 2.seconds,
     val renewWatch: Duration = 3.seconds,
     val refreshHosts: Duration = 3.seconds,
     val takeKeyAgain: Duration = 10.seconds,
+    val readAgain: Duration = 30.seconds,
     val retry: Backoff = Backoff(500.milliseconds, 5.seconds)
-)
+) {
+    /** Returns how long to wait before [bytes] of documents are read again. */
+    internal fun readAgainMillis(bytes: Long): Long = maxOf(
+        readAgain.inWholeMilliseconds,
+        bytes * MILLIS_PER_SECOND / READ_AGAIN_BYTES_PER_SECOND
+    )
+
+    companion object {
+        /** What reading all documents again may cost a relay on average. */
+        const val READ_AGAIN_BYTES_PER_SECOND = 500L
+
+        private const val MILLIS_PER_SECOND = 1_000L
+    }
+}
 
 internal class ZoneRelay(
     private val context: ControlContext,
@@ -50,6 +67,7 @@
     private var nextAttemptMillis = Long.MIN_VALUE
     private var nextRefreshMillis = Long.MIN_VALUE
     private var nextKeyAttemptMillis = Long.MIN_VALUE
+    private var readAgainAtMillis = Long.MAX_VALUE
     private var failures = 0
 
     /** The version of this host's relay key, or 0 if it holds none. */
@@ -111,6 +129,7 @@
 
             is Either.Right -> {
                 failures = 0
+                readAgainLater(listing.value, now)
                 open(listing.value.revision + 1, now)
                 becameRelay()
             }
@@ -153,12 +172,21 @@
                 return
             }
         }
+        if (now >= readAgainAtMillis) {
+            readAgainAtMillis = now + times.readAgain.inWholeMilliseconds
+            replica.readAll().onRight { readAgainLater(it, now) }
+        }
         if (now >= nextKeyAttemptMillis) {
             nextKeyAttemptMillis = now + times.takeKeyAgain.inWholeMilliseconds
             holdKey()
         }
     }
 
+    private fun readAgainLater(listing: StoreListing, now: Long) {
+        val bytes = listing.entries.sumOf { it.value.length.toLong() }
+        readAgainAtMillis = now + times.readAgainMillis(bytes)
+    }
+
     /** Takes the relay key, or confirms that it is still this host's. */
     private fun holdKey() {
         val lease = membership.lease ?: return
--- a/daemon/src/test/kotlin/sycamoremast/daemon/control/ControlCostTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/control/ControlCostTest.kt
@@ -3,8 +3,8 @@
  *
  * All hosts run in this one process with their default intervals. Its processor time includes the
  * stand-in service, the compiler and the test itself; that of control's threads does not. System properties
- * `control.hosts`, `control.zones`, `control.changesPerMinute`, `control.burst`, `control.jobs` and
- * `control.seconds` set another size.
+ * `control.hosts`, `control.zones`, `control.changesPerMinute`, `control.burst`, `control.jobs`,
+ * `control.seconds` and `control.outageSeconds` set another size.
  */
 package sycamoremast.daemon.control
 
@@ -30,6 +30,7 @@
 import sycamoremast.configuration.TeamConfiguration
 import sycamoremast.daemon.log.event
 import sycamoremast.daemon.peer.PeerLimits
+import sycamoremast.standins.KeyValueFaults
 import sycamoremast.standins.KeyValueServer
 
 class ControlCostTest {
@@ -39,6 +40,7 @@
     private val burst = Integer.getInteger("control.burst", 0)
     private val jobs = Integer.getInteger("control.jobs", 14)
     private val seconds = Integer.getInteger("control.seconds", 5)
+    private val outageSeconds = Integer.getInteger("control.outageSeconds", 0)
     private val service = KeyValueServer.start()
     private val httpBytes = AtomicLong()
     private val nodes = (0 until hosts).map { number ->
@@ -76,13 +78,35 @@
         val calls = service.calls().values.sum() - before.calls.values.sum()
         val allowed = (hosts + 3 * zones) * before.elapsedSeconds() + 4 * (changesInAll() + burst)
         expectThat(calls.toDouble()).isLessThan(allowed)
+        if (outageSeconds > 0) outage()
         expectThat(nodes.filter { it.replica.notReadyBecause().isNotEmpty() }).isEmpty()
     }
 
     private fun changesInAll() = changesPerMinute * seconds / 60
 
-    private fun relays() = nodes.sumOf {
-        it.registry.find("sycamoremast.control.relays.begun").counter()?.count() ?: 0.0
+    private fun relays() = nodes.sumOf { it.relaysBegun() }
+
+    /** Counts the calls of each second after an outage. */
+    private fun outage() {
+        val callsBefore = service.calls().values.sum()
+        service.setFaults(KeyValueFaults(down = true))
+        Thread.sleep(outageSeconds * 1_000L)
+        val during = Reading()
+        service.setFaults(KeyValueFaults())
+        val perSecond = (1..OBSERVED_SECONDS).map {
+            val start = service.calls().values.sum()
+            Thread.sleep(1_000)
+            service.calls().values.sum() - start
+        }
+        eventually("all watch again") { nodes.all { it.replica.notReadyBecause().isEmpty() } }
+        println(
+            event(
+                "control-outage",
+                "seconds" to outageSeconds,
+                "callsInOutage" to during.calls.values.sum() - callsBefore,
+                "callsPerSecondAfter" to perSecond
+            )
+        )
     }
 
     private fun change(team: String, number: Int) {
@@ -200,6 +224,7 @@
     private companion object {
         const val WARM_UP_MILLIS = 3_000L
         const val TEAMS = 5
+        const val OBSERVED_SECONDS = 15
         val CONTROL_THREADS = listOf("control-", "DefaultDispatcher", "store-watch", "OkHttp")
     }
 }
--- a/daemon/src/test/kotlin/sycamoremast/daemon/control/ControlFaultsTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/control/ControlFaultsTest.kt
@@ -35,9 +35,6 @@
     private fun ControlNode.submit(from: Long, milliCpus: Long, operator: String = "ilze") =
         replica.submit("nets", from, configurationText("nets", milliCpus), operator)
 
-    private fun ControlNode.relaysBegun() =
-        registry.find("sycamoremast.control.relays.begun").counter()?.count() ?: 0.0
-
     private fun ControlNode.killed() = also {
         it.kill()
         nodes -= it
@@ -110,6 +107,17 @@
         eventually("in force everywhere") { all.all { it.revision("nets") == 1L } }
     }
 
+    @Test
+    fun `a frozen watch and the death of the accepting host do not hide a change for long`() {
+        val all = listOf("a1", "b1").map { node(it).start() }
+        eventually("both watch") { all.all { it.relaysBegun() == 1.0 } }
+        service.setFaults(KeyValueFaults(freezeWatch = true))
+        val accepting = node("c1")
+        accepting.submit(0, 1_000)
+        accepting.killed()
+        eventually("in force") { all.all { it.revision("nets") == 1L } }
+    }
+
     @Test
     fun `a host started during an outage takes the configuration from its peers`() {
         val a1 = node("a1").start()
--- a/daemon/src/test/kotlin/sycamoremast/daemon/control/ControlNode.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/control/ControlNode.kt
@@ -31,6 +31,7 @@
     renewWatch = 1.seconds,
     refreshHosts = 500.milliseconds,
     takeKeyAgain = 1.seconds,
+    readAgain = 3.seconds,
     retry = Backoff(100.milliseconds, 1.seconds)
 )
 
@@ -84,6 +85,9 @@
 
     fun revision(team: String) = replica.inForce()[team]?.revision ?: 0
 
+    /** How often this host began to watch for its zone. */
+    fun relaysBegun() = registry.find("sycamoremast.control.relays.begun").counter()?.count() ?: 0.0
+
     fun states() = membership.members().associate { it.host to it.state }
 
     override fun close() {
--- a/daemon/src/test/kotlin/sycamoremast/daemon/control/ControlPartitionTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/control/ControlPartitionTest.kt
@@ -9,6 +9,7 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.isLessThan
 import strikt.assertions.isNotEqualTo
+import strikt.assertions.isTrue
 import sycamoremast.standins.KeyValueFaults
 import sycamoremast.standins.KeyValueServer
 
@@ -101,6 +102,23 @@
         eventually("live again by its own dialling") { nodes.values.all { it.liveCount() == 3 } }
     }
 
+    @Test
+    fun `a host that is cut off from its zone's relay watches for itself`() {
+        startAll("a1", "a2")
+        proxies.values.forEach { it.freeze() }
+        eventually("each is alone") { nodes.values.all { it.liveCount() == 1 } }
+        val accepting = ControlNode("c1", "c", "127.0.0.1:${service.port}")
+        nodes["c1"] = accepting
+        accepting.submit(0)
+        eventually("in force on both") {
+            listOf("a1", "a2").all { node(it).revision("nets") == 1L }
+        }
+        val watching = listOf("a1", "a2").map { node(it).relaysBegun() }
+        expectThat(watching.all { it >= 1.0 }).isTrue()
+        proxies.values.forEach { it.unfreeze() }
+        eventually("live again") { node("a1").liveCount() == 2 && node("a2").liveCount() == 2 }
+    }
+
     @Test
     fun `hosts cut from the service and then from each other never revert and heal`() {
         startAll("a1", "a2", "b1", "c1")
