--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/JobRow.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/JobRow.kt
@@ -2,6 +2,8 @@
 package sycamoremast.coordination.shard
 
 import sycamoremast.coordination.Checkpoint
+import sycamoremast.coordination.placement.ExpectedTime
+import sycamoremast.coordination.placement.WaitingJob
 import sycamoremast.coordination.record.JobKey
 import sycamoremast.coordination.record.JobRecord
 import sycamoremast.coordination.record.JobSpec
@@ -11,6 +13,11 @@
     val key: JobKey = record.key
     val live = LinkedHashMap<Int, LiveTask>()
     val checkpoints = HashMap<Int, Checkpoint>()
+    var expected = ExpectedTime(record.spec?.expectedMillis ?: 0)
+
+    /** Since when the job has waited for a place of a task. */
+    var waitingSinceMillis = 0L
+    private val rackLoad = HashMap<String, Int>()
     private val failures = HashMap<Int, Int>()
 
     /** Whether the job's end is on its way into the document. */
@@ -21,6 +28,7 @@
     private var cursor = 0
 
     val spec: JobSpec? get() = record.spec
+    val isLong: Boolean get() = waiting(nowMillis = 0).isLong
     val isOpen: Boolean get() = record.state == JobState.ACCEPTED && !isEnding
 
     /** Whether the outcome of the task [index] is decided, or on its way into the document. */
@@ -71,5 +79,25 @@
         }
     }
 
+    /** Returns the job as the queue's order sees it. */
+    fun waiting(nowMillis: Long): WaitingJob {
+        val open = live.values.firstOrNull()?.startedMillis
+        val estimate = if (open == null) expected else expected.withOpenRun(nowMillis - open)
+        return WaitingJob(
+            team = key.team,
+            need = resources,
+            isUrgent = spec?.urgent == true,
+            expectedMillis = estimate.millis,
+            waitedMillis = (nowMillis - waitingSinceMillis).coerceAtLeast(0)
+        )
+    }
+
+    /** Returns how many of the job's tasks are in [rack]. */
+    fun rackLoad(rack: String) = rackLoad[rack] ?: 0
+
+    fun changeRackLoad(rack: String, by: Int) {
+        rackLoad.merge(rack, by, Int::plus)
+    }
+
     private fun isWaiting(index: Int) = index !in live && !isDecided(index)
 }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/LiveTask.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/LiveTask.kt
@@ -5,32 +5,38 @@
 import sycamoremast.coordination.Resources
 
 /** Where a placed task stands. */
-internal enum class LivePhase { RECORDING, STARTING, RUNNING, STOPPING, HELD }
+internal enum class LivePhase { RECORDING, STARTING, RUNNING, CHECKPOINTING, STOPPING, HELD }
 
 /**
  * An attempt of the task [index] of [job] on [worker].
  *
  * [epoch] is the one under which it was ordered and [incarnation] that of the worker at that time.
+ * [startedMillis] is null for a task that an earlier owner started.
  */
 internal class LiveTask(
     val job: JobRow,
     val index: Int,
     val attempt: Int,
     val worker: WorkerRow,
-    val resources: Resources
+    val resources: Resources,
+    val startedMillis: Long?
 ) {
     val id: String = job.key.taskId(index)
+    val isLong = job.isLong
+    val rack = worker.slot.rack
     var phase = LivePhase.STARTING
     var epoch = worker.session.epoch
     var incarnation = worker.incarnation
-    var checkpoint: Checkpoint? = null
 
     /** The number of the newest call when the worker confirmed the task. */
     var confirmedByCall = 0L
 
-    /** When the next stop order is due. */
-    var stopDueMillis = Long.MIN_VALUE
+    /** When the next order to checkpoint or to stop is due, and how many were given. */
+    var orderDueMillis = Long.MIN_VALUE
+    var orders = 0
 
-    /** Whether the worker's capacity is still committed to the task. */
-    val holdsResources: Boolean get() = phase != LivePhase.HELD
+    /** Whether the worker's capacity is committed to the task. */
+    var isCommitted = false
+
+    val checkpoint: Checkpoint? get() = job.checkpoints[index]
 }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/ShardEvent.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/ShardEvent.kt
@@ -4,6 +4,7 @@
 import arrow.core.Either
 import sycamoremast.coordination.LeaseId
 import sycamoremast.coordination.ListedHost
+import sycamoremast.coordination.Resources
 import sycamoremast.coordination.StartOrder
 import sycamoremast.coordination.StoreEntry
 import sycamoremast.coordination.StoreError
@@ -37,9 +38,17 @@
     /** The platform lists these workers of the shard. */
     data class WorkersListed(val workers: List<ListedHost>) : Listing
 
-    /** The team's configuration at [revision] has these jobs of the shard. */
-    data class JobsListed(val team: String, val revision: Long, val jobs: Map<String, JobSpec>) :
-        Listing
+    /**
+     * The team's configuration at [revision] has these jobs of the shard.
+     *
+     * [quota] is the most that the team's tasks may hold in this shard.
+     */
+    data class JobsListed(
+        val team: String,
+        val revision: Long,
+        val jobs: Map<String, JobSpec>,
+        val quota: Resources? = null
+    ) : Listing
 
     /** An operator cancels a job of [tasks] tasks. */
     data class CancelRequested(val key: JobKey, val tasks: Int, val reason: String) : Listing
--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/ShardMachine.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/ShardMachine.kt
@@ -9,6 +9,8 @@
 package sycamoremast.coordination.shard
 
 import sycamoremast.coordination.ListedHost
+import sycamoremast.coordination.placement.FailureJudge
+import sycamoremast.coordination.placement.HeldShares
 import sycamoremast.coordination.record.DocumentChange
 import sycamoremast.coordination.record.JobKey
 import sycamoremast.coordination.record.JobRecord
@@ -21,20 +23,25 @@
     private val ownership = Ownership(settings, ::newCall)
     private val ledger = DocumentLedger(settings.writer, BackOff(settings.retryMillis))
     private var out = ArrayList<ShardAction>()
-    private val tasks = TaskTable(settings, ledger::submit) { out += it }
+    private val shares = HeldShares()
+    private val judge = FailureJudge(settings.attemptsPerTask)
+    private val tasks = TaskTable(shares, judge, ledger::submit) { out += it }
     private val workers = WorkerTable(settings, tasks, ::newCall)
-    private val dispatcher = Dispatcher(tasks)
+    private val dispatcher = Dispatcher(tasks, workers, shares, judge, ledger::submit)
     private val listedJobs = HashMap<String, ShardEvent.JobsListed>()
     private var listedWorkers = emptyList<ListedHost>()
     private var epoch = 0L
     private var recovered = false
     private var releasing = false
+    private var sweptMillis = Long.MIN_VALUE
+    private var placementDueMillis = Long.MIN_VALUE
 
     /** Returns the actions that follow from [event] at [nowMillis]. */
     fun handle(event: ShardEvent, nowMillis: Long): List<ShardAction> {
         out = ArrayList()
+        tasks.nowMillis = nowMillis
         when (event) {
-            is ShardEvent.Tick -> Unit
+            is ShardEvent.Tick -> sweptMillis = Long.MIN_VALUE
             is ShardEvent.ReleaseRequested -> releasing = true
             is ShardEvent.Listing -> onListing(event)
             is ShardEvent.OwnershipAnswer -> onOwnership(event, nowMillis)
@@ -61,14 +68,13 @@
 
     private fun proceed(nowMillis: Long) {
         if (!ownership.tick(nowMillis, out)) stepDown("lease-lapsed", nowMillis)
-        if (isOwner) {
-            workers.expire(nowMillis)
-            recover()
-        }
+        val sweeps = isOwner && isSweepDue(nowMillis)
+        if (sweeps) sweep(nowMillis)
+        if (isOwner) recover()
         if (ownership.isReliable(nowMillis) && !releasing) {
-            workers.renew(nowMillis, out)
-            place(nowMillis)
-            workers.stopTasks(nowMillis, out)
+            if (sweeps) workers.renew(nowMillis, out)
+            dispatcher.place(epoch, recovered, nowMillis, out)
+            workers.endTasks(nowMillis, out)
         }
         if (isOwner || ownership.phase == OwnershipPhase.TAKING_OVER) {
             ledger.nextCall(nowMillis, ::newCall)?.let { out += it }
@@ -76,10 +82,17 @@
         if (releasing) release(nowMillis)
     }
 
-    private fun place(nowMillis: Long) {
-        val usable = workers.usable(nowMillis)
-        if (usable.isEmpty()) return
-        dispatcher.place(usable, epoch, recovered, ledger::submit, out)
+    private fun isSweepDue(nowMillis: Long) =
+        sweptMillis == Long.MIN_VALUE || nowMillis >= sweptMillis + SWEEP_MILLIS
+
+    /** Does what would cost too much after every event. */
+    private fun sweep(nowMillis: Long) {
+        sweptMillis = nowMillis
+        workers.expire(nowMillis)
+        shares.capacity = workers.capacity()
+        if (nowMillis < placementDueMillis) return
+        placementDueMillis = nowMillis + settings.heartbeatMillis
+        tasks.isPlacementDue = true
     }
 
     private fun release(nowMillis: Long) {
@@ -191,6 +204,7 @@
         val known = listedJobs[event.team]
         if (known != null && known.revision >= event.revision) return
         listedJobs[event.team] = event
+        event.quota?.let { shares.setQuota(event.team, it) }
         if (isOwner) acceptJobs(event)
     }
 
@@ -226,8 +240,13 @@
     private fun recover() {
         if (recovered || !workers.areSettled) return
         recovered = true
+        tasks.isPlacementDue = true
         tasks.loseUnfoundStarts(epoch)
     }
+
+    private companion object {
+        const val SWEEP_MILLIS = 20L
+    }
 }
 
 /** What a shard's machine knows; [running] counts each job's placed tasks. */
--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/TaskTable.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/TaskTable.kt
@@ -1,16 +1,10 @@
-/**
- * Every job and placed task of a shard, and what the workers' reports mean for them.
- *
- * A task is taken to be gone from a worker only if that is certain: the worker reported a final
- * phase; or its report, asked for after the task was confirmed or under a later generation than its
- * start, lacks the task; or the worker's lease has certainly lapsed.
- */
+/** Every job and placed task of a shard, and the steps that a task goes through. */
 package sycamoremast.coordination.shard
 
 import sycamoremast.coordination.Resources
-import sycamoremast.coordination.TaskPhase
-import sycamoremast.coordination.TaskReport
-import sycamoremast.coordination.WorkerReport
+import sycamoremast.coordination.placement.FailureJudge
+import sycamoremast.coordination.placement.FailureVerdict
+import sycamoremast.coordination.placement.HeldShares
 import sycamoremast.coordination.record.DocumentChange
 import sycamoremast.coordination.record.JobKey
 import sycamoremast.coordination.record.JobRecord
@@ -18,20 +12,33 @@
 import sycamoremast.coordination.record.ShardDocument
 
 internal class TaskTable(
-    private val settings: ShardSettings,
+    private val shares: HeldShares,
+    private val judge: FailureJudge,
     private val submit: (DocumentChange) -> Unit,
     private val note: (ShardAction) -> Unit
 ) {
     val jobs = LinkedHashMap<JobKey, JobRow>()
 
-    fun clear() = jobs.clear()
+    /** The tasks that are to checkpoint or to stop. */
+    val ending = LinkedHashSet<LiveTask>()
+    var nowMillis = 0L
+
+    /** Whether something has changed since the last placement that may allow another. */
+    var isPlacementDue = true
+
+    fun clear() {
+        jobs.clear()
+        ending.clear()
+        shares.clear()
+    }
 
     /** Takes over the records of [document], and stops what they no longer allow to run. */
     fun sync(document: ShardDocument) {
         for (record in document.jobs) {
             val row = jobs[record.key]
             if (row == null) {
-                jobs[record.key] = JobRow(record)
+                jobs[record.key] = JobRow(record).also { it.waitingSinceMillis = nowMillis }
+                isPlacementDue = true
             } else if (row.record !== record) {
                 row.takeRecord(record)
             }
@@ -49,8 +56,8 @@
             when (task.phase) {
                 LivePhase.HELD -> if (job.record.state != JobState.ACCEPTED) acknowledge(task)
                 LivePhase.RECORDING -> remove(task)
-                LivePhase.STARTING, LivePhase.RUNNING -> task.phase = LivePhase.STOPPING
                 LivePhase.STOPPING -> Unit
+                else -> stop(task)
             }
         }
     }
@@ -67,144 +74,78 @@
         task.job.live[task.index] = task
         task.worker.live[task.id] = task
         task.job.sawAttempt(task.index, task.attempt)
+        task.job.changeRackLoad(task.rack, 1)
+        task.worker.slot.commit(task.resources)
+        judge.started(task.job.key, task.worker.name)
+        shares.hold(task.job.key.team, task.resources, task.isLong)
+        task.isCommitted = true
     }
 
     fun remove(task: LiveTask) {
         if (task.job.live[task.index] === task) task.job.live.remove(task.index)
         if (task.worker.live[task.id] === task) task.worker.live.remove(task.id)
+        ending -= task
+        release(task)
     }
 
-    /** Takes in [report], which [worker] gave to the renewal [call] under [epoch]. */
-    fun onReport(
-        worker: WorkerRow,
-        report: WorkerReport,
-        call: Long,
-        epoch: Long,
-        restarted: Boolean
-    ) {
-        worker.foreign.clear()
-        report.tasks.forEach { observe(worker, it, call) }
-        val reported = report.tasks.mapTo(HashSet()) { it.taskId }
-        worker.live.values
-            .filter { it.id !in reported && it.phase != LivePhase.HELD }
-            .filter { isCertainlyGone(it, call, epoch, restarted) }
-            .forEach { gone(it, isNeverStarted(it, worker)) }
-    }
-
-    private fun isCertainlyGone(
-        task: LiveTask,
-        call: Long,
-        epoch: Long,
-        restarted: Boolean
-    ): Boolean = when {
-        task.phase == LivePhase.RECORDING -> false
-        task.confirmedByCall > 0 -> restarted || task.confirmedByCall < call
-        else -> task.epoch < epoch
-    }
-
-    private fun isNeverStarted(task: LiveTask, worker: WorkerRow) =
-        task.confirmedByCall == 0L && task.incarnation == worker.incarnation
-
-    /** Takes in what [worker] says of one task, in answer to the call number [call]. */
-    fun observe(worker: WorkerRow, report: TaskReport, call: Long) {
-        val task = worker.live[report.taskId]
-        if (task != null && task.attempt == report.attempt) {
-            observePlaced(task, report, call)
-        } else if (task == null) {
-            observeUnplaced(worker, report, call)
-        }
-    }
-
-    private fun observePlaced(task: LiveTask, report: TaskReport, call: Long) {
-        task.checkpoint = report.checkpoint ?: task.checkpoint
-        task.job.sawCheckpoint(task.index, report.checkpoint)
-        when (report.phase) {
-            TaskPhase.RUNNING -> {
-                if (task.confirmedByCall == 0L) task.confirmedByCall = call
-                if (task.phase == LivePhase.STARTING) task.phase = LivePhase.RUNNING
-            }
-
-            TaskPhase.FINISHED -> finish(task)
-
-            TaskPhase.FAILED -> {
-                task.worker.acknowledged += task.id
-                remove(task)
-                fail(task)
-            }
-
-            TaskPhase.STOPPED -> {
-                task.worker.acknowledged += task.id
-                gone(task, neverStarted = false)
-            }
-        }
-    }
-
-    private fun observeUnplaced(worker: WorkerRow, report: TaskReport, call: Long) {
-        val (key, index) = JobKey.parseTaskIdOrNull(report.taskId) ?: (null to 0)
-        val job = jobs[key]
-        val undecided = job != null && job.isOpen && !job.isDecided(index)
-        val other = job?.live?.get(index)
-        val wanted = undecided && (other == null || canSupersede(other, report))
-        if (job != null && wanted) {
-            job.sawAttempt(index, report.attempt)
-            job.sawCheckpoint(index, report.checkpoint)
-        }
-        when {
-            job == null -> dismiss(worker, report, isDurable = true)
-
-            !wanted -> dismiss(worker, report, job.isDurablyDecided(index))
-
-            report.phase == TaskPhase.STOPPED && !isNeverRepeated(job) ->
-                worker.acknowledged += report.taskId
-
-            else -> {
-                other?.let(::supersede)
-                val task = LiveTask(job, index, report.attempt, worker, report.resources)
-                add(task)
-                observePlaced(task, report, call)
-            }
-        }
+    /** Gives back what was committed to [task], which certainly no longer runs. */
+    private fun release(task: LiveTask) {
+        if (!task.isCommitted) return
+        task.isCommitted = false
+        task.job.changeRackLoad(task.rack, -1)
+        task.worker.slot.release(task.resources)
+        shares.release(task.job.key.team, task.resources, task.isLong)
+        isPlacementDue = true
     }
 
-    /** A start that is still under way must not reach its worker after the task has finished. */
-    private fun canSupersede(task: LiveTask, report: TaskReport) =
-        report.phase == TaskPhase.FINISHED && task.confirmedByCall > 0
-
-    /** Stops a task whose earlier attempt turns out to have finished. */
-    private fun supersede(task: LiveTask) {
-        task.job.live.remove(task.index)
+    /** Stops [task]; its capacity stays committed until the worker confirms that. */
+    fun stop(task: LiveTask) {
         task.phase = LivePhase.STOPPING
+        task.orderDueMillis = Long.MIN_VALUE
+        ending += task
     }
 
-    private fun dismiss(worker: WorkerRow, report: TaskReport, isDurable: Boolean) {
-        when (report.phase) {
-            TaskPhase.RUNNING -> worker.foreign[report.taskId] = report.resources
-            TaskPhase.FINISHED -> if (isDurable) worker.acknowledged += report.taskId
-            else -> worker.acknowledged += report.taskId
-        }
+    /** Checkpoints [task] and then stops it, so that it goes on elsewhere. */
+    fun evict(task: LiveTask) {
+        task.phase = LivePhase.CHECKPOINTING
+        task.orders = 0
+        task.orderDueMillis = Long.MIN_VALUE
+        ending += task
     }
 
-    private fun finish(task: LiveTask) {
+    /** Holds the result of [task] until its completion is durable. */
+    fun finish(task: LiveTask) {
         val job = task.job
         if (job.isDurablyDecided(task.index)) return acknowledge(task)
         if (task.phase == LivePhase.HELD || !job.isOpen || job.isDecided(task.index)) return
         task.phase = LivePhase.HELD
+        ending -= task
+        release(task)
+        judge.succeeded(task.worker.name)
+        task.startedMillis?.let { job.expected = job.expected.withRun(nowMillis - it) }
         task.job.decide(task.index)
         submit(DocumentChange.FinishTasks(task.job.key, listOf(task.index)))
     }
 
-    private fun fail(task: LiveTask) {
+    /** Tries [task], which failed, again or stops its job. */
+    fun fail(task: LiveTask) {
+        acknowledge(task)
         val job = task.job
         if (!job.isOpen || job.isDecided(task.index)) return
-        val failures = job.sawFailure(task.index)
-        when {
-            isNeverRepeated(job) -> end(job, "task ${task.index} failed on ${task.worker.name}")
+        val verdict = judge.failed(job.key, task.index, task.worker.name, nowMillis)
+        if (isNeverRepeated(job)) {
+            return end(job, "task ${task.index} failed on ${task.worker.name}")
+        }
+        when (verdict) {
+            is FailureVerdict.StopJob -> return end(job, verdict.reason)
 
-            failures >= settings.attemptsPerTask ->
-                end(job, "task ${task.index} failed $failures times")
+            is FailureVerdict.RetryAfterPause ->
+                task.worker.slot.pausedUntilMillis = verdict.untilMillis
 
-            else -> job.requeue(task.index)
+            is FailureVerdict.Quarantine ->
+                note(ShardAction.Note("quarantine", task.worker.name, verdict.evidence))
         }
+        job.requeue(task.index)
     }
 
     private fun end(job: JobRow, reason: String) {
@@ -213,7 +154,7 @@
         settle(job)
     }
 
-    private fun acknowledge(task: LiveTask) {
+    fun acknowledge(task: LiveTask) {
         task.worker.acknowledged += task.id
         remove(task)
     }
@@ -248,7 +189,7 @@
 
     /** Takes every task off [worker], whose lease has certainly lapsed. */
     fun waitedOut(worker: WorkerRow) {
-        worker.foreign.clear()
+        worker.clearForeign()
         worker.live.values
             .filter { it.phase != LivePhase.HELD }
             .forEach { gone(it, neverStarted = it.phase == LivePhase.RECORDING) }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/WorkerRow.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/WorkerRow.kt
@@ -7,6 +7,7 @@
 import sycamoremast.coordination.WorkerReport
 import sycamoremast.coordination.lease.LeaseTiming
 import sycamoremast.coordination.lease.WorkerSession
+import sycamoremast.coordination.placement.WorkerSlot
 
 internal class WorkerRow(val name: String, var session: WorkerSession) {
     var listed: ListedHost? = null
@@ -15,8 +16,7 @@
     /** Whether nothing of an earlier epoch can run here unknown to the owner. */
     var isSettled = false
     var incarnation: String? = null
-    var capacity = Resources.NONE
-    var rack = ""
+    val slot = WorkerSlot(name)
     var leaseRemainingMillis = 0L
     var renewalCall: Long? = null
     var renewalEpoch = 0L
@@ -30,26 +30,17 @@
     val foreign = LinkedHashMap<String, Resources>()
     var foreignStopDueMillis = Long.MIN_VALUE
 
-    /** Until when no task is placed here, after a start that failed. */
-    var pausedUntilMillis = Long.MIN_VALUE
-
     /** Whether a task may be on the worker that its lease's end would stop. */
     val mayRunTasks: Boolean
         get() = foreign.isNotEmpty() || live.values.any { it.phase != LivePhase.HELD }
 
-    /** Whether new tasks may be placed here. */
+    /** Whether a task may be ordered here now. */
     val isUsable: Boolean
         get() = session.fenced &&
             isRecorded &&
             leaseRemainingMillis > 0 &&
             listed?.state == HostState.LIVE
 
-    /** The amounts that are committed here, whatever is really used. */
-    fun committed(): Resources {
-        val placed = live.values.filter { it.holdsResources }.map { it.resources }
-        return (placed + foreign.values).fold(Resources.NONE, Resources::plus)
-    }
-
     /** Takes over what [report] says of the worker itself; returns whether it has restarted. */
     fun onReport(report: WorkerReport, timing: LeaseTiming, nowMillis: Long): Boolean {
         val restarted = incarnation != null && incarnation != report.incarnation
@@ -63,10 +54,13 @@
         }
         isSettled = true
         incarnation = report.incarnation
-        capacity = report.capacity
-        rack = report.rack
+        slot.capacity = report.capacity
+        slot.rack = report.rack
         leaseRemainingMillis = report.leaseRemainingMillis
-        acknowledged.retainAll(report.tasks.map { it.taskId }.toSet())
+        if (acknowledged.isNotEmpty()) {
+            acknowledged.retainAll(report.tasks.map { it.taskId }.toSet())
+        }
+        refreshSlot()
         return restarted
     }
 
@@ -75,5 +69,22 @@
         session = session.nextGeneration()
         leaseRemainingMillis = 0
         renewalDueMillis = Long.MIN_VALUE
+        refreshSlot()
+    }
+
+    /** Opens the slot for placement, or closes it, by what is known now. */
+    fun refreshSlot() {
+        slot.isOpen = isUsable
+    }
+
+    /** Commits the amount of a running task that the owner did not place. */
+    fun addForeign(taskId: String, amount: Resources) {
+        foreign.put(taskId, amount)?.let { slot.release(it) }
+        slot.commit(amount)
+    }
+
+    fun clearForeign() {
+        foreign.values.forEach { slot.release(it) }
+        foreign.clear()
     }
 }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/WorkerTable.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/WorkerTable.kt
@@ -9,10 +9,12 @@
 import arrow.core.Either
 import sycamoremast.coordination.LeaseRenewal
 import sycamoremast.coordination.ListedHost
+import sycamoremast.coordination.Resources
 import sycamoremast.coordination.TaskAction
 import sycamoremast.coordination.TaskReport
 import sycamoremast.coordination.WorkerError
 import sycamoremast.coordination.lease.WorkerSession
+import sycamoremast.coordination.placement.WorkerIndex
 
 internal class WorkerTable(
     private val settings: ShardSettings,
@@ -21,43 +23,64 @@
 ) {
     private val rows = LinkedHashMap<String, WorkerRow>()
     private var epoch = 0L
+    private val reports = ReportReader(tasks)
+    val index = WorkerIndex()
 
     val size: Int get() = rows.size
     val areSettled: Boolean get() = rows.values.all { it.isSettled }
 
     /** Begins an ownership under [newEpoch], in which [recorded] workers may hold tasks. */
     fun takeOver(newEpoch: Long, recorded: List<String>, nowMillis: Long) {
-        rows.clear()
+        clear()
         epoch = newEpoch
         val overAt = settings.workerTiming.certainlyOverAt(nowMillis)
         for (name in recorded) {
             val row = WorkerRow(name, WorkerSession(epoch, overAt))
             row.isRecorded = true
-            rows[name] = row
+            add(row)
         }
     }
 
-    fun clear() = rows.clear()
+    fun clear() {
+        rows.clear()
+        index.clear()
+    }
+
+    fun row(name: String): WorkerRow? = rows[name]
+
+    private fun add(row: WorkerRow) {
+        rows[row.name] = row
+        index.add(row.slot)
+    }
 
     /** Takes over the platform's listing; returns the workers that are new. */
     fun list(listed: List<ListedHost>): List<String> {
         val byName = listed.associateBy { it.name }
-        rows.values.forEach { it.listed = byName[it.name] }
+        for (row in rows.values) {
+            row.listed = byName[row.name]
+            row.refreshSlot()
+        }
         val added = (byName.keys - rows.keys).toList()
         for (name in added) {
             val row = WorkerRow(name, WorkerSession(epoch, overAtMillis = 0))
             row.listed = byName[name]
             row.isSettled = true
-            rows[name] = row
+            add(row)
         }
         return added
     }
 
-    fun markRecorded(names: List<String>) = names.forEach { rows[it]?.isRecorded = true }
+    fun markRecorded(names: List<String>) {
+        for (row in names.mapNotNull { rows[it] }) {
+            row.isRecorded = true
+            row.refreshSlot()
+        }
+        tasks.isPlacementDue = true
+    }
 
-    /** Returns the workers on which tasks may be placed now. */
-    fun usable(nowMillis: Long): List<WorkerRow> =
-        rows.values.filter { it.isUsable && nowMillis >= it.pausedUntilMillis }
+    /** Returns the capacity of all workers on which tasks may be placed. */
+    fun capacity(): Resources = rows.values.filter { it.slot.isOpen }
+        .fold(Resources.NONE) { sum, row -> sum + row.slot.capacity }
 
     fun renew(nowMillis: Long, out: MutableList<ShardAction>) {
         for (row in rows.values) {
@@ -86,8 +109,10 @@
 
             is Either.Right -> {
                 val report = result.value
+                val wasOpen = row.slot.isOpen
                 val restarted = row.onReport(report, settings.workerTiming, nowMillis)
-                tasks.onReport(row, report, event.call, row.renewalEpoch, restarted)
+                reports.onReport(row, report, event.call, row.renewalEpoch, restarted)
+                if (!wasOpen && row.slot.isOpen) tasks.isPlacementDue = true
                 if (report.leaseRemainingMillis <= 0) row.renewalDueMillis = nowMillis
             }
         }
@@ -111,7 +136,7 @@
     }
 
     private fun onStartFailed(row: WorkerRow, task: LiveTask, error: WorkerError, nowMillis: Long) {
-        row.pausedUntilMillis = nowMillis + settings.heartbeatMillis
+        row.slot.pausedUntilMillis = nowMillis + settings.heartbeatMillis
         if (error is WorkerError.AnswerLost || task.confirmedByCall > 0) return
         tasks.gone(task, neverStarted = true)
     }
@@ -119,13 +144,21 @@
     fun onControlled(event: ShardEvent.Controlled): Boolean {
         val row = rows[event.worker] ?: return true
         when (val result = event.result) {
-            is Either.Right -> observe(row, result.value)
+            is Either.Right -> onControlled(row, event, result.value)
             is Either.Left -> return onError(row, result.value, event.epoch)
         }
         return true
     }
 
-    private fun observe(row: WorkerRow, report: TaskReport) = tasks.observe(row, report, newCall())
+    private fun onControlled(row: WorkerRow, event: ShardEvent.Controlled, report: TaskReport) {
+        observe(row, report)
+        val task = row.live[event.taskId] ?: return
+        val isSaved = event.action == TaskAction.CHECKPOINT && report.attempt == task.attempt
+        if (isSaved && task.phase == LivePhase.CHECKPOINTING) tasks.stop(task)
+    }
+
+    private fun observe(row: WorkerRow, report: TaskReport) =
+        reports.observe(row, report, newCall())
 
     private fun onError(row: WorkerRow, error: WorkerError, calledEpoch: Long): Boolean {
         when (error) {
@@ -152,22 +185,33 @@
         }
     }
 
-    /** Orders the stop of tasks that may not run on, again and again until it is confirmed. */
-    fun stopTasks(nowMillis: Long, out: MutableList<ShardAction>) {
-        for (row in rows.values.filter { it.session.fenced }) {
-            if (nowMillis >= row.foreignStopDueMillis) {
-                row.foreignStopDueMillis = nowMillis + settings.heartbeatMillis
-                row.foreign.keys.forEach { out += stopOrder(row, it) }
-            }
-            row.live.values
-                .filter { it.phase == LivePhase.STOPPING && nowMillis >= it.stopDueMillis }
-                .forEach {
-                    it.stopDueMillis = nowMillis + settings.heartbeatMillis
-                    out += stopOrder(row, it.id)
-                }
+    /** Orders the end of tasks that may not run on, again and again until it is confirmed. */
+    fun endTasks(nowMillis: Long, out: MutableList<ShardAction>) {
+        for (row in rows.values) {
+            if (row.foreign.isEmpty() || !row.session.fenced) continue
+            if (nowMillis < row.foreignStopDueMillis) continue
+            row.foreignStopDueMillis = nowMillis + settings.heartbeatMillis
+            row.foreign.keys.forEach { out += order(row, it, TaskAction.STOP) }
         }
+        tasks.ending
+            .filter { it.worker.session.fenced && nowMillis >= it.orderDueMillis }
+            .forEach { end(it, nowMillis, out) }
     }
 
-    private fun stopOrder(row: WorkerRow, taskId: String) =
-        ShardAction.Control(row.name, taskId, row.session.epoch, TaskAction.STOP)
+    private fun end(task: LiveTask, nowMillis: Long, out: MutableList<ShardAction>) {
+        val gaveUp = task.orders >= CHECKPOINT_ORDERS
+        if (task.phase == LivePhase.CHECKPOINTING && gaveUp) tasks.stop(task)
+        task.orderDueMillis = nowMillis + settings.heartbeatMillis
+        task.orders++
+        val isCheckpointing = task.phase == LivePhase.CHECKPOINTING
+        val action = if (isCheckpointing) TaskAction.CHECKPOINT else TaskAction.STOP
+        out += order(task.worker, task.id, action)
+    }
+
+    private fun order(row: WorkerRow, taskId: String, action: TaskAction) =
+        ShardAction.Control(row.name, taskId, row.session.epoch, action)
+
+    private companion object {
+        const val CHECKPOINT_ORDERS = 3
+    }
 }
--- a/coordination/src/test/kotlin/sycamoremast/coordination/shard/Checker.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/shard/Checker.kt
@@ -29,6 +29,7 @@
     private val neverRepeated: Set<JobKey>
 ) {
     private val runs = HashMap<String, Int>()
+    val startedMillis = HashMap<String, Long>()
     private val finishedRuns = HashSet<String>()
 
     fun require(holds: Boolean, message: () -> String) {
@@ -38,6 +39,7 @@
     fun onStart(worker: SimulatedWorker, task: SimulatedWorker.Task, now: Long) {
         val id = task.order.taskId
         val (key, index) = JobKey.parseTaskIdOrNull(id) ?: error("no task id: $id")
+        startedMillis.putIfAbsent(id, now)
         val record = document().job(key)
         require(record != null) { "$id started before its job was accepted" }
         require(record == null || index !in record.finished) { "$id started after it finished" }
--- /dev/null
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/shard/DecisionTimeTest.kt
@@ -0,0 +1,33 @@
+/** Prints what a placement costs the owner of a thousand and of ten thousand workers. */
+package sycamoremast.coordination.shard
+
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import sycamoremast.coordination.Resources
+import sycamoremast.coordination.record.JobSpec
+
+class DecisionTimeTest {
+    @ParameterizedTest
+    @ValueSource(ints = [1_000, 1_000, 10_000])
+    fun `every task of a full shard is placed within its workers' capacity`(workers: Int) {
+        val shard = AnsweredShard(workers)
+        val jobs = (0 until JOBS).associate { "job$it" to spec(workers * TASKS_PER_WORKER / JOBS) }
+        shard.deliver(ShardEvent.JobsListed("team", 1, jobs))
+        val begin = System.nanoTime()
+        shard.deliver(ShardEvent.Tick)
+        shard.answerUntil { shard.starts >= workers * TASKS_PER_WORKER }
+        val micros = (System.nanoTime() - begin) / NANOS_PER_MICRO / shard.starts
+        println("decision-time workers=$workers starts=${shard.starts} microsPerStart=$micros")
+        expectThat(shard.starts).isEqualTo(workers * TASKS_PER_WORKER)
+    }
+
+    private fun spec(tasks: Int) = JobSpec(tasks, Resources(8_000, 8_000), expectedMillis = 10)
+
+    private companion object {
+        const val JOBS = 20
+        const val TASKS_PER_WORKER = 4
+        const val NANOS_PER_MICRO = 1_000
+    }
+}
--- a/coordination/src/test/kotlin/sycamoremast/coordination/shard/Schedule.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/shard/Schedule.kt
@@ -19,9 +19,15 @@
 import sycamoremast.coordination.record.JobSpec
 import sycamoremast.coordination.record.JobState
 
-internal class Schedule(private val seed: Long, private val bugs: Set<PlantedBug> = emptySet()) {
+internal class Schedule(
+    private val seed: Long,
+    private val bugs: Set<PlantedBug> = emptySet(),
+    chosenJobs: Map<JobKey, JobSpec>? = null,
+    private val faults: Schedule.() -> Unit = Schedule::plantRandomFaults
+) {
     private val random = Random(seed)
-    private val jobs = randomJobs()
+    private val jobs = (chosenJobs ?: randomJobs()).toMutableMap()
+    private var revision = 1L
     private val checker: Checker = Checker(
         seed,
         { workers.values },
@@ -31,7 +37,7 @@
     val store = SimulatedStore(checker)
     private val workers: Map<String, SimulatedWorker> = (1..3).map { newWorker("w$it") }
         .associateBy { it.name }
-    private val hosts = (1..2).map { Host("h$it") }
+    val hosts = (1..2).map { Host("h$it") }
     private val queue = PriorityQueue<Timed>(compareBy<Timed>({ it.atMillis }, { it.order }))
     private var order = 0L
     private var now = 0L
@@ -41,7 +47,7 @@
     private class Timed(val atMillis: Long, val order: Long, val action: () -> Unit)
 
     /** An entry host: its machine, its clock, and whether it is paused. */
-    private inner class Host(val name: String) {
+    inner class Host(val name: String) {
         private val rate = 1 + random.nextDouble(-DRIFT, DRIFT)
         private val offset = random.nextLong(1_000_000)
         private var life = 0
@@ -66,11 +72,19 @@
 
         fun begin() {
             deliver(ShardEvent.WorkersListed(workers.keys.map(::listing)), life)
-            deliver(ShardEvent.JobsListed("team", 1, jobs.mapKeys { it.key.name }), life)
+            deliver(listing(), life)
             tick(life)
             poll(life)
         }
 
+        private fun listing() =
+            ShardEvent.JobsListed("team", revision, jobs.mapKeys { it.key.name })
+
+        /** Hears of the newest configuration. */
+        fun listJobs() = deliver(listing())
+
+        val isOwner: Boolean get() = isAlive && machine.snapshot().isOwner
+
         private fun tick(of: Int) {
             deliver(ShardEvent.Tick, of)
             if (of == life) after(TICK_MILLIS) { tick(of) }
@@ -202,7 +216,8 @@
     /** Runs the schedule; throws [BrokenPromise] if a promise is broken. */
     fun run() {
         hosts.forEach { it.begin() }
-        plantFaults()
+        faults()
+        after(CALM_MILLIS) { calm() }
         val keys = jobs.keys
         while (queue.isNotEmpty() && now < END_MILLIS) {
             val next = queue.remove()
@@ -302,13 +317,27 @@
 
     // Faults
 
-    private fun plantFaults() {
+    private fun plantRandomFaults() {
         repeat(random.nextInt(1, 7)) {
             after(random.nextLong(CALM_MILLIS)) { plant(random.nextInt(7)) }
         }
-        after(CALM_MILLIS) { calm() }
     }
 
+    /** Accepts [job] at [atMillis], by a configuration that every host hears of. */
+    fun submitAt(atMillis: Long, key: JobKey, job: JobSpec) = after(atMillis) {
+        jobs[key] = job
+        revision++
+        hosts.forEach { it.listJobs() }
+    }
+
+    /** Ends the owner's process at [atMillis]. */
+    fun killOwnerAt(atMillis: Long) = after(atMillis) {
+        hosts.filter { it.isOwner }.forEach { it.isAlive = false }
+    }
+
+    /** When the task [taskId] was first started, or null if it never was. */
+    fun startedMillis(taskId: String): Long? = checker.startedMillis[taskId]
+
     private fun plant(kind: Int) {
         val host = hosts.random(random)
         val worker = workers.values.random(random)
--- a/daemon/src/main/kotlin/sycamoremast/daemon/batch/BatchScheduler.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/batch/BatchScheduler.kt
@@ -3,6 +3,8 @@
 
 import arrow.core.Either
 import io.micrometer.core.instrument.MeterRegistry
+import sycamoremast.configuration.Job
+import sycamoremast.configuration.Quota
 import sycamoremast.configuration.operator.ErrorView
 import sycamoremast.configuration.operator.JobView
 import sycamoremast.configuration.operator.ShardView
@@ -30,6 +32,9 @@
     /** Returns the job after its cancellation by [operator] is durable, or why it is not. */
     fun cancel(team: String, job: String, operator: String): Either<ErrorView, JobView>
 
+    /** Returns why no task of [job] could ever run under [quota], or null if one could. */
+    fun whyNeverFits(team: String, job: Job, quota: Quota): String?
+
     /** Returns the shards that this daemon owns. */
     fun shards(): List<ShardView>
 }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/batch/ShardedBatchScheduler.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/batch/ShardedBatchScheduler.kt
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit
 import org.tinylog.kotlin.Logger
 import sycamoremast.configuration.Job
+import sycamoremast.configuration.Quota
 import sycamoremast.configuration.Repeat
 import sycamoremast.configuration.Urgency
 import sycamoremast.configuration.operator.ErrorView
@@ -21,6 +22,7 @@
 import sycamoremast.coordination.Resources
 import sycamoremast.coordination.StoreError
 import sycamoremast.coordination.WorkerPort
+import sycamoremast.coordination.placement.whyNeverFits
 import sycamoremast.coordination.record.DocumentChange
 import sycamoremast.coordination.record.JobKey
 import sycamoremast.coordination.record.JobRecord
@@ -47,6 +49,10 @@
     private val loops = (0 until settings.shards).map { newLoop(ShardId(zone, it)) }
     private val editors = ConcurrentHashMap<ShardId, DocumentEditor>()
 
+    /** The workers of every availability zone. */
+    @Volatile
+    private var everyListed = emptyList<ListedHost>()
+
     @Volatile
     private var documents = emptyMap<ShardId, ShardDocument>()
 
@@ -97,6 +103,15 @@
         }
     }
 
+    override fun whyNeverFits(team: String, job: Job, quota: Quota): String? {
+        val shard = settings.shardOf(team, job)
+        val workers = everyListed.filter { it.availabilityZone == shard.availabilityZone }
+            .filter { settings.shardOf(it.name) == shard.number }
+            .map { it.capacity }
+            .filter { it != Resources.NONE }
+        return whyNeverFits(job.toSpec(), workers, quota.toResources())
+    }
+
     override fun shards(): List<ShardView> = loops
         .map { it.id to it.snapshot() }
         .filter { (_, snapshot) -> snapshot.isOwner }
@@ -135,18 +150,20 @@
     }
 
     private fun onConfiguration(applied: AppliedConfiguration) {
-        val jobs = applied.configuration.jobs
-            .filter { it.availabilityZone == zone }
-            .groupBy { settings.shardOf("${applied.team}/${it.name}") }
+        val team = applied.team
+        val jobs = applied.configuration.jobs.groupBy { settings.shardOf(team, it) }
+        val quotas = settings.quotaParts(applied.configuration)
         for (loop in loops) {
-            val specs = jobs[loop.id.number].orEmpty().associate { it.name to it.toSpec() }
-            loop.post(ShardEvent.JobsListed(applied.team, applied.revision, specs))
+            val specs = jobs[loop.id].orEmpty().associate { it.name to it.toSpec() }
+            val quota = quotas[loop.id]
+            loop.post(ShardEvent.JobsListed(team, applied.revision, specs, quota))
         }
     }
 
     private fun listWorkers() {
         val hosts = ports.hosts.hosts().getOrNull() ?: return
-        val workers = hosts.filter { it.role == HostRole.WORKER && it.availabilityZone == zone }
+        everyListed = hosts.filter { it.role == HostRole.WORKER }
+        val workers = everyListed.filter { it.availabilityZone == zone }
         workers.forEach { listed[it.name] = it }
         val byShard = workers.groupBy { settings.shardOf(it.name) }
         loops.forEach { it.post(ShardEvent.WorkersListed(byShard[it.id.number].orEmpty())) }
