--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/RequestPath.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/RequestPath.kt
@@ -13,6 +13,7 @@
 import sycamoremast.coordination.HostList
 import sycamoremast.coordination.KeyValueStore
 import sycamoremast.coordination.MonotonicClock
+import sycamoremast.coordination.store.CallBudget
 import sycamoremast.daemon.control.ConfigurationView
 import sycamoremast.daemon.control.MembershipView
 import sycamoremast.daemon.control.ProblemReporter
@@ -23,9 +24,12 @@
     /** Answers callers' requests; it never throws. */
     val handler: HttpHandler
 
-    /** Begins to follow the host list. */
+    /** Begins to follow the host list and the membership. */
     fun start()
 
+    /** Returns why callers must not be sent here yet; empty once they may. */
+    fun notReadyBecause(): List<String>
+
     /** Begins a graceful stop: requests in progress are finished, then new ones are refused. */
     fun beginDrain()
 
@@ -45,9 +49,13 @@
     val hostList: HostList,
     val problems: ProblemReporter,
     val meters: MeterRegistry,
+    val storeCalls: CallBudget = CallBudget(STORE_CALLS_PER_SECOND, STORE_CALL_BURST),
     val clock: MonotonicClock = MonotonicClock.system()
 )
 
+private const val STORE_CALLS_PER_SECOND = 100.0
+private const val STORE_CALL_BURST = 200
+
 /** Returns the request path over [ports]. */
 fun requestPath(ports: RequestPathPorts, settings: RequestPathSettings): RequestPath =
     ForwardingRequestPath(ports, settings)
