Go on without the service as long as the workers show that no other host has taken over

An owner whose lease has lapsed may renew and start only while most recorded workers answer under its epoch; a successor waits for unreachable workers until enough others have taken its epoch. Two such groups always share a worker.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/lease/WorkerSession.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/lease/WorkerSession.kt
@@ -44,6 +44,9 @@
             fenced = true
         )
 
+    /** Returns this session, known to be over by [atMillis] at the latest. */
+    fun overBy(atMillis: Long) = copy(overAtMillis = minOf(overAtMillis, atMillis))
+
     /** Returns the session of the next generation. */
     fun nextGeneration() = copy(generation = generation + 1, fenced = false)
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/DocumentLedger.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/DocumentLedger.kt
@@ -38,6 +38,12 @@
     /** Whether every change is durable. */
     val isSettled: Boolean get() = waiting.isEmpty() && sent == null
 
+    /** Whether the recorded set of workers is known, no change of it being under way. */
+    val isWorkerSetCertain: Boolean
+        get() = sent?.changes.orEmpty().none {
+            it is DocumentChange.AddWorkers || it is DocumentChange.RemoveWorkers
+        }
+
     /** Forgets all changes; the document is read anew. */
     fun reset() {
         waiting = ArrayList()
--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/Ownership.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/Ownership.kt
@@ -34,6 +34,12 @@
     fun isReliable(nowMillis: Long) =
         phase == OwnershipPhase.OWNING && lease?.isReliable(nowMillis) == true
 
+    /** Whether the lease lapsed less than the longest time ago that an owner may go on without it. */
+    fun isWithinCutOff(nowMillis: Long): Boolean {
+        val lapsed = lease?.reliableUntilMillis ?: return false
+        return phase == OwnershipPhase.OWNING && nowMillis < lapsed + settings.longestCutOffMillis
+    }
+
     /** Makes the next call, if one is due; returns false if the lease lapsed on the way. */
     fun tick(nowMillis: Long, out: MutableList<ShardAction>): Boolean {
         if (phase == OwnershipPhase.TAKING_OVER) return lease?.isReliable(nowMillis) == true
--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/ShardMachine.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/ShardMachine.kt
@@ -43,7 +43,7 @@
         when (event) {
             is ShardEvent.Tick -> sweptMillis = Long.MIN_VALUE
             is ShardEvent.ReleaseRequested -> releasing = true
-            is ShardEvent.Listing -> onListing(event)
+            is ShardEvent.Listing -> onListing(event, nowMillis)
             is ShardEvent.OwnershipAnswer -> onOwnership(event, nowMillis)
             is ShardEvent.DocumentAnswer -> onDocument(event, nowMillis)
             is ShardEvent.WorkerAnswer -> onWorker(event, nowMillis)
@@ -71,7 +71,7 @@
         val sweeps = isOwner && isSweepDue(nowMillis)
         if (sweeps) sweep(nowMillis)
         if (isOwner) recover()
-        if (ownership.isReliable(nowMillis) && !releasing) {
+        if (mayAct(nowMillis) && !releasing) {
             if (sweeps) workers.renew(nowMillis, out)
             dispatcher.place(epoch, recovered, nowMillis, out)
             workers.endTasks(nowMillis, out)
@@ -82,6 +82,19 @@
         if (releasing) release(nowMillis)
     }
 
+    /**
+     * Whether the owner may renew and start now.
+     *
+     * Without a reliable lease it may as long as the workers themselves show that no other host has
+     * taken over.
+     */
+    private fun mayAct(nowMillis: Long): Boolean = ownership.isReliable(nowMillis) ||
+        (
+            ownership.isWithinCutOff(nowMillis) &&
+                ledger.isWorkerSetCertain &&
+                workers.mayGoOn(nowMillis)
+            )
+
     private fun isSweepDue(nowMillis: Long) =
         sweptMillis == Long.MIN_VALUE || nowMillis >= sweptMillis + SWEEP_MILLIS
 
@@ -93,6 +106,10 @@
         if (nowMillis < placementDueMillis) return
         placementDueMillis = nowMillis + settings.heartbeatMillis
         tasks.isPlacementDue = true
+        val forgettable = workers.forgettable(nowMillis)
+        if (forgettable.isNotEmpty()) {
+            ledger.submit(DocumentChange.RemoveWorkers(forgettable))
+        }
     }
 
     private fun release(nowMillis: Long) {
@@ -166,6 +183,7 @@
             when (change) {
                 is DocumentChange.FinishTasks -> tasks.onFinishDurable(change.key, change.indices)
                 is DocumentChange.RecordStart -> dispatcher.onStartRecorded(change, out)
+                is DocumentChange.RemoveWorkers -> workers.forget(change.workers)
                 is DocumentChange.AddWorkers -> workers.markRecorded(change.workers)
                 else -> Unit
             }
@@ -176,17 +194,17 @@
         ownership.onTakenOver(nowMillis)
         workers.takeOver(epoch, ledger.document.workers, nowMillis)
         out += ShardAction.Note("take-over", settings.owner, "epoch $epoch")
-        listWorkers()
+        listWorkers(nowMillis)
         listedJobs.values.forEach { acceptJobs(it) }
     }
 
-    private fun onListing(event: ShardEvent.Listing) {
+    private fun onListing(event: ShardEvent.Listing, nowMillis: Long) {
         when (event) {
             is ShardEvent.DocumentChanged -> ledger.requireRead()
 
             is ShardEvent.WorkersListed -> {
                 listedWorkers = event.workers
-                if (isOwner) listWorkers()
+                if (isOwner) listWorkers(nowMillis)
             }
 
             is ShardEvent.JobsListed -> listJobs(event)
@@ -195,8 +213,8 @@
         }
     }
 
-    private fun listWorkers() {
-        val added = workers.list(listedWorkers)
+    private fun listWorkers(nowMillis: Long) {
+        val added = workers.list(listedWorkers, nowMillis)
         if (added.isNotEmpty()) ledger.submit(DocumentChange.AddWorkers(added))
     }
 
@@ -230,7 +248,11 @@
 
     private fun onWorker(event: ShardEvent.WorkerAnswer, nowMillis: Long) {
         val isStillOwner = when (event) {
-            is ShardEvent.Renewed -> workers.onRenewed(event, nowMillis)
+            is ShardEvent.Renewed -> workers.onRenewed(
+                event,
+                ownership.isReliable(nowMillis),
+                nowMillis
+            )
             is ShardEvent.Started -> workers.onStarted(event, nowMillis)
             is ShardEvent.Controlled -> workers.onControlled(event)
         }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/ShardSettings.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/ShardSettings.kt
@@ -6,7 +6,8 @@
 /**
  * How [owner] runs a shard.
  *
- * [writer] differs between any two runs of the program, so that their writes can be told apart.
+ * [longestCutOffMillis] bounds how long an owner goes on that is cut off from the service; it has to
+ * be the same on every host. [writer] differs between any two runs of the program, so that their writes can be told apart.
  */
 data class ShardSettings(
     val owner: String,
@@ -14,6 +15,7 @@
     val ownerTiming: LeaseTiming,
     val workerTiming: LeaseTiming,
     val heartbeatMillis: Long,
+    val longestCutOffMillis: Long = DEFAULT_LONGEST_CUT_OFF_MILLIS,
     val retryMillis: Long = DEFAULT_RETRY_MILLIS,
     val attemptsPerTask: Int = DEFAULT_ATTEMPTS_PER_TASK
 ) {
@@ -21,6 +23,9 @@
         /** The pause before a failed call on the service is repeated. */
         const val DEFAULT_RETRY_MILLIS = 200L
 
+        /** How long an owner goes on that is cut off from the service. */
+        const val DEFAULT_LONGEST_CUT_OFF_MILLIS = 3_600_000L
+
         /** The number of failed attempts of one task that fail its job. */
         const val DEFAULT_ATTEMPTS_PER_TASK = 4
     }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/WorkerRow.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/WorkerRow.kt
@@ -15,12 +15,25 @@
 
     /** Whether nothing of an earlier epoch can run here unknown to the owner. */
     var isSettled = false
+
+    /** Whether the worker has answered under the owner's shard epoch. */
+    var isFencedOnce = false
     var incarnation: String? = null
     val slot = WorkerSlot(name)
     var leaseRemainingMillis = 0L
     var renewalCall: Long? = null
     var renewalEpoch = 0L
     var renewalDueMillis = Long.MIN_VALUE
+    var renewalSentMillis = Long.MIN_VALUE
+
+    /** When the newest renewal was sent that the worker has answered. */
+    var answeredMillis = Long.MIN_VALUE
+
+    /** The worker's incarnation when the owner's lease was last reliable. */
+    var trustedIncarnation: String? = null
+
+    /** Since when the platform does not list the worker. */
+    var unlistedSinceMillis: Long? = null
     val live = LinkedHashMap<String, LiveTask>()
 
     /** Results that the worker may forget. */
@@ -53,6 +66,7 @@
             )
         }
         isSettled = true
+        isFencedOnce = true
         incarnation = report.incarnation
         slot.capacity = report.capacity
         slot.rack = report.rack
--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/WorkerTable.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/WorkerTable.kt
@@ -13,6 +13,7 @@
 import sycamoremast.coordination.TaskAction
 import sycamoremast.coordination.TaskReport
 import sycamoremast.coordination.WorkerError
+import sycamoremast.coordination.lease.WorkerQuorum
 import sycamoremast.coordination.lease.WorkerSession
 import sycamoremast.coordination.placement.WorkerIndex
 
@@ -23,6 +24,8 @@
 ) {
     private val rows = LinkedHashMap<String, WorkerRow>()
     private var epoch = 0L
+    private var quorum = WorkerQuorum(0)
+    private var isSuccessionOver = false
     private val reports = ReportReader(tasks)
     val index = WorkerIndex()
 
@@ -33,7 +36,8 @@
     fun takeOver(newEpoch: Long, recorded: List<String>, nowMillis: Long) {
         clear()
         epoch = newEpoch
-        val overAt = settings.workerTiming.certainlyOverAt(nowMillis)
+        quorum = WorkerQuorum(recorded.size)
+        val overAt = nowMillis + settings.longestCutOffMillis + successionMillis()
         for (name in recorded) {
             val row = WorkerRow(name, WorkerSession(epoch, overAt))
             row.isRecorded = true
@@ -41,9 +45,46 @@
         }
     }
 
+    /** How long an earlier owner's leases may last once enough workers took a later epoch. */
+    private fun successionMillis() =
+        2 * (settings.workerTiming.ttlMillis + settings.workerTiming.marginMillis)
+
+    /** Shortens the wait for unreachable workers once an earlier owner can no longer go on. */
+    private fun endSuccession(nowMillis: Long) {
+        if (isSuccessionOver) return
+        if (rows.values.count { it.isRecorded && it.isFencedOnce } < quorum.toSucceed) return
+        isSuccessionOver = true
+        val overAt = nowMillis + successionMillis()
+        rows.values.filter { !it.isSettled }.forEach { it.session = it.session.overBy(overAt) }
+    }
+
+    /** Returns whether so many workers answer that no other owner can have succeeded. */
+    fun mayGoOn(nowMillis: Long): Boolean {
+        val recorded = rows.values.filter { it.isRecorded }
+        val since = nowMillis - settings.workerTiming.ttlMillis
+        val answering = recorded.count {
+            it.answeredMillis >= since && it.incarnation == it.trustedIncarnation
+        }
+        return answering >= WorkerQuorum(recorded.size).toGoOn
+    }
+
+    /** Returns the workers that the platform no longer lists and that certainly hold nothing. */
+    fun forgettable(nowMillis: Long): List<String> = rows.values
+        .filter { it.isRecorded && it.isSettled && it.session.isOver(nowMillis) }
+        .filter { it.live.isEmpty() && it.foreign.isEmpty() }
+        .filter { row ->
+            row.unlistedSinceMillis?.let { nowMillis >= it + FORGET_AFTER_MILLIS } ?: false
+        }
+        .map { it.name }
+
+    fun forget(names: List<String>) {
+        for (row in names.mapNotNull { rows.remove(it) }) index.remove(row.slot)
+    }
+
     fun clear() {
         rows.clear()
         index.clear()
+        isSuccessionOver = false
     }
 
     fun row(name: String): WorkerRow? = rows[name]
@@ -54,10 +95,13 @@
     }
 
     /** Takes over the platform's listing; returns the workers that are new. */
-    fun list(listed: List<ListedHost>): List<String> {
+    fun list(listed: List<ListedHost>, nowMillis: Long): List<String> {
         val byName = listed.associateBy { it.name }
         for (row in rows.values) {
             row.listed = byName[row.name]
+            val isListed = row.listed != null
+            row.unlistedSinceMillis =
+                if (isListed) null else row.unlistedSinceMillis ?: nowMillis
             row.refreshSlot()
         }
         val added = (byName.keys - rows.keys).toList()
@@ -87,6 +131,7 @@
             if (row.renewalCall != null || nowMillis < row.renewalDueMillis) continue
             row.session = row.session.renewalSent(settings.workerTiming)
             row.renewalEpoch = row.session.epoch
+            row.renewalSentMillis = nowMillis
             row.renewalDueMillis = nowMillis + settings.heartbeatMillis
             val renewal = LeaseRenewal(
                 owner = settings.owner,
@@ -100,7 +145,8 @@
         }
     }
 
-    fun onRenewed(event: ShardEvent.Renewed, nowMillis: Long): Boolean {
+    /** Takes in an answer to a renewal; [isReliable] is whether the owner's lease is. */
+    fun onRenewed(event: ShardEvent.Renewed, isReliable: Boolean, nowMillis: Long): Boolean {
         val row = rows[event.worker]
         if (row == null || row.renewalCall != event.call) return true
         row.renewalCall = null
@@ -109,11 +155,16 @@
 
             is Either.Right -> {
                 val report = result.value
+                row.answeredMillis = row.renewalSentMillis
+                if (isReliable) row.trustedIncarnation = report.incarnation
+                val isFirstContact = row.session.echoArrivedMillis == null
                 val wasOpen = row.slot.isOpen
                 val restarted = row.onReport(report, settings.workerTiming, nowMillis)
                 reports.onReport(row, report, event.call, row.renewalEpoch, restarted)
+                endSuccession(nowMillis)
                 if (!wasOpen && row.slot.isOpen) tasks.isPlacementDue = true
-                if (report.leaseRemainingMillis <= 0) row.renewalDueMillis = nowMillis
+                val grantedNothing = isFirstContact || report.leaseRemainingMillis <= 0
+                if (grantedNothing) row.renewalDueMillis = nowMillis
             }
         }
         return true
@@ -213,5 +264,8 @@
 
     private companion object {
         const val CHECKPOINT_ORDERS = 3
+
+        /** How long a worker must be off the platform's list before its record is dropped. */
+        const val FORGET_AFTER_MILLIS = 60_000L
     }
 }
--- a/coordination/src/test/kotlin/sycamoremast/coordination/shard/Checker.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/shard/Checker.kt
@@ -28,7 +28,7 @@
     private val document: () -> ShardDocument,
     private val neverRepeated: Set<JobKey>
 ) {
-    private val runs = HashMap<String, Int>()
+    val runs = HashMap<String, Int>()
     val startedMillis = HashMap<String, Long>()
     private val finishedRuns = HashSet<String>()
 
--- /dev/null
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/shard/CutOffTest.kt
@@ -0,0 +1,52 @@
+/** A shard whose hosts are all cut off from the service. */
+package sycamoremast.coordination.shard
+
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
+import sycamoremast.coordination.Resources
+import sycamoremast.coordination.lease.WorkerQuorum
+import sycamoremast.coordination.record.JobKey
+import sycamoremast.coordination.record.JobSpec
+
+class CutOffTest {
+    private val key = JobKey("team", "survey")
+
+    @Test
+    fun `claimed work goes on while the service is out of reach`() {
+        val spec = JobSpec(6, Resources(2_000, 2_000), expectedMillis = 12_000)
+        val disturbed = countDisturbed(spec, longestCutOffMillis = 10_000)
+        val baseline = countDisturbed(spec, longestCutOffMillis = 0)
+        println("cut-off schedules=$SCHEDULES disturbed=$disturbed whenLeaseIsNeeded=$baseline")
+        expectThat(disturbed).isEqualTo(0)
+        expectThat(baseline).isGreaterThan(0)
+    }
+
+    private fun countDisturbed(spec: JobSpec, longestCutOffMillis: Long) =
+        (1L..SCHEDULES).count { seed ->
+            val schedule = Schedule(
+                seed,
+                chosenJobs = mapOf(key to spec),
+                losesCalls = false,
+                longestCutOffMillis = longestCutOffMillis
+            ) { cutServiceAt(2_000, 9_000) }
+            schedule.run()
+            (0 until spec.tasks).any { schedule.runs(key.taskId(it)) != 1 }
+        }
+
+    @ParameterizedTest
+    @ValueSource(ints = [1, 2, 3, 4, 5, 8, 45, 1_000])
+    fun `a successor's workers and those of an owner that goes on always share one`(workers: Int) {
+        val quorum = WorkerQuorum(workers)
+        expectThat(quorum.toGoOn + quorum.toSucceed).isEqualTo(workers + 1)
+        expectThat(quorum.toGoOn).isLessThan(workers + 1)
+    }
+
+    private companion object {
+        const val SCHEDULES = 100L
+    }
+}
--- a/coordination/src/test/kotlin/sycamoremast/coordination/shard/Schedule.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/shard/Schedule.kt
@@ -23,6 +23,8 @@
     private val seed: Long,
     private val bugs: Set<PlantedBug> = emptySet(),
     chosenJobs: Map<JobKey, JobSpec>? = null,
+    private val losesCalls: Boolean = true,
+    private val longestCutOffMillis: Long = LONGEST_CUT_OFF_MILLIS,
     private val faults: Schedule.() -> Unit = Schedule::plantRandomFaults
 ) {
     private val random = Random(seed)
@@ -65,7 +67,8 @@
                     writer = "$name#$life",
                     ownerTiming = LeaseTiming(OWNER_TTL_MILLIS, margin),
                     workerTiming = LeaseTiming(WORKER_TTL_MILLIS, margin),
-                    heartbeatMillis = HEARTBEAT_MILLIS
+                    heartbeatMillis = HEARTBEAT_MILLIS,
+                    longestCutOffMillis = longestCutOffMillis
                 )
             )
         }
@@ -248,7 +251,10 @@
         stopMillis = random.nextLong(1, 1_500),
         bugs = bugs,
         checker = checker,
-        fails = { Random(seed + it.taskId.hashCode() + it.attempt).nextInt(FAILURE_ODDS) == 0 }
+        fails = {
+            losesCalls &&
+                Random(seed + it.taskId.hashCode() + it.attempt).nextInt(FAILURE_ODDS) == 0
+        }
     )
 
     private fun listing(name: String) =
@@ -279,7 +285,7 @@
         answer: (T) -> Unit
     ) {
         val there = random.nextLong(1, 5)
-        val fate = if (now < CALM_MILLIS) random.nextInt(100) else 100
+        val fate = if (losesCalls && now < CALM_MILLIS) random.nextInt(100) else 100
         when {
             fate < 2 -> after(there) { answer(notSent()) }
 
@@ -335,6 +341,15 @@
         hosts.filter { it.isOwner }.forEach { it.isAlive = false }
     }
 
+    /** Cuts every host off from the service for [spanMillis]. */
+    fun cutServiceAt(atMillis: Long, spanMillis: Long) = after(atMillis) {
+        isStoreUp = false
+        after(spanMillis) { isStoreUp = true }
+    }
+
+    /** How often the task [taskId] was started. */
+    fun runs(taskId: String): Int = checker.runs[taskId] ?: 0
+
     /** When the task [taskId] was first started, or null if it never was. */
     fun startedMillis(taskId: String): Long? = checker.startedMillis[taskId]
 
@@ -403,6 +418,7 @@
         private const val OWNER_TTL_MILLIS = 2_000L
         private const val WORKER_TTL_MILLIS = 2_000L
         private const val HEARTBEAT_MILLIS = 500L
+        private const val LONGEST_CUT_OFF_MILLIS = 10_000L
         private const val TICK_MILLIS = 50L
         private const val POLL_MILLIS = 1_000L
         private const val TIMEOUT_MILLIS = 800L
--- a/daemon/src/main/kotlin/sycamoremast/daemon/batch/BatchSettings.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/batch/BatchSettings.kt
@@ -7,8 +7,8 @@
 /**
  * How batch work is scheduled.
  *
- * Every host of an availability zone must have the same number of [shards] and the same
- * [workerLeaseMillis]. [marginMillis] bounds how far two hosts' monotonic clocks drift apart during
+ * Every host of an availability zone must have the same number of [shards], [workerLeaseMillis] and
+ * [longestCutOffMillis], for which an owner that is cut off from the service goes on. [marginMillis] bounds how far two hosts' monotonic clocks drift apart during
  * one lease.
  */
 data class BatchSettings(
@@ -16,7 +16,8 @@
     val workerLeaseMillis: Long = 2_500,
     val heartbeatMillis: Long = 500,
     val ownerLeaseMillis: Long = 3_000,
-    val marginMillis: Long = 200
+    val marginMillis: Long = 200,
+    val longestCutOffMillis: Long = ShardSettings.DEFAULT_LONGEST_CUT_OFF_MILLIS
 ) {
     init {
         require(shards > 0) { "there must be a shard: $shards" }
@@ -33,6 +34,7 @@
         writer = writer,
         ownerTiming = LeaseTiming(ownerLeaseMillis, marginMillis),
         workerTiming = LeaseTiming(workerLeaseMillis, marginMillis),
-        heartbeatMillis = heartbeatMillis
+        heartbeatMillis = heartbeatMillis,
+        longestCutOffMillis = longestCutOffMillis
     )
 }
