--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/Dispatcher.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/Dispatcher.kt
@@ -96,7 +96,6 @@
             order(task, out)
             return
         }
-        task.phase = LivePhase.RECORDING
         val start = TaskStart(index, attempt, worker.name, worker.incarnation.orEmpty())
         submit(DocumentChange.RecordStart(job.key, start))
     }
@@ -114,7 +113,7 @@
 
     private fun order(task: LiveTask, out: MutableList<ShardAction>) {
         val spec = task.job.spec ?: return
-        task.phase = LivePhase.STARTING
+        task.advance(LiveStep.ORDER)
         task.epoch = task.worker.session.epoch
         task.incarnation = task.worker.incarnation
         val order = StartOrder(
--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/LiveTask.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/LiveTask.kt
@@ -3,9 +3,13 @@
 
 import sycamoremast.coordination.Checkpoint
 import sycamoremast.coordination.Resources
+import sycamoremast.coordination.statechart.StateChart
 
-/** Where a placed task stands. */
-internal enum class LivePhase { RECORDING, STARTING, RUNNING, CHECKPOINTING, STOPPING, HELD }
+/** Where a placed task stands; see `task.scxml`. */
+internal enum class LivePhase { RECORDING, STARTING, RUNNING, CHECKPOINTING, STOPPING, HELD, GONE }
+
+/** The steps between the phases. */
+internal enum class LiveStep { ORDER, CONFIRM, EVICT, STOP, FINISH, LEAVE }
 
 /**
  * An attempt of the task [index] of [job] on [worker].
@@ -24,7 +28,8 @@
     val id: String = job.key.taskId(index)
     val isLong = job.isLong
     val rack = worker.slot.rack
-    var phase = LivePhase.STARTING
+    var phase = CHART.initial
+        private set
     var epoch = worker.session.epoch
     var incarnation = worker.incarnation
 
@@ -38,5 +43,15 @@
     /** Whether the worker's capacity is committed to the task. */
     var isCommitted = false
 
+    /** Takes [step], which has to be one that the chart allows. */
+    fun advance(step: LiveStep) {
+        phase = checkNotNull(CHART.nextOrNull(phase, step)) { "$step does not follow $phase: $id" }
+    }
+
     val checkpoint: Checkpoint? get() = job.checkpoints[index]
+
+    companion object {
+        /** The chart of the phases. */
+        val CHART = StateChart.fromResource("task.scxml", LivePhase::class, LiveStep::class)
+    }
 }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/Ownership.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/Ownership.kt
@@ -11,8 +11,9 @@
 import sycamoremast.coordination.LeaseId
 import sycamoremast.coordination.SwapOutcome
 import sycamoremast.coordination.lease.OwnerLease
+import sycamoremast.coordination.statechart.StateChart
 
-/** Where a host stands on its way to owning a shard. */
+/** Where a host stands on its way to owning a shard; see `shard.scxml`. */
 internal enum class OwnershipPhase {
     STANDBY,
     READING_OWNER,
@@ -23,8 +24,11 @@
     RELEASED
 }
 
+/** The steps between the phases. */
+internal enum class OwnershipStep { LOOK, FIND_FREE, GET_LEASE, CLAIM, TAKE_OVER, ABANDON, RELEASE }
+
 internal class Ownership(private val settings: ShardSettings, private val newCall: () -> Long) {
-    var phase = OwnershipPhase.STANDBY
+    var phase = CHART.initial
         private set
     private var lease: OwnerLease? = null
     private var call: Long? = null
@@ -46,7 +50,7 @@
         if (call != null || nowMillis < dueMillis) return true
         when (phase) {
             OwnershipPhase.STANDBY -> {
-                phase = OwnershipPhase.READING_OWNER
+                advance(OwnershipStep.LOOK)
                 out += ShardAction.ReadOwner(send(nowMillis))
             }
 
@@ -63,7 +67,7 @@
         if (!isAnswer(event.call)) return
         val isFree = event.result.fold({ false }, { it == null })
         if (!isFree) return abandon(nowMillis, out)
-        phase = OwnershipPhase.GRANTING
+        advance(OwnershipStep.FIND_FREE)
         out += ShardAction.GrantLease(send(nowMillis))
     }
 
@@ -81,7 +85,7 @@
 
     private fun claim(id: LeaseId, nowMillis: Long, out: MutableList<ShardAction>) {
         lease = OwnerLease(id, settings.ownerTiming.reliableUntil(sentMillis))
-        phase = OwnershipPhase.CLAIMING
+        advance(OwnershipStep.GET_LEASE)
         out += ShardAction.ClaimOwner(send(nowMillis), id, settings.owner)
     }
 
@@ -97,12 +101,12 @@
             abandon(nowMillis, out)
             return false
         }
-        phase = OwnershipPhase.TAKING_OVER
+        advance(OwnershipStep.CLAIM)
         return true
     }
 
     fun onTakenOver(nowMillis: Long) {
-        phase = OwnershipPhase.OWNING
+        advance(OwnershipStep.TAKE_OVER)
         dueMillis = nowMillis
     }
 
@@ -129,13 +133,17 @@
         lease = null
         call = null
         dueMillis = nowMillis + settings.retryMillis
-        phase = OwnershipPhase.STANDBY
+        advance(OwnershipStep.ABANDON)
     }
 
     /** Gives the shard up for good. */
     fun release(nowMillis: Long, out: MutableList<ShardAction>) {
         abandon(nowMillis, out)
-        phase = OwnershipPhase.RELEASED
+        advance(OwnershipStep.RELEASE)
+    }
+
+    private fun advance(step: OwnershipStep) {
+        phase = checkNotNull(CHART.nextOrNull(phase, step)) { "$step does not follow $phase" }
     }
 
     private fun send(nowMillis: Long): Long {
@@ -149,7 +157,13 @@
         return true
     }
 
-    private companion object {
-        const val RENEWALS_PER_LEASE = 3
+    companion object {
+        /** The chart of the phases. */
+        val CHART = StateChart.fromResource(
+            "shard.scxml",
+            OwnershipPhase::class,
+            OwnershipStep::class
+        )
+        private const val RENEWALS_PER_LEASE = 3
     }
 }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/ReportReader.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/ReportReader.kt
@@ -59,7 +59,7 @@
         when (report.phase) {
             TaskPhase.RUNNING -> {
                 if (task.confirmedByCall == 0L) task.confirmedByCall = call
-                if (task.phase == LivePhase.STARTING) task.phase = LivePhase.RUNNING
+                if (task.phase == LivePhase.STARTING) task.advance(LiveStep.CONFIRM)
             }
 
             TaskPhase.FINISHED -> tasks.finish(task)
@@ -94,6 +94,7 @@
             else -> {
                 other?.let(::supersede)
                 val task = LiveTask(job, index, report.attempt, worker, report.resources, null)
+                task.advance(LiveStep.ORDER)
                 tasks.add(task)
                 observePlaced(task, report, call)
             }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/TaskTable.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/TaskTable.kt
@@ -56,7 +56,7 @@
             when (task.phase) {
                 LivePhase.HELD -> if (job.record.state != JobState.ACCEPTED) acknowledge(task)
                 LivePhase.RECORDING -> remove(task)
-                LivePhase.STOPPING -> Unit
+                LivePhase.STOPPING, LivePhase.GONE -> Unit
                 else -> stop(task)
             }
         }
@@ -82,6 +82,7 @@
     }
 
     fun remove(task: LiveTask) {
+        if (task.phase != LivePhase.GONE) task.advance(LiveStep.LEAVE)
         if (task.job.live[task.index] === task) task.job.live.remove(task.index)
         if (task.worker.live[task.id] === task) task.worker.live.remove(task.id)
         ending -= task
@@ -100,14 +101,14 @@
 
     /** Stops [task]; its capacity stays committed until the worker confirms that. */
     fun stop(task: LiveTask) {
-        task.phase = LivePhase.STOPPING
+        task.advance(LiveStep.STOP)
         task.orderDueMillis = Long.MIN_VALUE
         ending += task
     }
 
     /** Checkpoints [task] and then stops it, so that it goes on elsewhere. */
     fun evict(task: LiveTask) {
-        task.phase = LivePhase.CHECKPOINTING
+        task.advance(LiveStep.EVICT)
         task.orders = 0
         task.orderDueMillis = Long.MIN_VALUE
         ending += task
@@ -118,7 +119,7 @@
         val job = task.job
         if (job.isDurablyDecided(task.index)) return acknowledge(task)
         if (task.phase == LivePhase.HELD || !job.isOpen || job.isDecided(task.index)) return
-        task.phase = LivePhase.HELD
+        task.advance(LiveStep.FINISH)
         ending -= task
         release(task)
         judge.succeeded(task.worker.name)
