--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/ShardMachine.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/ShardMachine.kt
@@ -17,7 +17,11 @@
 import sycamoremast.coordination.record.JobSpec
 import sycamoremast.coordination.record.ShardDocument
 
-/** The owner, or would-be owner, of one shard of workers. */
+/**
+ * The owner, or would-be owner, of one shard of workers.
+ *
+ * @sample sycamoremast.coordination.shard.ShardMachineSample.ownAShard
+ */
 class ShardMachine(private val settings: ShardSettings) {
     private var calls = 0L
     private val ownership = Ownership(settings, ::newCall)
@@ -74,7 +78,7 @@
         if (mayAct(nowMillis) && !releasing) {
             if (sweeps) workers.renew(nowMillis, out)
             dispatcher.place(epoch, recovered, nowMillis, out)
-            workers.endTasks(nowMillis, out)
+            if (sweeps) workers.endTasks(nowMillis, out)
         }
         if (isOwner || ownership.phase == OwnershipPhase.TAKING_OVER) {
             ledger.nextCall(nowMillis, ::newCall)?.let { out += it }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/batch/ShardLoop.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/batch/ShardLoop.kt
@@ -1,7 +1,6 @@
 /** Runs one shard's state machine on a thread of its own and carries out its actions. */
 package sycamoremast.daemon.batch
 
-import arrow.core.left
 import java.util.concurrent.ExecutorService
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
@@ -9,12 +8,12 @@
 import org.tinylog.kotlin.Logger
 import sycamoremast.coordination.KeyValueStore
 import sycamoremast.coordination.MonotonicClock
-import sycamoremast.coordination.StoreEntry
-import sycamoremast.coordination.WorkerError
 import sycamoremast.coordination.WorkerPort
 import sycamoremast.coordination.shard.ShardAction
+import sycamoremast.coordination.shard.ShardCalls
 import sycamoremast.coordination.shard.ShardEvent
 import sycamoremast.coordination.shard.ShardMachine
+import sycamoremast.coordination.shard.ShardPlace
 import sycamoremast.coordination.shard.ShardSnapshot
 import sycamoremast.daemon.control.ProblemKind
 import sycamoremast.daemon.control.ProblemReporter
@@ -31,11 +30,16 @@
 
 internal class ShardLoop(
     val id: ShardId,
-    private val settings: BatchSettings,
+    settings: BatchSettings,
     private val machine: ShardMachine,
     private val ports: ShardPorts
 ) {
     private val events = LinkedBlockingQueue<ShardEvent>()
+    private val calls = ShardCalls(
+        ShardPlace(id.ownerKey, id.documentKey, settings.ownerLeaseMillis.milliseconds),
+        ports.store,
+        ports.workers
+    )
     private val thread = Thread(::run, "shard-$id").apply { isDaemon = true }
 
     @Volatile
@@ -93,69 +97,9 @@
 
     private fun call(action: ShardAction): ShardEvent? {
         ports.meters.count(action)
-        val store = ports.store
-        return when (action) {
-            is ShardAction.GrantLease -> ShardEvent.LeaseGranted(
-                action.call,
-                store.grantLease(settings.ownerLeaseMillis.milliseconds)
-            )
-
-            is ShardAction.KeepLease ->
-                ShardEvent.LeaseKept(action.call, store.keepAlive(action.lease))
-
-            is ShardAction.RevokeLease -> {
-                store.revokeLease(action.lease)
-                null
-            }
-
-            is ShardAction.ReadOwner -> ShardEvent.OwnerRead(action.call, store.get(id.ownerKey))
-
-            is ShardAction.ClaimOwner -> ShardEvent.OwnerClaimed(
-                action.call,
-                store.compareAndSwap(id.ownerKey, StoreEntry.ABSENT, action.owner, action.lease)
-            )
-
-            is ShardAction.ReadDocument ->
-                ShardEvent.DocumentRead(action.call, store.get(id.documentKey))
-
-            is ShardAction.WriteDocument -> ShardEvent.DocumentWritten(
-                action.call,
-                store.compareAndSwap(id.documentKey, action.expected, action.text)
-            )
-
-            is ShardAction.Renew -> ShardEvent.Renewed(
-                action.worker,
-                action.call,
-                onWorker(action.worker, "renew") { renew(action.renewal) }
-            )
-
-            is ShardAction.Start -> ShardEvent.Started(
-                action.worker,
-                action.order,
-                onWorker(action.worker, "start") { start(action.order) }
-            )
-
-            is ShardAction.Control -> ShardEvent.Controlled(
-                action.worker,
-                action.taskId,
-                action.epoch,
-                action.action,
-                onWorker(action.worker, "control") {
-                    control(action.taskId, action.epoch, action.action)
-                }
-            )
-
-            is ShardAction.ReportUnknown, is ShardAction.Note -> null
-        }
+        return calls.call(action)
     }
 
-    private fun <T> onWorker(
-        name: String,
-        step: String,
-        call: WorkerPort.() -> arrow.core.Either<WorkerError, T>
-    ): arrow.core.Either<WorkerError, T> =
-        ports.workers(name)?.call() ?: WorkerError.NotSent(step, name, "not listed").left()
-
     private companion object {
         const val TICK_MILLIS = 25L
     }
