--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/ShardMachine.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/ShardMachine.kt
@@ -9,34 +9,45 @@
 package sycamoremast.coordination.shard
 
 import sycamoremast.coordination.ListedHost
+import sycamoremast.coordination.placement.FailureJudge
+import sycamoremast.coordination.placement.HeldShares
 import sycamoremast.coordination.record.DocumentChange
 import sycamoremast.coordination.record.JobKey
 import sycamoremast.coordination.record.JobRecord
 import sycamoremast.coordination.record.JobSpec
 import sycamoremast.coordination.record.ShardDocument
 
-/** The owner, or would-be owner, of one shard of workers. */
+/**
+ * The owner, or would-be owner, of one shard of workers.
+ *
+ * @sample sycamoremast.coordination.shard.ShardMachineSample.ownAShard
+ */
 class ShardMachine(private val settings: ShardSettings) {
     private var calls = 0L
     private val ownership = Ownership(settings, ::newCall)
     private val ledger = DocumentLedger(settings.writer, BackOff(settings.retryMillis))
     private var out = ArrayList<ShardAction>()
-    private val tasks = TaskTable(settings, ledger::submit) { out += it }
+    private val shares = HeldShares()
+    private val judge = FailureJudge(settings.attemptsPerTask)
+    private val tasks = TaskTable(shares, judge, ledger::submit) { out += it }
     private val workers = WorkerTable(settings, tasks, ::newCall)
-    private val dispatcher = Dispatcher(tasks)
+    private val dispatcher = Dispatcher(tasks, workers, shares, judge, ledger::submit)
     private val listedJobs = HashMap<String, ShardEvent.JobsListed>()
     private var listedWorkers = emptyList<ListedHost>()
     private var epoch = 0L
     private var recovered = false
     private var releasing = false
+    private var sweptMillis = Long.MIN_VALUE
+    private var placementDueMillis = Long.MIN_VALUE
 
     /** Returns the actions that follow from [event] at [nowMillis]. */
     fun handle(event: ShardEvent, nowMillis: Long): List<ShardAction> {
         out = ArrayList()
+        tasks.nowMillis = nowMillis
         when (event) {
-            is ShardEvent.Tick -> Unit
+            is ShardEvent.Tick -> sweptMillis = Long.MIN_VALUE
             is ShardEvent.ReleaseRequested -> releasing = true
-            is ShardEvent.Listing -> onListing(event)
+            is ShardEvent.Listing -> onListing(event, nowMillis)
             is ShardEvent.OwnershipAnswer -> onOwnership(event, nowMillis)
             is ShardEvent.DocumentAnswer -> onDocument(event, nowMillis)
             is ShardEvent.WorkerAnswer -> onWorker(event, nowMillis)
@@ -61,14 +72,13 @@
 
     private fun proceed(nowMillis: Long) {
         if (!ownership.tick(nowMillis, out)) stepDown("lease-lapsed", nowMillis)
-        if (isOwner) {
-            workers.expire(nowMillis)
-            recover()
-        }
-        if (ownership.isReliable(nowMillis) && !releasing) {
-            workers.renew(nowMillis, out)
-            place(nowMillis)
-            workers.stopTasks(nowMillis, out)
+        val sweeps = isOwner && isSweepDue(nowMillis)
+        if (sweeps) sweep(nowMillis)
+        if (isOwner) recover()
+        if (mayAct(nowMillis) && !releasing) {
+            if (sweeps) workers.renew(nowMillis, out)
+            dispatcher.place(epoch, recovered, nowMillis, out)
+            if (sweeps) workers.endTasks(nowMillis, out)
         }
         if (isOwner || ownership.phase == OwnershipPhase.TAKING_OVER) {
             ledger.nextCall(nowMillis, ::newCall)?.let { out += it }
@@ -76,10 +86,34 @@
         if (releasing) release(nowMillis)
     }
 
-    private fun place(nowMillis: Long) {
-        val usable = workers.usable(nowMillis)
-        if (usable.isEmpty()) return
-        dispatcher.place(usable, epoch, recovered, ledger::submit, out)
+    /**
+     * Whether the owner may renew and start now.
+     *
+     * Without a reliable lease it may as long as the workers themselves show that no other host has
+     * taken over.
+     */
+    private fun mayAct(nowMillis: Long): Boolean = ownership.isReliable(nowMillis) ||
+        (
+            ownership.isWithinCutOff(nowMillis) &&
+                ledger.isWorkerSetCertain &&
+                workers.mayGoOn(nowMillis)
+            )
+
+    private fun isSweepDue(nowMillis: Long) =
+        sweptMillis == Long.MIN_VALUE || nowMillis >= sweptMillis + SWEEP_MILLIS
+
+    /** Does what would cost too much after every event. */
+    private fun sweep(nowMillis: Long) {
+        sweptMillis = nowMillis
+        workers.expire(nowMillis)
+        shares.capacity = workers.capacity()
+        if (nowMillis < placementDueMillis) return
+        placementDueMillis = nowMillis + settings.heartbeatMillis
+        tasks.isPlacementDue = true
+        val forgettable = workers.forgettable(nowMillis)
+        if (forgettable.isNotEmpty()) {
+            ledger.submit(DocumentChange.RemoveWorkers(forgettable))
+        }
     }
 
     private fun release(nowMillis: Long) {
@@ -153,6 +187,7 @@
             when (change) {
                 is DocumentChange.FinishTasks -> tasks.onFinishDurable(change.key, change.indices)
                 is DocumentChange.RecordStart -> dispatcher.onStartRecorded(change, out)
+                is DocumentChange.RemoveWorkers -> workers.forget(change.workers)
                 is DocumentChange.AddWorkers -> workers.markRecorded(change.workers)
                 else -> Unit
             }
@@ -163,17 +198,17 @@
         ownership.onTakenOver(nowMillis)
         workers.takeOver(epoch, ledger.document.workers, nowMillis)
         out += ShardAction.Note("take-over", settings.owner, "epoch $epoch")
-        listWorkers()
+        listWorkers(nowMillis)
         listedJobs.values.forEach { acceptJobs(it) }
     }
 
-    private fun onListing(event: ShardEvent.Listing) {
+    private fun onListing(event: ShardEvent.Listing, nowMillis: Long) {
         when (event) {
             is ShardEvent.DocumentChanged -> ledger.requireRead()
 
             is ShardEvent.WorkersListed -> {
                 listedWorkers = event.workers
-                if (isOwner) listWorkers()
+                if (isOwner) listWorkers(nowMillis)
             }
 
             is ShardEvent.JobsListed -> listJobs(event)
@@ -182,8 +217,8 @@
         }
     }
 
-    private fun listWorkers() {
-        val added = workers.list(listedWorkers)
+    private fun listWorkers(nowMillis: Long) {
+        val added = workers.list(listedWorkers, nowMillis)
         if (added.isNotEmpty()) ledger.submit(DocumentChange.AddWorkers(added))
     }
 
@@ -191,6 +226,7 @@
         val known = listedJobs[event.team]
         if (known != null && known.revision >= event.revision) return
         listedJobs[event.team] = event
+        event.quota?.let { shares.setQuota(event.team, it) }
         if (isOwner) acceptJobs(event)
     }
 
@@ -216,7 +252,11 @@
 
     private fun onWorker(event: ShardEvent.WorkerAnswer, nowMillis: Long) {
         val isStillOwner = when (event) {
-            is ShardEvent.Renewed -> workers.onRenewed(event, nowMillis)
+            is ShardEvent.Renewed -> workers.onRenewed(
+                event,
+                ownership.isReliable(nowMillis),
+                nowMillis
+            )
             is ShardEvent.Started -> workers.onStarted(event, nowMillis)
             is ShardEvent.Controlled -> workers.onControlled(event)
         }
@@ -226,8 +266,13 @@
     private fun recover() {
         if (recovered || !workers.areSettled) return
         recovered = true
+        tasks.isPlacementDue = true
         tasks.loseUnfoundStarts(epoch)
     }
+
+    private companion object {
+        const val SWEEP_MILLIS = 20L
+    }
 }
 
 /** What a shard's machine knows; [running] counts each job's placed tasks. */
