Bound the crest's returns, count reasons, and add calls on the key-value service

The crest's first try never ended: callers came back up to minutes later, as the daemon told them to. A caller whose time to return lies after the run now stays away. The warm-up is repeated until a whole round is answered, since a host refuses for its first seconds; without that, 4 to 5% of the short work was refused in the first half second.

--- a/bench/src/main/kotlin/sycamoremast/bench/BenchMain.kt
+++ b/bench/src/main/kotlin/sycamoremast/bench/BenchMain.kt
@@ -11,6 +11,7 @@
 import java.nio.file.Path
 import kotlin.system.exitProcess
 import sycamoremast.bench.capacity.CapacityExperiment
+import sycamoremast.bench.control.ControlCalls
 import sycamoremast.bench.request.AddedLatency
 import sycamoremast.bench.request.Crest
 import sycamoremast.bench.request.RollingRestart
@@ -20,6 +21,7 @@
 /** All experiments, in the order in which they are listed. */
 internal val experiments: List<Experiment> = listOf(
     CapacityExperiment,
+    ControlCalls,
     ShortBehindLong,
     Crest,
     SlowInstance,
--- a/bench/src/main/kotlin/sycamoremast/bench/request/LoadGenerator.kt
+++ b/bench/src/main/kotlin/sycamoremast/bench/request/LoadGenerator.kt
@@ -16,6 +16,7 @@
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.Executors
 import java.util.concurrent.ScheduledThreadPoolExecutor
+import java.util.concurrent.TimeUnit.MILLISECONDS
 import java.util.concurrent.TimeUnit.NANOSECONDS
 import java.util.concurrent.TimeUnit.SECONDS
 import java.util.concurrent.atomic.AtomicInteger
@@ -34,9 +35,17 @@
     private val nextPort = AtomicInteger()
     private val lastId = AtomicLong()
 
-    /** Returns the samples of all [arrivals], once each has its final answer. */
-    fun run(arrivals: List<Arrival>): List<Sample> {
+    @Volatile
+    private var endMillis = 0.0
+
+    /**
+     * Returns the samples of all [arrivals], once each has its final answer.
+     *
+     * A caller that was told to come back after [durationMillis] does not.
+     */
+    fun run(arrivals: List<Arrival>, durationMillis: Long): List<Sample> {
         samples.clear()
+        endMillis = durationMillis.toDouble()
         val pending = CountDownLatch(arrivals.size)
         val start = System.nanoTime()
         arrivals.forEach { arrival ->
@@ -61,11 +70,16 @@
                 val outcome = outcomeOf(workload, id, response, micros)
                 val at = (sent - start) / NANOS_PER_MILLI
                 val (kind, _, work) = workload
-                samples += Sample(kind, work, at, micros, outcome, attempt)
-                val comesBack = outcome == SampleOutcome.NOT_RUN && attempt < maxReturns
+                val reason = response?.let(::reasonOf).orEmpty()
+                samples += Sample(kind, work, at, micros, outcome, attempt, reason)
+                val returnMillis = response?.let(::returnMillis) ?: 0
+                val now = (System.nanoTime() - start) / NANOS_PER_MILLI
+                val comesBack = outcome == SampleOutcome.NOT_RUN &&
+                    attempt < maxReturns &&
+                    now + returnMillis < endMillis
                 if (!comesBack) return@whenComplete pending.countDown()
                 val again = Runnable { send(workload, start, attempt + 1, pending) }
-                timer.schedule(again, returnNanos(response), NANOSECONDS)
+                timer.schedule(again, returnMillis, MILLISECONDS)
             }
     }
 
@@ -103,16 +117,22 @@
         else -> SampleOutcome.UNKNOWN
     }
 
+    /** Returns why a request was not answered, without the numbers and peers in it. */
+    private fun reasonOf(response: HttpResponse<String>): String {
+        if (response.statusCode() == STATUS_OK) return ""
+        return response.body().substringBefore('(').take(MAX_REASON_CHARS)
+            .replace(NUMBERS, "N").trim()
+    }
+
     private fun isWhole(id: String, response: HttpResponse<String>): Boolean {
-        val (digest, content) = response.body().split('\n', limit = 2)
+        val digest = response.body().substringBefore('\n')
+        val content = response.body().substringAfter('\n', "")
         val bytes = MessageDigest.getInstance("SHA-256").digest(content.encodeToByteArray())
         return content.startsWith("$id\n") && digest == bytes.joinToString("") { "%02x".format(it) }
     }
 
-    private fun returnNanos(response: HttpResponse<String>): Long {
-        val millis = response.headers().firstValue("X-Retry-After-Millis").map { it.toLong() }
-        return millis.orElse(DEFAULT_RETURN_MILLIS) * NANOS_PER_MILLI.toLong()
-    }
+    private fun returnMillis(response: HttpResponse<String>): Long = response.headers()
+        .firstValue("X-Retry-After-Millis").map { it.toLong() }.orElse(DEFAULT_RETURN_MILLIS)
 
     private fun daemonThread(task: Runnable) = Thread(task, "load").apply { isDaemon = true }
 
@@ -122,6 +142,8 @@
         private const val MAX_RUN_SECONDS = 120L
         private const val GRACE_MILLIS = 5_000L
         private const val DEFAULT_RETURN_MILLIS = 1_000L
+        private const val MAX_REASON_CHARS = 120
+        private val NUMBERS = Regex("[0-9]+([.][0-9]+)?")
         private const val STATUS_OK = 200
         private const val NANOS_PER_MILLI = 1_000_000.0
         private const val NANOS_PER_MICRO = 1_000L
--- a/bench/src/main/kotlin/sycamoremast/bench/request/RequestExperiments.kt
+++ b/bench/src/main/kotlin/sycamoremast/bench/request/RequestExperiments.kt
@@ -43,20 +43,27 @@
             warmUp(load, entry)
             val placed = workloads.map { it.copy(path = entry.pathPrefix + it.path) }
             val beside = CompletableFuture.runAsync { during(entry, fleet) }
-            val samples = load.run(arrivals(placed, durationMillis, Random(seed)))
+            val samples = load.run(arrivals(placed, durationMillis, Random(seed)), durationMillis)
             beside.join()
             SystemRun(label ?: entry.name, samples, fleet.refused())
         }
     }
 }
 
+/** Offers load until a whole round of it is answered, as a host that starts refuses at first. */
 private fun warmUp(load: LoadGenerator, entry: EntrySystem) {
-    val workload = steady(PHOTOS, WARM_UP_WORK_MILLIS, WARM_UP_SHARE, WARM_UP_MILLIS)
+    val workload = steady(PHOTOS, WARM_UP_WORK_MILLIS, WARM_UP_SHARE, WARM_UP_DEADLINE_MILLIS)
         .let { it.copy(path = entry.pathPrefix + it.path) }
-    load.run(arrivals(listOf(workload), WARM_UP_MILLIS, Random(0)))
+    val arrivals = arrivals(listOf(workload), WARM_UP_MILLIS, Random(0))
+    repeat(MAX_WARM_UPS) {
+        if (load.run(arrivals, WARM_UP_MILLIS).answered().size == arrivals.size) return
+    }
+    error("${entry.name} never answered all of the load before the experiment")
 }
 
 private const val WARM_UP_MILLIS = 2_000L
+private const val WARM_UP_DEADLINE_MILLIS = 5_000L
+private const val MAX_WARM_UPS = 10
 private const val WARM_UP_WORK_MILLIS = 20L
 private const val WARM_UP_SHARE = 0.3
 
@@ -88,6 +95,7 @@
         val tables = listOf(
             latencyTable("$name-waits", waits),
             outcomeTable("$name-outcomes", runs),
+            reasonTable("$name-reasons", runs),
             ratios(waits[0], waits[1], waits[2], runs)
         )
         return ExperimentResult(tables, latencies = waits.map { it.prefixed(name) })
@@ -151,6 +159,7 @@
         val tables = listOf(
             figures(runs),
             outcomeTable("$name-outcomes", runs),
+            reasonTable("$name-reasons", runs),
             latencyTable("$name-latency", runs.map { latency(it) }),
             latencyTable("$name-refusals", runs.map { refusals(it) }),
             seriesTable("$name-goodput", series)
@@ -211,7 +220,8 @@
         }
         val tables = listOf(
             latencyTable("$name-latency", latencies),
-            outcomeTable("$name-outcomes", runs)
+            outcomeTable("$name-outcomes", runs),
+            reasonTable("$name-reasons", runs)
         )
         return ExperimentResult(tables)
     }
@@ -252,6 +262,7 @@
         }
         val tables = listOf(
             outcomeTable("$name-outcomes", runs),
+            reasonTable("$name-reasons", runs),
             latencyTable("$name-latency", latencies)
         )
         return ExperimentResult(tables)
@@ -294,7 +305,8 @@
         val waits = runs.map { namedWaits(it, PHOTOS) }
         val tables = listOf(
             latencyTable("$name-waits", waits),
-            outcomeTable("$name-outcomes", runs)
+            outcomeTable("$name-outcomes", runs),
+            reasonTable("$name-reasons", runs)
         )
         return ExperimentResult(tables, latencies = waits.map { it.prefixed(name) })
     }
--- a/bench/src/main/kotlin/sycamoremast/bench/request/Sample.kt
+++ b/bench/src/main/kotlin/sycamoremast/bench/request/Sample.kt
@@ -22,14 +22,19 @@
     MISMATCHED
 }
 
-/** A call that began [atMillis] after the start; the [attempt] counts returns of its caller. */
+/**
+ * A call that began [atMillis] after the start; the [attempt] counts returns of its caller.
+ *
+ * [reason] is what the caller was told of a request that wasn't answered.
+ */
 internal data class Sample(
     val kind: String,
     val workMillis: Long,
     val atMillis: Double,
     val latencyMicros: Long,
     val outcome: SampleOutcome,
-    val attempt: Int
+    val attempt: Int,
+    val reason: String = ""
 ) {
     /** The time from the call until its answer. */
     val latencyMillis get() = latencyMicros / MICROS_PER_MILLI
--- a/bench/src/main/kotlin/sycamoremast/bench/request/Summary.kt
+++ b/bench/src/main/kotlin/sycamoremast/bench/request/Summary.kt
@@ -39,6 +39,21 @@
     }
 )
 
+/** Returns why requests of each run were not answered, and when first and last. */
+internal fun reasonTable(name: String, runs: List<SystemRun>) = ResultTable(
+    name,
+    listOf("system", "kind", "count", "first_s", "last_s", "reason"),
+    runs.flatMap { run ->
+        run.samples.filter { it.reason.isNotEmpty() }
+            .groupBy { it.kind to it.reason }
+            .map { (what, samples) ->
+                val first = cell(samples.minOf { it.atMillis } / MILLIS_PER_SECOND)
+                val last = cell(samples.maxOf { it.atMillis } / MILLIS_PER_SECOND)
+                listOf(run.system, what.first, "${samples.size}", first, last, what.second)
+            }
+    }
+)
+
 /** Returns the answered work of each second, as a share of [slots]. */
 internal fun goodputSeries(run: SystemRun, slots: Int, durationMillis: Long): Series {
     val seconds = (durationMillis / MILLIS_PER_SECOND).toInt()
--- a/standins/src/main/kotlin/sycamoremast/standins/KeyValueServer.kt
+++ b/standins/src/main/kotlin/sycamoremast/standins/KeyValueServer.kt
@@ -151,7 +151,7 @@
                 stream(call, WatchResult(WireHeader(revision), events = events))
             }
         }
-        call.abort()
+        if (!closed) call.abort()
     }
 
     private fun stream(call: Call, result: WatchResult) =
