--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/ServiceLane.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/ServiceLane.kt
@@ -49,6 +49,13 @@
         }
     }
 
+    /** Returns the refusal that [arrival] would meet now, or null. */
+    fun refusalOf(arrival: Arrival, nowMillis: Double): Decision.Refused? {
+        val capacity = capacity(nowMillis)
+        return scheduler.refusalOf(arrival, capacity.slots, capacity.free, nowMillis)
+            ?.let { Decision.Refused(it.reason, it.retryAfter) }
+    }
+
     /** Gives free slots to the requests whose turn it is. */
     fun dispatch(nowMillis: Double) {
         while (scheduler.waiting > 0) {
@@ -110,6 +117,7 @@
     /** Returns when the caller of a request that is refused for another reason may come back. */
     fun bookReturn(nowMillis: Double) = scheduler.bookReturn(capacity(nowMillis).slots, nowMillis)
 
+    /** The [slots] that this host can count on before long, and those that are [free] now. */
     private class Capacity(val slots: Int, val free: Int)
 
     private fun capacity(nowMillis: Double): Capacity {
@@ -117,7 +125,7 @@
         var free = 0
         for (backend in usable(nowMillis)) {
             val limit = limitOf(backend, nowMillis)
-            slots += limit
+            slots += maxOf(limit, shareOf(backend, nowMillis), 1)
             free += (limit - backend.inUse).coerceAtLeast(0)
         }
         usage.observe(inUse(), nowMillis)
@@ -135,6 +143,9 @@
         return backend.concurrency.allowed(minOf(share, backend.connectionShare), nowMillis)
     }
 
+    private fun shareOf(backend: Backend, nowMillis: Double) =
+        ledger.share(backend.name, backend.host.slots, nowMillis.toLong())
+
     private fun freeOwn(backend: Backend, nowMillis: Double) =
         limitOf(backend, nowMillis) - ledger.borrowed(backend.name, nowMillis.toLong()) -
             backend.inUse
