--- /dev/null
+++ b/integration/src/test/kotlin/sycamoremast/integration/OutageTest.kt
@@ -0,0 +1,73 @@
+package sycamoremast.integration
+
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration.Companion.seconds
+import org.junit.jupiter.api.AfterAll
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.BeforeAll
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.Timeout
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import sycamoremast.standins.KeyValueFaults
+
+@Timeout(value = 60, unit = TimeUnit.SECONDS)
+class OutageTest {
+    @AfterEach
+    fun mend() = deployment.platform.setKeyValueFaults(KeyValueFaults())
+
+    // Proves: whole-answer | store-down | request-received
+    // Proves: one-place | store-down | task-running
+    // Proves: resumed-once | store-down | task-running
+    // Proves: in-force | store-down | configuration-applied
+    @Test
+    fun `requests are answered and a job finishes once over an outage of the store`() {
+        val revision = deployment.submit(bktib { survey("long-survey", expected = 3.seconds) })
+        await("a task runs", deployment::logs) { runs("long-survey").isNotEmpty() }
+        deployment.platform.setKeyValueFaults(KeyValueFaults(down = true))
+        val daemons = deployment.daemons
+        val load = Load(threads = 2, workMillis = 10) { daemons[it % 2].requests }
+        load.use {
+            await("requests are answered in the outage", deployment::logs) {
+                load.count(Got.WHOLE) >= 100
+            }
+            await("every task has ended in the outage", deployment::logs) {
+                runs("long-survey").all { it.endedMillis != null }
+            }
+        }
+        expectThat(load.others(Got.WHOLE)).isEqualTo(mapOf())
+        expectThat(daemons.map { it.document("bktib").revision }.toSet())
+            .isEqualTo(setOf(revision))
+        deployment.platform.setKeyValueFaults(KeyValueFaults())
+        deployment.awaitJob(daemons.first(), "long-survey", "finished")
+        expectFinishedOnce(deployment.platform.runs(), "long-survey", tasks = 4)
+    }
+
+    // Proves: in-force | answer-lost | configuration-submitted
+    @Test
+    fun `a submission whose answer the store loses is accepted once`() {
+        val first = deployment.submit(bktib())
+        deployment.platform.setKeyValueFaults(KeyValueFaults(dropAnswers = 1))
+        val second = deployment.submit(bktib { survey("survey", tasks = 1) })
+        expectThat(second).isGreaterThan(first)
+        deployment.awaitJob(deployment.daemons.first(), "survey", "finished")
+        expectFinishedOnce(deployment.platform.runs(), "bktib/survey", tasks = 1)
+    }
+
+    private fun runs(job: String) = deployment.platform.runs().filter { job in it.taskId }
+
+    companion object {
+        private lateinit var deployment: Deployment
+
+        @JvmStatic
+        @BeforeAll
+        fun start() {
+            deployment = Deployment(Layout(daemonsPerZone = 2))
+        }
+
+        @JvmStatic
+        @AfterAll
+        fun stop() = deployment.close()
+    }
+}
--- /dev/null
+++ b/integration/src/test/kotlin/sycamoremast/integration/PauseTest.kt
@@ -0,0 +1,40 @@
+package sycamoremast.integration
+
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration.Companion.seconds
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.Timeout
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotEqualTo
+import sycamoremast.configuration.operator.ShardView
+
+@Timeout(value = 60, unit = TimeUnit.SECONDS)
+class PauseTest {
+    // Proves: one-place | lease-lapsed-in-pause | task-running
+    // Proves: resumed-once | lease-lapsed-in-pause | task-running
+    // Proves: one-place | freeze | lease-held
+    @Test
+    fun `an owner that is paused past its lease starts no task in two places`() {
+        Deployment(Layout(daemonsPerZone = 2)).use { deployment ->
+            deployment.submit(bktib { survey("survey", tasks = 4, expected = 6.seconds) })
+            await("all tasks run", deployment::logs) { deployment.platform.runs().size >= 4 }
+            val owner = eventually("a shard has an owner") {
+                deployment.daemons.find { shard(it) != null }
+            }
+            val other = deployment.daemons.first { it != owner }
+            val epoch = shard(owner)?.epoch ?: 0
+            owner.process.pause()
+            val next = eventually("the other takes over", deployment::logs) { shard(other) }
+            expectThat(next.epoch).isNotEqualTo(epoch)
+            owner.process.resume()
+            deployment.awaitJob(other, "survey", "finished")
+            expectFinishedOnce(deployment.platform.runs(), "survey", tasks = 4)
+            await("the paused one has stepped back", deployment::logs) { shard(owner) == null }
+            expectThat(deployment.awaitJob(owner, "survey", "finished").tasksFinished).isEqualTo(4)
+        }
+    }
+
+    private fun shard(daemon: EntryHostProcess): ShardView? =
+        daemon.status().shards.find { it.owner.startsWith(daemon.name) }
+}
