Generate docs/PROOFS.md from marks in the tests

A line `// Proves: invariant | fault | step` above a test marks what it proves; a test reads the marks of all modules, fails on one that names nothing known, and fails if the committed page differs. `-Dproofs.write=true` writes it anew. Marks are read from the sources rather than from a compiled annotation, so that no module has to depend on another for its tests.

--- /dev/null
+++ b/integration/src/test/kotlin/sycamoremast/integration/proof/ProofPage.kt
@@ -0,0 +1,91 @@
+/** Writes docs/PROOFS.md from the proofs that the tests carry. */
+package sycamoremast.integration.proof
+
+/** The page on [proofs]; tests whose class and name stand in [knownRed] count as red. */
+internal class ProofPage(private val proofs: List<Proof>, private val knownRed: String) {
+    private val tests = proofs.map { TestName(it.module, it.testClass, it.test) }.distinct()
+
+    private data class TestName(val module: String, val testClass: String, val test: String)
+
+    private data class Cell(val invariant: Invariant, val faultTag: String, val step: String)
+
+    private val byCell = proofs.groupBy { Cell(it.invariant, it.faultTag, it.step) }
+
+    /** Returns the whole page. */
+    fun render(): String = (
+        listOf(head(), counts()) +
+            Invariant.entries.map(::section) +
+            listOf(testList())
+        ).joinToString("\n\n") + "\n"
+
+    private fun head() = """
+        # What is proved
+
+        Each table stands for one line of what must always hold. Its rows are faults, its columns
+        the steps at which they strike. A cell lists the tests that prove the line there, by the
+        numbers at the end of this page, or says that it is not proved. `red` marks a test that is
+        listed in KNOWN-RED.txt.
+
+        This page is generated from the marks `// Proves:` in the tests. `ProofsTest` fails if it
+        differs from them; see docs/DEVELOPING.md for how to write it anew.
+    """.trimIndent()
+
+    private fun counts(): String {
+        val cells = Invariant.entries.flatMap { invariant ->
+            faultTags(invariant).flatMap { fault ->
+                invariant.steps.map { Cell(invariant, fault, it) }
+            }
+        }
+        val (proved, others) = cells.partition { it in byCell && !isRed(it) }
+        val red = others.filter { it in byCell }
+        val open = others.size - red.size
+        return "Cells: ${proved.size} proved, $open not proved, ${red.size} red. " +
+            "Tests: ${tests.size}."
+    }
+
+    private fun section(invariant: Invariant): String {
+        val steps = invariant.steps
+        val rows = faultTags(invariant).map { fault ->
+            val cells = steps.map { cell(Cell(invariant, fault, it)) }
+            "| $fault | " + cells.joinToString(" | ") + " |"
+        }
+        val header = listOf(
+            "## ${invariant.tag}",
+            "",
+            invariant.text,
+            "",
+            "| fault | " + steps.joinToString(" | ") + " |",
+            "|---|" + steps.joinToString("") { "---|" }
+        )
+        return (header + rows).joinToString("\n")
+    }
+
+    private fun faultTags(invariant: Invariant): List<String> {
+        val pairs = proofs.filter { it.invariant == invariant && it.faults.size > 1 }
+            .map { it.faultTag }
+            .distinct()
+            .sorted()
+        return Fault.entries.filter { it != Fault.NONE }.map { it.tag } + pairs +
+            listOf(Fault.NONE.tag)
+    }
+
+    private fun cell(cell: Cell): String {
+        val here = byCell[cell] ?: return "not proved"
+        val numbers = here.map { tests.indexOf(nameOf(it)) + 1 }.distinct().sorted()
+        return numbers.joinToString() + if (isRed(cell)) " red" else ""
+    }
+
+    private fun isRed(cell: Cell) = byCell[cell].orEmpty().all { isRed(nameOf(it)) }
+
+    private fun isRed(name: TestName) = name.testClass in knownRed && name.test in knownRed
+
+    private fun nameOf(proof: Proof) = TestName(proof.module, proof.testClass, proof.test)
+
+    private fun testList(): String {
+        val lines = tests.mapIndexed { i, name ->
+            val red = if (isRed(name)) " (red)" else ""
+            "${i + 1}. ${name.module}, ${name.testClass}: ${name.test}$red"
+        }
+        return "## Tests\n\n" + lines.joinToString("\n")
+    }
+}
--- /dev/null
+++ b/integration/src/test/kotlin/sycamoremast/integration/proof/ProofReader.kt
@@ -0,0 +1,62 @@
+/**
+ * Reads from the tests' sources what each test proves.
+ *
+ * A test is marked by lines `// Proves: invariant | fault | step` above its annotation; faults that
+ * come together are joined by `+`. A mark that names nothing known, or that is followed by no test,
+ * is an error.
+ */
+package sycamoremast.integration.proof
+
+import java.nio.file.Path
+import kotlin.io.path.ExperimentalPathApi
+import kotlin.io.path.name
+import kotlin.io.path.nameWithoutExtension
+import kotlin.io.path.readLines
+import kotlin.io.path.walk
+
+internal object ProofReader {
+    private val MARK = Regex("""\s*// Proves: (\S+) \| (\S+(?: \+ \S+)*) \| (\S+)""")
+    private val TEST = Regex("""\s*fun `([^`]+)`\(.*""")
+
+    /** Returns the proofs in all modules below [root], in order of module, class and line. */
+    @OptIn(ExperimentalPathApi::class)
+    fun read(root: Path): List<Proof> = root.walk()
+        .filter { it.name.endsWith("Test.kt") && "src/test/kotlin" in "$it" }
+        .filter { "target" !in root.relativize(it).map(Path::name) }
+        .sortedBy { "${root.relativize(it)}" }
+        .flatMap { read(it, module = root.relativize(it).first().name) }
+        .toList()
+
+    private fun read(file: Path, module: String): List<Proof> {
+        val proofs = mutableListOf<Proof>()
+        val marks = mutableListOf<MatchResult>()
+        for ((i, line) in file.readLines().withIndex()) {
+            val where = "$file:${i + 1}"
+            if ("// Proves" in line) {
+                marks += requireNotNull(MARK.matchEntire(line)) { "$where: malformed mark: $line" }
+            }
+            val test = TEST.matchEntire(line)?.groupValues?.get(1) ?: continue
+            proofs += marks.map { proof(it, where, module, file.nameWithoutExtension, test) }
+            marks.clear()
+        }
+        require(marks.isEmpty()) { "$file: a mark is followed by no test" }
+        return proofs
+    }
+
+    private fun proof(
+        mark: MatchResult,
+        where: String,
+        module: String,
+        testClass: String,
+        test: String
+    ): Proof {
+        val (invariantTag, faultTags, step) = mark.destructured
+        val invariant = Invariant.entries.find { it.tag == invariantTag }
+        requireNotNull(invariant) { "$where: unknown invariant: $invariantTag" }
+        require(step in invariant.steps) { "$where: unknown step of $invariantTag: $step" }
+        val faults = faultTags.split(" + ").map { tag ->
+            requireNotNull(Fault.entries.find { it.tag == tag }) { "$where: unknown fault: $tag" }
+        }
+        return Proof(invariant, faults, step, module, testClass, test)
+    }
+}
--- /dev/null
+++ b/integration/src/test/kotlin/sycamoremast/integration/proof/ProofsTest.kt
@@ -0,0 +1,73 @@
+package sycamoremast.integration.proof
+
+import java.nio.file.Path
+import kotlin.io.path.createDirectories
+import kotlin.io.path.createTempDirectory
+import kotlin.io.path.exists
+import kotlin.io.path.readText
+import kotlin.io.path.writeText
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.assertThrows
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotNull
+
+class ProofsTest {
+    private val root = Path.of("..")
+
+    @Test
+    fun `the page on what is proved agrees with the tests`() {
+        val knownRed = root.resolve("KNOWN-RED.txt").let { if (it.exists()) it.readText() else "" }
+        val page = ProofPage(ProofReader.read(root), knownRed).render()
+        val file = root.resolve("docs/PROOFS.md")
+        if (System.getProperty("proofs.write") != null) file.writeText(page)
+        expectThat(file.readText()).isEqualTo(page)
+    }
+
+    private val mark = markOf("one-place | kill + store-down | task-running")
+
+    /** The mark is put together here, so that it is not read as one of this file. */
+    private fun markOf(text: String) = "// " + "Proves: $text\n"
+
+    private fun read(source: String): List<Proof> {
+        val directory = createTempDirectory("proofs")
+        val sources = directory.resolve("daemon/src/test/kotlin").createDirectories()
+        sources.resolve("BatchTest.kt").writeText(source)
+        return ProofReader.read(directory)
+    }
+
+    @Test
+    fun `a mark belongs to the next test`() {
+        val proofs = read("$mark@Test\nfun `runs once`() {\n}\n@Test\nfun `other`() {\n}\n")
+        expectThat(proofs.single()).isEqualTo(
+            Proof(
+                Invariant.ONE_PLACE,
+                listOf(Fault.KILL, Fault.STORE_DOWN),
+                "task-running",
+                "daemon",
+                "BatchTest",
+                "runs once"
+            )
+        )
+        expectThat(ProofPage(proofs, "").render()).contains("Cells: 1 proved, ")
+        expectThat(ProofPage(proofs, "BatchTest `runs once`").render()).contains(" 1 red.")
+    }
+
+    @Test
+    fun `a mark that names nothing known is an error`() {
+        val marks = listOf(
+            "two-places | kill | task-running",
+            "one-place | flood | task-running",
+            "one-place | kill | request-received",
+            "one-place"
+        )
+        for (text in marks) {
+            val error = assertThrows<IllegalArgumentException> {
+                read(markOf(text) + "fun `x`() {\n")
+            }
+            expectThat(error.message).describedAs(text).isNotNull().contains("BatchTest.kt:")
+        }
+        assertThrows<IllegalArgumentException> { read(mark) }
+    }
+}
