--- a/coordination/src/test/kotlin/sycamoremast/coordination/shard/Schedule.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/shard/Schedule.kt
@@ -19,9 +19,17 @@
 import sycamoremast.coordination.record.JobSpec
 import sycamoremast.coordination.record.JobState
 
-internal class Schedule(private val seed: Long, private val bugs: Set<PlantedBug> = emptySet()) {
+internal class Schedule(
+    private val seed: Long,
+    private val bugs: Set<PlantedBug> = emptySet(),
+    chosenJobs: Map<JobKey, JobSpec>? = null,
+    private val losesCalls: Boolean = true,
+    private val longestCutOffMillis: Long = LONGEST_CUT_OFF_MILLIS,
+    private val faults: Schedule.() -> Unit = Schedule::plantRandomFaults
+) {
     private val random = Random(seed)
-    private val jobs = randomJobs()
+    private val jobs = (chosenJobs ?: randomJobs()).toMutableMap()
+    private var revision = 1L
     private val checker: Checker = Checker(
         seed,
         { workers.values },
@@ -31,7 +39,7 @@
     val store = SimulatedStore(checker)
     private val workers: Map<String, SimulatedWorker> = (1..3).map { newWorker("w$it") }
         .associateBy { it.name }
-    private val hosts = (1..2).map { Host("h$it") }
+    val hosts = (1..2).map { Host("h$it") }
     private val queue = PriorityQueue<Timed>(compareBy<Timed>({ it.atMillis }, { it.order }))
     private var order = 0L
     private var now = 0L
@@ -41,7 +49,7 @@
     private class Timed(val atMillis: Long, val order: Long, val action: () -> Unit)
 
     /** An entry host: its machine, its clock, and whether it is paused. */
-    private inner class Host(val name: String) {
+    inner class Host(val name: String) {
         private val rate = 1 + random.nextDouble(-DRIFT, DRIFT)
         private val offset = random.nextLong(1_000_000)
         private var life = 0
@@ -59,18 +67,27 @@
                     writer = "$name#$life",
                     ownerTiming = LeaseTiming(OWNER_TTL_MILLIS, margin),
                     workerTiming = LeaseTiming(WORKER_TTL_MILLIS, margin),
-                    heartbeatMillis = HEARTBEAT_MILLIS
+                    heartbeatMillis = HEARTBEAT_MILLIS,
+                    longestCutOffMillis = longestCutOffMillis
                 )
             )
         }
 
         fun begin() {
             deliver(ShardEvent.WorkersListed(workers.keys.map(::listing)), life)
-            deliver(ShardEvent.JobsListed("team", 1, jobs.mapKeys { it.key.name }), life)
+            deliver(listing(), life)
             tick(life)
             poll(life)
         }
 
+        private fun listing() =
+            ShardEvent.JobsListed("team", revision, jobs.mapKeys { it.key.name })
+
+        /** Hears of the newest configuration. */
+        fun listJobs() = deliver(listing())
+
+        val isOwner: Boolean get() = isAlive && machine.snapshot().isOwner
+
         private fun tick(of: Int) {
             deliver(ShardEvent.Tick, of)
             if (of == life) after(TICK_MILLIS) { tick(of) }
@@ -202,7 +219,8 @@
     /** Runs the schedule; throws [BrokenPromise] if a promise is broken. */
     fun run() {
         hosts.forEach { it.begin() }
-        plantFaults()
+        faults()
+        after(CALM_MILLIS) { calm() }
         val keys = jobs.keys
         while (queue.isNotEmpty() && now < END_MILLIS) {
             val next = queue.remove()
@@ -233,7 +251,10 @@
         stopMillis = random.nextLong(1, 1_500),
         bugs = bugs,
         checker = checker,
-        fails = { Random(seed + it.taskId.hashCode() + it.attempt).nextInt(FAILURE_ODDS) == 0 }
+        fails = {
+            losesCalls &&
+                Random(seed + it.taskId.hashCode() + it.attempt).nextInt(FAILURE_ODDS) == 0
+        }
     )
 
     private fun listing(name: String) =
@@ -264,7 +285,7 @@
         answer: (T) -> Unit
     ) {
         val there = random.nextLong(1, 5)
-        val fate = if (now < CALM_MILLIS) random.nextInt(100) else 100
+        val fate = if (losesCalls && now < CALM_MILLIS) random.nextInt(100) else 100
         when {
             fate < 2 -> after(there) { answer(notSent()) }
 
@@ -302,13 +323,36 @@
 
     // Faults
 
-    private fun plantFaults() {
+    private fun plantRandomFaults() {
         repeat(random.nextInt(1, 7)) {
             after(random.nextLong(CALM_MILLIS)) { plant(random.nextInt(7)) }
         }
-        after(CALM_MILLIS) { calm() }
     }
 
+    /** Accepts [job] at [atMillis], by a configuration that every host hears of. */
+    fun submitAt(atMillis: Long, key: JobKey, job: JobSpec) = after(atMillis) {
+        jobs[key] = job
+        revision++
+        hosts.forEach { it.listJobs() }
+    }
+
+    /** Ends the owner's process at [atMillis]. */
+    fun killOwnerAt(atMillis: Long) = after(atMillis) {
+        hosts.filter { it.isOwner }.forEach { it.isAlive = false }
+    }
+
+    /** Cuts every host off from the service for [spanMillis]. */
+    fun cutServiceAt(atMillis: Long, spanMillis: Long) = after(atMillis) {
+        isStoreUp = false
+        after(spanMillis) { isStoreUp = true }
+    }
+
+    /** How often the task [taskId] was started. */
+    fun runs(taskId: String): Int = checker.runs[taskId] ?: 0
+
+    /** When the task [taskId] was first started, or null if it never was. */
+    fun startedMillis(taskId: String): Long? = checker.startedMillis[taskId]
+
     private fun plant(kind: Int) {
         val host = hosts.random(random)
         val worker = workers.values.random(random)
@@ -374,6 +418,7 @@
         private const val OWNER_TTL_MILLIS = 2_000L
         private const val WORKER_TTL_MILLIS = 2_000L
         private const val HEARTBEAT_MILLIS = 500L
+        private const val LONGEST_CUT_OFF_MILLIS = 10_000L
         private const val TICK_MILLIS = 50L
         private const val POLL_MILLIS = 1_000L
         private const val TIMEOUT_MILLIS = 800L
--- a/daemon/src/test/kotlin/sycamoremast/daemon/control/ControlNode.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/control/ControlNode.kt
@@ -31,6 +31,7 @@
     renewWatch = 1.seconds,
     refreshHosts = 500.milliseconds,
     takeKeyAgain = 1.seconds,
+    readAgain = 3.seconds,
     retry = Backoff(100.milliseconds, 1.seconds)
 )
 
@@ -55,7 +56,8 @@
     relayTimes: RelayTimes = quickRelay,
     limits: PeerLimits = quickLimits,
     bindPort: Int = 0,
-    advertised: String? = null
+    advertised: String? = null,
+    http: OkHttpClient = quickHttpClient()
 ) : AutoCloseable {
     val registry = SimpleMeterRegistry()
     val claim = IncarnationClaim(incarnation)
@@ -65,7 +67,7 @@
         registry,
         limits
     ).also { it.start() }
-    private val store = HttpKeyValueStore.at(storeAddress, quickHttpClient(), 10.seconds)
+    private val store = HttpKeyValueStore.at(storeAddress, http, 10.seconds)
     val context = ControlContext(host, zone, store, CallBudget(100.0, 100), registry)
     private val peers = ControlPeers.of(network)
     val membership = Membership.create(context, claim, peers, seeds, times)
@@ -83,6 +85,9 @@
 
     fun revision(team: String) = replica.inForce()[team]?.revision ?: 0
 
+    /** How often this host began to watch for its zone. */
+    fun relaysBegun() = registry.find("sycamoremast.control.relays.begun").counter()?.count() ?: 0.0
+
     fun states() = membership.members().associate { it.host to it.state }
 
     override fun close() {
