Cut peers by discarding bytes, and let the stand-in's watches freeze first

A frozen watch still passed on a change that was made within the 50 ms of a poll begun before, so the tests of frozen watches passed with catching up and reading again taken out. They now wait for such polls to end. Proxies discard bytes in both directions in place of freezing.

--- a/daemon/src/test/kotlin/sycamoremast/daemon/control/ControlFaultsTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/control/ControlFaultsTest.kt
@@ -102,7 +102,7 @@
         eventually("all are live") {
             all.all { node -> node.states().values.count { it == MemberState.LIVE } == 3 }
         }
-        service.setFaults(KeyValueFaults(freezeWatch = true))
+        service.freezeWatches()
         all[2].submit(0, 1_000)
         eventually("in force everywhere") { all.all { it.revision("nets") == 1L } }
     }
@@ -111,7 +111,7 @@
     fun `a frozen watch and the death of the accepting host do not hide a change for long`() {
         val all = listOf("a1", "b1").map { node(it).start() }
         eventually("both watch") { all.all { it.relaysBegun() == 1.0 } }
-        service.setFaults(KeyValueFaults(freezeWatch = true))
+        service.freezeWatches()
         val accepting = node("c1")
         accepting.submit(0, 1_000)
         accepting.killed()
--- a/daemon/src/test/kotlin/sycamoremast/daemon/control/ControlNode.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/control/ControlNode.kt
@@ -16,6 +16,8 @@
 import sycamoremast.daemon.platform.HttpKeyValueStore
 import sycamoremast.daemon.platform.PlatformTimeouts
 import sycamoremast.daemon.platform.platformHttpClient
+import sycamoremast.standins.KeyValueFaults
+import sycamoremast.standins.KeyValueServer
 
 /** Intervals that keep tests short. */
 internal val quickTimes = MembershipTimes(
@@ -119,4 +121,11 @@
     }
 }
 
+/** Holds back what watches see, and lets polls that had begun before come to their end. */
+internal fun KeyValueServer.freezeWatches() {
+    setFaults(KeyValueFaults(freezeWatch = true))
+    Thread.sleep(POLLS_ENDED_MILLIS)
+}
+
 private const val POLL_MILLIS = 20L
+private const val POLLS_ENDED_MILLIS = 300L
--- a/daemon/src/test/kotlin/sycamoremast/daemon/control/ControlPartitionTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/control/ControlPartitionTest.kt
@@ -21,7 +21,7 @@
 
     @AfterEach
     fun close() {
-        proxies.values.forEach { it.unfreeze() }
+        proxies.values.forEach { it.heal() }
         nodes.values.forEach { it.close() }
         proxies.values.forEach { it.close() }
         reactor.close()
@@ -69,31 +69,28 @@
         eventually("in force on the host that is cut off from its peers") {
             node("a1").revision("nets") == 1L
         }
-        proxies.values.forEach {
-            it.discardsFromHost = false
-            it.discardsToHost = false
-        }
+        proxies.values.forEach { it.heal() }
         eventually("live again") { nodes.values.all { it.liveCount() == 3 } }
     }
 
     @Test
     fun `hosts that can't be asked are unconfirmed and catch up when the cut heals`() {
         startAll("a1", "a2", "b1")
-        proxies.values.forEach { it.freeze() }
+        proxies.values.forEach { it.cut() }
         eventually("a1 is alone") { node("a1").liveCount() == 1 }
-        service.setFaults(KeyValueFaults(freezeWatch = true))
+        service.freezeWatches()
         node("a1").submit(0)
         val confirmed = node("a1").replica.confirmations("nets", 1, 1_000)
         expectThat(confirmed.inForce).containsExactlyInAnyOrder("a1")
         expectThat(confirmed.unconfirmed).containsExactlyInAnyOrder("a2", "b1")
-        proxies.values.forEach { it.unfreeze() }
+        proxies.values.forEach { it.heal() }
         eventually("all have caught up") { nodes.values.all { it.revision("nets") == 1L } }
     }
 
     @Test
     fun `a host whose address can't be reached stays live as long as it reaches the others`() {
         startAll("a1", "b1", "c1")
-        proxy("c1").freeze()
+        proxy("c1").cut()
         val end = System.nanoTime() + 2 * quickTimes.members.goneAfter.inWholeNanoseconds
         while (System.nanoTime() < end) {
             neverGone("c1")
@@ -105,7 +102,7 @@
     @Test
     fun `a host that is cut off from its zone's relay watches for itself`() {
         startAll("a1", "a2")
-        proxies.values.forEach { it.freeze() }
+        proxies.values.forEach { it.cut() }
         eventually("each is alone") { nodes.values.all { it.liveCount() == 1 } }
         val accepting = ControlNode("c1", "c", "127.0.0.1:${service.port}")
         nodes["c1"] = accepting
@@ -115,7 +112,7 @@
         }
         val watching = listOf("a1", "a2").map { node(it).relaysBegun() }
         expectThat(watching.all { it >= 1.0 }).isTrue()
-        proxies.values.forEach { it.unfreeze() }
+        proxies.values.forEach { it.heal() }
         eventually("live again") { node("a1").liveCount() == 2 && node("a2").liveCount() == 2 }
     }
 
@@ -126,14 +123,14 @@
         node("a1").submit(1)
         eventually("in force") { nodes.values.all { it.revision("nets") == 2L } }
         service.setFaults(KeyValueFaults(down = true))
-        proxies.values.forEach { it.freeze() }
+        proxies.values.forEach { it.cut() }
         eventually("each is alone") { nodes.values.all { it.liveCount() == 1 } }
         neverGone("a1", "a2", "b1", "c1")
         for (node in nodes.values) {
             expectThat(node.revision("nets")).isEqualTo(2)
             expectThat(node.replica.notReadyBecause()).isEmpty()
         }
-        proxies.values.forEach { it.unfreeze() }
+        proxies.values.forEach { it.heal() }
         service.setFaults(KeyValueFaults())
         val before = service.calls().values.sum()
         eventually("all are live") { nodes.values.all { it.liveCount() == 4 } }
--- a/daemon/src/test/kotlin/sycamoremast/daemon/control/PeerProxy.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/control/PeerProxy.kt
@@ -32,11 +32,15 @@
     /** The address that the host's peers dial. */
     val address get() = "127.0.0.1:$bindPort"
 
-    /** Stops passing anything on, in either direction, without closing connections. */
-    fun freeze() = crusher.freeze()
+    /** Discards everything, in both directions, until [heal]. */
+    fun cut() {
+        discardsToHost = true
+        discardsFromHost = true
+    }
 
-    fun unfreeze() {
-        if (crusher.isFrozen) crusher.unfreeze()
+    fun heal() {
+        discardsToHost = false
+        discardsFromHost = false
     }
 
     override fun close() = crusher.close()
