--- a/daemon/src/main/kotlin/sycamoremast/daemon/control/ConfigurationReplica.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/control/ConfigurationReplica.kt
@@ -39,7 +39,7 @@
     private val applying = Any()
     private val submitter = ConfigurationSubmitter(context, this, audit)
     private val confirmer = Confirmer(context.host, membership, peers)
-    private val catchUp = PeerCatchUp(context, this, peers)
+    private val catchUp = PeerCatchUp(context, this, peers, relayTimes.catchUpAfter)
     private val relay = ZoneRelay(context, this, membership, relayTimes)
     private val storeLoop = ControlLoop("configuration", STEP_MILLIS) { storeStep() }
     private val peerLoop = ControlLoop("catch-up", STEP_MILLIS) { catchUp.step() }
@@ -165,6 +165,9 @@
         }
     }
 
+    /** Passes on the document of [team] as it is held here, whichever way it came. */
+    internal fun pushHeld(team: String) = pushToZone(table.texts(listOf(team)))
+
     internal fun storeStep() {
         if (!isSynced) readAll()
         relay.step()
--- a/daemon/src/main/kotlin/sycamoremast/daemon/control/ControlContext.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/control/ControlContext.kt
@@ -48,6 +48,9 @@
 
     fun isConfiguration(key: String) = key.startsWith(TEAMS) && key.endsWith(CONFIGURATION)
 
+    /** Returns the team whose configuration is at [key]. */
+    fun teamOf(key: String) = key.removePrefix(TEAMS).removeSuffix(CONFIGURATION)
+
     fun host(host: String) = "$HOSTS$host"
 
     fun relay(availabilityZone: String) = "sycamoremast/relays/$availabilityZone"
--- a/daemon/src/main/kotlin/sycamoremast/daemon/control/PeerCatchUp.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/control/PeerCatchUp.kt
@@ -7,6 +7,7 @@
 package sycamoremast.daemon.control
 
 import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 import org.tinylog.kotlin.Logger
 import sycamoremast.daemon.log.event
@@ -18,7 +19,8 @@
 internal class PeerCatchUp(
     private val context: ControlContext,
     private val replica: ConfigurationReplica,
-    private val peers: ControlPeers
+    private val peers: ControlPeers,
+    private val after: Duration
 ) {
     private val differing = ConcurrentHashMap<String, Difference>()
     private val compared = ConcurrentHashMap<String, Pair<Long, Long>>()
@@ -40,7 +42,9 @@
             return
         }
         val now = context.nowMillis()
-        val due = differing.filterValues { now - it.sinceMillis >= GRACE_MILLIS }.entries.toList()
+        val due = differing.filterValues {
+            now - it.sinceMillis >= after.inWholeMilliseconds
+        }.entries.toList()
         val (host, difference) = due.randomOrNull(context.timing.random) ?: return
         fetchFrom(host) ?: return
         compared[host] = replica.table.digest() to difference.digest
@@ -87,7 +91,6 @@
     }
 
     private companion object {
-        const val GRACE_MILLIS = 900L
         val ASK_TIMEOUT = 2.seconds
     }
 }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/control/ZoneRelay.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/control/ZoneRelay.kt
@@ -30,7 +30,8 @@
  * A watch is renewed from the last revision seen every [renewWatch], so that one which has silently
  * stopped costs no more than that. In case the service itself holds back what watches would see, all
  * documents are read again after [readAgain], or later where they are so large that reading them
- * would exceed [READ_AGAIN_BYTES_PER_SECOND].
+ * would exceed [READ_AGAIN_BYTES_PER_SECOND]. A host asks others for what they show to have newer
+ * once it has not arrived by the relay for [catchUpAfter].
  */
 data class RelayTimes(
     val silentAfter: Duration = 2.seconds,
@@ -38,6 +39,7 @@
     val refreshHosts: Duration = 3.seconds,
     val takeKeyAgain: Duration = 10.seconds,
     val readAgain: Duration = 30.seconds,
+    val catchUpAfter: Duration = 900.milliseconds,
     val retry: Backoff = Backoff(500.milliseconds, 5.seconds)
 ) {
     /** Returns how long to wait before [bytes] of documents are read again. */
@@ -229,8 +231,8 @@
 
         override fun onChange(key: String, value: String?, revision: Long) {
             if (value != null) {
-                val text = replica.offerStored(key, value, "watch")
-                if (text != null) replica.pushToZone(listOf(text))
+                replica.offerStored(key, value, "watch")
+                replica.pushHeld(ControlKeys.teamOf(key))
             }
             nextRevision = maxOf(nextRevision, revision + 1)
         }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/peer/PeerConnection.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/peer/PeerConnection.kt
@@ -10,10 +10,14 @@
 import io.ktor.utils.io.writeInt
 import java.util.concurrent.atomic.AtomicLong
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.channels.ChannelResult
 import kotlinx.coroutines.channels.getOrElse
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.selects.onTimeout
+import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.withTimeout
 import kotlinx.coroutines.withTimeoutOrNull
 
@@ -77,7 +81,7 @@
 
     private suspend fun writeLoop() {
         while (true) {
-            val next = withTimeoutOrNull(limits.pingAfter) { queue.receiveCatching() }
+            val next = nextOrNull()
             val bytes = if (next == null) PING else next.getOrElse { return }
             withTimeoutOrNull(limits.dropAfterSilence) { write(bytes) }
                 ?: throw PeerViolationException("slow", "the peer took nothing in time")
@@ -85,6 +89,13 @@
         }
     }
 
+    /** Returns what is queued, or null if nothing is for a while; never loses an element. */
+    @OptIn(ExperimentalCoroutinesApi::class)
+    private suspend fun nextOrNull(): ChannelResult<ByteArray>? = select {
+        queue.onReceiveCatching { it }
+        onTimeout(limits.pingAfter) { null }
+    }
+
     private suspend fun write(bytes: ByteArray) {
         output.writeInt(bytes.size)
         output.writeByteArray(bytes)
--- a/daemon/src/test/kotlin/sycamoremast/daemon/control/ControlFaultsTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/control/ControlFaultsTest.kt
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.Callable
 import java.util.concurrent.Executors
+import kotlin.time.Duration.Companion.hours
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
@@ -96,6 +97,23 @@
         eventually("in force on a2") { a2.revision("nets") == 1L }
     }
 
+    @Test
+    fun `changes that the relay itself accepts are pushed to the hosts of its zone`() {
+        val times = quickRelay.copy(catchUpAfter = 1.hours, readAgain = 1.hours)
+        val zone = listOf("a1", "a2").map {
+            ControlNode(it, "a", "127.0.0.1:${service.port}", relayTimes = times).start()
+        }
+        nodes += zone
+        eventually("one of two live hosts is the relay") {
+            zone.all { it.states().size == 2 } && zone.count { it.replica.isRelay } == 1
+        }
+        val relay = zone.single { it.replica.isRelay }
+        for (revision in 1L..3L) {
+            relay.submit(revision - 1, 1_000 + revision)
+            eventually("in force on both") { zone.all { it.revision("nets") == revision } }
+        }
+    }
+
     @Test
     fun `a frozen watch does not keep a change from being in force`() {
         val all = listOf("a1", "a2", "b1").map { node(it).start() }
