--- a/daemon/src/test/kotlin/sycamoremast/daemon/control/ControlFaultsTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/control/ControlFaultsTest.kt
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.Callable
 import java.util.concurrent.Executors
+import kotlin.time.Duration.Companion.hours
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
@@ -96,13 +97,30 @@
         eventually("in force on a2") { a2.revision("nets") == 1L }
     }
 
+    @Test
+    fun `changes that the relay itself accepts are pushed to the hosts of its zone`() {
+        val times = quickRelay.copy(catchUpAfter = 1.hours, readAgain = 1.hours)
+        val zone = listOf("a1", "a2").map {
+            ControlNode(it, "a", "127.0.0.1:${service.port}", relayTimes = times).start()
+        }
+        nodes += zone
+        eventually("one of two live hosts is the relay") {
+            zone.all { it.states().size == 2 } && zone.count { it.replica.isRelay } == 1
+        }
+        val relay = zone.single { it.replica.isRelay }
+        for (revision in 1L..20L) {
+            relay.submit(revision - 1, 1_000 + revision)
+            eventually("in force on both") { zone.all { it.revision("nets") == revision } }
+        }
+    }
+
     @Test
     fun `a frozen watch does not keep a change from being in force`() {
         val all = listOf("a1", "a2", "b1").map { node(it).start() }
         eventually("all are live") {
             all.all { node -> node.states().values.count { it == MemberState.LIVE } == 3 }
         }
-        service.setFaults(KeyValueFaults(freezeWatch = true))
+        service.freezeWatches()
         all[2].submit(0, 1_000)
         eventually("in force everywhere") { all.all { it.revision("nets") == 1L } }
     }
@@ -111,7 +129,7 @@
     fun `a frozen watch and the death of the accepting host do not hide a change for long`() {
         val all = listOf("a1", "b1").map { node(it).start() }
         eventually("both watch") { all.all { it.relaysBegun() == 1.0 } }
-        service.setFaults(KeyValueFaults(freezeWatch = true))
+        service.freezeWatches()
         val accepting = node("c1")
         accepting.submit(0, 1_000)
         accepting.killed()
