--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/Dispatcher.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/Dispatcher.kt
@@ -17,6 +17,7 @@
     private val workers: WorkerTable,
     private val shares: HeldShares,
     private val judge: FailureJudge,
+    private val interference: InterferenceWatch,
     private val submit: (DocumentChange) -> Unit
 ) {
     private val order = queueOrder(shares)
@@ -63,18 +64,29 @@
             resources = job.resources,
             isUrgent = entry.waiting.isUrgent,
             rackLoad = job::rackLoad,
-            penalty = { slot -> if (judge.hasFailedOn(job.key, index, slot.name)) 1.0 else 0.0 },
+            penalty = { slot -> penalty(job, index, slot) },
             isExcluded = { slot -> isExcluded(slot, id, nowMillis) }
         )
         val worker = workers.index.choose(need, nowMillis)?.let { workers.row(it.name) }
         if (worker == null) {
-            if (entry.waiting.isUrgent) preemption.makeRoom(entry.waiting, nowMillis)
+            if (entry.waiting.isUrgent) {
+                preemption.makeRoom(
+                    entry.waiting,
+                    job.waitingTasks,
+                    nowMillis
+                )
+            }
             return false
         }
         start(job, index, worker, nowMillis, out)
         return true
     }
 
+    private fun penalty(job: JobRow, index: Int, slot: WorkerSlot): Double {
+        val failed = if (judge.hasFailedOn(job.key, index, slot.name)) 1.0 else 0.0
+        return failed + (workers.row(slot.name)?.let { interference.penalty(job, it) } ?: 0.0)
+    }
+
     private fun isExcluded(slot: WorkerSlot, id: String, nowMillis: Long): Boolean {
         val isIdle = slot.committed == Resources.NONE
         if (judge.isBarred(slot.name, isIdle, nowMillis)) return true
--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/JobRow.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/JobRow.kt
@@ -31,6 +31,10 @@
     val isLong: Boolean get() = waiting(nowMillis = 0).isLong
     val isOpen: Boolean get() = record.state == JobState.ACCEPTED && !isEnding
 
+    /** How many tasks wait for a place. */
+    val waitingTasks: Int
+        get() = record.tasks - record.finished.size - record.unknown.size - live.size
+
     /** Whether the outcome of the task [index] is decided, or on its way into the document. */
     fun isDecided(index: Int) =
         index in deciding || index in record.finished || index in record.unknown
--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/Ownership.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/Ownership.kt
@@ -9,6 +9,7 @@
 
 import arrow.core.Either
 import sycamoremast.coordination.LeaseId
+import sycamoremast.coordination.StoreError
 import sycamoremast.coordination.SwapOutcome
 import sycamoremast.coordination.lease.OwnerLease
 import sycamoremast.coordination.statechart.StateChart
@@ -86,9 +87,16 @@
     private fun claim(id: LeaseId, nowMillis: Long, out: MutableList<ShardAction>) {
         lease = OwnerLease(id, settings.ownerTiming.reliableUntil(sentMillis))
         advance(OwnershipStep.GET_LEASE)
-        out += ShardAction.ClaimOwner(send(nowMillis), id, settings.owner)
+        sendClaim(id, nowMillis, out)
     }
 
+    private fun sendClaim(id: LeaseId, nowMillis: Long, out: MutableList<ShardAction>) {
+        out += ShardAction.ClaimOwner(send(nowMillis), id, claimOf(id))
+    }
+
+    /** What the key holds, told apart from any other claim by the lease. */
+    private fun claimOf(id: LeaseId) = "${settings.owner} ${id.value}"
+
     /** Returns whether the key is created, so that the document is next. */
     fun onOwnerClaimed(
         event: ShardEvent.OwnerClaimed,
@@ -96,15 +104,28 @@
         out: MutableList<ShardAction>
     ): Boolean {
         if (!isAnswer(event.call)) return false
-        val applied = event.result.fold({ false }, { it is SwapOutcome.Applied })
-        if (!applied || lease?.isReliable(nowMillis) != true) {
+        val held = lease?.takeIf { it.isReliable(nowMillis) }
+        if (held != null && isClaimed(event.result, held.id)) {
+            advance(OwnershipStep.CLAIM)
+            return true
+        }
+        val isLost = event.result.fold({ it is StoreError.AnswerLost }, { false })
+        if (held != null && isLost) {
+            sendClaim(held.id, nowMillis, out)
+        } else {
             abandon(nowMillis, out)
-            return false
         }
-        advance(OwnershipStep.CLAIM)
-        return true
+        return false
     }
 
+    /** A conflict with the host's own claim means that an earlier answer was lost. */
+    private fun isClaimed(result: Either<StoreError, SwapOutcome>, id: LeaseId) = result.fold(
+        { false },
+        { it is SwapOutcome.Applied || (it as? SwapOutcome.Conflict)?.holds(claimOf(id)) == true }
+    )
+
+    private fun SwapOutcome.Conflict.holds(claim: String) = current?.value == claim
+
     fun onTakenOver(nowMillis: Long) {
         advance(OwnershipStep.TAKE_OVER)
         dueMillis = nowMillis
--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/Preemption.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/Preemption.kt
@@ -9,13 +9,22 @@
 internal class Preemption(private val tasks: TaskTable, private val workers: WorkerTable) {
     private val budget = EvictionBudget(MOST_EVICTIONS, PERIOD_MILLIS)
 
-    /** Evicts what stands in the way of [urgent] on the worker where that undoes the least. */
-    fun makeRoom(urgent: WaitingJob, nowMillis: Long) {
-        if (workers.index.all.any { it.isBeingCleared(urgent.need, nowMillis) }) return
-        val plan = workers.index.all
+    /**
+     * Evicts what stands in the way of [count] tasks like [urgent], on the workers where that undoes
+     * the least.
+     */
+    fun makeRoom(urgent: WaitingJob, count: Int, nowMillis: Long) {
+        val underWay = workers.index.all.count { it.isBeingCleared(urgent.need, nowMillis) }
+        if (underWay >= count) return
+        workers.index.all
             .filter { it.isOpen && nowMillis >= it.reservedUntilMillis }
             .mapNotNull { slot -> workers.row(slot.name)?.let { plan(it, urgent.need) } }
-            .minByOrNull { it.undoneMillis } ?: return
+            .sortedBy { it.undoneMillis }
+            .take(count - underWay)
+            .forEach { carryOut(it, nowMillis) }
+    }
+
+    private fun carryOut(plan: Plan, nowMillis: Long) {
         if (!budget.take(plan.victims.size, nowMillis)) return
         plan.worker.slot.reservedUntilMillis = nowMillis + RESERVED_MILLIS
         plan.victims.forEach { tasks.evict(it) }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/ShardMachine.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/ShardMachine.kt
@@ -25,13 +25,14 @@
 class ShardMachine(private val settings: ShardSettings) {
     private var calls = 0L
     private val ownership = Ownership(settings, ::newCall)
-    private val ledger = DocumentLedger(settings.writer, BackOff(settings.retryMillis))
+    private val ledger = DocumentLedger(settings.writer, BackOff(FIRST_PAUSE_MILLIS))
     private var out = ArrayList<ShardAction>()
     private val shares = HeldShares()
     private val judge = FailureJudge(settings.attemptsPerTask)
     private val tasks = TaskTable(shares, judge, ledger::submit) { out += it }
-    private val workers = WorkerTable(settings, tasks, ::newCall)
-    private val dispatcher = Dispatcher(tasks, workers, shares, judge, ledger::submit)
+    private val interference = InterferenceWatch(tasks)
+    private val workers = WorkerTable(settings, tasks, interference, ::newCall)
+    private val dispatcher = Dispatcher(tasks, workers, shares, judge, interference, ledger::submit)
     private val listedJobs = HashMap<String, ShardEvent.JobsListed>()
     private var listedWorkers = emptyList<ListedHost>()
     private var epoch = 0L
@@ -40,6 +41,10 @@
     private var sweptMillis = Long.MIN_VALUE
     private var placementDueMillis = Long.MIN_VALUE
 
+    init {
+        tasks.onRemoved = interference::forget
+    }
+
     /** Returns the actions that follow from [event] at [nowMillis]. */
     fun handle(event: ShardEvent, nowMillis: Long): List<ShardAction> {
         out = ArrayList()
@@ -255,7 +260,8 @@
             is ShardEvent.Renewed -> workers.onRenewed(
                 event,
                 ownership.isReliable(nowMillis),
-                nowMillis
+                nowMillis,
+                out
             )
             is ShardEvent.Started -> workers.onStarted(event, nowMillis)
             is ShardEvent.Controlled -> workers.onControlled(event)
@@ -272,6 +278,9 @@
 
     private companion object {
         const val SWEEP_MILLIS = 20L
+
+        /** The pause after the first failed call on the document. */
+        const val FIRST_PAUSE_MILLIS = 50L
     }
 }
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/TaskTable.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/TaskTable.kt
@@ -23,6 +23,9 @@
     val ending = LinkedHashSet<LiveTask>()
     var nowMillis = 0L
 
+    /** Called for each task that has left its worker. */
+    var onRemoved: (taskId: String) -> Unit = { }
+
     /** Whether something has changed since the last placement that may allow another. */
     var isPlacementDue = true
 
@@ -87,6 +90,7 @@
         if (task.worker.live[task.id] === task) task.worker.live.remove(task.id)
         ending -= task
         release(task)
+        onRemoved(task.id)
     }
 
     /** Gives back what was committed to [task], which certainly no longer runs. */
--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/WorkerTable.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/WorkerTable.kt
@@ -20,6 +20,7 @@
 internal class WorkerTable(
     private val settings: ShardSettings,
     private val tasks: TaskTable,
+    private val interference: InterferenceWatch,
     private val newCall: () -> Long
 ) {
     private val rows = LinkedHashMap<String, WorkerRow>()
@@ -146,7 +147,12 @@
     }
 
     /** Takes in an answer to a renewal; [isReliable] is whether the owner's lease is. */
-    fun onRenewed(event: ShardEvent.Renewed, isReliable: Boolean, nowMillis: Long): Boolean {
+    fun onRenewed(
+        event: ShardEvent.Renewed,
+        isReliable: Boolean,
+        nowMillis: Long,
+        out: MutableList<ShardAction>
+    ): Boolean {
         val row = rows[event.worker]
         if (row == null || row.renewalCall != event.call) return true
         row.renewalCall = null
@@ -161,6 +167,7 @@
                 val wasOpen = row.slot.isOpen
                 val restarted = row.onReport(report, settings.workerTiming, nowMillis)
                 reports.onReport(row, report, event.call, row.renewalEpoch, restarted)
+                if (row.session.fenced) out += interference.onReport(row, report, nowMillis)
                 endSuccession(nowMillis)
                 if (!wasOpen && row.slot.isOpen) tasks.isPlacementDue = true
                 val grantedNothing = isFirstContact || report.leaseRemainingMillis <= 0
