--- a/coordination/src/test/kotlin/sycamoremast/coordination/interference/NoisyWaveTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/interference/NoisyWaveTest.kt
@@ -34,39 +34,47 @@
 
     /** Workers 0 to 9 run a sensitive task each and 10 to 14 none; a wave adds twenty noisy ones. */
     private fun run(way: Way): Outcome {
-        val random = Random(7)
-        val model = InterferenceModel()
-        val control = InterferenceControl(model)
-        val noisy = (0 until NOISY).map { Noisy("n$it", place(it, way)) }
+        val wave = Wave(way)
+        repeat(STEPS) { step -> wave.advance(step * STEP_MILLIS) }
+        val seconds = STEP_MILLIS / 1_000.0
+        return Outcome(wave.slowdown / SENSITIVE / STEPS, wave.noisyWork * seconds, wave.evictions)
+    }
+
+    private inner class Wave(private val way: Way) {
+        private val random = Random(7)
+        private val model = InterferenceModel()
+        private val control = InterferenceControl(model)
+        private val noisy = (0 until NOISY).map { Noisy("n$it", place(it, way)) }
         var slowdown = 0.0
         var noisyWork = 0.0
         var evictions = 0
-        for (step in 0 until STEPS) {
-            val now = step * STEP_MILLIS
-            for (worker in 0 until SENSITIVE) {
-                val beside = noisy.filter { it.worker == worker }
-                val factor = beside.fold(1.0) { f, task -> f * if (task.isThrottled) 1.3 else 3.0 }
-                slowdown += factor
-                val neighbours = beside.map { Neighbour(NOISY_JOB, it.isThrottled) }.toSet()
-                val rate = exp(random.nextDouble(-0.3, 0.3)) / factor
-                if (way != Way.LEARNED) continue
-                model.observe(SENSITIVE_JOB, neighbours, rate, now)
-                val tasks =
-                    beside.map { PlacedTask(it.id, NOISY_JOB, it.isThrottled, true, true) } +
-                        PlacedTask("s$worker", SENSITIVE_JOB, false, false, false)
-                for (action in control.decide(tasks, now)) {
-                    val task = noisy.first { it.id == action.id }
-                    task.isThrottled = action is InterferenceAction.Throttle
-                    if (action !is InterferenceAction.Evict) continue
-                    evictions++
-                    task.worker = SENSITIVE + evictions % FREE
-                }
-            }
-            noisyWork +=
-                noisy.filter { it.worker != null }.sumOf { if (it.isThrottled) 0.5 else 1.0 }
+
+        fun advance(now: Long) {
+            (0 until SENSITIVE).forEach { advance(it, now) }
+            val placed = noisy.filter { it.worker != null }
+            noisyWork += placed.sumOf { if (it.isThrottled) 0.5 else 1.0 }
+        }
+
+        private fun advance(worker: Int, now: Long) {
+            val beside = noisy.filter { it.worker == worker }
+            val factor = beside.fold(1.0) { f, task -> f * if (task.isThrottled) 1.3 else 3.0 }
+            slowdown += factor
+            val rate = exp(random.nextDouble(-0.3, 0.3)) / factor
+            if (way != Way.LEARNED) return
+            val neighbours = beside.map { Neighbour(NOISY_JOB, it.isThrottled) }.toSet()
+            model.observe(SENSITIVE_JOB, neighbours, rate, now)
+            val tasks = beside.map { PlacedTask(it.id, NOISY_JOB, it.isThrottled, true, true) } +
+                PlacedTask("s$worker", SENSITIVE_JOB, false, false, false)
+            control.decide(tasks, now).forEach(::carryOut)
+        }
+
+        private fun carryOut(action: InterferenceAction) {
+            val task = noisy.first { it.id == action.id }
+            task.isThrottled = action is InterferenceAction.Throttle
+            if (action !is InterferenceAction.Evict) return
+            evictions++
+            task.worker = SENSITIVE + evictions % FREE
         }
-        val seconds = STEP_MILLIS / 1_000.0
-        return Outcome(slowdown / SENSITIVE / STEPS, noisyWork * seconds, evictions)
     }
 
     /** A static limit keeps noisy tasks off workers with sensitive ones, two to each other worker. */
--- a/daemon/src/main/kotlin/sycamoremast/daemon/batch/ShardLoop.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/batch/ShardLoop.kt
@@ -45,6 +45,8 @@
     @Volatile
     private var snapshot = machine.snapshot()
 
+    private var snapshotMillis = Long.MIN_VALUE / 2
+
     @Volatile
     private var stopped = false
 
@@ -73,14 +75,22 @@
 
     private fun step(event: ShardEvent) {
         try {
-            val actions = machine.handle(event, ports.clock.nowMillis())
-            snapshot = machine.snapshot()
+            val now = ports.clock.nowMillis()
+            val actions = machine.handle(event, now)
+            refreshSnapshot(now)
             actions.forEach(::carryOut)
         } catch (e: RuntimeException) {
             Logger.error(e, "event=failed step=shard-event peer=$id")
         }
     }
 
+    /** A snapshot costs time in proportion to the jobs, so it is not taken after every event. */
+    private fun refreshSnapshot(nowMillis: Long) {
+        if (nowMillis < snapshotMillis + TICK_MILLIS) return
+        snapshotMillis = nowMillis
+        snapshot = machine.snapshot()
+    }
+
     private fun carryOut(action: ShardAction) {
         when (action) {
             is ShardAction.ReportUnknown ->
