--- a/bench/src/main/kotlin/sycamoremast/bench/BenchMain.kt
+++ b/bench/src/main/kotlin/sycamoremast/bench/BenchMain.kt
@@ -56,8 +56,15 @@
 /** Runs the experiment that [args] name; ends the process, whatever threads are left. */
 fun main(args: Array<String>) {
     System.setProperty("java.awt.headless", "true")
-    BenchCommand().subcommands(experiments.map(::ExperimentCommand)).main(args)
-    exitProcess(0)
+    val exitCode = try {
+        BenchCommand().subcommands(experiments.map(::ExperimentCommand)).main(args)
+        0
+    } catch (e: RuntimeException) {
+        e.printStackTrace()
+        EXIT_FAILED
+    }
+    exitProcess(exitCode)
 }
 
 private const val DEFAULT_SEED = 1L
+private const val EXIT_FAILED = 1
--- a/bench/src/main/kotlin/sycamoremast/bench/capacity/AnsweredShard.kt
+++ b/bench/src/main/kotlin/sycamoremast/bench/capacity/AnsweredShard.kt
@@ -1,4 +1,4 @@
-/** A shard's state machine whose every call is answered at once, by the platform as it should be. */
+/** A shard's state machine whose every call is answered at once, by a platform without faults. */
 package sycamoremast.bench.capacity
 
 import arrow.core.right
@@ -13,6 +13,7 @@
 import sycamoremast.coordination.WorkerReport
 import sycamoremast.coordination.lease.LeaseTiming
 import sycamoremast.coordination.record.JobSpec
+import sycamoremast.coordination.record.JobState
 import sycamoremast.coordination.shard.ShardAction
 import sycamoremast.coordination.shard.ShardEvent
 import sycamoremast.coordination.shard.ShardMachine
@@ -57,6 +58,17 @@
         check(running.sumOf { it.size } >= tasks) { "$tasks tasks of $name were not all placed" }
     }
 
+    /** Lets all tasks finish and their results be recorded. */
+    fun finishAll() {
+        running.forEach { tasks ->
+            tasks.replaceAll { _, report -> report.copy(phase = TaskPhase.FINISHED) }
+        }
+        repeat(ROUNDS_TO_SETTLE) { round() }
+        val open = machine.snapshot().document.jobs.count { it.state == JobState.ACCEPTED }
+        check(open == 0) { "$open jobs are still open" }
+        running.forEach { it.clear() }
+    }
+
     /** Submits a job with a task that fits on a worker only while that worker is empty. */
     fun submitWaiting(name: String) =
         submit(name, JobSpec(1, CAPACITY, expectedMillis = TASK_MILLIS), revision = 1)
--- a/bench/src/main/kotlin/sycamoremast/bench/capacity/CapacityExperiment.kt
+++ b/bench/src/main/kotlin/sycamoremast/bench/capacity/CapacityExperiment.kt
@@ -48,7 +48,7 @@
         val x = probe.sizes.map { it.toDouble() }
         val line = x.map { result.slope.intercept + result.slope.slope * it }
         return ResultPlot(
-            name = "capacity-${probe.role}-${probe.quantity}-${probe.unit}"
+            name = "capacity-${probe.role}-${probe.quantity}-${probe.unit}-${probe.sizeName}"
                 .replace(Regex("[^A-Za-z0-9]+"), "-"),
             title = "${probe.role}: ${probe.quantity}",
             xLabel = probe.sizeName,
--- a/bench/src/main/kotlin/sycamoremast/bench/capacity/ShardProbes.kt
+++ b/bench/src/main/kotlin/sycamoremast/bench/capacity/ShardProbes.kt
@@ -52,6 +52,12 @@
         repeat(jobs) { shard.runJob("survey-$it", 1) }
         shard.documentText.length.toDouble()
     },
+    Probe(ROLE, "document", "bytes", "finished jobs", JOBS) { jobs, _ ->
+        val shard = AnsweredShard(WORKERS_OF_JOB_RECORDS)
+        repeat(jobs) { shard.runJob("survey-$it", 1) }
+        shard.finishAll()
+        shard.documentText.length.toDouble()
+    },
     Probe(ROLE, "document of workers", "bytes", "workers", WORKERS) { workers, _ ->
         AnsweredShard(workers).documentText.length.toDouble()
     }
--- a/bench/src/main/kotlin/sycamoremast/bench/control/Deployment.kt
+++ b/bench/src/main/kotlin/sycamoremast/bench/control/Deployment.kt
@@ -1,8 +1,7 @@
 /** Whole daemons in this process, over stand-ins of the platform. */
 package sycamoremast.bench.control
 
-import java.net.InetAddress
-import java.net.ServerSocket
+import java.util.concurrent.atomic.AtomicInteger
 import okhttp3.MediaType.Companion.toMediaType
 import okhttp3.Request
 import okhttp3.RequestBody.Companion.toRequestBody
@@ -21,8 +20,7 @@
 internal class Deployment(size: DeploymentSize) : AutoCloseable {
     private val keyValue = KeyValueServer.start()
     private val hostList = HostListServer.start()
-    private val peerPorts = List(size.hosts) { freePort() }
-    private val operatorPorts = List(size.hosts) { freePort() }
+    private val network = "127.${PROCESS_NETWORK}.${lastNetwork.incrementAndGet()}"
     private val hosts = List(size.hosts) { index ->
         val settings = DaemonSettings.parse("bench", settings(index, size))
         EntryHost.start(settings.fold({ error("bad settings: $it") }, { it }))
@@ -51,7 +49,7 @@
     }
 
     private fun request(index: Int, path: String) =
-        Request.Builder().url("http://127.0.0.1:${operatorPorts[index]}$path")
+        Request.Builder().url("http://${ip(index)}:$OPERATORS_PORT$path")
 
     private fun send(request: Request.Builder): String? = try {
         plainClient.newCall(request.build()).execute().use {
@@ -67,9 +65,9 @@
         availability-zone = zone-${index % size.zones}
 
         [listen]
-        requests = 127.0.0.1:0
-        operators = 127.0.0.1:${operatorPorts[index]}
-        peers = 127.0.0.1:${peerPorts[index]}
+        requests = ${ip(index)}:0
+        operators = ${ip(index)}:$OPERATORS_PORT
+        peers = ${ip(index)}:$PEERS_PORT
 
         [key-value]
         address = 127.0.0.1:${keyValue.port}
@@ -78,12 +76,21 @@
         address = 127.0.0.1:${hostList.port}
 
         [peers]
-        addresses = ${peerPorts.joinToString { "127.0.0.1:$it" }}
+        addresses = ${(0 until size.hosts).joinToString { "${ip(it)}:$PEERS_PORT" }}
 
         [batch]
         shards = ${size.shards}
     """.trimIndent()
 
-    private fun freePort(): Int =
-        ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
+    /** Each host has a loopback number of its own, which no other process takes a port of. */
+    private fun ip(index: Int) = "$network.${index + 1}"
+
+    private companion object {
+        const val OPERATORS_PORT = 7002
+        const val PEERS_PORT = 7003
+        const val FIRST_NETWORK = 100
+        const val NETWORKS = 100
+        val PROCESS_NETWORK = FIRST_NETWORK + (ProcessHandle.current().pid() % NETWORKS).toInt()
+        val lastNetwork = AtomicInteger()
+    }
 }
