--- a/bench/src/main/kotlin/sycamoremast/bench/BenchMain.kt
+++ b/bench/src/main/kotlin/sycamoremast/bench/BenchMain.kt
@@ -10,6 +10,7 @@
 import com.github.ajalt.clikt.parameters.types.long
 import java.nio.file.Path
 import kotlin.system.exitProcess
+import org.tinylog.kotlin.Logger
 import sycamoremast.bench.capacity.CapacityExperiment
 import sycamoremast.bench.control.ControlCalls
 import sycamoremast.bench.request.AddedLatency
@@ -60,7 +61,7 @@
         BenchCommand().subcommands(experiments.map(::ExperimentCommand)).main(args)
         0
     } catch (e: RuntimeException) {
-        e.printStackTrace()
+        Logger.error(e, "event=experiment-failed")
         EXIT_FAILED
     }
     exitProcess(exitCode)
--- a/bench/src/main/kotlin/sycamoremast/bench/request/DaemonEntry.kt
+++ b/bench/src/main/kotlin/sycamoremast/bench/request/DaemonEntry.kt
@@ -54,11 +54,14 @@
         val server: Http4kServer =
             RequestServer("127.0.0.1", 0, WORKER_THREADS).toServer(path.handler).start()
 
+        /** Kept, as a stopped server has no port any more. */
+        val port = server.port()
+
         @Volatile
         var isReady = true
     }
 
-    override fun ports() = hosts.values.filter { it.isReady }.map { it.server.port() }
+    override fun ports() = hosts.values.filter { it.isReady }.map { it.port }
 
     /** Stops a host as the daemon does on SIGTERM; returns whether it was idle in time. */
     fun stopGracefully(index: Int, balancerLagMillis: Long): Boolean {
--- a/bench/src/main/kotlin/sycamoremast/bench/request/RequestExperiments.kt
+++ b/bench/src/main/kotlin/sycamoremast/bench/request/RequestExperiments.kt
@@ -61,6 +61,8 @@
     error("${entry.name} never answered all of the load before the experiment")
 }
 
+/** The length of a first run whose figures are not used: the code is compiled during it. */
+private const val UNCOUNTED_MILLIS = 5_000L
 private const val WARM_UP_MILLIS = 2_000L
 private const val WARM_UP_DEADLINE_MILLIS = 5_000L
 private const val MAX_WARM_UPS = 10
@@ -83,6 +85,7 @@
         val short = steady(PHOTOS, SHORT_MILLIS, SHORT_SHARE, DEADLINE_MILLIS)
         val long = steady(ARCHIVE, LONG_MILLIS, LONG_SHARE, DEADLINE_MILLIS)
         val both = listOf(short, long)
+        measure(both, UNCOUNTED_MILLIS, seed) { DaemonEntry(it, 1) }
         val alone = measure(listOf(short), DURATION_MILLIS, seed, label = "daemon-short-only") {
             DaemonEntry(it, 1)
         }
@@ -299,6 +302,7 @@
 
     override fun run(seed: Long): ExperimentResult {
         val load = listOf(steady(PHOTOS, WORK_MILLIS, SHARE, DEADLINE_MILLIS))
+        measure(load, UNCOUNTED_MILLIS, seed) { DaemonEntry(it, 1) }
         val direct = measure(load, DURATION_MILLIS, seed) { DirectEntry(it) }
         val daemon = measure(load, DURATION_MILLIS, seed) { DaemonEntry(it, 1) }
         val fifo = measure(load, DURATION_MILLIS, seed) { FifoRoundRobinEntry(it) }
