--- a/bench/src/main/kotlin/sycamoremast/bench/BenchMain.kt
+++ b/bench/src/main/kotlin/sycamoremast/bench/BenchMain.kt
@@ -10,6 +10,7 @@
 import com.github.ajalt.clikt.parameters.types.long
 import java.nio.file.Path
 import kotlin.system.exitProcess
+import org.tinylog.kotlin.Logger
 import sycamoremast.bench.capacity.CapacityExperiment
 import sycamoremast.bench.control.ControlCalls
 import sycamoremast.bench.request.AddedLatency
@@ -56,8 +57,15 @@
 /** Runs the experiment that [args] name; ends the process, whatever threads are left. */
 fun main(args: Array<String>) {
     System.setProperty("java.awt.headless", "true")
-    BenchCommand().subcommands(experiments.map(::ExperimentCommand)).main(args)
-    exitProcess(0)
+    val exitCode = try {
+        BenchCommand().subcommands(experiments.map(::ExperimentCommand)).main(args)
+        0
+    } catch (e: RuntimeException) {
+        Logger.error(e, "event=experiment-failed")
+        EXIT_FAILED
+    }
+    exitProcess(exitCode)
 }
 
 private const val DEFAULT_SEED = 1L
+private const val EXIT_FAILED = 1
