Test requests with keys over a kill and an outage of the store

A request with a key is repeated through another daemon after its first one was killed with the request in progress, and one is refused as not run while the store is down. Both are judged by the backend servers' records.

--- /dev/null
+++ b/integration/src/test/kotlin/sycamoremast/integration/ClaimTest.kt
@@ -0,0 +1,34 @@
+package sycamoremast.integration
+
+import java.util.concurrent.TimeUnit
+import kotlin.concurrent.thread
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.Timeout
+import strikt.api.expectThat
+import strikt.assertions.hasSize
+import strikt.assertions.isContainedIn
+
+@Timeout(value = 60, unit = TimeUnit.SECONDS)
+class ClaimTest {
+    // Proves: at-most-once | kill | request-dispatched
+    @Test
+    fun `a request with a key that is repeated through another daemon after a kill runs once`() {
+        Deployment(Layout(daemonsPerZone = 2, backendsPerZone = 2)).use { deployment ->
+            deployment.submit(bktib())
+            val (first, second) = deployment.daemons
+            val invoice = Sent("invoice-1", workMillis = 1_500, path = "/invoice/7", key = "key-7")
+            val caller = thread { call(first.requests, invoice) }
+            await("the invoice runs", deployment::logs) {
+                executions(deployment, "key-7").isNotEmpty()
+            }
+            first.process.kill()
+            caller.join()
+            val got = call(second.requests, invoice.copy(id = "invoice-2", workMillis = 10))
+            expectThat(got).isContainedIn(setOf(Got.UNKNOWN, Got.NOT_RUN))
+            expectThat(executions(deployment, "key-7")).hasSize(1)
+        }
+    }
+
+    private fun executions(deployment: Deployment, key: String) =
+        deployment.platform.executions().filter { it.idempotencyKey == key }
+}
--- a/integration/src/test/kotlin/sycamoremast/integration/OutageTest.kt
+++ b/integration/src/test/kotlin/sycamoremast/integration/OutageTest.kt
@@ -8,6 +8,8 @@
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.Timeout
 import strikt.api.expectThat
+import strikt.assertions.hasSize
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
 import sycamoremast.standins.KeyValueFaults
@@ -55,6 +57,26 @@
         expectFinishedOnce(deployment.platform.runs(), "bktib/survey", tasks = 1)
     }
 
+    // Proves: at-most-once | store-down | request-received
+    // Proves: not-run-true | store-down | request-received
+    @Test
+    fun `a request with a key is refused as not run while its claim can't be made durable`() {
+        deployment.submit(bktib())
+        deployment.platform.setKeyValueFaults(KeyValueFaults(down = true))
+        val keyed = Sent("keyed", path = "/invoice/1", key = "key-1")
+        val requests = deployment.daemons.first().requests
+        expectThat(call(requests, keyed)).isEqualTo(Got.NOT_RUN)
+        expectThat(executions(keyed)).isEmpty()
+        deployment.platform.setKeyValueFaults(KeyValueFaults())
+        await("the request is answered", deployment::logs) {
+            call(requests, keyed) == Got.WHOLE
+        }
+        expectThat(executions(keyed)).hasSize(1)
+    }
+
+    private fun executions(sent: Sent) =
+        deployment.platform.executions().filter { it.idempotencyKey == sent.key }
+
     private fun runs(job: String) = deployment.platform.runs().filter { job in it.taskId }
 
     companion object {
