Answer 400 to a submission whose body is cut off

A submission cut off in its body was answered 500 with a stack trace, since the body's IOException went through the route. It is now 400 and says that the text was cut short.

Seen failing first (500), then passing: the case "configuration cut off" of MalformedRequestsTest, with the 26 others.

--- a/daemon/src/main/kotlin/sycamoremast/daemon/operator/OperatorRoutes.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/operator/OperatorRoutes.kt
@@ -2,6 +2,7 @@
 package sycamoremast.daemon.operator
 
 import arrow.core.Either
+import java.io.IOException
 import kotlinx.serialization.SerializationStrategy
 import kotlinx.serialization.builtins.ListSerializer
 import kotlinx.serialization.json.Json
@@ -60,8 +61,14 @@
 private fun submit(actions: OperatorActions, r: Request): Response {
     val from = r.query("from")?.toLongOrNull()
         ?: return badRequest("submit", "query parameter 'from' must be a revision")
-    val text = readBounded(r)
-        ?: return badRequest("submit", "larger than $LARGEST_CONFIGURATION_BYTES bytes")
+    val text = try {
+        readBounded(r)
+    } catch (e: IOException) {
+        return badRequest("submit", "the configuration was cut short: ${e.message}")
+    }
+    if (text == null) {
+        return badRequest("submit", "larger than $LARGEST_CONFIGURATION_BYTES bytes")
+    }
     val result = actions.submit(r.path("team").orEmpty(), from, text, operatorOf(r))
     return when (result) {
         is Submission.Accepted -> answer(SubmitView.serializer(), result.view)
--- a/integration/src/test/kotlin/sycamoremast/integration/MalformedRequestsTest.kt
+++ b/integration/src/test/kotlin/sycamoremast/integration/MalformedRequestsTest.kt
@@ -84,6 +84,14 @@
         ),
         operator("unknown job", "POST /v1/jobs/bktib/none/cancel", "", 404, "none"),
         operator("unknown team", "GET /v1/teams/none/configuration", "", 404, "none"),
+        Case(
+            "configuration cut off",
+            "operators",
+            "PUT $CONFIGURATION?from=0 HTTP/1.1\r\nHost: a\r\nContent-Length: 99\r\n\r\n[team",
+            400,
+            "cut short",
+            isCutOff = true
+        ),
         Case("peer that speaks HTTP", "peers", "GET / HTTP/1.1\r\n\r\n", null),
         Case("peer with an oversized frame", "peers", "\u007f\u007f\u007f\u007fxxxx", null),
         Case("peer that is cut off", "peers", "\u0000", null, isCutOff = true)
