Give a request that meets a stopping server its outcome

While Undertow stops, its workers refuse tasks and it answers 503 without a body or a header, so a caller is not told whether the request ran, nor when to come back. A handler on the I/O thread now answers not-run with Retry-After and closes the connection once the server stops. A request that is handed to the workers in the same instant in which they stop can still meet the bare answer; closing that gap needs the I/O threads to be drained between the two steps.

--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/RequestServer.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/RequestServer.kt
@@ -10,6 +10,8 @@
 import io.undertow.UndertowOptions
 import io.undertow.server.HttpServerExchange
 import io.undertow.server.handlers.BlockingHandler
+import io.undertow.util.HttpString
+import io.undertow.util.StatusCodes
 import java.net.InetSocketAddress
 import org.http4k.core.HttpHandler
 import org.http4k.server.Http4kServer
@@ -30,13 +32,35 @@
     override val stopMode: ServerConfig.StopMode = ServerConfig.StopMode.Immediate
 
     override fun toServer(http: HttpHandler): Http4kServer {
+        val gate = StoppingHandler(BlockingHandler(AbortingHandler(http)))
         val server = Undertow.builder()
             .addHttpListener(port, address)
             .setWorkerThreads(workerThreads)
             .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
-            .setHandler(BlockingHandler(AbortingHandler(http)))
+            .setHandler(gate)
             .build()
-        return RunningServer(server)
+        return RunningServer(server, gate)
+    }
+
+    /** Answers on the I/O thread once the server stops, whose workers take no more requests. */
+    private class StoppingHandler(private val next: io.undertow.server.HttpHandler) :
+        io.undertow.server.HttpHandler {
+        @Volatile
+        var isStopping = false
+
+        override fun handleRequest(exchange: HttpServerExchange) {
+            if (isStopping) refuse(exchange) else next.handleRequest(exchange)
+        }
+
+        private fun refuse(exchange: HttpServerExchange) {
+            val headers = exchange.responseHeaders
+            headers.put(HttpString(RequestHeaders.OUTCOME), "not-run")
+            headers.put(HttpString(RequestHeaders.RETRY_AFTER), RETRY_AFTER_SECONDS)
+            headers.put(HttpString(RequestHeaders.FAILURE), "step=received peer=self")
+            exchange.isPersistent = false
+            exchange.statusCode = StatusCodes.SERVICE_UNAVAILABLE
+            exchange.responseSender.send("not-run: the host is leaving (step=received peer=self)\n")
+        }
     }
 
     private class AbortingHandler(http: HttpHandler) : io.undertow.server.HttpHandler {
@@ -51,10 +75,14 @@
         }
     }
 
-    private class RunningServer(private val server: Undertow) : Http4kServer {
+    private class RunningServer(private val server: Undertow, private val gate: StoppingHandler) :
+        Http4kServer {
         override fun start() = apply { server.start() }
 
-        override fun stop() = apply { server.stop() }
+        override fun stop() = apply {
+            gate.isStopping = true
+            server.stop()
+        }
 
         override fun port() = (server.listenerInfo.single().address as InetSocketAddress).port
     }
@@ -62,5 +90,6 @@
     companion object {
         /** Threads enough for the default limits of slots and waiting requests. */
         const val DEFAULT_WORKER_THREADS = 1_200
+        private const val RETRY_AFTER_SECONDS = "1"
     }
 }
--- a/integration/src/test/kotlin/sycamoremast/integration/StopTest.kt
+++ b/integration/src/test/kotlin/sycamoremast/integration/StopTest.kt
@@ -30,6 +30,23 @@
         }
     }
 
+    // Proves: not-run-true | planned-stop | request-queued
+    @Test
+    fun `each request during a planned stop gets a true outcome`() {
+        Deployment(Layout(daemonsPerZone = 1, backendsPerZone = 2)).use { deployment ->
+            deployment.submit(bktib())
+            val leaving = deployment.daemons.single()
+            val load = Load(threads = 8, workMillis = 50) { leaving.requests }
+            load.use {
+                await("answers come", deployment::logs) { load.count(Got.WHOLE) >= 16 }
+                leaving.process.terminate()
+                leaving.process.awaitExit()
+            }
+            expectThat(load.others(Got.WHOLE, Got.NOT_RUN, Got.REFUSED_BEFORE_SENDING, Got.CUT_OFF))
+                .describedAs("requests without a true outcome").isEqualTo(mapOf())
+        }
+    }
+
     private fun expectOutcomes(deployment: Deployment, load: Load) {
         val ran = deployment.platform.executions().map { it.requestId }.toSet()
         val whole = load.outcomes.filterValues { it.got == Got.WHOLE }.keys
