--- a/daemon/src/main/kotlin/sycamoremast/daemon/ControlPlane.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/ControlPlane.kt
@@ -22,6 +22,7 @@
 /** The control plane of one entry host. */
 internal class ControlPlane private constructor(
     val store: KeyValueStore,
+    val calls: CallBudget,
     val network: KtorPeerNetwork,
     val membership: Membership,
     val replica: ConfigurationReplica,
@@ -75,7 +76,7 @@
             val audit = AuditLog.create(context)
             val replica = ConfigurationReplica.create(context, membership, peers, audit)
             val problems = ProblemLog.create(context)
-            return ControlPlane(store, network, membership, replica, audit, problems)
+            return ControlPlane(store, calls, network, membership, replica, audit, problems)
         }
 
         private fun localPeer(settings: DaemonSettings) = LocalPeer(
--- a/daemon/src/main/kotlin/sycamoremast/daemon/EntryHost.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/EntryHost.kt
@@ -20,6 +20,7 @@
 import org.http4k.server.asServer
 import org.tinylog.kotlin.Logger
 import sycamoremast.configuration.Endpoint
+import sycamoremast.coordination.store.BudgetedStore
 import sycamoremast.coordination.store.CallBudget
 import sycamoremast.daemon.batch.BatchPorts
 import sycamoremast.daemon.batch.BatchScheduler
@@ -96,7 +97,7 @@
 
     private fun notReadyBecause(): List<String> {
         val drain = if (draining.get()) listOf(DaemonOperatorActions.DRAINING) else emptyList()
-        return drain + control.notReadyBecause()
+        return drain + control.notReadyBecause() + requests.notReadyBecause()
     }
 
     private fun requestHandler(): HttpHandler = routes(
@@ -130,7 +131,8 @@
         store = control.store,
         hostList = platform.hostList,
         problems = control.problems,
-        meters = registry
+        meters = registry,
+        storeCalls = control.calls
     )
 
     private fun requestSettings() = RequestPathSettings(
@@ -143,7 +145,7 @@
     private fun batchPorts() = BatchPorts(
         configuration = control.replica,
         membership = control.membership,
-        store = control.store,
+        store = BudgetedStore(control.store, control.calls),
         hosts = platform.hostList,
         worker = platform::worker,
         problems = control.problems,
--- a/daemon/src/main/kotlin/sycamoremast/daemon/batch/BatchMeters.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/batch/BatchMeters.kt
@@ -6,10 +6,10 @@
 import sycamoremast.coordination.shard.ShardAction
 
 internal class BatchMeters(registry: MeterRegistry) {
-    private val storeReads = counter(registry, "batch.store.reads")
-    private val storeWrites = counter(registry, "batch.store.writes")
-    private val workerCalls = counter(registry, "batch.worker.calls")
-    private val taskStarts = counter(registry, "batch.task.starts")
+    private val storeReads = counter(registry, "sycamoremast.batch.store.reads")
+    private val storeWrites = counter(registry, "sycamoremast.batch.store.writes")
+    private val workerCalls = counter(registry, "sycamoremast.batch.worker.calls")
+    private val taskStarts = counter(registry, "sycamoremast.batch.task.starts")
 
     fun count(action: ShardAction) {
         when (action) {
--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/RequestMeters.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/RequestMeters.kt
@@ -8,22 +8,27 @@
 internal class RequestMeters(private val registry: MeterRegistry) {
     /** Watches the number of requests in progress. */
     fun watchInProgress(count: () -> Int) {
-        registry.gauge("requests.in.progress", count) { it().toDouble() }
+        registry.gauge("sycamoremast.requests.in.progress", count) { it().toDouble() }
     }
 
     /** Counts a request of [service] with its [outcome]. */
-    fun ended(service: String, outcome: String) =
-        registry.counter("requests.outcomes", "service", service, "outcome", outcome).increment()
+    fun ended(service: String, outcome: String) = registry.counter(
+        "sycamoremast.requests.outcomes",
+        "service",
+        service,
+        "outcome",
+        outcome
+    ).increment()
 
     /** Notes how long a request waited for a slot or its refusal. */
     fun waited(service: String, millis: Double) {
-        Timer.builder("requests.wait").tag("service", service).register(registry)
+        Timer.builder("sycamoremast.requests.wait").tag("service", service).register(registry)
             .record((millis * MICROS_PER_MILLI).toLong(), TimeUnit.MICROSECONDS)
     }
 
     /** Counts a retry that the budget [allowed], or did not. */
     fun retry(service: String, allowed: Boolean) = registry.counter(
-        "requests.retries",
+        "sycamoremast.requests.retries",
         "service",
         service,
         "allowed",
