Begin no retry that its deadline may cut off

A request that a backend server kept refusing was retried until its deadline, and the last attempt, cut off after it was sent, made the outcome unknown: StandInFaultTest failed so in a full run on a busy machine. A retry now needs twice the expected run time and a tenth of the deadline.

--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/RequestRunner.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/RequestRunner.kt
@@ -106,7 +106,7 @@
             dispatcher.release(request.service, granted, signOf(result, granted))
             avoid += granted.backend.name
             val failure = failureOf(result)
-            if (!mayRetry(result)) return ended(failure, (result as? Refused)?.retryAfter)
+            if (!mayRetry(result, granted)) return ended(failure, (result as? Refused)?.retryAfter)
             life.on(RequestEvent.RETRY)
             pause(result)
             return null
@@ -147,21 +147,27 @@
             return RunResult.Ended(outcome)
         }
 
-        private fun mayRetry(result: AttemptResult): Boolean {
+        private fun mayRetry(result: AttemptResult, granted: Decision.Granted): Boolean {
             val isSafe = life.isCertainlyNotRun || request.isIdempotent
             if (!isSafe || !body.isRepeatable || !isRetryable(result)) return false
-            if (remainingMillis() < MIN_RETRY_MILLIS) return false
+            if (remainingMillis() < leastMillis(granted)) return false
             if (isStale(result)) return ++staleConnections <= MAX_STALE_CONNECTIONS
             return budget(request).tryTake().also { meters.retry(request.service, it) }
         }
 
+        /** A retry that may be cut off by the deadline would leave the outcome unknown. */
+        private fun leastMillis(granted: Decision.Granted) = maxOf(
+            RETRY_RUN_TIMES * granted.request.highMillis,
+            RETRY_DEADLINE_SHARE * request.deadline.inWholeMilliseconds
+        )
+
         private fun isRetryable(result: AttemptResult) =
             result !is Failed || result.kind !in setOf(FailureKind.CALLER, FailureKind.DEADLINE)
 
         private fun pause(result: AttemptResult) {
             if (isStale(result)) return
-            val most = (remainingMillis() - MIN_RETRY_MILLIS).coerceAtLeast(0.0)
-            val millis = minOf(retryDelay(sent, random).inWholeMilliseconds, most.toLong())
+            val most = (remainingMillis() / 2).toLong().coerceAtLeast(0)
+            val millis = minOf(retryDelay(sent, random).inWholeMilliseconds, most)
             TimeUnit.MILLISECONDS.sleep(millis)
         }
 
@@ -209,7 +215,8 @@
     private companion object {
         const val OVERDUE_FACTOR = 2.0
         const val DEFAULT_EXPECTED_MILLIS = 100L
-        const val MIN_RETRY_MILLIS = 2.0
+        const val RETRY_RUN_TIMES = 2.0
+        const val RETRY_DEADLINE_SHARE = 0.1
         const val MAX_STALE_CONNECTIONS = 3
     }
 }
