Keep the HTTP client from repeating a request that was answered 503 by itself

Cause: OkHttp repeats a request on 503 with Retry-After: 0, with no switch against it. The request's chart refused the second sending, so nothing ran twice, but the caller got 'unknown' in place of the backend server's answer. Ruled out: one-shot bodies, which stop repeats of requests with bodies only. Change: the header is kept out of the client's sight and put back, for backend servers and for the platform. Before: the new test failed for GET and POST with 'internal error'. Conclusion: no client of the daemon follows up by itself.

--- a/daemon/src/main/kotlin/sycamoremast/daemon/platform/JsonClient.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/platform/JsonClient.kt
@@ -17,6 +17,7 @@
 import okhttp3.Request
 import okhttp3.RequestBody.Companion.toRequestBody
 import okhttp3.Response
+import sycamoremast.daemon.http.withoutFollowUps
 
 /** The time allowed for a call to the platform and for connecting to it. */
 data class PlatformTimeouts(val call: Duration, val connect: Duration)
@@ -95,8 +96,7 @@
 /** Returns a client for the platform's services, which may be shared by all adapters. */
 fun platformHttpClient(timeouts: PlatformTimeouts): OkHttpClient = OkHttpClient.Builder()
     .socketFactory(UndelayedSockets)
-    .retryOnConnectionFailure(false)
-    .followRedirects(false)
+    .withoutFollowUps()
     .connectTimeout(timeouts.connect.inWholeMilliseconds, MILLISECONDS)
     .callTimeout(timeouts.call.inWholeMilliseconds, MILLISECONDS)
     .readTimeout(timeouts.call.inWholeMilliseconds, MILLISECONDS)
--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/BackendClient.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/BackendClient.kt
@@ -24,6 +24,7 @@
 import sycamoremast.coordination.request.RequestEvent
 import sycamoremast.coordination.request.RequestFailure
 import sycamoremast.coordination.request.RequestLife
+import sycamoremast.daemon.http.withoutFollowUps
 import sycamoremast.daemon.request.AttemptResult.Answer
 import sycamoremast.daemon.request.AttemptResult.Failed
 import sycamoremast.daemon.request.AttemptResult.Refused
@@ -147,9 +148,7 @@
 
         /** What all clients have in common: no retry, no redirect, no proxy. */
         val SHARED: OkHttpClient = OkHttpClient.Builder()
-            .retryOnConnectionFailure(false)
-            .followRedirects(false)
-            .followSslRedirects(false)
+            .withoutFollowUps()
             .fastFallback(false)
             .proxy(Proxy.NO_PROXY)
             .socketFactory(WatchedSocketFactory)
--- a/daemon/src/test/kotlin/sycamoremast/daemon/request/RetryTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/request/RetryTest.kt
@@ -58,6 +58,25 @@
         }
     }
 
+    // Proves: at-most-once | none | request-answering
+    @ParameterizedTest
+    @ValueSource(strings = ["GET", "POST"])
+    fun `an answer that invites to come back at once is passed on and not followed`(
+        method: String
+    ) {
+        val invite: RawConnection.(RawRequest) -> Boolean = {
+            answer(it, "again", "503 Service Unavailable", listOf("Retry-After: 0"))
+        }
+        flaky(2, invite).use { backend ->
+            PathHarness(backend).ready().use {
+                val answer = it.send("/invoices", method, if (method == "POST") "invoice" else "")
+                expectThat(answer.text()).isEqualTo("again")
+                expectThat(answer.outcome).isEqualTo("answered")
+            }
+            expectThat(backend.requests).hasSize(1)
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(strings = ["slots", "leaving"])
     fun `a refused request is sent again although it is not idempotent`(reason: String) {
