--- a/coordination/src/test/kotlin/sycamoremast/coordination/document/DocumentChangeTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/document/DocumentChangeTest.kt
@@ -50,6 +50,7 @@
             .isEqualTo(ChangeRefusal.Unchanged(2).left())
     }
 
+    // Proves: in-force | none | configuration-written
     @Test
     fun `a revision is not used again after the service was restored from a backup`() {
         val restored = document(5)
--- a/coordination/src/test/kotlin/sycamoremast/coordination/document/DocumentTableTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/document/DocumentTableTest.kt
@@ -22,6 +22,7 @@
     private fun document(team: String, revision: Long, text: String = "r$revision") =
         ConfigurationDocument(team, revision, text, "ilze", 0, revision - 1).print()
 
+    // Proves: in-force | slow | configuration-applied
     @Test
     fun `no order, repetition or restored watch puts a lower revision in force`() {
         for (seed in 1..300) {
--- a/coordination/src/test/kotlin/sycamoremast/coordination/placement/FailureJudgeTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/placement/FailureJudgeTest.kt
@@ -14,6 +14,7 @@
     private val job = JobKey("nets", "survey")
     private var now = 0L
 
+    // Proves: resumed-once | worker-failing | task-placing
     @Test
     fun `a worker that fails every task is quarantined if its peers do not fail them`() {
         listOf("w1", "w2", "w3").forEach { judge.started(job, it) }
@@ -36,6 +37,7 @@
         expectThat(judge.isBarred("bad", isIdle = false, now)).isFalse()
     }
 
+    // Proves: resumed-once | worker-failing | task-accepted
     @Test
     fun `a job that fails on every worker is stopped and no worker is blamed`() {
         val verdicts = listOf("w1", "w2", "w3", "w1").map { fail(0, it) }
--- a/coordination/src/test/kotlin/sycamoremast/coordination/placement/QueuePolicyTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/placement/QueuePolicyTest.kt
@@ -65,6 +65,7 @@
         expectThat(learned.withOpenRun(50_000).millis).isEqualTo(50_000)
     }
 
+    // Proves: capacity | never-runnable | task-accepted
     @Test
     fun `a job that could never run is told why`() {
         val spec = JobSpec(1, Resources(4_000, 2_000, 1), expectedMillis = 1)
--- a/coordination/src/test/kotlin/sycamoremast/coordination/placement/WorkerIndexTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/placement/WorkerIndexTest.kt
@@ -71,6 +71,7 @@
         repeat(4) { expectThat(place(SMALL)).isEqualTo(without) }
     }
 
+    // Proves: capacity | none | task-placing
     @Test
     fun `a choice among ten thousand workers examines as few as among a thousand`() {
         val examined = listOf(1_000, 10_000).map { workers ->
--- a/coordination/src/test/kotlin/sycamoremast/coordination/shard/CutOffTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/shard/CutOffTest.kt
@@ -16,6 +16,7 @@
 class CutOffTest {
     private val key = JobKey("team", "survey")
 
+    // Proves: one-place | store-down | lease-held
     @Test
     fun `claimed work goes on while the service is out of reach`() {
         val spec = JobSpec(6, Resources(2_000, 2_000), expectedMillis = 12_000)
--- a/coordination/src/test/kotlin/sycamoremast/coordination/shard/WriteBudgetTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/shard/WriteBudgetTest.kt
@@ -13,6 +13,8 @@
 class WriteBudgetTest {
     private val spec = JobSpec(1, Resources(1_000, 1_000), expectedMillis = 1_000)
 
+    // Proves: resumed-once | cancellation-wave | task-running
+    // Proves: one-place | cancellation-wave | task-running
     @Test
     fun `a wave of cancellations costs a few writes and stops every task`() {
         val shard = AnsweredShard(workers = 10)
--- a/daemon/src/test/kotlin/sycamoremast/daemon/batch/BatchSchedulerTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/batch/BatchSchedulerTest.kt
@@ -48,6 +48,7 @@
             .isEqualTo((0 until 20).map { "nets/survey/$it" }.sorted())
     }
 
+    // Proves: one-place | planned-stop | task-running
     @Test
     fun `tasks go on running while another daemon takes the shard over`() {
         val job = job("survey", tasks = 4, workMillis = 4_000)
@@ -60,6 +61,8 @@
         expectThat(workers.flatMap { it.completedRuns }).hasSize(4)
     }
 
+    // Proves: one-place | cut-both-ways | lease-held
+    // Proves: resumed-once | cut-both-ways | lease-held
     @Test
     fun `a task of an unreachable worker runs elsewhere after its lease`() {
         val batch = daemon("a", job("survey", tasks = 2, workMillis = 1_500))
@@ -71,6 +74,7 @@
         expectThat(lost.completedRuns).isEmpty()
     }
 
+    // Proves: resumed-once | kill | task-running
     @Test
     fun `a never-repeated task of a lost worker is reported unknown and not run again`() {
         val invoice = job("invoice", tasks = 1, workMillis = 2_000).copy(repeat = Repeat.NEVER)
@@ -82,6 +86,7 @@
         expectThat(workers.sumOf { it.runningTasks().size }).isEqualTo(0)
     }
 
+    // Proves: resumed-once | none | task-running
     @Test
     fun `a cancelled job's tasks stop and it stays cancelled`() {
         val batch = daemon("a", job("survey", tasks = 8, workMillis = 60_000))
--- a/daemon/src/test/kotlin/sycamoremast/daemon/control/ControlFaultsTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/control/ControlFaultsTest.kt
@@ -41,6 +41,7 @@
         nodes -= it
     }
 
+    // Proves: in-force | answer-lost | configuration-written
     @Test
     fun `a submit whose answer is lost is found accepted`() {
         val a = node("a1")
@@ -51,6 +52,7 @@
         expectThat(a.replica.document("nets")?.revision).isEqualTo(2)
     }
 
+    // Proves: in-force | store-down | configuration-submitted
     @Test
     fun `a submit during an outage is never called accepted and can be repeated`() {
         val a = node("a1")
@@ -62,6 +64,8 @@
         expectThat(node("b1").submit(0, 1_000)).isEqualTo(SubmitOutcome.Accepted(1, true))
     }
 
+    // Proves: in-force | operator-race | configuration-submitted
+    // Proves: in-force | operator-race | configuration-written
     @Test
     fun `of operators who race each other one wins and the others learn of it`() {
         val racers = listOf(node("a1"), node("a2"), node("b1"))
@@ -83,6 +87,7 @@
         }
     }
 
+    // Proves: in-force | kill | configuration-relayed
     @Test
     fun `another host takes over the watch when the relay dies`() {
         val a1 = node("a1").start()
@@ -114,6 +119,7 @@
         }
     }
 
+    // Proves: in-force | freeze | configuration-relayed
     @Test
     fun `a frozen watch does not keep a change from being in force`() {
         val all = listOf("a1", "a2", "b1").map { node(it).start() }
@@ -125,6 +131,7 @@
         eventually("in force everywhere") { all.all { it.revision("nets") == 1L } }
     }
 
+    // Proves: in-force | kill | configuration-applied
     @Test
     fun `a frozen watch and the death of the accepting host do not hide a change for long`() {
         val all = listOf("a1", "b1").map { node(it).start() }
@@ -136,6 +143,7 @@
         eventually("in force") { all.all { it.revision("nets") == 1L } }
     }
 
+    // Proves: in-force | store-down | configuration-applied
     @Test
     fun `a host started during an outage takes the configuration from its peers`() {
         val a1 = node("a1").start()
--- a/daemon/src/test/kotlin/sycamoremast/daemon/control/ControlPartitionTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/control/ControlPartitionTest.kt
@@ -72,6 +72,7 @@
         eventually("live again") { nodes.values.all { it.liveCount() == 3 } }
     }
 
+    // Proves: in-force | cut-one-way | configuration-relayed
     @Test
     fun `hosts that can't be asked are unconfirmed and catch up when the cut heals`() {
         startAll("a1", "a2", "b1")
@@ -98,6 +99,7 @@
         eventually("live again by its own dialling") { nodes.values.all { it.liveCount() == 3 } }
     }
 
+    // Proves: in-force | cut-both-ways | configuration-relayed
     @Test
     fun `a host that is cut off from its zone's relay watches for itself`() {
         startAll("a1", "a2")
@@ -121,6 +123,7 @@
         eventually("one watches again") { nodes.values.count { it.replica.isRelay } == 1 }
     }
 
+    // Proves: in-force | cut-both-ways | configuration-applied
     @Test
     fun `hosts cut from the service and then from each other never revert and heal`() {
         startAll("a1", "a2", "b1", "c1")
--- a/daemon/src/test/kotlin/sycamoremast/daemon/control/ControlPlaneTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/control/ControlPlaneTest.kt
@@ -23,6 +23,7 @@
     private fun node(host: String, zone: String, seeds: Set<String> = emptySet()) =
         ControlNode(host, zone, "127.0.0.1:${service.port}", seeds).also { nodes += it.start() }
 
+    // Proves: in-force | none | configuration-applied
     @Test
     fun `an accepted configuration is in force on every host and confirmed by each`() {
         val a = node("a1", "a")
--- a/daemon/src/test/kotlin/sycamoremast/daemon/request/ClaimTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/request/ClaimTest.kt
@@ -61,6 +61,7 @@
         expectThat(backend.requests).hasSize(1)
     }
 
+    // Proves: at-most-once | none | request-received
     @Test
     fun `a repeat through another host gets the first answer`() {
         pay(first)
@@ -85,6 +86,7 @@
         expectThat(backend.requests).hasSize(1)
     }
 
+    // Proves: at-most-once | operator-race | request-received
     @Test
     fun `of many at once one runs`() {
         val callers = Executors.newCachedThreadPool()
@@ -94,6 +96,8 @@
         callers.shutdown()
     }
 
+    // Proves: at-most-once | store-down | request-received
+    // Proves: not-run-true | store-down | request-received
     @Test
     fun `with the store down a keyed request is refused as not run`() {
         store.isDown = true
@@ -112,6 +116,7 @@
         expectThat(store.writes).isEqualTo(0)
     }
 
+    // Proves: at-most-once | answer-lost | request-received
     @Test
     fun `a claim whose write's answer was lost still runs once`() {
         store.answersToLose = 1
@@ -120,6 +125,7 @@
         expectThat(backend.requests).hasSize(1)
     }
 
+    // Proves: at-most-once | kill | request-dispatched
     @Test
     fun `a key whose host died before the result was recorded is never run again`() {
         isGated = true
@@ -133,6 +139,7 @@
         expectThat(backend.requests).hasSize(1)
     }
 
+    // Proves: at-most-once | kill | request-received
     @Test
     fun `a key whose host was restarted is never run again`() {
         isGated = true
@@ -171,6 +178,7 @@
         expectThat(backend.requests).hasSize(1)
     }
 
+    // Proves: at-most-once | store-down | request-answering
     @Test
     fun `a result that could not be recorded at first is recorded once the store is back`() {
         isGated = true
--- a/daemon/src/test/kotlin/sycamoremast/daemon/request/LeavingTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/request/LeavingTest.kt
@@ -15,6 +15,7 @@
 import sycamoremast.coordination.HostState
 
 class LeavingTest {
+    // Proves: leaving | planned-stop | request-received
     @Test
     fun `a server that is leaving by the list gets no more work`() {
         withTwo { harness, list, first, second ->
@@ -48,6 +49,7 @@
         backends.forEach { it.close() }
     }
 
+    // Proves: leaving | slow | request-dispatched
     @Test
     fun `a server that announces its drain gets no more work although the list lags`() {
         val draining = RawBackend { answer(it, "last", headers = listOf("X-Draining: true")) }
@@ -61,6 +63,7 @@
         listOf(draining, staying).forEach { it.close() }
     }
 
+    // Proves: graceful-stop | planned-stop | request-answering
     @Test
     fun `requests in progress on a leaving server are finished`() {
         val gate = CountDownLatch(1)
@@ -80,6 +83,8 @@
         backend.close()
     }
 
+    // Proves: graceful-stop | planned-stop | request-dispatched
+    // Proves: not-run-true | planned-stop | request-received
     @Test
     fun `a drain cuts off no request and then refuses new ones`() {
         val gate = CountDownLatch(1)
--- a/daemon/src/test/kotlin/sycamoremast/daemon/request/OutcomeTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/request/OutcomeTest.kt
@@ -12,6 +12,7 @@
 import strikt.assertions.isNotNull
 
 class OutcomeTest {
+    // Proves: whole-answer | none | request-answering
     @Test
     fun `passes a whole answer on`() {
         val backend = RawBackend { answer(it, "net 7 is sound", headers = listOf("X-Net: 7")) }
@@ -32,6 +33,7 @@
         expectThat(answer.outcome).isEqualTo("answered")
     }
 
+    // Proves: not-run-true | kill | request-dispatched
     @Test
     fun `a refused connection is not run`() {
         val unused = ServerSocket(0).use { it.localPort }
@@ -47,6 +49,7 @@
         }
     }
 
+    // Proves: not-run-true | none | request-dispatched
     @Test
     fun `a refusal by the backend server is not run`() {
         val backend = RawBackend {
@@ -57,6 +60,7 @@
         expectThat(answer.outcome).isEqualTo("not-run")
     }
 
+    // Proves: not-run-true | reset | request-dispatched
     @Test
     fun `a reset before the whole request was sent is unknown`() {
         val big = "x".repeat(8 * 1024 * 1024)
@@ -75,6 +79,7 @@
         }
     }
 
+    // Proves: not-run-true | reset | request-answering
     @Test
     fun `a reset after the last byte was sent is unknown`() {
         val backend = RawBackend { reset() }
@@ -85,6 +90,7 @@
         expectThat(backend.requests).hasSize(1)
     }
 
+    // Proves: whole-answer | reset | request-answering
     @Test
     fun `a small answer that is cut short is unknown`() {
         val backend = RawBackend {
@@ -129,6 +135,7 @@
         expectThat(backend.connections).isEqualTo(2)
     }
 
+    // Proves: whole-answer | none | request-dispatched
     @Test
     fun `an answer that came before its request is not taken for the answer`() {
         val backend = RawBackend { request ->
@@ -164,6 +171,7 @@
         expectThat(answer.text() == body).isEqualTo(true)
     }
 
+    // Proves: whole-answer | reset | request-answering
     @Test
     fun `a large answer that is cut short ends the caller's connection`() {
         val backend = RawBackend {
@@ -190,6 +198,10 @@
         assertThrows<IOException> { call(backend) { send("/photos/large") } }
     }
 
+    // Proves: not-run-true | freeze | request-answering
+    // Proves: not-run-true | slow | request-answering
+    // Proves: whole-answer | freeze | request-answering
+    // Proves: whole-answer | slow | request-answering
     @Test
     fun `a backend server that does not answer by the deadline leaves the outcome unknown`() {
         val backend = RawBackend { true }
@@ -200,6 +212,8 @@
         expectThat(answer.outcome).isEqualTo("unknown")
     }
 
+    // Proves: whole-answer | none | request-received
+    // Proves: whole-answer | none | request-queued
     @Test
     fun `concurrent callers each get the answer to their own request`() {
         val backend = RawBackend { answer(it, "answer to ${it.body}") }
--- a/daemon/src/test/kotlin/sycamoremast/daemon/request/QueueTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/request/QueueTest.kt
@@ -69,6 +69,7 @@
         }
     }
 
+    // Proves: not-run-true | none | request-received
     @Test
     fun `a request that can't run by its deadline is refused at once`() {
         gated().use { backend ->
@@ -93,6 +94,7 @@
         }
     }
 
+    // Proves: not-run-true | none | request-queued
     @Test
     fun `a request that waits in vain is refused before its deadline`() {
         gated().use { backend ->
--- a/daemon/src/test/kotlin/sycamoremast/daemon/request/RetryTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/request/RetryTest.kt
@@ -21,6 +21,7 @@
         }
     }
 
+    // Proves: whole-answer | reset | request-dispatched
     @Test
     fun `an idempotent request is sent again after a reset`() {
         flaky(1) { reset() }.use { backend ->
@@ -47,6 +48,8 @@
         }
     }
 
+    // Proves: at-most-once | reset | request-dispatched
+    // Proves: at-most-once | reset | request-answering
     @Test
     fun `a request that is not idempotent is never sent again after it was sent`() {
         flaky(1) { reset() }.use { backend ->
@@ -116,6 +119,7 @@
         }
     }
 
+    // Proves: not-run-true | reset | request-answering
     @Test
     fun `a retry that is refused leaves the outcome unknown if an earlier attempt may have run`() {
         val attempts = AtomicInteger()
