Let long work go on soon after a surge of short work; idle loops sleep

Cause: the slots kept free of long work followed the mean and the measured deviation of short requests running and waiting, over 10 s. The loops for lending and dispatch also woke 100 and 200 times a second, idle. Change: demand is bounded by the slots, its deviation is that of independent arrivals, and its memory is 3 s. Loops sleep until a request waits. Gauges keep what they read (one read NaN). Jobs that never fit are refused at submit.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/request/LongWorkBound.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/request/LongWorkBound.kt
@@ -2,8 +2,9 @@
  * Keeps slots free of long work, so that short work finds one soon.
  *
  * A request is long if it is expected to run many times longer than the shortest kind of request in
- * recent use. The slots kept free follow the mean and the deviation of those that short work
- * asks for.
+ * recent use. The slots kept free follow the mean of those that short work asks for, and the
+ * deviation that independent arrivals give that number. The measured deviation is not used: after a
+ * surge it stays large for long and would keep long work back.
  */
 package sycamoremast.coordination.request
 
@@ -24,12 +25,14 @@
         return expectedMillis > maxOf(LONG_FACTOR * shortest, MIN_LONG_MILLIS)
     }
 
-    /** Takes into account that from now on short work holds or waits for [slots]. */
-    fun shortDemand(slots: Int, nowMillis: Double) = demand.set(slots.toDouble(), nowMillis)
+    /** Takes into account that from now on short work asks for [wanted] of [slots]. */
+    fun shortDemand(wanted: Int, slots: Int, nowMillis: Double) =
+        demand.set(minOf(wanted, slots).toDouble(), nowMillis)
 
     /** Returns how many of [slots] long work may hold; at least one, so that it never starves. */
     fun longLimit(slots: Int, nowMillis: Double): Int {
-        val wanted = ceil(demand.mean(nowMillis) + DEVIATIONS * demand.deviation()).toInt()
+        val mean = demand.mean(nowMillis)
+        val wanted = ceil(mean + DEVIATIONS * sqrt(mean)).toInt()
         val least = ceil(slots * MIN_RESERVE).toInt()
         return (slots - maxOf(wanted, least)).coerceAtLeast(1)
     }
@@ -53,13 +56,12 @@
     }
 }
 
-/** The mean and the deviation of a demand over time, exponentially weighted. */
+/** The mean of a demand over time, exponentially weighted. */
 internal class DemandMeter(private val decayMillis: Double = DEFAULT_DECAY_MILLIS) {
     private var current = 0.0
     private var sinceMillis = Double.NaN
     private var observedMillis = 0.0
     private var mean = 0.0
-    private var variance = 0.0
 
     /** Sets the demand from [nowMillis] on. */
     fun set(demand: Double, nowMillis: Double) {
@@ -72,20 +74,16 @@
         return mean
     }
 
-    fun deviation() = sqrt(variance)
-
     private fun advance(nowMillis: Double) {
         val span = if (sinceMillis.isNaN()) 0.0 else nowMillis - sinceMillis
         sinceMillis = nowMillis
         if (span <= 0) return
         observedMillis += span
         val gain = maxOf(1 - exp(-span / decayMillis), span / observedMillis)
-        val error = current - mean
-        mean += gain * error
-        variance = (1 - gain) * (variance + gain * error * error)
+        mean += gain * (current - mean)
     }
 
     private companion object {
-        const val DEFAULT_DECAY_MILLIS = 10_000.0
+        const val DEFAULT_DECAY_MILLIS = 3_000.0
     }
 }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/request/ServiceScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/request/ServiceScheduler.kt
@@ -52,6 +52,7 @@
     private val arrivals = hashMapOf<Long, Arrival>()
     private val running = RunningRequests()
     private var lastNumber = 0L
+    private var lastSlots = 0
 
     /** Long requests that hold a slot. */
     val longRunning: Int get() = running.longCount
@@ -62,6 +63,7 @@
     /** Returns whether [arrival] may wait for one of [slots], of which [free] are free. */
     fun arrive(arrival: Arrival, slots: Int, free: Int, nowMillis: Double): Admission {
         returns.arrived(nowMillis)
+        lastSlots = slots
         refusalOf(arrival, slots, free, nowMillis)?.let { return it }
         return Admission.Admitted(enqueue(arrival, nowMillis))
     }
@@ -185,7 +187,7 @@
     }
 
     private fun observeDemand(nowMillis: Double) =
-        bound.shortDemand(running.shortCount + queue.shortSize, nowMillis)
+        bound.shortDemand(running.shortCount + queue.shortSize, lastSlots, nowMillis)
 
     /** While others wait, a slot is not spent on a request that may well miss its deadline. */
     private fun isLate(request: WaitingRequest, nowMillis: Double): Boolean {
--- a/coordination/src/test/kotlin/sycamoremast/coordination/request/ServiceSchedulerTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/request/ServiceSchedulerTest.kt
@@ -54,6 +54,17 @@
         expectThat(longMillis).isGreaterThan(0.95 * SPAN_MILLIS)
     }
 
+    @Test
+    fun `a surge of short work keeps long work back for no longer than it lasts`() {
+        val seed = 7
+        val surge = shorts(seed, perSecond = 3 * CAPACITY, from = 0.0, to = 2_000.0)
+        val calm = shorts(seed, perSecond = 240.0, from = 2_000.0)
+        val longs = longs(seed, perSecond = 1.0)
+        val mixed = simulate(SLOTS, workload(surge, calm, longs), ScheduledPolicy(SLOTS, seed))
+        val early = mixed.ran.filter { it.request.key == archive && it.startedMillis < 12_000.0 }
+        expectThat(early.size).isGreaterThan(SLOTS / 3)
+    }
+
     @Test
     fun `long work has the slots to itself while no short work comes`() {
         val seed = 6
--- a/daemon/src/main/kotlin/sycamoremast/daemon/operator/DaemonOperatorActions.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/operator/DaemonOperatorActions.kt
@@ -3,6 +3,7 @@
 
 import arrow.core.Either
 import arrow.core.right
+import sycamoremast.configuration.TeamConfiguration
 import sycamoremast.configuration.operator.AuditView
 import sycamoremast.configuration.operator.DocumentView
 import sycamoremast.configuration.operator.DrainView
@@ -54,13 +55,27 @@
         fromRevision: Long,
         text: String,
         operator: String
-    ): Submission =
-        when (val outcome = control.replica.submit(team, fromRevision, text, operator)) {
+    ): Submission {
+        val impossible = whyJobsNeverRun(team, text)
+        if (impossible.isNotEmpty()) return Submission.Invalid(InvalidView(impossible))
+        return when (val outcome = control.replica.submit(team, fromRevision, text, operator)) {
             is SubmitOutcome.Accepted -> accepted(team, outcome)
             is SubmitOutcome.LostRace -> lostRace(team, outcome)
             is SubmitOutcome.Invalid -> Submission.Invalid(InvalidView(outcome.errors))
             is SubmitOutcome.Failed -> failed(outcome)
         }
+    }
+
+    /** Returns why jobs that are new in [text] could never run on the listed workers. */
+    private fun whyJobsNeverRun(team: String, text: String): List<String> {
+        val submitted = TeamConfiguration.parseOrNull(text) ?: return emptyList()
+        val inForce = control.replica.inForce()[team]?.configuration?.jobs.orEmpty()
+        val known = inForce.mapTo(HashSet()) { it.name }
+        return submitted.jobs.filter { it.name !in known }.mapNotNull { job ->
+            val reason = batch.whyNeverFits(team, job, submitted.quota)
+            reason?.let { "job ${job.name} can never run: $it" }
+        }
+    }
 
     override fun confirmations(team: String, revision: Long, timeoutMillis: Long) =
         control.replica.confirmations(team, revision, timeoutMillis)
--- a/daemon/src/main/kotlin/sycamoremast/daemon/peer/PeerCounters.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/peer/PeerCounters.kt
@@ -1,6 +1,7 @@
 /** What is counted of the connections between entry hosts. */
 package sycamoremast.daemon.peer
 
+import io.micrometer.core.instrument.Gauge
 import io.micrometer.core.instrument.MeterRegistry
 
 /** Counts in [registry], under names that start with `sycamoremast.peers`. */
@@ -26,6 +27,8 @@
     fun unknownType() = registry.counter("sycamoremast.peers.unknown.messages").increment()
 
     fun watchConnections(count: () -> Int) {
-        registry.gauge("sycamoremast.peers.connections", count) { it().toDouble() }
+        Gauge.builder("sycamoremast.peers.connections") { count() }
+            .strongReference(true)
+            .register(registry)
     }
 }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/Dispatcher.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/Dispatcher.kt
@@ -27,6 +27,9 @@
     private val lock = ReentrantLock()
     private val lanes = hashMapOf<String, ServiceLane>()
     private val origin = System.nanoTime()
+
+    @Volatile
+    private var waitingListener: () -> Unit = {}
     private val ledger by lazy {
         val self = membership.self
         SlotLedger(self.host, settings.slotTimes, firstRound = self.incarnation * ROUNDS)
@@ -43,6 +46,7 @@
             lane.arrive(arrival, ticket, nowMillis())
         }
         if (request == null) return checkNotNull(ticket.decision)
+        if (ticket.decision == null) waitingListener()
         val patience = request.deadlineMillis - request.expectedMillis - nowMillis()
         ticket.await(patience.coerceAtLeast(0.0))?.let { return it }
         lock.withLock { lane(service).giveUp(request, ticket, nowMillis()) }
@@ -95,6 +99,14 @@
         }
     }
 
+    /** Calls [listener], outside of the lock, whenever a request has to wait. */
+    fun onWaiting(listener: () -> Unit) {
+        waitingListener = listener
+    }
+
+    /** Returns whether a request of any service waits. */
+    fun isAnyWaiting(): Boolean = lock.withLock { lanes.values.any { it.waiting > 0 } }
+
     /** Returns the hosts that can be asked for slots. */
     fun livePeers(): List<String> = membership.members()
         .filter { it.state == MemberState.LIVE && it.host != membership.self.host }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/ForwardingRequestPath.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/ForwardingRequestPath.kt
@@ -39,10 +39,14 @@
     private val unknownOutcomes = UnknownOutcomes(ports.problems, dispatcher::nowMillis)
     private val inProgress = InProgress()
     private val phase = AtomicReference<Phase>(Phase.Serving)
-    private val hostList = Loop("host-list", settings.hostListRefreshMillis, ::readHostList)
-    private val ticks = Loop("dispatch", TICK_MILLIS) {
+    private val hostList = Loop("host-list") {
+        readHostList()
+        settings.hostListRefreshMillis
+    }
+    private val ticks = Loop("dispatch") {
         dispatcher.tick()
         unknownOutcomes.tick()
+        if (dispatcher.isAnyWaiting()) TICK_MILLIS else IDLE_TICK_MILLIS
     }
 
     override val handler: HttpHandler = ::handle
@@ -50,6 +54,10 @@
     override fun start() {
         meters.watchInProgress(inProgress::count)
         dispatcher.tick()
+        dispatcher.onWaiting {
+            ticks.wake()
+            lending.wake()
+        }
         hostList.start()
         ticks.start()
         lending.start()
@@ -166,5 +174,6 @@
     private companion object {
         const val BAD_REQUEST = 400
         const val TICK_MILLIS = 10L
+        const val IDLE_TICK_MILLIS = 100L
     }
 }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/Loop.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/Loop.kt
@@ -1,38 +1,54 @@
 /** Background loops of the request path. */
 package sycamoremast.daemon.request
 
-import java.util.concurrent.Executors
-import java.util.concurrent.ScheduledExecutorService
+import java.util.concurrent.Semaphore
 import java.util.concurrent.TimeUnit
 import org.tinylog.kotlin.Logger
 import sycamoremast.daemon.log.event
 
-/** Runs [step] again and again on a thread of its own; a failed step is logged and repeated. */
-internal class Loop(
-    private val name: String,
-    private val everyMillis: Long,
-    private val step: () -> Unit
-) : AutoCloseable {
-    private val executor: ScheduledExecutorService =
-        Executors.newSingleThreadScheduledExecutor { task ->
-            Thread(task, name).apply { isDaemon = true }
-        }
+/**
+ * Runs [step] again and again on a thread of its own.
+ *
+ * Each step returns the milliseconds until the next one, which [wake] cuts short. A failed step is
+ * logged and repeated after [RETRY_MILLIS].
+ */
+internal class Loop(private val name: String, private val step: () -> Long) : AutoCloseable {
+    private val wakeUps = Semaphore(0)
+    private val thread = Thread(::run, name).apply { isDaemon = true }
+
+    @Volatile
+    private var isClosed = false
 
-    fun start() {
-        executor.scheduleWithFixedDelay(::run, 0, everyMillis, TimeUnit.MILLISECONDS)
+    fun start() = thread.start()
+
+    /** Lets the next step run at once. */
+    fun wake() {
+        if (wakeUps.availablePermits() == 0) wakeUps.release()
     }
 
     override fun close() {
-        executor.shutdownNow()
+        isClosed = true
+        thread.interrupt()
     }
 
     private fun run() {
         try {
-            step()
-        } catch (e: RuntimeException) {
-            if (!Thread.currentThread().isInterrupted) {
-                Logger.error(e) { event("loop-failed", "step" to name) }
+            while (!isClosed) {
+                wakeUps.tryAcquire(guardedStep(), TimeUnit.MILLISECONDS)
             }
+        } catch (_: InterruptedException) {
+            Thread.currentThread().interrupt()
         }
     }
+
+    private fun guardedStep(): Long = try {
+        step()
+    } catch (e: RuntimeException) {
+        if (!isClosed) Logger.error(e) { event("loop-failed", "step" to name) }
+        RETRY_MILLIS
+    }
+
+    private companion object {
+        const val RETRY_MILLIS = 100L
+    }
 }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/RequestMeters.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/RequestMeters.kt
@@ -1,6 +1,7 @@
 /** The metrics of the request path. */
 package sycamoremast.daemon.request
 
+import io.micrometer.core.instrument.Gauge
 import io.micrometer.core.instrument.MeterRegistry
 import io.micrometer.core.instrument.Timer
 import java.util.concurrent.TimeUnit
@@ -8,7 +9,9 @@
 internal class RequestMeters(private val registry: MeterRegistry) {
     /** Watches the number of requests in progress. */
     fun watchInProgress(count: () -> Int) {
-        registry.gauge("sycamoremast.requests.in.progress", count) { it().toDouble() }
+        Gauge.builder("sycamoremast.requests.in.progress") { count() }
+            .strongReference(true)
+            .register(registry)
     }
 
     /** Counts a request of [service] with its [outcome]. */
--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/SlotLending.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/SlotLending.kt
@@ -16,13 +16,16 @@
 internal class SlotLending(private val dispatcher: Dispatcher, private val peers: PeerNetwork) :
     AutoCloseable {
     private val nextAskMillis = hashMapOf<String, Double>()
-    private val loop = Loop("slot-lending", STEP_MILLIS, ::step)
+    private val loop = Loop("slot-lending", ::step)
 
     fun start() {
         peers.handle(BorrowSlots::class, ::lend)
         loop.start()
     }
 
+    /** Looks at once whether slots have to be borrowed. */
+    fun wake() = loop.wake()
+
     override fun close() = loop.close()
 
     private fun lend(from: String, message: BorrowSlots): LentSlots? =
@@ -44,15 +47,16 @@
             .filterValues { it > 0 }
     }
 
-    private fun step() {
+    private fun step(): Long {
         val waiting = dispatcher.withLanes { lanes, _, _ ->
             lanes.mapValues { it.value.waiting }.filterValues { it > 0 }
         }
         val lenders = dispatcher.withLanes { _, ledger, now -> ledger.lenders(now.toLong()) }
-        if (waiting.isEmpty() && lenders.isEmpty()) return
+        if (waiting.isEmpty() && lenders.isEmpty()) return IDLE_MILLIS
         for (peer in dispatcher.livePeers().shuffled()) {
             if (waiting.isNotEmpty() || peer in lenders) askIfDue(peer)
         }
+        return STEP_MILLIS
     }
 
     private fun askIfDue(peer: String) {
@@ -67,15 +71,7 @@
     private fun ask(peer: String): Boolean {
         val message = dispatcher.withLanes { lanes, ledger, now ->
             val wanted = lanes.mapValues { it.value.waiting }.filterValues { it > 0 }
-            val inUse = lanes.values.map {
-                if (it.waiting >
-                    0
-                ) {
-                    it.totals()
-                } else {
-                    it.borrowedInUse(now)
-                }
-            }
+            val inUse = lanes.values.map { needs(it, now) }
                 .fold(emptyMap<String, Int>()) { sum, more -> sum + more }
             val round = ledger.ask(peer, inUse, wanted.values.sum(), now.toLong())
             BorrowSlots(round.number, round.needs, wanted)
@@ -88,8 +84,12 @@
         return answer.slots.isNotEmpty()
     }
 
+    private fun needs(lane: ServiceLane, nowMillis: Double): SlotCounts =
+        if (lane.waiting > 0) lane.totals() else lane.borrowedInUse(nowMillis)
+
     private companion object {
         const val STEP_MILLIS = 5L
+        const val IDLE_MILLIS = 500L
         const val RENEW_MILLIS = 100.0
         const val EMPTY_MILLIS = 50.0
         val ASK_TIMEOUT = 200.milliseconds
