Forecast the wait of long work as if the service had long been quiet before

The slots kept for short work follow the mean demand of short work since the first request. Just after one short request that mean is near one, long work is left one slot of four, and the forecast of the wait took that moment for the seconds to come. Ruled out: a slow machine as such (the share of time that the first request took decides, and a busy machine only changes it); the test's own bound of 20 s; an easier test. Change: the forecast uses a second meter that begins with 3 s without demand; the reservation is as before. Conclusion: a request is no longer refused because of what was seen for a moment.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/request/LongWorkBound.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/request/LongWorkBound.kt
@@ -16,6 +16,7 @@
 class LongWorkBound {
     private val lastSeenMillis = linkedMapOf<RunTimeKey, Seen>()
     private val demand = DemandMeter()
+    private val usualDemand = DemandMeter(priorMillis = PRIOR_MILLIS)
 
     /** Returns whether a request of [key] that is expected to run [expectedMillis] is long. */
     fun isLong(key: RunTimeKey, expectedMillis: Double, nowMillis: Double): Boolean {
@@ -26,12 +27,25 @@
     }
 
     /** Takes into account that from now on short work asks for [wanted] of [slots]. */
-    fun shortDemand(wanted: Int, slots: Int, nowMillis: Double) =
-        demand.set(minOf(wanted, slots).toDouble(), nowMillis)
+    fun shortDemand(wanted: Int, slots: Int, nowMillis: Double) {
+        val asked = minOf(wanted, slots).toDouble()
+        demand.set(asked, nowMillis)
+        usualDemand.set(asked, nowMillis)
+    }
 
     /** Returns how many of [slots] long work may hold; at least one, so that it never starves. */
-    fun longLimit(slots: Int, nowMillis: Double): Int {
-        val mean = demand.mean(nowMillis)
+    fun longLimit(slots: Int, nowMillis: Double): Int = limit(slots, demand.mean(nowMillis))
+
+    /**
+     * Returns how many of [slots] long work can be expected to hold in the seconds to come.
+     *
+     * It differs from [longLimit] just after the first request: one that was short and seen for a
+     * moment says to keep a slot free now, yet little about how long others will have to wait.
+     */
+    fun expectedLongLimit(slots: Int, nowMillis: Double): Int =
+        limit(slots, usualDemand.mean(nowMillis))
+
+    private fun limit(slots: Int, mean: Double): Int {
         val wanted = ceil(mean + DEVIATIONS * sqrt(mean)).toInt()
         val least = ceil(slots * MIN_RESERVE).toInt()
         return (slots - maxOf(wanted, least)).coerceAtLeast(1)
@@ -53,14 +67,20 @@
 
         /** The standard deviations above its mean that the demand of short work hardly exceeds. */
         const val DEVIATIONS = 3.0
+
+        /** The time without demand that is taken to have passed before the first request. */
+        const val PRIOR_MILLIS = 3_000.0
     }
 }
 
-/** The mean of a demand over time, exponentially weighted. */
-internal class DemandMeter(private val decayMillis: Double = DEFAULT_DECAY_MILLIS) {
+/** The mean of a demand over time, exponentially weighted, after [priorMillis] without any. */
+internal class DemandMeter(
+    priorMillis: Double = 0.0,
+    private val decayMillis: Double = DEFAULT_DECAY_MILLIS
+) {
     private var current = 0.0
     private var sinceMillis = Double.NaN
-    private var observedMillis = 0.0
+    private var observedMillis = priorMillis
     private var mean = 0.0
 
     /** Sets the demand from [nowMillis] on. */
--- a/coordination/src/main/kotlin/sycamoremast/coordination/request/ServiceScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/request/ServiceScheduler.kt
@@ -147,15 +147,11 @@
 
     private fun expectedWait(team: String, isLong: Boolean, slots: Int, nowMillis: Double): Double {
         if (!isLong) return queue.millisAhead(team, Lanes.SHORT) / slots
-        val inTurn = queue.millisAhead(team, Lanes.BOTH) / bound.longLimit(slots, nowMillis)
+        val limit = bound.expectedLongLimit(slots, nowMillis)
+        val inTurn = queue.millisAhead(team, Lanes.BOTH) / limit
         val floor = bound.longFloor(slots)
-        return if (floor ==
-            0
-        ) {
-            inTurn
-        } else {
-            minOf(inTurn, queue.millisAhead(team, Lanes.LONG) / floor)
-        }
+        if (floor == 0) return inTurn
+        return minOf(inTurn, queue.millisAhead(team, Lanes.LONG) / floor)
     }
 
     private fun enqueue(arrival: Arrival, nowMillis: Double): WaitingRequest {
--- a/coordination/src/test/kotlin/sycamoremast/coordination/request/ServiceSchedulerTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/request/ServiceSchedulerTest.kt
@@ -73,6 +73,22 @@
         expectThat(alone.ran).hasSize(longs.size)
     }
 
+    @Test
+    fun `a short request just run is no reason to refuse long ones`() {
+        val scheduler = ServiceScheduler(random = Random(1))
+        val first = Arrival(photo, declaredMillis = 10.0, remainingMillis = 20_000.0)
+        scheduler.arrive(first, slots = 4, free = 4, nowMillis = 0.0)
+        scheduler.next(slots = 4, nowMillis = 0.0)
+        scheduler.finished(1, ranMillis = 100.0, completed = true, nowMillis = 100.0)
+        val admissions = List(10) {
+            val long = Arrival(archive, declaredMillis = 2_000.0, remainingMillis = 20_000.0)
+            val free = 4 - scheduler.longRunning
+            scheduler.arrive(long, slots = 4, free = free, nowMillis = 101.0)
+                .also { scheduler.next(slots = 4, nowMillis = 101.0) }
+        }
+        expectThat(admissions.filterIsInstance<Admission.Refused>()).hasSize(0)
+    }
+
     @Test
     fun `a team that floods the service leaves another team its share`() {
         val seed = 6
