Wait in the group commit's test until the first group is taken

It waited until all changes but one were waiting, yet the first group may take more than one change when a second caller hands its own in before the first has taken the group; then that never comes to hold (seen in the thread dump: the first caller in the store, the test spinning). Ruled out: a lost change or a deadlock in DocumentWriter; the callers waited for the store's call. Change: one caller enters the store first, then the others hand in theirs. What is asserted is the same.

--- a/coordination/src/test/kotlin/sycamoremast/coordination/store/DocumentWriterTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/store/DocumentWriterTest.kt
@@ -188,13 +188,18 @@
     @Test
     fun `changes that wait together share their writes`() {
         val plain = writer()
+        val entered = CountDownLatch(1)
         val started = CountDownLatch(1)
-        val pool = Executors.newFixedThreadPool(CALLERS + 1)
+        val pool = Executors.newFixedThreadPool(CALLERS)
         store.fault = { _ ->
+            entered.countDown()
             started.await()
             CallFault.NONE
         }
-        val outcomes = (1..CALLERS).map { pool.submit(Callable { plain.commit(append("c$it")) }) }
+        fun submit(number: Int) = pool.submit(Callable { plain.commit(append("c$number")) })
+        val first = submit(1)
+        entered.await()
+        val outcomes = (2..CALLERS).map(::submit) + first
         while (plain.waitingChanges < CALLERS - 1) Thread.onSpinWait()
         started.countDown()
         outcomes.forEach { expectThat(it.get()).isA<CommitOutcome.Committed>() }
