Let a stand-in worker ignore a clock reading from before its restart

Cause: a renewal that echoed a reading taken before a restart granted the restarted worker a lease. A real worker's clock readings don't outlive its restart. The stand-in was more lenient than that. Ruled out: the daemon's own margins, which already reckon from the reading. Change: readings up to the restart grant nothing. The key-value service and the host list can also listen on an address of their own, for whole deployments on one machine. Before: WorkerStateTest "a reading from before a restart grants nothing" started a task.

--- a/standins/src/main/kotlin/sycamoremast/standins/BackendServer.kt
+++ b/standins/src/main/kotlin/sycamoremast/standins/BackendServer.kt
@@ -75,7 +75,7 @@
     @Volatile
     private var faults = BackendFaults()
 
-    private val server = StandInServer("backend", settings.port, THREADS, ::handle)
+    private val server = StandInServer("backend", settings.port, THREADS, handle = ::handle)
 
     /** The port that the server listens on. */
     val port: Int get() = server.port
--- a/standins/src/main/kotlin/sycamoremast/standins/HostListMain.kt
+++ b/standins/src/main/kotlin/sycamoremast/standins/HostListMain.kt
@@ -1,4 +1,4 @@
-/** The host list as a program: `--port=N --lagMillis=N --file=PATH` with the first list as JSON. */
+/** The host list as a program: `--address=TEXT --port=N --lagMillis=N --file=PATH`, a list as JSON. */
 package sycamoremast.standins
 
 import java.io.File
@@ -6,8 +6,12 @@
 
 /** Runs the host list until the process is stopped. */
 fun main(args: Array<String>) {
-    val options = ProgramOptions.parse(args, setOf("port", "lagMillis", "file"))
-    val server = HostListServer.start(options.int("port", 0), options.long("lagMillis", 0))
+    val options = ProgramOptions.parse(args, setOf("address", "port", "lagMillis", "file"))
+    val server = HostListServer.start(
+        options.int("port", 0),
+        options.long("lagMillis", 0),
+        options.string("address", LOOPBACK)
+    )
     val file = options.string("file", "")
     if (file.isNotEmpty()) {
         server.setHosts(standInJson.decodeFromString<List<ListedHost>>(File(file).readText()))
--- a/standins/src/main/kotlin/sycamoremast/standins/HostListServer.kt
+++ b/standins/src/main/kotlin/sycamoremast/standins/HostListServer.kt
@@ -15,14 +15,18 @@
 data class HostListFaults(val down: Boolean = false, val slowMillis: Long = 0)
 
 /** A running host list. */
-class HostListServer private constructor(port: Int, private val lagMillis: Long) : AutoCloseable {
+class HostListServer private constructor(
+    port: Int,
+    private val lagMillis: Long,
+    address: String
+) : AutoCloseable {
     private val clock = MonotonicClock.system()
     private val versions = ArrayDeque<Version>()
 
     @Volatile
     private var faults = HostListFaults()
 
-    private val server = StandInServer("host-list", port, handle = ::handle)
+    private val server = StandInServer("host-list", port, address = address, handle = ::handle)
 
     private class Version(val atMillis: Long, val hosts: List<ListedHost>)
 
@@ -73,7 +77,10 @@
 
     companion object {
         /** Returns a list that shows each change [lagMillis] after it was made. */
-        fun start(port: Int = 0, lagMillis: Long = 0): HostListServer =
-            HostListServer(port, lagMillis)
+        fun start(
+            port: Int = 0,
+            lagMillis: Long = 0,
+            address: String = LOOPBACK
+        ): HostListServer = HostListServer(port, lagMillis, address)
     }
 }
--- a/standins/src/main/kotlin/sycamoremast/standins/KeyValueMain.kt
+++ b/standins/src/main/kotlin/sycamoremast/standins/KeyValueMain.kt
@@ -1,8 +1,8 @@
-/** The key-value service as a program: `--port=N`. */
+/** The key-value service as a program: `--address=TEXT --port=N`. */
 package sycamoremast.standins
 
 /** Runs the key-value service until the process is stopped. */
 fun main(args: Array<String>) {
-    val options = ProgramOptions.parse(args, setOf("port"))
-    runUntilStopped(KeyValueServer.start(options.int("port", 0)))
+    val options = ProgramOptions.parse(args, setOf("address", "port"))
+    runUntilStopped(KeyValueServer.start(options.int("port", 0), options.string("address", LOOPBACK)))
 }
--- a/standins/src/main/kotlin/sycamoremast/standins/KeyValueServer.kt
+++ b/standins/src/main/kotlin/sycamoremast/standins/KeyValueServer.kt
@@ -31,7 +31,7 @@
 )
 
 /** A running key-value service. */
-class KeyValueServer private constructor(port: Int) : AutoCloseable {
+class KeyValueServer private constructor(port: Int, address: String) : AutoCloseable {
     private val state = KeyValueState()
     private val counts = ConcurrentHashMap<String, AtomicLong>()
     private val answersToDrop = AtomicInteger()
@@ -45,7 +45,7 @@
     private val expiry = Executors.newSingleThreadScheduledExecutor {
         Thread(it, "lease-expiry").apply { isDaemon = true }
     }
-    private val server = StandInServer("key-value", port, THREADS, ::handle)
+    private val server = StandInServer("key-value", port, THREADS, address, ::handle)
 
     /** The port that the service listens on. */
     val port: Int get() = server.port
@@ -175,6 +175,7 @@
         )
 
         /** Returns a service that listens on the loopback [port]; 0 takes any free one. */
-        fun start(port: Int = 0): KeyValueServer = KeyValueServer(port)
+        fun start(port: Int = 0, address: String = LOOPBACK): KeyValueServer =
+            KeyValueServer(port, address)
     }
 }
--- a/standins/src/main/kotlin/sycamoremast/standins/StandInServer.kt
+++ b/standins/src/main/kotlin/sycamoremast/standins/StandInServer.kt
@@ -18,7 +18,8 @@
 import kotlinx.serialization.serializer
 import org.tinylog.kotlin.Logger
 
-private const val LOOPBACK = "127.0.0.1"
+/** The address that a stand-in listens on unless it is told another. */
+internal const val LOOPBACK = "127.0.0.1"
 private const val CONTENT_TYPE_JSON = "application/json"
 
 /** The JSON of all stand-ins: unknown fields are ignored and defaults are written. */
@@ -33,10 +34,11 @@
     kind: String,
     port: Int,
     threads: Int = DEFAULT_THREADS,
+    address: String = LOOPBACK,
     private val handle: (Call) -> Unit
 ) : AutoCloseable {
     private val server: Undertow = Undertow.builder()
-        .addHttpListener(port, LOOPBACK)
+        .addHttpListener(port, address)
         .setIoThreads(IO_THREADS)
         .setWorkerThreads(threads)
         .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, MAX_BODY_BYTES)
@@ -48,7 +50,7 @@
     val port: Int = (server.listenerInfo.single().address as InetSocketAddress).port
 
     init {
-        Logger.info("event=listening kind=$kind address=$LOOPBACK:${this.port}")
+        Logger.info("event=listening kind=$kind address=$address:${this.port}")
     }
 
     override fun close() {
--- a/standins/src/main/kotlin/sycamoremast/standins/WorkerState.kt
+++ b/standins/src/main/kotlin/sycamoremast/standins/WorkerState.kt
@@ -34,6 +34,7 @@
     private var incarnation = UUID.randomUUID().toString()
     private var epoch = 0L
     private var leaseEndMillis = Long.MIN_VALUE
+    private var restartedMillis = Long.MIN_VALUE
     private var advancedMillis = startMillis
     private var measuredMillis = startMillis
 
@@ -45,7 +46,7 @@
         advance(nowMillis)
         if (renewal.epoch < epoch) return WorkerAnswer.Stale(epoch)
         epoch = renewal.epoch
-        if (renewal.echoMillis <= nowMillis) {
+        if (renewal.echoMillis > restartedMillis && renewal.echoMillis <= nowMillis) {
             leaseEndMillis = maxOf(leaseEndMillis, renewal.echoMillis + renewal.ttlMillis)
         }
         renewal.acknowledged.forEach(::forget)
@@ -96,6 +97,7 @@
         tasks.clear()
         incarnation = UUID.randomUUID().toString()
         leaseEndMillis = Long.MIN_VALUE
+        restartedMillis = nowMillis
         epoch = 0
     }
 
--- a/standins/src/test/kotlin/sycamoremast/standins/WorkerStateTest.kt
+++ b/standins/src/test/kotlin/sycamoremast/standins/WorkerStateTest.kt
@@ -34,6 +34,16 @@
         expectThat(start("t", now = 1_000)).isEqualTo(WorkerAnswer.Refused("no lease"))
     }
 
+    @Test
+    fun `a reading from before a restart grants nothing`() {
+        renew(now = 1_000, echo = 900, ttl = 1_000)
+        worker.restart(1_100)
+        renew(now = 1_200, echo = 1_000, ttl = 1_000)
+        expectThat(start("t", now = 1_200)).isEqualTo(WorkerAnswer.Refused("no lease"))
+        renew(now = 1_300, echo = 1_200, ttl = 1_000)
+        expectThat(start("t", now = 1_300)).isA<WorkerAnswer.Done<TaskReport>>()
+    }
+
     @Test
     fun `a lower epoch is refused by every call`() {
         renew(now = 0, echo = 0, epoch = 5)
