--- a/cli/src/main/kotlin/sycamoremast/cli/DaemonClient.kt
+++ b/cli/src/main/kotlin/sycamoremast/cli/DaemonClient.kt
@@ -10,6 +10,7 @@
 import arrow.core.left
 import arrow.core.right
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.builtins.ListSerializer
@@ -31,6 +32,9 @@
 import sycamoremast.configuration.operator.StatusView
 import sycamoremast.configuration.operator.SubmitView
 
+/** The longest that a daemon waits for confirmations in one call. */
+private val LONGEST_CONFIRMATION = 60.seconds
+
 internal class DaemonClient(
     private val daemons: List<Endpoint>,
     private val operator: String,
@@ -58,6 +62,21 @@
         team: String,
         revision: Long,
         timeout: Duration
+    ): Either<CallError, ConfirmationView> {
+        var left = timeout
+        while (true) {
+            val step = minOf(left, LONGEST_CONFIRMATION)
+            val answer = confirmationsWithin(team, revision, step)
+            left -= step
+            val isDone = answer.fold({ true }, { it.unconfirmed.isEmpty() })
+            if (isDone || left <= Duration.ZERO) return answer
+        }
+    }
+
+    private fun confirmationsWithin(
+        team: String,
+        revision: Long,
+        timeout: Duration
     ): Either<CallError, ConfirmationView> {
         val query = "revision=$revision&timeoutMillis=${timeout.inWholeMilliseconds}"
         val path = "/v1/teams/$team/confirmations?$query"
--- a/cli/src/test/kotlin/sycamoremast/cli/SycamoreTest.kt
+++ b/cli/src/test/kotlin/sycamoremast/cli/SycamoreTest.kt
@@ -157,6 +157,18 @@
         expectThat(calls.last().uri.query).isEqualTo("revision=2&timeoutMillis=250")
     }
 
+    @Test
+    fun `a long wait asks again after the longest that a daemon waits`() {
+        answer("PUT $DOCUMENT", SubmitView("bktib", 2))
+        answer(
+            "GET /v1/teams/bktib/confirmations",
+            ConfirmationView("bktib", 2, emptyList(), listOf("cesis-1"))
+        )
+        run("submit", "--from", "1", "--wait", "--timeout", "61s", file())
+        expectThat(calls.drop(1).map { it.uri.query.substringAfter("timeoutMillis=") })
+            .containsExactly("60000", "1000")
+    }
+
     @Test
     fun `a lost answer is resolved by reading back`() {
         hangUpAfterRequest().use { cut ->
