--- a/standins/src/main/kotlin/sycamoremast/standins/HostListServer.kt
+++ b/standins/src/main/kotlin/sycamoremast/standins/HostListServer.kt
@@ -15,11 +15,8 @@
 data class HostListFaults(val down: Boolean = false, val slowMillis: Long = 0)
 
 /** A running host list. */
-class HostListServer private constructor(
-    port: Int,
-    private val lagMillis: Long,
-    address: String
-) : AutoCloseable {
+class HostListServer private constructor(port: Int, private val lagMillis: Long, address: String) :
+    AutoCloseable {
     private val clock = MonotonicClock.system()
     private val versions = ArrayDeque<Version>()
 
@@ -77,10 +74,7 @@
 
     companion object {
         /** Returns a list that shows each change [lagMillis] after it was made. */
-        fun start(
-            port: Int = 0,
-            lagMillis: Long = 0,
-            address: String = LOOPBACK
-        ): HostListServer = HostListServer(port, lagMillis, address)
+        fun start(port: Int = 0, lagMillis: Long = 0, address: String = LOOPBACK): HostListServer =
+            HostListServer(port, lagMillis, address)
     }
 }
--- a/standins/src/main/kotlin/sycamoremast/standins/KeyValueMain.kt
+++ b/standins/src/main/kotlin/sycamoremast/standins/KeyValueMain.kt
@@ -4,5 +4,7 @@
 /** Runs the key-value service until the process is stopped. */
 fun main(args: Array<String>) {
     val options = ProgramOptions.parse(args, setOf("address", "port"))
-    runUntilStopped(KeyValueServer.start(options.int("port", 0), options.string("address", LOOPBACK)))
+    runUntilStopped(
+        KeyValueServer.start(options.int("port", 0), options.string("address", LOOPBACK))
+    )
 }
