Test that a job that fits on no worker is refused at submit

Cause: the refusal came without a test of its own; only the rule below it had one. Ruled out: a test of the operator actions alone, which would not show the tool's answer. Change: the whole path's test submits a job larger than any worker and within the quota. After: exit code 2 and "job giant can never run".

--- a/integration/src/test/kotlin/sycamoremast/integration/WholePathTest.kt
+++ b/integration/src/test/kotlin/sycamoremast/integration/WholePathTest.kt
@@ -2,6 +2,7 @@
 
 import java.nio.file.Path
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.contains
@@ -20,6 +21,17 @@
                 zones.forEach { survey("$it-survey", it, tasks = 3, expected = 500.milliseconds) }
             }
             val file = EntryHostProcess.settingsFile("bktib", configuration.toIni())
+            val never = bktib {
+                job("giant") {
+                    availabilityZone = "gauja"
+                    resources(milliCpus = 90_000, memoryMib = 512)
+                    expected = 1.seconds
+                }
+            }
+            val neverFile = EntryHostProcess.settingsFile("never", never.toIni())
+            val refused = sycamore(deployment, "submit", "$neverFile")
+            expectThat(refused.first).isEqualTo(2)
+            expectThat(refused.second).contains("job giant can never run: ")
             val submitted = sycamore(deployment, "submit", "--wait", "$file")
             expectThat(submitted.first).isEqualTo(0)
             expectThat(submitted.second).contains("bktib: accepted as revision")
