--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/BackendClient.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/BackendClient.kt
@@ -34,6 +34,10 @@
         ConnectionPool(maxConnections, IDLE_CONNECTION.inWholeMilliseconds, TimeUnit.MILLISECONDS)
     private val client = SHARED.newBuilder().connectionPool(pool).build()
 
+    /** Whether the server has echoed the id of a request. */
+    @Volatile
+    private var namesAnswers = false
+
     /** Returns the open connections, idle ones included. */
     val connectionCount: Int get() = pool.connectionCount()
 
@@ -70,6 +74,7 @@
     ): AttemptResult {
         val draining = response.header(RequestHeaders.DRAINING).toBoolean()
         val reader = AnswerReader(response, exchange.socket())
+        checkName(response, request, reader, exchange.socket())
         if (response.code == SERVICE_UNAVAILABLE &&
             response.header(RequestHeaders.NOT_RUN) != null
         ) {
@@ -80,11 +85,6 @@
             return Refused(failure, retryAfterOf(response), isBusy, draining)
         }
         life.on(RequestEvent.ANSWER_BEGUN)
-        val named = response.header(RequestHeaders.REQUEST_ID)
-        if (named != null && named != request.id) {
-            reader.abort()
-            throw IOException("the answer names another request: $named")
-        }
         return Answer(
             response.code,
             response.headers.toList(),
@@ -94,6 +94,30 @@
         )
     }
 
+    /**
+     * Makes sure that [response] does not belong to another request.
+     *
+     * An earlier answer that is late or was sent twice may arrive on a kept connection just after
+     * that was found to be quiet. It is told by its missing name if the server names its answers.
+     *
+     * @throws IOException if it names another request, or should name this one and names none
+     */
+    private fun checkName(
+        response: Response,
+        request: CallerRequest,
+        reader: AnswerReader,
+        socket: WatchedSocket
+    ) {
+        val named = response.header(RequestHeaders.REQUEST_ID)
+        if (named == request.id) namesAnswers = true
+        if (named == request.id || (named == null && !isNameExpected(response, socket))) return
+        reader.abort()
+        throw IOException("the answer names another request: $named")
+    }
+
+    private fun isNameExpected(response: Response, socket: WatchedSocket) =
+        namesAnswers && socket.isReused && response.header(RequestHeaders.NOT_RUN) == null
+
     private fun failed(life: RequestLife, e: IOException): Failed {
         val kind = when {
             e is CallerException -> FailureKind.CALLER
--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/Dispatcher.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/Dispatcher.kt
@@ -77,6 +77,9 @@
     fun usableCount(service: String): Int =
         lock.withLock { lanes[service]?.usableCount(nowMillis()) ?: 0 }
 
+    /** Returns the requests of [service] that wait for a slot. */
+    fun waitingCount(service: String): Int = lock.withLock { lanes[service]?.waiting ?: 0 }
+
     /** Returns whether this host has its share of the slots. */
     fun hasShare(): Boolean = lock.withLock { ledger.share("", MANY, nowMillis().toLong()) > 0 }
 
--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/ForwardingRequestPath.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/ForwardingRequestPath.kt
@@ -96,6 +96,9 @@
     /** Returns the backend servers of [service] that get new work. */
     internal fun backendCount(service: String) = dispatcher.usableCount(service)
 
+    /** Returns the requests of [service] that wait for a slot. */
+    internal fun waitingCount(service: String) = dispatcher.waitingCount(service)
+
     private fun readHostList() = ports.hostList.hosts().fold(
         { Logger.warn { event("host-list-unread", "step" to it.step, "peer" to it.peer) } },
         dispatcher::listed
--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/WatchedSocket.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/WatchedSocket.kt
@@ -15,14 +15,21 @@
 
 internal class WatchedSocket : Socket() {
     private val watched by lazy { AnswerCounter(super.getInputStream()) }
+    private var requests = 0
 
     override fun getInputStream(): InputStream = watched
 
     /** Returns whether bytes have arrived although no request is in progress. */
     fun hasUnexpectedBytes() = watched.available() > 0
 
+    /** Whether an earlier request was sent on this connection. */
+    val isReused: Boolean get() = requests > 1
+
     /** Starts counting the answer to the next request. */
-    fun beginAnswer() = watched.begin()
+    fun beginAnswer() {
+        requests++
+        watched.begin()
+    }
 
     /** Returns the bytes received after the headers of the present answer. */
     fun bytesAfterHeaders(): Long = watched.bytesAfterHeaders
