Lend connections together with slots, so that a starting host can use its loans

Cause of the refusals in a rolling restart: a host that has just started has no share for 3 s and is meant to live on loans. It was lent slots, but its limit was cut to its share of the connections, which was 0 as well, so it could use none of them. Its queue then grew for 3 s and was refused.

Ruled out: handing the share over in the farewell (helps no host whose predecessor was killed, and is a further message); queueing without refusing (waits of 3 s).

Change: a slot moves between hosts together with a connection. The limit is that of the lesser of slots and connections, and idle connections are closed when a host has more than its share of them, less lent, plus borrowed. Sums stay bounded as before: every loan is taken off its lender first.

--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/Backend.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/Backend.kt
@@ -18,8 +18,8 @@
     /** Whether the server refused for want of a slot, so that it is left alone until then. */
     var busyUntilMillis = Long.MIN_VALUE
 
-    /** The most connections that this host may keep, as last computed. */
-    var connectionShare = Int.MAX_VALUE
+    /** The requests that all hosts together may send at a time; each needs a connection, too. */
+    val slots: Int get() = minOf(host.slots, host.connections)
 
     override fun close() = client.close()
 }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/Dispatcher.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/Dispatcher.kt
@@ -156,11 +156,10 @@
         is BackendSign.Nothing -> Unit
     }.also { if (sign.isDraining) backend.health.draining(nowMillis) }
 
+    /** A slot moves between hosts together with a connection, so that one limit follows both. */
     private fun limitConnections(backend: Backend, nowMillis: Long) {
-        val share = ledger.share(backend.name, backend.host.connections, nowMillis)
-        val shrunk = share < backend.connectionShare
-        backend.connectionShare = share
-        if (shrunk) backend.client.closeIdle()
+        val limit = ledger.limit(backend.name, backend.host.connections, nowMillis)
+        if (backend.client.connectionCount > limit) backend.client.closeIdle()
     }
 
     private companion object {
--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/ServiceLane.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/ServiceLane.kt
@@ -106,13 +106,13 @@
 
     /** Returns the slots of borrowed ones that are in use, of all lenders together. */
     fun borrowedInUse(nowMillis: Double): SlotCounts = backends.associate { backend ->
-        val own = ledger.limit(backend.name, backend.host.slots, nowMillis.toLong()) -
+        val own = ledger.limit(backend.name, backend.slots, nowMillis.toLong()) -
             ledger.borrowed(backend.name, nowMillis.toLong())
         backend.name to (backend.inUse - own).coerceAtLeast(0)
     }
 
     /** Returns the slots of each backend server. */
-    fun totals(): SlotCounts = backends.associate { it.name to it.host.slots }
+    fun totals(): SlotCounts = backends.associate { it.name to it.slots }
 
     /** Returns when the caller of a request that is refused for another reason may come back. */
     fun bookReturn(nowMillis: Double) = scheduler.bookReturn(capacity(nowMillis).slots, nowMillis)
@@ -139,12 +139,12 @@
 
     private fun limitOf(backend: Backend, nowMillis: Double): Int {
         if (nowMillis < backend.busyUntilMillis) return 0
-        val share = ledger.limit(backend.name, backend.host.slots, nowMillis.toLong())
-        return backend.concurrency.allowed(minOf(share, backend.connectionShare), nowMillis)
+        val limit = ledger.limit(backend.name, backend.slots, nowMillis.toLong())
+        return backend.concurrency.allowed(limit, nowMillis)
     }
 
     private fun shareOf(backend: Backend, nowMillis: Double) =
-        ledger.share(backend.name, backend.host.slots, nowMillis.toLong())
+        ledger.share(backend.name, backend.slots, nowMillis.toLong())
 
     private fun freeOwn(backend: Backend, nowMillis: Double) =
         limitOf(backend, nowMillis) - ledger.borrowed(backend.name, nowMillis.toLong()) -
--- a/daemon/src/test/kotlin/sycamoremast/daemon/request/SlotLendingTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/request/SlotLendingTest.kt
@@ -10,7 +10,11 @@
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
+import strikt.assertions.isIn
 import strikt.assertions.isLessThanOrEqualTo
+import strikt.assertions.isNotEmpty
+import sycamoremast.coordination.request.LedgerTimes
+import sycamoremast.coordination.request.ShareTimes
 
 class SlotLendingTest {
     private val pools = mutableListOf<ExecutorService>()
@@ -24,13 +28,7 @@
         answer(it, "done")
     }
     private val hosts = listOf("entry-1", "entry-2", "entry-3")
-    private val paths = hosts.map { host ->
-        val others = (hosts - host).map { FakeMembership.member(it) }
-        val membership = FakeMembership(FakeMembership.member(host), others)
-        val list = FakeHostList(listOf(FakeHostList.backend(backend.port, slots = 6)))
-        val ports = testPorts(list, membership = membership, peers = hub.networkOf(host))
-        PathHarness(hostList = list, ports = ports).ready()
-    }
+    private val paths = hosts.map { start(it) }.toMutableList()
 
     @AfterEach
     fun stop() {
@@ -46,6 +44,16 @@
         expectThat(most.get()).isLessThanOrEqualTo(6)
     }
 
+    @Test
+    fun `a host that has just started lives on loans until it has its share`() {
+        paths.last().close()
+        val newcomer = start(hosts.last(), TEST_SETTINGS.copy(slotTimes = NEVER_JOINS))
+        paths[paths.lastIndex] = newcomer
+        expectThat(newcomer.path.notReadyBecause()).isNotEmpty()
+        load(listOf(newcomer))
+        expectThat(most.get()).isIn(1..4)
+    }
+
     @Test
     fun `a busy host keeps to its share while it is cut off from the others`() {
         hub.isCut = true
@@ -61,6 +69,14 @@
         expectThat(most.get()).isLessThanOrEqualTo(6)
     }
 
+    private fun start(host: String, settings: RequestPathSettings = TEST_SETTINGS): PathHarness {
+        val others = (hosts - host).map { FakeMembership.member(it) }
+        val membership = FakeMembership(FakeMembership.member(host), others)
+        val list = FakeHostList(listOf(FakeHostList.backend(backend.port, slots = 6)))
+        val ports = testPorts(list, membership = membership, peers = hub.networkOf(host))
+        return PathHarness(hostList = list, settings = settings, ports = ports).ready()
+    }
+
     /**
      * Sends 120 requests through each of the [busy] hosts.
      *
@@ -77,5 +93,6 @@
 
     private companion object {
         const val CALLERS_A_HOST = 24
+        val NEVER_JOINS = LedgerTimes(ShareTimes(joinMillis = Long.MAX_VALUE / 4))
     }
 }
