--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/Dispatcher.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/Dispatcher.kt
@@ -77,6 +77,9 @@
     fun usableCount(service: String): Int =
         lock.withLock { lanes[service]?.usableCount(nowMillis()) ?: 0 }
 
+    /** Returns the requests of [service] that wait for a slot. */
+    fun waitingCount(service: String): Int = lock.withLock { lanes[service]?.waiting ?: 0 }
+
     /** Returns whether this host has its share of the slots. */
     fun hasShare(): Boolean = lock.withLock { ledger.share("", MANY, nowMillis().toLong()) > 0 }
 
@@ -153,11 +156,10 @@
         is BackendSign.Nothing -> Unit
     }.also { if (sign.isDraining) backend.health.draining(nowMillis) }
 
+    /** A slot moves between hosts together with a connection, so that one limit follows both. */
     private fun limitConnections(backend: Backend, nowMillis: Long) {
-        val share = ledger.share(backend.name, backend.host.connections, nowMillis)
-        val shrunk = share < backend.connectionShare
-        backend.connectionShare = share
-        if (shrunk) backend.client.closeIdle()
+        val limit = ledger.limit(backend.name, backend.host.connections, nowMillis)
+        if (backend.client.connectionCount > limit) backend.client.closeIdle()
     }
 
     private companion object {
