Stop counting a worker whose lease has lapsed among those that answer a cut-off owner

Cause: an owner without its lease in the service goes on while enough workers answered within a worker's lease. A worker's last answer can be that recent although the lease that it showed has run out; the owner then took its tasks for gone and in the same moment counted it as answering.

Ruled out: the compaction of ended jobs, as the job was still open when the task was placed.

Change: a worker counts only while its lease is not certainly over.

Left: with more than three workers, an owner paused for less than a worker's lease can still count answers that were sent before its successor took over.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/WorkerTable.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/WorkerTable.kt
@@ -64,7 +64,9 @@
         val recorded = rows.values.filter { it.isRecorded }
         val since = nowMillis - settings.workerTiming.ttlMillis
         val answering = recorded.count {
-            it.answeredMillis >= since && it.incarnation == it.trustedIncarnation
+            it.answeredMillis >= since &&
+                !it.session.isOver(nowMillis) &&
+                it.incarnation == it.trustedIncarnation
         }
         return answering >= WorkerQuorum(recorded.size).toGoOn
     }
