Keep only the names of ended jobs in a shard's document, and bound them

Ruled out: forgetting a job once the configuration lacks it, with or without the recorded revision. An operator who submits an older text again makes a new revision, and every ended job in it would run once more.

Change: beyond the newest 500, an ended job keeps 8 bytes (46 bits of its name's hash, its final state). Such a name is never accepted. Beyond 30,000 names the oldest that the configuration at revision r lacks are forgotten with revisions[team] = r in the same write; an older listing then accepts nothing, also in AcceptJob itself. Only jobs with no task on any worker of the owner are compacted. Operators see configured jobs without a record in their final state.

The checker now keeps the last record of each job itself: a record may leave the document only in a final state and with its name, and a job that ended may never be open again or started.

A daemon from before this change drops the names when it writes, so all hosts of a zone are to be upgraded together.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/record/DocumentChange.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/record/DocumentChange.kt
@@ -6,11 +6,16 @@
     /** Returns [document] with this change. */
     fun applyTo(document: ShardDocument): ShardDocument
 
-    /** Adds [record], unless the job has one, for the team's configuration at [revision]. */
+    /**
+     * Adds [record], unless the job is known, for the team's configuration at [revision].
+     *
+     * A configuration older than the recorded revision adds nothing, as it may list a job that has
+     * ended and is forgotten.
+     */
     data class AcceptJob(val record: JobRecord, val revision: Long) : DocumentChange {
         override fun applyTo(document: ShardDocument): ShardDocument {
-            if (document.job(record.key) != null) return document
             val known = document.revisions[record.team] ?: 0
+            if (revision < known || document.stateOf(record.key) != null) return document
             return document.copy(
                 jobs = document.jobs + record,
                 revisions = document.revisions + (record.team to maxOf(known, revision))
@@ -57,7 +62,7 @@
     /** Cancels the job [key] of [tasks] tasks, also one that has no record yet. */
     data class CancelJob(val key: JobKey, val tasks: Int, val reason: String) : DocumentChange {
         override fun applyTo(document: ShardDocument): ShardDocument {
-            if (document.job(key) != null) {
+            if (document.stateOf(key) != null) {
                 return document.update(key) { it.ended(JobState.CANCELLED, reason) }
             }
             val record = JobRecord(key.team, key.name, document.epoch, tasks)
@@ -65,6 +70,38 @@
         }
     }
 
+    /** Keeps no more of the ended jobs [keys] than their names and final states. */
+    data class CompactJobs(val keys: Set<JobKey>) : DocumentChange {
+        override fun applyTo(document: ShardDocument): ShardDocument {
+            val (compacted, kept) = document.jobs.partition {
+                it.state != JobState.ACCEPTED && it.key in keys
+            }
+            val added = compacted.groupBy { it.team }.mapValues { (team, records) ->
+                val known = document.ended[team] ?: EndedNames.EMPTY
+                known.plus(records.associate { it.name to it.state })
+            }
+            return document.copy(jobs = kept, ended = document.ended + added)
+        }
+    }
+
+    /**
+     * Forgets [names], which the configuration of [team] at [revision] does not list.
+     *
+     * From then on no older configuration can bring them back.
+     */
+    data class ForgetNames(val team: String, val revision: Long, val names: EndedNames) :
+        DocumentChange {
+        override fun applyTo(document: ShardDocument): ShardDocument {
+            val known = document.revisions[team] ?: 0
+            if (revision < known) return document
+            val left = (document.ended[team] ?: EndedNames.EMPTY) - names
+            return document.copy(
+                ended = document.ended.with(team, left),
+                revisions = document.revisions + (team to revision)
+            )
+        }
+    }
+
     /** Adds [workers] to those that may hold a task of the shard. */
     data class AddWorkers(val workers: List<String>) : DocumentChange {
         override fun applyTo(document: ShardDocument) =
@@ -83,10 +120,21 @@
     }
 }
 
-private fun ShardDocument.update(key: JobKey, change: (JobRecord) -> JobRecord): ShardDocument =
-    copy(
-        jobs = jobs.map {
-            val open = it.state == JobState.ACCEPTED
-            if (open && it.team == key.team && it.name == key.name) change(it) else it
-        }
-    )
+private fun Map<String, EndedNames>.with(team: String, names: EndedNames) =
+    if (names.size == 0) minus(team) else plus(team to names)
+
+/** Changes the open job [key]; a job that ends goes to the end of the list. */
+private fun ShardDocument.update(key: JobKey, change: (JobRecord) -> JobRecord): ShardDocument {
+    val at = jobs.indexOfFirst { it.team == key.team && it.name == key.name }
+    val known = jobs.getOrNull(at)
+    if (known == null || known.state != JobState.ACCEPTED) return this
+    val changed = change(known)
+    val next = jobs.toMutableList()
+    if (changed.state == JobState.ACCEPTED) {
+        next[at] = changed
+    } else {
+        next.removeAt(at)
+        next += changed
+    }
+    return copy(jobs = next)
+}
--- a/coordination/src/main/kotlin/sycamoremast/coordination/record/ShardDocument.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/record/ShardDocument.kt
@@ -12,7 +12,11 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 
-/** A shard's record; [workers] lists every worker that may hold one of its tasks. */
+/**
+ * A shard's record; [workers] lists every worker that may hold one of its tasks.
+ *
+ * [ended] holds, for each team, the names of ended jobs whose records are gone.
+ */
 @Serializable
 data class ShardDocument(
     val epoch: Long = 0,
@@ -20,6 +24,7 @@
     val jobs: List<JobRecord> = emptyList(),
     val workers: List<String> = emptyList(),
     val revisions: Map<String, Long> = emptyMap(),
+    val ended: Map<String, EndedNames> = emptyMap(),
     val sequences: Map<String, Long> = emptyMap()
 ) {
     /** Returns this document with [changes] applied, in order, by [writer] as its [sequence]. */
@@ -34,6 +39,9 @@
     fun job(key: JobKey): JobRecord? =
         jobs.firstOrNull { it.team == key.team && it.name == key.name }
 
+    /** Returns where the job [key] stands, or null if it was never recorded or is forgotten. */
+    fun stateOf(key: JobKey): JobState? = job(key)?.state ?: ended[key.team]?.stateOf(key.name)
+
     /** Returns the JSON form. */
     fun print(): String = JSON.encodeToString(serializer(), this)
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/ShardMachine.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/ShardMachine.kt
@@ -33,6 +33,7 @@
     private val interference = InterferenceWatch(tasks)
     private val workers = WorkerTable(settings, tasks, interference, ::newCall)
     private val dispatcher = Dispatcher(tasks, workers, shares, judge, interference, ledger::submit)
+    private val endedJobs = EndedJobs(settings, tasks)
     private val listedJobs = HashMap<String, ShardEvent.JobsListed>()
     private var listedWorkers = emptyList<ListedHost>()
     private var epoch = 0L
@@ -119,6 +120,7 @@
         if (forgettable.isNotEmpty()) {
             ledger.submit(DocumentChange.RemoveWorkers(forgettable))
         }
+        if (ledger.isSettled) endedJobs.shrink(ledger.document, listedJobs, ledger::submit)
     }
 
     private fun release(nowMillis: Long) {
@@ -238,10 +240,13 @@
     private fun acceptJobs(event: ShardEvent.JobsListed) {
         if (event.revision < (ledger.document.revisions[event.team] ?: 0)) return
         event.jobs
-            .filterKeys { JobKey(event.team, it) !in tasks.jobs }
+            .filterKeys { !isKnown(JobKey(event.team, it)) }
             .forEach { (name, spec) -> accept(event, name, spec) }
     }
 
+    private fun isKnown(key: JobKey) =
+        key in tasks.jobs || ledger.document.ended[key.team]?.stateOf(key.name) != null
+
     private fun accept(event: ShardEvent.JobsListed, name: String, spec: JobSpec) {
         val record = JobRecord(event.team, name, epoch, spec.tasks, spec = spec)
         ledger.submit(DocumentChange.AcceptJob(record, event.revision))
--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/ShardSettings.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/ShardSettings.kt
@@ -7,7 +7,9 @@
  * How [owner] runs a shard.
  *
  * [longestCutOffMillis] bounds how long an owner goes on that is cut off from the service; it has to
- * be the same on every host. [writer] differs between any two runs of the program, so that their writes can be told apart.
+ * be the same on every host. [writer] differs between any two runs of the program, so that their
+ * writes can be told apart. The newest [keptEndedJobs] ended jobs keep their records, and at least
+ * the newest [rememberedNames] their names.
  */
 data class ShardSettings(
     val owner: String,
@@ -17,7 +19,9 @@
     val heartbeatMillis: Long,
     val longestCutOffMillis: Long = DEFAULT_LONGEST_CUT_OFF_MILLIS,
     val retryMillis: Long = DEFAULT_RETRY_MILLIS,
-    val attemptsPerTask: Int = DEFAULT_ATTEMPTS_PER_TASK
+    val attemptsPerTask: Int = DEFAULT_ATTEMPTS_PER_TASK,
+    val keptEndedJobs: Int = DEFAULT_KEPT_ENDED_JOBS,
+    val rememberedNames: Int = DEFAULT_REMEMBERED_NAMES
 ) {
     companion object {
         /** The pause before a failed call on the service is repeated. */
@@ -28,5 +32,11 @@
 
         /** The number of failed attempts of one task that fail its job. */
         const val DEFAULT_ATTEMPTS_PER_TASK = 4
+
+        /** The number of ended jobs that keep their records. */
+        const val DEFAULT_KEPT_ENDED_JOBS = 500
+
+        /** The number of ended jobs that are known by name. */
+        const val DEFAULT_REMEMBERED_NAMES = 30_000
     }
 }
--- a/coordination/src/test/kotlin/sycamoremast/coordination/record/ShardDocumentTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/record/ShardDocumentTest.kt
@@ -71,6 +71,51 @@
         expectThat(document.job(key)?.state).isEqualTo(JobState.CANCELLED)
     }
 
+    @Test
+    fun `an ended job leaves its name and state, and is not accepted again`() {
+        val cancelled = DocumentChange.CancelJob(key, 3, "cancelled")
+        val compacted = ShardDocument()
+            .with(listOf(accepted, cancelled, DocumentChange.CompactJobs(setOf(key))), "h1", 1)
+        val document = ShardDocument.parseOrNull(compacted.print()) ?: error("unreadable")
+        expectThat(document.jobs).hasSize(0)
+        expectThat(document.stateOf(key)).isEqualTo(JobState.CANCELLED)
+        expectThat(document.stateOf(JobKey("nets", "other"))).isEqualTo(null)
+        expectThat(document.with(listOf(accepted, cancelled), "h1", 1)).isEqualTo(document)
+    }
+
+    @Test
+    fun `an open job is not compacted`() {
+        expectThat(after(DocumentChange.CompactJobs(setOf(key))).state).isEqualTo(JobState.ACCEPTED)
+    }
+
+    @Test
+    fun `a forgotten job is accepted only by a configuration that is not older`() {
+        val names = EndedNames.EMPTY.plus(mapOf("survey" to JobState.FINISHED))
+        val ended = ShardDocument(ended = mapOf("nets" to names), revisions = mapOf("nets" to 4))
+        val stale = DocumentChange.ForgetNames("nets", 3, names)
+        expectThat(ended.with(listOf(stale), "h1", 1).stateOf(key)).isEqualTo(JobState.FINISHED)
+        val forgotten = ended.with(listOf(DocumentChange.ForgetNames("nets", 6, names)), "h1", 1)
+        expectThat(forgotten.ended).isEqualTo(emptyMap())
+        expectThat(forgotten.with(listOf(accepted), "h1", 1).jobs).hasSize(0)
+        val newer = accepted.copy(revision = 7)
+        expectThat(forgotten.with(listOf(newer), "h1", 1).jobs).hasSize(1)
+    }
+
+    @Test
+    fun `the oldest names that are not listed are found`() {
+        val states = JobState.entries.filter { it != JobState.ACCEPTED }
+        val names = (0 until 1_000).associate { "job$it" to states[it % states.size] }
+        val ended = EndedNames.EMPTY.plus(names).plus(names)
+        expectThat(ended.size).isEqualTo(1_000)
+        expectThat(names.all { (name, state) -> ended.stateOf(name) == state }).isTrue()
+        val oldest = ended.oldestExcept(listOf("job1"), count = 2)
+        val left = ended - oldest
+        expectThat((0..3).map { left.stateOf("job$it") != null })
+            .isEqualTo(listOf(false, true, false, true))
+        expectThat(listOf("abc", "*23456789", "abcdefg").map(EndedNames::parseOrNull))
+            .isEqualTo(listOf(null, null, null))
+    }
+
     @Test
     fun `a writer finds its last write, and the oldest writers are dropped`() {
         var document = ShardDocument().with(emptyList(), "old", 5)
--- a/coordination/src/test/kotlin/sycamoremast/coordination/shard/Checker.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/shard/Checker.kt
@@ -18,7 +18,13 @@
     ECHO_IGNORED,
     MARGIN_OFF,
     READ_BACK_OFF,
-    UNCONFIRMED_STOP_NOT_COUNTED
+    UNCONFIRMED_STOP_NOT_COUNTED,
+
+    /** Ended jobs are removed with their names. */
+    ENDED_NAMES_OFF,
+
+    /** The revision at which names were forgotten is not recorded. */
+    REVISION_GUARD_OFF
 }
 
 /** Checks what the workers and the service see; [neverRepeated] lists such jobs. */
@@ -32,6 +38,9 @@
     val startedMillis = HashMap<String, Long>()
     private val finishedRuns = HashSet<String>()
 
+    /** The newest record of every job, also of those that the document no longer holds. */
+    private val records = HashMap<JobKey, JobRecord>()
+
     fun require(holds: Boolean, message: () -> String) {
         if (!holds) throw BrokenPromise("seed $seed: ${message()}")
     }
@@ -40,7 +49,7 @@
         val id = task.order.taskId
         val (key, index) = JobKey.parseTaskIdOrNull(id) ?: error("no task id: $id")
         startedMillis.putIfAbsent(id, now)
-        val record = document().job(key)
+        val record = records[key]
         require(record != null) { "$id started before its job was accepted" }
         require(record == null || index !in record.finished) { "$id started after it finished" }
         val elsewhere = workers().filter { it !== worker && it.isUp }
@@ -61,7 +70,7 @@
     fun onForget(worker: SimulatedWorker, task: SimulatedWorker.Task, now: Long) {
         if (task.phase != TaskPhase.FINISHED) return
         val (key, index) = JobKey.parseTaskIdOrNull(task.order.taskId) ?: return
-        val record = document().job(key) ?: return
+        val record = records[key] ?: return
         val isDecided = record.state != JobState.ACCEPTED ||
             index in record.finished ||
             index in record.unknown
@@ -77,7 +86,34 @@
                 task.order.taskId in other.also { it.running(now) }.tasks
         }
 
-    fun onFinished(record: JobRecord) {
+    /** The state of the job [key] when it was last recorded. */
+    fun stateOf(key: JobKey): JobState? = records[key]?.state
+
+    /** Checks that [next] holds what is known of every job, and that no ended job came back. */
+    fun onWrite(next: ShardDocument) {
+        for ((key, old) in records) {
+            val isHeld =
+                next.job(key) != null || next.ended[key.team]?.stateOf(key.name) == old.state
+            val wasHeld = document().job(key) != null
+            require(isHeld || !wasHeld) { "record of $key vanished" }
+        }
+        for (new in next.jobs) {
+            val old = records[new.key]
+            if (old != null) onChange(old, new)
+            onFinished(new)
+            records[new.key] = new
+        }
+    }
+
+    private fun onChange(old: JobRecord, new: JobRecord) {
+        val isFinal = old.state != JobState.ACCEPTED
+        require(!isFinal || new.state == old.state) {
+            "${old.key} went from ${old.state} to ${new.state}"
+        }
+        require(new.finished.size >= old.finished.size) { "completions of ${old.key} were lost" }
+    }
+
+    private fun onFinished(record: JobRecord) {
         for (index in record.finished.toList()) {
             require(record.key.taskId(index) in finishedRuns) {
                 "${record.key.taskId(index)} was recorded but never finished"
@@ -85,9 +121,9 @@
         }
     }
 
-    fun atEnd(document: ShardDocument, jobs: Collection<JobKey>, now: Long) {
+    fun atEnd(jobs: Collection<JobKey>, now: Long) {
         for (key in jobs) {
-            val record = document.job(key)
+            val record = records[key]
             require(record != null && record.state != JobState.ACCEPTED) {
                 "$key is not decided at $now: $record"
             }
--- a/coordination/src/test/kotlin/sycamoremast/coordination/shard/Schedule.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/shard/Schedule.kt
@@ -29,14 +29,18 @@
 ) {
     private val random = Random(seed)
     private val jobs = (chosenJobs ?: randomJobs()).toMutableMap()
-    private var revision = 1L
+
+    /** Every configuration so far, the first at revision 1. */
+    private val configurations = ArrayList(listOf(jobs.toMap()))
+    private val configurationRandom = Random(seed + CONFIGURATION_SEED)
+    private val rememberedNames = configurationRandom.nextInt(2) * MANY_NAMES
     private val checker: Checker = Checker(
         seed,
         { workers.values },
         { store.truth },
         jobs.filterValues { it.neverRepeat }.keys
     )
-    val store = SimulatedStore(checker)
+    val store = SimulatedStore(checker, bugs)
     private val workers: Map<String, SimulatedWorker> = (1..3).map { newWorker("w$it") }
         .associateBy { it.name }
     val hosts = (1..2).map { Host("h$it") }
@@ -68,23 +72,36 @@
                     ownerTiming = LeaseTiming(OWNER_TTL_MILLIS, margin),
                     workerTiming = LeaseTiming(WORKER_TTL_MILLIS, margin),
                     heartbeatMillis = HEARTBEAT_MILLIS,
-                    longestCutOffMillis = longestCutOffMillis
+                    longestCutOffMillis = longestCutOffMillis,
+                    keptEndedJobs = 0,
+                    rememberedNames = rememberedNames
                 )
             )
         }
 
         fun begin() {
             deliver(ShardEvent.WorkersListed(workers.keys.map(::listing)), life)
-            deliver(listing(), life)
+            listJobs()
             tick(life)
             poll(life)
         }
 
-        private fun listing() =
-            ShardEvent.JobsListed("team", revision, jobs.mapKeys { it.key.name })
+        /** Hears of an earlier configuration now and of the newest one later. */
+        fun listJobs() {
+            val newest = configurations.size
+            val lag = if (losesCalls) configurationRandom.nextInt(newest) else 0
+            listJobs(newest - lag)
+            if (lag > 0) {
+                val of = life
+                after(configurationRandom.nextLong(LONGEST_LAG_MILLIS)) { listJobs(newest, of) }
+            }
+        }
 
-        /** Hears of the newest configuration. */
-        fun listJobs() = deliver(listing())
+        /** Hears of the configuration at [revision]. */
+        fun listJobs(revision: Int, of: Int = life) {
+            val listed = configurations[revision - 1].mapKeys { it.key.name }
+            deliver(ShardEvent.JobsListed("team", revision.toLong(), listed), of)
+        }
 
         val isOwner: Boolean get() = isAlive && machine.snapshot().isOwner
 
@@ -228,10 +245,10 @@
             next.action()
             if (now > CALM_MILLIS + OWNER_TTL_MILLIS && isDone()) break
         }
-        checker.atEnd(store.truth, keys, now)
+        checker.atEnd(keys, now)
     }
 
-    private fun isDone() = jobs.keys.all { (store.truth.job(it)?.state ?: ACTIVE) != ACTIVE } &&
+    private fun isDone() = jobs.keys.all { (checker.stateOf(it) ?: ACTIVE) != ACTIVE } &&
         workers.values.all { it.running(now).isEmpty() }
 
     private fun randomJobs(): Map<JobKey, JobSpec> = (1..random.nextInt(2, 4)).associate {
@@ -327,13 +344,27 @@
         repeat(random.nextInt(1, 7)) {
             after(random.nextLong(CALM_MILLIS)) { plant(random.nextInt(7)) }
         }
+        repeat(configurationRandom.nextInt(MOST_CONFIGURATIONS)) {
+            after(configurationRandom.nextLong(CALM_MILLIS)) { changeConfiguration() }
+        }
+    }
+
+    /** Drops an ended job, or lists one again whose name is still known. */
+    private fun changeConfiguration() {
+        val newest = configurations.last()
+        val ended = jobs.filterKeys { (checker.stateOf(it) ?: ACTIVE) != ACTIVE }
+        val (listed, dropped) = ended.entries.partition { it.key in newest }
+        val isReturn = rememberedNames > 0 && configurationRandom.nextBoolean()
+        val job = (if (isReturn) dropped else listed).randomOrNull(configurationRandom) ?: return
+        configurations += if (isReturn) newest + job.toPair() else newest - job.key
+        hosts.forEach { it.listJobs() }
     }
 
     /** Accepts [job] at [atMillis], by a configuration that every host hears of. */
     fun submitAt(atMillis: Long, key: JobKey, job: JobSpec) = after(atMillis) {
         jobs[key] = job
-        revision++
-        hosts.forEach { it.listJobs() }
+        configurations += configurations.last() + (key to job)
+        hosts.forEach { it.listJobs(configurations.size) }
     }
 
     /** Ends the owner's process at [atMillis]. */
@@ -393,11 +424,13 @@
 
     private fun cancelAtOwner() {
         val (key, spec) = jobs.entries.random(random)
+        if (key !in configurations.last()) return
         hosts.forEach { it.deliver(ShardEvent.CancelRequested(key, spec.tasks, "test")) }
     }
 
     private fun cancelInDocument() {
         val (key, spec) = jobs.entries.random(random)
+        if (key !in configurations.last()) return
         val change = DocumentChange.CancelJob(key, spec.tasks, "test")
         val next = store.truth.with(listOf(change), "editor", now)
         store.writeDocument(store.documentEntry?.version ?: 0, next.print())
@@ -425,6 +458,10 @@
         private const val LATEST_MILLIS = 6_000L
         private const val LONGEST_FAULT_MILLIS = 6_000L
         private const val FAILURE_ODDS = 30
+        private const val CONFIGURATION_SEED = 1_000_003L
+        private const val MANY_NAMES = 1_000
+        private const val MOST_CONFIGURATIONS = 6
+        private const val LONGEST_LAG_MILLIS = 8_000L
 
         /** When the faults end; after that every job has to come to its end. */
         private const val CALM_MILLIS = 15_000L
--- a/coordination/src/test/kotlin/sycamoremast/coordination/shard/SimulatedStore.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/shard/SimulatedStore.kt
@@ -8,10 +8,12 @@
 import sycamoremast.coordination.StoreEntry
 import sycamoremast.coordination.StoreError
 import sycamoremast.coordination.SwapOutcome
-import sycamoremast.coordination.record.JobState
 import sycamoremast.coordination.record.ShardDocument
 
-internal class SimulatedStore(private val checker: Checker) {
+internal class SimulatedStore(
+    private val checker: Checker,
+    private val bugs: Set<PlantedBug> = emptySet()
+) {
     private var revision = 0L
     private var nextLease = 0L
     private val leases = HashMap<LeaseId, Long>()
@@ -59,29 +61,20 @@
             return SwapOutcome.Conflict(current)
         }
         val next = ShardDocument.parseOrNull(text) ?: error("unreadable document")
-        check(next)
-        truth = next
+        checker.require(next.epoch >= truth.epoch) { "epoch fell to ${next.epoch}" }
+        checker.onWrite(next)
+        truth = planted(next)
         documentWrites++
-        documentEntry = StoreEntry("document", text, ++revision)
+        documentEntry = StoreEntry("document", truth.print(), ++revision)
         return SwapOutcome.Applied(revision)
     }
 
     private fun held(now: Long) = owner?.takeIf { (leases[it.second] ?: 0) > now }
 
-    private fun check(next: ShardDocument) {
-        checker.require(next.epoch >= truth.epoch) { "epoch fell to ${next.epoch}" }
-        for (old in truth.jobs) {
-            val new = next.job(old.key)
-            checker.require(new != null) { "record of ${old.key} vanished" }
-            if (new == null) continue
-            val isFinal = old.state != JobState.ACCEPTED
-            checker.require(!isFinal || new.state == old.state) {
-                "${old.key} went from ${old.state} to ${new.state}"
-            }
-            checker.require(new.finished.size >= old.finished.size) {
-                "completions of ${old.key} were lost"
-            }
-            checker.onFinished(new)
-        }
+    /** Returns [next] as a program with the planted bugs would have written it. */
+    private fun planted(next: ShardDocument): ShardDocument = when {
+        PlantedBug.ENDED_NAMES_OFF in bugs -> next.copy(ended = emptyMap())
+        PlantedBug.REVISION_GUARD_OFF in bugs -> next.copy(revisions = emptyMap())
+        else -> next
     }
 }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/batch/JobViews.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/batch/JobViews.kt
@@ -10,13 +10,14 @@
 /** The states in which a job stays for ever. */
 internal val FINAL_STATES = setOf("finished", "failed", "cancelled", "unknown")
 
-internal fun Job.view(team: String) = JobView(
+/** Returns the view of a job without a record, which has ended as [ended] if that is not null. */
+internal fun Job.view(team: String, ended: JobState? = null) = JobView(
     team = team,
     job = name,
     availabilityZone = availabilityZone,
-    state = "accepted",
+    state = (ended ?: JobState.ACCEPTED).viewName,
     tasks = tasks,
-    tasksFinished = 0
+    tasksFinished = if (ended == JobState.FINISHED) tasks else 0
 )
 
 internal fun JobRecord.view(availabilityZone: String, running: Int) = JobView(
@@ -30,14 +31,13 @@
     reason = reason
 )
 
-private fun JobRecord.stateName(running: Int): String = when (state) {
-    JobState.ACCEPTED -> if (running > 0 || finished.size > 0) "running" else "accepted"
-    JobState.FINISHED -> "finished"
-    JobState.FAILED -> "failed"
-    JobState.CANCELLED -> "cancelled"
-    JobState.UNKNOWN -> "unknown"
+private fun JobRecord.stateName(running: Int): String {
+    val hasBegun = running > 0 || finished.size > 0
+    return if (state == JobState.ACCEPTED && hasBegun) "running" else state.viewName
 }
 
+private val JobState.viewName get() = name.lowercase()
+
 /** Returns how many tasks of open jobs are not finished. */
 internal fun ShardDocument.waitingTasks(): Int = jobs
     .filter { it.state == JobState.ACCEPTED }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/batch/ShardedBatchScheduler.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/batch/ShardedBatchScheduler.kt
@@ -73,12 +73,16 @@
     }
 
     override fun jobs(team: String?): List<JobView> {
-        val records = readDocuments().flatMap { (id, document) ->
+        val documents = readDocuments()
+        val records = documents.flatMap { (id, document) ->
             document.jobs.map { it.view(id.availabilityZone) }
         }
         val known = records.mapTo(HashSet()) { it.team to it.job }
         val accepted = ports.configuration.inForce().values.flatMap { applied ->
-            applied.configuration.jobs.map { it.view(applied.team) }
+            applied.configuration.jobs.map { job ->
+                val document = documents[settings.shardOf(applied.team, job)]
+                job.view(applied.team, document?.ended?.get(applied.team)?.stateOf(job.name))
+            }
         }
         return (records + accepted.filter { (it.team to it.job) !in known })
             .filter { team == null || it.team == team }
--- /dev/null
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/batch/JobViewsTest.kt
@@ -0,0 +1,19 @@
+package sycamoremast.daemon.batch
+
+import kotlin.time.Duration.Companion.seconds
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import sycamoremast.configuration.Job
+import sycamoremast.coordination.record.JobState
+
+class JobViewsTest {
+    private val job = Job("survey", "Gauja", 3, milliCpus = 500, 100, expected = 1.seconds)
+
+    @Test
+    fun `a configured job whose record is gone is shown in its final state`() {
+        val views = listOf(null, JobState.FINISHED, JobState.CANCELLED).map { job.view("nets", it) }
+        expectThat(views.map { it.state }).isEqualTo(listOf("accepted", "finished", "cancelled"))
+        expectThat(views.map { it.tasksFinished }).isEqualTo(listOf(0, 3, 0))
+    }
+}
