Ask the owners of shards how open jobs stand when an operator lists jobs

Cause: a host that does not own a job's shard had no count of its running tasks and printed 0, so a running job was shown as "accepted, 0 running". Ruled out: counts written to the service (a write for each change, or late), counts in heartbeats (all hosts pay all the time), sending the operator on. A job whose owner does not tell is "unconfirmed", with "?" running, the reason and the age of the view. JobView.tasksRunning may be null, viewAgeMillis is new. Cancelling reads the records only and asks nobody. Seen failing first: PauseTest with its new line on the earlier code, the other host showed 0 running tasks where 4 ran. Passing now: PauseTest 1 of 1, BatchSchedulerTest 6 of 6, SycamoreTest 16 of 16, OperatorRoutesTest 2 of 2.

--- a/cli/src/main/kotlin/sycamoremast/cli/QueryCommands.kt
+++ b/cli/src/main/kotlin/sycamoremast/cli/QueryCommands.kt
@@ -62,11 +62,16 @@
     listOf("TEAM", "JOB", "ZONE", "STATE", "FINISHED", "RUNNING", "REASON"),
     jobs.map {
         val finished = "${it.tasksFinished}/${it.tasks}"
-        val reason = it.reason.ifEmpty { null }
-        listOf(it.team, it.job, it.availabilityZone, it.state, finished, it.tasksRunning, reason)
+        val running = it.tasksRunning ?: "?"
+        listOf(it.team, it.job, it.availabilityZone, it.state, finished, running, it.explanation())
     }
 )
 
+private fun JobView.explanation(): String? {
+    val age = viewAgeMillis?.let { "; last read $it ms ago" }.orEmpty()
+    return (reason + age).ifEmpty { null }
+}
+
 internal class ProblemsCommand : DaemonCommand("problems", "Lists outcomes that were missed") {
     override fun call() {
         val problems = session.client.problems().orExit()
--- a/cli/src/test/kotlin/sycamoremast/cli/SycamoreTest.kt
+++ b/cli/src/test/kotlin/sycamoremast/cli/SycamoreTest.kt
@@ -236,13 +236,22 @@
         }
     }
 
+    private fun JobView.unconfirmed() = copy(
+        state = "unconfirmed",
+        tasksRunning = null,
+        reason = "no answer",
+        viewAgeMillis = 20
+    )
+
     @Test
     fun `tables are for people and JSON for programs`() {
-        val jobs = listOf(JobView("bktib", "survey", "sigulda", "running", 3, 1, 2))
+        val running = JobView("bktib", "survey", "sigulda", "running", 3, 1, 2)
+        val jobs = listOf(running, running.unconfirmed())
         answer("GET /v1/jobs", jobs)
         expectThat(run("jobs", "--team", "bktib").out).containsExactly(
-            "TEAM   JOB     ZONE     STATE    FINISHED  RUNNING  REASON",
-            "bktib  survey  sigulda  running  1/3       2        -"
+            "TEAM   JOB     ZONE     STATE        FINISHED  RUNNING  REASON",
+            "bktib  survey  sigulda  running      1/3       2        -",
+            "bktib  survey  sigulda  unconfirmed  1/3       ?        no answer; last read 20 ms ago"
         )
         val json = run("--json", "jobs").out.joinToString("\n")
         expectThat(JSON.decodeFromString<List<JobView>>(json)).isEqualTo(jobs)
--- a/configuration/src/main/kotlin/sycamoremast/configuration/operator/OperatorApi.kt
+++ b/configuration/src/main/kotlin/sycamoremast/configuration/operator/OperatorApi.kt
@@ -86,7 +86,12 @@
     val unconfirmed: List<String>
 )
 
-/** A batch job; [state] is accepted, running, finished, failed, cancelled or unknown. */
+/**
+ * A batch job; [state] is accepted, running, finished, failed, cancelled, unknown or unconfirmed.
+ *
+ * Unconfirmed is an open job whose owner did not tell how it stands, because of [reason]. What is
+ * shown was read [viewAgeMillis] ago, null if never; [tasksRunning] is null if it is not known.
+ */
 @Serializable
 data class JobView(
     val team: String,
@@ -95,8 +100,9 @@
     val state: String,
     val tasks: Int,
     val tasksFinished: Int,
-    val tasksRunning: Int = 0,
-    val reason: String = ""
+    val tasksRunning: Int? = 0,
+    val reason: String = "",
+    val viewAgeMillis: Long? = null
 )
 
 /** The answering daemon has begun its graceful shutdown. */
--- a/daemon/src/main/kotlin/sycamoremast/daemon/EntryHost.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/EntryHost.kt
@@ -145,6 +145,7 @@
     private fun batchPorts() = BatchPorts(
         configuration = control.replica,
         membership = control.membership,
+        peers = control.network,
         store = BudgetedStore(control.store, control.calls),
         hosts = platform.hostList,
         worker = platform::worker,
--- a/daemon/src/main/kotlin/sycamoremast/daemon/batch/BatchScheduler.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/batch/BatchScheduler.kt
@@ -17,6 +17,7 @@
 import sycamoremast.daemon.control.ConfigurationView
 import sycamoremast.daemon.control.MembershipView
 import sycamoremast.daemon.control.ProblemReporter
+import sycamoremast.daemon.peer.PeerNetwork
 
 /** Runs the batch jobs of this daemon's availability zone, together with the zone's others. */
 interface BatchScheduler {
@@ -26,7 +27,12 @@
     /** Hands over the shards and ends; the tasks go on running. */
     fun stop()
 
-    /** Returns the batch jobs of [team], or of every team. */
+    /**
+     * Returns the batch jobs of [team], or of every team.
+     *
+     * The owners of their shards are asked; a job whose owner gives no answer in time is shown as
+     * unconfirmed.
+     */
     fun jobs(team: String?): List<JobView>
 
     /** Returns the job after its cancellation by [operator] is durable, or why it is not. */
@@ -43,6 +49,7 @@
 data class BatchPorts(
     val configuration: ConfigurationView,
     val membership: MembershipView,
+    val peers: PeerNetwork,
     val store: KeyValueStore,
     val hosts: HostList,
     val worker: (ListedHost) -> WorkerPort,
--- /dev/null
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/batch/JobBoard.kt
@@ -0,0 +1,142 @@
+/**
+ * The jobs as any host can show them to operators.
+ *
+ * What has ended is read from the shards' documents. Whether the tasks of an open job run is known
+ * only to the owner of its shard, which is asked. A job whose owner does not tell is shown as
+ * unconfirmed, with the reason and the age of the documents; no state is guessed.
+ */
+package sycamoremast.daemon.batch
+
+import sycamoremast.configuration.Job
+import sycamoremast.configuration.operator.JobView
+import sycamoremast.coordination.KeyValueStore
+import sycamoremast.coordination.MonotonicClock
+import sycamoremast.coordination.record.JobKey
+import sycamoremast.coordination.record.JobRecord
+import sycamoremast.coordination.record.JobState
+import sycamoremast.coordination.record.ShardDocument
+import sycamoremast.daemon.control.ConfigurationView
+
+/** What the shards' documents said when they were last read; [isFresh] if that was just now. */
+private class Reading(
+    val documents: Map<ShardId, ShardDocument>,
+    val isFresh: Boolean,
+    val readMillis: Long?
+)
+
+/** A job of the shard [id]; one without a [record] is only in its team's configuration. */
+private class Listed(val id: ShardId, val key: JobKey, val tasks: Int, val record: JobRecord?) {
+    val isOpen get() = record == null || record.state == JobState.ACCEPTED
+}
+
+internal class JobBoard(
+    private val store: KeyValueStore,
+    private val clock: MonotonicClock,
+    private val configuration: ConfigurationView,
+    private val settings: BatchSettings,
+    private val owners: OwnerQueries,
+    private val ownDocuments: () -> Map<ShardId, ShardDocument>
+) {
+    @Volatile
+    private var last = Reading(emptyMap(), isFresh = false, readMillis = null)
+
+    /** Returns the shard and the recorded view of [key], or null if there is no such job. */
+    fun recordedOrNull(key: JobKey): Pair<ShardId, JobView>? = list(read(), key.team)
+        .firstOrNull { it.key == key }
+        ?.let { it.id to (it.record?.view(it.id.availabilityZone, null) ?: it.accepted()) }
+
+    /** Returns the jobs of [team], or of every team; blocks for a few calls' timeouts at most. */
+    fun jobs(team: String?): List<JobView> {
+        val first = read()
+        val listed = list(first, team)
+        val answers = owners.ask(ownersOf(listed, first), team)
+        val isOutdated = first.isFresh && listed.any { hasEndedSince(it, answers[it.id]) }
+        val newest = if (isOutdated) read() else first
+        val shown = if (isOutdated) list(newest, team) else listed
+        return shown.map { view(it, answers[it.id], newest) }
+            .sortedWith(compareBy({ it.team }, { it.job }))
+    }
+
+    private fun read(): Reading {
+        val listing = store.list(SHARDS_PREFIX).getOrNull()
+            ?: return Reading(last.documents + ownDocuments(), isFresh = false, last.readMillis)
+        val documents = listing.entries.mapNotNull { entry ->
+            val id = ShardId.fromDocumentKeyOrNull(entry.key) ?: return@mapNotNull null
+            ShardDocument.parseOrNull(entry.value)?.let { id to it }
+        }.toMap()
+        return Reading(documents, isFresh = true, clock.nowMillis()).also { last = it }
+    }
+
+    private fun list(reading: Reading, team: String?): List<Listed> {
+        val records = reading.documents.flatMap { (id, document) ->
+            document.jobs.map { Listed(id, it.key, it.tasks, it) }
+        }
+        val known = records.mapTo(HashSet()) { it.key }
+        val accepted = configuration.inForce().values.flatMap { applied ->
+            applied.configuration.jobs.map { it.listed(applied.team) }
+        }
+        return (records + accepted.filter { it.key !in known })
+            .filter { team == null || it.key.team == team }
+    }
+
+    private fun Job.listed(team: String) =
+        Listed(settings.shardOf(team, this), JobKey(team, name), tasks, record = null)
+
+    /** A finished job has no tasks left, so that its owner need not be asked. */
+    private fun ownersOf(listed: List<Listed>, reading: Reading): Map<ShardId, RecordedOwner> =
+        listed.filter { it.record?.state != JobState.FINISHED }
+            .mapNotNullTo(HashSet()) { it.id }
+            .mapNotNull { id ->
+                reading.documents[id]?.let { id to RecordedOwner(it.owner, it.epoch) }
+            }
+            .filter { (_, owner) -> owner.host.isNotEmpty() }
+            .toMap()
+
+    /** Whether the owner no longer counts a job as open that is recorded as such. */
+    private fun hasEndedSince(listed: Listed, answer: OwnerAnswer?): Boolean =
+        listed.record?.state == JobState.ACCEPTED &&
+            answer is OwnerAnswer.Known &&
+            answer.jobs[listed.key]?.open != true
+
+    private fun view(listed: Listed, answer: OwnerAnswer?, reading: Reading): JobView {
+        val known = (answer as? OwnerAnswer.Known)?.jobs?.get(listed.key)
+        val record = listed.record
+        return when {
+            record != null && !listed.isOpen -> record.view(
+                listed.id.availabilityZone,
+                if (answer is OwnerAnswer.NotKnown) null else known?.running ?: 0
+            )
+
+            known != null && known.open -> listed.accepted().copy(
+                state = if (known.running + known.finished > 0) "running" else "accepted",
+                tasksFinished = maxOf(known.finished, record?.finished?.size ?: 0),
+                tasksRunning = known.running
+            )
+
+            record == null && reading.isFresh -> listed.accepted()
+
+            else -> listed.accepted().copy(
+                state = UNCONFIRMED,
+                tasksFinished = record?.finished?.size ?: 0,
+                tasksRunning = null,
+                reason = reasonOf(answer),
+                viewAgeMillis = reading.readMillis?.let { clock.nowMillis() - it }
+            )
+        }
+    }
+
+    private fun reasonOf(answer: OwnerAnswer?) = when (answer) {
+        is OwnerAnswer.NotKnown -> answer.reason
+        is OwnerAnswer.Known -> "its owner no longer counts it as open; the record is out of reach"
+        null -> "the owner of its shard is not known here"
+    }
+
+    private fun Listed.accepted() = JobView(
+        team = key.team,
+        job = key.name,
+        availabilityZone = id.availabilityZone,
+        state = "accepted",
+        tasks = tasks,
+        tasksFinished = 0
+    )
+}
--- a/daemon/src/main/kotlin/sycamoremast/daemon/batch/JobViews.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/batch/JobViews.kt
@@ -1,7 +1,6 @@
 /** How jobs are shown to operators. */
 package sycamoremast.daemon.batch
 
-import sycamoremast.configuration.Job
 import sycamoremast.configuration.operator.JobView
 import sycamoremast.coordination.record.JobRecord
 import sycamoremast.coordination.record.JobState
@@ -10,16 +9,11 @@
 /** The states in which a job stays for ever. */
 internal val FINAL_STATES = setOf("finished", "failed", "cancelled", "unknown")
 
-internal fun Job.view(team: String) = JobView(
-    team = team,
-    job = name,
-    availabilityZone = availabilityZone,
-    state = "accepted",
-    tasks = tasks,
-    tasksFinished = 0
-)
+/** The state of a job whose owner does not tell whether its tasks run. */
+internal const val UNCONFIRMED = "unconfirmed"
 
-internal fun JobRecord.view(availabilityZone: String, running: Int) = JobView(
+/** Returns the view of this record with so many tasks [running], or null if that is not known. */
+internal fun JobRecord.view(availabilityZone: String, running: Int?) = JobView(
     team = team,
     job = name,
     availabilityZone = availabilityZone,
@@ -30,14 +24,20 @@
     reason = reason
 )
 
-private fun JobRecord.stateName(running: Int): String = when (state) {
-    JobState.ACCEPTED -> if (running > 0 || finished.size > 0) "running" else "accepted"
+private fun JobRecord.stateName(running: Int?): String = when (state) {
+    JobState.ACCEPTED -> openStateName(running)
     JobState.FINISHED -> "finished"
     JobState.FAILED -> "failed"
     JobState.CANCELLED -> "cancelled"
     JobState.UNKNOWN -> "unknown"
 }
 
+private fun JobRecord.openStateName(running: Int?): String = when {
+    running == null -> UNCONFIRMED
+    running > 0 || finished.size > 0 -> "running"
+    else -> "accepted"
+}
+
 /** Returns how many tasks of open jobs are not finished. */
 internal fun ShardDocument.waitingTasks(): Int = jobs
     .filter { it.state == JobState.ACCEPTED }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/batch/ShardedBatchScheduler.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/batch/ShardedBatchScheduler.kt
@@ -25,9 +25,7 @@
 import sycamoremast.coordination.placement.whyNeverFits
 import sycamoremast.coordination.record.DocumentChange
 import sycamoremast.coordination.record.JobKey
-import sycamoremast.coordination.record.JobRecord
 import sycamoremast.coordination.record.JobSpec
-import sycamoremast.coordination.record.ShardDocument
 import sycamoremast.coordination.shard.ShardEvent
 import sycamoremast.coordination.shard.ShardMachine
 import sycamoremast.coordination.shard.ShardSnapshot
@@ -48,15 +46,18 @@
         Executors.newSingleThreadScheduledExecutor { Thread(it).apply { isDaemon = true } }
     private val loops = (0 until settings.shards).map { newLoop(ShardId(zone, it)) }
     private val editors = ConcurrentHashMap<ShardId, DocumentEditor>()
+    private val queries = OwnerQueries(host, ports.peers, ::owned)
+    private val board =
+        JobBoard(ports.store, ports.clock, ports.configuration, settings, queries) {
+            owners().associate { it.id to it.snapshot().document }
+        }
 
     /** The workers of every availability zone. */
     @Volatile
     private var everyListed = emptyList<ListedHost>()
 
-    @Volatile
-    private var documents = emptyMap<ShardId, ShardDocument>()
-
     override fun start() {
+        queries.start()
         loops.forEach { it.start() }
         ports.configuration.onApplied(::onConfiguration)
         every(LIST_PERIOD_MILLIS, ::listWorkers)
@@ -72,25 +73,13 @@
         calls.awaitTermination(HAND_OVER_MILLIS, TimeUnit.MILLISECONDS)
     }
 
-    override fun jobs(team: String?): List<JobView> {
-        val records = readDocuments().flatMap { (id, document) ->
-            document.jobs.map { it.view(id.availabilityZone) }
-        }
-        val known = records.mapTo(HashSet()) { it.team to it.job }
-        val accepted = ports.configuration.inForce().values.flatMap { applied ->
-            applied.configuration.jobs.map { it.view(applied.team) }
-        }
-        return (records + accepted.filter { (it.team to it.job) !in known })
-            .filter { team == null || it.team == team }
-            .sortedWith(compareBy({ it.team }, { it.job }))
-    }
+    override fun jobs(team: String?): List<JobView> = board.jobs(team)
 
     override fun cancel(team: String, job: String, operator: String): Either<ErrorView, JobView> {
-        val view = jobs(team).firstOrNull { it.job == job }
-            ?: return ErrorView("cancel", host, "no job $team/$job").left()
-        if (view.state in FINAL_STATES) return view.right()
         val key = JobKey(team, job)
-        val id = ShardId(view.availabilityZone, settings.shardOf("$key"))
+        val (id, view) = board.recordedOrNull(key)
+            ?: return ErrorView("cancel", host, "no job $key").left()
+        if (view.state in FINAL_STATES) return view.right()
         val change = DocumentChange.CancelJob(key, view.tasks, "cancelled by $operator")
         return when (val result = editor(id).apply(change)) {
             is Either.Left -> result.value.view().left()
@@ -98,7 +87,7 @@
             is Either.Right -> {
                 loops.firstOrNull { it.id == id }?.post(ShardEvent.DocumentChanged)
                 ports.audit.record(AuditedChange(operator, "cancel", "$key", 0, 0))
-                (result.value.job(key)?.view(id.availabilityZone) ?: view).right()
+                (result.value.job(key)?.view(id.availabilityZone, null) ?: view).right()
             }
         }
     }
@@ -170,26 +159,12 @@
     }
 
     private fun readForeignChanges() {
-        loops.filter { it.snapshot().isOwner }.forEach { it.post(ShardEvent.DocumentChanged) }
+        owners().forEach { it.post(ShardEvent.DocumentChanged) }
     }
 
-    private fun readDocuments(): Map<ShardId, ShardDocument> {
-        val listing = ports.store.list(SHARDS_PREFIX).getOrNull()
-        if (listing != null) {
-            documents = listing.entries.mapNotNull { entry ->
-                val id = ShardId.fromDocumentKeyOrNull(entry.key) ?: return@mapNotNull null
-                ShardDocument.parseOrNull(entry.value)?.let { id to it }
-            }.toMap()
-        }
-        val owned = loops.filter { it.snapshot().isOwner }
-            .associate { it.id to it.snapshot().document }
-        return if (listing != null) documents else documents + owned
-    }
+    private fun owners(): List<ShardLoop> = loops.filter { it.snapshot().isOwner }
 
-    private fun JobRecord.view(availabilityZone: String): JobView {
-        val running = loops.sumOf { it.snapshot().running[key] ?: 0 }
-        return view(availabilityZone, running)
-    }
+    private fun owned(team: String?) = owners().map { it.snapshot().owned(it.id, team) }
 
     private companion object {
         const val LIST_PERIOD_MILLIS = 1_000L
--- a/daemon/src/test/kotlin/sycamoremast/daemon/batch/BatchSchedulerTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/batch/BatchSchedulerTest.kt
@@ -8,10 +8,13 @@
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.contains
 import strikt.assertions.containsExactly
 import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
 import sycamoremast.configuration.Job
 import sycamoremast.configuration.Quota
 import sycamoremast.configuration.Repeat
@@ -28,12 +31,14 @@
 import sycamoremast.daemon.control.MembershipView
 import sycamoremast.daemon.control.ProblemKind
 import sycamoremast.daemon.control.ProblemReporter
+import sycamoremast.daemon.request.PeerHub
 
 class BatchSchedulerTest {
     private val clock = MonotonicClock.system()
     private val store = FakeStore(clock)
     private val workers = listOf(FakeWorker("w1", clock), FakeWorker("w2", clock))
     private val problems = RecordedProblems()
+    private val hub = PeerHub()
     private val started = mutableListOf<BatchScheduler>()
 
     @AfterEach
@@ -97,6 +102,32 @@
         expectThat(batch.jobs("nets").single().state).isEqualTo("cancelled")
     }
 
+    @Test
+    fun `any host shows how many tasks run at the owner, or that it could not ask`() {
+        val job = job("survey", tasks = 4, workMillis = 60_000)
+        val owner = daemon("a", job)
+        await { owner.jobs("nets").single().tasksRunning == 4 }
+        val other = daemon("b", job)
+        expectThat(other.jobs("nets")).isEqualTo(owner.jobs("nets"))
+
+        hub.silent += "a"
+        val unconfirmed = other.jobs("nets").single()
+        expectThat(unconfirmed) {
+            get { state }.isEqualTo("unconfirmed")
+            get { tasksRunning }.isNull()
+            get { reason }.contains("a could not be asked: no answer")
+            get { viewAgeMillis }.isNotNull()
+        }
+        hub.silent -= "a"
+        hub.isCut = true
+        expectThat(other.jobs("nets").single().reason).contains("not connected")
+        store.isDown = true
+        expectThat(other.jobs("nets").single().state).isEqualTo("unconfirmed")
+        expectThat(owner.jobs("nets").single().tasksRunning).isEqualTo(4)
+        hub.isCut = false
+        expectThat(other.jobs("nets").single().tasksRunning).isEqualTo(4)
+    }
+
     private fun job(name: String, tasks: Int, workMillis: Long = 50) = Job(
         name = name,
         availabilityZone = "Gauja",
@@ -110,6 +141,7 @@
         val ports = BatchPorts(
             configuration = FixedConfiguration(jobs.toList()),
             membership = FixedMembership(host),
+            peers = hub.networkOf(host),
             store = store,
             hosts = HostList { workers.map { listing(it.name) }.right() },
             worker = { listed -> workers.first { it.name == listed.name } },
--- a/daemon/src/test/kotlin/sycamoremast/daemon/batch/FakePlatform.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/batch/FakePlatform.kt
@@ -35,6 +35,10 @@
     private var nextLease = 0L
     var writes = 0
 
+    /** Whether no call arrives. */
+    @Volatile
+    var isDown = false
+
     @Synchronized
     override fun get(key: String): Either<StoreError, StoreEntry?> {
         expire()
@@ -43,6 +47,7 @@
 
     @Synchronized
     override fun list(prefix: String): Either<StoreError, StoreListing> {
+        if (isDown) return StoreError.NotSent("list", "fake", "down").left()
         expire()
         val found = entries.values.map { it.entry }.filter { it.key.startsWith(prefix) }
         return StoreListing(found, revision).right()
--- a/daemon/src/test/kotlin/sycamoremast/daemon/request/TestPorts.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/request/TestPorts.kt
@@ -93,13 +93,21 @@
     @Volatile
     var isCut = false
 
+    /** Hosts that take questions and do not answer them. */
+    val silent: MutableSet<String> = ConcurrentHashMap.newKeySet()
+
     /** Returns the network as [host] uses it. */
     fun networkOf(host: String): PeerNetwork = object : PeerNetwork {
         override fun send(host: String, message: PeerMessage) =
             ask(host, message, Duration.ZERO).isRight()
 
         override fun ask(host: String, message: PeerMessage, timeout: Duration) =
-            deliver(host, message)
+            if (host in silent) unanswered(host, timeout) else deliver(host, message)
+
+        private fun unanswered(to: String, timeout: Duration): Either<PeerError, PeerMessage> {
+            Thread.sleep(timeout.inWholeMilliseconds)
+            return PeerError.NoAnswer("ask", to).left()
+        }
 
         @Suppress("UNCHECKED_CAST")
         override fun <T : PeerMessage> handle(
--- a/integration/src/test/kotlin/sycamoremast/integration/PauseTest.kt
+++ b/integration/src/test/kotlin/sycamoremast/integration/PauseTest.kt
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.measureTimedValue
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.Timeout
 import strikt.api.expectThat
@@ -24,7 +25,10 @@
             }
             val other = deployment.daemons.first { it != owner }
             val epoch = shard(owner)?.epoch ?: 0
+            expectThat(timed("the owner runs") { other.job("survey") }?.tasksRunning).isEqualTo(4)
             owner.process.pause()
+            val view = timed("the owner is paused") { other.job("survey") }
+            expectThat(view?.state).isNotEqualTo("accepted")
             val next = eventually("the other takes over", deployment::logs) { shard(other) }
             expectThat(next.epoch).isNotEqualTo(epoch)
             owner.process.resume()
@@ -35,6 +39,12 @@
         }
     }
 
+    private fun <T> timed(circumstance: String, call: () -> T): T {
+        val (value, time) = measureTimedValue(call)
+        println("jobs-view through another host: $circumstance time=$time view=$value")
+        return value
+    }
+
     private fun shard(daemon: EntryHostProcess): ShardView? =
         daemon.status().shards.find { it.owner.startsWith(daemon.name) }
 }
