--- a/daemon/src/main/kotlin/sycamoremast/daemon/batch/JobViews.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/batch/JobViews.kt
@@ -1,7 +1,6 @@
 /** How jobs are shown to operators. */
 package sycamoremast.daemon.batch
 
-import sycamoremast.configuration.Job
 import sycamoremast.configuration.operator.JobView
 import sycamoremast.coordination.record.JobRecord
 import sycamoremast.coordination.record.JobState
@@ -10,17 +9,11 @@
 /** The states in which a job stays for ever. */
 internal val FINAL_STATES = setOf("finished", "failed", "cancelled", "unknown")
 
-/** Returns the view of a job without a record, which has ended as [ended] if that is not null. */
-internal fun Job.view(team: String, ended: JobState? = null) = JobView(
-    team = team,
-    job = name,
-    availabilityZone = availabilityZone,
-    state = (ended ?: JobState.ACCEPTED).viewName,
-    tasks = tasks,
-    tasksFinished = if (ended == JobState.FINISHED) tasks else 0
-)
+/** The state of a job whose owner does not tell whether its tasks run. */
+internal const val UNCONFIRMED = "unconfirmed"
 
-internal fun JobRecord.view(availabilityZone: String, running: Int) = JobView(
+/** Returns the view of this record with so many tasks [running], or null if that is not known. */
+internal fun JobRecord.view(availabilityZone: String, running: Int?) = JobView(
     team = team,
     job = name,
     availabilityZone = availabilityZone,
@@ -31,12 +24,14 @@
     reason = reason
 )
 
-private fun JobRecord.stateName(running: Int): String {
-    val hasBegun = running > 0 || finished.size > 0
-    return if (state == JobState.ACCEPTED && hasBegun) "running" else state.viewName
+private fun JobRecord.stateName(running: Int?): String = when {
+    state != JobState.ACCEPTED -> state.viewName
+    running == null -> UNCONFIRMED
+    running > 0 || finished.size > 0 -> "running"
+    else -> state.viewName
 }
 
-private val JobState.viewName get() = name.lowercase()
+internal val JobState.viewName get() = name.lowercase()
 
 /** Returns how many tasks of open jobs are not finished. */
 internal fun ShardDocument.waitingTasks(): Int = jobs
