Take an attempt as gone when its worker reports only an earlier one

Cause: an attempt ordered on a worker that still held the finished result of an earlier attempt of the same task, and whose start was lost, was never taken as gone: the report named the task, though not this attempt. The task stayed STARTING for good and the held result was never adopted. Ruled out: a lost change of the document (all writes are in the trace). Change: a report covers a live task only if it names the same attempt.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/ReportReader.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/ReportReader.kt
@@ -3,7 +3,7 @@
  *
  * A task is taken to be gone from a worker only if that is certain: the worker reported a final
  * phase; or its report, asked for after the task was confirmed or under a later generation than its
- * start, lacks the task; or the worker's lease has certainly lapsed.
+ * start, lacks this attempt of the task; or the worker's lease has certainly lapsed.
  */
 package sycamoremast.coordination.shard
 
@@ -23,9 +23,9 @@
     ) {
         worker.clearForeign()
         report.tasks.forEach { observe(worker, it, call) }
-        val reported = report.tasks.mapTo(HashSet()) { it.taskId }
+        val reported = report.tasks.associate { it.taskId to it.attempt }
         worker.live.values
-            .filter { it.id !in reported && it.phase != LivePhase.HELD }
+            .filter { reported[it.id] != it.attempt && it.phase != LivePhase.HELD }
             .filter { isCertainlyGone(it, call, epoch, restarted) }
             .forEach { tasks.gone(it, isNeverStarted(it, worker)) }
     }
