Judge the end of an answer before its connection is free for another request

Cause: in a run beside other builds, OutcomeTest "concurrent callers each get the answer to their own request" saw "unknown: the answer is over-long". The HTTP client frees a connection when it has read the last byte; the count of what had arrived was looked at after that, when another request's answer may already have been counted on the same connection. A good answer was reported as unknown, and the other request's connection was closed under it. Ruled out: a surplus byte from the backend (the test's own, exact); the counter itself. Change: the count is taken, and a connection with a surplus or a chunked answer closed, at the client's sign that the body has ended, which comes before the connection is free. Test: 2,000 answers of different lengths instead of 200.

--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/AnswerReader.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/AnswerReader.kt
@@ -7,9 +7,7 @@
 import java.io.SequenceInputStream
 import okhttp3.Response
 
-internal class AnswerReader(private val response: Response, private val socket: WatchedSocket) {
-    private val isChunked = response.header("Transfer-Encoding").equals("chunked", true)
-
+internal class AnswerReader(private val response: Response, private val exchange: Exchange) {
     /** Whether an answer to this method or of this status never has a body. */
     val isBodiless = response.request.method == "HEAD" || response.code in BODILESS
     private val length = if (isBodiless) 0 else response.body.contentLength()
@@ -20,7 +18,7 @@
      * @throws IOException if the body is not whole, if more follows, or if its end can't be told
      */
     fun read(): AnswerBody {
-        if (length < 0 && !isChunked) fail("the answer has no length")
+        if (length < 0 && !response.isChunked) fail("the answer has no length")
         val stream = response.body.byteStream()
         val head = attempt { stream.readNBytes(BUFFERED_BYTES) }
         if (head.size < BUFFERED_BYTES || length == head.size.toLong()) {
@@ -40,14 +38,12 @@
 
     /** Ends the connection, so that it is never used again. */
     fun abort() {
-        socket.close()
+        exchange.socket().close()
         response.close()
     }
 
-    /** A chunked answer's end can't be told from what follows it, so its connection is not kept. */
     private fun checkEnd() {
-        if (isChunked) socket.close()
-        if (!isChunked && socket.bytesAfterHeaders() > length) fail("the answer is over-long")
+        if (exchange.isOverlong) fail("the answer is over-long")
     }
 
     private fun fail(reason: String): Nothing {
--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/BackendClient.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/BackendClient.kt
@@ -73,7 +73,7 @@
         exchange: Exchange
     ): AttemptResult {
         val draining = response.header(RequestHeaders.DRAINING).toBoolean()
-        val reader = AnswerReader(response, exchange.socket())
+        val reader = AnswerReader(response, exchange)
         checkName(response, request, reader, exchange.socket())
         if (response.code == SERVICE_UNAVAILABLE &&
             response.header(RequestHeaders.NOT_RUN) != null
--- a/daemon/src/test/kotlin/sycamoremast/daemon/request/OutcomeTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/request/OutcomeTest.kt
@@ -241,11 +241,12 @@
     @Test
     fun `concurrent callers each get the answer to their own request`() {
         val backend = RawBackend { answer(it, "answer to ${it.body}") }
+        val invoices = (1..2_000).map { "invoice $it".padEnd(it % 97, '.') }
         PathHarness(backend).ready().use { harness ->
-            val answers = (1..200).toList().parallelStream()
-                .map { harness.send("/invoices", "POST", "invoice $it").text() }
+            val answers = invoices.parallelStream()
+                .map { harness.send("/invoices", "POST", it).text() }
                 .toList()
-            expectThat(answers).isEqualTo((1..200).map { "answer to invoice $it" })
+            expectThat(answers).isEqualTo(invoices.map { "answer to $it" })
         }
     }
 
