--- a/bench/src/main/kotlin/sycamoremast/bench/request/RequestExperiments.kt
+++ b/bench/src/main/kotlin/sycamoremast/bench/request/RequestExperiments.kt
@@ -50,6 +50,8 @@
     }
 }
 
+private fun oneDaemon(fleet: BackendFleet) = DaemonEntry(fleet, 1)
+
 /** Offers load until a whole round of it is answered, as a host that starts refuses at first. */
 private fun warmUp(load: LoadGenerator, entry: EntrySystem) {
     val workload = steady(PHOTOS, WARM_UP_WORK_MILLIS, WARM_UP_SHARE, WARM_UP_DEADLINE_MILLIS)
@@ -85,12 +87,16 @@
         val short = steady(PHOTOS, SHORT_MILLIS, SHORT_SHARE, DEADLINE_MILLIS)
         val long = steady(ARCHIVE, LONG_MILLIS, LONG_SHARE, DEADLINE_MILLIS)
         val both = listOf(short, long)
-        measure(both, UNCOUNTED_MILLIS, seed) { DaemonEntry(it, 1) }
-        val alone = measure(listOf(short), DURATION_MILLIS, seed, label = "daemon-short-only") {
-            DaemonEntry(it, 1)
-        }
-        val mixed = measure(both, DURATION_MILLIS, seed) { DaemonEntry(it, 1) }
-        val fifo = measure(both, DURATION_MILLIS, seed) { FifoRoundRobinEntry(it) }
+        measure(both, UNCOUNTED_MILLIS, seed, system = ::oneDaemon)
+        val alone = measure(
+            listOf(short),
+            DURATION_MILLIS,
+            seed,
+            label = "daemon-short-only",
+            system = ::oneDaemon
+        )
+        val mixed = measure(both, DURATION_MILLIS, seed, system = ::oneDaemon)
+        val fifo = measure(both, DURATION_MILLIS, seed, system = ::FifoRoundRobinEntry)
         val runs = listOf(alone, mixed, fifo)
         val waits = runs.map { namedWaits(it, PHOTOS) } + listOf(mixed, fifo).map {
             namedWaits(it, ARCHIVE)
@@ -148,9 +154,9 @@
         val surge = Rate.surge(base, peak, from, until)
         val workload = Workload(PHOTOS, "/$PHOTOS", WORK_MILLIS, surge, peak, DEADLINE_MILLIS)
         val load = listOf(workload)
-        val daemon = measure(load, DURATION_MILLIS, seed, MAX_RETURNS) { DaemonEntry(it, 1) }
-        val fifo = measure(load, DURATION_MILLIS, seed, MAX_RETURNS) { FifoRoundRobinEntry(it) }
-        val runs = listOf(daemon, fifo)
+        val runs = listOf(::oneDaemon, ::FifoRoundRobinEntry).map {
+            measure(load, DURATION_MILLIS, seed, MAX_RETURNS, system = it)
+        }
         val series = runs.map { goodputSeries(it, SLOTS, DURATION_MILLIS) }
         val plot = ResultPlot(
             "$name-goodput",
@@ -207,14 +213,16 @@
 
     override fun run(seed: Long): ExperimentResult {
         val load = listOf(steady(PHOTOS, WORK_MILLIS, SHARE, DEADLINE_MILLIS))
-        val daemon =
-            measure(load, DURATION_MILLIS, seed, during = { _, fleet -> slowDown(fleet) }) {
-                DaemonEntry(it, 1)
-            }
-        val fifo = measure(load, DURATION_MILLIS, seed, during = { _, fleet -> slowDown(fleet) }) {
-            FifoRoundRobinEntry(it)
+        measure(load, UNCOUNTED_MILLIS, seed, system = ::oneDaemon)
+        val runs = listOf(::oneDaemon, ::FifoRoundRobinEntry).map { system ->
+            measure(
+                load,
+                DURATION_MILLIS,
+                seed,
+                during = { _, fleet -> slowDown(fleet) },
+                system = system
+            )
         }
-        val runs = listOf(daemon, fifo)
         val latencies = runs.flatMap { run ->
             listOf(
                 part(run, "before", 0, FROM_MILLIS),
@@ -302,11 +310,10 @@
 
     override fun run(seed: Long): ExperimentResult {
         val load = listOf(steady(PHOTOS, WORK_MILLIS, SHARE, DEADLINE_MILLIS))
-        measure(load, UNCOUNTED_MILLIS, seed) { DaemonEntry(it, 1) }
-        val direct = measure(load, DURATION_MILLIS, seed) { DirectEntry(it) }
-        val daemon = measure(load, DURATION_MILLIS, seed) { DaemonEntry(it, 1) }
-        val fifo = measure(load, DURATION_MILLIS, seed) { FifoRoundRobinEntry(it) }
-        val runs = listOf(direct, daemon, fifo)
+        measure(load, UNCOUNTED_MILLIS, seed, system = ::oneDaemon)
+        val runs = listOf(::DirectEntry, ::oneDaemon, ::FifoRoundRobinEntry).map {
+            measure(load, DURATION_MILLIS, seed, system = it)
+        }
         val waits = runs.map { namedWaits(it, PHOTOS) }
         val tables = listOf(
             latencyTable("$name-waits", waits),
