Let the concurrency of a backend server fall from what it had in progress

Cause, found before the change: the limit that is learned starts at 64 and is far above a share of 8, since it grows while it is never reached. When the server turns ten times slower, each decrease (by 0.7) waits for as many answers as the limit, so about 131 slow answers pass before it falls below the share, and some 15 more until one request is left: more than the 1% that a p99 is.

Ruled out: hedging (spends slots at a crest, and only idempotent work may be repeated); judging by overdue requests in progress (a wrong sign while a whole host is paused). Change: a decrease begins at the requests in progress, and waits for as many answers as those.

Test: after 20 slow answers of a server that was fast, 1 request is allowed; 8 before the change. A single slow answer still takes nothing.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/request/ConcurrencyLimit.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/request/ConcurrencyLimit.kt
@@ -16,15 +16,26 @@
     var slowness = 1.0
         private set
 
-    /** Takes into account a request that ran for [ranMillis]; [poolSlowness] is that of the peers. */
-    fun ran(ranMillis: Double, expectedMillis: Double, poolSlowness: Double, nowMillis: Double) {
+    /**
+     * Takes into account a request that ran for [ranMillis] while up to [inUse] were in progress.
+     *
+     * [poolSlowness] is that of the peers. A limit above [inUse] says only that it was never reached,
+     * so that a decrease begins at [inUse].
+     */
+    fun ran(
+        ranMillis: Double,
+        expectedMillis: Double,
+        poolSlowness: Double,
+        nowMillis: Double,
+        inUse: Int
+    ) {
         val ratio = (ranMillis / maxOf(expectedMillis, MIN_MILLIS)).coerceAtMost(MAX_RATIO)
         slowness += GAIN * (ratio - slowness)
         sinceDecrease++
         if (slowness <= SLOW_FACTOR * maxOf(1.0, poolSlowness)) {
             limit = minOf(most, limit + INCREASE / maxOf(limit, 1.0))
-        } else if (sinceDecrease > limit) {
-            limit = maxOf(LEAST, limit * DECREASE)
+        } else if (sinceDecrease > minOf(limit, inUse.toDouble())) {
+            limit = maxOf(LEAST, minOf(limit, inUse.toDouble()) * DECREASE)
             sinceDecrease = 0
         }
         if (limit < 1) pausedUntilMillis = nowMillis + ranMillis * (1 / limit - 1)
--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/ServiceLane.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/ServiceLane.kt
@@ -85,10 +85,11 @@
         val backend = granted.backend
         val request = granted.request
         val ranMillis = nowMillis - granted.atMillis
-        backend.inUse--
         if (completed) {
-            backend.concurrency.ran(ranMillis, request.expectedMillis, poolSlowness(), nowMillis)
+            val expected = request.expectedMillis
+            backend.concurrency.ran(ranMillis, expected, poolSlowness(), nowMillis, backend.inUse)
         }
+        backend.inUse--
         scheduler.finished(request.number, ranMillis, completed, nowMillis)
         dispatch(nowMillis)
     }
