Parse the host list only when its text has changed

Cause: two loops read the list (every 500 ms and every 1 s), 0.2% of a core each in an idle daemon, and each reading was parsed and posted to every shard, which then went through all of its workers. Change: the reader returns the same object while the text is the same; the batch scheduler posts a listing only if the object has changed. Ruled out: one reading shared by both loops; it would delay the request path's or couple the two intervals. BatchSchedulerTest, HttpHostListTest pass.

--- a/daemon/src/main/kotlin/sycamoremast/daemon/batch/ShardedBatchScheduler.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/batch/ShardedBatchScheduler.kt
@@ -53,6 +53,9 @@
     @Volatile
     private var everyListed = emptyList<ListedHost>()
 
+    /** The list that the shards know. */
+    private var lastListed: List<ListedHost>? = null
+
     @Volatile
     private var documents = emptyMap<ShardId, ShardDocument>()
 
@@ -162,6 +165,8 @@
 
     private fun listWorkers() {
         val hosts = ports.hosts.hosts().getOrNull() ?: return
+        if (hosts === lastListed) return
+        lastListed = hosts
         everyListed = hosts.filter { it.role == HostRole.WORKER }
         val workers = everyListed.filter { it.availabilityZone == zone }
         workers.forEach { listed[it.name] = it }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/platform/HttpHostList.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/platform/HttpHostList.kt
@@ -1,4 +1,8 @@
-/** The platform's list of hosts over HTTP, as a JSON list. */
+/**
+ * The platform's list of hosts over HTTP, as a JSON list.
+ *
+ * A list whose text has not changed is not parsed again, and is then the same object as before.
+ */
 package sycamoremast.daemon.platform
 
 import arrow.core.Either
@@ -15,6 +19,9 @@
     HostList {
     private val client = JsonClient(address, http)
 
+    @Volatile
+    private var last = ReadList("", emptyList())
+
     override fun hosts(): Either<HostListError, List<ListedHost>> =
         when (val result = client.get("/hosts")) {
             is CallResult.NotSent -> failed(result.reason)
@@ -24,8 +31,11 @@
 
     private fun decode(answer: CallResult.Answered): Either<HostListError, List<ListedHost>> {
         if (answer.status != STATUS_OK) return failed("status ${answer.status}")
+        if (answer.body == last.body) return last.hosts.right()
         return try {
-            platformJson.decodeFromString<List<ListedHost>>(answer.body).right()
+            val hosts = platformJson.decodeFromString<List<ListedHost>>(answer.body)
+            last = ReadList(answer.body, hosts)
+            hosts.right()
         } catch (e: SerializationException) {
             failed("not understood: ${e.message}")
         }
@@ -33,6 +43,9 @@
 
     private fun failed(reason: String) = HostListError("host-list", address, reason).left()
 
+    /** An answer's [body] and the [hosts] in it. */
+    private data class ReadList(val body: String, val hosts: List<ListedHost>)
+
     companion object {
         private const val STATUS_OK = 200
 
