Exchange heartbeats on silence instead of sending them at a fixed rate

Cause: every host sent every other a heartbeat each 500 ms, both ways, and connections without traffic for 1 s a ping besides. Ways weighed: rarer heartbeats alone (detection needs several within 3 s); smaller fields (headers are most of the bytes); gossip of ages to a few hosts (fewer messages beyond some 30 hosts, but an asymmetric cut is hidden and detection takes rounds); relays between zones (a relay's end would silence a zone). Chosen: a host that has not been heard for 3.5 intervals is asked, and its answer counts for both ends; it is asked again each interval until silence makes it suspect, after 3 s as before. A zone's relay is asked after 1.5 intervals, since others take its place after 2 s. Changes of relay are told to the zone at once. The test's heartbeat is now the daemon's 500 ms, not 1 s. Control*Test, KtorPeerNetworkTest pass unchanged otherwise.

--- a/daemon/src/main/kotlin/sycamoremast/daemon/control/Membership.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/control/Membership.kt
@@ -9,7 +9,9 @@
 
 import arrow.core.Either
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import org.tinylog.kotlin.Logger
 import sycamoremast.coordination.LeaseId
@@ -24,9 +26,13 @@
 import sycamoremast.daemon.peer.PeerIdentity
 import sycamoremast.daemon.peer.RegisteredHosts
 
-/** The intervals of membership; a registration lapses [leaseTtl] after its last renewal. */
+/**
+ * The intervals of membership; a registration lapses [leaseTtl] after its last renewal.
+ *
+ * Each [heartbeat] interval the peers are asked that have not been heard for some intervals.
+ */
 data class MembershipTimes(
-    val heartbeat: Duration = 1.seconds,
+    val heartbeat: Duration = 500.milliseconds,
     val leaseTtl: Duration = 10.seconds,
     val leaseRenewal: Duration = 3.seconds,
     val listingAfter: Duration = 20.seconds,
@@ -52,6 +58,8 @@
     }
     private val registrations =
         ControlLoop("registration", times.leaseRenewal.inWholeMilliseconds) { registrationStep() }
+    private val pacing = HeartbeatPacing(times.heartbeat.inWholeMilliseconds)
+    private val hurried = AtomicBoolean()
     private val reported = mutableMapOf<String, MemberState>()
 
     @Volatile
@@ -125,8 +133,11 @@
         listeners += listener
     }
 
-    /** Sends a heartbeat soon instead of at the end of the interval. */
-    internal fun hurryHeartbeat() = heartbeats.wake()
+    /** Sends a heartbeat to all hosts of this availability zone soon. */
+    internal fun hurryHeartbeat() {
+        hurried.set(true)
+        heartbeats.wake()
+    }
 
     /** Reads all registrations and passes them on to the hosts of this availability zone. */
     internal fun refreshRegistered(): Boolean {
@@ -143,11 +154,27 @@
     internal fun heartbeatStep() {
         table.tick(context.nowMillis())
         peers.connections.dial(knownAddresses())
-        val beat = describe().copy(incarnation = claim.value)
-        peers.connections.connected().forEach { peers.network.send(it.host, beat) }
+        sendHeartbeats()
         reportChanges()
     }
 
+    private fun sendHeartbeats() {
+        val beat = heartbeat()
+        val connected = peers.connections.connected()
+        pacing.retain(connected.map { it.host })
+        val isHurried = hurried.getAndSet(false)
+        for (peer in connected) {
+            val isInZone = peer.availabilityZone == context.availabilityZone
+            if (pacing.isDue(peer.host, isInZone && beat.watching, context.nowMillis())) {
+                peers.network.send(peer.host, beat.copy(asks = true))
+            } else if (isHurried && isInZone) {
+                peers.network.send(peer.host, beat)
+            }
+        }
+    }
+
+    private fun heartbeat() = describe().copy(incarnation = claim.value)
+
     internal fun registrationStep() {
         registration.step()
         val listed = listedAtMillis
@@ -160,6 +187,9 @@
         val peer = peers.connections.connected().find { it.host == from } ?: return
         val process = peer.toProcess().copy(incarnation = beat.incarnation)
         if (!table.heard(process, context.nowMillis())) return
+        val isInZone = peer.availabilityZone == context.availabilityZone
+        pacing.heard(from, isInZone && beat.watching, context.nowMillis())
+        if (beat.asks) peers.network.send(from, heartbeat())
         listeners.forEach { it(process, beat) }
     }
 
--- a/daemon/src/main/kotlin/sycamoremast/daemon/peer/ControlMessages.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/peer/ControlMessages.kt
@@ -5,7 +5,7 @@
 import kotlinx.serialization.Serializable
 
 /**
- * Sent to each connected host at a steady interval.
+ * Exchanged with each connected host; one that [asks] is answered by another.
  *
  * [digest] sums up the revisions that the sender holds. [relayVersion] is the version of the
  * sender's relay key if it is its zone's relay, else 0; [watching] tells whether it then sees the
@@ -18,7 +18,8 @@
     @SerialName("d") val digest: Long,
     @SerialName("r") val relayVersion: Long = 0,
     @SerialName("w") val watching: Boolean = false,
-    @SerialName("s") val synced: Boolean = false
+    @SerialName("s") val synced: Boolean = false,
+    @SerialName("q") val asks: Boolean = false
 ) : PeerMessage
 
 /** Tells that the sender is about to end. */
--- a/daemon/src/main/kotlin/sycamoremast/daemon/peer/PeerLimits.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/peer/PeerLimits.kt
@@ -17,7 +17,7 @@
     val maxMessageBytes: Int = 2_000_000,
     val maxQueuedMessages: Int = 1_024,
     val maxQueuedBytes: Long = 8_000_000,
-    val pingAfter: Duration = 1.seconds,
+    val pingAfter: Duration = 2_500.milliseconds,
     val dropAfterSilence: Duration = 4.seconds,
     val connectTimeout: Duration = 2.seconds,
     val redial: Backoff = Backoff(200.milliseconds, 5.seconds)
--- a/daemon/src/test/kotlin/sycamoremast/daemon/control/ControlCostTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/control/ControlCostTest.kt
@@ -14,6 +14,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.Executors
 import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
 import kotlin.time.Duration.Companion.seconds
 import okhttp3.Call
@@ -48,7 +49,7 @@
             "h$number",
             "z${number % zones}",
             "127.0.0.1:${service.port}",
-            times = MembershipTimes(),
+            times = MembershipTimes(heartbeat = 500.milliseconds),
             relayTimes = RelayTimes(),
             limits = PeerLimits(),
             http = quickHttpClient().newBuilder().eventListener(ByteCounter(httpBytes)).build()
@@ -159,6 +160,10 @@
                 "callsPerSecond" to "%.2f".format(callsSince(before).values.sum() / elapsed),
                 "peerBytesPerHostSecond" to
                     "%.0f".format((after.peerBytes - before.peerBytes) / elapsed / hosts),
+                "peerBytesPerHostSecondWithHeadersAtMost" to
+                    "%.0f".format(
+                        (after.peerBytesOnWire - before.peerBytesOnWire) / elapsed / hosts
+                    ),
                 "storeBytesPerHostSecond" to
                     "%.0f".format((after.storeBytes - before.storeBytes) / elapsed / hosts),
                 "processCpuPercentPerHost" to
@@ -187,6 +192,11 @@
                 node.registry.counter("sycamoremast.peers.$it.bytes").count()
             }
         }
+
+        /** With an acknowledgement of its own for each message. */
+        val peerBytesOnWire = peerBytes + 2 * 2 * HEADER_BYTES * nodes.sumOf { node ->
+            node.registry.counter("sycamoremast.peers.sent.messages").count()
+        }
         val storeBytes = httpBytes.get()
         val cpuNanos =
             (ManagementFactory.getOperatingSystemMXBean() as OperatingSystemMXBean).processCpuTime
@@ -222,6 +232,8 @@
     }
 
     private companion object {
+        /** The headers of TCP, with timestamps, and IP. */
+        const val HEADER_BYTES = 52
         const val WARM_UP_MILLIS = 3_000L
         const val TEAMS = 5
         const val OBSERVED_SECONDS = 15
