--- a/daemon/src/main/kotlin/sycamoremast/daemon/batch/ShardedBatchScheduler.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/batch/ShardedBatchScheduler.kt
@@ -56,6 +56,9 @@
     @Volatile
     private var everyListed = emptyList<ListedHost>()
 
+    /** The list that the shards know. */
+    private var lastListed: List<ListedHost>? = null
+
     override fun start() {
         queries.start()
         loops.forEach { it.start() }
@@ -151,6 +154,8 @@
 
     private fun listWorkers() {
         val hosts = ports.hosts.hosts().getOrNull() ?: return
+        if (hosts === lastListed) return
+        lastListed = hosts
         everyListed = hosts.filter { it.role == HostRole.WORKER }
         val workers = everyListed.filter { it.availabilityZone == zone }
         workers.forEach { listed[it.name] = it }
