Hold jobs back while their shard's document has no room for them

Cause: nothing bounded a shard's document. 8,000 jobs of one configuration made a write of 1,199,727 bytes; the service refuses values over 1 MB, and then no completion could be recorded either.

Ruled out: refusing at submit (another host owns the document, and it empties as jobs end); a limit on the present size alone (completions would fail); a second document (loses the one compare-and-swap).

Change: DocumentRoom counts the document and the most that each accepted job may still add. Jobs beyond 800,000 bytes stay in the configuration, are shown with the reason, counted by a metric, and accepted when room comes free, urgent ones first and no team more than twice what is left. Jobs over 200,000 bytes are refused at submit. Starts of never-repeated tasks wait beyond 850,000. A job that is cancelled before it has a record leaves its name only; reasons are cut to 100 characters.

Tests: DocumentBoundTest was seen failing with the bound switched off (1,199,727 and 1,199,569 not less than 900,000). ShardDocumentTest finishes every second task to show that a record never outgrows what was kept for it. Changed checks: WriteBudgetTest counts the 3,000 cancelled jobs by their state, as those without a record leave a name; the test of a job cancelled before its record looks at its state for the same reason.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/record/DocumentChange.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/record/DocumentChange.kt
@@ -59,14 +59,15 @@
             document.update(key) { it.ended(state, reason) }
     }
 
-    /** Cancels the job [key] of [tasks] tasks, also one that has no record yet. */
+    /** Cancels the job [key]; one that has no record yet leaves no more than its name. */
     data class CancelJob(val key: JobKey, val tasks: Int, val reason: String) : DocumentChange {
         override fun applyTo(document: ShardDocument): ShardDocument {
             if (document.stateOf(key) != null) {
                 return document.update(key) { it.ended(JobState.CANCELLED, reason) }
             }
-            val record = JobRecord(key.team, key.name, document.epoch, tasks)
-            return document.copy(jobs = document.jobs + record.ended(JobState.CANCELLED, reason))
+            val known = document.ended[key.team] ?: EndedNames.EMPTY
+            val names = known.plus(mapOf(key.name to JobState.CANCELLED))
+            return document.copy(ended = document.ended.with(key.team, names))
         }
     }
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/record/JobRecord.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/record/JobRecord.kt
@@ -71,8 +71,12 @@
     val key: JobKey get() = JobKey(team, name)
 
     /** Returns this record in the final [state] because of [reason]. */
-    fun ended(state: JobState, reason: String) =
-        copy(state = state, spec = null, starts = emptyList(), reason = reason)
+    fun ended(state: JobState, reason: String) = copy(
+        state = state,
+        spec = null,
+        starts = emptyList(),
+        reason = reason.take(REASON_LENGTH)
+    )
 
     /** Returns this record, ended if every task's outcome is decided. */
     fun endedIfComplete(): JobRecord = when {
@@ -80,4 +84,9 @@
         unknown.size == 0 -> ended(JobState.FINISHED, "")
         else -> ended(JobState.UNKNOWN, "the outcome of tasks $unknown is unknown")
     }
+
+    companion object {
+        /** The length to which the reason of a job's end is cut. */
+        const val REASON_LENGTH = 100
+    }
 }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/Dispatcher.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/Dispatcher.kt
@@ -18,7 +18,7 @@
     private val shares: HeldShares,
     private val judge: FailureJudge,
     private val interference: InterferenceWatch,
-    private val submit: (DocumentChange) -> Unit
+    private val ledger: DocumentLedger
 ) {
     private val order = queueOrder(shares)
     private val preemption = Preemption(tasks, workers)
@@ -37,6 +37,7 @@
         val entries = tasks.jobs.values
             .filter { it.isOpen && (recovered || it.record.acceptedEpoch == epoch) }
             .filter { it.nextWaiting() != null }
+            .filter { ledger.hasRoomForStart || !tasks.isNeverRepeated(it) }
             .mapTo(ArrayList()) { Entry(it, it.waiting(nowMillis)) }
         val tooLarge = HashSet<Resources>()
         repeat(MOST_STARTS) {
@@ -59,6 +60,7 @@
     private fun placeOne(entry: Entry, nowMillis: Long, out: MutableList<ShardAction>): Boolean {
         val job = entry.job
         val index = job.nextWaiting() ?: return false
+        if (tasks.isNeverRepeated(job) && !ledger.hasRoomForStart) return false
         val id = job.key.taskId(index)
         val need = PlacementNeed(
             resources = job.resources,
@@ -109,7 +111,7 @@
             return
         }
         val start = TaskStart(index, attempt, worker.name, worker.incarnation.orEmpty())
-        submit(DocumentChange.RecordStart(job.key, start))
+        ledger.submit(DocumentChange.RecordStart(job.key, start))
     }
 
     /** Orders the start of a never-repeated task whose start record is durable. */
--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/DocumentLedger.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/DocumentLedger.kt
@@ -34,6 +34,15 @@
     private var sequence = 0L
     private var call: Long? = null
     private var readNeeded = true
+    private var startsWaiting = 0
+
+    /** The size of the document as it was last read or sent. */
+    var bytes = 0
+        private set
+
+    /** Whether the start of one more never-repeated task can be recorded. */
+    val hasRoomForStart: Boolean
+        get() = bytes + (startsWaiting + 1) * START_BYTES <= STARTS_BYTES
 
     /** Whether every change is durable. */
     val isSettled: Boolean get() = waiting.isEmpty() && sent == null
@@ -50,12 +59,18 @@
         sent = null
         call = null
         readNeeded = true
+        startsWaiting = 0
     }
 
     fun submit(change: DocumentChange) {
         waiting += change
+        if (change is DocumentChange.RecordStart) startsWaiting++
     }
 
+    /** Returns the document as it will be once every change is durable. */
+    fun projected(): ShardDocument =
+        document.with(sent?.changes.orEmpty() + waiting, writer, sequence)
+
     fun requireRead() {
         readNeeded = true
     }
@@ -69,6 +84,8 @@
         waiting = ArrayList()
         sent = write
         val text = document.with(write.changes, writer, write.sequence).print()
+        bytes = text.toByteArray().size
+        startsWaiting = 0
         return ShardAction.WriteDocument(newCall().also { call = it }, version, text)
     }
 
@@ -123,6 +140,7 @@
         readNeeded = false
         version = entry?.version ?: StoreEntry.ABSENT
         document = entry?.let { ShardDocument.parseOrNull(it.value) } ?: ShardDocument()
+        bytes = entry?.value?.toByteArray()?.size ?: 0
         val write = sent ?: return LedgerOutcome.Refreshed
         if (document.contains(writer, write.sequence)) {
             sent = null
@@ -135,8 +153,17 @@
     private fun resubmit() {
         val write = sent ?: return
         waiting = ArrayList(write.changes + waiting)
+        startsWaiting = waiting.count { it is DocumentChange.RecordStart }
         sent = null
     }
 
+    private companion object {
+        /** The most bytes of the record of a start. */
+        const val START_BYTES = 250
+
+        /** The size up to which starts are recorded. */
+        const val STARTS_BYTES = 850_000
+    }
+
     private data class SentWrite(val sequence: Long, val changes: List<DocumentChange>)
 }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/ShardMachine.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/ShardMachine.kt
@@ -13,8 +13,6 @@
 import sycamoremast.coordination.placement.HeldShares
 import sycamoremast.coordination.record.DocumentChange
 import sycamoremast.coordination.record.JobKey
-import sycamoremast.coordination.record.JobRecord
-import sycamoremast.coordination.record.JobSpec
 import sycamoremast.coordination.record.ShardDocument
 
 /**
@@ -32,8 +30,9 @@
     private val tasks = TaskTable(shares, judge, ledger::submit) { out += it }
     private val interference = InterferenceWatch(tasks)
     private val workers = WorkerTable(settings, tasks, interference, ::newCall)
-    private val dispatcher = Dispatcher(tasks, workers, shares, judge, interference, ledger::submit)
+    private val dispatcher = Dispatcher(tasks, workers, shares, judge, interference, ledger)
     private val endedJobs = EndedJobs(settings, tasks)
+    private val intake = JobIntake(tasks, ledger)
     private val listedJobs = HashMap<String, ShardEvent.JobsListed>()
     private var listedWorkers = emptyList<ListedHost>()
     private var epoch = 0L
@@ -68,6 +67,8 @@
         isReleased = ownership.phase == OwnershipPhase.RELEASED,
         epoch = epoch,
         document = ledger.document,
+        documentBytes = ledger.bytes,
+        heldBack = intake.heldBack,
         workers = workers.size,
         running = tasks.jobs.values.associate { it.key to it.live.size }.filterValues { it > 0 }
     )
@@ -120,7 +121,9 @@
         if (forgettable.isNotEmpty()) {
             ledger.submit(DocumentChange.RemoveWorkers(forgettable))
         }
-        if (ledger.isSettled) endedJobs.shrink(ledger.document, listedJobs, ledger::submit)
+        if (!ledger.isSettled) return
+        endedJobs.shrink(ledger.document, listedJobs, ledger::submit)
+        intake.retry(listedJobs.values, epoch)
     }
 
     private fun release(nowMillis: Long) {
@@ -206,7 +209,7 @@
         workers.takeOver(epoch, ledger.document.workers, nowMillis)
         out += ShardAction.Note("take-over", settings.owner, "epoch $epoch")
         listWorkers(nowMillis)
-        listedJobs.values.forEach { acceptJobs(it) }
+        acceptJobs()
     }
 
     private fun onListing(event: ShardEvent.Listing, nowMillis: Long) {
@@ -234,22 +237,15 @@
         if (known != null && known.revision >= event.revision) return
         listedJobs[event.team] = event
         event.quota?.let { shares.setQuota(event.team, it) }
-        if (isOwner) acceptJobs(event)
+        if (isOwner) acceptJobs()
     }
 
-    private fun acceptJobs(event: ShardEvent.JobsListed) {
-        if (event.revision < (ledger.document.revisions[event.team] ?: 0)) return
-        event.jobs
-            .filterKeys { !isKnown(JobKey(event.team, it)) }
-            .forEach { (name, spec) -> accept(event, name, spec) }
-    }
-
-    private fun isKnown(key: JobKey) =
-        key in tasks.jobs || ledger.document.ended[key.team]?.stateOf(key.name) != null
-
-    private fun accept(event: ShardEvent.JobsListed, name: String, spec: JobSpec) {
-        val record = JobRecord(event.team, name, epoch, spec.tasks, spec = spec)
-        ledger.submit(DocumentChange.AcceptJob(record, event.revision))
+    private fun acceptJobs() {
+        val before = intake.heldBack
+        intake.accept(listedJobs.values, epoch)
+        if (before > 0 || intake.heldBack == 0) return
+        val detail = "${intake.heldBack} jobs wait for room in the document"
+        out += ShardAction.Note("hold-back", settings.owner, detail)
     }
 
     private fun cancel(event: ShardEvent.CancelRequested) {
@@ -289,12 +285,18 @@
     }
 }
 
-/** What a shard's machine knows; [running] counts each job's placed tasks. */
+/**
+ * What a shard's machine knows; [running] counts each job's placed tasks.
+ *
+ * [heldBack] jobs wait for room in the document.
+ */
 data class ShardSnapshot(
     val isOwner: Boolean,
     val isReleased: Boolean,
     val epoch: Long,
     val document: ShardDocument,
+    val documentBytes: Int,
+    val heldBack: Int,
     val workers: Int,
     val running: Map<JobKey, Int>
 )
--- a/coordination/src/test/kotlin/sycamoremast/coordination/shard/AnsweredShard.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/shard/AnsweredShard.kt
@@ -26,6 +26,8 @@
         private set
     var writes = 0
         private set
+    var largestWrite = 0
+        private set
 
     init {
         deliver(ShardEvent.WorkersListed((0 until workers).map { listed("w$it") }))
@@ -85,6 +87,7 @@
 
         is ShardAction.WriteDocument -> {
             writes++
+            largestWrite = maxOf(largestWrite, action.text.toByteArray().size)
             ShardEvent.DocumentWritten(action.call, applied())
         }
 
--- a/daemon/src/main/kotlin/sycamoremast/daemon/batch/BatchMeters.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/batch/BatchMeters.kt
@@ -4,8 +4,9 @@
 import io.micrometer.core.instrument.Counter
 import io.micrometer.core.instrument.MeterRegistry
 import sycamoremast.coordination.shard.ShardAction
+import sycamoremast.coordination.shard.ShardSnapshot
 
-internal class BatchMeters(registry: MeterRegistry) {
+internal class BatchMeters(private val registry: MeterRegistry) {
     private val storeReads = counter(registry, "sycamoremast.batch.store.reads")
     private val storeWrites = counter(registry, "sycamoremast.batch.store.writes")
     private val workerCalls = counter(registry, "sycamoremast.batch.worker.calls")
@@ -29,5 +30,19 @@
         }
     }
 
+    /** Measures what the owned ones among [loops] keep in their documents. */
+    fun watch(loops: List<ShardLoop>) {
+        gauge("sycamoremast.batch.document.bytes", loops) { owned ->
+            owned.maxOfOrNull { it.documentBytes } ?: 0
+        }
+        gauge("sycamoremast.batch.jobs.held.back", loops) { owned -> owned.sumOf { it.heldBack } }
+    }
+
+    private fun gauge(name: String, loops: List<ShardLoop>, value: (List<ShardSnapshot>) -> Int) {
+        registry.gauge(name, loops) {
+            value(it.map(ShardLoop::snapshot).filter(ShardSnapshot::isOwner)).toDouble()
+        }
+    }
+
     private fun counter(registry: MeterRegistry, name: String): Counter = registry.counter(name)
 }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/batch/ShardedBatchScheduler.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/batch/ShardedBatchScheduler.kt
@@ -24,6 +24,7 @@
 import sycamoremast.coordination.WorkerPort
 import sycamoremast.coordination.placement.whyNeverFits
 import sycamoremast.coordination.record.DocumentChange
+import sycamoremast.coordination.record.DocumentRoom
 import sycamoremast.coordination.record.JobKey
 import sycamoremast.coordination.record.JobRecord
 import sycamoremast.coordination.record.JobSpec
@@ -56,6 +57,10 @@
     @Volatile
     private var documents = emptyMap<ShardId, ShardDocument>()
 
+    init {
+        BatchMeters(ports.meters).watch(loops)
+    }
+
     override fun start() {
         loops.forEach { it.start() }
         ports.configuration.onApplied(::onConfiguration)
@@ -78,13 +83,16 @@
             document.jobs.map { it.view(id.availabilityZone) }
         }
         val known = records.mapTo(HashSet()) { it.team to it.job }
-        val accepted = ports.configuration.inForce().values.flatMap { applied ->
-            applied.configuration.jobs.map { job ->
-                val document = documents[settings.shardOf(applied.team, job)]
-                job.view(applied.team, document?.ended?.get(applied.team)?.stateOf(job.name))
+        val rooms = documents.mapValues { lazy { DocumentRoom.of(it.value) } }
+        val others = ports.configuration.inForce().values.flatMap { applied ->
+            applied.configuration.jobs.filter { (applied.team to it.name) !in known }.map { job ->
+                val id = settings.shardOf(applied.team, job)
+                val ended = documents[id]?.stateOf(JobKey(applied.team, job.name))
+                val admits = rooms[id]?.value?.admits(job.toRecord(applied.team)) ?: true
+                job.view(applied.team, ended, waitsForRoom = !admits)
             }
         }
-        return (records + accepted.filter { (it.team to it.job) !in known })
+        return (records + others)
             .filter { team == null || it.team == team }
             .sortedWith(compareBy({ it.team }, { it.job }))
     }
@@ -102,12 +110,15 @@
             is Either.Right -> {
                 loops.firstOrNull { it.id == id }?.post(ShardEvent.DocumentChanged)
                 ports.audit.record(AuditedChange(operator, "cancel", "$key", 0, 0))
-                (result.value.job(key)?.view(id.availabilityZone) ?: view).right()
+                val state = result.value.stateOf(key)?.viewName ?: view.state
+                (result.value.job(key)?.view(id.availabilityZone) ?: view.copy(state = state))
+                    .right()
             }
         }
     }
 
     override fun whyNeverFits(team: String, job: Job, quota: Quota): String? {
+        DocumentRoom.whyTooLarge(job.toRecord(team))?.let { return it }
         val shard = settings.shardOf(team, job)
         val workers = everyListed.filter { it.availabilityZone == shard.availabilityZone }
             .filter { settings.shardOf(it.name) == shard.number }
