--- a/daemon/src/main/kotlin/sycamoremast/daemon/batch/JobBoard.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/batch/JobBoard.kt
@@ -11,6 +11,7 @@
 import sycamoremast.configuration.operator.JobView
 import sycamoremast.coordination.KeyValueStore
 import sycamoremast.coordination.MonotonicClock
+import sycamoremast.coordination.record.DocumentRoom
 import sycamoremast.coordination.record.JobKey
 import sycamoremast.coordination.record.JobRecord
 import sycamoremast.coordination.record.JobState
@@ -27,15 +28,16 @@
 /**
  * A job of the shard [id].
  *
- * One without a [record] is in its team's configuration only, or has ended as [ended] so long ago
- * that its record is gone.
+ * One without a [record] is in its team's configuration only, and maybe waits for room in the
+ * shard's document, or has ended as [ended] so long ago that its record is gone.
  */
 internal class ListedJob(
     val id: ShardId,
     val key: JobKey,
     val tasks: Int,
     val record: JobRecord?,
-    val ended: JobState? = null
+    val ended: JobState? = null,
+    private val waitsForRoom: Boolean = false
 ) {
     val isOpen get() = ended == null && (record == null || record.state == JobState.ACCEPTED)
 
@@ -49,16 +51,28 @@
         availabilityZone = id.availabilityZone,
         state = (ended ?: JobState.ACCEPTED).viewName,
         tasks = tasks,
-        tasksFinished = if (ended == JobState.FINISHED) tasks else 0
+        tasksFinished = if (ended == JobState.FINISHED) tasks else 0,
+        reason = if (ended == null && waitsForRoom) WAITS_FOR_ROOM else ""
     )
+
+    private companion object {
+        const val WAITS_FOR_ROOM = "waits for room in its shard's document"
+    }
 }
 
-internal fun Job.listed(id: ShardId, team: String, document: ShardDocument?) = ListedJob(
+/** Returns this job of [team] as the shard [id] with [document] and its [room] knows it. */
+internal fun Job.listed(
+    id: ShardId,
+    team: String,
+    document: ShardDocument?,
+    room: DocumentRoom?
+) = ListedJob(
     id,
     JobKey(team, name),
     tasks,
     record = null,
-    ended = document?.ended?.get(team)?.stateOf(name)
+    ended = document?.stateOf(JobKey(team, name)),
+    waitsForRoom = room?.admits(toRecord(team)) == false
 )
 
 internal class JobBoard(
@@ -104,13 +118,14 @@
             document.jobs.map { ListedJob(id, it.key, it.tasks, it) }
         }
         val known = records.mapTo(HashSet()) { it.key }
-        val accepted = configuration.inForce().values.flatMap { applied ->
-            applied.configuration.jobs.map {
+        val rooms = reading.documents.mapValues { lazy { DocumentRoom.of(it.value) } }
+        val others = configuration.inForce().values.flatMap { applied ->
+            applied.configuration.jobs.filter { JobKey(applied.team, it.name) !in known }.map {
                 val id = settings.shardOf(applied.team, it)
-                it.listed(id, applied.team, reading.documents[id])
+                it.listed(id, applied.team, reading.documents[id], rooms[id]?.value)
             }
         }
-        return (records + accepted.filter { it.key !in known })
+        return (records + others)
             .filter { team == null || it.key.team == team }
     }
 
--- a/daemon/src/main/kotlin/sycamoremast/daemon/batch/JobViews.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/batch/JobViews.kt
@@ -1,6 +1,7 @@
 /** How jobs are shown to operators. */
 package sycamoremast.daemon.batch
 
+import sycamoremast.configuration.Job
 import sycamoremast.configuration.operator.JobView
 import sycamoremast.coordination.record.JobRecord
 import sycamoremast.coordination.record.JobState
@@ -12,6 +13,9 @@
 /** The state of a job whose owner does not tell whether its tasks run. */
 internal const val UNCONFIRMED = "unconfirmed"
 
+/** Returns the record that this job of [team] has while nothing of it has run. */
+internal fun Job.toRecord(team: String) = JobRecord(team, name, 0, tasks, spec = toSpec())
+
 /** Returns the view of this record with so many tasks [running], or null if that is not known. */
 internal fun JobRecord.view(availabilityZone: String, running: Int?) = JobView(
     team = team,
--- a/daemon/src/main/kotlin/sycamoremast/daemon/batch/ShardedBatchScheduler.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/batch/ShardedBatchScheduler.kt
@@ -24,6 +24,7 @@
 import sycamoremast.coordination.WorkerPort
 import sycamoremast.coordination.placement.whyNeverFits
 import sycamoremast.coordination.record.DocumentChange
+import sycamoremast.coordination.record.DocumentRoom
 import sycamoremast.coordination.record.JobKey
 import sycamoremast.coordination.record.JobSpec
 import sycamoremast.coordination.shard.ShardEvent
@@ -59,6 +60,10 @@
     /** The list that the shards know. */
     private var lastListed: List<ListedHost>? = null
 
+    init {
+        BatchMeters(ports.meters).watch(loops)
+    }
+
     override fun start() {
         queries.start()
         loops.forEach { it.start() }
@@ -90,12 +95,15 @@
             is Either.Right -> {
                 loops.firstOrNull { it.id == id }?.post(ShardEvent.DocumentChanged)
                 ports.audit.record(AuditedChange(operator, "cancel", "$key", 0, 0))
-                (result.value.job(key)?.view(id.availabilityZone, null) ?: view).right()
+                val state = result.value.stateOf(key)?.viewName ?: view.state
+                (result.value.job(key)?.view(id.availabilityZone, null) ?: view.copy(state = state))
+                    .right()
             }
         }
     }
 
     override fun whyNeverFits(team: String, job: Job, quota: Quota): String? {
+        DocumentRoom.whyTooLarge(job.toRecord(team))?.let { return it }
         val shard = settings.shardOf(team, job)
         val workers = everyListed.filter { it.availabilityZone == shard.availabilityZone }
             .filter { settings.shardOf(it.name) == shard.number }
