--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/ShardMachine.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/ShardMachine.kt
@@ -33,6 +33,7 @@
     private val dispatcher = Dispatcher(tasks, workers, shares, judge, interference, ledger)
     private val endedJobs = EndedJobs(settings, tasks)
     private val intake = JobIntake(tasks, ledger)
+    private val handOver = HandOver()
     private val listedJobs = HashMap<String, ShardEvent.JobsListed>()
     private var listedWorkers = emptyList<ListedHost>()
     private var epoch = 0L
@@ -98,19 +99,32 @@
         if (isOwner) recover()
         if (mayAct(nowMillis) && !releasing) {
             if (sweeps) workers.renew(nowMillis, out)
-            dispatcher.place(epoch, recovered, nowMillis, out)
+            if (!handOver.isUnderWay(nowMillis)) {
+                dispatcher.place(epoch, recovered, nowMillis, out)
+            }
             if (sweeps) workers.endTasks(nowMillis, out)
         }
         if (mayWrite) ledger.nextCall(nowMillis, ::newCall)?.let { out += it }
         if (releasing) release(nowMillis)
-        sweepWakeMillis = if (sweeps) nextSweepMillis() else sweptMillis + SHORTEST_WAIT_MILLIS
+        sweepWakeMillis = if (sweeps) nextSweepMillis(nowMillis) else sweptMillis + SHORTEST_WAIT_MILLIS
     }
 
     private val mayWrite get() = isOwner || ownership.phase == OwnershipPhase.TAKING_OVER
 
     /** An event other than a tick may change what is due, so that the next sweep follows soon. */
-    private fun nextSweepMillis() =
-        if (tasks.isPlacementDue) sweptMillis + SHORTEST_WAIT_MILLIS else workers.wakeMillis
+    private fun nextSweepMillis(nowMillis: Long): Long {
+        val isSoon = tasks.isPlacementDue || handOver.isUnderWay(nowMillis)
+        return if (isSoon) sweptMillis + SHORTEST_WAIT_MILLIS else workers.wakeMillis
+    }
+
+    /** Hands the shard over if that disturbs nothing now. */
+    private fun handOver(nowMillis: Long) {
+        val isSafe = recovered && ownership.isReliable(nowMillis) && ledger.isSettled
+        if (!isSafe || tasks.areStarting) return
+        out += ShardAction.Note("hand-over", settings.owner, "epoch $epoch")
+        clear()
+        ownership.abandon(nowMillis, out)
+    }
 
     /**
      * Whether the owner may renew and start now.
@@ -131,6 +145,7 @@
     /** Does what would cost too much after every event. */
     private fun sweep(nowMillis: Long) {
         sweptMillis = nowMillis
+        if (handOver.isUnderWay(nowMillis)) handOver(nowMillis)
         workers.expire(nowMillis)
         shares.capacity = workers.capacity()
         if (nowMillis < placementDueMillis) return
@@ -162,6 +177,7 @@
         workers.clear()
         tasks.clear()
         ledger.reset()
+        handOver.end()
         recovered = false
         epoch = 0
     }
@@ -235,6 +251,10 @@
         when (event) {
             is ShardEvent.DocumentChanged -> ledger.requireRead()
 
+            is ShardEvent.PreferenceListed -> ownership.preference = event.preference
+
+            is ShardEvent.HandOverRequested -> if (isOwner) handOver.begin(nowMillis)
+
             is ShardEvent.WorkersListed -> {
                 listedWorkers = event.workers
                 if (isOwner) listWorkers(nowMillis)
--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/TaskTable.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/TaskTable.kt
@@ -34,6 +34,14 @@
         get() = ending.filter { it.worker.session.fenced }.minOfOrNull { it.orderDueMillis }
             ?: Long.MAX_VALUE
 
+    /** Whether a task was ordered of which its worker has not told yet. */
+    val areStarting: Boolean
+        get() = jobs.values.any { job ->
+            job.live.values.any {
+                it.phase == LivePhase.RECORDING || it.phase == LivePhase.STARTING
+            }
+        }
+
     fun clear() {
         jobs.clear()
         ending.clear()
