Measure the precision and recall of the batch core's problem reports

Cause: nothing compared the problems reported with the outcomes missed.

StandInFaultTest also asserts that exactly the missed outcomes of requests are reported, for its nine faults of a backend server.

TaskTable.loseOutcome reports the outcome as unknown when it asks for the record, not once that is durable. Where the host loses the shard before that, another host finishes the task, and the problem that was raised is none.

--- a/coordination/src/test/kotlin/sycamoremast/coordination/shard/Schedule.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/shard/Schedule.kt
@@ -16,11 +16,12 @@
 import sycamoremast.coordination.lease.LeaseTiming
 import sycamoremast.coordination.record.DocumentChange
 import sycamoremast.coordination.record.JobKey
+import sycamoremast.coordination.record.JobRecord
 import sycamoremast.coordination.record.JobSpec
 import sycamoremast.coordination.record.JobState
 
 internal class Schedule(
-    private val seed: Long,
+    val seed: Long,
     private val bugs: Set<PlantedBug> = emptySet(),
     chosenJobs: Map<JobKey, JobSpec>? = null,
     private val losesCalls: Boolean = true,
@@ -183,7 +184,9 @@
                     }
                 )
 
-                is ShardAction.ReportUnknown, is ShardAction.Note -> Unit
+                is ShardAction.ReportUnknown -> reported += action.subject
+
+                is ShardAction.Note -> Unit
             }
         }
 
@@ -211,6 +214,27 @@
         }
     }
 
+    /** The tasks whose outcome was reported as missed. */
+    val reported = HashSet<String>()
+
+    /** The tasks that must not be repeated, by whether their result was missed, as recorded. */
+    fun neverRepeated(): Map<Boolean, List<String>> = jobs.filterValues { it.neverRepeat }.keys
+        .mapNotNull { store.truth.job(it) }
+        .flatMap { record -> (0 until record.tasks).map { record to it } }
+        .groupBy({ (record, i) -> record.isMissed(i) }, { (record, i) -> record.key.taskId(i) })
+
+    private fun JobRecord.isMissed(index: Int): Boolean {
+        val isDropped = state == JobState.CANCELLED || state == JobState.FAILED
+        return index in unknown || (!isDropped && index !in finished)
+    }
+
+    /** The urgent tasks that no worker had started by [atMillis], though their job ended well. */
+    fun late(atMillis: Long): List<String> = jobs.filterValues { it.urgent }.keys
+        .mapNotNull { store.truth.job(it) }
+        .filter { it.state == JobState.FINISHED }
+        .flatMap { record -> (0 until record.tasks).map { record.key.taskId(it) } }
+        .filter { (checker.startedMillis[it] ?: Long.MAX_VALUE) > atMillis }
+
     /** How often a host took the shard over, and how many workers restarted. */
     val takeOvers: Long get() = store.truth.epoch
     var workerCrashes = 0
--- a/daemon/src/test/kotlin/sycamoremast/daemon/request/StandInFaultTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/request/StandInFaultTest.kt
@@ -41,12 +41,16 @@
     @EnumSource
     fun `what is told of a request agrees with what ran`(fault: Fault) {
         backend.setFaults(fault.faults)
-        PathHarness(hostList = list()).ready().use {
+        val problems = RecordedProblems()
+        val ports = testPorts(list(), problems = problems)
+        PathHarness(hostList = list(), ports = ports).ready().use {
             val deadlineMillis = if (fault == Fault.LATE) 1_500 else 20_000
             val headers = mapOf("X-Deadline-Millis" to "$deadlineMillis")
             val answer = it.send("/invoices", "POST", "invoice 1", headers)
             expectThat(answer.outcome).isEqualTo(fault.outcome)
             expectThat(backend.executions().size).isEqualTo(fault.runs)
+            val isMissed = answer.statusCode() != 200 && answer.outcome != "not-run"
+            expectThat(problems.raised.size).isEqualTo(if (isMissed) 1 else 0)
         }
     }
 
