--- a/coordination/src/test/kotlin/sycamoremast/coordination/shard/SimulatedStore.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/shard/SimulatedStore.kt
@@ -21,6 +21,9 @@
     var documentEntry: StoreEntry? = null
         private set
 
+    /** The version of the document as it truly stands. */
+    val version get() = documentEntry?.version ?: StoreEntry.ABSENT
+
     /** The document as it truly stands. */
     var truth = ShardDocument()
         private set
@@ -57,9 +60,7 @@
 
     fun writeDocument(expected: Long, text: String): SwapOutcome {
         val current = documentEntry
-        if ((current?.version ?: StoreEntry.ABSENT) != expected) {
-            return SwapOutcome.Conflict(current)
-        }
+        if (version != expected) return SwapOutcome.Conflict(current)
         val next = ShardDocument.parseOrNull(text) ?: error("unreadable document")
         checker.require(next.epoch >= truth.epoch) { "epoch fell to ${next.epoch}" }
         checker.onWrite(next)
