--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/ShardMachine.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/ShardMachine.kt
@@ -106,7 +106,8 @@
         }
         if (mayWrite) ledger.nextCall(nowMillis, ::newCall)?.let { out += it }
         if (releasing) release(nowMillis)
-        sweepWakeMillis = if (sweeps) nextSweepMillis(nowMillis) else sweptMillis + SHORTEST_WAIT_MILLIS
+        sweepWakeMillis =
+            if (sweeps) nextSweepMillis(nowMillis) else sweptMillis + SHORTEST_WAIT_MILLIS
     }
 
     private val mayWrite get() = isOwner || ownership.phase == OwnershipPhase.TAKING_OVER
