Refuse what can't be sent as malformed, and read callers' bodies at a least pace

Cause 1: the HTTP client's objection (GET or HEAD with a body) came up while sending, with a slot held, and was told as 503 not-run with a time to come back; it is the same each time. It is checked before a slot or a key is taken now: 400. A bad header name is refused by the server itself (400). Cause 2: nothing bounded how long a caller may take over its body. Up to 64 KiB that held a thread; beyond that a slot, too, past the deadline, since a blocked read does not see the call's timeout.

Not measured: throughput of uploads.

--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/BackendClient.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/BackendClient.kt
@@ -16,10 +16,8 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlin.time.toJavaDuration
 import okhttp3.ConnectionPool
-import okhttp3.Headers
 import okhttp3.Interceptor
 import okhttp3.OkHttpClient
-import okhttp3.Request
 import okhttp3.Response
 import sycamoremast.coordination.request.RequestEvent
 import sycamoremast.coordination.request.RequestFailure
@@ -50,7 +48,9 @@
     ): AttemptResult {
         val exchange = Exchange(life)
         return try {
-            val http = toHttp(request, body, remaining, exchange)
+            val http = toHttp(address, request, body, remaining)
+                .tag(Exchange::class.java, exchange)
+                .build()
             val call = client.newCall(http)
             call.timeout().timeout(remaining.inWholeNanoseconds, TimeUnit.NANOSECONDS)
             receive(call.execute(), request, life, exchange)
@@ -130,33 +130,6 @@
         return Failed(RequestFailure(life.state, address, reason), kind)
     }
 
-    private fun toHttp(
-        request: CallerRequest,
-        body: CallerBody,
-        remaining: Duration,
-        exchange: Exchange
-    ): Request {
-        val method = request.http.method.name
-        val hasBody = !body.isEmpty || method in METHODS_WITH_BODY
-        return Request.Builder()
-            .url("http://$address${request.path}")
-            .headers(headers(request, remaining))
-            .method(method, if (hasBody) body.toRequestBody() else null)
-            .tag(Exchange::class.java, exchange)
-            .build()
-    }
-
-    private fun headers(request: CallerRequest, remaining: Duration): Headers {
-        val headers = Headers.Builder()
-        for ((name, value) in request.http.headers) {
-            if (RequestHeaders.isPassedOn(name)) headers.addUnsafeNonAscii(name, value.orEmpty())
-        }
-        if (headers["Accept-Encoding"] == null) headers["Accept-Encoding"] = "identity"
-        headers[RequestHeaders.REQUEST_ID] = request.id
-        headers[RequestHeaders.DEADLINE_MILLIS] = remaining.inWholeMilliseconds.toString()
-        return headers.build()
-    }
-
     private fun retryAfterOf(response: Response): Duration? {
         val millis = response.header(RequestHeaders.RETRY_AFTER_MILLIS)?.toLongOrNull()
         val seconds = response.header(RequestHeaders.RETRY_AFTER)?.toLongOrNull()
@@ -168,7 +141,6 @@
         const val CALL_TIMEOUT = "timeout"
         val IDLE_CONNECTION = 4.seconds
         val CONNECT_TIMEOUT = 1.seconds
-        val METHODS_WITH_BODY = setOf("POST", "PUT", "PATCH")
 
         /** What all clients have in common: no retry, no redirect, no proxy. */
         val SHARED: OkHttpClient = OkHttpClient.Builder()
--- /dev/null
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/BackendRequests.kt
@@ -0,0 +1,53 @@
+/** The form in which a caller's request is sent to a backend server. */
+package sycamoremast.daemon.request
+
+import kotlin.time.Duration
+import okhttp3.Headers
+import okhttp3.Request
+
+private val METHODS_WITH_BODY = setOf("POST", "PUT", "PATCH")
+
+/**
+ * Returns [request] with [body] for the backend server at [address].
+ *
+ * @throws IllegalArgumentException if the HTTP client can't send such a request
+ */
+internal fun toHttp(
+    address: String,
+    request: CallerRequest,
+    body: CallerBody,
+    remaining: Duration
+): Request.Builder {
+    val method = request.http.method.name
+    val hasBody = !body.isEmpty || method in METHODS_WITH_BODY
+    return Request.Builder()
+        .url("http://$address${request.path}")
+        .headers(headers(request, remaining))
+        .method(method, if (hasBody) body.toRequestBody() else null)
+}
+
+/**
+ * Makes sure before a slot is taken that [request] can be sent.
+ *
+ * @throws CallerException if the HTTP client can't send it
+ */
+internal fun checkSendable(request: CallerRequest, body: CallerBody) {
+    try {
+        toHttp(ANY_ADDRESS, request, body, request.deadline)
+    } catch (e: IllegalArgumentException) {
+        throw CallerException("not a request that can be sent on: ${e.message}")
+    }
+}
+
+private const val ANY_ADDRESS = "127.0.0.1"
+
+private fun headers(request: CallerRequest, remaining: Duration): Headers {
+    val headers = Headers.Builder()
+    for ((name, value) in request.http.headers) {
+        if (RequestHeaders.isPassedOn(name)) headers.addUnsafeNonAscii(name, value.orEmpty())
+    }
+    if (headers["Accept-Encoding"] == null) headers["Accept-Encoding"] = "identity"
+    headers[RequestHeaders.REQUEST_ID] = request.id
+    headers[RequestHeaders.DEADLINE_MILLIS] = remaining.inWholeMilliseconds.toString()
+    return headers.build()
+}
--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/CallerBody.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/CallerBody.kt
@@ -37,7 +37,7 @@
             val buffer = ByteArray(CHUNK_BYTES)
             var total = head.size.toLong()
             while (true) {
-                val read = readCaller(rest, buffer)
+                val read = fromCaller { rest.read(buffer) }
                 if (read < 0) return
                 total += read
                 if (total > maxBytes) throw CallerException("the body exceeds $maxBytes bytes")
@@ -59,24 +59,29 @@
         fun of(http: Request, maxBytes: Long): CallerBody {
             val length = http.body.length ?: UNKNOWN_LENGTH
             val stream = http.body.stream
-            val head = try {
-                stream.readNBytes(BUFFERED_BYTES)
-            } catch (e: IOException) {
-                throw CallerException("the request's body was cut short: ${e.message}")
-            }
+            val head = fromCaller { stream.readNBytes(BUFFERED_BYTES) }
             val isWhole = head.size < BUFFERED_BYTES || length == head.size.toLong()
             return CallerBody(head, stream.takeUnless { isWhole }, length, maxBytes)
         }
 
         private const val UNKNOWN_LENGTH = -1L
 
-        private fun readCaller(stream: InputStream, buffer: ByteArray): Int = try {
-            stream.read(buffer)
+        private fun <T> fromCaller(read: () -> T): T = try {
+            read()
+        } catch (e: SlowBodyException) {
+            throw CallerException(e.message.orEmpty(), REQUEST_TIMEOUT)
         } catch (e: IOException) {
             throw CallerException("the request's body was cut short: ${e.message}")
         }
+
+        private const val REQUEST_TIMEOUT = 408
     }
 }
 
-/** Thrown when a request fails because of its caller. */
-internal class CallerException(message: String) : IOException(message)
+/** Thrown when a request fails because of its caller; [status] tells the caller how. */
+internal class CallerException(message: String, val status: Int = BAD_REQUEST) :
+    IOException(message) {
+    private companion object {
+        const val BAD_REQUEST = 400
+    }
+}
--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/ForwardingRequestPath.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/ForwardingRequestPath.kt
@@ -124,10 +124,10 @@
         val life = RequestLife()
         if (isRefusing()) return ended(request, leaving(life))
         val body = try {
-            CallerBody.of(request.http, settings.maxBodyBytes)
+            CallerBody.of(request.http, settings.maxBodyBytes).also { checkSendable(request, it) }
         } catch (e: CallerException) {
             life.on(RequestEvent.REJECT)
-            return ended(request, RequestOutcome.Malformed(BAD_REQUEST, e.message.orEmpty()))
+            return ended(request, RequestOutcome.Malformed(e.status, e.message.orEmpty()))
         }
         val key = request.idempotencyKey.takeUnless { request.isIdempotent }
             ?: return told(request, runner.run(request, body, life, received))
@@ -175,7 +175,6 @@
         if (phase.get() is Phase.Serving) response else response.header("Connection", "close")
 
     private companion object {
-        const val BAD_REQUEST = 400
         const val TICK_MILLIS = 10L
         const val IDLE_TICK_MILLIS = 100L
     }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/RequestServer.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/RequestServer.kt
@@ -22,17 +22,19 @@
 /**
  * Serves requests at [address] and [port]; port 0 takes any free one.
  *
- * Each request in progress, waiting ones included, holds one of [workerThreads].
+ * Each request in progress, waiting ones included, holds one of [workerThreads]. A caller's body has
+ * to come at [bodyPace].
  */
 class RequestServer(
     private val address: String,
     private val port: Int,
-    private val workerThreads: Int = DEFAULT_WORKER_THREADS
+    private val workerThreads: Int = DEFAULT_WORKER_THREADS,
+    private val bodyPace: BodyPace = BodyPace()
 ) : ServerConfig {
     override val stopMode: ServerConfig.StopMode = ServerConfig.StopMode.Immediate
 
     override fun toServer(http: HttpHandler): Http4kServer {
-        val gate = StoppingHandler(BlockingHandler(AbortingHandler(http)))
+        val gate = StoppingHandler(BlockingHandler(AbortingHandler(http, bodyPace)))
         val server = Undertow.builder()
             .addHttpListener(port, address)
             .setWorkerThreads(workerThreads)
@@ -64,10 +66,12 @@
         }
     }
 
-    private class AbortingHandler(http: HttpHandler) : io.undertow.server.HttpHandler {
+    private class AbortingHandler(http: HttpHandler, private val pace: BodyPace) :
+        io.undertow.server.HttpHandler {
         private val delegate = Http4kUndertowHttpHandler(http)
 
         override fun handleRequest(exchange: HttpServerExchange) {
+            exchange.startBlocking(PacedExchange(exchange, pace))
             try {
                 delegate.handleRequest(exchange)
             } catch (e: Exception) {
--- a/daemon/src/test/kotlin/sycamoremast/daemon/request/OutcomeTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/request/OutcomeTest.kt
@@ -10,6 +10,7 @@
 import strikt.api.expectThat
 import strikt.assertions.contains
 import strikt.assertions.hasSize
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNotNull
 
@@ -187,6 +188,52 @@
         expectThat(answer.statusCode()).isEqualTo(504)
     }
 
+    // Proves: not-run-true | none | request-received
+    @ParameterizedTest
+    @ValueSource(strings = ["GET", "HEAD"])
+    fun `a request that can't be sent on is malformed and takes no slot`(method: String) {
+        val backend = RawBackend { answer(it, "done") }
+        PathHarness(backend).ready().use { harness ->
+            val answer = harness.exchange(
+                "$method /services/$SERVICE/photos HTTP/1.1\r\nHost: entry\r\n" +
+                    "Connection: close\r\nContent-Length: 6\r\n\r\na body"
+            )
+            expectThat(answer).contains("HTTP/1.1 400").contains("X-Outcome: not-run")
+        }
+        expectThat(backend.requests).isEmpty()
+    }
+
+    // Proves: not-run-true | slow | request-received
+    @Test
+    fun `a caller that does not send its body is answered and loses its connection`() {
+        val backend = RawBackend { answer(it, "done") }
+        PathHarness(backend, bodyPace = BodyPace(graceMillis = 200)).ready().use { harness ->
+            val answer = harness.exchange(
+                "POST /services/$SERVICE/photos HTTP/1.1\r\nHost: entry\r\n" +
+                    "Content-Length: 1000\r\n\r\nthe first of them"
+            )
+            expectThat(answer).contains("HTTP/1.1 408").contains("X-Outcome: not-run")
+            eventually { harness.path.inProgress() == 0 }
+        }
+        expectThat(backend.requests).isEmpty()
+    }
+
+    // Proves: not-run-true | slow | request-dispatched
+    @Test
+    fun `a caller that stops in a long body gives its slot back`() {
+        val backend = RawBackend { answer(it, "done") }
+        val list = FakeHostList(listOf(FakeHostList.backend(backend.port, slots = 1)))
+        val pace = BodyPace(graceMillis = 200)
+        PathHarness(hostList = list, bodyPace = pace).ready().use { harness ->
+            val answer = harness.exchange(
+                "POST /services/$SERVICE/invoices HTTP/1.1\r\nHost: entry\r\n" +
+                    "Content-Length: 1000000\r\n\r\n" + "x".repeat(100_000)
+            )
+            expectThat(answer).contains("HTTP/1.1 504").contains("step=sending")
+            expectThat(harness.send("/photos/1").text()).isEqualTo("done")
+        }
+    }
+
     @Test
     fun `a large answer streams whole`() {
         val body = "0123456789".repeat(200_000)
--- a/daemon/src/test/kotlin/sycamoremast/daemon/request/PathHarness.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/request/PathHarness.kt
@@ -2,6 +2,7 @@
 package sycamoremast.daemon.request
 
 import java.io.Closeable
+import java.net.Socket
 import java.net.URI
 import java.net.http.HttpClient
 import java.net.http.HttpRequest
@@ -24,12 +25,13 @@
 internal class PathHarness(
     vararg backends: RawBackend,
     settings: RequestPathSettings = TEST_SETTINGS,
+    bodyPace: BodyPace = BodyPace(),
     hostList: FakeHostList = FakeHostList(backends.map { FakeHostList.backend(it.port) }),
     val ports: RequestPathPorts = testPorts(hostList)
 ) : Closeable {
     val path = requestPath(ports, settings)
     private val server: Http4kServer =
-        RequestServer("127.0.0.1", 0, WORKER_THREADS).toServer(path.handler).start()
+        RequestServer("127.0.0.1", 0, WORKER_THREADS, bodyPace).toServer(path.handler).start()
 
     val port: Int get() = server.port()
 
@@ -51,6 +53,13 @@
         return CLIENT.send(request.build(), BodyHandlers.ofByteArray())
     }
 
+    /** Returns all that is answered to the raw [text] until the connection ends. */
+    fun exchange(text: String): String = Socket("127.0.0.1", port).use { socket ->
+        socket.soTimeout = CALL_TIMEOUT.toMillis().toInt()
+        socket.getOutputStream().write(text.toByteArray(Charsets.ISO_8859_1))
+        socket.getInputStream().readAllBytes().decodeToString()
+    }
+
     /** Repeats [send] until a backend server is known, which follows soon after the start. */
     fun ready(): PathHarness = apply {
         eventually { backendCount() > 0 }
