Hold the slot of a request that is given up on at its deadline

Cause: the call is cancelled at the deadline and its slot was free in the same moment, though the backend server may work on. This host then sent more than the 8 requests a server has slots for; the server's refusal was the only bound.

Ruled out: waiting for the server's answer (it may never come); holding after a reset as well (the server ended the connection itself). How long a server really works on is not known: one that takes longer still refuses, as before.

Test, in virtual time: the slot was given to the next request at once before; it is at 3,000 ms, and not at 2,999, for a request that began at 0 and was given up on at 1,500. Not measured: goodput at a crest (few requests reach their deadline there, as they are refused before).

--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/Dispatcher.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/Dispatcher.kt
@@ -69,6 +69,13 @@
         lane(service).release(granted, sign is BackendSign.Answered, now)
     }
 
+    /** Ends the use of a slot whose backend server may still work on the request. */
+    fun abandon(service: String, granted: Decision.Granted, sign: BackendSign) = lock.withLock {
+        val now = nowMillis()
+        take(granted.backend, sign, now.toLong())
+        lane(service).abandon(granted, now)
+    }
+
     /** Returns when a caller of [service] may come back that is refused for another reason. */
     fun bookReturn(service: String): Duration =
         lock.withLock { lanes[service]?.bookReturn(nowMillis()) } ?: UNLISTED_RETRY
--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/RequestRunner.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/RequestRunner.kt
@@ -103,7 +103,7 @@
             val remaining = remainingMillis().milliseconds.coerceAtLeast(1.milliseconds)
             val result = send(granted, remaining)
             if (result is Answer) return answered(granted, result)
-            dispatcher.release(request.service, granted, signOf(result, granted))
+            giveBack(granted, result)
             avoid += granted.backend.name
             val failure = failureOf(result)
             if (!mayRetry(result, granted)) return ended(failure, (result as? Refused)?.retryAfter)
@@ -112,6 +112,16 @@
             return null
         }
 
+        private fun giveBack(granted: Decision.Granted, result: AttemptResult) {
+            val sign = signOf(result, granted)
+            val isGivenUp = result is Failed && result.kind == FailureKind.DEADLINE
+            if (isGivenUp && !life.isCertainlyNotRun) {
+                dispatcher.abandon(request.service, granted, sign)
+            } else {
+                dispatcher.release(request.service, granted, sign)
+            }
+        }
+
         /** Gives the slot back, too, if sending fails in a way that was not foreseen. */
         private fun send(granted: Decision.Granted, remaining: Duration): AttemptResult {
             var result: AttemptResult? = null
--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/ServiceLane.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/ServiceLane.kt
@@ -21,6 +21,7 @@
     private val scheduler = ServiceScheduler(SchedulerSettings(queueLimit), random)
     private val tickets = hashMapOf<Long, Ticket>()
     private val usage = UsagePeak()
+    private val abandoned = AbandonedSlots()
 
     /** The backend servers on the list. */
     var backends: List<Backend> = emptyList()
@@ -58,6 +59,7 @@
 
     /** Gives free slots to the requests whose turn it is. */
     fun dispatch(nowMillis: Double) {
+        abandoned.free(nowMillis)
         while (scheduler.waiting > 0) {
             val capacity = capacity(nowMillis)
             if (capacity.free == 0) return
@@ -94,6 +96,18 @@
         dispatch(nowMillis)
     }
 
+    /**
+     * Ends [granted], which is given up on although its backend server may still work on it.
+     *
+     * The slot stays in use for a while, lest the server get more requests than it has slots.
+     */
+    fun abandon(granted: Decision.Granted, nowMillis: Double) {
+        val ranMillis = nowMillis - granted.atMillis
+        abandoned.hold(granted.backend, ranMillis, nowMillis)
+        scheduler.finished(granted.request.number, ranMillis, completed = false, nowMillis)
+        dispatch(nowMillis)
+    }
+
     /** Returns the free slots that this host is not likely to need itself soon. */
     fun spare(nowMillis: Double): SlotCounts {
         if (scheduler.waiting > 0) return emptyMap()
