Read the document at once after claiming a shard

Cause: the pause after failed reads in an outage (up to 2 s) outlasted the outage. In schedule 12 of CutOffTest the service was back at 11.0 s, the shard was claimed at 11.3 s, and its document was read at 12.4 s; the workers' leases had lapsed and four tasks started again.

Change: forgetting the ledger's changes, which follows a claim, also ends its pause, as the service has just answered.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/DocumentLedger.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/DocumentLedger.kt
@@ -53,8 +53,9 @@
             it is DocumentChange.AddWorkers || it is DocumentChange.RemoveWorkers
         }
 
-    /** Forgets all changes; the document is read anew. */
+    /** Forgets all changes; the document is read anew, and at once. */
     fun reset() {
+        backOff.succeeded()
         waiting = ArrayList()
         sent = null
         call = null
