--- a/integration/src/test/kotlin/sycamoremast/integration/Deployment.kt
+++ b/integration/src/test/kotlin/sycamoremast/integration/Deployment.kt
@@ -14,7 +14,8 @@
     val zones: List<String> = listOf("gauja"),
     val daemonsPerZone: Int = 1,
     val workersPerZone: Int = 2,
-    val backendsPerZone: Int = 1
+    val backendsPerZone: Int = 1,
+    val shards: Int = 1
 )
 
 /** A running deployment of [layout]; closing it ends all of its processes. */
@@ -97,6 +98,7 @@
         [peers]
         heartbeat-millis = 200
         [batch]
+        shards = ${layout.shards}
         worker-lease-millis = $LEASE_MILLIS
         heartbeat-millis = 200
         [requests]
