See shards' owners by one watch and listing a host instead of 5 reads/s a shard

Cause: a host that stands by read each shard's owner's key every 200 ms, and calls grew with hosts times shards. Ways weighed: reads paced by the lease's time (the service does not tell it; a slower pace delays urgent work); peers' heartbeats (the owner may live and have lost its lease); a watch a shard (calls grow with shards). Chosen: one watch on all owners' keys of the zone, and one listing of them every half lease, which covers a watch that has silently stopped. A shard not seen held for a whole lease is read by itself again every 200 ms, as before. The ledger forgets the pause when a shard is claimed anew. UrgentStartTest, SchedulePropertyTest, CutOffTest, BatchSchedulerTest pass.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/DocumentLedger.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/DocumentLedger.kt
@@ -44,8 +44,9 @@
             it is DocumentChange.AddWorkers || it is DocumentChange.RemoveWorkers
         }
 
-    /** Forgets all changes; the document is read anew. */
+    /** Forgets all changes and failures; the document is read anew. */
     fun reset() {
+        backOff.succeeded()
         waiting = ArrayList()
         sent = null
         call = null
--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/Ownership.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/Ownership.kt
@@ -72,6 +72,12 @@
             else -> dueMillis
         }
 
+    /** Looks at once if the shard is free, and otherwise only if it is not seen again for long. */
+    fun onOwnerSeen(isHeld: Boolean, nowMillis: Long) {
+        if (phase != OwnershipPhase.STANDBY) return
+        dueMillis = if (isHeld) nowMillis + settings.ownerTiming.ttlMillis else nowMillis
+    }
+
     fun onOwnerRead(event: ShardEvent.OwnerRead, nowMillis: Long, out: MutableList<ShardAction>) {
         if (!isAnswer(event.call)) return
         val isFree = event.result.fold({ false }, { it == null })
--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/ShardEvent.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/ShardEvent.kt
@@ -50,6 +50,9 @@
         val quota: Resources? = null
     ) : Listing
 
+    /** The service shows whether the shard has an owner. */
+    data class OwnerSeen(val isHeld: Boolean) : Listing
+
     /** An operator cancels a job of [tasks] tasks. */
     data class CancelRequested(val key: JobKey, val tasks: Int, val reason: String) : Listing
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/ShardMachine.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/ShardMachine.kt
@@ -230,6 +230,8 @@
         when (event) {
             is ShardEvent.DocumentChanged -> ledger.requireRead()
 
+            is ShardEvent.OwnerSeen -> ownership.onOwnerSeen(event.isHeld, nowMillis)
+
             is ShardEvent.WorkersListed -> {
                 listedWorkers = event.workers
                 if (isOwner) listWorkers(nowMillis)
--- a/coordination/src/test/kotlin/sycamoremast/coordination/shard/Schedule.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/shard/Schedule.kt
@@ -79,6 +79,30 @@
             deliver(listing(), life)
             tick(life)
             poll(life)
+            listOwner(life)
+            watchOwner(life, wasHeld = false)
+        }
+
+        private fun listOwner(of: Int) {
+            if (of != life) return
+            if (isAlive) {
+                onStore({ (store.owner(now) != null).right() }) { held ->
+                    held.onRight { deliver(ShardEvent.OwnerSeen(it), of) }
+                }
+            }
+            after(LIST_MILLIS) { listOwner(of) }
+        }
+
+        /** Sees the owner's key vanish, unless the service is down or the change is lost. */
+        private fun watchOwner(of: Int, wasHeld: Boolean) {
+            if (of != life) return
+            val isHeld = store.owner(now) != null
+            if (wasHeld && !isHeld && isAlive) {
+                onStore({ Unit.right() }) { seen ->
+                    seen.onRight { deliver(ShardEvent.OwnerSeen(isHeld = false), of) }
+                }
+            }
+            after(WATCH_MILLIS) { watchOwner(of, isHeld) }
         }
 
         private fun listing() =
@@ -435,6 +459,8 @@
         private const val HEARTBEAT_MILLIS = 500L
         private const val LONGEST_CUT_OFF_MILLIS = 10_000L
         private const val POLL_MILLIS = 1_000L
+        private const val LIST_MILLIS = OWNER_TTL_MILLIS * 2 / 3
+        private const val WATCH_MILLIS = 20L
         private const val TIMEOUT_MILLIS = 800L
         private const val LATEST_MILLIS = 6_000L
         private const val LONGEST_FAULT_MILLIS = 6_000L
--- a/daemon/src/main/kotlin/sycamoremast/daemon/batch/ShardId.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/batch/ShardId.kt
@@ -6,11 +6,14 @@
 /** Identifies the shard [number] of [availabilityZone]. */
 internal data class ShardId(val availabilityZone: String, val number: Int) {
     val documentKey get() = "$SHARDS_PREFIX$availabilityZone/$number"
-    val ownerKey get() = "sycamoremast/owners/$availabilityZone/$number"
+    val ownerKey get() = "${ownersPrefix(availabilityZone)}$number"
 
     override fun toString() = "$availabilityZone/$number"
 
     companion object {
+        /** Returns what the keys of all owners in [availabilityZone] start with. */
+        fun ownersPrefix(availabilityZone: String) = "sycamoremast/owners/$availabilityZone/"
+
         /** Returns the shard whose document is at [key], or null if it is no such key. */
         fun fromDocumentKeyOrNull(key: String): ShardId? {
             if (!key.startsWith(SHARDS_PREFIX)) return null
--- a/daemon/src/main/kotlin/sycamoremast/daemon/batch/ShardedBatchScheduler.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/batch/ShardedBatchScheduler.kt
@@ -48,6 +48,12 @@
         Executors.newSingleThreadScheduledExecutor { Thread(it).apply { isDaemon = true } }
     private val loops = (0 until settings.shards).map { newLoop(ShardId(zone, it)) }
     private val editors = ConcurrentHashMap<ShardId, DocumentEditor>()
+    private val owners = OwnerWatch(
+        ports.store,
+        ShardId.ownersPrefix(zone),
+        loops.map { it.id.ownerKey }.toSet(),
+        ::onOwnerSeen
+    )
 
     /** The workers of every availability zone. */
     @Volatile
@@ -64,10 +70,12 @@
         ports.configuration.onApplied(::onConfiguration)
         every(LIST_PERIOD_MILLIS, ::listWorkers)
         every(settings.ownerLeaseMillis, ::readForeignChanges)
+        every(settings.ownerLeaseMillis / 2, ::watchOwners)
     }
 
     override fun stop() {
         timer.shutdownNow()
+        owners.close()
         loops.forEach { it.post(ShardEvent.ReleaseRequested) }
         val handedOver = loops.map { it.stop(HAND_OVER_MILLIS) }.all { it }
         Logger.info("event=stopped step=hand-over-shards peer=$host complete=$handedOver")
@@ -174,6 +182,16 @@
         loops.forEach { it.post(ShardEvent.WorkersListed(byShard[it.id.number].orEmpty())) }
     }
 
+    /** Watches while this host stands by for any shard. */
+    private fun watchOwners() {
+        if (loops.all { it.snapshot().isOwner }) owners.close() else owners.step()
+    }
+
+    private fun onOwnerSeen(ownerKey: String, isHeld: Boolean) {
+        val loop = loops.firstOrNull { it.id.ownerKey == ownerKey } ?: return
+        if (!loop.snapshot().isOwner) loop.post(ShardEvent.OwnerSeen(isHeld))
+    }
+
     private fun readForeignChanges() {
         loops.filter { it.snapshot().isOwner }.forEach { it.post(ShardEvent.DocumentChanged) }
     }
