--- a/coordination/src/test/kotlin/sycamoremast/coordination/shard/DecisionTimeTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/shard/DecisionTimeTest.kt
@@ -23,10 +23,34 @@
         expectThat(shard.starts).isEqualTo(workers * TASKS_PER_WORKER)
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = [1_000, 1_000, 10_000])
+    fun `a task that fits nowhere does not keep the answers of workers waiting`(workers: Int) {
+        val shard = AnsweredShard(workers)
+        val tasks = workers * TASKS_PER_WORKER
+        shard.deliver(ShardEvent.JobsListed("team", 1, mapOf("short" to spec(tasks))))
+        shard.answerUntil { shard.starts >= tasks }
+        val idle = microsPerHeartbeat(shard)
+        val whole = JobSpec(1, Resources(32_000, 64_000), expectedMillis = 10)
+        shard.deliver(ShardEvent.JobsListed("other", 1, mapOf("whole" to whole)))
+        val waiting = microsPerHeartbeat(shard)
+        println("heartbeat workers=$workers micros=$idle microsWithTaskWaiting=$waiting")
+        expectThat(shard.starts).isEqualTo(tasks)
+    }
+
+    /** Returns the shortest time for the answers of all workers to one heartbeat. */
+    private fun microsPerHeartbeat(shard: AnsweredShard) = (1..HEARTBEATS).minOf {
+        val begin = System.nanoTime()
+        shard.answerAll(HEARTBEAT_MILLIS)
+        (System.nanoTime() - begin) / NANOS_PER_MICRO
+    }
+
     private fun spec(tasks: Int) = JobSpec(tasks, Resources(8_000, 8_000), expectedMillis = 10)
 
     private companion object {
         const val JOBS = 20
+        const val HEARTBEATS = 20
+        const val HEARTBEAT_MILLIS = 500L
         const val TASKS_PER_WORKER = 4
         const val NANOS_PER_MICRO = 1_000
     }
