--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/ShardMachine.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/ShardMachine.kt
@@ -258,6 +258,8 @@
 
             is ShardEvent.HandOverRequested -> if (isOwner) handOver.begin(nowMillis)
 
+            is ShardEvent.OwnerSeen -> ownership.onOwnerSeen(event.isHeld, nowMillis)
+
             is ShardEvent.WorkersListed -> {
                 listedWorkers = event.workers
                 if (isOwner) listWorkers(nowMillis)
--- a/daemon/src/main/kotlin/sycamoremast/daemon/batch/ShardedBatchScheduler.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/batch/ShardedBatchScheduler.kt
@@ -53,6 +53,12 @@
         JobBoard(ports.store, ports.clock, ports.configuration, settings, queries) {
             owners().associate { it.id to it.snapshot().document }
         }
+    private val owners = OwnerWatch(
+        ports.store,
+        ShardId.ownersPrefix(zone),
+        loops.map { it.id.ownerKey }.toSet(),
+        ::onOwnerSeen
+    )
 
     /** The workers of every availability zone. */
     @Volatile
@@ -72,10 +78,12 @@
         every(LIST_PERIOD_MILLIS, ::listWorkers)
         every(settings.ownerLeaseMillis, ::readForeignChanges)
         if (settings.shards > 1) every(BALANCE_PERIOD_MILLIS, balancer::step)
+        every(settings.ownerLeaseMillis / 2, ::watchOwners)
     }
 
     override fun stop() {
         timer.shutdownNow()
+        owners.close()
         loops.forEach { it.post(ShardEvent.ReleaseRequested) }
         val handedOver = loops.map { it.stop(HAND_OVER_MILLIS) }.all { it }
         Logger.info("event=stopped step=hand-over-shards peer=$host complete=$handedOver")
@@ -173,6 +181,16 @@
         loops.forEach { it.post(ShardEvent.WorkersListed(byShard[it.id.number].orEmpty())) }
     }
 
+    /** Watches while this host stands by for any shard. */
+    private fun watchOwners() {
+        if (loops.all { it.snapshot().isOwner }) owners.close() else owners.step()
+    }
+
+    private fun onOwnerSeen(ownerKey: String, isHeld: Boolean) {
+        val loop = loops.firstOrNull { it.id.ownerKey == ownerKey } ?: return
+        if (!loop.snapshot().isOwner) loop.post(ShardEvent.OwnerSeen(isHeld))
+    }
+
     private fun readForeignChanges() {
         owners().forEach { it.post(ShardEvent.DocumentChanged) }
     }
