Strike every step of a task and of a lease with each fault in virtual time

Change: a schedule takes a Strike, which is one fault or a pair and the step at which it strikes for the first to third time. StepFaultTest drives 15 faults and 3 pairs at each of the 9 steps over 40 seeds, with jobs that are evicted by an urgent one, a job that must not be repeated, and a planned release of the shard. The workers' and the service's checker is the one that finds the planted faults; a cell counts only if its fault struck there in a schedule, which is asserted. A mark `// Proves:` may say `task-*` for all steps of a life.

Ruled out: noisy waves (workers in virtual time report no usage) and never-runnable jobs (refused before the batch core hears of them) are left out of the table and stay not proved.

--- a/coordination/src/test/kotlin/sycamoremast/coordination/shard/Schedule.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/shard/Schedule.kt
@@ -12,6 +12,7 @@
 import sycamoremast.coordination.Resources
 import sycamoremast.coordination.StoreError
 import sycamoremast.coordination.SwapOutcome
+import sycamoremast.coordination.TaskAction
 import sycamoremast.coordination.WorkerError
 import sycamoremast.coordination.lease.LeaseTiming
 import sycamoremast.coordination.record.DocumentChange
@@ -26,6 +27,7 @@
     chosenJobs: Map<JobKey, JobSpec>? = null,
     private val losesCalls: Boolean = true,
     private val longestCutOffMillis: Long = LONGEST_CUT_OFF_MILLIS,
+    private val strike: Strike? = null,
     private val faults: Schedule.() -> Unit = Schedule::plantRandomFaults
 ) {
     private val random = Random(seed)
@@ -46,6 +48,9 @@
     private var now = 0L
     private var isStoreUp = true
     private val cut = HashSet<Pair<String, String>>()
+    private val storeTroubles = HashMap<CallTrouble, Long>()
+    private val failing = HashSet<String>()
+    private var workScale = 1.0
 
     private class Timed(val atMillis: Long, val order: Long, val action: () -> Unit)
 
@@ -58,6 +63,7 @@
         var isAlive = true
         var isPaused = false
         private val inbox = ArrayDeque<ShardEvent>()
+        val troubles = HashMap<CallTrouble, Long>()
 
         private fun newMachine(): ShardMachine {
             life++
@@ -81,8 +87,7 @@
             poll(life)
         }
 
-        private fun listing() =
-            ShardEvent.JobsListed("team", revision, jobs.mapKeys { it.key.name })
+        fun listing() = ShardEvent.JobsListed("team", revision, jobs.mapKeys { it.key.name })
 
         /** Hears of the newest configuration. */
         fun listJobs() = deliver(listing())
@@ -96,6 +101,7 @@
 
         private fun poll(of: Int) {
             deliver(ShardEvent.DocumentChanged, of)
+            if (isOwner) at(Step.LEASE_HELD, this)
             if (of == life) after(POLL_MILLIS) { poll(of) }
         }
 
@@ -125,6 +131,7 @@
 
         private fun carryOut(action: ShardAction, of: Int) {
             val answer = { event: ShardEvent -> deliver(event, of) }
+            stepOf(action)?.let { at(it, this) }
             when (action) {
                 is ShardAction.GrantLease -> onStore(
                     { store.grant(now, OWNER_TTL_MILLIS).right() },
@@ -190,6 +197,28 @@
             }
         }
 
+        private fun stepOf(action: ShardAction): Step? = when (action) {
+            is ShardAction.GrantLease, is ShardAction.ClaimOwner -> Step.LEASE_GRANTING
+
+            is ShardAction.KeepLease -> Step.LEASE_RENEWING
+
+            is ShardAction.RevokeLease -> Step.LEASE_RELEASING
+
+            is ShardAction.Start -> Step.TASK_PLACING
+
+            is ShardAction.Renew -> Step.TASK_RUNNING.takeIf {
+                workers.getValue(action.worker).running(now).isNotEmpty()
+            }
+
+            is ShardAction.Control -> Step.TASK_EVICTING.takeIf {
+                action.action == TaskAction.STOP
+            }
+
+            is ShardAction.WriteDocument -> store.stepOf(action.text)
+
+            else -> null
+        }
+
         private fun checkStart(action: ShardAction.Start) {
             val key = JobKey.parseTaskIdOrNull(action.order.taskId)?.first
             val record = key?.let { machine.snapshot().document.job(it) }
@@ -209,6 +238,7 @@
                 { target.call() },
                 { WorkerError.NotSent("call", worker, "no connection").left() },
                 { WorkerError.AnswerLost("call", worker, "timeout").left() },
+                troubles,
                 answer
             )
         }
@@ -276,9 +306,14 @@
         bugs = bugs,
         checker = checker,
         fails = {
-            losesCalls &&
-                Random(seed + it.taskId.hashCode() + it.attempt).nextInt(FAILURE_ODDS) == 0
-        }
+            name in failing ||
+                (
+                    losesCalls &&
+                        Random(seed + it.taskId.hashCode() + it.attempt)
+                            .nextInt(FAILURE_ODDS) == 0
+                    )
+        },
+        scale = { workScale }
     )
 
     private fun listing(name: String) =
@@ -298,6 +333,7 @@
         call,
         { StoreError.NotSent("call", "store", "no connection").left() },
         { StoreError.AnswerLost("call", "store", "timeout").left() },
+        storeTroubles,
         answer
     )
 
@@ -306,10 +342,14 @@
         call: () -> T,
         notSent: () -> T,
         lost: () -> T,
+        troubles: Map<CallTrouble, Long>,
         answer: (T) -> Unit
     ) {
-        val there = random.nextLong(1, 5)
-        val fate = if (losesCalls && now < CALM_MILLIS) random.nextInt(100) else 100
+        val trouble = troubles.entries.firstOrNull { now < it.value }?.key
+        val isSlow = trouble == CallTrouble.SLOW
+        val there = if (isSlow) random.nextLong(200, 700) else random.nextLong(1, 5)
+        val isLossy = losesCalls && now < CALM_MILLIS
+        val fate = fateOf(trouble) ?: if (isLossy) random.nextInt(100) else 100
         when {
             fate < 2 -> after(there) { answer(notSent()) }
 
@@ -336,6 +376,12 @@
         }
     }
 
+    private fun fateOf(trouble: CallTrouble?): Int? = when (trouble) {
+        CallTrouble.ANSWERS_LOST -> FATE_ANSWER_LOST
+        CallTrouble.RESET -> if (random.nextBoolean()) FATE_ANSWER_LOST else FATE_NOT_SENT
+        CallTrouble.SLOW, null -> null
+    }
+
     private fun readBack(
         result: Either<StoreError, SwapOutcome>,
         action: ShardAction.WriteDocument
@@ -385,6 +431,101 @@
     /** When the task [taskId] was first started, or null if it never was. */
     fun startedMillis(taskId: String): Long? = checker.startedMillis[taskId]
 
+    /** Lets the owner give up the shard at [atMillis], and its host start again a little later. */
+    fun releaseOwnerAt(atMillis: Long) = after(atMillis) {
+        hosts.firstOrNull { it.isOwner }?.let(::stopGracefully)
+    }
+
+    private fun stopGracefully(host: Host) {
+        host.deliver(ShardEvent.ReleaseRequested)
+        after(RELEASE_MILLIS) { host.restart() }
+    }
+
+    private fun at(step: Step, host: Host) {
+        if (strike == null || now >= CALM_MILLIS || !strike.isDue(step)) return
+        after(0) { strike.faults.forEach { strike(it, host) } }
+    }
+
+    private fun strike(fault: StepFault, host: Host) {
+        val span = random.nextLong(OWNER_TTL_MILLIS + 500, LONGEST_FAULT_MILLIS)
+        strikeProcess(fault, host, span)
+        strikeCalls(fault, host, span)
+        strikeWork(fault, host)
+    }
+
+    private fun strikeProcess(fault: StepFault, host: Host, span: Long) = when (fault) {
+        StepFault.KILL -> {
+            host.isAlive = false
+            after(span) { if (!host.isAlive) host.restart() }
+        }
+
+        StepFault.FREEZE -> hosts.forEach {
+            pause(it, random.nextLong(100, OWNER_TTL_MILLIS - 500))
+        }
+
+        StepFault.LEASE_LAPSED_IN_PAUSE -> pause(host, span)
+
+        StepFault.PLANNED_STOP -> stopGracefully(host)
+
+        else -> Unit
+    }
+
+    private fun strikeCalls(fault: StepFault, host: Host, span: Long) {
+        when (fault) {
+            StepFault.CUT_BOTH_WAYS -> {
+                val links = workers.keys.map { host.name to it }.toSet()
+                cut += links
+                after(span) { cut -= links }
+            }
+
+            StepFault.CUT_ONE_WAY -> host.troubles[CallTrouble.ANSWERS_LOST] = now + span
+
+            StepFault.SLOW -> host.troubles[CallTrouble.SLOW] = now + span
+
+            StepFault.RESET -> host.troubles[CallTrouble.RESET] = now + RESET_MILLIS
+
+            StepFault.STORE_DOWN -> {
+                isStoreUp = false
+                after(span) { isStoreUp = true }
+            }
+
+            StepFault.STORE_SLOW -> storeTroubles[CallTrouble.SLOW] = now + span
+
+            StepFault.ANSWER_LOST -> storeTroubles[CallTrouble.ANSWERS_LOST] = now + RESET_MILLIS
+
+            else -> Unit
+        }
+    }
+
+    private fun strikeWork(fault: StepFault, host: Host) {
+        when (fault) {
+            StepFault.OPERATOR_RACE -> {
+                cancelAtOwner()
+                cancelInDocument()
+                revision++
+                val older = host.listing()
+                revision++
+                host.listJobs()
+                after(LATE_NEWS_MILLIS) { hosts.forEach { it.deliver(older) } }
+            }
+
+            StepFault.WRONG_SIZES -> workScale = if (random.nextBoolean()) 3.0 else 0.3
+
+            StepFault.CANCELLATION_WAVE -> jobs.forEach { (key, spec) ->
+                hosts.forEach { it.deliver(ShardEvent.CancelRequested(key, spec.tasks, "wave")) }
+            }
+
+            StepFault.WORKER_FAILING -> failing += workers.keys.random(random)
+
+            else -> Unit
+        }
+    }
+
+    private fun pause(host: Host, spanMillis: Long) {
+        host.isPaused = true
+        after(spanMillis) { host.resume() }
+    }
+
     private fun plant(kind: Int) {
         val host = hosts.random(random)
         val worker = workers.values.random(random)
@@ -395,10 +536,7 @@
                 after(span) { if (!host.isAlive) host.restart() }
             }
 
-            1 -> {
-                host.isPaused = true
-                after(span) { host.resume() }
-            }
+            1 -> pause(host, span)
 
             2 -> if (worker.isUp) {
                 worker.crash(now)
@@ -457,6 +595,11 @@
         private const val LATEST_MILLIS = 6_000L
         private const val LONGEST_FAULT_MILLIS = 6_000L
         private const val FAILURE_ODDS = 30
+        private const val FATE_NOT_SENT = 1
+        private const val FATE_ANSWER_LOST = 7
+        private const val LATE_NEWS_MILLIS = 50L
+        private const val RESET_MILLIS = 400L
+        private const val RELEASE_MILLIS = 3_000L
 
         /** When the faults end; after that every job has to come to its end. */
         private const val CALM_MILLIS = 15_000L
--- a/coordination/src/test/kotlin/sycamoremast/coordination/shard/SimulatedStore.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/shard/SimulatedStore.kt
@@ -67,6 +67,17 @@
         return SwapOutcome.Applied(revision)
     }
 
+    /** Returns the step that a task takes by the writing of [text], or null. */
+    fun stepOf(text: String): Step? {
+        val next = ShardDocument.parseOrNull(text) ?: return null
+        val finished = { document: ShardDocument -> document.jobs.sumOf { it.finished.size } }
+        return when {
+            next.jobs.size > truth.jobs.size -> Step.TASK_ACCEPTED
+            finished(next) > finished(truth) -> Step.TASK_FINISHING
+            else -> null
+        }
+    }
+
     private fun held(now: Long) = owner?.takeIf { (leases[it.second] ?: 0) > now }
 
     private fun check(next: ShardDocument) {
--- a/coordination/src/test/kotlin/sycamoremast/coordination/shard/SimulatedWorker.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/shard/SimulatedWorker.kt
@@ -14,7 +14,10 @@
 import sycamoremast.coordination.WorkerError
 import sycamoremast.coordination.WorkerReport
 
-/** [rate] is how fast the worker's clock runs; stopping a task takes [stopMillis]. */
+/**
+ * [rate] is how fast the worker's clock runs; stopping a task takes [stopMillis] and running one its
+ * declared time by [scale].
+ */
 internal class SimulatedWorker(
     val name: String,
     val capacity: Resources,
@@ -22,6 +25,7 @@
     private val stopMillis: Long,
     private val bugs: Set<PlantedBug>,
     private val checker: Checker,
+    private val scale: () -> Double = { 1.0 },
     private val fails: (StartOrder) -> Boolean
 ) {
     internal class Task(val order: StartOrder, val startedMillis: Long) {
@@ -141,7 +145,7 @@
         for (task in tasks.values) {
             if (task.phase != TaskPhase.RUNNING) continue
             val left = task.order.workMillis - (task.order.resumeFrom?.doneMillis ?: 0)
-            val doneAt = task.startedMillis + left.coerceAtLeast(1)
+            val doneAt = task.startedMillis + (left * scale()).toLong().coerceAtLeast(1)
             val endAt = minOf(doneAt, lapsedAt, task.stopAtMillis)
             if (endAt > now) continue
             task.phase = when {
--- /dev/null
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/shard/StepFaultTest.kt
@@ -0,0 +1,75 @@
+/** Every fault, and the likelier pairs of them, at every step of a task and of a lease. */
+package sycamoremast.coordination.shard
+
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEmpty
+import sycamoremast.coordination.Resources
+import sycamoremast.coordination.record.JobKey
+import sycamoremast.coordination.record.JobSpec
+
+class StepFaultTest {
+    private val pairs = listOf(
+        listOf(StepFault.KILL, StepFault.STORE_DOWN),
+        listOf(StepFault.CUT_BOTH_WAYS, StepFault.OPERATOR_RACE),
+        listOf(StepFault.FREEZE, StepFault.LEASE_LAPSED_IN_PAUSE)
+    )
+    private val urgent = JobSpec(2, Resources(3_000, 3_000), expectedMillis = 500, urgent = true)
+    private val jobs = mapOf(
+        JobKey("team", "filler") to JobSpec(12, Resources(1_000, 1_000), expectedMillis = 3_000),
+        JobKey("team", "invoice") to
+            JobSpec(2, Resources(500, 500), expectedMillis = 500, neverRepeat = true)
+    )
+
+    // Proves: capacity, one-place, resumed-once | kill, freeze, cut-both-ways, cut-one-way | task-*
+    // Proves: capacity, one-place, resumed-once | slow, reset, store-down, store-slow | task-*
+    // Proves: capacity, one-place, resumed-once | answer-lost, lease-lapsed-in-pause | task-*
+    // Proves: capacity, one-place, resumed-once | operator-race, wrong-sizes | task-*
+    // Proves: capacity, one-place, resumed-once | cancellation-wave, worker-failing | task-*
+    // Proves: capacity, one-place, resumed-once | planned-stop, kill + store-down | task-*
+    // Proves: capacity, one-place, resumed-once | cut-both-ways + operator-race | task-*
+    // Proves: capacity, one-place, resumed-once | freeze + lease-lapsed-in-pause | task-*
+    // Proves: one-place, resumed-once | kill, freeze, cut-both-ways, cut-one-way, slow | lease-*
+    // Proves: one-place, resumed-once | reset, store-down, store-slow, answer-lost | lease-*
+    // Proves: one-place, resumed-once | lease-lapsed-in-pause, operator-race, wrong-sizes | lease-*
+    // Proves: one-place, resumed-once | cancellation-wave, worker-failing, planned-stop | lease-*
+    // Proves: one-place, resumed-once | kill + store-down, cut-both-ways + operator-race | lease-*
+    // Proves: one-place, resumed-once | freeze + lease-lapsed-in-pause | lease-*
+    @Test
+    fun `no fault at any step breaks a promise`() {
+        val broken = mutableListOf<String>()
+        val strikes = mutableMapOf<String, Int>()
+        for (faults in StepFault.entries.map(::listOf) + pairs) {
+            for (step in Step.entries) {
+                val outcomes = (1L..SCHEDULES).map { seed -> outcome(seed, faults, step) }
+                broken += outcomes.mapNotNull { it.second }.take(1)
+                strikes["$faults at $step"] = outcomes.count { it.first }
+            }
+        }
+        println("step-faults cells=${strikes.size} fewest=${strikes.minBy { it.value }}")
+        expectThat(broken).isEmpty()
+        expectThat(strikes.filterValues { it == 0 }).isEmpty()
+    }
+
+    /** Returns whether [faults] struck at [step], and the promise that was broken, if any. */
+    private fun outcome(seed: Long, faults: List<StepFault>, step: Step): Pair<Boolean, String?> {
+        val strike = Strike(faults, step, count = 1 + (seed % STEPS_AT_MOST).toInt())
+        val schedule = Schedule(seed, chosenJobs = jobs, strike = strike) {
+            submitAt(SUBMITTED_MILLIS, JobKey("team", "urgent"), urgent)
+            releaseOwnerAt(RELEASED_MILLIS)
+        }
+        return try {
+            schedule.run()
+            strike.hasStruck to null
+        } catch (e: BrokenPromise) {
+            strike.hasStruck to "$faults at $step: ${e.message}"
+        }
+    }
+
+    private companion object {
+        const val SCHEDULES = 40L
+        const val STEPS_AT_MOST = 3L
+        const val SUBMITTED_MILLIS = 2_000L
+        const val RELEASED_MILLIS = 4_000L
+    }
+}
--- /dev/null
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/shard/Strike.kt
@@ -0,0 +1,46 @@
+/** Faults that strike a schedule just as a task, or the shard's lease, takes a chosen step. */
+package sycamoremast.coordination.shard
+
+/** The steps of a task and of a lease. */
+internal enum class Step {
+    TASK_ACCEPTED,
+    TASK_PLACING,
+    TASK_RUNNING,
+    TASK_EVICTING,
+    TASK_FINISHING,
+    LEASE_GRANTING,
+    LEASE_HELD,
+    LEASE_RENEWING,
+    LEASE_RELEASING
+}
+
+/** A fault that can strike at a step. */
+internal enum class StepFault {
+    KILL,
+    FREEZE,
+    LEASE_LAPSED_IN_PAUSE,
+    CUT_BOTH_WAYS,
+    CUT_ONE_WAY,
+    SLOW,
+    RESET,
+    STORE_DOWN,
+    STORE_SLOW,
+    ANSWER_LOST,
+    OPERATOR_RACE,
+    WRONG_SIZES,
+    CANCELLATION_WAVE,
+    WORKER_FAILING,
+    PLANNED_STOP
+}
+
+/** [faults] that strike together when [step] is taken for the [count]th time. */
+internal class Strike(val faults: List<StepFault>, val step: Step, private var count: Int) {
+    /** Whether the faults have struck. */
+    val hasStruck get() = count <= 0
+
+    /** Returns whether the faults strike now, as [taken] is taken. */
+    fun isDue(taken: Step) = taken == step && --count == 0
+}
+
+/** What befalls calls for a while. */
+internal enum class CallTrouble { ANSWERS_LOST, SLOW, RESET }
--- a/integration/src/test/kotlin/sycamoremast/integration/proof/ProofReader.kt
+++ b/integration/src/test/kotlin/sycamoremast/integration/proof/ProofReader.kt
@@ -3,8 +3,8 @@
  *
  * A test is marked by lines `// Proves: invariant | fault | step` above its annotation; faults that
  * come together are joined by `+`. Each of the three may be a list, separated by commas, and the
- * mark then stands for all combinations. A mark that names nothing known, or that is followed by no
- * test, is an error.
+ * mark then stands for all combinations; `task-*` stands for all steps of that life. A mark that
+ * names nothing known, or that is followed by no test, is an error.
  */
 package sycamoremast.integration.proof
 
@@ -49,11 +49,17 @@
         val (invariantTags, faultTags, steps) = mark.groupValues.drop(1).map { it.split(", ") }
         return invariantTags.flatMap { invariant ->
             faultTags.flatMap { faults ->
-                steps.map { proof(invariant, faults, it, where, test) }
+                steps.flatMap(::expanded).map { proof(invariant, faults, it, where, test) }
             }
         }
     }
 
+    private fun expanded(step: String): List<String> {
+        if (!step.endsWith("-*")) return listOf(step)
+        val all = Life.entries.flatMap { it.steps }.filter { it.startsWith(step.dropLast(1)) }
+        return all.ifEmpty { listOf(step) }
+    }
+
     private fun proof(
         invariantTag: String,
         faultTags: String,
--- a/integration/src/test/kotlin/sycamoremast/integration/proof/ProofsTest.kt
+++ b/integration/src/test/kotlin/sycamoremast/integration/proof/ProofsTest.kt
@@ -78,6 +78,8 @@
             }
         }
         expectThat(cells).isEqualTo(expected)
+        val steps = read(markOf("capacity | kill | task-*") + "@Test\nfun `x`() {\n")
+        expectThat(steps.map { it.step }).isEqualTo(Life.TASK.steps)
     }
 
     @Test
@@ -87,6 +89,8 @@
             "one-place | flood | task-running",
             "one-place | kill | request-received",
             "one-place",
+            "one-place | kill | requests-*",
+            "capacity | kill | lease-*",
             "one-place, | kill | task-running",
             "one-place | kill, | task-running",
             "one-place | kill | task-running,",
