Strike the link to the platform one-way, slow and with resets

Cause: with real processes the platform's link was only cut both ways.

Change: PlatformLink's proxies filter the platform's answers: they discard them, hold each part back for 50 ms, or break the connection. OutageTest drives the three through its deployment: requests are all answered whole, the configuration in force stays, the job's tasks finish once by the workers' and backend servers' records, and the fault is counted to have struck five times.

Run: OutageTest and ProofsTest. The new cases were not seen failing.

--- a/integration/src/test/kotlin/sycamoremast/integration/Deployment.kt
+++ b/integration/src/test/kotlin/sycamoremast/integration/Deployment.kt
@@ -1,8 +1,12 @@
 /** Stand-ins and daemons that form a whole deployment on loopback addresses. */
 package sycamoremast.integration
 
+import java.io.IOException
 import java.net.InetSocketAddress
 import java.net.ServerSocket
+import java.nio.ByteBuffer
+import java.util.concurrent.atomic.AtomicInteger
+import org.netcrusher.core.filter.TransformFilter
 import org.netcrusher.core.reactor.NioReactor
 import org.netcrusher.tcp.TcpCrusher
 import org.netcrusher.tcp.TcpCrusherBuilder
@@ -110,6 +114,9 @@
     }
 }
 
+/** What a link does to the answers of the platform. */
+internal enum class LinkFault { CUT_ONE_WAY, SLOW, RESET }
+
 /** The proxies between one availability zone and the platform. */
 internal class PlatformLink(platform: Platform) : AutoCloseable {
     private val reactor = NioReactor()
@@ -118,6 +125,13 @@
     val keyValueAddress = "127.0.0.1:${keyValue.bindAddress.port}"
     val hostListAddress = "127.0.0.1:${hostList.bindAddress.port}"
 
+    /** What befalls the link, until it is set to null. */
+    @Volatile
+    var fault: LinkFault? = null
+
+    /** How many answers' parts [fault] struck. */
+    val struck = AtomicInteger()
+
     /** Cuts the zone off from the platform: connections are closed and refused. */
     fun cut() {
         keyValue.close()
@@ -139,8 +153,23 @@
         .withReactor(reactor)
         .withBindAddress(InetSocketAddress("127.0.0.1", freePort()))
         .withConnectAddress("127.0.0.1", address.substringAfter(':').toInt())
+        .withIncomingTransformFilterFactory { TransformFilter(::strike) }
         .buildAndOpen()
 
+    private fun strike(bytes: ByteBuffer) {
+        val kind = fault ?: return
+        struck.incrementAndGet()
+        when (kind) {
+            LinkFault.CUT_ONE_WAY -> bytes.position(bytes.limit())
+            LinkFault.SLOW -> Thread.sleep(SLOW_MILLIS)
+            LinkFault.RESET -> throw IOException("reset by the test")
+        }
+    }
+
     /** The proxy does not tell which port it was given, so it has to be named one. */
     private fun freePort() = ServerSocket(0).use { it.localPort }
+
+    private companion object {
+        const val SLOW_MILLIS = 50L
+    }
 }
--- a/integration/src/test/kotlin/sycamoremast/integration/OutageTest.kt
+++ b/integration/src/test/kotlin/sycamoremast/integration/OutageTest.kt
@@ -7,6 +7,8 @@
 import org.junit.jupiter.api.BeforeAll
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.Timeout
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.EnumSource
 import strikt.api.expectThat
 import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
@@ -17,7 +19,36 @@
 @Timeout(value = 60, unit = TimeUnit.SECONDS)
 class OutageTest {
     @AfterEach
-    fun mend() = deployment.platform.setKeyValueFaults(KeyValueFaults())
+    fun mend() {
+        deployment.platform.setKeyValueFaults(KeyValueFaults())
+        deployment.link("gauja").fault = null
+    }
+
+    // Proves: whole-answer | cut-one-way, slow, reset | request-received
+    // Proves: one-place, resumed-once | cut-one-way, slow, reset | task-running
+    // Proves: in-force | cut-one-way, slow, reset | configuration-applied
+    @ParameterizedTest
+    @EnumSource
+    internal fun `requests and a job go on over a faulty link to the platform`(fault: LinkFault) {
+        val job = "${fault.name.lowercase().replace('_', '-')}-survey"
+        val link = deployment.link("gauja")
+        val revision = deployment.submit(bktib { survey(job, expected = 3.seconds) })
+        await("a task runs", deployment::logs) { runs(job).isNotEmpty() }
+        link.struck.set(0)
+        link.fault = fault
+        val load = Load(threads = 2, workMillis = 10) { deployment.daemons[it % 2].requests }
+        load.use {
+            await("requests are answered and the fault has struck", deployment::logs) {
+                load.count(Got.WHOLE) >= 100 && link.struck.get() >= STRIKES
+            }
+        }
+        expectThat(load.others(Got.WHOLE)).isEqualTo(mapOf())
+        expectThat(deployment.daemons.map { it.document("bktib").revision }.toSet())
+            .isEqualTo(setOf(revision))
+        link.fault = null
+        deployment.awaitJob(deployment.daemons.first(), job, "finished")
+        expectFinishedOnce(deployment.platform.runs(), job, tasks = 4)
+    }
 
     // Proves: whole-answer | store-down | request-received
     // Proves: one-place | store-down | task-running
@@ -80,6 +111,7 @@
     private fun runs(job: String) = deployment.platform.runs().filter { job in it.taskId }
 
     companion object {
+        private const val STRIKES = 5
         private lateinit var deployment: Deployment
 
         @JvmStatic
