Record checkpoints once a minute, so that they outlive owner and worker together

Cause: where a task's checkpoint lies was known to its worker and its owner only.

Ruled out: a write for each checkpoint (grows with the running tasks); heartbeats to standby hosts (lasting state belongs in the service); a write by the worker (it does not call the service).

Change: once in 60 s an owner records, in one write for its shard, the checkpoints of undecided repeatable tasks that are 30 s of work further than the recorded ones, as far as DocumentRoom has room beyond what accepted jobs may need. Completions and ends remove them; a new owner resumes from them. Short work writes nothing.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/record/DocumentChange.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/record/DocumentChange.kt
@@ -1,6 +1,8 @@
 /** The changes that a shard's document goes through; each may be applied to a newer document. */
 package sycamoremast.coordination.record
 
+import sycamoremast.coordination.Checkpoint
+
 /** A change of a shard's document. Applying it a second time changes nothing more. */
 sealed interface DocumentChange {
     /** Returns [document] with this change. */
@@ -28,7 +30,8 @@
         override fun applyTo(document: ShardDocument) = document.update(key) { job ->
             job.copy(
                 finished = job.finished + indices,
-                starts = job.starts.filter { it.index !in indices }
+                starts = job.starts.filter { it.index !in indices },
+                checkpoints = job.checkpoints - indices.toSet()
             ).endedIfComplete()
         }
     }
@@ -53,6 +56,18 @@
         }
     }
 
+    /** Records [checkpoints] of undecided tasks, where they are further than what is recorded. */
+    data class RecordCheckpoints(val key: JobKey, val checkpoints: Map<Int, Checkpoint>) :
+        DocumentChange {
+        override fun applyTo(document: ShardDocument) = document.update(key) { job ->
+            val further = checkpoints.filter { (index, checkpoint) ->
+                val known = job.checkpoints[index]?.doneMillis ?: 0
+                index !in job.finished && checkpoint.doneMillis > known
+            }
+            job.copy(checkpoints = job.checkpoints + further)
+        }
+    }
+
     /** Ends the job [key] in the final [state]. */
     data class EndJob(val key: JobKey, val state: JobState, val reason: String) : DocumentChange {
         override fun applyTo(document: ShardDocument) =
--- a/coordination/src/main/kotlin/sycamoremast/coordination/record/JobRecord.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/record/JobRecord.kt
@@ -2,6 +2,7 @@
 package sycamoremast.coordination.record
 
 import kotlinx.serialization.Serializable
+import sycamoremast.coordination.Checkpoint
 import sycamoremast.coordination.Resources
 
 /** Identifies a job for ever. */
@@ -51,8 +52,8 @@
 /**
  * A job's record; [acceptedEpoch] is the epoch of the owner that accepted it.
  *
- * [unknown] lists the never-repeated tasks whose outcome can't be told. A record in a final state
- * keeps no [spec].
+ * [unknown] lists the never-repeated tasks whose outcome can't be told. [checkpoints] are some of
+ * those that undecided tasks have saved. A record in a final state keeps no [spec].
  */
 @Serializable
 data class JobRecord(
@@ -65,6 +66,7 @@
     val finished: IndexSet = IndexSet.EMPTY,
     val unknown: IndexSet = IndexSet.EMPTY,
     val starts: List<TaskStart> = emptyList(),
+    val checkpoints: Map<Int, Checkpoint> = emptyMap(),
     val reason: String = ""
 ) {
     /** The job's identity. */
@@ -75,6 +77,7 @@
         state = state,
         spec = null,
         starts = emptyList(),
+        checkpoints = emptyMap(),
         reason = reason.take(REASON_LENGTH)
     )
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/JobRow.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/JobRow.kt
@@ -27,6 +27,10 @@
     private val requeued = ArrayDeque<Int>()
     private var cursor = 0
 
+    init {
+        checkpoints.putAll(record.checkpoints)
+    }
+
     val spec: JobSpec? get() = record.spec
     val isLong: Boolean get() = waiting(nowMillis = 0).isLong
     val isOpen: Boolean get() = record.state == JobState.ACCEPTED && !isEnding
--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/ShardMachine.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/ShardMachine.kt
@@ -32,6 +32,7 @@
     private val workers = WorkerTable(settings, tasks, interference, ::newCall)
     private val dispatcher = Dispatcher(tasks, workers, shares, judge, interference, ledger)
     private val endedJobs = EndedJobs(settings, tasks)
+    private val checkpoints = CheckpointRecorder(settings, tasks)
     private val intake = JobIntake(tasks, ledger)
     private val listedJobs = HashMap<String, ShardEvent.JobsListed>()
     private var listedWorkers = emptyList<ListedHost>()
@@ -123,6 +124,7 @@
         }
         if (!ledger.isSettled) return
         endedJobs.shrink(ledger.document, listedJobs, ledger::submit)
+        checkpoints.record(ledger.document, nowMillis, ledger::submit)
         intake.retry(listedJobs.values, epoch)
     }
 
--- a/coordination/src/test/kotlin/sycamoremast/coordination/record/ShardDocumentTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/record/ShardDocumentTest.kt
@@ -10,6 +10,7 @@
 import strikt.assertions.isFalse
 import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.isTrue
+import sycamoremast.coordination.Checkpoint
 import sycamoremast.coordination.Resources
 
 class ShardDocumentTest {
@@ -28,6 +29,7 @@
             accepted,
             DocumentChange.AddWorkers(listOf("w1", "w2")),
             start,
+            DocumentChange.RecordCheckpoints(key, mapOf(2 to Checkpoint(1, 50))),
             DocumentChange.FinishTasks(key, listOf(0)),
             DocumentChange.LoseOutcome(key, 1),
             DocumentChange.RemoveWorkers(listOf("w2"))
--- a/coordination/src/test/kotlin/sycamoremast/coordination/shard/AnsweredShard.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/shard/AnsweredShard.kt
@@ -3,6 +3,7 @@
 
 import arrow.core.Either
 import arrow.core.right
+import sycamoremast.coordination.Checkpoint
 import sycamoremast.coordination.HostRole
 import sycamoremast.coordination.HostState
 import sycamoremast.coordination.LeaseId
@@ -15,7 +16,7 @@
 import sycamoremast.coordination.lease.LeaseTiming
 
 /** A shard of [workers], each of 32 processors; its tasks run until they are finished. */
-internal class AnsweredShard(workers: Int) {
+internal class AnsweredShard(workers: Int, private val reportsCheckpoints: Boolean = false) {
     private val timing = LeaseTiming(ttlMillis = 60_000, marginMillis = 100)
     private val machine = ShardMachine(ShardSettings("h", "h#1", timing, timing, HEARTBEAT_MILLIS))
     private val queue = ArrayDeque<ShardEvent>()
@@ -124,10 +125,13 @@
             leaseRemainingMillis = 60_000,
             capacity = Resources(32_000, 64_000),
             rack = "r${action.worker.hashCode() % 100}",
-            tasks = tasksOn(action.worker).values.toList()
+            tasks = tasksOn(action.worker).values.map(::withCheckpoint)
         ).right()
     }
 
+    private fun withCheckpoint(task: TaskReport) =
+        if (reportsCheckpoints) task.copy(checkpoint = Checkpoint(now, now)) else task
+
     private fun started(action: ShardAction.Start): Either<Nothing, TaskReport> {
         starts++
         val order = action.order
--- a/coordination/src/test/kotlin/sycamoremast/coordination/shard/Checker.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/shard/Checker.kt
@@ -37,6 +37,9 @@
 ) {
     val runs = HashMap<String, Int>()
     val startedMillis = HashMap<String, Long>()
+
+    /** The progress from which each task was last started, where it was one. */
+    val resumedFromMillis = HashMap<String, Long>()
     private val finishedRuns = HashSet<String>()
 
     /** The newest record of every job, also of those that the document no longer holds. */
@@ -50,6 +53,7 @@
         val id = task.order.taskId
         val (key, index) = JobKey.parseTaskIdOrNull(id) ?: error("no task id: $id")
         startedMillis.putIfAbsent(id, now)
+        task.order.resumeFrom?.let { resumedFromMillis[id] = it.doneMillis }
         val record = records[key] ?: document().job(key)
         require(record != null) { "$id started before its job was accepted" }
         require(record == null || index !in record.finished) { "$id started after it finished" }
--- a/coordination/src/test/kotlin/sycamoremast/coordination/shard/Schedule.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/shard/Schedule.kt
@@ -25,6 +25,7 @@
     chosenJobs: Map<JobKey, JobSpec>? = null,
     private val losesCalls: Boolean = true,
     private val longestCutOffMillis: Long = LONGEST_CUT_OFF_MILLIS,
+    private val checkpointPeriodMillis: Long = checkpointPeriod(seed),
     private val faults: Schedule.() -> Unit = Schedule::plantRandomFaults
 ) {
     private val random = Random(seed)
@@ -74,6 +75,7 @@
                     workerTiming = LeaseTiming(WORKER_TTL_MILLIS, margin),
                     heartbeatMillis = HEARTBEAT_MILLIS,
                     longestCutOffMillis = longestCutOffMillis,
+                    checkpointPeriodMillis = checkpointPeriodMillis,
                     keptEndedJobs = 0,
                     rememberedNames = rememberedNames
                 )
@@ -373,6 +375,10 @@
         hosts.filter { it.isOwner }.forEach { it.isAlive = false }
     }
 
+    /** Crashes every worker at [atMillis]. */
+    fun crashWorkersAt(atMillis: Long) =
+        after(atMillis) { workers.values.forEach { it.crash(now) } }
+
     /** Cuts every host off from the service for [spanMillis]. */
     fun cutServiceAt(atMillis: Long, spanMillis: Long) = after(atMillis) {
         isStoreUp = false
@@ -385,6 +391,9 @@
     /** When the task [taskId] was first started, or null if it never was. */
     fun startedMillis(taskId: String): Long? = checker.startedMillis[taskId]
 
+    /** The progress from which the task [taskId] was last resumed, or null if it never was. */
+    fun resumedFromMillis(taskId: String): Long? = checker.resumedFromMillis[taskId]
+
     private fun plant(kind: Int) {
         val host = hosts.random(random)
         val worker = workers.values.random(random)
@@ -452,6 +461,16 @@
         private const val OWNER_TTL_MILLIS = 2_000L
         private const val WORKER_TTL_MILLIS = 2_000L
         private const val HEARTBEAT_MILLIS = 500L
+        private const val CHECKPOINT_ODDS = 4
+        private const val NO_CHECKPOINTS_MILLIS = 600_000L
+
+        /** How often checkpoints are recorded in a quarter of the schedules. */
+        const val CHECKPOINT_PERIOD_MILLIS = 600L
+
+        /** With recorded checkpoints runs are shorter, so that fewer faults meet them. */
+        private fun checkpointPeriod(seed: Long) =
+            if (seed % CHECKPOINT_ODDS == 0L) CHECKPOINT_PERIOD_MILLIS else NO_CHECKPOINTS_MILLIS
+
         private const val LONGEST_CUT_OFF_MILLIS = 10_000L
         private const val TICK_MILLIS = 50L
         private const val POLL_MILLIS = 1_000L
