--- a/daemon/src/test/kotlin/sycamoremast/daemon/platform/HttpHostListTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/platform/HttpHostListTest.kt
@@ -5,6 +5,7 @@
 import strikt.api.expectThat
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
+import strikt.assertions.isTrue
 import sycamoremast.coordination.HostListError
 import sycamoremast.coordination.HostRole
 import sycamoremast.coordination.HostState
@@ -31,7 +32,11 @@
             )
             server.setHosts(hosts)
             val list = HttpHostList.at(address, testClient())
-            expectThat(list.hosts()).isEqualTo(Either.Right(hosts))
+            val read = list.hosts()
+            expectThat(read).isEqualTo(Either.Right(hosts))
+            expectThat(list.hosts().getOrNull() === read.getOrNull()).isTrue()
+            server.setHosts(hosts + hosts[0].copy(name = "w2"))
+            expectThat(list.hosts().map { it.size }).isEqualTo(Either.Right(2))
             server.setFaults(HostListFaults(down = true))
             expectThat(list.hosts()).isA<Either.Left<HostListError>>()
                 .get { value.peer }.isEqualTo(address)
