--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/Ownership.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/Ownership.kt
@@ -79,15 +79,22 @@
             else -> dueMillis
         }
 
-    /** Looks at once if the shard is free, and otherwise only if it is not seen again for long. */
+    /**
+     * Looks at once if the shard is free, and otherwise only if it is not seen again for long.
+     *
+     * A host that has given the shard up looks on until its revocation is seen to have worked, and
+     * one that has read that the shard is free until it reads that it is held: a listing may be
+     * older than that reading.
+     */
     fun onOwnerSeen(isHeld: Boolean, nowMillis: Long) {
-        if (phase != OwnershipPhase.STANDBY) return
+        val isLooking = givenUp != null || freeSinceMillis != null
+        if (phase != OwnershipPhase.STANDBY || (isHeld && isLooking)) return
         dueMillis = if (isHeld) nowMillis + settings.ownerTiming.ttlMillis else nowMillis
     }
 
     fun onOwnerRead(event: ShardEvent.OwnerRead, nowMillis: Long, out: MutableList<ShardAction>) {
         if (!isAnswer(event.call)) return
-        event.result.getOrNull()?.let { revokeAgainIfHeld(it, out) }
+        event.result.onRight { revokeAgainIfHeld(it, out) }
         val isFree = event.result.fold({ false }, { isFree(it, nowMillis) })
         if (!isFree || !mayClaim(nowMillis)) return abandon(nowMillis, out)
         advance(OwnershipStep.FIND_FREE)
@@ -95,9 +102,9 @@
     }
 
     /** The call that revoked a lease given up earlier may have been lost. */
-    private fun revokeAgainIfHeld(owner: StoreEntry, out: MutableList<ShardAction>) {
+    private fun revokeAgainIfHeld(owner: StoreEntry?, out: MutableList<ShardAction>) {
         val id = givenUp ?: return
-        if (owner.value == claimOf(id)) out += ShardAction.RevokeLease(id)
+        if (owner?.value == claimOf(id)) out += ShardAction.RevokeLease(id) else givenUp = null
     }
 
     private fun isFree(owner: StoreEntry?, nowMillis: Long): Boolean {
--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/WorkerTable.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/WorkerTable.kt
@@ -199,10 +199,14 @@
         return true
     }
 
+    /** A worker whose answer was lost is asked at once what it runs. */
     private fun onStartFailed(row: WorkerRow, task: LiveTask, error: WorkerError, nowMillis: Long) {
+        if (error is WorkerError.AnswerLost) {
+            row.renewalDueMillis = nowMillis
+            return
+        }
         row.slot.pausedUntilMillis = nowMillis + settings.heartbeatMillis
-        if (error is WorkerError.AnswerLost || task.confirmedByCall > 0) return
-        tasks.gone(task, neverStarted = true)
+        if (task.confirmedByCall <= 0) tasks.gone(task, neverStarted = true)
     }
 
     fun onControlled(event: ShardEvent.Controlled): Boolean {
