Run both HTTP servers by one class

Cause: RequestServer and BoundHttpServer each had a class of its own for the running server, alike but for what happens before the stop. Ruled out: one class for both configurations; the one for callers ends connections, paces bodies and answers while it stops, the other bounds bodies and idle time, and they have no option in common but the parse timeout. Change: RunningServer, used by both.

--- a/daemon/src/main/kotlin/sycamoremast/daemon/http/BoundHttpServer.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/http/BoundHttpServer.kt
@@ -40,11 +40,3 @@
         return RunningServer(server)
     }
 }
-
-private class RunningServer(private val server: Undertow) : Http4kServer {
-    override fun start(): Http4kServer = apply { server.start() }
-
-    override fun stop(): Http4kServer = apply { server.stop() }
-
-    override fun port(): Int = (server.listenerInfo.single().address as InetSocketAddress).port
-}
--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/RequestServer.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/RequestServer.kt
@@ -12,12 +12,12 @@
 import io.undertow.server.handlers.BlockingHandler
 import io.undertow.util.HttpString
 import io.undertow.util.StatusCodes
-import java.net.InetSocketAddress
 import org.http4k.core.HttpHandler
 import org.http4k.server.Http4kServer
 import org.http4k.server.Http4kUndertowHttpHandler
 import org.http4k.server.ServerConfig
 import org.xnio.IoUtils
+import sycamoremast.daemon.http.RunningServer
 
 /**
  * Serves requests at [address] and [port]; port 0 takes any free one.
@@ -42,7 +42,7 @@
             .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, PARSE_TIMEOUT_MILLIS)
             .setHandler(gate)
             .build()
-        return RunningServer(server, gate)
+        return RunningServer(server) { gate.isStopping = true }
     }
 
     /** Answers on the I/O thread once the server stops, whose workers take no more requests. */
@@ -80,18 +80,6 @@
         }
     }
 
-    private class RunningServer(private val server: Undertow, private val gate: StoppingHandler) :
-        Http4kServer {
-        override fun start() = apply { server.start() }
-
-        override fun stop() = apply {
-            gate.isStopping = true
-            server.stop()
-        }
-
-        override fun port() = (server.listenerInfo.single().address as InetSocketAddress).port
-    }
-
     companion object {
         /** Threads enough for the default limits of slots and waiting requests. */
         const val DEFAULT_WORKER_THREADS = 1_200
