Wait for starts under way before a planned stop gives a shard up

Cause: a graceful stop gave the shard up as soon as its document was settled. A start that was under way then came to a worker of the next owner's epoch; a task that must not be repeated could be reported as unknown for a planned stop. Test: "a shard is not given up while a start or a write is under way" asks for both; it failed first for the release. HandOverTest, SchedulePropertyTest, StepFaultTest and ProblemReportTest pass.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/shard/ShardMachine.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/shard/ShardMachine.kt
@@ -67,7 +67,10 @@
         tasks.nowMillis = nowMillis
         when (event) {
             is ShardEvent.Tick -> sweptMillis = Long.MIN_VALUE
-            is ShardEvent.ReleaseRequested -> releasing = true
+            is ShardEvent.ReleaseRequested -> {
+                releasing = true
+                handOver.begin(nowMillis)
+            }
             is ShardEvent.Listing -> onListing(event, nowMillis)
             is ShardEvent.OwnershipAnswer -> onOwnership(event, nowMillis)
             is ShardEvent.DocumentAnswer -> onDocument(event, nowMillis)
@@ -147,7 +150,7 @@
     /** Does what would cost too much after every event. */
     private fun sweep(nowMillis: Long) {
         sweptMillis = nowMillis
-        if (handOver.isUnderWay(nowMillis)) handOver(nowMillis)
+        if (!releasing && handOver.isUnderWay(nowMillis)) handOver(nowMillis)
         workers.expire(nowMillis)
         shares.capacity = workers.capacity()
         if (nowMillis < placementDueMillis) return
@@ -163,9 +166,11 @@
         intake.retry(listedJobs.values, epoch)
     }
 
+    /** Gives the shard up once nothing is under way; starts are waited for as in a hand-over. */
     private fun release(nowMillis: Long) {
-        val isDone = ownership.phase == OwnershipPhase.RELEASED
-        if (isDone || (isOwner && !ledger.isSettled)) return
+        val isStarting = tasks.areStarting && handOver.isUnderWay(nowMillis)
+        if (ownership.phase == OwnershipPhase.RELEASED) return
+        if (isOwner && (isStarting || !ledger.isSettled)) return
         clear()
         ownership.release(nowMillis, out)
     }
--- a/coordination/src/test/kotlin/sycamoremast/coordination/shard/HandOverTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/shard/HandOverTest.kt
@@ -45,16 +45,17 @@
 
     @Test
     fun `a shard is not given up while a start or a write is under way`() {
-        for (answers in 0..MOST_ANSWERS) {
+        val requests = listOf(ShardEvent.HandOverRequested, ShardEvent.ReleaseRequested)
+        for ((answers, request) in (0..MOST_ANSWERS).flatMap { n -> requests.map { n to it } }) {
             val shard = AnsweredShard(workers = 2)
             shard.deliver(ShardEvent.JobsListed("team", 1, jobs.mapKeys { it.key.name }))
             repeat(answers) { shard.answerOne() }
-            shard.deliver(ShardEvent.HandOverRequested)
+            shard.deliver(request)
             while (shard.snapshot.isOwner) {
                 shard.answerOne()
                 shard.deliver(ShardEvent.Tick)
             }
-            expectThat(shard.underWay).describedAs("after $answers answers").none {
+            expectThat(shard.underWay).describedAs("$request after $answers answers").none {
                 get { this is ShardEvent.Started || this is ShardEvent.DocumentWritten }.isTrue()
             }
         }
