--- a/daemon/src/main/kotlin/sycamoremast/daemon/batch/JobBoard.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/batch/JobBoard.kt
@@ -17,6 +17,7 @@
 import sycamoremast.coordination.record.JobState
 import sycamoremast.coordination.record.ShardDocument
 import sycamoremast.daemon.control.ConfigurationView
+import sycamoremast.daemon.peer.OwnedJob
 
 /** What the shards' documents said when they were last read; [isFresh] if that was just now. */
 private class Reading(
@@ -61,19 +62,15 @@
 }
 
 /** Returns this job of [team] as the shard [id] with [document] and its [room] knows it. */
-internal fun Job.listed(
-    id: ShardId,
-    team: String,
-    document: ShardDocument?,
-    room: DocumentRoom?
-) = ListedJob(
-    id,
-    JobKey(team, name),
-    tasks,
-    record = null,
-    ended = document?.stateOf(JobKey(team, name)),
-    waitsForRoom = room?.admits(toRecord(team)) == false
-)
+internal fun Job.listed(id: ShardId, team: String, document: ShardDocument?, room: DocumentRoom?) =
+    ListedJob(
+        id,
+        JobKey(team, name),
+        tasks,
+        record = null,
+        ended = document?.stateOf(JobKey(team, name)),
+        waitsForRoom = room?.admits(toRecord(team)) == false
+    )
 
 internal class JobBoard(
     private val store: KeyValueStore,
@@ -147,33 +144,40 @@
 
     private fun view(listed: ListedJob, answer: OwnerAnswer?, reading: Reading): JobView {
         val known = (answer as? OwnerAnswer.Known)?.jobs?.get(listed.key)
-        val record = listed.record
         return when {
             listed.ended != null -> listed.unrecorded()
+            listed.record != null && !listed.isOpen -> ended(listed.id, listed.record, answer)
+            known != null && known.open -> listed.asTold(known)
+            listed.record == null && reading.isFresh -> listed.unrecorded()
+            else -> unconfirmed(listed, answer, reading)
+        }
+    }
 
-            record != null && !listed.isOpen -> record.view(
-                listed.id.availabilityZone,
-                if (answer is OwnerAnswer.NotKnown) null else known?.running ?: 0
-            )
-
-            known != null && known.open -> listed.unrecorded().copy(
-                state = if (known.running + known.finished > 0) "running" else "accepted",
-                tasksFinished = maxOf(known.finished, record?.finished?.size ?: 0),
-                tasksRunning = known.running
-            )
-
-            record == null && reading.isFresh -> listed.unrecorded()
-
-            else -> listed.unrecorded().copy(
-                state = UNCONFIRMED,
-                tasksFinished = record?.finished?.size ?: 0,
-                tasksRunning = null,
-                reason = reasonOf(answer),
-                viewAgeMillis = reading.readMillis?.let { clock.nowMillis() - it }
-            )
+    /** Returns the view of a job that has ended, with what its owner says still runs of it. */
+    private fun ended(id: ShardId, record: JobRecord, answer: OwnerAnswer?): JobView {
+        val running = when (answer) {
+            is OwnerAnswer.Known -> answer.jobs[record.key]?.running ?: 0
+            is OwnerAnswer.NotKnown -> null
+            null -> 0
         }
+        return record.view(id.availabilityZone, running)
     }
 
+    private fun ListedJob.asTold(told: OwnedJob) = unrecorded().copy(
+        state = if (told.running + told.finished > 0) "running" else "accepted",
+        tasksFinished = maxOf(told.finished, record?.finished?.size ?: 0),
+        tasksRunning = told.running
+    )
+
+    private fun unconfirmed(listed: ListedJob, answer: OwnerAnswer?, reading: Reading) =
+        listed.unrecorded().copy(
+            state = UNCONFIRMED,
+            tasksFinished = listed.record?.finished?.size ?: 0,
+            tasksRunning = null,
+            reason = reasonOf(answer),
+            viewAgeMillis = reading.readMillis?.let { clock.nowMillis() - it }
+        )
+
     private fun reasonOf(answer: OwnerAnswer?) = when (answer) {
         is OwnerAnswer.NotKnown -> answer.reason
         is OwnerAnswer.Known -> "its owner no longer counts it as open; the record is out of reach"
