--- a/standins/src/main/kotlin/sycamoremast/standins/BackendServer.kt
+++ b/standins/src/main/kotlin/sycamoremast/standins/BackendServer.kt
@@ -1,7 +1,7 @@
 /**
  * A stand-in for a backend server of a latency-critical service.
  *
- * `X-Work-Millis`, or a path `/work/MILLIS`, says how long a request runs. The answer echoes
+ * `X-Work-Millis`, or a path `/run/MILLIS`, says how long a request runs. The answer echoes
  * `X-Request-Id`; its first line is the SHA-256 of what follows, which starts with the request id.
  * A refusal carries `X-Not-Run` with the limit that was reached. `GET /executions` lists what ran,
  * `GET /usage` the most that was in use at a time, `POST /faults` replaces the faults in force.
@@ -152,7 +152,7 @@
     }
 
     private fun workMillis(call: Call): Long = call.header("X-Work-Millis")?.toLongOrNull()
-        ?: WORK_PATH.matchEntire(call.path)?.groupValues?.get(1)?.toLong()
+        ?: RUN_PATH.matchEntire(call.path)?.groupValues?.get(1)?.toLong()
         ?: settings.workMillis
 
     private fun answer(call: Call) {
@@ -182,7 +182,7 @@
     companion object {
         private const val THREADS = 128
         private const val PERCENT = 100
-        private val WORK_PATH = Regex("/work/(\\d+)")
+        private val RUN_PATH = Regex("/run/(\\d+)")
 
         /** Returns a server with the limits of [settings]. */
         fun start(settings: BackendSettings = BackendSettings()): BackendServer =
