--- /dev/null
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
@@ -0,0 +1,61 @@
+/** The state that the parts of the scheduler share: workers, workflows, and what is to be done. */
+package sycamoremast.coordination.workflow
+
+/** The worker set of an owner with [epoch], and the workflows that it schedules. */
+internal class Fleet(val epoch: Long, val settings: SchedulerSettings) {
+    val workers = LinkedHashMap<String, FleetWorker>()
+    val workflows = LinkedHashMap<String, OpenWorkflow>()
+
+    /** The workflows that are not ended. */
+    val open = LinkedHashSet<OpenWorkflow>()
+    val outbox = ArrayList<SchedulerAction>()
+
+    /** Whether something changed that may let a task start. */
+    var mayPlace = true
+
+    fun log(name: String, id: String, vararg fields: Pair<String, Any?>) {
+        outbox += SchedulerAction.Log(SchedulerEvent(name, id, mapOf(*fields)))
+    }
+
+    fun taskOrNull(name: TaskName): OpenTask? = workflows[name.workflow]?.taskOrNull(name)
+
+    /** Whether every worker that may run recovered work has answered or surely stopped it. */
+    fun isWholeFleetAccounted(): Boolean = workers.values.all { it.isAccounted }
+
+    /** Returns the number of accepted workflows without a started task, by queue. */
+    fun waitingByQueue(): Map<String, Int> =
+        open.filter { !it.hasBegun }.groupingBy { it.spec.queue.name }.eachCount()
+
+    /** Returns the least number for a run of this epoch. */
+    val firstRun: Int get() = ((epoch - 1) * RUNS_PER_EPOCH + 1).toInt()
+
+    fun stop(placement: Placement, nowMillis: Long, reason: String) {
+        if (!placement.on(PlacementEvent.STOP_ORDERED, nowMillis)) return
+        log(
+            "run-stop",
+            placement.task.name.toString(),
+            "run" to placement.run,
+            "worker" to placement.worker.id,
+            "reason" to reason
+        )
+        sendStop(placement)
+    }
+
+    fun sendStop(placement: Placement) {
+        val order = StopOrder(placement.worker.ref, epoch, placement.task.name, placement.run)
+        outbox += SchedulerAction.Stop(order)
+    }
+
+    /** Forgets [placement], after which its task may start again. */
+    fun release(placement: Placement, nowMillis: Long) {
+        placement.on(PlacementEvent.GONE, nowMillis)
+        placement.worker.remove(placement)
+        placement.task.release(placement)
+        mayPlace = true
+    }
+
+    private companion object {
+        /** The runs of one task that an epoch may number before they meet those of the next. */
+        const val RUNS_PER_EPOCH = 1_000L
+    }
+}
--- /dev/null
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
@@ -0,0 +1,129 @@
+/** A worker as the owner knows it: its room, its runs, its lease and its ends. */
+package sycamoremast.coordination.workflow
+
+import sycamoremast.coordination.Resources
+
+/** One life of a worker. */
+internal class FleetWorker(listing: WorkerListing) {
+    val ref: WorkerRef = listing.ref
+    var listing = listing
+        private set
+    var isListed = true
+        private set
+    val placements = LinkedHashMap<TaskName, Placement>()
+    val id: String get() = ref.id
+
+    /** Whether the durable roster names this worker, without which it gets no work. */
+    var isInRoster = false
+
+    /** Whether it has answered this owner, so that all that runs there is known. */
+    var isAccounted = false
+
+    /** Whether another life of the worker answers at its address, or its lease surely lapsed. */
+    var isGone = false
+    private var clockOffsetMillis: Long? = null
+    private var bornUnixMillis: Long? = null
+
+    /** When the last lease given to it has certainly lapsed. */
+    var lapsedByMillis = Long.MIN_VALUE
+        private set
+    var seenEnd = 0L
+    var recordedEnd = 0L
+    var acknowledgedEnd = 0L
+
+    var isPolling = false
+    var nextPollMillis = Long.MIN_VALUE
+    var lastPollMillis = Long.MIN_VALUE / 2
+    var contactFailures = 0
+        private set
+    var barredUntilMillis = Long.MIN_VALUE
+    var failuresInRow = 0
+
+    /** Processors of the runs that count against the capacity, and of those that don't. */
+    var firmMilliCpus = 0L
+        private set
+    var idleMilliCpus = 0L
+        private set
+    var committedMemoryMib = 0L
+        private set
+    var committedAccelerators = 0L
+        private set
+    var servingCount = 0
+        private set
+    val capacity: Resources get() = listing.capacity
+
+    /** Whether a reading of its clock is known, without which no lease can be given. */
+    val isSynchronized: Boolean get() = clockOffsetMillis != null
+
+    fun relist(changed: WorkerListing) {
+        listing = changed
+        isListed = true
+    }
+
+    fun unlist() {
+        isListed = false
+    }
+
+    fun mayStart(nowMillis: Long): Boolean = isListed &&
+        !listing.isDraining &&
+        isInRoster &&
+        !isGone &&
+        isAccounted &&
+        clockOffsetMillis != null &&
+        contactFailures == 0 &&
+        nowMillis >= barredUntilMillis
+
+    /** Returns the reading of the worker's clock at which a lease given now ends, if known. */
+    fun leaseEndOrNull(nowMillis: Long, leaseMillis: Long): Long? =
+        clockOffsetMillis?.let { nowMillis + it + leaseMillis }
+
+    fun gaveLease(lapsedBy: Long) {
+        lapsedByMillis = maxOf(lapsedByMillis, lapsedBy)
+    }
+
+    fun answered(clockMillis: Long, receivedMillis: Long) {
+        clockOffsetMillis = clockMillis - receivedMillis
+        contactFailures = 0
+    }
+
+    fun contactFailed() {
+        contactFailures++
+    }
+
+    /** Notes the time of the worker's start; returns whether it has started anew. */
+    fun isReborn(born: Long?): Boolean {
+        if (born == null) return false
+        val before = bornUnixMillis
+        bornUnixMillis = born
+        return before != null && before != born
+    }
+
+    fun startOver() {
+        seenEnd = 0
+        recordedEnd = 0
+        acknowledgedEnd = 0
+        isAccounted = true
+    }
+
+    fun add(placement: Placement) {
+        placements[placement.task.name] = placement
+        commit(placement.task.step.spec, 1)
+    }
+
+    fun remove(placement: Placement) {
+        if (placements[placement.task.name] !== placement) return
+        placements -= placement.task.name
+        commit(placement.task.step.spec, -1)
+    }
+
+    private fun commit(spec: WorkflowStep, sign: Int) {
+        if (spec.usesIdleCpu) {
+            idleMilliCpus += sign * spec.demand.milliCpus
+        } else {
+            firmMilliCpus += sign * spec.demand.milliCpus
+        }
+        committedMemoryMib += sign * spec.demand.memoryMib
+        committedAccelerators += sign * spec.demand.accelerators
+        if (spec.isServing) servingCount += sign
+    }
+}
--- /dev/null
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/OpenWorkflow.kt
@@ -0,0 +1,180 @@
+/** Workflows as the owner holds them in memory: steps, tasks, and what is known of each. */
+package sycamoremast.coordination.workflow
+
+import sycamoremast.coordination.record.IndexSet
+
+/**
+ * A workflow that the owner schedules.
+ *
+ * One that [isRecovered] may have runs that the owner has not found yet. [objectiveMillis] is the
+ * time, on the owner's clock, by which its caller wants it completed.
+ */
+internal class OpenWorkflow(
+    val spec: Workflow,
+    val isRecovered: Boolean,
+    val acceptedMillis: Long
+) {
+    var phase = WorkflowPhase.QUEUED
+        private set
+    var durablePhase = WorkflowPhase.QUEUED
+    var hasBegun = false
+    var endedUnixMillis = 0L
+    var queue = spec.queue
+    val occurrences = ArrayList<OpenOccurrence>()
+    val id: String get() = spec.id
+    val isOpen: Boolean get() = !phase.isFinal
+
+    val objectiveMillis: Long =
+        acceptedMillis + spec.queue.targetLatencyMillis +
+            (longestChainMillis() * stretch()).toLong()
+
+    fun end(final: WorkflowPhase, unixMillis: Long) {
+        phase = final
+        endedUnixMillis = unixMillis
+    }
+
+    fun begin() {
+        hasBegun = true
+        if (phase == WorkflowPhase.QUEUED) phase = WorkflowPhase.RUNNING
+    }
+
+    /** Adds the occurrences that are due at [unixMillis]; returns whether there was one. */
+    fun addDue(unixMillis: Long): Boolean {
+        val recurrence = spec.recurrence
+        val most = recurrence?.count ?: 1
+        var added = false
+        while (occurrences.size < most) {
+            val n = occurrences.size
+            if (recurrence != null && recurrence.dueUnixMillis(n) > unixMillis) break
+            occurrences += OpenOccurrence(this, n)
+            added = true
+        }
+        return added
+    }
+
+    val isDone: Boolean
+        get() = occurrences.size == (spec.recurrence?.count ?: 1) && occurrences.all { it.isDone }
+
+    fun steps(): Sequence<OpenStep> = occurrences.asSequence().flatMap { it.steps }
+
+    fun taskOrNull(name: TaskName): OpenTask? =
+        occurrences.getOrNull(name.occurrence)?.steps?.getOrNull(name.step)
+            ?.tasks?.getOrNull(name.index)
+
+    fun progress() = WorkflowProgress(
+        phase = phase,
+        doneTasks = if (isOpen) doneTasks() else emptyMap(),
+        failures = if (isOpen) {
+            perTask {
+                if (it.failures >
+                    0
+                ) {
+                    it.failures
+                } else {
+                    null
+                }
+            }
+        } else {
+            emptyMap()
+        },
+        checkpoints = if (isOpen) perTask(::recordedCheckpoint) else emptyMap(),
+        hasBegun = hasBegun,
+        endedUnixMillis = endedUnixMillis
+    )
+
+    /** Takes over what an earlier owner recorded. */
+    fun restore(progress: WorkflowProgress, unixMillis: Long) {
+        phase = progress.phase
+        durablePhase = progress.phase
+        hasBegun = progress.hasBegun
+        endedUnixMillis = progress.endedUnixMillis
+        if (!isOpen) return
+        addDue(unixMillis)
+        for (step in steps()) {
+            progress.doneTasks[step.key]?.toList()?.mapNotNull(step.tasks::getOrNull)
+                ?.forEach { it.markDone() }
+            for (task in step.tasks) {
+                task.failures = progress.failures[task.key] ?: 0
+                task.checkpoint = progress.checkpoints[task.key].orEmpty()
+            }
+        }
+    }
+
+    private fun doneTasks(): Map<String, IndexSet> = steps().filter { it.doneCount > 0 }
+        .associate { s -> s.key to IndexSet.EMPTY + s.tasks.filter { it.isDone }.map { it.index } }
+
+    private fun recordedCheckpoint(task: OpenTask): String? =
+        task.checkpoint.takeIf { it.isNotEmpty() && !task.isDone && task.placements.isEmpty() }
+
+    private fun <T : Any> perTask(value: (OpenTask) -> T?): Map<String, T> = buildMap {
+        for (step in steps()) for (task in step.tasks) value(task)?.let { put(task.key, it) }
+    }
+
+    private fun stretch() = spec.queue.stretch
+
+    private fun longestChainMillis(): Long {
+        val ends = LongArray(spec.steps.size)
+        for ((i, step) in spec.steps.withIndex()) {
+            val start = step.after.filter { it in 0 until i }.maxOfOrNull { ends[it] } ?: 0L
+            ends[i] = start + step.estimateMillis
+        }
+        return ends.max()
+    }
+}
+
+/** Occurrence [number] of [workflow]. */
+internal class OpenOccurrence(val workflow: OpenWorkflow, val number: Int) {
+    val steps = workflow.spec.steps.mapIndexed { i, spec -> OpenStep(this, i, spec) }
+    val isDone: Boolean get() = steps.all { it.isDone }
+}
+
+/** A step of an occurrence. */
+internal class OpenStep(val occurrence: OpenOccurrence, val number: Int, val spec: WorkflowStep) {
+    val workflow: OpenWorkflow get() = occurrence.workflow
+    val key = "${occurrence.number}.$number"
+    val tasks = List(spec.taskCount) { OpenTask(this, it) }
+
+    /** Tasks that are neither done nor placed anywhere. */
+    val waiting = LinkedHashSet(tasks)
+    var doneCount = 0
+    val isDone: Boolean get() = doneCount == tasks.size
+
+    /** Whether every step that this one waits for is done. */
+    val isReady: Boolean
+        get() = spec.after.all { occurrence.steps.getOrNull(it)?.isDone ?: true }
+}
+
+/** A task with its placements; more than one only where copies may run. */
+internal class OpenTask(val step: OpenStep, val index: Int) {
+    val key = "${step.key}.$index"
+    val name = TaskName(step.workflow.id, step.occurrence.number, step.number, index)
+    val placements = ArrayList<Placement>(1)
+    var isDone = false
+        private set
+    var failures = 0
+    var lastRun = 0
+    var checkpoint = ""
+    var notBeforeMillis = Long.MIN_VALUE
+
+    /** The worker on which the last run failed. */
+    var failedOn: String? = null
+
+    fun markDone() {
+        if (isDone) return
+        isDone = true
+        step.doneCount++
+        step.waiting -= this
+    }
+
+    fun place(placement: Placement) {
+        placements += placement
+        lastRun = maxOf(lastRun, placement.run)
+        step.waiting -= this
+    }
+
+    /** Removes [placement]; the task waits again if it has no other one and is not done. */
+    fun release(placement: Placement) {
+        placements -= placement
+        if (!isDone && placements.isEmpty()) step.waiting += this
+    }
+}
--- /dev/null
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placement.kt
@@ -0,0 +1,75 @@
+/**
+ * Runs of tasks on workers, as the owner knows them.
+ *
+ * The chart `placement.scxml` says which step may follow which. A task may start elsewhere only
+ * once its placement is released.
+ */
+package sycamoremast.coordination.workflow
+
+import sycamoremast.coordination.statechart.StateChart
+
+internal enum class PlacementPhase { STARTING, DOUBTFUL, RUNNING, STOPPING, FENCED, RELEASED }
+
+internal enum class PlacementEvent { SEEN, ANSWER_LOST, STOP_ORDERED, STOP_ANSWERED, GONE }
+
+/** Run number [run] of [task] on [worker], in its phase since [sinceMillis]. */
+internal class Placement(
+    val task: OpenTask,
+    val worker: FleetWorker,
+    val run: Int,
+    val startedMillis: Long
+) {
+    var phase = CHART.initial
+        private set
+    var sinceMillis = startedMillis
+        private set
+
+    /** When the run was last known to have made progress. */
+    var progressedMillis = startedMillis
+        private set
+    var percent = 0
+        private set
+    var gauge: Double? = null
+        private set
+
+    /** Percent of its speed at which the run was told to work. */
+    var pacePercent = FULL_PACE
+
+    /** Moves on by [event]; returns whether the chart allows it. */
+    fun on(event: PlacementEvent, nowMillis: Long): Boolean {
+        val next = CHART.nextOrNull(phase, event) ?: return false
+        if (next != phase) sinceMillis = nowMillis
+        phase = next
+        return true
+    }
+
+    /** Takes in a [row] of the worker's report. */
+    fun seen(row: RunningRow, nowMillis: Long) {
+        val hasProgressed = row.percent != percent || row.checkpoint != task.checkpoint
+        if (hasProgressed) progressedMillis = nowMillis
+        percent = row.percent
+        gauge = row.gauge
+        if (row.checkpoint.isNotEmpty()) task.checkpoint = row.checkpoint
+        on(PlacementEvent.SEEN, nowMillis)
+    }
+
+    /** Starts the time until an unanswered stop is sent again anew. */
+    fun repeatStop(nowMillis: Long) {
+        sinceMillis = nowMillis
+    }
+
+    /** Whether the next report has to show at once what became of the run. */
+    val isToBeSettled: Boolean
+        get() = phase == PlacementPhase.DOUBTFUL || phase == PlacementPhase.FENCED
+
+    companion object {
+        /** The share of its speed at which a run starts. */
+        const val FULL_PACE = 100
+
+        private val CHART = StateChart.fromResource(
+            "placement.scxml",
+            PlacementPhase::class,
+            PlacementEvent::class
+        )
+    }
+}
--- /dev/null
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
@@ -0,0 +1,308 @@
+/**
+ * Turns workers' answers into what is known of runs.
+ *
+ * A report only proves that a run is absent if the poll was sent after the last thing that could
+ * have made it appear; answers on several connections may overtake each other.
+ */
+package sycamoremast.coordination.workflow
+
+internal class RunTracker(private val fleet: Fleet, private val recorder: Recorder) {
+    fun startAnswered(order: StartOrder, answer: WorkerAnswer, nowMillis: Long) {
+        val placement = find(order.task, order.worker, order.run) ?: return
+        when (answer) {
+            is WorkerAnswer.Done -> {
+                answer.clockMillis?.let { placement.worker.answered(it, answer.receivedMillis) }
+                placement.on(PlacementEvent.SEEN, nowMillis)
+            }
+
+            is WorkerAnswer.Rejected -> startRejected(placement, answer.reason, nowMillis)
+
+            is WorkerAnswer.Unknown -> {
+                fleet.log(
+                    "start-unanswered",
+                    order.task.toString(),
+                    "run" to order.run,
+                    "worker" to order.worker.id,
+                    "reason" to answer.reason
+                )
+                placement.on(PlacementEvent.ANSWER_LOST, nowMillis)
+                placement.worker.nextPollMillis = nowMillis
+            }
+
+            is WorkerAnswer.Reported -> Unit
+        }
+    }
+
+    private fun startRejected(placement: Placement, reason: RejectReason, nowMillis: Long) {
+        val worker = placement.worker
+        val task = placement.task
+        fleet.log(
+            "start-rejected",
+            task.name.toString(),
+            "run" to placement.run,
+            "worker" to worker.id,
+            "reason" to reason
+        )
+        when (reason) {
+            RejectReason.STALE_EPOCH -> fleet.outbox += SchedulerAction.Depose(worker.ref)
+            RejectReason.OTHER_INCARNATION -> return lose(worker, nowMillis, "other incarnation")
+            RejectReason.STALE_RUN -> task.lastRun += RUN_SKIP
+            RejectReason.NOT_SENT -> worker.contactFailed()
+            RejectReason.LATE -> worker.nextPollMillis = nowMillis
+            else -> worker.barredUntilMillis = nowMillis + REJECTED_PAUSE_MILLIS
+        }
+        if (reason == RejectReason.MALFORMED) {
+            task.notBeforeMillis = nowMillis + MALFORMED_PAUSE_MILLIS
+        }
+        fleet.release(placement, nowMillis)
+    }
+
+    fun stopAnswered(order: StopOrder, answer: WorkerAnswer, nowMillis: Long) {
+        val placement = find(order.task, order.worker, order.run) ?: return
+        when (answer) {
+            is WorkerAnswer.Done -> {
+                placement.on(PlacementEvent.STOP_ANSWERED, nowMillis)
+                placement.worker.nextPollMillis = nowMillis
+            }
+
+            is WorkerAnswer.Rejected -> when (answer.reason) {
+                RejectReason.STALE_EPOCH ->
+                    fleet.outbox += SchedulerAction.Depose(order.worker)
+
+                RejectReason.OTHER_INCARNATION ->
+                    lose(placement.worker, nowMillis, "other incarnation")
+
+                RejectReason.STALE_RUN -> {
+                    placement.on(PlacementEvent.STOP_ANSWERED, nowMillis)
+                    placement.worker.nextPollMillis = nowMillis
+                }
+
+                else -> Unit
+            }
+
+            is WorkerAnswer.Unknown, is WorkerAnswer.Reported -> Unit
+        }
+    }
+
+    fun polled(order: PollOrder, answer: WorkerAnswer, nowMillis: Long) {
+        val worker = fleet.workers[order.worker.id]?.takeIf { it.ref == order.worker } ?: return
+        worker.isPolling = false
+        when (answer) {
+            is WorkerAnswer.Reported -> reported(worker, order, answer.report, nowMillis)
+
+            is WorkerAnswer.Rejected -> when (answer.reason) {
+                RejectReason.STALE_EPOCH -> fleet.outbox += SchedulerAction.Depose(worker.ref)
+                RejectReason.OTHER_INCARNATION -> lose(worker, nowMillis, "other incarnation")
+                else -> pollFailed(worker, answer.reason.toString(), nowMillis)
+            }
+
+            is WorkerAnswer.Unknown -> pollFailed(worker, answer.reason, nowMillis)
+
+            is WorkerAnswer.Done -> Unit
+        }
+    }
+
+    private fun pollFailed(worker: FleetWorker, reason: String, nowMillis: Long) {
+        if (worker.contactFailures == 0) {
+            fleet.log(
+                "worker-unreachable",
+                worker.id,
+                "reason" to reason,
+                "runs" to worker.placements.size,
+                "lapsedBy" to worker.lapsedByMillis
+            )
+        }
+        worker.contactFailed()
+        val pause = REPOLL_MILLIS * minOf(worker.contactFailures, MOST_PAUSES)
+        worker.nextPollMillis = nowMillis + pause
+    }
+
+    private fun reported(
+        worker: FleetWorker,
+        order: PollOrder,
+        report: WorkerReport,
+        nowMillis: Long
+    ) {
+        if (worker.contactFailures > 0) {
+            fleet.log("worker-reachable", worker.id, "failures" to worker.contactFailures)
+        }
+        if (worker.isReborn(report.bornUnixMillis)) {
+            releaseAll(worker, nowMillis, "started anew")
+            worker.startOver()
+        }
+        worker.answered(report.clockMillis, report.receivedMillis)
+        if (!worker.isAccounted || worker.contactFailures == 0) fleet.mayPlace = true
+        worker.isAccounted = true
+        worker.nextPollMillis = nowMillis
+        val before = worker.seenEnd
+        report.ended.filter { it.number > before }.sortedBy { it.number }.forEach {
+            worker.seenEnd = it.number
+            ended(worker, it, nowMillis)
+        }
+        val running = report.running.associateBy { it.task }
+        running.values.forEach { seen(worker, it, nowMillis) }
+        for (placement in worker.placements.values.toList()) {
+            if (running[placement.task.name]?.run == placement.run) continue
+            absent(placement, order.sentMillis, nowMillis)
+        }
+    }
+
+    private fun seen(worker: FleetWorker, row: RunningRow, nowMillis: Long) {
+        val known = worker.placements[row.task]
+        if (known != null && known.run == row.run) {
+            known.seen(row, nowMillis)
+            return
+        }
+        val task = fleet.taskOrNull(row.task)
+        val isWanted = task != null &&
+            !task.isDone &&
+            task.step.workflow.isOpen &&
+            task.placements.isEmpty() &&
+            known == null
+        if (task == null || (known != null && known.run > row.run)) return stopUnknown(worker, row)
+        val placement = Placement(task, worker, row.run, nowMillis)
+        if (known == null) {
+            worker.add(placement)
+            task.place(placement)
+        }
+        placement.seen(row, nowMillis)
+        if (isWanted) {
+            fleet.log("run-adopted", row.task.toString(), "run" to row.run, "worker" to worker.id)
+            adopted(task.step.workflow)
+        } else {
+            fleet.stop(placement, nowMillis, "not wanted")
+        }
+    }
+
+    private fun adopted(workflow: OpenWorkflow) {
+        if (workflow.hasBegun) return
+        workflow.begin()
+        recorder.changed(workflow)
+    }
+
+    private fun stopUnknown(worker: FleetWorker, row: RunningRow) {
+        fleet.log("run-unknown", row.task.toString(), "run" to row.run, "worker" to worker.id)
+        val order = StopOrder(worker.ref, fleet.epoch, row.task, row.run)
+        fleet.outbox += SchedulerAction.Stop(order)
+    }
+
+    private fun absent(placement: Placement, polledMillis: Long, nowMillis: Long) {
+        if (polledMillis <= placement.sinceMillis) return
+        when (placement.phase) {
+            PlacementPhase.DOUBTFUL -> fleet.stop(placement, nowMillis, "start unanswered")
+
+            PlacementPhase.RUNNING -> {
+                fleet.log(
+                    "run-vanished",
+                    placement.task.name.toString(),
+                    "run" to placement.run,
+                    "worker" to placement.worker.id
+                )
+                fleet.release(placement, nowMillis)
+            }
+
+            PlacementPhase.FENCED -> fleet.release(placement, nowMillis)
+
+            PlacementPhase.STARTING, PlacementPhase.STOPPING, PlacementPhase.RELEASED -> Unit
+        }
+    }
+
+    private fun ended(worker: FleetWorker, row: EndedRow, nowMillis: Long) {
+        val task = fleet.taskOrNull(row.task) ?: return
+        val placement = worker.placements[row.task]?.takeIf { it.run == row.run }
+        task.lastRun = maxOf(task.lastRun, row.run)
+        if (row.checkpoint.isNotEmpty()) task.checkpoint = row.checkpoint
+        val workflow = task.step.workflow
+        fleet.log(
+            "run-ended",
+            row.task.toString(),
+            "run" to row.run,
+            "worker" to worker.id,
+            "how" to row.how,
+            "ranMillis" to placement?.let { nowMillis - it.startedMillis }
+        )
+        if (placement != null) fleet.release(placement, nowMillis)
+        if (!workflow.isOpen) return
+        when (row.how) {
+            RunEnd.DONE -> done(task, worker, nowMillis)
+
+            RunEnd.FAILED -> failed(task, worker, nowMillis)
+
+            RunEnd.STOPPED, RunEnd.LAPSED, RunEnd.BROKEN, RunEnd.ALONE ->
+                recorder.changed(workflow)
+        }
+    }
+
+    private fun done(task: OpenTask, worker: FleetWorker, nowMillis: Long) {
+        worker.failuresInRow = 0
+        val workflow = task.step.workflow
+        recorder.changed(workflow)
+        if (task.step.spec.isLongRunning) return
+        task.markDone()
+        task.placements.toList().forEach { fleet.stop(it, nowMillis, "done elsewhere") }
+        fleet.mayPlace = true
+    }
+
+    private fun failed(task: OpenTask, worker: FleetWorker, nowMillis: Long) {
+        task.failures++
+        task.failedOn = worker.id
+        worker.failuresInRow++
+        if (worker.failuresInRow >= SUSPECT_FAILURES) {
+            val pause = SUSPECT_PAUSE_MILLIS shl
+                minOf(worker.failuresInRow - SUSPECT_FAILURES, MOST_PAUSES)
+            worker.barredUntilMillis = nowMillis + pause
+            fleet.log(
+                "worker-barred",
+                worker.id,
+                "failuresInRow" to worker.failuresInRow,
+                "pauseMillis" to pause
+            )
+        }
+        recorder.changed(task.step.workflow)
+    }
+
+    /** Takes in that nothing of [worker] runs any more. */
+    fun lose(worker: FleetWorker, nowMillis: Long, reason: String) {
+        worker.isGone = true
+        worker.isAccounted = true
+        fleet.workers -= worker.id
+        recorder.rosterChanged()
+        releaseAll(worker, nowMillis, reason)
+    }
+
+    /** Takes in that the lease of [worker] has lapsed, which ended all its runs. */
+    fun releaseLapsed(worker: FleetWorker, nowMillis: Long) =
+        releaseAll(worker, nowMillis, "lease lapsed")
+
+    private fun releaseAll(worker: FleetWorker, nowMillis: Long, reason: String) {
+        fleet.log("worker-lost", worker.id, "reason" to reason, "runs" to worker.placements.size)
+        for (placement in worker.placements.values.toList()) {
+            fleet.release(placement, nowMillis)
+            recorder.changed(placement.task.step.workflow)
+        }
+        fleet.mayPlace = true
+    }
+
+    private fun find(name: TaskName, worker: WorkerRef, run: Int): Placement? =
+        fleet.workers[worker.id]?.takeIf { it.ref == worker }
+            ?.placements?.get(name)?.takeIf { it.run == run }
+
+    private companion object {
+        /** Passes the runs that an earlier order may have used up on a worker. */
+        const val RUN_SKIP = 10
+
+        /** Gives a worker time to list the end that makes room. */
+        const val REJECTED_PAUSE_MILLIS = 300L
+
+        /** Keeps a malformed order from being repeated at once. */
+        const val MALFORMED_PAUSE_MILLIS = 1_000L
+
+        /** The pause before an unreachable worker is polled again, times the failures so far. */
+        const val REPOLL_MILLIS = 150L
+        const val MOST_PAUSES = 4
+
+        /** Failures in a row that make a worker suspect; single failures are the tasks' own. */
+        const val SUSPECT_FAILURES = 2
+        const val SUSPECT_PAUSE_MILLIS = 1_000L
+    }
+}
--- /dev/null
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerAction.kt
@@ -0,0 +1,40 @@
+/** What the scheduler asks its surroundings to do. */
+package sycamoremast.coordination.workflow
+
+/** An action that the scheduler decided on, in the order in which it is to be begun. */
+sealed interface SchedulerAction {
+    /** Send [order]; the answer goes to [WorkflowScheduler.startAnswered]. */
+    data class Start(val order: StartOrder) : SchedulerAction
+
+    /** Send [order]; the answer goes to [WorkflowScheduler.stopAnswered]. */
+    data class Stop(val order: StopOrder) : SchedulerAction
+
+    /** Send [order]; the answer goes to [WorkflowScheduler.polled]. */
+    data class Poll(val order: PollOrder) : SchedulerAction
+
+    /** Send [order]; the answer goes to [WorkflowScheduler.paceAnswered]. */
+    data class Pace(val order: PaceOrder) : SchedulerAction
+
+    /** Make [batch] durable; the outcome goes to [WorkflowScheduler.recorded]. */
+    data class Record(val batch: RecordBatch) : SchedulerAction
+
+    /** Give the ownership up: a worker has seen a higher epoch. */
+    data class Depose(val worker: WorkerRef) : SchedulerAction
+
+    /** Write [event] to the log. */
+    data class Log(val event: SchedulerEvent) : SchedulerAction
+}
+
+/**
+ * The records to write in one transaction; a null [roster] or [waiting] has not changed.
+ *
+ * [waiting] is the number of workflows without a started task by queue.
+ */
+data class RecordBatch(
+    val progress: Map<String, WorkflowProgress>,
+    val roster: List<WorkerRef>?,
+    val waiting: Map<String, Int>?
+)
+
+/** A decision or a change of belief, for the log, with the inputs that decided it. */
+data class SchedulerEvent(val name: String, val id: String, val fields: Map<String, Any?>)
--- /dev/null
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/TaskName.kt
@@ -0,0 +1,32 @@
+/** Names of tasks, as workers know them. */
+package sycamoremast.coordination.workflow
+
+/** Names task [index] of [step] in the [occurrence] of [workflow]; its text is `id.0.1.17`. */
+data class TaskName(val workflow: String, val occurrence: Int, val step: Int, val index: Int) {
+    override fun toString() = "$workflow.$occurrence.$step.$index"
+
+    companion object {
+        private const val PARTS = 4
+
+        /**
+         * Returns the name that [text] spells.
+         *
+         * @throws IllegalArgumentException if it is not a workflow's ID and three numbers
+         */
+        fun parse(text: String): TaskName =
+            requireNotNull(parseOrNull(text)) { "not a task's name: $text" }
+
+        /** Returns the name that [text] spells, or null if it is not a task's name. */
+        fun parseOrNull(text: String): TaskName? {
+            val parts = text.split('.')
+            if (parts.size != PARTS || parts[0].isEmpty()) return null
+            val numbers = parts.drop(1).map { it.toIntOrNull()?.takeIf { n -> n >= 0 } }
+            return TaskName(
+                parts[0],
+                numbers[0] ?: return null,
+                numbers[1] ?: return null,
+                numbers[2] ?: return null
+            )
+        }
+    }
+}
--- /dev/null
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerListing.kt
@@ -0,0 +1,19 @@
+/** Workers as the platform lists them. */
+package sycamoremast.coordination.workflow
+
+import kotlinx.serialization.Serializable
+import sycamoremast.coordination.Resources
+
+/** Names one life of a worker and where it is reached. */
+@Serializable
+data class WorkerRef(val id: String, val address: String)
+
+/** What the platform's list says of a worker; [labels] hold its kind and its rack. */
+data class WorkerListing(
+    val ref: WorkerRef,
+    val service: String,
+    val availabilityZone: String,
+    val capacity: Resources,
+    val labels: List<String>,
+    val isDraining: Boolean
+)
--- /dev/null
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Workflow.kt
@@ -0,0 +1,89 @@
+/**
+ * Jobs of steps.
+ *
+ * A workflow is submitted whole and never changes. Its steps wait for each other; each has a number
+ * of equal tasks. A workflow with a [Recurrence] runs its steps once for each occurrence.
+ */
+package sycamoremast.coordination.workflow
+
+import kotlinx.serialization.Serializable
+import sycamoremast.coordination.Resources
+
+/** A submitted workflow; [payload] is handed to every task as it is. */
+@Serializable
+data class Workflow(
+    val id: String,
+    val queue: QueuePolicy,
+    val payload: String,
+    val steps: List<WorkflowStep>,
+    val recurrence: Recurrence? = null,
+    val submittedMillis: Long
+) {
+    init {
+        require(steps.isNotEmpty()) { "a workflow needs a step: $id" }
+    }
+}
+
+/**
+ * A step of [taskCount] equal tasks, which starts once all steps of [after] are done.
+ *
+ * [dataRack] is the rack that holds the data, [maxPerWorker] bounds the tasks on one worker,
+ * and [usesIdleCpu] says that its processors are what other tasks leave unused, so that they don't
+ * count against a worker's capacity.
+ */
+@Serializable
+data class WorkflowStep(
+    val taskCount: Int,
+    val demand: Resources,
+    val estimateMillis: Long = 0,
+    val after: List<Int> = emptyList(),
+    val savesProgress: Boolean = false,
+    val isGang: Boolean = false,
+    val wantsSameRack: Boolean = false,
+    val requiredLabel: String = "",
+    val dataRack: String = "",
+    val maxPerWorker: Int = 0,
+    val mayRunCopies: Boolean = false,
+    val isLongRunning: Boolean = false,
+    val image: String = "",
+    val targetTailMillis: Long = 0,
+    val usesIdleCpu: Boolean = false,
+    val mayMiss: Int = 0
+) {
+    init {
+        require(taskCount > 0) { "taskCount must be positive: $taskCount" }
+    }
+
+    /** Whether the step's tasks serve users of their own within a response time. */
+    val isServing: Boolean get() = isLongRunning && targetTailMillis > 0
+}
+
+/** Runs the steps [count] times, the first at [startUnixMillis], each [intervalMillis] later. */
+@Serializable
+data class Recurrence(val startUnixMillis: Long, val intervalMillis: Long, val count: Int) {
+    init {
+        require(count > 0) { "count must be positive: $count" }
+    }
+
+    /** Returns when occurrence number [occurrence], counted from 0, is due. */
+    fun dueUnixMillis(occurrence: Int): Long = startUnixMillis + occurrence * intervalMillis
+}
+
+/** How a queue's workflows are treated; [priority] 0 goes first. */
+@Serializable
+data class QueuePolicy(
+    val name: String,
+    val service: String,
+    val priority: Int = 0,
+    val maxAttempts: Int = DEFAULT_MAX_ATTEMPTS,
+    val stretch: Double = DEFAULT_STRETCH,
+    val targetLatencyMillis: Long = 0
+) {
+    companion object {
+        /** The runs of a task that may fail where a queue states none. */
+        const val DEFAULT_MAX_ATTEMPTS = 3
+
+        /** The factor on the longest chain of work where a queue states none. */
+        const val DEFAULT_STRETCH = 2.0
+    }
+}
--- /dev/null
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowProgress.kt
@@ -0,0 +1,33 @@
+/** What is recorded of a workflow's progress, so that it outlives the owner. */
+package sycamoremast.coordination.workflow
+
+import kotlinx.serialization.Serializable
+import sycamoremast.coordination.record.IndexSet
+
+/** Where a workflow stands, as callers see it. */
+@Serializable
+enum class WorkflowPhase {
+    QUEUED,
+    RUNNING,
+    COMPLETED,
+    FAILED,
+    CANCELLED;
+
+    /** Whether nothing of the workflow runs or will run. */
+    val isFinal: Boolean get() = this != QUEUED && this != RUNNING
+}
+
+/**
+ * The recorded state of one workflow; steps are keyed `occurrence.step`, tasks with their index.
+ *
+ * [endedUnixMillis] is 0 until the workflow has ended.
+ */
+@Serializable
+data class WorkflowProgress(
+    val phase: WorkflowPhase,
+    val doneTasks: Map<String, IndexSet> = emptyMap(),
+    val failures: Map<String, Int> = emptyMap(),
+    val checkpoints: Map<String, String> = emptyMap(),
+    val hasBegun: Boolean = false,
+    val endedUnixMillis: Long = 0
+)
--- /dev/null
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -0,0 +1,307 @@
+/**
+ * The decisions of a worker set's owner: what runs where, what is recorded, what is retried.
+ *
+ * Nothing here blocks, reads a clock or starts a thread. The surroundings call one function for each
+ * thing that happened and then [WorkflowScheduler.step], and carry out the actions that it returns.
+ */
+package sycamoremast.coordination.workflow
+
+import sycamoremast.coordination.Resources
+
+/** Schedules workflows on the workers of one set, as its owner with [epoch]. */
+class WorkflowScheduler(
+    epoch: Long,
+    private val settings: SchedulerSettings,
+    private val startedMillis: Long
+) {
+    private val fleet = Fleet(epoch, settings)
+    private val recorder = Recorder(fleet)
+    private val tracker = RunTracker(fleet, recorder)
+    private val placer = Placer(fleet)
+    private val upkeep = RunUpkeep(fleet, recorder, tracker)
+    private val pendingCancels = HashSet<String>()
+    private var nextPlacementMillis = Long.MIN_VALUE
+
+    /**
+     * Takes in an accepted [workflow], with the [progress] that an earlier owner recorded.
+     *
+     * One that [isRecovered] may have been worked on by an earlier owner.
+     */
+    fun accepted(
+        workflow: Workflow,
+        progress: WorkflowProgress?,
+        isRecovered: Boolean,
+        nowMillis: Long,
+        unixMillis: Long
+    ) {
+        if (workflow.id in fleet.workflows) return
+        val age = (unixMillis - workflow.submittedMillis).coerceIn(0, MOST_AGE_MILLIS)
+        val open = OpenWorkflow(workflow, isRecovered, nowMillis - age)
+        fleet.workflows[workflow.id] = open
+        if (progress != null) open.restore(progress, unixMillis)
+        if (!open.isOpen) return
+        fleet.open += open
+        open.addDue(unixMillis)
+        fleet.mayPlace = true
+        fleet.log(
+            "workflow-known",
+            workflow.id,
+            "queue" to workflow.queue.name,
+            "ageMillis" to age,
+            "recovered" to isRecovered,
+            "objectiveMillis" to open.objectiveMillis - nowMillis
+        )
+        if (pendingCancels.remove(workflow.id)) cancelled(workflow.id, nowMillis, unixMillis)
+    }
+
+    /** Takes in that the workflow [id] was cancelled. */
+    fun cancelled(id: String, nowMillis: Long, unixMillis: Long) {
+        val workflow = fleet.workflows[id]
+        if (workflow == null) {
+            pendingCancels += id
+            return
+        }
+        if (!workflow.isOpen) return
+        end(workflow, WorkflowPhase.CANCELLED, nowMillis, unixMillis)
+    }
+
+    /** Takes in all workers that the platform lists. */
+    fun listed(workers: List<WorkerListing>, nowMillis: Long) {
+        val byId = workers.associateBy { it.ref.id }
+        fleet.workers.values.filter { it.id !in byId }.forEach { unlisted(it.id) }
+        workers.forEach { listed(it, nowMillis) }
+    }
+
+    /** Takes in the platform's entry of one worker. */
+    fun listed(listing: WorkerListing, nowMillis: Long) {
+        val known = fleet.workers[listing.ref.id]
+        if (known != null && known.ref == listing.ref) {
+            if (listing.isDraining && !known.listing.isDraining) {
+                fleet.log("worker-draining", listing.ref.id, "runs" to known.placements.size)
+            }
+            known.relist(listing)
+            fleet.mayPlace = true
+            return
+        }
+        if (known != null) tracker.lose(known, nowMillis, "moved to another address")
+        fleet.workers[listing.ref.id] = FleetWorker(listing)
+        recorder.rosterChanged()
+        fleet.log(
+            "worker-listed",
+            listing.ref.id,
+            "zone" to listing.availabilityZone,
+            "address" to listing.ref.address,
+            "milliCpus" to listing.capacity.milliCpus
+        )
+    }
+
+    /** Takes in that the platform lists the worker [id] no more. */
+    fun unlisted(id: String) {
+        val worker = fleet.workers[id] ?: return
+        if (!worker.isListed) return
+        worker.unlist()
+        fleet.log("worker-unlisted", id, "runs" to worker.placements.size)
+    }
+
+    /** Takes in a worker of the last owner's roster, whose lease lapses by [lapsedByMillis]. */
+    fun rostered(ref: WorkerRef, lapsedByMillis: Long) {
+        val known = fleet.workers[ref.id]?.takeIf { it.ref == ref }
+        if (known != null) return known.gaveLease(lapsedByMillis)
+        if (ref.id in fleet.workers) return
+        val worker = FleetWorker(unlistedWorker(ref))
+        worker.unlist()
+        worker.gaveLease(lapsedByMillis)
+        fleet.workers[ref.id] = worker
+    }
+
+    /** Takes in the policies in force; a workflow of a queue without one keeps its own. */
+    fun policies(queues: Map<String, QueuePolicy>) {
+        for (workflow in fleet.open) {
+            workflow.queue = queues[workflow.spec.queue.name] ?: continue
+        }
+        fleet.mayPlace = true
+    }
+
+    /** Takes in the answer to a start. */
+    fun startAnswered(order: StartOrder, answer: WorkerAnswer, nowMillis: Long) =
+        tracker.startAnswered(order, answer, nowMillis)
+
+    /** Takes in the answer to a stop. */
+    fun stopAnswered(order: StopOrder, answer: WorkerAnswer, nowMillis: Long) =
+        tracker.stopAnswered(order, answer, nowMillis)
+
+    /** Takes in the answer to a poll. */
+    fun polled(order: PollOrder, answer: WorkerAnswer, nowMillis: Long) =
+        tracker.polled(order, answer, nowMillis)
+
+    /** Takes in the answer to a change of pace. */
+    fun paceAnswered(order: PaceOrder, answer: WorkerAnswer, nowMillis: Long) {
+        if (answer is WorkerAnswer.Rejected && answer.reason == RejectReason.STALE_EPOCH) {
+            fleet.log("pace-rejected", order.task.toString(), "atMillis" to nowMillis)
+            fleet.outbox += SchedulerAction.Depose(order.worker)
+        }
+    }
+
+    /** Takes in that the last batch is durable; returns the phases that callers may now see. */
+    fun recorded(): Map<String, WorkflowPhase> =
+        recorder.recorded().associate { it.id to it.durablePhase }
+
+    /** Returns the number of accepted workflows without a started task, by queue. */
+    fun waitingByQueue(): Map<String, Int> = fleet.waitingByQueue()
+
+    /** Returns the phase that callers may see of the workflow [id], or null if it is unknown. */
+    fun phaseOrNull(id: String): WorkflowPhase? {
+        val workflow = fleet.workflows[id] ?: return null
+        return if (workflow.phase.isFinal) workflow.durablePhase else workflow.phase
+    }
+
+    /** Forgets ended workflows; returns the IDs of those that ended before [unixMillis]. */
+    fun forgetEnded(unixMillis: Long): List<String> {
+        val old = fleet.workflows.values.filter {
+            it.durablePhase.isFinal &&
+                it.endedUnixMillis < unixMillis &&
+                it.steps().all { s -> s.tasks.all { t -> t.placements.isEmpty() } }
+        }
+        old.forEach { fleet.workflows -= it.id }
+        return old.map { it.id }
+    }
+
+    /** Returns what is to be done at [nowMillis]. */
+    fun step(nowMillis: Long, unixMillis: Long): List<SchedulerAction> {
+        upkeep.step(nowMillis)
+        endWorkflows(nowMillis, unixMillis)
+        if (fleet.mayPlace || nowMillis >= nextPlacementMillis) place(nowMillis, unixMillis)
+        recorder.step(nowMillis)
+        upkeep.poll(nowMillis)
+        val actions = fleet.outbox.toList()
+        fleet.outbox.clear()
+        return actions
+    }
+
+    /** Returns how long to wait for an event before the next [step]. */
+    fun waitMillis(nowMillis: Long): Long {
+        val record = recorder.dueMillisOrNull() ?: Long.MAX_VALUE
+        val due = minOf(record, nowMillis + TICK_MILLIS)
+        return (due - nowMillis).coerceIn(1, TICK_MILLIS)
+    }
+
+    private fun endWorkflows(nowMillis: Long, unixMillis: Long) {
+        for (workflow in fleet.open.toList()) {
+            val spent = workflow.steps().filter { !it.spec.isLongRunning }
+                .flatMap { it.tasks }.firstOrNull { it.failures >= workflow.queue.maxAttempts }
+            when {
+                spent != null -> {
+                    fleet.log(
+                        "workflow-failed",
+                        workflow.id,
+                        "task" to spent.name,
+                        "failures" to spent.failures,
+                        "maxAttempts" to workflow.queue.maxAttempts
+                    )
+                    end(workflow, WorkflowPhase.FAILED, nowMillis, unixMillis)
+                }
+
+                workflow.isDone -> end(workflow, WorkflowPhase.COMPLETED, nowMillis, unixMillis)
+            }
+        }
+    }
+
+    private fun end(
+        workflow: OpenWorkflow,
+        phase: WorkflowPhase,
+        nowMillis: Long,
+        unixMillis: Long
+    ) {
+        workflow.end(phase, unixMillis)
+        fleet.open -= workflow
+        recorder.changed(workflow)
+        fleet.log(
+            "workflow-ended",
+            workflow.id,
+            "phase" to phase,
+            "ageMillis" to nowMillis - workflow.acceptedMillis,
+            "lateMillis" to nowMillis - workflow.objectiveMillis
+        )
+        workflow.steps().flatMap { it.tasks }.flatMap { it.placements.toList() }
+            .toList().forEach { fleet.stop(it, nowMillis, "workflow ended") }
+    }
+
+    private fun place(nowMillis: Long, unixMillis: Long) {
+        fleet.mayPlace = false
+        nextPlacementMillis = nowMillis + PLACEMENT_RETRY_MILLIS
+        val isAccounted = fleet.isWholeFleetAccounted()
+        val order = fleet.open.sortedWith(compareBy({ it.queue.priority }, { it.objectiveMillis }))
+        for (workflow in order) {
+            workflow.addDue(unixMillis)
+            if (workflow.isRecovered && !isAccounted) continue
+            for (step in workflow.steps()) {
+                if (step.waiting.isNotEmpty() && step.isReady) placeStep(step, nowMillis)
+            }
+        }
+    }
+
+    private fun placeStep(step: OpenStep, nowMillis: Long) {
+        for (task in step.waiting.toList()) {
+            if (nowMillis < task.notBeforeMillis) continue
+            val worker = placer.chooseOrNull(task, nowMillis) ?: return
+            start(task, worker, nowMillis)
+        }
+    }
+
+    private fun start(task: OpenTask, worker: FleetWorker, nowMillis: Long) {
+        val leaseEnd = worker.leaseEndOrNull(nowMillis, settings.leaseMillis) ?: return
+        val workflow = task.step.workflow
+        val run = maxOf(task.lastRun + 1, fleet.firstRun)
+        val placement = Placement(task, worker, run, nowMillis)
+        worker.add(placement)
+        worker.gaveLease(settings.lapsedBy(nowMillis))
+        task.place(placement)
+        if (!workflow.hasBegun) {
+            workflow.begin()
+            recorder.changed(workflow)
+        }
+        fleet.log(
+            "run-start",
+            task.name.toString(),
+            "run" to run,
+            "worker" to worker.id,
+            "waitedMillis" to nowMillis - workflow.acceptedMillis,
+            "firm" to worker.firmMilliCpus,
+            "idle" to worker.idleMilliCpus
+        )
+        fleet.outbox += SchedulerAction.Start(
+            StartOrder(
+                worker.ref,
+                fleet.epoch,
+                task.name,
+                run,
+                workflow.spec.payload,
+                task.checkpoint,
+                leaseEnd
+            )
+        )
+    }
+
+    /** How long this owner has been at work at [nowMillis]. */
+    fun ageMillis(nowMillis: Long): Long = nowMillis - startedMillis
+
+    private companion object {
+        /** Bounds how late a timer of the scheduler may fire. */
+        const val TICK_MILLIS = 50L
+
+        /** How often placement is tried again without an event, for pauses that end by time. */
+        const val PLACEMENT_RETRY_MILLIS = 100L
+
+        /** Older submissions count as this old, whatever the gateways' clocks say. */
+        const val MOST_AGE_MILLIS = 600_000L
+    }
+}
+
+private fun unlistedWorker(ref: WorkerRef) = WorkerListing(
+    ref,
+    service = "",
+    availabilityZone = "",
+    capacity = Resources.NONE,
+    labels = emptyList(),
+    isDraining = false
+)
--- a/daemon/src/main/kotlin/sycamoremast/daemon/http/BoundHttpServer.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/http/BoundHttpServer.kt
@@ -20,7 +20,7 @@
  * Port 0 takes any free port. A request whose headers or body are longer than Undertow's limit for
  * headers or [maxBodyBytes] is refused before the handler sees it.
  */
-internal data class BoundHttpServer(
+data class BoundHttpServer(
     val address: InetSocketAddress,
     val workerThreads: Int,
     val maxBodyBytes: Long
--- a/daemon/src/main/kotlin/sycamoremast/daemon/platform/JsonClient.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/platform/JsonClient.kt
@@ -10,6 +10,7 @@
 import kotlin.time.Duration
 import kotlinx.serialization.json.Json
 import okhttp3.Call
+import okhttp3.Callback
 import okhttp3.ConnectionPool
 import okhttp3.EventListener
 import okhttp3.MediaType.Companion.toMediaType
@@ -23,7 +24,7 @@
 data class PlatformTimeouts(val call: Duration, val connect: Duration)
 
 /** The result of an HTTP call. */
-internal sealed interface CallResult {
+sealed interface CallResult {
     /** The peer answered with [status] and the whole [body]. */
     data class Answered(val status: Int, val body: String) : CallResult
 
@@ -34,8 +35,17 @@
     data class AnswerLost(val reason: String) : CallResult
 }
 
+/** A call of [method] on [path]; a null [timeout] leaves the client's own. */
+data class JsonCall(
+    val method: String,
+    val path: String,
+    val body: String? = null,
+    val headers: Map<String, String> = emptyMap(),
+    val timeout: Duration? = null
+)
+
 /** Calls one peer, by the base [address] of an IP number, a port and perhaps a path. */
-internal class JsonClient(address: String, private val http: OkHttpClient) {
+class JsonClient(address: String, private val http: OkHttpClient) {
     private val base = "http://$address"
 
     fun get(path: String): CallResult = execute(Request.Builder().url(base + path))
@@ -44,6 +54,46 @@
         Request.Builder().url(base + path).post(body.toRequestBody(CONTENT_TYPE_JSON))
     )
 
+    /** Returns the result of [call]. */
+    fun execute(call: JsonCall): CallResult = execute(builder(call), call.timeout)
+
+    /** Begins [call], and hands its result to [done] on another thread. */
+    fun enqueue(call: JsonCall, done: (CallResult) -> Unit) {
+        val mark = SendMark()
+        val pending = newCall(builder(call), mark, call.timeout)
+        pending.enqueue(
+            object : Callback {
+                override fun onFailure(call: Call, e: IOException) = done(failure(e, mark))
+
+                override fun onResponse(call: Call, response: Response) = done(
+                    try {
+                        response.use(::read)
+                    } catch (e: IOException) {
+                        failure(e, mark)
+                    }
+                )
+            }
+        )
+    }
+
+    private fun builder(call: JsonCall): Request.Builder {
+        val body = call.body?.toRequestBody(CONTENT_TYPE_JSON)
+        val builder = Request.Builder().url(base + call.path).method(call.method, body)
+        call.headers.forEach { (name, value) -> builder.header(name, value) }
+        return builder
+    }
+
+    private fun newCall(builder: Request.Builder, mark: SendMark, timeout: Duration?): Call {
+        val call = http.newCall(builder.tag(SendMark::class.java, mark).build())
+        if (timeout != null) call.timeout().timeout(timeout.inWholeMilliseconds, MILLISECONDS)
+        return call
+    }
+
+    private fun failure(e: IOException, mark: SendMark): CallResult {
+        val reason = e.message ?: e.javaClass.simpleName
+        return if (mark.sent) CallResult.AnswerLost(reason) else CallResult.NotSent(reason)
+    }
+
     /** Returns a call whose answer is streamed without a limit on its total time. */
     fun streamed(path: String, body: String, idleTimeout: Duration): Call {
         val client = http.newBuilder()
@@ -57,14 +107,12 @@
         return client.newCall(request)
     }
 
-    private fun execute(builder: Request.Builder): CallResult {
+    private fun execute(builder: Request.Builder, timeout: Duration? = null): CallResult {
         val mark = SendMark()
-        val request = builder.tag(SendMark::class.java, mark).build()
         return try {
-            http.newCall(request).execute().use(::read)
+            newCall(builder, mark, timeout).execute().use(::read)
         } catch (e: IOException) {
-            val reason = e.message ?: e.javaClass.simpleName
-            if (mark.sent) CallResult.AnswerLost(reason) else CallResult.NotSent(reason)
+            failure(e, mark)
         }
     }
 
@@ -77,7 +125,7 @@
 }
 
 /** Remembers whether a call has begun to send its request. */
-internal class SendMark : EventListener() {
+class SendMark : EventListener() {
     @Volatile
     var sent = false
         private set
--- /dev/null
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Gateway.kt
@@ -0,0 +1,199 @@
+/**
+ * Accepts, shows and cancels workflows on any host.
+ *
+ * A workflow is accepted once its record is in the store. A refusal is only told where it is certain
+ * that the record is not there and can't appear any more; where neither is certain, the outcome is
+ * unknown and the caller has to ask again.
+ */
+package sycamoremast.daemon.workflow
+
+import arrow.core.Either
+import arrow.core.flatMap
+import java.util.Collections
+import kotlin.random.Random
+import sycamoremast.coordination.CommitResult
+import sycamoremast.coordination.StoreEntry
+import sycamoremast.coordination.StoreError
+import sycamoremast.coordination.StorePut
+import sycamoremast.coordination.StoreTransaction
+import sycamoremast.coordination.TransactionalStore
+import sycamoremast.coordination.workflow.Workflow
+import sycamoremast.coordination.workflow.WorkflowPhase
+import sycamoremast.coordination.workflow.WorkflowProgress
+import sycamoremast.daemon.log.EventLog
+
+/** The outcome of handing a workflow in. */
+sealed interface Acceptance {
+    /** The workflow is stored and will run. */
+    data object Accepted : Acceptance
+
+    /** The workflow is not stored and never runs by this submission. */
+    data class Refused(val reason: String, val retryAfterSeconds: Int) : Acceptance
+
+    /** The workflow may be stored. */
+    data class Unknown(val reason: String) : Acceptance
+}
+
+/** The outcome of a question about a workflow. */
+sealed interface Lookup<out T> {
+    /** The answer. */
+    data class Found<T>(val value: T) : Lookup<T>
+
+    /** There is no such workflow. */
+    data object Absent : Lookup<Nothing>
+
+    /** It can't be told now. */
+    data class Unavailable(val reason: String) : Lookup<Nothing>
+}
+
+/** Serves callers on [host], for worker set [set]. */
+class Gateway internal constructor(
+    private val store: TransactionalStore,
+    private val host: String,
+    private val set: Int,
+    private val log: EventLog,
+    private val owner: () -> SchedulerLoop?
+) {
+    private val acceptedHere: MutableSet<String> = Collections.synchronizedSet(
+        Collections.newSetFromMap(
+            object : LinkedHashMap<String, Boolean>() {
+                override fun removeEldestEntry(eldest: Map.Entry<String, Boolean>) =
+                    size > MOST_REMEMBERED
+            }
+        )
+    )
+
+    /** Returns what became of handing [workflow] in. */
+    fun accept(workflow: Workflow): Acceptance {
+        val record = AcceptanceRecord(attemptId(), workflow)
+        val outcome = create(workflow.id, record, StoreEntry.ABSENT)
+        log.add(
+            "job-submitted",
+            "id" to workflow.id,
+            "queue" to workflow.queue.name,
+            "steps" to workflow.steps.size,
+            "tasks" to workflow.steps.sumOf { it.taskCount },
+            "outcome" to outcome
+        )
+        if (outcome == Acceptance.Accepted) acceptedHere += workflow.id
+        return outcome
+    }
+
+    private fun attemptId() = "$host-${Random.nextLong().toULong().toString(RADIX)}"
+
+    private fun create(id: String, record: AcceptanceRecord, expected: Long): Acceptance {
+        val key = WorkflowKeys.job(id)
+        return when (val result = put(key, record, expected)) {
+            is Either.Left -> when (val error = result.value) {
+                is StoreError.NotSent -> Acceptance.Refused(error.reason, RETRY_SECONDS)
+                is StoreError.AnswerLost -> settle(id, error)
+            }
+
+            is Either.Right -> when (val commit = result.value) {
+                is CommitResult.Applied -> Acceptance.Accepted
+                is CommitResult.Conflict -> conflict(id, record, commit.current[key])
+                CommitResult.LeaseGone -> Acceptance.Unknown("the store named a lease")
+            }
+        }
+    }
+
+    /** Takes the place of a refusal mark; anything else there is the workflow itself. */
+    private fun conflict(id: String, record: AcceptanceRecord, current: StoreEntry?): Acceptance {
+        if (current == null) return Acceptance.Unknown("the key changed twice")
+        val there = decodeRecordOrNull<AcceptanceRecord>(current.value)
+            ?: return Acceptance.Unknown("the record is unreadable")
+        if (there.workflow != null) return Acceptance.Accepted
+        return create(id, record, current.version)
+    }
+
+    /** Finds out what became of a write without an answer, and rules it out if it is not there. */
+    private fun settle(id: String, lost: StoreError): Acceptance {
+        val key = WorkflowKeys.job(id)
+        val current = when (val read = store.get(key)) {
+            is Either.Left -> return Acceptance.Unknown(lost.reason)
+            is Either.Right -> read.value
+        }
+        val there = current?.let { decodeRecordOrNull<AcceptanceRecord>(it.value) }
+        if (there?.workflow != null) return Acceptance.Accepted
+        val mark = AcceptanceRecord(attemptId())
+        val marked = put(key, mark, current?.version ?: StoreEntry.ABSENT)
+        if (marked.getOrNull() is CommitResult.Applied) {
+            return Acceptance.Refused("the store did not answer", RETRY_SECONDS)
+        }
+        val conflict = marked.getOrNull() as? CommitResult.Conflict
+        val now = conflict?.current?.get(key)?.let {
+            decodeRecordOrNull<AcceptanceRecord>(it.value)
+        }
+        if (now?.workflow != null) return Acceptance.Accepted
+        return Acceptance.Unknown(lost.reason)
+    }
+
+    private fun put(key: String, record: AcceptanceRecord, expected: Long) = store.commit(
+        StoreTransaction(mapOf(key to expected), listOf(StorePut(key, encodeRecord(record))))
+    )
+
+    /** Returns where the workflow [id] stands. */
+    fun phase(id: String): Lookup<WorkflowPhase> {
+        owner()?.phaseOrNull(id)?.let { return Lookup.Found(it) }
+        val recorded = store.get(WorkflowKeys.progress(set, id)).map { entry ->
+            entry?.let { decodeRecordOrNull<WorkflowProgress>(it.value) }?.phase
+        }
+        val phase = recorded.flatMap { known ->
+            when {
+                known != null -> Either.Right(known)
+                id in acceptedHere -> Either.Right(WorkflowPhase.QUEUED)
+                else -> exists(id).map { if (it) WorkflowPhase.QUEUED else null }
+            }
+        }
+        return when (phase) {
+            is Either.Left -> Lookup.Unavailable(phase.value.reason)
+            is Either.Right -> phase.value?.let { Lookup.Found(it) } ?: Lookup.Absent
+        }
+    }
+
+    private fun exists(id: String): Either<StoreError, Boolean> =
+        store.get(WorkflowKeys.job(id)).map { entry ->
+            entry?.let { decodeRecordOrNull<AcceptanceRecord>(it.value) }?.workflow != null
+        }
+
+    /** Cancels the workflow [id]. */
+    fun cancel(id: String): Lookup<Unit> {
+        val known = id in acceptedHere || owner()?.phaseOrNull(id) != null
+        val found = if (known) Either.Right(true) else exists(id)
+        val outcome = found.flatMap { if (it) mark(id) else Either.Right(false) }
+        log.add("job-cancel", "id" to id, "outcome" to outcome)
+        return when (outcome) {
+            is Either.Left -> Lookup.Unavailable(outcome.value.reason)
+            is Either.Right -> if (outcome.value) Lookup.Found(Unit) else Lookup.Absent
+        }
+    }
+
+    private fun mark(id: String): Either<StoreError, Boolean> {
+        val put = StorePut(WorkflowKeys.cancel(id), host)
+        return store.commit(StoreTransaction(emptyMap(), listOf(put))).map { true }
+            .onRight { owner()?.cancelled(id) }
+    }
+
+    /** Returns the number of accepted workflows of [queue] without a started task. */
+    fun waiting(queue: String): Lookup<Int> {
+        owner()?.let { return Lookup.Found(it.waitingOf(queue)) }
+        return when (val entry = store.get(WorkflowKeys.waiting(set), mayBeStale = true)) {
+            is Either.Left -> Lookup.Unavailable(entry.value.reason)
+
+            is Either.Right -> {
+                val counts = entry.value?.let { decodeRecordOrNull<WaitingRecord>(it.value) }
+                Lookup.Found(counts?.byQueue?.get(queue) ?: 0)
+            }
+        }
+    }
+
+    private companion object {
+        const val RADIX = 36
+
+        /** Enough for some minutes of one host's submissions. */
+        const val MOST_REMEMBERED = 4_096
+
+        /** The least that the header can say; outages of the store are mostly short. */
+        const val RETRY_SECONDS = 1
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
@@ -0,0 +1,159 @@
+/**
+ * One host's ownership of a worker set: recovery at the start of a term, then the feeds of the loop.
+ */
+package sycamoremast.daemon.workflow
+
+import arrow.core.Either
+import arrow.core.raise.either
+import sycamoremast.coordination.MonotonicClock
+import sycamoremast.coordination.StoreChange
+import sycamoremast.coordination.StoreEntry
+import sycamoremast.coordination.StoreError
+import sycamoremast.coordination.StoreListing
+import sycamoremast.coordination.TransactionalStore
+import sycamoremast.coordination.workflow.RunPort
+import sycamoremast.coordination.workflow.SchedulerSettings
+import sycamoremast.coordination.workflow.WorkflowProgress
+import sycamoremast.daemon.log.EventLog
+
+/** Begins and ends the scheduler of worker set [set] with this host's terms. */
+internal class Ownership(
+    private val store: TransactionalStore,
+    private val catalog: PlatformCatalog,
+    private val runs: RunPort,
+    private val set: Int,
+    private val settings: SchedulerSettings,
+    private val clock: MonotonicClock,
+    private val log: EventLog,
+    private val routing: () -> RoutingTable?
+) : TermListener {
+    /** Is told the reason once a term can't go on. */
+    var onDeposed: (String) -> Unit = {}
+
+    /** The running scheduler, or null while another host owns the set. */
+    @Volatile
+    var loop: SchedulerLoop? = null
+        private set
+    private var followers = emptyList<PrefixFollower>()
+
+    override fun onBegin(term: Term) {
+        val writer = RecordWriter(store, set, term.epoch, term.epochRevision, log)
+        val scheduler = schedulerOf(term.epoch, settings, clock)
+        val next = SchedulerLoop(scheduler, runs, writer, clock, log) { onDeposed(it) }
+        when (val recovered = recover(next, term)) {
+            is Either.Left -> {
+                log.add(
+                    "recovery-failed",
+                    "step" to recovered.value.step,
+                    "peer" to recovered.value.peer,
+                    "reason" to recovered.value.reason
+                )
+                onDeposed("recovery failed")
+            }
+
+            is Either.Right -> {
+                log.add(
+                    "recovered",
+                    "epoch" to term.epoch,
+                    "workflows" to recovered.value,
+                    "tookMillis" to clock.nowMillis() - term.claimedMillis
+                )
+                routing()?.let { next.policies(it.queues) }
+                next.start()
+                loop = next
+                follow(next, term)
+            }
+        }
+    }
+
+    /** Feeds [next] with all that the store holds; returns the number of workflows. */
+    private fun recover(next: SchedulerLoop, term: Term): Either<StoreError, Int> = either {
+        val workers = store.list(catalog.workersPrefix).bind()
+        val roster = store.get(WorkflowKeys.roster(set)).bind()
+        val progress = store.list(WorkflowKeys.progress(set)).bind().entries
+            .associate {
+                WorkflowKeys.idOf(it.key) to decodeRecordOrNull<WorkflowProgress>(it.value)
+            }
+        val jobs = store.list(WorkflowKeys.JOBS).bind()
+        val cancels = store.list(WorkflowKeys.CANCELS).bind()
+        next.listed(workers.entries.mapNotNull(catalog::workerOrNull))
+        roster?.let { decodeRecordOrNull<RosterRecord>(it.value) }?.let {
+            val pastLease = term.claimedMillis + SchedulerSettings.PAST_LEASE_MILLIS
+            next.rostered(it, settings.lapsedBy(pastLease))
+        }
+        for (entry in jobs.entries) {
+            accept(next, entry, progress[WorkflowKeys.idOf(entry.key)], term)
+        }
+        cancels.entries.forEach { next.cancelled(WorkflowKeys.idOf(it.key)) }
+        jobs.entries.size
+    }
+
+    private fun accept(
+        next: SchedulerLoop,
+        entry: StoreEntry,
+        progress: WorkflowProgress?,
+        term: Term
+    ) {
+        val record = decodeRecordOrNull<AcceptanceRecord>(entry.value)
+        if (record == null) log.add("job-unreadable", "key" to entry.key)
+        val workflow = record?.workflow ?: return
+        next.accepted(workflow, progress, entry.version < term.epochRevision)
+    }
+
+    private fun follow(next: SchedulerLoop, term: Term) {
+        val jobs = listener { entry -> accept(next, entry, null, term) }
+        val cancels = listener { next.cancelled(WorkflowKeys.idOf(it.key)) }
+        followers = listOf(
+            PrefixFollower(store, WorkflowKeys.JOBS, log, jobs),
+            PrefixFollower(store, WorkflowKeys.CANCELS, log, cancels),
+            PrefixFollower(store, catalog.workersPrefix, log, WorkerFeed(catalog, next, log))
+        ).onEach { it.start() }
+    }
+
+    private fun listener(take: (StoreEntry) -> Unit) = object : PrefixListener {
+        override fun onListing(listing: StoreListing) = listing.entries.forEach(take)
+
+        override fun onChange(change: StoreChange) {
+            val value = change.value ?: return
+            take(StoreEntry(change.key, value, change.revision))
+        }
+    }
+
+    override fun onEnd(reason: String) {
+        followers.forEach { it.close() }
+        followers = emptyList()
+        val last = loop ?: return
+        loop = null
+        if (reason == SHUTDOWN) last.closeRecorded(CLOSE_MILLIS) else last.close()
+    }
+
+    companion object {
+        /** The reason of an end by a planned stop, in which records are still written. */
+        const val SHUTDOWN = "shutdown"
+        private const val CLOSE_MILLIS = 300L
+    }
+}
+
+/** Tells the scheduler of the platform's workers. */
+private class WorkerFeed(
+    private val catalog: PlatformCatalog,
+    private val loop: SchedulerLoop,
+    private val log: EventLog
+) : PrefixListener {
+    override fun onListing(listing: StoreListing) =
+        loop.listed(listing.entries.mapNotNull(catalog::workerOrNull))
+
+    override fun onChange(change: StoreChange) {
+        val value = change.value
+        if (value == null) {
+            loop.unlisted(catalog.workerId(change.key))
+            return
+        }
+        val worker = catalog.workerOrNull(StoreEntry(change.key, value, change.revision))
+        if (worker != null) {
+            loop.listed(worker)
+        } else {
+            log.add("worker-entry-unreadable", "key" to change.key, "revision" to change.revision)
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
@@ -0,0 +1,167 @@
+/**
+ * Runs the scheduler of a worker set's owner.
+ *
+ * One thread owns the scheduler. Answers of workers, changes in the store and clock ticks reach it
+ * through a queue; its actions are begun on that thread and never block it. A second thread writes
+ * the records.
+ */
+package sycamoremast.daemon.workflow
+
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.Executors
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.TimeUnit.MILLISECONDS
+import sycamoremast.coordination.MonotonicClock
+import sycamoremast.coordination.workflow.QueuePolicy
+import sycamoremast.coordination.workflow.RecordBatch
+import sycamoremast.coordination.workflow.RunPort
+import sycamoremast.coordination.workflow.SchedulerAction
+import sycamoremast.coordination.workflow.SchedulerSettings
+import sycamoremast.coordination.workflow.WorkerListing
+import sycamoremast.coordination.workflow.Workflow
+import sycamoremast.coordination.workflow.WorkflowPhase
+import sycamoremast.coordination.workflow.WorkflowProgress
+import sycamoremast.coordination.workflow.WorkflowScheduler
+import sycamoremast.daemon.log.EventLog
+
+/** The surroundings of one term of ownership; [onDeposed] is called once it has to end. */
+internal class SchedulerLoop(
+    private val scheduler: WorkflowScheduler,
+    private val runs: RunPort,
+    private val writer: RecordWriter,
+    private val clock: MonotonicClock,
+    private val log: EventLog,
+    private val onDeposed: (String) -> Unit
+) : AutoCloseable {
+    private val inbox = LinkedBlockingQueue<() -> Unit>()
+    private val phases = ConcurrentHashMap<String, WorkflowPhase>()
+    private val records = Executors.newSingleThreadExecutor { run ->
+        Thread(run, "records").apply { isDaemon = true }
+    }
+
+    @Volatile
+    private var isOpen = true
+
+    @Volatile
+    private var waiting: Map<String, Int> = emptyMap()
+    private val thread = Thread(::run, "scheduler").apply { isDaemon = true }
+
+    fun start() = apply { thread.start() }
+
+    /** Returns the phase of the workflow [id], or null if this owner doesn't know it. */
+    fun phaseOrNull(id: String): WorkflowPhase? = phases[id]
+
+    /** Returns the number of workflows of [queue] without a started task. */
+    fun waitingOf(queue: String): Int = waiting[queue] ?: 0
+
+    fun accepted(workflow: Workflow, progress: WorkflowProgress?, isRecovered: Boolean) = tell {
+        phases.putIfAbsent(workflow.id, progress?.phase ?: WorkflowPhase.QUEUED)
+        scheduler.accepted(workflow, progress, isRecovered, now(), unix())
+    }
+
+    fun cancelled(id: String) = tell { scheduler.cancelled(id, now(), unix()) }
+
+    fun listed(workers: List<WorkerListing>) = tell { scheduler.listed(workers, now()) }
+
+    fun listed(worker: WorkerListing) = tell { scheduler.listed(worker, now()) }
+
+    fun unlisted(id: String) = tell { scheduler.unlisted(id) }
+
+    fun rostered(roster: RosterRecord, lapsedByMillis: Long) = tell {
+        roster.workers.forEach { scheduler.rostered(it, lapsedByMillis) }
+    }
+
+    fun policies(queues: Map<String, QueuePolicy>) = tell { scheduler.policies(queues) }
+
+    private fun tell(message: () -> Unit) {
+        inbox += message
+    }
+
+    private fun now() = clock.nowMillis()
+
+    private fun unix() = System.currentTimeMillis()
+
+    private fun run() {
+        while (isOpen) {
+            try {
+                val first = inbox.poll(scheduler.waitMillis(now()), MILLISECONDS)
+                first?.invoke()
+                while (isOpen) (inbox.poll() ?: break).invoke()
+                if (isOpen) scheduler.step(now(), unix()).forEach(::begin)
+                waiting = scheduler.waitingByQueue()
+            } catch (_: InterruptedException) {
+                return
+            } catch (e: RuntimeException) {
+                log.add("scheduler-error", "error" to e, "at" to e.stackTrace.firstOrNull())
+                deposed("scheduler error")
+            }
+        }
+    }
+
+    private fun begin(action: SchedulerAction) {
+        when (action) {
+            is SchedulerAction.Start -> runs.start(action.order) {
+                tell { scheduler.startAnswered(action.order, it, now()) }
+            }
+
+            is SchedulerAction.Stop -> runs.stop(action.order) {
+                tell { scheduler.stopAnswered(action.order, it, now()) }
+            }
+
+            is SchedulerAction.Poll -> runs.poll(action.order) {
+                tell { scheduler.polled(action.order, it, now()) }
+            }
+
+            is SchedulerAction.Pace -> runs.pace(action.order) {
+                tell { scheduler.paceAnswered(action.order, it, now()) }
+            }
+
+            is SchedulerAction.Record -> records.execute { record(action.batch) }
+
+            is SchedulerAction.Depose -> deposed("worker ${action.worker.id} has a higher epoch")
+
+            is SchedulerAction.Log -> log.add(
+                action.event.name,
+                listOf("id" to action.event.id) + action.event.fields.toList()
+            )
+        }
+    }
+
+    private fun record(batch: RecordBatch) {
+        try {
+            if (writer.write(batch) { isOpen }) {
+                tell { scheduler.recorded().forEach { (id, phase) -> phases[id] = phase } }
+            } else {
+                deposed("records refused")
+            }
+        } catch (_: InterruptedException) {
+            Thread.currentThread().interrupt()
+        }
+    }
+
+    private fun deposed(reason: String) {
+        if (!isOpen) return
+        isOpen = false
+        onDeposed(reason)
+    }
+
+    /** Stops scheduling; runs on workers go on under their leases. */
+    override fun close() {
+        isOpen = false
+        thread.interrupt()
+        records.shutdownNow()
+    }
+
+    /** Stops once what was decided until now is recorded, or after [limitMillis]. */
+    fun closeRecorded(limitMillis: Long) {
+        isOpen = false
+        thread.join(limitMillis)
+        records.shutdown()
+        records.awaitTermination(limitMillis, MILLISECONDS)
+        close()
+    }
+}
+
+/** Returns the scheduler of an owner that claimed [epoch] just now. */
+internal fun schedulerOf(epoch: Long, settings: SchedulerSettings, clock: MonotonicClock) =
+    WorkflowScheduler(epoch, settings, clock.nowMillis())
--- /dev/null
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowHost.kt
@@ -0,0 +1,72 @@
+/** An entry host that schedules workflows: gateway, configuration, election and scheduler. */
+package sycamoremast.daemon.workflow
+
+import sycamoremast.coordination.MonotonicClock
+import sycamoremast.coordination.TransactionalStore
+import sycamoremast.coordination.workflow.RunPort
+import sycamoremast.coordination.workflow.SchedulerSettings
+import sycamoremast.daemon.log.EventLog
+
+/** The ports of a host towards its platform. */
+data class WorkflowPorts(
+    val store: TransactionalStore,
+    val runs: RunPort,
+    val catalog: PlatformCatalog
+)
+
+/** The host [name], which stands for election as owner of worker set [set]. */
+class WorkflowHost(
+    private val name: String,
+    private val ports: WorkflowPorts,
+    settings: SchedulerSettings,
+    private val log: EventLog,
+    set: Int = 0,
+    clock: MonotonicClock = MonotonicClock.system()
+) {
+    private val store = ports.store
+    private val routing = RoutingReplica(ports.catalog, log, ::onRouting)
+    private val ownership = Ownership(
+        store,
+        ports.catalog,
+        ports.runs,
+        set,
+        settings,
+        clock,
+        log
+    ) { routing.table }
+    private val election = Election(store, name, set, clock, log, ownership)
+    private val routingFollower = PrefixFollower(store, ports.catalog.routingKey, log, routing)
+
+    /** Serves callers. */
+    val gateway = Gateway(store, name, set, log) { ownership.loop }
+
+    /** The routes in force, or null before any were seen. */
+    val routes: RoutingTable? get() = routing.table
+
+    init {
+        ownership.onDeposed = election::depose
+    }
+
+    /** Starts to follow the configuration and to stand for election. */
+    fun start() {
+        log.add("host-start", "host" to name)
+        routingFollower.start()
+        election.start()
+    }
+
+    /** Gives ownership up; the gateway goes on until the process ends. */
+    fun handOver() {
+        log.add("host-hand-over", "host" to name)
+        election.close()
+    }
+
+    /** Stops what still runs. */
+    fun stop() {
+        routingFollower.close()
+        log.add("host-stop", "host" to name)
+    }
+
+    private fun onRouting(table: RoutingTable) {
+        ownership.loop?.policies(table.queues)
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowSettings.kt
@@ -0,0 +1,100 @@
+/** The settings of a host that schedules workflows, as read from its INI file. */
+package sycamoremast.daemon.workflow
+
+import arrow.core.Either
+import arrow.core.NonEmptyList
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.raise.nullable
+import arrow.core.right
+import arrow.core.toNonEmptyListOrNull
+import sycamoremast.configuration.Endpoint
+import sycamoremast.configuration.ini.IniDocument
+import sycamoremast.configuration.ini.IniError
+import sycamoremast.configuration.ini.SectionReader
+import sycamoremast.coordination.workflow.SchedulerSettings
+
+/**
+ * All settings, times in milliseconds.
+ *
+ * [drainMillis] is how long a stopping host goes on answering callers; it has to be well below the
+ * time after which the platform kills it.
+ */
+data class WorkflowSettings(
+    val host: String,
+    val availabilityZone: String,
+    val requests: Endpoint,
+    val readiness: Endpoint,
+    val storeAddress: Endpoint,
+    val leaseMillis: Long = SchedulerSettings.DEFAULT_LEASE_MILLIS,
+    val stopMillis: Long = SchedulerSettings.DEFAULT_STOP_MILLIS,
+    val drainMillis: Long = DEFAULT_DRAIN_MILLIS
+) {
+    companion object {
+        /** Two failed readiness checks a second apart, and a second for requests under way. */
+        const val DEFAULT_DRAIN_MILLIS = 3_000L
+        private val LEASE_RANGE = 500L..600_000L
+        private val STOP_RANGE = 0L..60_000L
+        private val DRAIN_RANGE = 0L..60_000L
+
+        /** Returns the settings that [text] holds; unknown sections and keys are errors. */
+        fun parse(file: String, text: String): Either<NonEmptyList<IniError>, WorkflowSettings> =
+            IniDocument.parse(file, text).flatMap(::read)
+
+        /** Returns the settings that [text] holds, or null if it has an error. */
+        fun parseOrNull(text: String): WorkflowSettings? = parse("", text).getOrNull()
+
+        private fun read(document: IniDocument): Either<NonEmptyList<IniError>, WorkflowSettings> {
+            val errors = mutableListOf<IniError>()
+            val settings = SettingsSections(document, errors).read()
+            val sorted = errors.sortedBy { it.line }.toNonEmptyListOrNull()
+            return sorted?.left() ?: checkNotNull(settings).right()
+        }
+
+        private class SettingsSections(
+            private val document: IniDocument,
+            private val errors: MutableList<IniError>
+        ) {
+            fun read(): WorkflowSettings? {
+                val host = section("host") { text("name") to text("availability-zone") }
+                val listen = section("listen") { endpoint("requests") to endpoint("readiness") }
+                val store = section("store") { endpoint("address") }
+                val times = section("times") {
+                    Triple(
+                        long("lease-millis", LEASE_RANGE),
+                        long("stop-millis", STOP_RANGE),
+                        long("drain-millis", DRAIN_RANGE, DEFAULT_DRAIN_MILLIS)
+                    )
+                }
+                document.sections.filter { it.name !in SECTIONS }.forEach {
+                    errors += IniError(document.file, it.line, it.name, "", "unknown section")
+                }
+                return nullable {
+                    WorkflowSettings(
+                        host.bind().first.bind(),
+                        host.bind().second.bind(),
+                        listen.bind().first.bind(),
+                        listen.bind().second.bind(),
+                        store.bind(),
+                        times.bind().first.bind(),
+                        times.bind().second.bind(),
+                        times.bind().third.bind()
+                    )
+                }
+            }
+
+            private fun <T : Any> section(name: String, read: SectionReader.() -> T?): T? {
+                val section = document.section(name)
+                if (section == null) {
+                    val end = document.lineCount
+                    errors += IniError(document.file, end, name, "", "the section is missing")
+                    return null
+                }
+                val reader = SectionReader(document, section, errors)
+                return reader.read().also { reader.rejectOtherKeys() }
+            }
+        }
+
+        private val SECTIONS = setOf("host", "listen", "store", "times")
+    }
+}
