Run tasks that use idle processors beside serving tasks, by a learned model of their tails

Change: effects learned for each pair of images, placement by predicted headroom, neighbours stopped at their checkpoint and moved when a tail nears its target, serving tasks of one image packed together; an emulator module that plays this load without a network.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
@@ -39,6 +39,9 @@
     var barredUntilMillis = Long.MIN_VALUE
     var failuresInRow = 0
 
+    /** Until then its serving tasks get no new neighbours. */
+    var noSharingUntilMillis = Long.MIN_VALUE
+
     /** Processors of the runs that count against the capacity, and of those that don't. */
     var firmMilliCpus = 0L
         private set
@@ -48,6 +51,8 @@
         private set
     var committedAccelerators = 0L
         private set
+    var servingMilliCpus = 0L
+        private set
     var servingCount = 0
         private set
     val capacity: Resources get() = listing.capacity
@@ -107,23 +112,40 @@
 
     fun add(placement: Placement) {
         placements[placement.task.name] = placement
-        commit(placement.task.step.spec, 1)
+        commit(placement, 1)
     }
 
     fun remove(placement: Placement) {
         if (placements[placement.task.name] !== placement) return
         placements -= placement.task.name
-        commit(placement.task.step.spec, -1)
+        commit(placement, -1)
+    }
+
+    /** Counts the processors of [placement] at another pace. */
+    fun repace(placement: Placement, percent: Int) {
+        if (placements[placement.task.name] !== placement) return
+        val spec = placement.task.step.spec
+        if (!spec.usesIdleCpu) return
+        idleMilliCpus += spec.demand.milliCpus * percent / FULL -
+            spec.demand.milliCpus * placement.pacePercent / FULL
     }
 
-    private fun commit(spec: WorkflowStep, sign: Int) {
+    private fun commit(placement: Placement, sign: Int) {
+        val spec = placement.task.step.spec
         if (spec.usesIdleCpu) {
-            idleMilliCpus += sign * spec.demand.milliCpus
+            idleMilliCpus += sign * spec.demand.milliCpus * placement.pacePercent / FULL
         } else {
             firmMilliCpus += sign * spec.demand.milliCpus
         }
         committedMemoryMib += sign * spec.demand.memoryMib
         committedAccelerators += sign * spec.demand.accelerators
-        if (spec.isServing) servingCount += sign
+        if (spec.isServing) {
+            servingCount += sign
+            servingMilliCpus += sign * spec.demand.milliCpus
+        }
+    }
+
+    private companion object {
+        const val FULL = Placement.FULL_PACE
     }
 }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placement.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placement.kt
@@ -34,6 +34,11 @@
 
     /** Percent of its speed at which the run was told to work. */
     var pacePercent = FULL_PACE
+        private set
+
+    /** When the pace was last changed. */
+    var pacedMillis = Long.MIN_VALUE / 2
+        private set
 
     /** Moves on by [event]; returns whether the chart allows it. */
     fun on(event: PlacementEvent, nowMillis: Long): Boolean {
@@ -53,6 +58,18 @@
         on(PlacementEvent.SEEN, nowMillis)
     }
 
+    /** Notes that the run was told to work at [percent]. */
+    fun paced(percent: Int, nowMillis: Long) {
+        worker.repace(this, percent)
+        pacePercent = percent
+        pacedMillis = nowMillis
+        progressedMillis = nowMillis
+    }
+
+    /** The target of a serving run over the tail that it last reported. */
+    val headroomOrNull: Double?
+        get() = gauge?.takeIf { it > 0 }?.let { task.step.spec.targetTailMillis / it }
+
     /** Starts the time until an unanswered stop is sent again anew. */
     fun repeatStop(nowMillis: Long) {
         sinceMillis = nowMillis
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
@@ -1,19 +1,19 @@
 /**
  * Chooses the worker for a task.
  *
- * Serving tasks and tasks that use idle processors disturb each other, so they are kept on different
- * workers: serving tasks are packed on few, and the others go where most processors are left.
+ * Serving tasks are packed on few workers. Tasks that use idle processors go where most of these are
+ * left and where the serving tasks keep enough headroom.
  */
 package sycamoremast.coordination.workflow
 
-internal class Placer(private val fleet: Fleet) {
+internal class Placer(private val fleet: Fleet, private val sharing: Sharing) {
     /** Returns the best worker for [task] at [nowMillis], or null if none has room. */
     fun chooseOrNull(task: OpenTask, nowMillis: Long): FleetWorker? {
         var best: FleetWorker? = null
         var bestScore = Double.NEGATIVE_INFINITY
         for (worker in fleet.workers.values) {
             if (!mayRun(worker, task, nowMillis)) continue
-            val score = score(worker, task)
+            val score = score(worker, task, nowMillis) ?: continue
             if (score > bestScore) {
                 best = worker
                 bestScore = score
@@ -41,21 +41,22 @@
         val accelerators = worker.committedAccelerators + spec.demand.accelerators
         if (accelerators > capacity.accelerators) return false
         if (spec.usesIdleCpu) {
-            return worker.servingCount == 0 && spec.demand.milliCpus <= spareMilliCpus(worker)
+            return spec.demand.milliCpus <= spareMilliCpus(worker)
         }
         return worker.firmMilliCpus + spec.demand.milliCpus <= capacity.milliCpus
     }
 
     private fun spareMilliCpus(worker: FleetWorker) =
-        worker.capacity.milliCpus - worker.firmMilliCpus - worker.idleMilliCpus
+        worker.capacity.milliCpus - worker.firmMilliCpus - worker.idleMilliCpus +
+            worker.servingMilliCpus / SERVING_USE_DIVISOR
 
-    private fun score(worker: FleetWorker, task: OpenTask): Double {
+    /** Returns how well [worker] suits [task], or null if its serving tasks have no headroom left. */
+    private fun score(worker: FleetWorker, task: OpenTask, nowMillis: Long): Double? {
         val spec = task.step.spec
         val spare = spareMilliCpus(worker).toDouble() / worker.capacity.milliCpus
         var score = when {
-            spec.isServing && worker.servingCount > 0 -> PACKED_BONUS - spare
-            spec.isServing -> spare
-            spec.usesIdleCpu -> spare
+            spec.isServing -> servingScore(worker, spec, spare)
+            spec.usesIdleCpu -> spare + (calmOrNull(worker, spec, nowMillis) ?: return null)
             worker.servingCount > 0 -> PACKED_BONUS + spare
             else -> spare
         }
@@ -67,7 +68,27 @@
         return score
     }
 
+    /** Packs serving tasks of one image together: the sensitive ones then keep few workers calm. */
+    private fun servingScore(worker: FleetWorker, spec: WorkflowStep, spare: Double): Double {
+        val serving = worker.placements.values.filter { it.task.step.spec.isServing }
+        if (serving.isEmpty()) return spare
+        val alike = serving.count { it.task.step.spec.image == spec.image }
+        return PACKED_BONUS * alike / serving.size
+    }
+
+    private fun calmOrNull(worker: FleetWorker, spec: WorkflowStep, nowMillis: Long): Double? {
+        val headroom = sharing.headroomWithOrNull(worker, spec, nowMillis) ?: return 1.0
+        if (headroom < Sharing.AIM) return null
+        return minOf(headroom / ENOUGH_HEADROOM, 1.0)
+    }
+
     private companion object {
+        /** Headroom beyond which more is no better. */
+        const val ENOUGH_HEADROOM = 2.0
+
+        /** What serving tasks use of the processors that they reserve, over a swing of their load. */
+        const val SERVING_USE_DIVISOR = 2
+
         /** Weights in shares of a worker; only their order matters. */
         const val PACKED_BONUS = 2.0
         const val NEAR_DATA_BONUS = 5.0
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
@@ -6,7 +6,11 @@
  */
 package sycamoremast.coordination.workflow
 
-internal class RunTracker(private val fleet: Fleet, private val recorder: Recorder) {
+internal class RunTracker(
+    private val fleet: Fleet,
+    private val recorder: Recorder,
+    private val sharing: Sharing
+) {
     fun startAnswered(order: StartOrder, answer: WorkerAnswer, nowMillis: Long) {
         val placement = find(order.task, order.worker, order.run) ?: return
         when (answer) {
@@ -145,6 +149,7 @@
             if (running[placement.task.name]?.run == placement.run) continue
             absent(placement, order.sentMillis, nowMillis)
         }
+        sharing.reported(worker, nowMillis)
     }
 
     private fun seen(worker: FleetWorker, row: RunningRow, nowMillis: Long) {
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunUpkeep.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunUpkeep.kt
@@ -56,6 +56,7 @@
     private fun isStuck(placement: Placement, nowMillis: Long): Boolean {
         val spec = placement.task.step.spec
         if (spec.isLongRunning || placement.worker.contactFailures > 0) return false
+        if (placement.pacePercent < Placement.FULL_PACE) return false
         return nowMillis - placement.progressedMillis > STUCK_MILLIS
     }
 
@@ -91,13 +92,18 @@
         worker.lastPollMillis = nowMillis
         worker.acknowledgedEnd = worker.recordedEnd
         if (leaseEnd != null) worker.gaveLease(fleet.settings.lapsedBy(nowMillis))
-        val wait = if (mayWait) fleet.settings.pollWaitMillis else 0
+        val isShared = worker.servingCount > 0 && worker.idleMilliCpus > 0
+        val longest = if (isShared) SHARED_POLL_MILLIS else fleet.settings.pollWaitMillis
+        val wait = if (mayWait) longest else 0
         fleet.outbox += SchedulerAction.Poll(
             PollOrder(worker.ref, fleet.epoch, worker.recordedEnd, leaseEnd, wait, nowMillis)
         )
     }
 
     private companion object {
+        /** Readings of shared workers are averages of half a second. */
+        const val SHARED_POLL_MILLIS = 400L
+
         /** A stop without an answer is sent again after this. */
         const val STOP_REPEAT_MILLIS = 600L
 
--- /dev/null
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Sharing.kt
@@ -0,0 +1,201 @@
+/**
+ * Lets tasks that use idle processors run beside serving tasks without slowing these beyond their
+ * target.
+ *
+ * The tasks of a serving step carry the same load, so its headroom without neighbours is estimated
+ * from all of them. What a worker's serving tasks have left decides how many neighbours are placed
+ * there and at which pace these work.
+ */
+package sycamoremast.coordination.workflow
+
+internal class Sharing(private val fleet: Fleet) {
+    private val model = TailModel()
+    private val baselines = HashMap<OpenStep, Baseline>()
+
+    private class Baseline(var headroom: Double, var slopePerMilli: Double, var atMillis: Long)
+
+    /** Takes in the readings of a new report of [worker], and adjusts the pace of neighbours. */
+    fun reported(worker: FleetWorker, nowMillis: Long) {
+        if (worker.servingCount == 0) return
+        val shares = shares(worker)
+        val serving = worker.placements.values.filter { it.isServingSteadily(nowMillis) }
+        for (placement in serving) {
+            val headroom = placement.headroomOrNull ?: continue
+            val image = placement.task.step.spec.image
+            val free = headroom + model.cost(image, shares)
+            val baseline = update(placement.task.step, free, shares, nowMillis)
+            if (isSettled(worker, nowMillis)) model.observe(image, shares, baseline - headroom)
+        }
+        adjust(worker, nowMillis)
+    }
+
+    /** Returns the least headroom on [worker] after [extra] joined, or null without serving tasks. */
+    fun headroomWithOrNull(worker: FleetWorker, extra: WorkflowStep, nowMillis: Long): Double? {
+        if (worker.servingCount == 0) return null
+        if (nowMillis < worker.noSharingUntilMillis) return 0.0
+        val shares = shares(worker).toMutableMap()
+        val share = extra.demand.milliCpus.toDouble() / worker.capacity.milliCpus
+        shares.merge(extra.image, share, Double::plus)
+        return leastHeadroom(worker, shares, nowMillis)
+    }
+
+    private fun leastHeadroom(
+        worker: FleetWorker,
+        shares: Map<String, Double>,
+        nowMillis: Long
+    ): Double = worker.placements.values.filter { it.task.step.spec.isServing }
+        .minOfOrNull { predicted(it.task.step, shares, nowMillis) } ?: NO_PRESSURE
+
+    private fun predicted(step: OpenStep, shares: Map<String, Double>, nowMillis: Long): Double {
+        val baseline = baselines[step] ?: return UNKNOWN_HEADROOM
+        val ahead = nowMillis - baseline.atMillis + LOOK_AHEAD_MILLIS
+        val change = (baseline.slopePerMilli * ahead).coerceIn(-MOST_CHANGE, 0.0)
+        return baseline.headroom + change - model.cost(step.spec.image, shares)
+    }
+
+    /** Moves the step's baseline towards [free], less so the more of it rests on the model. */
+    private fun update(
+        step: OpenStep,
+        free: Double,
+        shares: Map<String, Double>,
+        nowMillis: Long
+    ): Double {
+        val known = baselines[step]
+        if (known == null) {
+            baselines[step] = Baseline(free, 0.0, nowMillis)
+            return free
+        }
+        val weight = BASELINE_WEIGHT / (1 + model.cost(step.spec.image, shares))
+        val elapsed = nowMillis - known.atMillis
+        val expected = known.headroom + known.slopePerMilli * elapsed
+        val error = free - expected
+        known.headroom = expected + weight * error
+        if (elapsed > 0) {
+            val slope = known.slopePerMilli + weight * SLOPE_WEIGHT * error / SLOPE_SPAN_MILLIS
+            known.slopePerMilli = slope.coerceIn(-STEEPEST, STEEPEST)
+        }
+        known.atMillis = nowMillis
+        return known.headroom
+    }
+
+    private fun shares(worker: FleetWorker): Map<String, Double> {
+        val shares = HashMap<String, Double>()
+        for (placement in worker.placements.values) {
+            val spec = placement.task.step.spec
+            if (!spec.usesIdleCpu) continue
+            shares.merge(spec.image, share(placement, placement.pacePercent), Double::plus)
+        }
+        return shares
+    }
+
+    private fun share(placement: Placement, percent: Int) =
+        placement.task.step.spec.demand.milliCpus.toDouble() * percent /
+            (Placement.FULL_PACE * placement.worker.capacity.milliCpus)
+
+    /** Whether what runs on [worker] has been the same for as long as a reading covers. */
+    private fun isSettled(worker: FleetWorker, nowMillis: Long) = worker.placements.values.all {
+        !it.task.step.spec.usesIdleCpu ||
+            nowMillis - maxOf(it.startedMillis, it.pacedMillis) > READING_MILLIS
+    }
+
+    /** Moves neighbours away, or halts them, while a serving task is over its target. */
+    private fun adjust(worker: FleetWorker, nowMillis: Long) {
+        val neighbours = worker.placements.values.filter {
+            it.task.step.spec.usesIdleCpu && it.phase == PlacementPhase.RUNNING
+        }
+        if (neighbours.isEmpty()) return
+        val worst = worker.placements.values
+            .filter { it.task.step.spec.isServing && it.headroomOrNull != null }
+            .minByOrNull { it.headroomOrNull ?: NO_PRESSURE } ?: return
+        val headroom = worst.headroomOrNull ?: return
+        when {
+            headroom < SLOW_BELOW -> relieve(worker, neighbours, worst, nowMillis)
+            headroom > RELEASE_ABOVE -> release(neighbours, nowMillis)
+        }
+    }
+
+    private fun relieve(
+        worker: FleetWorker,
+        neighbours: List<Placement>,
+        worst: Placement,
+        nowMillis: Long
+    ) {
+        val image = worst.task.step.spec.image
+        var missing = AIM - (worst.headroomOrNull ?: AIM)
+        worker.noSharingUntilMillis = nowMillis + NO_SHARING_MILLIS
+        val byCost = neighbours.filter { it.pacePercent > 0 }
+            .sortedByDescending { cost(image, it) }
+        for (placement in byCost) {
+            if (missing <= 0) return
+            missing -= cost(image, placement)
+            if (placement.task.step.spec.savesProgress) {
+                fleet.stop(placement, nowMillis, "neighbour over its target")
+            } else {
+                pace(placement, 0, nowMillis)
+            }
+        }
+    }
+
+    private fun cost(serving: String, placement: Placement) =
+        model.effect(serving, placement.task.step.spec.image) *
+            share(placement, placement.pacePercent)
+
+    private fun release(neighbours: List<Placement>, nowMillis: Long) {
+        val slowed = neighbours.find { it.pacePercent < Placement.FULL_PACE } ?: return
+        if (nowMillis < slowed.pacedMillis + READING_MILLIS) return
+        pace(slowed, Placement.FULL_PACE, nowMillis)
+    }
+
+    private fun pace(placement: Placement, percent: Int, nowMillis: Long) {
+        fleet.log(
+            "run-pace",
+            placement.task.name.toString(),
+            "worker" to placement.worker.id,
+            "percent" to percent,
+            "before" to placement.pacePercent
+        )
+        placement.paced(percent, nowMillis)
+        fleet.outbox += SchedulerAction.Pace(
+            PaceOrder(placement.worker.ref, fleet.epoch, placement.task.name, placement.run, percent)
+        )
+    }
+
+    /** Forgets steps that have ended. */
+    fun forget(workflow: OpenWorkflow) {
+        workflow.steps().forEach { baselines -= it }
+    }
+
+    private fun Placement.isServingSteadily(nowMillis: Long) = task.step.spec.isServing &&
+        percent == Placement.FULL_PACE && nowMillis - startedMillis > READING_MILLIS
+
+    companion object {
+        /** The headroom that placement aims at: a quarter above the target. */
+        const val AIM = 1.25
+
+        /** Below this a tail may pass its target before the next reading. */
+        const val SLOW_BELOW = 1.05
+        const val RELEASE_ABOVE = 1.5
+
+        /** Headroom of a worker whose serving tasks say nothing. */
+        const val NO_PRESSURE = 5.0
+
+        /** Headroom assumed of a serving step without a reading yet. */
+        const val UNKNOWN_HEADROOM = 1.6
+
+        /** A reading is an average over half a second, and comes a little later. */
+        private const val READING_MILLIS = 700L
+
+        /** A neighbour placed now works through about this time. */
+        private const val LOOK_AHEAD_MILLIS = 700L
+        private const val MOST_CHANGE = 0.8
+        private const val BASELINE_WEIGHT = 0.4
+        private const val SLOPE_WEIGHT = 0.3
+        private const val SLOPE_SPAN_MILLIS = 500.0
+
+        /** Headroom lost a millisecond at the steepest: the whole range in some seconds. */
+        private const val STEEPEST = 0.0006
+
+        /** Two readings have to show that a worker has recovered before it is shared again. */
+        private const val NO_SHARING_MILLIS = 1_500L
+    }
+}
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -16,8 +16,9 @@
 ) {
     private val fleet = Fleet(epoch, settings)
     private val recorder = Recorder(fleet)
-    private val tracker = RunTracker(fleet, recorder)
-    private val placer = Placer(fleet)
+    private val sharing = Sharing(fleet)
+    private val tracker = RunTracker(fleet, recorder, sharing)
+    private val placer = Placer(fleet, sharing)
     private val upkeep = RunUpkeep(fleet, recorder, tracker)
     private val pendingCancels = HashSet<String>()
     private var nextPlacementMillis = Long.MIN_VALUE
@@ -214,6 +215,7 @@
     ) {
         workflow.end(phase, unixMillis)
         fleet.open -= workflow
+        sharing.forget(workflow)
         recorder.changed(workflow)
         fleet.log(
             "workflow-ended",
--- /dev/null
+++ b/emulator/src/main/kotlin/sycamoremast/emulator/EmulatedWorker.kt
@@ -0,0 +1,108 @@
+/**
+ * A worker in virtual time: it runs tasks, shares its idle processors and reports tails.
+ *
+ * Tasks that use idle processors get what the others leave. The tail of a serving task grows as in a
+ * queue with the load that it carries and with what its neighbours take, by an amount for each pair
+ * of images; it is reported as the average of half a second.
+ */
+package sycamoremast.emulator
+
+import sycamoremast.coordination.workflow.EndedRow
+import sycamoremast.coordination.workflow.RunEnd
+import sycamoremast.coordination.workflow.RunningRow
+import sycamoremast.coordination.workflow.TaskName
+import sycamoremast.coordination.workflow.WorkerReport
+
+/** A run that is there; [workMillis] is what it takes alone at full pace. */
+internal class EmulatedRun(
+    val name: TaskName,
+    val run: Int,
+    val kind: WorkKind,
+    val milliCpus: Long,
+    val image: Int,
+    val workMillis: Double,
+    val willFail: Boolean,
+    val phase: Double
+) {
+    var doneMillis = 0.0
+    var pace = 1.0
+    var slowness = 1.0
+    var tail = 0.0
+    val tails = ArrayDeque<Double>()
+    var overMillis = 0L
+    var ageMillis = 0L
+}
+
+internal class EmulatedWorker(
+    val id: String,
+    val pattern: Pattern,
+    private val presses: Map<Pair<Int, Int>, Double>
+) {
+    val runs = LinkedHashMap<TaskName, EmulatedRun>()
+    val ended = ArrayList<EndedRow>()
+    private var lastEnd = 0L
+
+    fun load(run: EmulatedRun, second: Double) =
+        LOAD * (1 + SWING * kotlin.math.sin(TWO_PI * (second / pattern.swingSeconds + run.phase)))
+
+    /** Moves on by [stepMillis]; returns the runs that ended. */
+    fun step(stepMillis: Int, second: Double): List<EmulatedRun> {
+        val serving = runs.values.filter { it.kind.isServing }
+        val firm = runs.values.filter { !it.kind.isServing && !it.kind.usesIdleCpu }
+        val sharing = runs.values.filter { it.kind.usesIdleCpu }
+        val used = serving.sumOf { load(it, second) * it.milliCpus } + firm.sumOf { it.milliCpus }
+        val wanted = sharing.sumOf { it.milliCpus * it.pace }
+        val part = if (wanted <= 0) 1.0 else ((pattern.milliCpus - used) / wanted).coerceIn(0.0, 1.0)
+        for (run in serving) measure(run, sharing, part, second, stepMillis)
+        for (run in firm) run.doneMillis += stepMillis / run.slowness
+        for (run in sharing) run.doneMillis += stepMillis * part * run.pace / run.slowness
+        runs.values.forEach { it.ageMillis += stepMillis }
+        val done = runs.values.filter { !it.kind.isServing && it.doneMillis >= it.workMillis }
+        done.forEach { end(it, if (it.willFail) RunEnd.FAILED else RunEnd.DONE) }
+        return done
+    }
+
+    private fun measure(
+        run: EmulatedRun,
+        sharing: List<EmulatedRun>,
+        part: Double,
+        second: Double,
+        stepMillis: Int
+    ) {
+        val pressure = sharing.sumOf {
+            presses.getValue(run.image to it.image) * it.milliCpus * it.pace * part /
+                pattern.milliCpus
+        }
+        val busy = (load(run, second) + pressure).coerceAtMost(MOST_BUSY)
+        run.tail = pattern.tailMillis / (1 - busy)
+        run.tails.addLast(run.tail)
+        if (run.tails.size > READING_MILLIS / stepMillis) run.tails.removeFirst()
+    }
+
+    fun end(run: EmulatedRun, how: RunEnd) {
+        runs.remove(run.name)
+        lastEnd++
+        ended += EndedRow(lastEnd, run.name, run.run, how, "")
+    }
+
+    fun report(nowMillis: Long, acknowledged: Long): WorkerReport {
+        ended.removeAll { it.number <= acknowledged }
+        val rows = runs.values.map { run ->
+            val gauge = if (run.kind.isServing) run.tails.average() else run.milliCpus.toDouble()
+            val percent =
+                if (run.kind.isServing) FULL else (FULL * run.doneMillis / run.workMillis).toInt()
+            RunningRow(run.name, run.run, "", percent, gauge)
+        }
+        return WorkerReport(nowMillis, 1, nowMillis, rows, ended.toList())
+    }
+
+    private companion object {
+        /** Mean and swing of a serving task's load, of what it reserves. */
+        const val LOAD = 0.45
+        const val SWING = 0.5
+        const val TWO_PI = 2 * Math.PI
+        const val MOST_BUSY = 0.99
+        const val READING_MILLIS = 500
+        const val FULL = 100
+    }
+}
