Learn effects from neighbours that were moved away, and let leases of unreachable workers lapse

Cause: a harmful neighbour was stopped after half a second, before it counted as settled, so its effect was never learned; and polls of an unreachable worker kept extending the time by which its lease has lapsed, so its tasks never restarted (found by a test that failed first: 'an unreachable worker keeps its task until its lease has surely lapsed'). Ruled out: a higher bound at placement (reviews would wait; the pairs that hurt would still not be known). Change: readings weigh each neighbour by the time that they cover, departed ones included; a poll of an unreachable worker carries no lease.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
@@ -49,7 +49,7 @@
     /** Forgets [placement], after which its task may start again. */
     fun release(placement: Placement, nowMillis: Long) {
         placement.on(PlacementEvent.GONE, nowMillis)
-        placement.worker.remove(placement)
+        placement.worker.remove(placement, nowMillis)
         placement.task.release(placement)
         mayPlace = true
     }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
@@ -3,6 +3,9 @@
 
 import sycamoremast.coordination.Resources
 
+/** A [placement] that left its worker at [atMillis]. */
+internal data class Departure(val placement: Placement, val atMillis: Long)
+
 /** One life of a worker. */
 internal class FleetWorker(listing: WorkerListing) {
     val ref: WorkerRef = listing.ref
@@ -60,6 +63,9 @@
     /** Whether a reading of its clock is known, without which no lease can be given. */
     val isSynchronized: Boolean get() = clockOffsetMillis != null
 
+    /** Tasks on idle processors that left lately, which readings of tails may still cover. */
+    val departures = ArrayList<Departure>()
+
     fun relist(changed: WorkerListing) {
         listing = changed
         isListed = true
@@ -115,8 +121,12 @@
         commit(placement, 1)
     }
 
-    fun remove(placement: Placement) {
+    fun remove(placement: Placement, nowMillis: Long) {
         if (placements[placement.task.name] !== placement) return
+        if (placement.task.step.spec.usesIdleCpu) {
+            departures.removeAll { it.atMillis < nowMillis - DEPARTURE_MILLIS }
+            departures += Departure(placement, nowMillis)
+        }
         placements -= placement.task.name
         commit(placement, -1)
     }
@@ -147,5 +157,8 @@
 
     private companion object {
         const val FULL = Placement.FULL_PACE
+
+        /** Longer than any reading covers. */
+        const val DEPARTURE_MILLIS = 1_000L
     }
 }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunUpkeep.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunUpkeep.kt
@@ -81,8 +81,9 @@
     }
 
     private fun poll(worker: FleetWorker, nowMillis: Long) {
+        // An unreachable worker gets no longer lease: its tasks have to be free to restart some time.
         val leaseEnd = worker.leaseEndOrNull(nowMillis, fleet.settings.leaseMillis)
-            ?.takeIf { worker.placements.isNotEmpty() }
+            ?.takeIf { worker.placements.isNotEmpty() && worker.contactFailures == 0 }
         val mayWait = worker.isAccounted &&
             worker.contactFailures == 0 &&
             worker.placements.isNotEmpty() &&
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Sharing.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Sharing.kt
@@ -18,13 +18,14 @@
     fun reported(worker: FleetWorker, nowMillis: Long) {
         if (worker.servingCount == 0) return
         val shares = shares(worker)
+        val covered = coveredShares(worker, nowMillis)
         val serving = worker.placements.values.filter { it.isServingSteadily(nowMillis) }
         for (placement in serving) {
             val headroom = placement.headroomOrNull ?: continue
             val image = placement.task.step.spec.image
-            val free = headroom + model.cost(image, shares)
-            val baseline = update(placement.task.step, free, shares, nowMillis)
-            if (isSettled(worker, nowMillis)) model.observe(image, shares, baseline - headroom)
+            val free = headroom + model.cost(image, covered)
+            val baseline = update(placement.task.step, free, covered, nowMillis)
+            model.observe(image, covered, baseline - headroom)
         }
         adjust(worker, nowMillis)
     }
@@ -92,10 +93,23 @@
         placement.task.step.spec.demand.milliCpus.toDouble() * percent /
             (Placement.FULL_PACE * placement.worker.capacity.milliCpus)
 
-    /** Whether what runs on [worker] has been the same for as long as a reading covers. */
-    private fun isSettled(worker: FleetWorker, nowMillis: Long) = worker.placements.values.all {
-        !it.task.step.spec.usesIdleCpu ||
-            nowMillis - maxOf(it.startedMillis, it.pacedMillis) > READING_MILLIS
+    /** Returns the shares of neighbours over the time that a reading covers, as an average. */
+    private fun coveredShares(worker: FleetWorker, nowMillis: Long): Map<String, Double> {
+        val shares = HashMap<String, Double>()
+        for (placement in worker.placements.values) {
+            if (!placement.task.step.spec.usesIdleCpu) continue
+            val age = nowMillis - maxOf(placement.startedMillis, placement.pacedMillis)
+            val part = (age.toDouble() / READING_MILLIS).coerceIn(0.0, 1.0)
+            val share = share(placement, placement.pacePercent) * part
+            shares.merge(placement.task.step.spec.image, share, Double::plus)
+        }
+        for ((placement, atMillis) in worker.departures) {
+            val part = 1 - (nowMillis - atMillis).toDouble() / READING_MILLIS
+            if (part <= 0) continue
+            val share = share(placement, placement.pacePercent) * part
+            shares.merge(placement.task.step.spec.image, share, Double::plus)
+        }
+        return shares
     }
 
     /** Moves neighbours away, or halts them, while a serving task is over its target. */
--- /dev/null
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/TailModelTest.kt
@@ -0,0 +1,35 @@
+package sycamoremast.coordination.workflow
+
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
+
+class TailModelTest {
+    private val model = TailModel()
+
+    @Test
+    fun `a heavy neighbour is told from a light one beside it`() {
+        val both = mapOf("heavy" to 0.1, "light" to 0.1)
+        repeat(60) {
+            model.observe("serving", mapOf("light" to 0.1), 0.05)
+            model.observe("serving", both, 1.05)
+        }
+        expectThat(model.effect("serving", "heavy")).isGreaterThan(6.0)
+        expectThat(model.effect("serving", "light")).isLessThan(2.0)
+    }
+
+    @Test
+    fun `an effect on one image says nothing about another`() {
+        val before = model.effect("other", "heavy")
+        repeat(20) { model.observe("serving", mapOf("heavy" to 0.1), 1.0) }
+        expectThat(model.effect("other", "heavy")).isEqualTo(before)
+    }
+
+    @Test
+    fun `no neighbours cost nothing and teach nothing`() {
+        model.observe("serving", emptyMap(), 3.0)
+        expectThat(model.cost("serving", emptyMap())).isEqualTo(0.0)
+    }
+}
--- /dev/null
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/WorkflowSchedulerTest.kt
@@ -0,0 +1,272 @@
+package sycamoremast.coordination.workflow
+
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.containsExactly
+import strikt.assertions.hasSize
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isTrue
+import strikt.assertions.map
+
+class WorkflowSchedulerTest {
+    private val driver = SchedulerDriver()
+    private val scheduler = driver.scheduler
+
+    private fun started(vararg steps: WorkflowStep = arrayOf(driver.tasks())): StartOrder {
+        driver.workers("w1", "w2")
+        driver.submit(driver.workflow(steps = steps))
+        driver.step()
+        return driver.starts.first().also(driver::done)
+    }
+
+    private fun poll(worker: String): PollOrder = driver.freshPoll(worker)
+
+    private fun end(order: StartOrder, how: RunEnd, number: Long = 1) =
+        EndedRow(number, order.task, order.run, how, "")
+
+    @Test
+    fun `a worker gets no work before the roster that names it is durable`() {
+        driver.recordsAtOnce = false
+        scheduler.listed(listOf(driver.listing("w1")), driver.now)
+        driver.submit(driver.workflow())
+        driver.step()
+        driver.polls.forEach { driver.report(it) }
+        expectThat(driver.step().filterIsInstance<SchedulerAction.Start>()).isEmpty()
+        scheduler.recorded()
+        expectThat(driver.step().filterIsInstance<SchedulerAction.Start>()).hasSize(1)
+    }
+
+    @Test
+    fun `a step starts only once all steps that it waits for are done`() {
+        val first = started(driver.tasks(), driver.tasks(2, after = listOf(0)))
+        expectThat(driver.step().filterIsInstance<SchedulerAction.Start>()).isEmpty()
+        driver.report(poll(first.worker.id), ended = listOf(end(first, RunEnd.DONE)))
+        driver.step()
+        expectThat(driver.starts).map { it.task.step }.containsExactly(1, 1)
+    }
+
+    @Test
+    fun `an end is acknowledged only after its record is durable`() {
+        val first = started()
+        val poll = poll(first.worker.id)
+        driver.recordsAtOnce = false
+        driver.report(poll, ended = listOf(end(first, RunEnd.DONE)))
+        driver.step()
+        val batch = driver.records.single()
+        expectThat(batch.progress.getValue("job").phase).isEqualTo(WorkflowPhase.COMPLETED)
+        repeat(20) {
+            driver.step()
+            driver.polls.forEach {
+                expectThat(it.acknowledgedEnd).isEqualTo(0)
+                driver.report(it, ended = listOf(end(first, RunEnd.DONE)))
+            }
+        }
+        expectThat(scheduler.phaseOrNull("job")).isEqualTo(WorkflowPhase.RUNNING)
+        scheduler.recorded()
+        expectThat(scheduler.phaseOrNull("job")).isEqualTo(WorkflowPhase.COMPLETED)
+        expectThat(poll(first.worker.id).acknowledgedEnd).isEqualTo(1)
+    }
+
+    @Test
+    fun `a start without an answer is fenced on its worker before the task starts elsewhere`() {
+        driver.workers("w1", "w2")
+        driver.submit(driver.workflow())
+        driver.step()
+        val lost = driver.starts.single()
+        scheduler.startAnswered(lost, WorkerAnswer.Unknown("timeout"), driver.now)
+        driver.report(poll(lost.worker.id))
+        driver.step()
+        expectThat(driver.starts).isEmpty()
+        val stop = driver.stops.single()
+        expectThat(stop.run).isEqualTo(lost.run)
+        driver.report(poll(lost.worker.id))
+        expectThat(driver.step().filterIsInstance<SchedulerAction.Start>()).isEmpty()
+        scheduler.stopAnswered(stop, WorkerAnswer.Done(driver.now, driver.now), driver.now)
+        driver.report(poll(lost.worker.id))
+        driver.step()
+        expectThat(driver.starts.single().run).isGreaterThan(lost.run)
+    }
+
+    @Test
+    fun `a start without an answer that is seen running is kept`() {
+        driver.workers("w1")
+        driver.submit(driver.workflow())
+        driver.step()
+        val lost = driver.starts.single()
+        scheduler.startAnswered(lost, WorkerAnswer.Unknown("timeout"), driver.now)
+        val row = RunningRow(lost.task, lost.run, "", 10, null)
+        repeat(5) { driver.report(poll("w1"), running = listOf(row)) }
+        driver.step()
+        expectThat(driver.stops).isEmpty()
+        expectThat(driver.starts).isEmpty()
+    }
+
+    @Test
+    fun `a report polled before the start was answered doesn't end the run`() {
+        driver.workers("w1")
+        driver.submit(driver.workflow("other"))
+        driver.step()
+        driver.done(driver.starts.single())
+        val early = poll("w1")
+        driver.submit(driver.workflow("job"))
+        driver.step()
+        val order = driver.starts.single()
+        driver.done(order)
+        driver.report(early, running = listOf(RunningRow(TaskName("other", 0, 0, 0), 1, "", 1, null)))
+        driver.step()
+        expectThat(driver.starts).isEmpty()
+    }
+
+    @Test
+    fun `an unreachable worker keeps its task until its lease has surely lapsed`() {
+        val first = started()
+        var last = driver.now
+        var restarted = emptyList<StartOrder>()
+        while (restarted.isEmpty() && driver.now < 20_000) {
+            driver.step()
+            for (poll in driver.polls) {
+                if (poll.worker == first.worker) {
+                    if (poll.leaseEndMillis != null) last = poll.sentMillis
+                    driver.answer(poll, WorkerAnswer.Unknown("timeout"))
+                } else {
+                    driver.report(poll)
+                }
+            }
+            restarted = driver.starts
+        }
+        expectThat(restarted.single().worker.id).isEqualTo("w2")
+        expectThat(driver.now).isGreaterThan(last + 6_120)
+    }
+
+    @Test
+    fun `tasks of a worker that started anew restart at once`() {
+        val first = started()
+        driver.report(poll(first.worker.id), born = 2)
+        driver.step()
+        expectThat(driver.starts.single().run).isGreaterThan(first.run)
+    }
+
+    @Test
+    fun `another incarnation at the address ends what ran on the earlier one`() {
+        val first = started()
+        val other = WorkerAnswer.Rejected(RejectReason.OTHER_INCARNATION)
+        driver.answer(poll(first.worker.id), other)
+        driver.step()
+        expectThat(driver.starts.single().worker.id).isEqualTo(
+            listOf("w1", "w2").single { it != first.worker.id }
+        )
+    }
+
+    @Test
+    fun `a workflow fails once a task has used up its attempts, and not before`() {
+        var order = started()
+        driver.report(poll(order.worker.id), ended = listOf(end(order, RunEnd.FAILED)))
+        driver.step()
+        expectThat(scheduler.phaseOrNull("job")).isEqualTo(WorkflowPhase.RUNNING)
+        order = driver.starts.single().also(driver::done)
+        val number = 2L
+        driver.report(poll(order.worker.id), ended = listOf(end(order, RunEnd.FAILED, number)))
+        driver.step()
+        driver.step()
+        expectThat(scheduler.phaseOrNull("job")).isEqualTo(WorkflowPhase.FAILED)
+        expectThat(driver.starts).isEmpty()
+    }
+
+    @Test
+    fun `a cancelled workflow stops what runs and starts nothing more`() {
+        val first = started(driver.tasks(), driver.tasks(after = listOf(0)))
+        scheduler.cancelled("job", driver.now, driver.now)
+        driver.step()
+        expectThat(driver.stops.single().task).isEqualTo(first.task)
+        driver.report(poll(first.worker.id), ended = listOf(end(first, RunEnd.DONE)))
+        expectThat(driver.step().filterIsInstance<SchedulerAction.Start>()).isEmpty()
+    }
+
+    @Test
+    fun `a cancellation that is seen before its workflow still holds`() {
+        driver.workers("w1")
+        scheduler.cancelled("job", driver.now, driver.now)
+        driver.submit(driver.workflow())
+        expectThat(driver.step().filterIsInstance<SchedulerAction.Start>()).isEmpty()
+    }
+
+    @Test
+    fun `a draining worker gets no new task`() {
+        driver.workers("w1")
+        scheduler.listed(driver.listing("w1", isDraining = true), driver.now)
+        driver.submit(driver.workflow())
+        expectThat(driver.step().filterIsInstance<SchedulerAction.Start>()).isEmpty()
+    }
+
+    @Test
+    fun `a worker with a higher epoch deposes the owner`() {
+        val first = started()
+        val stale = WorkerAnswer.Rejected(RejectReason.STALE_EPOCH)
+        driver.answer(poll(first.worker.id), stale)
+        expectThat(driver.step()).contains(SchedulerAction.Depose(first.worker))
+    }
+
+    @Test
+    fun `a new owner adopts what runs and waits for every worker of the roster`() {
+        val next = SchedulerDriver(epoch = 2)
+        next.scheduler.listed(listOf(next.listing("w1")), next.now)
+        next.scheduler.rostered(next.ref("w1"), next.now + 6_420)
+        next.scheduler.rostered(next.ref("gone"), next.now + 6_420)
+        next.submit(next.workflow(steps = arrayOf(next.tasks(2))), isRecovered = true)
+        val running = RunningRow(TaskName("job", 0, 0, 0), 3, "", 50, null)
+        val began = next.now
+        var starts = emptyList<StartOrder>()
+        while (starts.isEmpty() && next.now < 20_000) {
+            next.step()
+            for (poll in next.polls) {
+                if (poll.worker.id == "w1") {
+                    next.report(poll, running = listOf(running))
+                } else {
+                    next.answer(poll, WorkerAnswer.Unknown("timeout"))
+                }
+            }
+            starts = next.starts
+        }
+        expectThat(starts).map { it.task.index }.containsExactly(1)
+        expectThat(next.now - began).isGreaterThan(6_420)
+        expectThat(starts.single().run).isGreaterThan(1_000)
+    }
+
+    @Test
+    fun `what an earlier owner recorded as done does not start again`() {
+        driver.workers("w1")
+        val workflow = driver.workflow(steps = arrayOf(driver.tasks(3)))
+        val done = sycamoremast.coordination.record.IndexSet.of(0, 2)
+        val progress = WorkflowProgress(WorkflowPhase.RUNNING, mapOf("0.0" to done), hasBegun = true)
+        scheduler.accepted(workflow, progress, isRecovered = true, driver.now, driver.now)
+        driver.step()
+        expectThat(driver.starts).map { it.task.index }.containsExactly(1)
+    }
+
+    @Test
+    fun `a workflow without a started task is counted as waiting`() {
+        driver.submit(driver.workflow())
+        expectThat(scheduler.waitingByQueue()).isEqualTo(mapOf("queue" to 1))
+        driver.workers("w1")
+        driver.step()
+        expectThat(scheduler.waitingByQueue().isEmpty()).isTrue()
+    }
+
+    @Test
+    fun `a run that stands still is stopped so that another worker can try`() {
+        val first = started()
+        val row = RunningRow(first.task, first.run, "", 30, null)
+        var stops = emptyList<StopOrder>()
+        while (stops.isEmpty() && driver.now < 20_000) {
+            driver.step()
+            driver.polls.forEach {
+                driver.report(it, if (it.worker == first.worker) listOf(row) else emptyList())
+            }
+            stops = driver.stops
+        }
+        expectThat(stops.single().task).isEqualTo(first.task)
+    }
+}
--- /dev/null
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/MemoryStore.kt
@@ -0,0 +1,148 @@
+package sycamoremast.daemon.workflow
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import kotlin.time.Duration
+import sycamoremast.coordination.CommitResult
+import sycamoremast.coordination.LeaseId
+import sycamoremast.coordination.StoreChange
+import sycamoremast.coordination.StoreChanges
+import sycamoremast.coordination.StoreEntry
+import sycamoremast.coordination.StoreError
+import sycamoremast.coordination.StoreListing
+import sycamoremast.coordination.StoreTransaction
+import sycamoremast.coordination.TransactionalStore
+
+/** A transactional store in memory that can lose answers, refuse calls and forget its history. */
+internal class MemoryStore : TransactionalStore {
+    enum class Fault { REFUSED, LOST_BEFORE, LOST_AFTER, LATE }
+
+    val entries = sortedMapOf<String, StoreEntry>()
+    val history = ArrayList<StoreChange>()
+    val late = ArrayList<StoreTransaction>()
+    var commits = 0
+    private val leased = HashMap<String, LeaseId>()
+    private val leases = HashSet<LeaseId>()
+    private var revision = 10L
+    private var forgottenUpTo = 0L
+    private val commitFaults = ArrayDeque<Fault>()
+    var isDown = false
+
+    /** Strikes the next commits in turn. */
+    @Synchronized
+    fun failCommits(vararg faults: Fault) {
+        commitFaults += faults
+    }
+
+    @Synchronized
+    override fun get(key: String, mayBeStale: Boolean): Either<StoreError, StoreEntry?> =
+        if (isDown) notSent() else entries[key].right()
+
+    @Synchronized
+    override fun list(prefix: String): Either<StoreError, StoreListing> = if (isDown) {
+        notSent()
+    } else {
+        StoreListing(entries.values.filter { it.key.startsWith(prefix) }, revision).right()
+    }
+
+    override fun changes(
+        prefix: String,
+        revision: Long,
+        wait: Duration
+    ): Either<StoreError, StoreChanges> {
+        val until = System.nanoTime() + wait.inWholeNanoseconds
+        while (true) {
+            synchronized(this) {
+                if (isDown) return notSent()
+                if (revision < forgottenUpTo) return StoreChanges.HistoryGone.right()
+                val seen = history.filter { it.revision > revision && it.key.startsWith(prefix) }
+                if (seen.isNotEmpty() || System.nanoTime() > until) {
+                    return StoreChanges.Seen(seen, this.revision).right()
+                }
+            }
+            Thread.sleep(1)
+        }
+    }
+
+    @Synchronized
+    override fun commit(transaction: StoreTransaction): Either<StoreError, CommitResult> {
+        commits++
+        if (isDown) return notSent()
+        return when (commitFaults.removeFirstOrNull()) {
+            null -> apply(transaction).right()
+
+            Fault.REFUSED -> notSent()
+
+            Fault.LOST_BEFORE -> lost()
+
+            Fault.LOST_AFTER -> {
+                apply(transaction)
+                lost()
+            }
+
+            Fault.LATE -> {
+                late += transaction
+                lost()
+            }
+        }
+    }
+
+    /** Carries out the transactions that were held back. */
+    @Synchronized
+    fun carryOutLate(): List<CommitResult> = late.map(::apply).also { late.clear() }
+
+    @Synchronized
+    fun apply(transaction: StoreTransaction): CommitResult {
+        val current = transaction.expected.keys.mapNotNull(entries::get).associateBy { it.key }
+        val isMet = transaction.expected.all { (key, at) -> (entries[key]?.version ?: 0) == at }
+        if (!isMet) return CommitResult.Conflict(current)
+        if (transaction.puts.any { it.lease != null && it.lease !in leases }) {
+            return CommitResult.LeaseGone
+        }
+        revision++
+        for (put in transaction.puts) {
+            entries[put.key] = StoreEntry(put.key, put.value, revision)
+            history += StoreChange(put.key, put.value, revision)
+            put.lease?.let { leased[put.key] = it }
+        }
+        transaction.deletes.forEach(::delete)
+        return CommitResult.Applied(revision)
+    }
+
+    private fun delete(key: String) {
+        if (entries.remove(key) == null) return
+        history += StoreChange(key, null, revision)
+    }
+
+    @Synchronized
+    fun forgetHistory() {
+        history.clear()
+        forgottenUpTo = revision + 1
+        revision += 2
+    }
+
+    @Synchronized
+    override fun grantLease(ttl: Duration): Either<StoreError, LeaseId> =
+        if (isDown) notSent() else LeaseId(++revision).also { leases += it }.right()
+
+    @Synchronized
+    override fun keepAlive(lease: LeaseId): Either<StoreError, Boolean> =
+        if (isDown) notSent() else (lease in leases).right()
+
+    @Synchronized
+    override fun revokeLease(lease: LeaseId): Either<StoreError, Unit> {
+        if (isDown) return notSent()
+        leases -= lease
+        revision++
+        leased.filterValues { it == lease }.keys.toList().forEach {
+            leased -= it
+            delete(it)
+        }
+        return Unit.right()
+    }
+
+    private fun notSent() = StoreError.NotSent("store", "memory", "refused").left()
+
+    private fun lost() = StoreError.AnswerLost("store", "memory", "no answer").left()
+}
--- /dev/null
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/PrefixFollowerTest.kt
@@ -0,0 +1,70 @@
+package sycamoremast.daemon.workflow
+
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.TimeUnit.SECONDS
+import kotlin.time.Duration.Companion.milliseconds
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import sycamoremast.coordination.StoreChange
+import sycamoremast.coordination.StoreListing
+import sycamoremast.coordination.StorePut
+import sycamoremast.coordination.StoreTransaction
+import sycamoremast.daemon.log.EventLog
+
+class PrefixFollowerTest {
+    private val store = MemoryStore()
+    private val seen = LinkedBlockingQueue<String>()
+    private val listener = object : PrefixListener {
+        override fun onListing(listing: StoreListing) {
+            seen += "listing ${listing.entries.joinToString { it.value }}"
+        }
+
+        override fun onChange(change: StoreChange) {
+            seen += "change ${change.value}"
+        }
+    }
+    private val follower =
+        PrefixFollower(store, "a/", EventLog { }, listener, 20.milliseconds)
+
+    private fun put(key: String, value: String) =
+        store.apply(StoreTransaction(emptyMap(), listOf(StorePut(key, value))))
+
+    private fun next() = seen.poll(10, SECONDS)
+
+    @AfterEach
+    fun close() = follower.close()
+
+    @Test
+    fun `a follower sees what is there and then each change`() {
+        put("a/1", "one")
+        follower.start()
+        expectThat(next()).isEqualTo("listing one")
+        put("b/1", "other")
+        put("a/2", "two")
+        expectThat(next()).isEqualTo("change two")
+    }
+
+    @Test
+    fun `a follower lists again once the history is gone`() {
+        follower.start()
+        expectThat(next()).isEqualTo("listing ")
+        synchronized(store) {
+            put("a/1", "one")
+            store.forgetHistory()
+        }
+        expectThat(next()).isEqualTo("listing one")
+    }
+
+    @Test
+    fun `a follower goes on after an outage without missing a change`() {
+        follower.start()
+        expectThat(next()).isEqualTo("listing ")
+        store.isDown = true
+        Thread.sleep(100)
+        put("a/1", "one")
+        store.isDown = false
+        expectThat(next()).isEqualTo("change one")
+    }
+}
--- /dev/null
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/RecordWriterTest.kt
@@ -0,0 +1,68 @@
+package sycamoremast.daemon.workflow
+
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isTrue
+import sycamoremast.coordination.CommitResult
+import sycamoremast.coordination.StoreEntry
+import sycamoremast.coordination.StorePut
+import sycamoremast.coordination.StoreTransaction
+import sycamoremast.coordination.workflow.RecordBatch
+import sycamoremast.coordination.workflow.WorkflowPhase
+import sycamoremast.coordination.workflow.WorkflowProgress
+import sycamoremast.daemon.log.EventLog
+import sycamoremast.daemon.workflow.MemoryStore.Fault
+
+class RecordWriterTest {
+    private val store = MemoryStore()
+    private val writer = RecordWriter(store, 0, 1, claim(1), EventLog { })
+
+    private fun claim(epoch: Long): Long {
+        val key = WorkflowKeys.epoch(0)
+        val at = store.entries[key]?.version ?: StoreEntry.ABSENT
+        val put = StorePut(key, encodeRecord(EpochRecord(epoch, 0)))
+        val result = store.apply(StoreTransaction(mapOf(key to at), listOf(put)))
+        return (result as CommitResult.Applied).revision
+    }
+
+    private fun write(phase: WorkflowPhase) =
+        writer.write(RecordBatch(mapOf("id" to WorkflowProgress(phase)), null, null)) { true }
+
+    private fun phase() = decodeRecordOrNull<WorkflowProgress>(
+        store.entries.getValue(WorkflowKeys.progress(0, "id")).value
+    )?.phase
+
+    @Test
+    fun `batches are written one after the other`() {
+        expectThat(write(WorkflowPhase.RUNNING)).isTrue()
+        expectThat(write(WorkflowPhase.COMPLETED)).isTrue()
+        expectThat(phase()).isEqualTo(WorkflowPhase.COMPLETED)
+    }
+
+    @Test
+    fun `a batch whose answer was lost is not taken for another owner's`() {
+        store.failCommits(Fault.LOST_AFTER)
+        expectThat(write(WorkflowPhase.RUNNING)).isTrue()
+        expectThat(write(WorkflowPhase.COMPLETED)).isTrue()
+    }
+
+    @Test
+    fun `a batch that the store carries out late does not undo a later one`() {
+        store.failCommits(Fault.LATE)
+        expectThat(write(WorkflowPhase.RUNNING)).isTrue()
+        expectThat(write(WorkflowPhase.COMPLETED)).isTrue()
+        expectThat(store.carryOutLate().single()).isA<CommitResult.Conflict>()
+        expectThat(phase()).isEqualTo(WorkflowPhase.COMPLETED)
+    }
+
+    @Test
+    fun `an owner that was replaced writes nothing more`() {
+        write(WorkflowPhase.RUNNING)
+        claim(2)
+        expectThat(write(WorkflowPhase.COMPLETED)).isFalse()
+        expectThat(phase()).isEqualTo(WorkflowPhase.RUNNING)
+    }
+}
--- /dev/null
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/WorkflowSettingsTest.kt
@@ -0,0 +1,48 @@
+package sycamoremast.daemon.workflow
+
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.any
+import strikt.assertions.contains
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
+import sycamoremast.configuration.Endpoint
+
+class WorkflowSettingsTest {
+    private val text = """
+        [host]
+        name = front-gauja-1
+        availability-zone = gauja
+        [listen]
+        requests = 127.0.0.1:8161
+        readiness = 127.0.0.1:8167
+        [store]
+        address = 127.0.0.1:8169
+        [times]
+        lease-millis = 6000
+        stop-millis = 200
+    """.trimIndent()
+
+    @Test
+    fun `settings are read with defaults for what is left out`() {
+        val settings = WorkflowSettings.parseOrNull(text)
+        expectThat(settings).isNotNull().and {
+            get { host }.isEqualTo("front-gauja-1")
+            get { storeAddress }.isEqualTo(Endpoint("127.0.0.1", 8169))
+            get { drainMillis }.isEqualTo(WorkflowSettings.DEFAULT_DRAIN_MILLIS)
+        }
+    }
+
+    @Test
+    fun `every error is listed with its line`() {
+        val broken = text.replace("6000", "soon").replace("[store]", "[shop]")
+        val errors = WorkflowSettings.parse("node.ini", broken).leftOrNull().orEmpty()
+        expectThat(errors.map { it.render() }) {
+            any { contains("lease-millis") }
+            any { contains("[store]") }
+            any { contains("[shop]") }
+        }
+        expectThat(WorkflowSettings.parseOrNull(broken)).isNull()
+    }
+}
--- a/emulator/src/main/kotlin/sycamoremast/emulator/EmulatedWorker.kt
+++ b/emulator/src/main/kotlin/sycamoremast/emulator/EmulatedWorker.kt
@@ -71,7 +71,7 @@
     ) {
         val pressure = sharing.sumOf {
             presses.getValue(run.image to it.image) * it.milliCpus * it.pace * part /
-                pattern.milliCpus
+                pattern.milliCpus * activity(it, second)
         }
         val busy = (load(run, second) + pressure).coerceAtMost(MOST_BUSY)
         run.tail = pattern.tailMillis / (1 - busy)
@@ -79,10 +79,15 @@
         if (run.tails.size > READING_MILLIS / stepMillis) run.tails.removeFirst()
     }
 
+    /** Returns how much more or less than usual [run] presses now; it changes within seconds. */
+    private fun activity(run: EmulatedRun, second: Double) =
+        1 + ACTIVITY_SWING * kotlin.math.sin(TWO_PI * (second / ACTIVITY_SECONDS + run.phase))
+
     fun end(run: EmulatedRun, how: RunEnd) {
         runs.remove(run.name)
         lastEnd++
-        ended += EndedRow(lastEnd, run.name, run.run, how, "")
+        val keepsWork = run.kind.usesIdleCpu && how == RunEnd.STOPPED
+        ended += EndedRow(lastEnd, run.name, run.run, how, if (keepsWork) "${run.doneMillis}" else "")
     }
 
     fun report(nowMillis: Long, acknowledged: Long): WorkerReport {
@@ -102,6 +107,8 @@
         const val SWING = 0.5
         const val TWO_PI = 2 * Math.PI
         const val MOST_BUSY = 0.99
+        const val ACTIVITY_SWING = 0.6
+        const val ACTIVITY_SECONDS = 3.0
         const val READING_MILLIS = 500
         const val FULL = 100
     }
--- a/emulator/src/main/kotlin/sycamoremast/emulator/Emulation.kt
+++ b/emulator/src/main/kotlin/sycamoremast/emulator/Emulation.kt
@@ -13,7 +13,7 @@
 import sycamoremast.coordination.workflow.RunEnd
 import sycamoremast.coordination.workflow.SchedulerAction
 import sycamoremast.coordination.workflow.SchedulerSettings
-import sycamoremast.coordination.workflow.TaskName
+import sycamoremast.coordination.workflow.StartOrder
 import sycamoremast.coordination.workflow.WorkerAnswer
 import sycamoremast.coordination.workflow.WorkerListing
 import sycamoremast.coordination.workflow.WorkerRef
@@ -22,7 +22,7 @@
 import sycamoremast.coordination.workflow.WorkflowScheduler
 import sycamoremast.coordination.workflow.WorkflowStep
 
-/** What became of the workflows of one queue; [lateMillis] are sorted. */
+/** What became of the workflows of one queue. */
 data class QueueOutcome(
     val asked: Int,
     val inTime: Int,
@@ -166,7 +166,8 @@
                 isLongRunning = kind.isServing,
                 image = "image$image",
                 targetTailMillis = if (kind.isServing) targetMillis() else 0,
-                usesIdleCpu = kind.usesIdleCpu
+                usesIdleCpu = kind.usesIdleCpu,
+                savesProgress = kind.usesIdleCpu
             )
         }
         val ideal = (0 until stepCount).sumOf { traits.getValue("$id.0.$it").work.max() }
@@ -196,7 +197,7 @@
         when (action) {
             is SchedulerAction.Start -> at(CALL_MILLIS) {
                 val worker = workers.getValue(action.order.worker.id)
-                startRun(worker, action.order.task, action.order.run)
+                startRun(worker, action.order)
                 val answer = WorkerAnswer.Done(now, now + CALL_MILLIS)
                 at(CALL_MILLIS) { scheduler.startAnswered(action.order, answer, now) }
             }
@@ -244,7 +245,9 @@
         }
     }
 
-    private fun startRun(worker: EmulatedWorker, task: TaskName, run: Int) {
+    private fun startRun(worker: EmulatedWorker, order: StartOrder) {
+        val task = order.task
+        val run = order.run
         val step = traits.getValue("${task.workflow}.${task.occurrence}.${task.step}")
         val second = now / MILLIS
         val bad = pattern.bad.filter {
@@ -263,6 +266,7 @@
             step.phase
         )
         started.slowness = bad.maxOfOrNull { it.slowness } ?: 1.0
+        started.doneMillis = order.checkpoint.toDoubleOrNull()?.minus(RESTORE_MILLIS) ?: 0.0
         worker.runs[task] = started
     }
 
@@ -326,6 +330,7 @@
         const val RECORD_MILLIS = 5L
         const val PACE_MILLIS = 101L
         const val PERCENT = 100.0
+        const val RESTORE_MILLIS = 250.0
         const val FAIL_MILLIS = 100.0
     }
 }
