--- a/cli/src/main/kotlin/sycamoremast/cli/Sycamore.kt
+++ b/cli/src/main/kotlin/sycamoremast/cli/Sycamore.kt
@@ -49,6 +49,7 @@
         DrainCommand(),
         ProblemsCommand(),
         AuditCommand(),
+        ExplainCommand(),
         CompletionCommand(name = "completion")
     )
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/OpenWorkflow.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/OpenWorkflow.kt
@@ -22,6 +22,7 @@
     var queue = spec.queue
     val occurrences = ArrayList<OpenOccurrence>()
     val id: String get() = spec.id
+    val isLongRunning = spec.steps.any { it.isLongRunning }
     val isOpen: Boolean get() = !phase.isFinal
 
     val objectiveMillis: Long =
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
@@ -7,12 +7,33 @@
 package sycamoremast.coordination.workflow
 
 internal class Placer(private val fleet: Fleet, private val sharing: Sharing) {
-    /** Returns the best worker for [task] at [nowMillis], or null if none has room. */
+    /**
+     * Returns the best worker for [task] at [nowMillis], or null if none has room.
+     *
+     * A long-running task leaves some room for short ones on its worker. It takes that as well if
+     * several workers could hold it: then the room is there, and nothing short needs it.
+     */
     fun chooseOrNull(task: OpenTask, nowMillis: Long): FleetWorker? {
+        val able = fleet.workers.values.filter { mayRun(it, task, nowMillis) }
+        val spec = task.step.spec
+        if (!spec.isLongRunning || spec.usesIdleCpu) return bestOrNull(able, task, nowMillis)
+        return bestOrNull(able.filter { leavesRoom(it, spec) }, task, nowMillis)
+            ?: if (able.size > 1) able.maxBy(::spareMilliCpus) else null
+    }
+
+    private fun leavesRoom(worker: FleetWorker, spec: WorkflowStep): Boolean {
+        val left = worker.capacity.milliCpus - worker.firmMilliCpus - spec.demand.milliCpus
+        return left >= worker.capacity.milliCpus * SHORT_WORK_RESERVE
+    }
+
+    private fun bestOrNull(
+        able: List<FleetWorker>,
+        task: OpenTask,
+        nowMillis: Long
+    ): FleetWorker? {
         var best: FleetWorker? = null
         var bestScore = Double.NEGATIVE_INFINITY
-        for (worker in fleet.workers.values) {
-            if (!mayRun(worker, task, nowMillis)) continue
+        for (worker in able) {
             val score = score(worker, task, nowMillis) ?: continue
             if (score > bestScore) {
                 best = worker
@@ -83,6 +104,9 @@
     }
 
     private companion object {
+        /** Short urgent work needs about a twentieth of the Regie's processors, twice that at a crest. */
+        const val SHORT_WORK_RESERVE = 0.09
+
         /** Headroom beyond which more is no better. */
         const val ENOUGH_HEADROOM = 2.0
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -232,7 +232,7 @@
         fleet.mayPlace = false
         nextPlacementMillis = nowMillis + PLACEMENT_RETRY_MILLIS
         val isAccounted = fleet.isWholeFleetAccounted()
-        val order = fleet.open.sortedWith(compareBy({ it.queue.priority }, { it.objectiveMillis }))
+        val order = fleet.open.sortedWith(PLACEMENT_ORDER)
         for (workflow in order) {
             workflow.addDue(unixMillis)
             if (workflow.isRecovered && !isAccounted) continue
@@ -288,6 +288,13 @@
     fun ageMillis(nowMillis: Long): Long = nowMillis - startedMillis
 
     private companion object {
+        /** Long-running tasks come after short ones, which would wait for them without end. */
+        val PLACEMENT_ORDER = compareBy<OpenWorkflow>(
+            { it.queue.priority },
+            { it.isLongRunning },
+            { it.objectiveMillis }
+        )
+
         /** Bounds how late a timer of the scheduler may fire. */
         const val TICK_MILLIS = 50L
 
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Gateway.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Gateway.kt
@@ -52,6 +52,8 @@
     private val host: String,
     private val set: Int,
     private val log: EventLog,
+    private val meters: WorkflowMeters = WorkflowMeters(),
+    private val isStoreOut: () -> Boolean = { false },
     private val owner: () -> SchedulerLoop?
 ) {
     private val acceptedHere: MutableSet<String> = Collections.synchronizedSet(
@@ -66,7 +68,11 @@
     /** Returns what became of handing [workflow] in. */
     fun accept(workflow: Workflow): Acceptance {
         val record = AcceptanceRecord(attemptId(), workflow)
-        val outcome = create(workflow.id, record, StoreEntry.ABSENT)
+        val outcome = if (isStoreOut()) {
+            Acceptance.Refused("the store does not answer", RETRY_SECONDS)
+        } else {
+            create(workflow.id, record, StoreEntry.ABSENT)
+        }
         log.add(
             "job-submitted",
             "id" to workflow.id,
@@ -75,6 +81,7 @@
             "tasks" to workflow.steps.sumOf { it.taskCount },
             "outcome" to outcome
         )
+        meters.submitted(outcome)
         if (outcome == Acceptance.Accepted) acceptedHere += workflow.id
         return outcome
     }
@@ -108,6 +115,7 @@
 
     /** Finds out what became of a write without an answer, and rules it out if it is not there. */
     private fun settle(id: String, lost: StoreError): Acceptance {
+        if (isStoreOut()) return Acceptance.Unknown(lost.reason)
         val key = WorkflowKeys.job(id)
         val current = when (val read = store.get(key)) {
             is Either.Left -> return Acceptance.Unknown(lost.reason)
@@ -135,6 +143,7 @@
     /** Returns where the workflow [id] stands. */
     fun phase(id: String): Lookup<WorkflowPhase> {
         owner()?.phaseOrNull(id)?.let { return Lookup.Found(it) }
+        if (isStoreOut()) return Lookup.Unavailable("the store does not answer")
         val recorded = store.get(WorkflowKeys.progress(set, id)).map { entry ->
             entry?.let { decodeRecordOrNull<WorkflowProgress>(it.value) }?.phase
         }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
@@ -25,6 +25,7 @@
     private val settings: SchedulerSettings,
     private val clock: MonotonicClock,
     private val log: EventLog,
+    private val meters: WorkflowMeters,
     private val routing: () -> RoutingTable?
 ) : TermListener {
     /** Is told the reason once a term can't go on. */
@@ -39,7 +40,7 @@
     override fun onBegin(term: Term) {
         val writer = RecordWriter(store, set, term.epoch, term.epochRevision, log)
         val scheduler = schedulerOf(term.epoch, settings, clock)
-        val next = SchedulerLoop(scheduler, runs, writer, clock, log) { onDeposed(it) }
+        val next = SchedulerLoop(scheduler, runs, writer, clock, log, meters) { onDeposed(it) }
         when (val recovered = recover(next, term)) {
             is Either.Left -> {
                 log.add(
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
@@ -31,6 +31,7 @@
     private val writer: RecordWriter,
     private val clock: MonotonicClock,
     private val log: EventLog,
+    private val meters: WorkflowMeters,
     private val onDeposed: (String) -> Unit
 ) : AutoCloseable {
     private val inbox = LinkedBlockingQueue<() -> Unit>()
@@ -120,10 +121,11 @@
 
             is SchedulerAction.Depose -> deposed("worker ${action.worker.id} has a higher epoch")
 
-            is SchedulerAction.Log -> log.add(
-                action.event.name,
-                listOf("id" to action.event.id) + action.event.fields.toList()
-            )
+            is SchedulerAction.Log -> {
+                meters.decided(action.event)
+                val fields = listOf("id" to action.event.id) + action.event.fields.toList()
+                log.add(action.event.name, fields)
+            }
         }
     }
 
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowHost.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowHost.kt
@@ -20,10 +20,11 @@
     private val ports: WorkflowPorts,
     settings: SchedulerSettings,
     private val log: EventLog,
+    private val meters: WorkflowMeters,
     set: Int = 0,
     clock: MonotonicClock = MonotonicClock.system()
 ) {
-    private val store = ports.store
+    private val store = MonitoredStore(ports.store, clock, meters)
     private val routing = RoutingReplica(ports.catalog, log, ::onRouting)
     private val ownership = Ownership(
         store,
@@ -32,19 +33,27 @@
         set,
         settings,
         clock,
-        log
+        log,
+        meters
     ) { routing.table }
     private val election = Election(store, name, set, clock, log, ownership)
     private val routingFollower = PrefixFollower(store, ports.catalog.routingKey, log, routing)
 
     /** Serves callers. */
-    val gateway = Gateway(store, name, set, log) { ownership.loop }
+    val gateway = Gateway(store, name, set, log, meters, { store.isOut }) { ownership.loop }
 
     /** The routes in force, or null before any were seen. */
     val routes: RoutingTable? get() = routing.table
 
+    /** Whether callers should come here: the configuration is known and the store answers. */
+    val isReady: Boolean
+        get() = routing.table != null && store.silentMillis < UNREADY_AFTER_SILENCE_MILLIS
+
     init {
         ownership.onDeposed = election::depose
+        meters.gauge("sycamore.owner") { if (ownership.loop == null) 0 else 1 }
+        meters.gauge("sycamore.store.silence.millis") { store.silentMillis }
+        meters.gauge("sycamore.configuration.version") { routing.table?.version ?: 0 }
     }
 
     /** Starts to follow the configuration and to stand for election. */
@@ -69,4 +78,9 @@
     private fun onRouting(table: RoutingTable) {
         ownership.loop?.policies(table.queues)
     }
+
+    private companion object {
+        /** Other hosts may still reach the store; the balancer takes two more seconds to turn away. */
+        const val UNREADY_AFTER_SILENCE_MILLIS = 1_000L
+    }
 }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowSettings.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowSettings.kt
@@ -25,6 +25,7 @@
     val availabilityZone: String,
     val requests: Endpoint,
     val readiness: Endpoint,
+    val metrics: Endpoint,
     val storeAddress: Endpoint,
     val leaseMillis: Long = SchedulerSettings.DEFAULT_LEASE_MILLIS,
     val stopMillis: Long = SchedulerSettings.DEFAULT_STOP_MILLIS,
@@ -57,7 +58,9 @@
         ) {
             fun read(): WorkflowSettings? {
                 val host = section("host") { text("name") to text("availability-zone") }
-                val listen = section("listen") { endpoint("requests") to endpoint("readiness") }
+                val listen = section("listen") {
+                    Triple(endpoint("requests"), endpoint("readiness"), endpoint("metrics"))
+                }
                 val store = section("store") { endpoint("address") }
                 val times = section("times") {
                     Triple(
@@ -75,6 +78,7 @@
                         host.bind().second.bind(),
                         listen.bind().first.bind(),
                         listen.bind().second.bind(),
+                        listen.bind().third.bind(),
                         store.bind(),
                         times.bind().first.bind(),
                         times.bind().second.bind(),
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/GatewayTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/GatewayTest.kt
@@ -73,6 +73,13 @@
         expectThat(stored()).isNull()
     }
 
+    @Test
+    fun `while the store is known to be out, nothing is sent and the caller is refused at once`() {
+        val waiting = Gateway(store, "host", 0, EventLog { }, isStoreOut = { true }) { null }
+        expectThat(waiting.accept(workflow)).isA<Acceptance.Refused>()
+        expectThat(store.commits).isEqualTo(0)
+    }
+
     @Test
     fun `a workflow that was refused may be handed in again`() {
         store.failCommits(Fault.LATE)
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/WorkflowSettingsTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/WorkflowSettingsTest.kt
@@ -17,6 +17,7 @@
         [listen]
         requests = 127.0.0.1:8161
         readiness = 127.0.0.1:8167
+        metrics = 127.0.0.1:7720
         [store]
         address = 127.0.0.1:8169
         [times]
--- a/emulator/src/main/kotlin/sycamoremast/emulator/Pattern.kt
+++ b/emulator/src/main/kotlin/sycamoremast/emulator/Pattern.kt
@@ -91,8 +91,29 @@
             bad = listOf(BadWorkers(8, 8, 7, slowness = 6.5))
         )
 
+        private val regieKinds = listOf(
+            WorkKind(
+                "daily-tally", 0, 2.4, 1.6, 6.0, 680.0, 0.5, 4_600.0, 9_200, 1.5, 250,
+                maxAttempts = 2, failShare = 0.05
+            ),
+            WorkKind(
+                "species-review", 2, 3.0, 2.0, 8.0, 1_400.0, 0.5, 7_000.0, 13_000, 2.0, 1_000,
+                usesIdleCpu = true, failShare = 0.02
+            ),
+            WorkKind(
+                "watch-stream", 0, 0.1, 1.0, 6.0, 0.0, 0.0, 13_000.0, 26_000, 2.2, 2_500,
+                isServing = true
+            )
+        )
+
+        /** The Regie's fleet with more serving tasks than fit: short tallies need room beside them. */
+        val servingCrowd = Pattern(
+            "serving-crowd", 32, 76_000, 300_000, regieKinds,
+            servingReserve = 1.1, heavyShare = 0.3, tailMillis = 25.0, swingSeconds = 20.0
+        )
+
         /** All named patterns. */
-        val all = listOf(sharedCalm, sharedSurge, failingWorkers, slowWorkers)
+        val all = listOf(sharedCalm, sharedSurge, failingWorkers, slowWorkers, servingCrowd)
 
         /**
          * Returns the pattern [name].
