Count a failed run once, also when its end is read again by the next owner

The owner had recorded the failure and was gone before it acknowledged the end; the next owner restored the count and counted the same end again. Change: the record keeps the number of the last run that was counted; ends of earlier runs don't count. Test failed first: 'a failure that an earlier owner recorded is not counted again from its unread end'.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/OpenWorkflow.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/OpenWorkflow.kt
@@ -65,19 +65,7 @@
     fun progress() = WorkflowProgress(
         phase = phase,
         doneTasks = if (isOpen) doneTasks() else emptyMap(),
-        failures = if (isOpen) {
-            perTask {
-                if (it.failures >
-                    0
-                ) {
-                    it.failures
-                } else {
-                    null
-                }
-            }
-        } else {
-            emptyMap()
-        },
+        failures = if (isOpen) perTask(::recordedFailures) else emptyMap(),
         checkpoints = if (isOpen) perTask(::recordedCheckpoint) else emptyMap(),
         hasBegun = hasBegun,
         endedUnixMillis = endedUnixMillis
@@ -95,7 +83,7 @@
             progress.doneTasks[step.key]?.toList()?.mapNotNull(step.tasks::getOrNull)
                 ?.forEach { it.markDone() }
             for (task in step.tasks) {
-                task.failures = progress.failures[task.key] ?: 0
+                progress.failures[task.key]?.let(task::restoreFailures)
                 task.checkpoint = progress.checkpoints[task.key].orEmpty()
             }
         }
@@ -104,6 +92,9 @@
     private fun doneTasks(): Map<String, IndexSet> = steps().filter { it.doneCount > 0 }
         .associate { s -> s.key to IndexSet.EMPTY + s.tasks.filter { it.isDone }.map { it.index } }
 
+    private fun recordedFailures(task: OpenTask): TaskFailures? =
+        TaskFailures(task.failures, task.lastFailedRun).takeIf { it.count > 0 }
+
     private fun recordedCheckpoint(task: OpenTask): String? =
         task.checkpoint.takeIf { it.isNotEmpty() && !task.isDone && task.placements.isEmpty() }
 
@@ -153,6 +144,9 @@
     var isDone = false
         private set
     var failures = 0
+        private set
+    var lastFailedRun = 0
+        private set
     var lastRun = 0
     var checkpoint = ""
     var notBeforeMillis = Long.MIN_VALUE
@@ -160,6 +154,20 @@
     /** The worker on which the last run failed. */
     var failedOn: String? = null
 
+    /** Counts that run number [run] failed; returns whether that is news. */
+    fun countFailure(run: Int): Boolean {
+        if (run <= lastFailedRun) return false
+        lastFailedRun = run
+        failures++
+        return true
+    }
+
+    fun restoreFailures(recorded: TaskFailures) {
+        failures = recorded.count
+        lastFailedRun = recorded.lastRun
+        lastRun = maxOf(lastRun, recorded.lastRun)
+    }
+
     fun markDone() {
         if (isDone) return
         isDone = true
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
@@ -231,7 +231,7 @@
         when (row.how) {
             RunEnd.DONE -> done(task, worker, nowMillis)
 
-            RunEnd.FAILED -> failed(task, worker, nowMillis)
+            RunEnd.FAILED -> failed(task, row.run, worker, nowMillis)
 
             RunEnd.STOPPED, RunEnd.LAPSED, RunEnd.BROKEN, RunEnd.ALONE ->
                 recorder.changed(workflow)
@@ -248,8 +248,8 @@
         fleet.mayPlace = true
     }
 
-    private fun failed(task: OpenTask, worker: FleetWorker, nowMillis: Long) {
-        task.failures++
+    private fun failed(task: OpenTask, run: Int, worker: FleetWorker, nowMillis: Long) {
+        if (!task.countFailure(run)) return
         task.failedOn = worker.id
         worker.failuresInRow++
         if (worker.failuresInRow >= SUSPECT_FAILURES) {
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowProgress.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowProgress.kt
@@ -26,8 +26,17 @@
 data class WorkflowProgress(
     val phase: WorkflowPhase,
     val doneTasks: Map<String, IndexSet> = emptyMap(),
-    val failures: Map<String, Int> = emptyMap(),
+    val failures: Map<String, TaskFailures> = emptyMap(),
     val checkpoints: Map<String, String> = emptyMap(),
     val hasBegun: Boolean = false,
     val endedUnixMillis: Long = 0
 )
+
+/**
+ * The failed runs of a task.
+ *
+ * Runs up to [lastRun] are counted, so that an end that was recorded but not yet acknowledged is not
+ * counted again by the next owner.
+ */
+@Serializable
+data class TaskFailures(val count: Int, val lastRun: Int)
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/WorkflowSchedulerTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/WorkflowSchedulerTest.kt
@@ -246,6 +246,20 @@
         expectThat(driver.starts).map { it.task.index }.containsExactly(1)
     }
 
+    @Test
+    fun `a failure that an earlier owner recorded is not counted again from its unread end`() {
+        val failures = mapOf("0.0.0" to TaskFailures(count = 1, lastRun = 3))
+        val progress = WorkflowProgress(WorkflowPhase.RUNNING, failures = failures, hasBegun = true)
+        val workflow = driver.workflow()
+        scheduler.listed(listOf(driver.listing("w1")), driver.now)
+        scheduler.accepted(workflow, progress, isRecovered = true, driver.now, driver.now)
+        driver.step()
+        val task = TaskName("job", 0, 0, 0)
+        driver.report(driver.polls.single(), ended = listOf(EndedRow(1, task, 3, RunEnd.FAILED, "")))
+        driver.settle()
+        expectThat(scheduler.phaseOrNull("job")).isEqualTo(WorkflowPhase.RUNNING)
+    }
+
     @Test
     fun `a workflow without a started task is counted as waiting`() {
         driver.submit(driver.workflow())
