Split the entry points from the programs and mend what the linter finds

Change: no behaviour; the gateway's settling of a lost answer in two steps, entry points in files of their own.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
@@ -26,11 +26,7 @@
         return left >= worker.capacity.milliCpus * SHORT_WORK_RESERVE
     }
 
-    private fun bestOrNull(
-        able: List<FleetWorker>,
-        task: OpenTask,
-        nowMillis: Long
-    ): FleetWorker? {
+    private fun bestOrNull(able: List<FleetWorker>, task: OpenTask, nowMillis: Long): FleetWorker? {
         var best: FleetWorker? = null
         var bestScore = Double.NEGATIVE_INFINITY
         for (worker in able) {
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunUpkeep.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunUpkeep.kt
@@ -3,11 +3,7 @@
  */
 package sycamoremast.coordination.workflow
 
-internal class RunUpkeep(
-    private val fleet: Fleet,
-    private val recorder: Recorder,
-    private val tracker: RunTracker
-) {
+internal class RunUpkeep(private val fleet: Fleet, private val tracker: RunTracker) {
     fun step(nowMillis: Long) {
         for (worker in fleet.workers.values.toList()) {
             if (worker.contactFailures > 0 && nowMillis > worker.lapsedByMillis) {
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Sharing.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Sharing.kt
@@ -170,7 +170,13 @@
         )
         placement.paced(percent, nowMillis)
         fleet.outbox += SchedulerAction.Pace(
-            PaceOrder(placement.worker.ref, fleet.epoch, placement.task.name, placement.run, percent)
+            PaceOrder(
+                placement.worker.ref,
+                fleet.epoch,
+                placement.task.name,
+                placement.run,
+                percent
+            )
         )
     }
 
@@ -180,7 +186,8 @@
     }
 
     private fun Placement.isServingSteadily(nowMillis: Long) = task.step.spec.isServing &&
-        percent == Placement.FULL_PACE && nowMillis - startedMillis > READING_MILLIS
+        percent == Placement.FULL_PACE &&
+        nowMillis - startedMillis > READING_MILLIS
 
     companion object {
         /** The headroom that placement aims at: a quarter above the target. */
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/TaskName.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/TaskName.kt
@@ -20,13 +20,10 @@
         fun parseOrNull(text: String): TaskName? {
             val parts = text.split('.')
             if (parts.size != PARTS || parts[0].isEmpty()) return null
-            val numbers = parts.drop(1).map { it.toIntOrNull()?.takeIf { n -> n >= 0 } }
-            return TaskName(
-                parts[0],
-                numbers[0] ?: return null,
-                numbers[1] ?: return null,
-                numbers[2] ?: return null
-            )
+            val numbers = parts.drop(1).mapNotNull { it.toIntOrNull()?.takeIf { n -> n >= 0 } }
+            if (numbers.size != PARTS - 1) return null
+            val (occurrence, step, index) = numbers
+            return TaskName(parts[0], occurrence, step, index)
         }
     }
 }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -19,7 +19,7 @@
     private val sharing = Sharing(fleet)
     private val tracker = RunTracker(fleet, recorder, sharing)
     private val placer = Placer(fleet, sharing)
-    private val upkeep = RunUpkeep(fleet, recorder, tracker)
+    private val upkeep = RunUpkeep(fleet, tracker)
     private val pendingCancels = HashSet<String>()
     private var nextPlacementMillis = Long.MIN_VALUE
 
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SchedulerDriver.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SchedulerDriver.kt
@@ -36,7 +36,12 @@
     }
 
     fun listing(id: String, isDraining: Boolean = false) = WorkerListing(
-        ref(id), "service", "zone", Resources(32_000, 128_000), listOf("rack-1"), isDraining
+        ref(id),
+        "service",
+        "zone",
+        Resources(32_000, 128_000),
+        listOf("rack-1"),
+        isDraining
     )
 
     fun ref(id: String) = WorkerRef(id, "10.0.0.1:$id")
@@ -74,8 +79,7 @@
         const val MOST_STEPS = 50
     }
 
-    fun done(order: StartOrder) =
-        scheduler.startAnswered(order, WorkerAnswer.Done(now, now), now)
+    fun done(order: StartOrder) = scheduler.startAnswered(order, WorkerAnswer.Done(now, now), now)
 
     fun submit(workflow: Workflow, isRecovered: Boolean = false) =
         scheduler.accepted(workflow, null, isRecovered, now, now)
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/WorkflowSchedulerTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/WorkflowSchedulerTest.kt
@@ -115,7 +115,10 @@
         driver.step()
         val order = driver.starts.single()
         driver.done(order)
-        driver.report(early, running = listOf(RunningRow(TaskName("other", 0, 0, 0), 1, "", 1, null)))
+        driver.report(
+            early,
+            running = listOf(RunningRow(TaskName("other", 0, 0, 0), 1, "", 1, null))
+        )
         driver.step()
         expectThat(driver.starts).isEmpty()
     }
@@ -127,14 +130,10 @@
         var restarted = emptyList<StartOrder>()
         while (restarted.isEmpty() && driver.now < 20_000) {
             driver.step()
-            for (poll in driver.polls) {
-                if (poll.worker == first.worker) {
-                    if (poll.leaseEndMillis != null) last = poll.sentMillis
-                    driver.answer(poll, WorkerAnswer.Unknown("timeout"))
-                } else {
-                    driver.report(poll)
-                }
-            }
+            val (lost, reached) = driver.polls.partition { it.worker == first.worker }
+            last = lost.lastOrNull { it.leaseEndMillis != null }?.sentMillis ?: last
+            lost.forEach { driver.answer(it, WorkerAnswer.Unknown("timeout")) }
+            reached.forEach { driver.report(it) }
             restarted = driver.starts
         }
         expectThat(restarted.single().worker.id).isEqualTo("w2")
@@ -240,7 +239,8 @@
         driver.workers("w1")
         val workflow = driver.workflow(steps = arrayOf(driver.tasks(3)))
         val done = sycamoremast.coordination.record.IndexSet.of(0, 2)
-        val progress = WorkflowProgress(WorkflowPhase.RUNNING, mapOf("0.0" to done), hasBegun = true)
+        val progress =
+            WorkflowProgress(WorkflowPhase.RUNNING, mapOf("0.0" to done), hasBegun = true)
         scheduler.accepted(workflow, progress, isRecovered = true, driver.now, driver.now)
         driver.step()
         expectThat(driver.starts).map { it.task.index }.containsExactly(1)
@@ -255,7 +255,10 @@
         scheduler.accepted(workflow, progress, isRecovered = true, driver.now, driver.now)
         driver.step()
         val task = TaskName("job", 0, 0, 0)
-        driver.report(driver.polls.single(), ended = listOf(EndedRow(1, task, 3, RunEnd.FAILED, "")))
+        driver.report(
+            driver.polls.single(),
+            ended = listOf(EndedRow(1, task, 3, RunEnd.FAILED, ""))
+        )
         driver.settle()
         expectThat(scheduler.phaseOrNull("job")).isEqualTo(WorkflowPhase.RUNNING)
     }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Gateway.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Gateway.kt
@@ -117,25 +117,34 @@
     private fun settle(id: String, lost: StoreError): Acceptance {
         if (isStoreOut()) return Acceptance.Unknown(lost.reason)
         val key = WorkflowKeys.job(id)
-        val current = when (val read = store.get(key)) {
-            is Either.Left -> return Acceptance.Unknown(lost.reason)
-            is Either.Right -> read.value
+        return when (val current = store.get(key)) {
+            is Either.Left -> Acceptance.Unknown(lost.reason)
+
+            is Either.Right -> if (holdsWorkflow(current.value)) {
+                Acceptance.Accepted
+            } else {
+                ruleOut(key, current.value, lost)
+            }
         }
-        val there = current?.let { decodeRecordOrNull<AcceptanceRecord>(it.value) }
-        if (there?.workflow != null) return Acceptance.Accepted
+    }
+
+    private fun ruleOut(key: String, current: StoreEntry?, lost: StoreError): Acceptance {
         val mark = AcceptanceRecord(attemptId())
-        val marked = put(key, mark, current?.version ?: StoreEntry.ABSENT)
-        if (marked.getOrNull() is CommitResult.Applied) {
-            return Acceptance.Refused("the store did not answer", RETRY_SECONDS)
-        }
-        val conflict = marked.getOrNull() as? CommitResult.Conflict
-        val now = conflict?.current?.get(key)?.let {
-            decodeRecordOrNull<AcceptanceRecord>(it.value)
+        val marked = put(key, mark, current?.version ?: StoreEntry.ABSENT).getOrNull()
+        val there = (marked as? CommitResult.Conflict)?.current?.get(key)
+        return when {
+            marked is CommitResult.Applied ->
+                Acceptance.Refused("the store did not answer", RETRY_SECONDS)
+
+            holdsWorkflow(there) -> Acceptance.Accepted
+
+            else -> Acceptance.Unknown(lost.reason)
         }
-        if (now?.workflow != null) return Acceptance.Accepted
-        return Acceptance.Unknown(lost.reason)
     }
 
+    private fun holdsWorkflow(entry: StoreEntry?) =
+        entry?.let { decodeRecordOrNull<AcceptanceRecord>(it.value) }?.workflow != null
+
     private fun put(key: String, record: AcceptanceRecord, expected: Long) = store.commit(
         StoreTransaction(mapOf(key to expected), listOf(StorePut(key, encodeRecord(record))))
     )
@@ -161,9 +170,7 @@
     }
 
     private fun exists(id: String): Either<StoreError, Boolean> =
-        store.get(WorkflowKeys.job(id)).map { entry ->
-            entry?.let { decodeRecordOrNull<AcceptanceRecord>(it.value) }?.workflow != null
-        }
+        store.get(WorkflowKeys.job(id)).map(::holdsWorkflow)
 
     /** Cancels the workflow [id]. */
     fun cancel(id: String): Lookup<Unit> {
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/MonitoredStore.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/MonitoredStore.kt
@@ -31,7 +31,13 @@
 
     /** How long ago the store last answered a call, or 0 while calls are answered. */
     val silentMillis: Long
-        get() = if (failures.get() < FAILURES_OF_AN_OUTAGE) 0 else clock.nowMillis() - answeredMillis
+        get() = if (failures.get() <
+            FAILURES_OF_AN_OUTAGE
+        ) {
+            0
+        } else {
+            clock.nowMillis() - answeredMillis
+        }
 
     /** Whether a call would most likely fail. */
     val isOut: Boolean get() = silentMillis > SILENCE_OF_AN_OUTAGE_MILLIS
--- /dev/null
+++ b/emulator/src/main/kotlin/sycamoremast/emulator/EmulateCommand.kt
@@ -0,0 +1,36 @@
+/** The emulator's command: `emulate --pattern NAME --seeds N`. */
+package sycamoremast.emulator
+
+import com.github.ajalt.clikt.core.CliktCommand
+import com.github.ajalt.clikt.core.Context
+import com.github.ajalt.clikt.parameters.options.default
+import com.github.ajalt.clikt.parameters.options.multiple
+import com.github.ajalt.clikt.parameters.options.option
+import com.github.ajalt.clikt.parameters.types.choice
+import com.github.ajalt.clikt.parameters.types.int
+
+/** Plays patterns and prints what became of each queue. */
+internal class EmulateCommand : CliktCommand(name = "emulate") {
+    private val names by option("--pattern", help = "a pattern to play; all, if none is named")
+        .choice(*Pattern.all.map { it.name }.toTypedArray()).multiple()
+    private val seeds by option("--seeds", help = "how many seeds, from 1 on").int().default(1)
+
+    override fun help(context: Context) = "Plays loads against the scheduler in virtual time."
+
+    override fun run() {
+        for (pattern in names.map(Pattern::named).ifEmpty { Pattern.all }) {
+            for (seed in 1..seeds) {
+                val outcome = Emulation(pattern, seed).run()
+                echo(
+                    "${pattern.name} seed=$seed serving=%.3f longestOver=%d pace=%d polls=%d".format(
+                        outcome.servingShare,
+                        outcome.longestOverMillis,
+                        outcome.paceOrders,
+                        outcome.polls
+                    )
+                )
+                outcome.queues.forEach { (queue, o) -> echo("  $queue $o") }
+            }
+        }
+    }
+}
--- a/emulator/src/main/kotlin/sycamoremast/emulator/EmulatedWorker.kt
+++ b/emulator/src/main/kotlin/sycamoremast/emulator/EmulatedWorker.kt
@@ -52,7 +52,13 @@
         val sharing = runs.values.filter { it.kind.usesIdleCpu }
         val used = serving.sumOf { load(it, second) * it.milliCpus } + firm.sumOf { it.milliCpus }
         val wanted = sharing.sumOf { it.milliCpus * it.pace }
-        val part = if (wanted <= 0) 1.0 else ((pattern.milliCpus - used) / wanted).coerceIn(0.0, 1.0)
+        val part = if (wanted <=
+            0
+        ) {
+            1.0
+        } else {
+            ((pattern.milliCpus - used) / wanted).coerceIn(0.0, 1.0)
+        }
         for (run in serving) measure(run, sharing, part, second, stepMillis)
         for (run in firm) run.doneMillis += stepMillis / run.slowness
         for (run in sharing) run.doneMillis += stepMillis * part * run.pace / run.slowness
@@ -87,7 +93,8 @@
         runs.remove(run.name)
         lastEnd++
         val keepsWork = run.kind.usesIdleCpu && how == RunEnd.STOPPED
-        ended += EndedRow(lastEnd, run.name, run.run, how, if (keepsWork) "${run.doneMillis}" else "")
+        ended +=
+            EndedRow(lastEnd, run.name, run.run, how, if (keepsWork) "${run.doneMillis}" else "")
     }
 
     fun report(nowMillis: Long, acknowledged: Long): WorkerReport {
--- a/emulator/src/main/kotlin/sycamoremast/emulator/Emulation.kt
+++ b/emulator/src/main/kotlin/sycamoremast/emulator/Emulation.kt
@@ -122,10 +122,16 @@
             val isOver = now >= pattern.seconds * MILLIS
             if (now < WARM_MILLIS || isOver) continue
             val surge = pattern.surges.filter {
-                it.queue == kind.queue && second >= it.fromSecond && second < it.fromSecond + it.seconds
+                it.queue == kind.queue &&
+                    second >= it.fromSecond &&
+                    second < it.fromSecond + it.seconds
             }.fold(1.0) { factor, s -> factor * s.factor }
             val wave = 1 + WAVE * kotlin.math.sin(2 * Math.PI * second / WAVE_SECONDS)
-            if (random.nextDouble() < kind.perSecond * surge * wave * STEP_MILLIS / MILLIS) submit(kind)
+            if (random.nextDouble() <
+                kind.perSecond * surge * wave * STEP_MILLIS / MILLIS
+            ) {
+                submit(kind)
+            }
         }
         for (worker in workers.values) worker.step(STEP_MILLIS, second)
         if (now % SAMPLE_MILLIS == 0L && now > WARM_MILLIS) sampleServing(second)
@@ -153,7 +159,9 @@
             val image = random.nextInt(if (kind.isServing) SERVING_IMAGES else SHARING_IMAGES)
             val base = kind.workMillis * noise(kind.spread)
             traits["$id.0.$n"] = Traits(
-                kind, cpus, image,
+                kind,
+                cpus,
+                image,
                 List(count) { base * noise(UNEVEN) },
                 List(count) { random.nextDouble() < kind.failShare },
                 random.nextDouble()
@@ -173,7 +181,11 @@
         val ideal = (0 until stepCount).sumOf { traits.getValue("$id.0.$it").work.max() }
         submitted[id] = Submitted(kind, now, ideal)
         val policy = QueuePolicy(
-            kind.queue, SERVICE, kind.priority, kind.maxAttempts, kind.stretch,
+            kind.queue,
+            SERVICE,
+            kind.priority,
+            kind.maxAttempts,
+            kind.stretch,
             kind.targetLatencyMillis
         )
         val workflow = Workflow(id, policy, "", steps, null, now)
@@ -251,7 +263,8 @@
         val step = traits.getValue("${task.workflow}.${task.occurrence}.${task.step}")
         val second = now / MILLIS
         val bad = pattern.bad.filter {
-            second >= it.fromSecond && second < it.fromSecond + it.seconds &&
+            second >= it.fromSecond &&
+                second < it.fromSecond + it.seconds &&
                 worker.id.drop(1).toInt() < it.count
         }
         val fails = bad.any { random.nextDouble() < it.failShare }
