Start gangs whole or not at all

Cause: gangs were accepted and their tasks started one by one, so that they would end alone. Ruled out: refusing them (workers of all deployments know gangs). Change: the starting of tasks in a class of its own; a gang's members are placed together, with one run number and one checkpoint; one end stands for all, a failed run counts once. Tests for both.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
@@ -243,13 +243,21 @@
         val workflow = task.step.workflow
         recorder.changed(workflow)
         if (task.step.spec.isLongRunning) return
+        if (task.step.spec.isGang) {
+            // One member's end stands for all of them.
+            task.step.tasks.forEach { it.markDone() }
+            fleet.mayPlace = true
+            return
+        }
         task.markDone()
         task.placements.toList().forEach { fleet.stop(it, nowMillis, "done elsewhere") }
         fleet.mayPlace = true
     }
 
     private fun failed(task: OpenTask, run: Int, worker: FleetWorker, nowMillis: Long) {
-        if (!task.countFailure(run)) return
+        // A gang fails once a run, whichever member it is.
+        val counted = if (task.step.spec.isGang) task.step.tasks.first() else task
+        if (!counted.countFailure(run)) return
         task.failedOn = worker.id
         worker.failuresInRow++
         if (worker.failuresInRow >= SUSPECT_FAILURES) {
--- /dev/null
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Starter.kt
@@ -0,0 +1,83 @@
+/** Places waiting tasks on workers and orders their starts; gangs start whole or not at all. */
+package sycamoremast.coordination.workflow
+
+internal class Starter(
+    private val fleet: Fleet,
+    private val recorder: Recorder,
+    private val placer: Placer
+) {
+    /** Starts what of [step] finds room. */
+    fun startWaiting(step: OpenStep, nowMillis: Long) {
+        if (step.spec.isGang) {
+            startGang(step, nowMillis)
+            return
+        }
+        for (task in step.waiting.toList()) {
+            if (nowMillis < task.notBeforeMillis) continue
+            val worker = placer.chooseOrNull(task, nowMillis) ?: return
+            val run = maxOf(task.lastRun + 1, fleet.firstRun)
+            order(place(task, worker, run, nowMillis), nowMillis)
+        }
+    }
+
+    /** All members carry one run number and one checkpoint, and none starts unless all have room. */
+    private fun startGang(step: OpenStep, nowMillis: Long) {
+        val isWhole = step.waiting.size == step.tasks.size &&
+            step.tasks.all { nowMillis >= it.notBeforeMillis }
+        if (!isWhole) return
+        val run = maxOf(step.tasks.maxOf { it.lastRun } + 1, fleet.firstRun)
+        val checkpoint = step.tasks.firstOrNull { it.checkpoint.isNotEmpty() }?.checkpoint.orEmpty()
+        val placed = ArrayList<Placement>()
+        for (task in step.tasks) {
+            val worker = placer.chooseOrNull(task, nowMillis) ?: break
+            placed += place(task, worker, run, nowMillis)
+        }
+        if (placed.size < step.tasks.size) {
+            placed.forEach { fleet.release(it, nowMillis) }
+            return
+        }
+        step.tasks.forEach { it.checkpoint = checkpoint }
+        placed.forEach { order(it, nowMillis) }
+    }
+
+    private fun place(task: OpenTask, worker: FleetWorker, run: Int, nowMillis: Long): Placement {
+        val placement = Placement(task, worker, run, nowMillis)
+        worker.add(placement)
+        task.place(placement)
+        return placement
+    }
+
+    private fun order(placement: Placement, nowMillis: Long) {
+        val task = placement.task
+        val worker = placement.worker
+        val workflow = task.step.workflow
+        val leaseEnd = checkNotNull(worker.leaseEndOrNull(nowMillis, fleet.settings.leaseMillis)) {
+            "a worker without a known clock got a task: ${worker.id}"
+        }
+        worker.gaveLease(fleet.settings.lapsedBy(nowMillis))
+        if (!workflow.hasBegun) {
+            workflow.begin()
+            recorder.changed(workflow)
+        }
+        fleet.log(
+            "run-start",
+            task.name.toString(),
+            "run" to placement.run,
+            "worker" to worker.id,
+            "waitedMillis" to nowMillis - workflow.acceptedMillis,
+            "firm" to worker.firmMilliCpus,
+            "idle" to worker.idleMilliCpus
+        )
+        fleet.outbox += SchedulerAction.Start(
+            StartOrder(
+                worker.ref,
+                fleet.epoch,
+                task.name,
+                placement.run,
+                workflow.spec.payload,
+                task.checkpoint,
+                leaseEnd
+            )
+        )
+    }
+}
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -9,16 +9,12 @@
 import sycamoremast.coordination.Resources
 
 /** Schedules workflows on the workers of one set, as its owner with [epoch]. */
-class WorkflowScheduler(
-    epoch: Long,
-    private val settings: SchedulerSettings,
-    private val startedMillis: Long
-) {
+class WorkflowScheduler(epoch: Long, settings: SchedulerSettings, private val startedMillis: Long) {
     private val fleet = Fleet(epoch, settings)
     private val recorder = Recorder(fleet)
     private val sharing = Sharing(fleet)
     private val tracker = RunTracker(fleet, recorder, sharing)
-    private val placer = Placer(fleet, sharing)
+    private val starter = Starter(fleet, recorder, Placer(fleet, sharing))
     private val upkeep = RunUpkeep(fleet, tracker)
     private val pendingCancels = HashSet<String>()
     private var nextPlacementMillis = Long.MIN_VALUE
@@ -237,53 +233,11 @@
             workflow.addDue(unixMillis)
             if (workflow.isRecovered && !isAccounted) continue
             for (step in workflow.steps()) {
-                if (step.waiting.isNotEmpty() && step.isReady) placeStep(step, nowMillis)
+                if (step.waiting.isNotEmpty() && step.isReady) starter.startWaiting(step, nowMillis)
             }
         }
     }
 
-    private fun placeStep(step: OpenStep, nowMillis: Long) {
-        for (task in step.waiting.toList()) {
-            if (nowMillis < task.notBeforeMillis) continue
-            val worker = placer.chooseOrNull(task, nowMillis) ?: return
-            start(task, worker, nowMillis)
-        }
-    }
-
-    private fun start(task: OpenTask, worker: FleetWorker, nowMillis: Long) {
-        val leaseEnd = worker.leaseEndOrNull(nowMillis, settings.leaseMillis) ?: return
-        val workflow = task.step.workflow
-        val run = maxOf(task.lastRun + 1, fleet.firstRun)
-        val placement = Placement(task, worker, run, nowMillis)
-        worker.add(placement)
-        worker.gaveLease(settings.lapsedBy(nowMillis))
-        task.place(placement)
-        if (!workflow.hasBegun) {
-            workflow.begin()
-            recorder.changed(workflow)
-        }
-        fleet.log(
-            "run-start",
-            task.name.toString(),
-            "run" to run,
-            "worker" to worker.id,
-            "waitedMillis" to nowMillis - workflow.acceptedMillis,
-            "firm" to worker.firmMilliCpus,
-            "idle" to worker.idleMilliCpus
-        )
-        fleet.outbox += SchedulerAction.Start(
-            StartOrder(
-                worker.ref,
-                fleet.epoch,
-                task.name,
-                run,
-                workflow.spec.payload,
-                task.checkpoint,
-                leaseEnd
-            )
-        )
-    }
-
     /** How long this owner has been at work at [nowMillis]. */
     fun ageMillis(nowMillis: Long): Long = nowMillis - startedMillis
 
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/WorkflowSchedulerTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/WorkflowSchedulerTest.kt
@@ -10,6 +10,8 @@
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isTrue
 import strikt.assertions.map
+import sycamoremast.coordination.Resources
+import sycamoremast.coordination.record.IndexSet
 
 class WorkflowSchedulerTest {
     private val driver = SchedulerDriver()
@@ -238,7 +240,7 @@
     fun `what an earlier owner recorded as done does not start again`() {
         driver.workers("w1")
         val workflow = driver.workflow(steps = arrayOf(driver.tasks(3)))
-        val done = sycamoremast.coordination.record.IndexSet.of(0, 2)
+        val done = IndexSet.of(0, 2)
         val progress =
             WorkflowProgress(WorkflowPhase.RUNNING, mapOf("0.0" to done), hasBegun = true)
         scheduler.accepted(workflow, progress, isRecovered = true, driver.now, driver.now)
@@ -263,6 +265,43 @@
         expectThat(scheduler.phaseOrNull("job")).isEqualTo(WorkflowPhase.RUNNING)
     }
 
+    private fun gang(count: Int) = driver.tasks(count)
+        .copy(isGang = true, demand = Resources(20_000, 1_000))
+
+    @Test
+    fun `a gang starts only when all of it has room, with one run number`() {
+        driver.workers("w1")
+        driver.submit(driver.workflow(steps = arrayOf(gang(2))))
+        driver.step()
+        expectThat(driver.starts).isEmpty()
+        scheduler.listed(driver.listing("w2"), driver.now)
+        driver.settle()
+        expectThat(scheduler.phaseOrNull("job")).isEqualTo(WorkflowPhase.RUNNING)
+    }
+
+    @Test
+    fun `one end of a gang stands for all, and one failed run counts once`() {
+        driver.workers("w1", "w2")
+        driver.submit(driver.workflow(steps = arrayOf(gang(2))))
+        driver.step()
+        val starts = driver.starts
+        expectThat(starts).map { it.run }.containsExactly(1, 1)
+        starts.forEach(driver::done)
+        for (start in starts) {
+            val poll = driver.polls.single { it.worker == start.worker }
+            driver.report(poll, ended = listOf(end(start, RunEnd.FAILED)))
+        }
+        driver.step()
+        expectThat(scheduler.phaseOrNull("job")).isEqualTo(WorkflowPhase.RUNNING)
+        val again = driver.starts
+        expectThat(again).map { it.run }.containsExactly(2, 2)
+        again.forEach(driver::done)
+        val done = EndedRow(2, again[0].task, 2, RunEnd.DONE, "")
+        driver.report(poll(again[0].worker.id), ended = listOf(done))
+        driver.settle()
+        expectThat(scheduler.phaseOrNull("job")).isEqualTo(WorkflowPhase.COMPLETED)
+    }
+
     @Test
     fun `a workflow without a started task is counted as waiting`() {
         driver.submit(driver.workflow())
