Never hold a long-running task back where there is room for it

A long-running task was left waiting while only one worker could hold it, to leave room for short tasks. Ruled out: the lost workers themselves (their tasks restarted elsewhere when room came). Change: the share for short tasks is a preference among workers, no longer a condition. Test failed first: 'a long-running task takes the only room there is instead of waiting'.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
@@ -10,15 +10,15 @@
     /**
      * Returns the best worker for [task] at [nowMillis], or null if none has room.
      *
-     * A long-running task leaves some room for short ones on its worker. It takes that as well if
-     * several workers could hold it: then the room is there, and nothing short needs it.
+     * A long-running task prefers a worker on which it leaves some room for short ones. It is never
+     * held back where there is room.
      */
     fun chooseOrNull(task: OpenTask, nowMillis: Long): FleetWorker? {
         val able = fleet.workers.values.filter { mayRun(it, task, nowMillis) }
         val spec = task.step.spec
         if (!spec.isLongRunning || spec.usesIdleCpu) return bestOrNull(able, task, nowMillis)
         return bestOrNull(able.filter { leavesRoom(it, spec) }, task, nowMillis)
-            ?: if (able.size > 1) able.maxBy(::spareMilliCpus) else null
+            ?: able.maxByOrNull(::spareMilliCpus)
     }
 
     private fun leavesRoom(worker: FleetWorker, spec: WorkflowStep): Boolean {
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/WorkflowSchedulerTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/WorkflowSchedulerTest.kt
@@ -265,6 +265,15 @@
         expectThat(scheduler.phaseOrNull("job")).isEqualTo(WorkflowPhase.RUNNING)
     }
 
+    @Test
+    fun `a long-running task takes the only room there is instead of waiting`() {
+        driver.workers("w1")
+        val whole = driver.tasks().copy(isLongRunning = true, demand = Resources(32_000, 1_000))
+        driver.submit(driver.workflow(steps = arrayOf(whole)))
+        driver.step()
+        expectThat(driver.starts).hasSize(1)
+    }
+
     private fun gang(count: Int) = driver.tasks(count)
         .copy(isGang = true, demand = Resources(20_000, 1_000))
 
