Take no lease for lapsed while another owner may be prolonging it

An owner in a zone that is cut off goes on past its lease in the store; 6.4 s after the cut it took the workers beyond it for lapsed and restarted their tasks, while the next owner reached these workers and had prolonged their leases. Ruled out: lost ends (records are chained), stale orders (fenced), a roster that lacks workers (written before any order). Change: leases are taken for lapsed only while the owner's own lease in the store is certainly valid. Test failed first: 'an owner that may have been replaced takes no unreachable worker's lease for lapsed'.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
@@ -10,6 +10,9 @@
     val open = LinkedHashSet<OpenWorkflow>()
     val outbox = ArrayList<SchedulerAction>()
 
+    /** Whether this owner's lease in the store is valid, so that nobody else prolongs leases. */
+    var isSoleOwner = true
+
     /** Whether something changed that may let a task start. */
     var mayPlace = true
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunUpkeep.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunUpkeep.kt
@@ -7,7 +7,8 @@
     fun step(nowMillis: Long) {
         for (worker in fleet.workers.values.toList()) {
             if (worker.contactFailures > 0 && nowMillis > worker.lapsedByMillis) {
-                lapsed(worker, nowMillis)
+                // Another owner may reach the worker and prolong its lease.
+                if (fleet.isSoleOwner) lapsed(worker, nowMillis)
             } else if (isForgettable(worker, nowMillis)) {
                 tracker.lose(worker, nowMillis, "no longer listed")
             }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -163,8 +163,20 @@
         return old.map { it.id }
     }
 
-    /** Returns what is to be done at [nowMillis]. */
-    fun step(nowMillis: Long, unixMillis: Long): List<SchedulerAction> {
+    /**
+     * Returns what is to be done at [nowMillis].
+     *
+     * An owner that is not certainly the [sole owner][isSoleOwner] takes no lease for lapsed.
+     */
+    fun step(
+        nowMillis: Long,
+        unixMillis: Long,
+        isSoleOwner: Boolean = true
+    ): List<SchedulerAction> {
+        if (isSoleOwner != fleet.isSoleOwner) {
+            fleet.log("sole-owner", "epoch-${fleet.epoch}", "isSoleOwner" to isSoleOwner)
+            fleet.isSoleOwner = isSoleOwner
+        }
         upkeep.step(nowMillis)
         endWorkflows(nowMillis, unixMillis)
         if (fleet.mayPlace || nowMillis >= nextPlacementMillis) place(nowMillis, unixMillis)
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SchedulerDriver.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SchedulerDriver.kt
@@ -8,6 +8,9 @@
     var now = 1_000L
     val actions = ArrayList<SchedulerAction>()
 
+    /** Whether the owner's lease in the store is valid. */
+    var isSoleOwner = true
+
     /** Whether each batch is durable at once. */
     var recordsAtOnce = true
 
@@ -23,7 +26,7 @@
     fun step(millis: Long = 50): List<SchedulerAction> {
         now += millis
         actions.clear()
-        actions += scheduler.step(now, now)
+        actions += scheduler.step(now, now, isSoleOwner)
         pendingPolls += actions.filterIsInstance<SchedulerAction.Poll>().map { it.order }
         if (recordsAtOnce) records.forEach { _ -> scheduler.recorded() }
         return actions
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/WorkflowSchedulerTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/WorkflowSchedulerTest.kt
@@ -142,6 +142,19 @@
         expectThat(driver.now).isGreaterThan(last + 6_120)
     }
 
+    @Test
+    fun `an owner that may have been replaced takes no unreachable worker's lease for lapsed`() {
+        val first = started()
+        driver.isSoleOwner = false
+        while (driver.now < 30_000) {
+            driver.step()
+            val (lost, reached) = driver.polls.partition { it.worker == first.worker }
+            lost.forEach { driver.answer(it, WorkerAnswer.Unknown("timeout")) }
+            reached.forEach { driver.report(it) }
+            expectThat(driver.starts).isEmpty()
+        }
+    }
+
     @Test
     fun `tasks of a worker that started anew restart at once`() {
         val first = started()
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Election.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Election.kt
@@ -47,13 +47,22 @@
     private val listener: TermListener
 ) : PrefixListener,
     AutoCloseable {
-    private class Holding(val lease: LeaseId, val term: Term, var renewedMillis: Long)
+    private class Holding(val lease: LeaseId, val term: Term, @Volatile var renewedMillis: Long)
 
     private val wakeUps = LinkedBlockingQueue<String>()
     private val follower = PrefixFollower(store, WorkflowKeys.owner(set), log, this)
     private val thread = Thread(::run, "election").apply { isDaemon = true }
+
+    @Volatile
     private var holding: Holding? = null
 
+    /** Whether this host's lease certainly stands in the store, measured from its last renewal. */
+    val isLeaseValid: Boolean
+        get() {
+            val held = holding ?: return false
+            return clock.nowMillis() < held.renewedMillis + TTL_MILLIS - LEASE_MARGIN_MILLIS
+        }
+
     @Volatile
     private var owner: OwnerRecord? = null
 
@@ -206,6 +215,9 @@
         /** How long the store keeps a silent owner; bounds how long nobody schedules. */
         const val TTL_MILLIS = 2_000L
 
+        /** Covers the time between a look at the clock and what is done by it. */
+        const val LEASE_MARGIN_MILLIS = 200L
+
         /** Four renewals may be lost before the lease ends. */
         const val RENEWAL_MILLIS = 400L
         const val PAST_LEASE_MILLIS = SchedulerSettings.PAST_LEASE_MILLIS
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
@@ -31,6 +31,9 @@
     /** Is told the reason once a term can't go on. */
     var onDeposed: (String) -> Unit = {}
 
+    /** Tells whether no other host can own the set now. */
+    var isSoleOwner: () -> Boolean = { true }
+
     /** The running scheduler, or null while another host owns the set. */
     @Volatile
     var loop: SchedulerLoop? = null
@@ -40,7 +43,9 @@
     override fun onBegin(term: Term) {
         val writer = RecordWriter(store, set, term.epoch, term.epochRevision, log)
         val scheduler = schedulerOf(term.epoch, settings, clock)
-        val next = SchedulerLoop(scheduler, runs, writer, clock, log, meters) { onDeposed(it) }
+        val next = SchedulerLoop(scheduler, runs, writer, clock, log, meters, isSoleOwner) {
+            onDeposed(it)
+        }
         when (val recovered = recover(next, term)) {
             is Either.Left -> {
                 log.add(
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
@@ -32,6 +32,7 @@
     private val clock: MonotonicClock,
     private val log: EventLog,
     private val meters: WorkflowMeters,
+    private val isSoleOwner: () -> Boolean,
     private val onDeposed: (String) -> Unit
 ) : AutoCloseable {
     private val inbox = LinkedBlockingQueue<() -> Unit>()
@@ -88,7 +89,7 @@
                 val first = inbox.poll(scheduler.waitMillis(now()), MILLISECONDS)
                 first?.invoke()
                 while (isOpen) (inbox.poll() ?: break).invoke()
-                if (isOpen) scheduler.step(now(), unix()).forEach(::begin)
+                if (isOpen) scheduler.step(now(), unix(), isSoleOwner()).forEach(::begin)
                 waiting = scheduler.waitingByQueue()
             } catch (_: InterruptedException) {
                 return
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowHost.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowHost.kt
@@ -51,6 +51,7 @@
 
     init {
         ownership.onDeposed = election::depose
+        ownership.isSoleOwner = { election.isLeaseValid }
         meters.gauge("sycamore.owner") { if (ownership.loop == null) 0 else 1 }
         meters.gauge("sycamore.store.silence.millis") { store.silentMillis }
         meters.gauge("sycamore.configuration.version") { routing.table?.version ?: 0 }
