Name the log event of an ordered start apart from the wire's call, and drop what nobody uses

Cause: reading the change as a newcomer. Change: event run-start is run-ordered; an unused parameter and function of the scheduler are gone.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Starter.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Starter.kt
@@ -60,7 +60,7 @@
             recorder.changed(workflow)
         }
         fleet.log(
-            "run-start",
+            "run-ordered",
             task.name.toString(),
             "run" to placement.run,
             "worker" to worker.id,
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -9,7 +9,7 @@
 import sycamoremast.coordination.Resources
 
 /** Schedules workflows on the workers of one set, as its owner with [epoch]. */
-class WorkflowScheduler(epoch: Long, settings: SchedulerSettings, private val startedMillis: Long) {
+class WorkflowScheduler(epoch: Long, settings: SchedulerSettings) {
     private val fleet = Fleet(epoch, settings)
     private val recorder = Recorder(fleet)
     private val sharing = Sharing(fleet)
@@ -250,9 +250,6 @@
         }
     }
 
-    /** How long this owner has been at work at [nowMillis]. */
-    fun ageMillis(nowMillis: Long): Long = nowMillis - startedMillis
-
     private companion object {
         /** Long-running tasks come after short ones, which would wait for them without end. */
         val PLACEMENT_ORDER = compareBy<OpenWorkflow>(
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
@@ -14,6 +14,7 @@
 import sycamoremast.coordination.workflow.RunPort
 import sycamoremast.coordination.workflow.SchedulerSettings
 import sycamoremast.coordination.workflow.WorkflowProgress
+import sycamoremast.coordination.workflow.WorkflowScheduler
 import sycamoremast.daemon.log.EventLog
 
 /** Begins and ends the scheduler of worker set [set] with this host's terms. */
@@ -42,7 +43,7 @@
 
     override fun onBegin(term: Term) {
         val writer = RecordWriter(store, set, term.epoch, term.epochRevision, log)
-        val scheduler = schedulerOf(term.epoch, settings, clock)
+        val scheduler = WorkflowScheduler(term.epoch, settings)
         val next = SchedulerLoop(scheduler, runs, writer, clock, log, meters, isSoleOwner) {
             onDeposed(it)
         }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
@@ -16,7 +16,6 @@
 import sycamoremast.coordination.workflow.RecordBatch
 import sycamoremast.coordination.workflow.RunPort
 import sycamoremast.coordination.workflow.SchedulerAction
-import sycamoremast.coordination.workflow.SchedulerSettings
 import sycamoremast.coordination.workflow.WorkerListing
 import sycamoremast.coordination.workflow.Workflow
 import sycamoremast.coordination.workflow.WorkflowPhase
@@ -164,7 +163,3 @@
         close()
     }
 }
-
-/** Returns the scheduler of an owner that claimed [epoch] just now. */
-internal fun schedulerOf(epoch: Long, settings: SchedulerSettings, clock: MonotonicClock) =
-    WorkflowScheduler(epoch, settings, clock.nowMillis())
--- a/emulator/src/main/kotlin/sycamoremast/emulator/Emulation.kt
+++ b/emulator/src/main/kotlin/sycamoremast/emulator/Emulation.kt
@@ -62,7 +62,7 @@
     )
 
     private val random = Random(seed)
-    private val scheduler = WorkflowScheduler(1, SchedulerSettings(), 0)
+    private val scheduler = WorkflowScheduler(1, SchedulerSettings())
     private val queue =
         PriorityQueue<Timed>(compareBy<Timed> { it.atMillis }.thenBy { it.order })
     private var order = 0L
@@ -134,10 +134,10 @@
             }
         }
         for (worker in workers.values) worker.step(STEP_MILLIS, second)
-        if (now % SAMPLE_MILLIS == 0L && now > WARM_MILLIS) sampleServing(second)
+        if (now % SAMPLE_MILLIS == 0L && now > WARM_MILLIS) sampleServing()
     }
 
-    private fun sampleServing(second: Double) {
+    private fun sampleServing() {
         for (run in workers.values.flatMap { it.runs.values }) {
             if (!run.kind.isServing) continue
             val isOver = run.tail > TARGET_FACTOR * pattern.tailMillis
@@ -146,7 +146,6 @@
             run.overMillis = if (isOver) run.overMillis + SAMPLE_MILLIS else 0
             longestOver = maxOf(longestOver, run.overMillis)
         }
-        check(second >= 0)
     }
 
     /** Submits a workflow of [kind]; returns the processors that all its tasks reserve. */
