Count failed runs by their numbers, so that ends read in any order count

Cause: a task kept the number of its failures and that of its last failed run, and an end of a lower run was taken for counted. Ruled out: an unreadable record (none was logged as a fresh start; the second failure of three was missing, not all), a lost record (run 1001 was counted). Change: the numbers of the failed runs are kept and recorded as a set. Test: `failures that a new owner reads from several workers count in any order`, seen failing with the comparison by the last run, passing now.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/OpenWorkflow.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/OpenWorkflow.kt
@@ -92,8 +92,8 @@
     private fun doneTasks(): Map<String, IndexSet> = steps().filter { it.doneCount > 0 }
         .associate { s -> s.key to IndexSet.EMPTY + s.tasks.filter { it.isDone }.map { it.index } }
 
-    private fun recordedFailures(task: OpenTask): TaskFailures? =
-        TaskFailures(task.failures, task.lastFailedRun).takeIf { it.count > 0 }
+    private fun recordedFailures(task: OpenTask): Set<Int>? =
+        task.failedRuns.takeIf { it.isNotEmpty() }?.toSet()
 
     private fun recordedCheckpoint(task: OpenTask): String? =
         task.checkpoint.takeIf { it.isNotEmpty() && !task.isDone && task.placements.isEmpty() }
@@ -143,10 +143,7 @@
     val placements = ArrayList<Placement>(1)
     var isDone = false
         private set
-    var failures = 0
-        private set
-    var lastFailedRun = 0
-        private set
+    val failedRuns = LinkedHashSet<Int>()
     var lastRun = 0
     var checkpoint = ""
     var notBeforeMillis = Long.MIN_VALUE
@@ -155,17 +152,11 @@
     var failedOn: String? = null
 
     /** Counts that run number [run] failed; returns whether that is news. */
-    fun countFailure(run: Int): Boolean {
-        if (run <= lastFailedRun) return false
-        lastFailedRun = run
-        failures++
-        return true
-    }
+    fun countFailure(run: Int): Boolean = failedRuns.add(run)
 
-    fun restoreFailures(recorded: TaskFailures) {
-        failures = recorded.count
-        lastFailedRun = recorded.lastRun
-        lastRun = maxOf(lastRun, recorded.lastRun)
+    fun restoreFailures(recorded: Set<Int>) {
+        failedRuns += recorded
+        lastRun = maxOf(lastRun, recorded.maxOrNull() ?: 0)
     }
 
     fun markDone() {
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
@@ -255,9 +255,9 @@
     }
 
     private fun failed(task: OpenTask, run: Int, worker: FleetWorker, nowMillis: Long) {
-        // A gang fails once a run, whichever member it is.
+        // A gang fails once a run, whichever member it is; long-running tasks restart for ever.
         val counted = if (task.step.spec.isGang) task.step.tasks.first() else task
-        if (!counted.countFailure(run)) return
+        if (!task.step.spec.isLongRunning && !counted.countFailure(run)) return
         task.failedOn = worker.id
         worker.failuresInRow++
         if (worker.failuresInRow >= SUSPECT_FAILURES) {
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowProgress.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowProgress.kt
@@ -20,23 +20,18 @@
 /**
  * The recorded state of one workflow; steps are keyed `occurrence.step`, tasks with their index.
  *
+ * [failures] holds the numbers of each task's failed runs. Two owners may read the same end, and one
+ * owner may read the ends of a task's runs on several workers in any order: the numbers tell which
+ * of them are counted already.
+ *
  * [endedUnixMillis] is 0 until the workflow has ended.
  */
 @Serializable
 data class WorkflowProgress(
     val phase: WorkflowPhase,
     val doneTasks: Map<String, IndexSet> = emptyMap(),
-    val failures: Map<String, TaskFailures> = emptyMap(),
+    val failures: Map<String, Set<Int>> = emptyMap(),
     val checkpoints: Map<String, String> = emptyMap(),
     val hasBegun: Boolean = false,
     val endedUnixMillis: Long = 0
 )
-
-/**
- * The failed runs of a task.
- *
- * Runs up to [lastRun] are counted, so that an end that was recorded but not yet acknowledged is not
- * counted again by the next owner.
- */
-@Serializable
-data class TaskFailures(val count: Int, val lastRun: Int)
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -196,15 +196,16 @@
 
     private fun endWorkflows(nowMillis: Long, unixMillis: Long) {
         for (workflow in fleet.open.toList()) {
-            val spent = workflow.steps().filter { !it.spec.isLongRunning }
-                .flatMap { it.tasks }.firstOrNull { it.failures >= workflow.queue.maxAttempts }
+            val mostFailures = workflow.queue.maxAttempts
+            val spent = workflow.steps().flatMap { it.tasks }
+                .firstOrNull { it.failedRuns.size >= mostFailures }
             when {
                 spent != null -> {
                     fleet.log(
                         "workflow-failed",
                         workflow.id,
                         "task" to spent.name,
-                        "failures" to spent.failures,
+                        "failedRuns" to spent.failedRuns.joinToString(","),
                         "maxAttempts" to workflow.queue.maxAttempts
                     )
                     end(workflow, WorkflowPhase.FAILED, nowMillis, unixMillis)
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/WorkflowSchedulerTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/WorkflowSchedulerTest.kt
@@ -263,7 +263,7 @@
 
     @Test
     fun `a failure that an earlier owner recorded is not counted again from its unread end`() {
-        val failures = mapOf("0.0.0" to TaskFailures(count = 1, lastRun = 3))
+        val failures = mapOf("0.0.0" to setOf(3))
         val progress = WorkflowProgress(WorkflowPhase.RUNNING, failures = failures, hasBegun = true)
         val workflow = driver.workflow()
         scheduler.listed(listOf(driver.listing("w1")), driver.now)
@@ -278,6 +278,24 @@
         expectThat(scheduler.phaseOrNull("job")).isEqualTo(WorkflowPhase.RUNNING)
     }
 
+    @Test
+    fun `failures that a new owner reads from several workers count in any order`() {
+        val failures = mapOf("0.0.0" to setOf(1))
+        val progress = WorkflowProgress(WorkflowPhase.RUNNING, failures = failures, hasBegun = true)
+        val workflow = driver.workflow(maxAttempts = 3)
+        scheduler.listed(listOf("w1", "w2").map { driver.listing(it) }, driver.now)
+        scheduler.accepted(workflow, progress, isRecovered = true, driver.now, driver.now)
+        driver.step()
+        val task = TaskName("job", 0, 0, 0)
+        val runs = mapOf("w1" to 3, "w2" to 2)
+        for (poll in driver.polls.sortedBy { it.worker.id }) {
+            val run = runs.getValue(poll.worker.id)
+            driver.report(poll, ended = listOf(EndedRow(1, task, run, RunEnd.FAILED, "")))
+        }
+        driver.settle()
+        expectThat(scheduler.phaseOrNull("job")).isEqualTo(WorkflowPhase.FAILED)
+    }
+
     @Test
     fun `a long-running task takes the only room there is instead of waiting`() {
         driver.workers("w1")
