Follow the owner's key with the workflows, and end a term whose records can't be read

Also: a progress record that could not be read was taken for none without a log line, and the workflow started afresh. Change: jobs, cancellations and the owner's key lie under one prefix and are followed by one watch, in the store's order; another owner in it ends the term before anything later is acted on. An unreadable progress record fails the recovery with its key in the log. One watch fewer an owner. Tests: `a workflow accepted after another owner's claim is not started by the old owner` and `a term ends where a workflow's progress can't be read`; both need what the old code lacked (no end of the term came in it).

--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
@@ -4,7 +4,9 @@
 package sycamoremast.daemon.workflow
 
 import arrow.core.Either
+import arrow.core.left
 import arrow.core.raise.either
+import arrow.core.right
 import sycamoremast.coordination.MonotonicClock
 import sycamoremast.coordination.StoreChange
 import sycamoremast.coordination.StoreEntry
@@ -78,54 +80,30 @@
         val workers = store.list(catalog.workersPrefix).bind()
         val roster = store.get(WorkflowKeys.roster(set)).bind()
         val progress = store.list(WorkflowKeys.progress(set)).bind().entries
-            .associate {
-                WorkflowKeys.idOf(it.key) to decodeRecordOrNull<WorkflowProgress>(it.value)
-            }
-        val jobs = store.list(WorkflowKeys.JOBS).bind()
-        val cancels = store.list(WorkflowKeys.CANCELS).bind()
+            .associate { WorkflowKeys.idOf(it.key) to readProgress(it).bind() }
+        val work = store.list(WorkflowKeys.WORK).bind()
         next.listed(workers.entries.mapNotNull(catalog::workerOrNull))
         roster?.let { decodeRecordOrNull<RosterRecord>(it.value) }?.let {
             val pastLease = term.claimedMillis + SchedulerSettings.PAST_LEASE_MILLIS
             next.rostered(it, settings.lapsedBy(pastLease))
         }
-        for (entry in jobs.entries) {
-            accept(next, entry, progress[WorkflowKeys.idOf(entry.key)], term)
-        }
-        cancels.entries.forEach { next.cancelled(WorkflowKeys.idOf(it.key)) }
-        jobs.entries.size
+        val feed = WorkFeed(next, set, term, log, progress)
+        feed.onListing(work)
+        progress.size
     }
 
-    private fun accept(
-        next: SchedulerLoop,
-        entry: StoreEntry,
-        progress: WorkflowProgress?,
-        term: Term
-    ) {
-        val record = decodeRecordOrNull<AcceptanceRecord>(entry.value)
-        if (record == null) log.add("job-unreadable", "key" to entry.key)
-        val workflow = record?.workflow ?: return
-        next.accepted(workflow, progress, entry.version < term.epochRevision)
-    }
+    /** A workflow whose progress can't be read must not start afresh: the term ends instead. */
+    private fun readProgress(entry: StoreEntry): Either<StoreError, WorkflowProgress> =
+        decodeRecordOrNull<WorkflowProgress>(entry.value)?.right()
+            ?: StoreError.AnswerLost("read-progress", entry.key, "unreadable record").left()
 
     private fun follow(next: SchedulerLoop, term: Term) {
-        val jobs = listener { entry -> accept(next, entry, null, term) }
-        val cancels = listener { next.cancelled(WorkflowKeys.idOf(it.key)) }
         followers = listOf(
-            PrefixFollower(store, WorkflowKeys.JOBS, log, jobs),
-            PrefixFollower(store, WorkflowKeys.CANCELS, log, cancels),
+            PrefixFollower(store, WorkflowKeys.WORK, log, WorkFeed(next, set, term, log)),
             PrefixFollower(store, catalog.workersPrefix, log, WorkerFeed(catalog, next, log))
         ).onEach { it.start() }
     }
 
-    private fun listener(take: (StoreEntry) -> Unit) = object : PrefixListener {
-        override fun onListing(listing: StoreListing) = listing.entries.forEach(take)
-
-        override fun onChange(change: StoreChange) {
-            val value = change.value ?: return
-            take(StoreEntry(change.key, value, change.revision))
-        }
-    }
-
     override fun onEnd(reason: String) {
         followers.forEach { it.close() }
         followers = emptyList()
@@ -141,6 +119,56 @@
     }
 }
 
+/**
+ * Tells the scheduler of accepted and cancelled workflows until the ownership has changed.
+ *
+ * The owner's key is followed with the workflows, in the order of the store's changes: a workflow
+ * that was accepted after another owner's claim is never started by this one.
+ */
+private class WorkFeed(
+    private val loop: SchedulerLoop,
+    private val set: Int,
+    private val term: Term,
+    private val log: EventLog,
+    private val progress: Map<String, WorkflowProgress> = emptyMap()
+) : PrefixListener {
+    override fun onListing(listing: StoreListing) {
+        // The owner's key comes last in a listing: it was read after all workflows.
+        val owner = listing.entries.find { it.key == WorkflowKeys.owner(set) }
+        ownerIs(owner?.value)
+        listing.entries.forEach(::take)
+    }
+
+    override fun onChange(change: StoreChange) {
+        val value = change.value
+        when {
+            change.key == WorkflowKeys.owner(set) -> ownerIs(value)
+            value != null -> take(StoreEntry(change.key, value, change.revision))
+        }
+    }
+
+    private fun ownerIs(value: String?) {
+        val owner = value?.let { decodeRecordOrNull<OwnerRecord>(it) }
+        if (owner?.epoch == term.epoch) return
+        loop.superseded("the owner's key names ${owner?.host} with epoch ${owner?.epoch}")
+    }
+
+    private fun take(entry: StoreEntry) {
+        val id = WorkflowKeys.idOf(entry.key)
+        when {
+            entry.key.startsWith(WorkflowKeys.JOBS) -> accept(id, entry)
+            entry.key.startsWith(WorkflowKeys.CANCELS) -> loop.cancelled(id)
+        }
+    }
+
+    private fun accept(id: String, entry: StoreEntry) {
+        val record = decodeRecordOrNull<AcceptanceRecord>(entry.value)
+        if (record == null) log.add("job-unreadable", "key" to entry.key)
+        val workflow = record?.workflow ?: return
+        loop.accepted(workflow, progress[id], entry.version < term.epochRevision)
+    }
+}
+
 /** Tells the scheduler of the platform's workers. */
 private class WorkerFeed(
     private val catalog: PlatformCatalog,
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
@@ -74,6 +74,9 @@
 
     fun policies(queues: Map<String, QueuePolicy>) = tell { scheduler.policies(queues) }
 
+    /** Ends the term before anything that is told later is acted on. */
+    fun superseded(reason: String) = tell { deposed(reason) }
+
     private fun tell(message: () -> Unit) {
         inbox += message
     }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowKeys.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowKeys.kt
@@ -3,8 +3,11 @@
 
 internal object WorkflowKeys {
     private const val ROOT = "sycamore/"
-    const val JOBS = "${ROOT}job/"
-    const val CANCELS = "${ROOT}cancel/"
+
+    /** Holds the work and its owners, so that one watch tells their changes in the store's order. */
+    const val WORK = "${ROOT}work/"
+    const val JOBS = "${WORK}job/"
+    const val CANCELS = "${WORK}cancel/"
 
     fun job(id: String) = JOBS + id
 
@@ -16,7 +19,7 @@
 
     fun progress(set: Int, id: String) = progress(set) + id
 
-    fun owner(set: Int) = "${ROOT}owner/$set"
+    fun owner(set: Int) = "${WORK}owner/$set"
 
     fun epoch(set: Int) = "${ROOT}epoch/$set"
 
--- /dev/null
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/OwnershipTest.kt
@@ -0,0 +1,149 @@
+package sycamoremast.daemon.workflow
+
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit.SECONDS
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.containsExactly
+import strikt.assertions.isEqualTo
+import sycamoremast.coordination.CommitResult
+import sycamoremast.coordination.MonotonicClock
+import sycamoremast.coordination.Resources
+import sycamoremast.coordination.StoreEntry
+import sycamoremast.coordination.StorePut
+import sycamoremast.coordination.StoreTransaction
+import sycamoremast.coordination.workflow.PaceOrder
+import sycamoremast.coordination.workflow.PollOrder
+import sycamoremast.coordination.workflow.QueuePolicy
+import sycamoremast.coordination.workflow.RunPort
+import sycamoremast.coordination.workflow.RunningRow
+import sycamoremast.coordination.workflow.SchedulerSettings
+import sycamoremast.coordination.workflow.StartOrder
+import sycamoremast.coordination.workflow.StopOrder
+import sycamoremast.coordination.workflow.WorkerAnswer
+import sycamoremast.coordination.workflow.WorkerListing
+import sycamoremast.coordination.workflow.WorkerRef
+import sycamoremast.coordination.workflow.WorkerReport
+import sycamoremast.coordination.workflow.Workflow
+import sycamoremast.coordination.workflow.WorkflowStep
+import sycamoremast.daemon.log.EventLog
+
+class OwnershipTest {
+    private val store = MemoryStore()
+    private val clock = MonotonicClock.system()
+    private val runs = IdleWorker(clock)
+    private val deposed = CompletableFuture<String>()
+    private val ownership = Ownership(
+        store,
+        OneWorkerCatalog,
+        runs,
+        0,
+        SchedulerSettings(),
+        clock,
+        EventLog { },
+        WorkflowMeters()
+    ) { null }.apply { onDeposed = { deposed.complete(it) } }
+
+    @AfterEach
+    fun end() = ownership.onEnd("test")
+
+    private fun put(key: String, value: String): Long = store.apply(
+        StoreTransaction(emptyMap(), listOf(StorePut(key, value)))
+    ).let { (it as CommitResult.Applied).revision }
+
+    private fun claim(epoch: Long): Term {
+        put(WorkflowKeys.owner(0), encodeRecord(OwnerRecord("host$epoch", epoch)))
+        val revision = put(WorkflowKeys.epoch(0), encodeRecord(EpochRecord(epoch, 0)))
+        return Term(epoch, revision, clock.nowMillis())
+    }
+
+    private fun accept(id: String) =
+        put(WorkflowKeys.job(id), encodeRecord(AcceptanceRecord("attempt", workflow(id))))
+
+    private fun workflow(id: String) = Workflow(
+        id,
+        QueuePolicy("queue", "service"),
+        "payload",
+        listOf(WorkflowStep(1, Resources(1, 1))),
+        submittedMillis = 0
+    )
+
+    @Test
+    fun `a workflow accepted after another owner's claim is not started by the old owner`() {
+        put(OneWorkerCatalog.workersPrefix + "w1", "")
+        ownership.onBegin(claim(1))
+        accept("before")
+        runs.awaitStart("before")
+        synchronized(store) {
+            claim(2)
+            accept("after")
+        }
+        expectThat(deposed.get(WAIT_SECONDS, SECONDS)).contains("epoch 2")
+        ownership.onEnd("another owner")
+        expectThat(runs.started.map { it.task.workflow }).containsExactly("before")
+    }
+
+    @Test
+    fun `a term ends where a workflow's progress can't be read`() {
+        accept("job")
+        put(WorkflowKeys.progress(0, "job"), "unreadable")
+        ownership.onBegin(claim(1))
+        expectThat(deposed.get(WAIT_SECONDS, SECONDS)).isEqualTo("recovery failed")
+    }
+
+    private companion object {
+        const val WAIT_SECONDS = 30L
+    }
+}
+
+/** A catalog whose entries all stand for workers with room. */
+private object OneWorkerCatalog : PlatformCatalog {
+    override val routingKey = "routing"
+    override val workersPrefix = "workers/"
+
+    override fun routingOrNull(entry: StoreEntry): RoutingTable? = null
+
+    override fun workerOrNull(entry: StoreEntry) = WorkerListing(
+        WorkerRef(workerId(entry.key), "address"),
+        "service",
+        "zone",
+        Resources(1_000, 1_000),
+        emptyList(),
+        isDraining = false
+    )
+
+    override fun workerId(key: String) = key.removePrefix(workersPrefix)
+}
+
+/** A worker that carries out every order and never ends a run by itself. */
+private class IdleWorker(private val clock: MonotonicClock) : RunPort {
+    val started = CopyOnWriteArrayList<StartOrder>()
+    private val first = CountDownLatch(1)
+
+    fun awaitStart(workflow: String) {
+        check(first.await(30, SECONDS)) { "no start" }
+        check(started.first().task.workflow == workflow) { "another start: $started" }
+    }
+
+    override fun start(order: StartOrder, done: (WorkerAnswer) -> Unit) {
+        started += order
+        first.countDown()
+        done(answer())
+    }
+
+    override fun stop(order: StopOrder, done: (WorkerAnswer) -> Unit) = done(answer())
+
+    override fun pace(order: PaceOrder, done: (WorkerAnswer) -> Unit) = done(answer())
+
+    override fun poll(order: PollOrder, done: (WorkerAnswer) -> Unit) {
+        val now = clock.nowMillis()
+        val running = started.map { RunningRow(it.task, it.run, "", 0, null) }
+        done(WorkerAnswer.Reported(WorkerReport(now, 1, now, running, emptyList())))
+    }
+
+    private fun answer(): WorkerAnswer = clock.nowMillis().let { WorkerAnswer.Done(it, it) }
+}
