--- a/emulator/src/main/kotlin/sycamoremast/emulator/Emulation.kt
+++ b/emulator/src/main/kotlin/sycamoremast/emulator/Emulation.kt
@@ -40,6 +40,7 @@
     val servingShare: Double,
     val longestOverMillis: Long,
     val paceOrders: Int,
+    val stops: Int,
     val polls: Int
 )
 
@@ -90,6 +91,7 @@
     private var longestOver = 0L
     private var paceOrders = 0
     private var polls = 0
+    private var stops = 0
 
     private fun at(delayMillis: Long, run: () -> Unit) {
         queue += Timed(now + delayMillis, order++, run)
@@ -224,6 +226,7 @@
             }
 
             is SchedulerAction.Stop -> at(CALL_MILLIS) {
+                stops++
                 val worker = workers.getValue(action.order.worker.id)
                 worker.runs[action.order.task]?.let { worker.end(it, RunEnd.STOPPED) }
                 val answer = WorkerAnswer.Done(now, now + CALL_MILLIS)
@@ -315,7 +318,7 @@
             )
         }
         val share = if (servingSeen == 0) 1.0 else servingGood / servingSeen
-        return Outcome(byQueue, share, longestOver, paceOrders, polls)
+        return Outcome(byQueue, share, longestOver, paceOrders, stops, polls)
     }
 
     private fun objective(s: Submitted) =
