--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
@@ -10,25 +10,20 @@
     /**
      * Returns the best worker for [task] at [nowMillis], or null if none has room.
      *
-     * On a crowded fleet a long-running task prefers a worker on which it leaves some room for short
-     * ones: room that is too little for another long-running task stays theirs. It is never held
-     * back where there is room.
+     * A long-running task prefers a worker on which it leaves some room for short ones: room that is
+     * too little for another long-running task stays theirs. It is never held back where there is
+     * room.
      */
     fun chooseOrNull(task: OpenTask, nowMillis: Long): FleetWorker? {
         val able = fleet.workers.values.filter { mayRun(it, task, nowMillis) }
         val spec = task.step.spec
-        if (spec.isLongRunning && !spec.usesIdleCpu && isCrowded()) {
+        if (spec.isLongRunning && !spec.usesIdleCpu) {
             val roomy = able.filter { leavesRoom(it, spec) }
             bestOrNull(roomy, task, nowMillis)?.let { return it }
         }
         return bestOrNull(able, task, nowMillis)
     }
 
-    private fun isCrowded(): Boolean {
-        val firm = fleet.workers.values.sumOf { it.firmMilliCpus }
-        return firm > fleet.workers.values.sumOf { it.capacity.milliCpus } * CROWDED_SHARE
-    }
-
     private fun leavesRoom(worker: FleetWorker, spec: WorkflowStep): Boolean {
         val left = worker.capacity.milliCpus - worker.firmMilliCpus - spec.demand.milliCpus
         return left >= worker.capacity.milliCpus * SHORT_WORK_RESERVE
@@ -110,7 +105,7 @@
     private fun calmOrNull(worker: FleetWorker, spec: WorkflowStep, nowMillis: Long): Double? {
         val headroom = sharing.headroomWithOrNull(worker, spec, nowMillis) ?: return 1.0
         if (sharing.isHarmless(worker, spec)) return HARMLESS_CALM
-        if (headroom < NOTED_AIM) return null
+        if (headroom < Sharing.AIM) return null
         return minOf(headroom / ENOUGH_HEADROOM, 1.0) * NOTED_CALM
     }
 
@@ -118,9 +113,6 @@
         /** Short urgent work needs about a twentieth of the Regie's processors, twice that at a crest. */
         const val SHORT_WORK_RESERVE = 0.09
 
-        /** Below it, tight packing keeps whole workers free; BKTIB's serving tasks take 0.82, the Regie's 0.9. */
-        const val CROWDED_SHARE = 0.8
-
         /** Headroom beyond which more is no better. */
         const val ENOUGH_HEADROOM = 2.0
 
@@ -132,9 +124,6 @@
         const val TIGHTNESS_WEIGHT = 0.5
         const val HARMLESS_CALM = 0.95
         const val NOTED_CALM = 0.6
-
-        /** Headroom that a neighbour with a notable effect has to leave; readings scatter by a quarter. */
-        const val NOTED_AIM = 1.6
         const val NEAR_DATA_BONUS = 5.0
         const val FAILED_HERE_PENALTY = 10.0
     }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Sharing.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Sharing.kt
@@ -45,17 +45,13 @@
     /** Returns the least headroom on [worker] after [extra] joined, or null without serving tasks. */
     fun headroomWithOrNull(worker: FleetWorker, extra: WorkflowStep, nowMillis: Long): Double? {
         if (worker.servingCount == 0) return null
-        if (nowMillis < worker.noSharingUntilMillis || isPressed(worker)) return 0.0
+        if (nowMillis < worker.noSharingUntilMillis) return 0.0
         val shares = shares(worker).toMutableMap()
         val share = extra.demand.milliCpus.toDouble() / worker.capacity.milliCpus
         shares.merge(extra.image, share, Double::plus)
         return leastHeadroom(worker, shares, nowMillis)
     }
 
-    private fun isPressed(worker: FleetWorker) = worker.placements.values.any {
-        it.task.step.spec.isServing && (it.headroomOrNull ?: NO_PRESSURE) < AIM
-    }
-
     private fun leastHeadroom(
         worker: FleetWorker,
         shares: Map<String, Double>,
