Leave room for short work only on crowded fleets, and place together what comes together

What the fleet will hold is seen too late where long-running tasks are placed one by one as they come. Change: they wait 250 ms for others, are placed image by image, and leave room for short work where all of them, with those that wait, reserve over 0.85.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
@@ -25,6 +25,9 @@
     /** Whether every worker that may run recovered work has answered or surely stopped it. */
     fun isWholeFleetAccounted(): Boolean = workers.values.all { it.isAccounted }
 
+    /** Returns the processors that all long-running tasks reserve, running or waiting. */
+    fun longRunningMilliCpus(): Long = open.sumOf { it.longRunningMilliCpus }
+
     /** Returns the number of accepted workflows without a started task, by queue. */
     fun waitingByQueue(): Map<String, Int> =
         open.filter { !it.hasBegun }.groupingBy { it.spec.queue.name }.eachCount()
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/OpenWorkflow.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/OpenWorkflow.kt
@@ -23,6 +23,8 @@
     val occurrences = ArrayList<OpenOccurrence>()
     val id: String get() = spec.id
     val isLongRunning = spec.steps.any { it.isLongRunning }
+    val longRunningMilliCpus = spec.steps.filter { it.isLongRunning && !it.usesIdleCpu }
+        .sumOf { it.demand.milliCpus * it.taskCount }
     val isOpen: Boolean get() = !phase.isFinal
 
     val objectiveMillis: Long =
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
@@ -10,20 +10,26 @@
     /**
      * Returns the best worker for [task] at [nowMillis], or null if none has room.
      *
-     * A long-running task prefers a worker on which it leaves some room for short ones: room that is
-     * too little for another long-running task stays theirs. It is never held back where there is
-     * room.
+     * On a crowded fleet a long-running task prefers a worker on which it leaves some room for short
+     * ones: room that is too little for another long-running task stays theirs. It is never held
+     * back where there is room.
      */
     fun chooseOrNull(task: OpenTask, nowMillis: Long): FleetWorker? {
         val able = fleet.workers.values.filter { mayRun(it, task, nowMillis) }
         val spec = task.step.spec
-        if (spec.isLongRunning && !spec.usesIdleCpu) {
+        if (spec.isLongRunning && !spec.usesIdleCpu && isCrowded()) {
             val roomy = able.filter { leavesRoom(it, spec) }
             bestOrNull(roomy, task, nowMillis)?.let { return it }
         }
         return bestOrNull(able, task, nowMillis)
     }
 
+    /** Whether long-running tasks, with those that wait, leave little of the fleet to short ones. */
+    private fun isCrowded(): Boolean {
+        val capacity = fleet.workers.values.sumOf { it.capacity.milliCpus }
+        return fleet.longRunningMilliCpus() > capacity * CROWDED_SHARE
+    }
+
     private fun leavesRoom(worker: FleetWorker, spec: WorkflowStep): Boolean {
         val left = worker.capacity.milliCpus - worker.firmMilliCpus - spec.demand.milliCpus
         return left >= worker.capacity.milliCpus * SHORT_WORK_RESERVE
@@ -113,6 +119,9 @@
         /** Short urgent work needs about a twentieth of the Regie's processors, twice that at a crest. */
         const val SHORT_WORK_RESERVE = 0.09
 
+        /** Between the shares that long-running tasks reserve at BKTIB, 0.82, and the Regie, 0.9. */
+        const val CROWDED_SHARE = 0.85
+
         /** Headroom beyond which more is no better. */
         const val ENOUGH_HEADROOM = 2.0
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -245,17 +245,26 @@
         for (workflow in order) {
             workflow.addDue(unixMillis)
             if (workflow.isRecovered && !isAccounted) continue
+            if (workflow.isLongRunning && isSettling(workflow, nowMillis)) continue
             for (step in workflow.steps()) {
                 if (step.waiting.isNotEmpty() && step.isReady) starter.startWaiting(step, nowMillis)
             }
         }
     }
 
+    /** Long-running tasks that come together are packed better together. */
+    private fun isSettling(workflow: OpenWorkflow, nowMillis: Long) =
+        nowMillis < workflow.acceptedMillis + SETTLE_MILLIS
+
     private companion object {
+        /** Much shorter than the seconds that a long-running task may take to start. */
+        const val SETTLE_MILLIS = 250L
+
         /** Long-running tasks come after short ones, which would wait for them without end. */
         val PLACEMENT_ORDER = compareBy<OpenWorkflow>(
             { it.queue.priority },
             { it.isLongRunning },
+            { if (it.isLongRunning) it.spec.steps.first().image else "" },
             { it.objectiveMillis }
         )
 
