--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
@@ -105,7 +105,13 @@
         val tightness = (1 - spare) * TIGHTNESS_WEIGHT
         if (serving.isEmpty()) return 1.0 + tightness
         val alike = serving.count { it.task.step.spec.image == spec.image }
-        return if (alike == serving.size) PACKED_BONUS + tightness else alike / serving.size.toDouble()
+        return if (alike ==
+            serving.size
+        ) {
+            PACKED_BONUS + tightness
+        } else {
+            alike / serving.size.toDouble()
+        }
     }
 
     private fun calmOrNull(worker: FleetWorker, spec: WorkflowStep, nowMillis: Long): Double? {
--- a/emulator/src/main/kotlin/sycamoremast/emulator/Emulation.kt
+++ b/emulator/src/main/kotlin/sycamoremast/emulator/Emulation.kt
@@ -78,7 +78,13 @@
     private val workers = (0 until pattern.workers).map {
         EmulatedWorker(
             "w$it",
-            if (it % LARGE_EVERY == 0) pattern.milliCpus * LARGE / PERCENT.toLong() else pattern.milliCpus,
+            if (it % LARGE_EVERY ==
+                0
+            ) {
+                pattern.milliCpus * LARGE / PERCENT.toLong()
+            } else {
+                pattern.milliCpus
+            },
             pattern.tailMillis,
             pattern.swingSeconds,
             presses
--- a/emulator/src/main/kotlin/sycamoremast/emulator/Pattern.kt
+++ b/emulator/src/main/kotlin/sycamoremast/emulator/Pattern.kt
@@ -126,7 +126,8 @@
         )
 
         /** All named patterns. */
-        val all = listOf(sharedCalm, sharedSurge, sharedHeavy, failingWorkers, slowWorkers, servingCrowd)
+        val all =
+            listOf(sharedCalm, sharedSurge, sharedHeavy, failingWorkers, slowWorkers, servingCrowd)
 
         /**
          * Returns the pattern [name].
