--- a/emulator/src/main/kotlin/sycamoremast/emulator/Pattern.kt
+++ b/emulator/src/main/kotlin/sycamoremast/emulator/Pattern.kt
@@ -51,21 +51,59 @@
     val surges: List<Surge> = emptyList(),
     val bad: List<BadWorkers> = emptyList()
 ) {
+    /** The tail that serving tasks have to stay below. */
+    val targetMillis: Double get() = TARGET_FACTOR * tailMillis
+
     companion object {
+        /** The users' target over the tail of a serving task without load. */
+        private const val TARGET_FACTOR = 5.0
+
         /** Reviews of a heavy day over those of a calm one. */
         private const val HEAVY_DAY = 1.8
 
         private val bktibKinds = listOf(
             WorkKind(
-                "field-check", 0, 2.1, 1.6, 6.0, 850.0, 0.5, 3_100.0, 6_200, 1.5, 250,
-                maxAttempts = 2, failShare = 0.05
+                queue = "field-check",
+                priority = 0,
+                perSecond = 2.1,
+                steps = 1.6,
+                width = 6.0,
+                workMillis = 850.0,
+                spread = 0.5,
+                milliCpus = 3_100.0,
+                memoryMib = 6_200,
+                stretch = 1.5,
+                targetLatencyMillis = 250,
+                maxAttempts = 2,
+                failShare = 0.05
             ),
             WorkKind(
-                "cert-review", 2, 5.0, 2.0, 8.0, 1_400.0, 0.5, 3_500.0, 6_400, 2.0, 1_000,
-                usesIdleCpu = true, failShare = 0.05
+                queue = "cert-review",
+                priority = 2,
+                perSecond = 5.0,
+                steps = 2.0,
+                width = 8.0,
+                workMillis = 1_400.0,
+                spread = 0.5,
+                milliCpus = 3_500.0,
+                memoryMib = 6_400,
+                stretch = 2.0,
+                targetLatencyMillis = 1_000,
+                usesIdleCpu = true,
+                failShare = 0.05
             ),
             WorkKind(
-                "slope-watch", 0, 0.15, 1.0, 6.0, 0.0, 0.0, 6_400.0, 13_000, 2.2, 2_500,
+                queue = "slope-watch",
+                priority = 0,
+                perSecond = 0.15,
+                steps = 1.0,
+                width = 6.0,
+                workMillis = 0.0,
+                spread = 0.0,
+                milliCpus = 6_400.0,
+                memoryMib = 13_000,
+                stretch = 2.2,
+                targetLatencyMillis = 2_500,
                 isServing = true
             )
         )
@@ -106,15 +144,47 @@
 
         private val regieKinds = listOf(
             WorkKind(
-                "daily-tally", 0, 2.4, 1.6, 6.0, 680.0, 0.5, 4_600.0, 9_200, 1.5, 250,
-                maxAttempts = 2, failShare = 0.05
+                queue = "daily-tally",
+                priority = 0,
+                perSecond = 2.4,
+                steps = 1.6,
+                width = 6.0,
+                workMillis = 680.0,
+                spread = 0.5,
+                milliCpus = 4_600.0,
+                memoryMib = 9_200,
+                stretch = 1.5,
+                targetLatencyMillis = 250,
+                maxAttempts = 2,
+                failShare = 0.05
             ),
             WorkKind(
-                "species-review", 2, 3.0, 2.0, 8.0, 1_400.0, 0.5, 7_000.0, 13_000, 2.0, 1_000,
-                usesIdleCpu = true, failShare = 0.02
+                queue = "species-review",
+                priority = 2,
+                perSecond = 3.0,
+                steps = 2.0,
+                width = 8.0,
+                workMillis = 1_400.0,
+                spread = 0.5,
+                milliCpus = 7_000.0,
+                memoryMib = 13_000,
+                stretch = 2.0,
+                targetLatencyMillis = 1_000,
+                usesIdleCpu = true,
+                failShare = 0.02
             ),
             WorkKind(
-                "watch-stream", 0, 0.1, 1.0, 6.0, 0.0, 0.0, 13_000.0, 26_000, 2.2, 2_500,
+                queue = "watch-stream",
+                priority = 0,
+                perSecond = 0.1,
+                steps = 1.0,
+                width = 6.0,
+                workMillis = 0.0,
+                spread = 0.0,
+                milliCpus = 13_000.0,
+                memoryMib = 26_000,
+                stretch = 2.2,
+                targetLatencyMillis = 2_500,
                 isServing = true
             )
         )
