Tell no refusal while an earlier attempt of the same job may still take effect

Cause: with the store known to be out, a job was refused at once, also where an earlier attempt on the same host had ended unknown and its write could still be carried out (the store does so up to 6 s later). Ruled out: the refusal mark, which excludes all earlier attempts by its condition: refusals by a mark stand. Change: a host remembers the jobs whose outcome it left unknown; a refusal of such a job without a mark is unknown as well. Test: `no refusal is told while an earlier attempt may still take effect`, seen failing (Refused) without the change.

--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Gateway.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Gateway.kt
@@ -27,8 +27,16 @@
     /** The workflow is stored and will run. */
     data object Accepted : Acceptance
 
-    /** The workflow is not stored and never runs by this submission. */
-    data class Refused(val reason: String, val retryAfterSeconds: Int) : Acceptance
+    /**
+     * The workflow is not stored and never runs by this submission.
+     *
+     * With [isRuledOut] a mark in the store says so, which holds for earlier attempts as well.
+     */
+    data class Refused(
+        val reason: String,
+        val retryAfterSeconds: Int,
+        val isRuledOut: Boolean = false
+    ) : Acceptance
 
     /** The workflow may be stored. */
     data class Unknown(val reason: String) : Acceptance
@@ -56,23 +64,20 @@
     private val isStoreOut: () -> Boolean = { false },
     private val owner: () -> SchedulerLoop?
 ) {
-    private val acceptedHere: MutableSet<String> = Collections.synchronizedSet(
-        Collections.newSetFromMap(
-            object : LinkedHashMap<String, Boolean>() {
-                override fun removeEldestEntry(eldest: Map.Entry<String, Boolean>) =
-                    size > MOST_REMEMBERED
-            }
-        )
-    )
+    private val acceptedHere = rememberedIds()
+
+    /** Workflows handed in here whose outcome was unknown: a write may still take effect. */
+    private val undecidedHere = rememberedIds()
 
     /** Returns what became of handing [workflow] in. */
     fun accept(workflow: Workflow): Acceptance {
         val record = AcceptanceRecord(attemptId(), workflow)
-        val outcome = if (isStoreOut()) {
+        val attempted = if (isStoreOut()) {
             Acceptance.Refused("the store does not answer", RETRY_SECONDS)
         } else {
             create(workflow.id, record, StoreEntry.ABSENT)
         }
+        val outcome = truthful(workflow.id, attempted)
         log.add(
             "job-submitted",
             "id" to workflow.id,
@@ -82,10 +87,21 @@
             "outcome" to outcome
         )
         meters.submitted(outcome)
-        if (outcome == Acceptance.Accepted) acceptedHere += workflow.id
+        when (outcome) {
+            Acceptance.Accepted -> acceptedHere += workflow.id
+            is Acceptance.Unknown -> undecidedHere += workflow.id
+            is Acceptance.Refused -> Unit
+        }
         return outcome
     }
 
+    /** A refusal holds for all attempts: it is none while an earlier one may still take effect. */
+    private fun truthful(id: String, attempted: Acceptance): Acceptance {
+        if (attempted !is Acceptance.Refused) return attempted
+        if (attempted.isRuledOut || id !in undecidedHere) return attempted
+        return Acceptance.Unknown("an earlier attempt is undecided; ${attempted.reason}")
+    }
+
     private fun attemptId() = "$host-${Random.nextLong().toULong().toString(RADIX)}"
 
     private fun create(id: String, record: AcceptanceRecord, expected: Long): Acceptance {
@@ -134,7 +150,7 @@
         val there = (marked as? CommitResult.Conflict)?.current?.get(key)
         return when {
             marked is CommitResult.Applied ->
-                Acceptance.Refused("the store did not answer", RETRY_SECONDS)
+                Acceptance.Refused("the store did not answer", RETRY_SECONDS, isRuledOut = true)
 
             holdsWorkflow(there) -> Acceptance.Accepted
 
@@ -203,6 +219,15 @@
         }
     }
 
+    private fun rememberedIds(): MutableSet<String> = Collections.synchronizedSet(
+        Collections.newSetFromMap(
+            object : LinkedHashMap<String, Boolean>() {
+                override fun removeEldestEntry(eldest: Map.Entry<String, Boolean>) =
+                    size > MOST_REMEMBERED
+            }
+        )
+    )
+
     private companion object {
         const val RADIX = 36
 
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/GatewayTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/GatewayTest.kt
@@ -113,4 +113,16 @@
         expectThat(gateway.phase("id")).isA<Lookup.Unavailable>()
         expectThat(gateway.cancel("id")).isA<Lookup.Unavailable>()
     }
+
+    @Test
+    fun `no refusal is told while an earlier attempt may still take effect`() {
+        var isOut = false
+        val host = Gateway(store, "host", 0, EventLog { }, isStoreOut = { isOut }) { null }
+        store.failCommits(Fault.LATE, Fault.LOST_BEFORE)
+        expectThat(host.accept(workflow)).isA<Acceptance.Unknown>()
+        isOut = true
+        expectThat(host.accept(workflow)).isA<Acceptance.Unknown>()
+        store.carryOutLate()
+        expectThat(stored()).isEqualTo(workflow)
+    }
 }
