Give a worker whose serving task stays over its target no neighbour at all

Cause: neighbours that seem harmless were admitted at any headroom, also on a worker that had just lost all of them because a task stayed over its target for 2 s without a cause that the estimates know. They were started and stopped in turns (27 times in 6 s in the test), and if an estimate was wrong the task stayed over its target with neighbours at work. Ruled out: the pause of 1.5 s after a move, which harmless ones pass by design. Change: no estimate is trusted while a task there has been over its target for 2 s; the worker takes neighbours again once all its readings are below it. Test: `a worker whose serving task stays over its target gets no neighbour, harmless or not`, seen failing with 27 stops, passing now with one.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
@@ -105,18 +105,13 @@
         val tightness = (1 - spare) * TIGHTNESS_WEIGHT
         if (serving.isEmpty()) return 1.0 + tightness
         val alike = serving.count { it.task.step.spec.image == spec.image }
-        return if (alike ==
-            serving.size
-        ) {
-            PACKED_BONUS + tightness
-        } else {
-            alike / serving.size.toDouble()
-        }
+        val isOneImage = alike == serving.size
+        return if (isOneImage) PACKED_BONUS + tightness else alike / serving.size.toDouble()
     }
 
     private fun calmOrNull(worker: FleetWorker, spec: WorkflowStep, nowMillis: Long): Double? {
         val headroom = sharing.headroomWithOrNull(worker, spec, nowMillis) ?: return 1.0
-        if (sharing.isHarmless(worker, spec)) return HARMLESS_CALM
+        if (sharing.isHarmless(worker, spec, nowMillis)) return HARMLESS_CALM
         if (headroom < Sharing.AIM) return null
         return minOf(headroom / ENOUGH_HEADROOM, 1.0) * NOTED_CALM
     }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Sharing.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Sharing.kt
@@ -30,8 +30,13 @@
         adjust(worker, nowMillis)
     }
 
-    /** Whether [extra] would notably slow no serving task on [worker], together with those there. */
-    fun isHarmless(worker: FleetWorker, extra: WorkflowStep): Boolean {
+    /**
+     * Whether [extra] would notably slow no serving task on [worker], together with those there.
+     *
+     * The estimates are not trusted while a task there stays over its target.
+     */
+    fun isHarmless(worker: FleetWorker, extra: WorkflowStep, nowMillis: Long): Boolean {
+        if (isUnexplained(worker, nowMillis)) return false
         val images = worker.placements.values.map { it.task.step.spec }
             .filter { it.isServing }.mapTo(HashSet()) { it.image }
         val share = extra.demand.milliCpus.toDouble() / worker.capacity.milliCpus
@@ -139,10 +144,9 @@
             release(neighbours, serving, nowMillis)
             return
         }
-        val overSince = worker.overSinceMillis ?: nowMillis
-        if (worst < 1) worker.overSinceMillis = overSince
-        if (nowMillis - overSince >= DISTRUST_MILLIS) {
-            // The estimates don't explain it: whoever it is, the serving task comes first.
+        if (worst < 1) worker.overSinceMillis = worker.overSinceMillis ?: nowMillis
+        if (isUnexplained(worker, nowMillis)) {
+            // Whoever it is, the serving task comes first.
             neighbours.forEach { moveAway(it, nowMillis) }
             return
         }
@@ -151,6 +155,10 @@
             .forEach { relieve(it, working, nowMillis) }
     }
 
+    /** Whether a task on [worker] is over its target for longer than the estimates would allow. */
+    private fun isUnexplained(worker: FleetWorker, nowMillis: Long) =
+        worker.overSinceMillis?.let { nowMillis - it >= DISTRUST_MILLIS } == true
+
     /**
      * Moves away those of [working] that cost [pressed] most, until they explain what it lacks.
      *
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/WorkflowSchedulerTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/WorkflowSchedulerTest.kt
@@ -342,6 +342,33 @@
         expectThat(placed.values.map { it.size }).containsExactly(2, 2, 2, 2)
     }
 
+    @Test
+    fun `a worker whose serving task stays over its target gets no neighbour, harmless or not`() {
+        driver.workers("w1")
+        driver.submit(driver.workflow("serving", serving("a", 8_000)))
+        driver.step(SETTLE_MILLIS)
+        val runs = driver.starts.onEach(driver::done).toMutableList()
+        val tiny = driver.tasks()
+            .copy(usesIdleCpu = true, savesProgress = true, demand = Resources(100, 100))
+        driver.submit(driver.workflow("tiny", tiny))
+        val ended = ArrayList<EndedRow>()
+        val startsAfterStop = ArrayList<StartOrder>()
+        repeat(120) {
+            driver.step()
+            if (ended.isNotEmpty()) startsAfterStop += driver.starts
+            runs += driver.starts.onEach(driver::done)
+            for (stop in driver.stops) {
+                runs.removeAll { it.task == stop.task }
+                val number = ended.size + 1L
+                ended += EndedRow(number, stop.task, stop.run, RunEnd.STOPPED, "saved")
+            }
+            val rows = runs.map { RunningRow(it.task, it.run, "", 100, OVER_TARGET_MILLIS) }
+            driver.polls.forEach { driver.report(it, rows, ended) }
+        }
+        expectThat(ended).hasSize(1)
+        expectThat(startsAfterStop).isEmpty()
+    }
+
     private fun gang(count: Int) = driver.tasks(count)
         .copy(isGang = true, demand = Resources(20_000, 1_000))
 
@@ -406,5 +433,8 @@
     private companion object {
         /** A little longer than long-running tasks wait for others that come with them. */
         const val SETTLE_MILLIS = 300L
+
+        /** A tail of twice the target. */
+        const val OVER_TARGET_MILLIS = 100.0
     }
 }
