--- a/emulator/src/main/kotlin/sycamoremast/emulator/Emulation.kt
+++ b/emulator/src/main/kotlin/sycamoremast/emulator/Emulation.kt
@@ -72,10 +72,10 @@
 
     /** Returns how likely a workflow of [kind] comes in a tick at [second]. */
     private fun chance(kind: WorkKind, second: Double): Double {
-        val surge = pattern.surges.filter { it.covers(kind.queue, second) }
-            .fold(1.0) { factor, it -> factor * it.factor }
+        val surges = pattern.surges.filter { it.covers(kind.queue, second) }
+            .fold(1.0) { factor, surge -> factor * surge.factor }
         val wave = 1 + WAVE * sin(2 * PI * second / WAVE_SECONDS)
-        return kind.perSecond * surge * wave * STEP_MILLIS / MILLIS
+        return kind.perSecond * surges * wave * STEP_MILLIS / MILLIS
     }
 
     private fun Surge.covers(name: String, second: Double) =
