Decide by what changed: a scheduler whose step doesn't grow with the fleet

Cause: on the large fleet each step looked at every open workflow's tasks, every worker's runs, and for each waiting task at every worker; ends were acknowledged only once no workflow at all had changed since, which never happens at 900 ends a second. Change: workflows are looked at where something of theirs ended; a shape of task that found no room is not searched for again in the same round; short tasks compare 48 workers with room, long-running ones all; who shares a worker is summed up once per change; an end is acknowledged as soon as its own workflow is durable. OrderWindow bounds the orders under way (pattern starts-flood: of 3,000 orders in 3 s over 2,000 are lost without it, none with it). An owner that gives up as planned leaves behind how long its workers' leases may last.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
@@ -3,7 +3,17 @@
 
 /** The worker set of an owner with [epoch], and the workflows that it schedules. */
 internal class Fleet(val epoch: Long, val settings: SchedulerSettings) {
-    val workers = LinkedHashMap<String, FleetWorker>()
+    private val byId = LinkedHashMap<String, FleetWorker>()
+    private var byLabel: Map<String, List<FleetWorker>>? = null
+    val workers: Map<String, FleetWorker> get() = byId
+
+    /** The workers in a list, which is made anew after each change. */
+    var workerList: List<FleetWorker> = emptyList()
+        get() {
+            if (field.isEmpty()) field = byId.values.toList()
+            return field
+        }
+        private set
     val workflows = LinkedHashMap<String, OpenWorkflow>()
 
     /** The workflows that are not ended. */
@@ -16,6 +26,38 @@
     /** Whether something changed that may let a task start. */
     var mayPlace = true
 
+    /** Workflows that may have ended since they were last looked at. */
+    val mayHaveEnded = LinkedHashSet<OpenWorkflow>()
+
+    /** How many workers placement has looked at, as a measure of its cost. */
+    var examinedWorkers = 0L
+
+    fun add(worker: FleetWorker) {
+        byId[worker.id] = worker
+        workersChanged()
+    }
+
+    fun remove(worker: FleetWorker) {
+        byId -= worker.id
+        workersChanged()
+    }
+
+    /** Takes in that workers came or went, or that their listings changed. */
+    fun workersChanged() {
+        workerList = emptyList()
+        byLabel = null
+    }
+
+    /** Returns the workers that carry [label], which may name a kind or a rack. */
+    fun workersWith(label: String): List<FleetWorker> {
+        val index = byLabel ?: indexByLabel().also { byLabel = it }
+        return index[label].orEmpty()
+    }
+
+    private fun indexByLabel() = workerList
+        .flatMap { worker -> worker.listing.labels.map { it to worker } }
+        .groupBy({ it.first }, { it.second })
+
     fun log(name: String, id: String, vararg fields: Pair<String, Any?>) {
         outbox += SchedulerAction.Log(SchedulerEvent(name, id, mapOf(*fields)))
     }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
@@ -69,6 +69,11 @@
     /** Tasks on idle processors that left lately, which readings of tails may still cover. */
     val departures = ArrayList<Departure>()
 
+    private var view: SharingView? = null
+
+    /** Who shares the worker now. */
+    val sharing: SharingView get() = view ?: SharingView.of(this).also { view = it }
+
     fun relist(changed: WorkerListing) {
         listing = changed
         isListed = true
@@ -95,6 +100,9 @@
         lapsedByMillis = maxOf(lapsedByMillis, lapsedBy)
     }
 
+    /** Returns how long the last lease may still last. */
+    fun leaseLeftMillis(nowMillis: Long): Long = maxOf(lapsedByMillis, nowMillis) - nowMillis
+
     fun answered(clockMillis: Long, receivedMillis: Long) {
         clockOffsetMillis = clockMillis - receivedMillis
         contactFailures = 0
@@ -139,11 +147,13 @@
         if (placements[placement.task.name] !== placement) return
         val spec = placement.task.step.spec
         if (!spec.usesIdleCpu) return
+        view = null
         idleMilliCpus += spec.demand.milliCpus * percent / FULL -
             spec.demand.milliCpus * placement.pacePercent / FULL
     }
 
     private fun commit(placement: Placement, sign: Int) {
+        view = null
         val spec = placement.task.step.spec
         if (spec.usesIdleCpu) {
             idleMilliCpus += sign * spec.demand.milliCpus * placement.pacePercent / FULL
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/OpenWorkflow.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/OpenWorkflow.kt
@@ -17,6 +17,10 @@
     var phase = WorkflowPhase.QUEUED
         private set
     var durablePhase = WorkflowPhase.QUEUED
+
+    /** Numbers of the last change to the workflow, and of the last that is durable. */
+    var lastChange = 0L
+    var durableChange = 0L
     var hasBegun = false
     var endedUnixMillis = 0L
     var queue = spec.queue
@@ -58,6 +62,8 @@
     val isDone: Boolean
         get() = occurrences.size == (spec.recurrence?.count ?: 1) && occurrences.all { it.isDone }
 
+    val hasReadyTasks: Boolean get() = occurrences.any { o -> o.steps.any { it.hasReadyTasks } }
+
     fun steps(): Sequence<OpenStep> = occurrences.asSequence().flatMap { it.steps }
 
     fun taskOrNull(name: TaskName): OpenTask? =
@@ -133,6 +139,8 @@
     var doneCount = 0
     val isDone: Boolean get() = doneCount == tasks.size
 
+    val hasReadyTasks: Boolean get() = waiting.isNotEmpty() && isReady
+
     /** Whether every step that this one waits for is done. */
     val isReady: Boolean
         get() = spec.after.all { occurrence.steps.getOrNull(it)?.isDone ?: true }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
@@ -6,7 +6,15 @@
  */
 package sycamoremast.coordination.workflow
 
+import sycamoremast.coordination.Resources
+
 internal class Placer(private val fleet: Fleet, private val sharing: Sharing) {
+    private val refused = ArrayList<TaskShape>()
+    private var cursor = 0
+
+    /** Begins a round, in which room only shrinks: what found none is not searched for again. */
+    fun beginRound() = refused.clear()
+
     /**
      * Returns the best worker for [task] at [nowMillis], or null if none has room.
      *
@@ -15,15 +23,66 @@
      * back where there is room.
      */
     fun chooseOrNull(task: OpenTask, nowMillis: Long): FleetWorker? {
-        val able = fleet.workers.values.filter { mayRun(it, task, nowMillis) }
+        val shape = TaskShape.of(task.step)
+        if (refused.any { it.isNoLargerThan(shape) }) return null
+        val best = searchOrNull(task, nowMillis)
+        // A bound on the tasks of one worker may be what kept the task from it.
+        if (best == null && task.step.spec.maxPerWorker == 0) refused += shape
+        return best
+    }
+
+    private fun searchOrNull(task: OpenTask, nowMillis: Long): FleetWorker? {
+        val spec = task.step.spec
+        if (spec.isLongRunning) return searchAllOrNull(task, nowMillis)
+        if (spec.dataRack.isNotEmpty()) {
+            val near = fleet.workersWith(spec.dataRack).filter { mayRun(it, task, nowMillis) }
+            bestOrNull(near, task, nowMillis)?.let { return it }
+        }
+        return searchSomeOrNull(task, nowMillis)
+    }
+
+    /** Long-running tasks are few and stay long: all workers are compared. */
+    private fun searchAllOrNull(task: OpenTask, nowMillis: Long): FleetWorker? {
         val spec = task.step.spec
-        if (spec.isLongRunning && !spec.usesIdleCpu && isCrowded()) {
+        val able = candidates(spec).filter { mayRun(it, task, nowMillis) }
+        if (!spec.usesIdleCpu && isCrowded()) {
             val roomy = able.filter { leavesRoom(it, spec) }
             bestOrNull(roomy, task, nowMillis)?.let { return it }
         }
         return bestOrNull(able, task, nowMillis)
     }
 
+    /** Looks, from where the last search ended, until [COMPARED] workers have room. */
+    private fun searchSomeOrNull(task: OpenTask, nowMillis: Long): FleetWorker? {
+        val candidates = candidates(task.step.spec)
+        var best: FleetWorker? = null
+        var bestScore = Double.NEGATIVE_INFINITY
+        var compared = 0
+        val first = if (candidates.size > COMPARED) cursor else 0
+        for (i in candidates.indices) {
+            if (compared == COMPARED) break
+            cursor = (first + i) % candidates.size
+            val worker = candidates[cursor]
+            if (!mayRun(worker, task, nowMillis)) continue
+            val score = score(worker, task, nowMillis) ?: continue
+            compared++
+            if (score > bestScore) {
+                best = worker
+                bestScore = score
+            }
+        }
+        return best
+    }
+
+    private fun candidates(spec: WorkflowStep): List<FleetWorker> =
+        if (spec.requiredLabel.isEmpty()) {
+            fleet.workerList
+        } else {
+            fleet.workersWith(
+                spec.requiredLabel
+            )
+        }
+
     /** Whether long-running tasks, with those that wait, leave little of the fleet to short ones. */
     private fun isCrowded(): Boolean {
         val capacity = fleet.workers.values.sumOf { it.capacity.milliCpus }
@@ -50,6 +109,7 @@
 
     private fun mayRun(worker: FleetWorker, task: OpenTask, nowMillis: Long): Boolean {
         val spec = task.step.spec
+        fleet.examinedWorkers++
         return worker.mayStart(nowMillis) &&
             worker.listing.service == task.step.workflow.queue.service &&
             (spec.requiredLabel.isEmpty() || spec.requiredLabel in worker.listing.labels) &&
@@ -101,7 +161,7 @@
      * only one image serves, only its sensitivities count.
      */
     private fun servingScore(worker: FleetWorker, spec: WorkflowStep, spare: Double): Double {
-        val serving = worker.placements.values.filter { it.task.step.spec.isServing }
+        val serving = worker.sharing.serving
         val tightness = (1 - spare) * TIGHTNESS_WEIGHT
         if (serving.isEmpty()) return 1.0 + tightness
         val alike = serving.count { it.task.step.spec.image == spec.image }
@@ -123,6 +183,9 @@
         /** Between the shares that long-running tasks reserve at BKTIB, 0.82, and the Regie, 0.9. */
         const val CROWDED_SHARE = 0.85
 
+        /** Workers with room among which the best is taken; a larger sample gains little. */
+        const val COMPARED = 48
+
         /** Headroom beyond which more is no better. */
         const val ENOUGH_HEADROOM = 2.0
 
@@ -138,3 +201,29 @@
         const val FAILED_HERE_PENALTY = 10.0
     }
 }
+
+/** What decides whether a task of a step finds room; [image] counts only beside serving tasks. */
+private data class TaskShape(
+    val service: String,
+    val label: String,
+    val usesIdleCpu: Boolean,
+    val image: String,
+    val demand: Resources
+) {
+    /** Whether a task of [other]'s shape finds no room where one of this shape finds none. */
+    fun isNoLargerThan(other: TaskShape): Boolean = service == other.service &&
+        label == other.label &&
+        usesIdleCpu == other.usesIdleCpu &&
+        image == other.image &&
+        demand.fitsIn(other.demand)
+
+    companion object {
+        fun of(step: OpenStep) = TaskShape(
+            step.workflow.queue.service,
+            step.spec.requiredLabel,
+            step.spec.usesIdleCpu,
+            if (step.spec.usesIdleCpu) step.spec.image else "",
+            step.spec.demand
+        )
+    }
+}
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
@@ -1,13 +1,15 @@
 /**
  * Decides what is written to the store and when.
  *
- * One batch is in flight at a time. An end may be acknowledged to its worker once a batch that was
- * formed after the end was seen, and that holds every workflow changed until then, is durable.
+ * One batch is in flight at a time. An end may be acknowledged to its worker once a batch that holds
+ * its workflow, and that was formed after the end was seen, is durable.
  */
 package sycamoremast.coordination.workflow
 
 internal class Recorder(private val fleet: Fleet) {
     private val changed = LinkedHashSet<OpenWorkflow>()
+    private val pendingEnds = LinkedHashMap<FleetWorker, ArrayDeque<PendingEnd>>()
+    private var lastChange = 0L
     private var isRosterChanged = false
     private var inFlight: InFlight? = null
     private var lastBatchMillis = Long.MIN_VALUE / 2
@@ -15,14 +17,21 @@
     private var recordedWaiting: Map<String, Int>? = null
     private var newWaiting: Map<String, Int>? = null
 
-    private class InFlight(
-        val workflows: List<OpenWorkflow>,
-        val phases: List<WorkflowPhase>,
-        val ends: Map<FleetWorker, Long>,
-        val roster: Set<String>?
-    )
+    /** A workflow as a batch holds it. */
+    private class Recorded(val workflow: OpenWorkflow) {
+        val phase = workflow.phase
+        val change = workflow.lastChange
+    }
+
+    private class InFlight(val workflows: List<Recorded>, val roster: Set<String>?)
+
+    /** End [number] of a worker, which waits for [change] of [workflow] to be durable. */
+    private class PendingEnd(val number: Long, val workflow: OpenWorkflow, val change: Long) {
+        val isDurable: Boolean get() = workflow.durableChange >= change
+    }
 
     fun changed(workflow: OpenWorkflow) {
+        workflow.lastChange = ++lastChange
         changed += workflow
     }
 
@@ -30,15 +39,29 @@
         isRosterChanged = true
     }
 
+    /** Takes in that [worker] listed end [number] of a run of [workflow], null if it is unknown. */
+    fun ended(worker: FleetWorker, number: Long, workflow: OpenWorkflow?) {
+        val isDurable = workflow == null || workflow.durableChange >= workflow.lastChange
+        val pending = pendingEnds[worker]
+        when {
+            workflow != null && !isDurable -> pendingEnds.getOrPut(worker) { ArrayDeque() }
+                .addLast(PendingEnd(number, workflow, workflow.lastChange))
+
+            pending == null -> worker.recordedEnd = number
+        }
+    }
+
+    /** Forgets the ends of an earlier life of [worker]. */
+    fun forgetEnds(worker: FleetWorker) {
+        pendingEnds -= worker
+    }
+
     /** Adds the next batch to the outbox, if there is something to record. */
     fun step(nowMillis: Long) {
         if (inFlight != null) return
         countWaiting(nowMillis)
-        if (changed.isEmpty() && !isRosterChanged && newWaiting == null) {
-            fleet.workers.values.forEach { it.recordedEnd = it.seenEnd }
-            return
-        }
-        if (nowMillis < lastBatchMillis + fleet.settings.recordIntervalMillis) return
+        if (changed.isEmpty() && !isRosterChanged && newWaiting == null) return
+        if (nowMillis < dueMillis()) return
         lastBatchMillis = nowMillis
         begin()
     }
@@ -50,20 +73,21 @@
     }
 
     /** Returns when [step] has to be called next for a batch, or null if nothing waits. */
-    fun dueMillisOrNull(): Long? {
-        if (inFlight != null || (changed.isEmpty() && !isRosterChanged)) return null
-        return lastBatchMillis + fleet.settings.recordIntervalMillis
+    fun dueMillisOrNull(): Long? =
+        if (inFlight != null || (changed.isEmpty() && !isRosterChanged)) null else dueMillis()
+
+    /** A full batch needn't wait for more. */
+    private fun dueMillis(): Long {
+        val isFull = changed.size >= MOST_WORKFLOWS
+        return lastBatchMillis + if (isFull) 0 else fleet.settings.recordIntervalMillis
     }
 
     private fun begin() {
         val batch = changed.take(MOST_WORKFLOWS)
         changed -= batch.toSet()
-        val isComplete = changed.isEmpty()
-        val ends = if (isComplete) fleet.workers.values.associateWith { it.seenEnd } else emptyMap()
         val roster = if (isRosterChanged) fleet.workers.values.map { it.ref } else null
         isRosterChanged = false
-        inFlight =
-            InFlight(batch, batch.map { it.phase }, ends, roster?.mapTo(HashSet()) { it.id })
+        inFlight = InFlight(batch.map(::Recorded), roster?.mapTo(HashSet()) { it.id })
         val progress = batch.associate { it.id to it.progress() }
         newWaiting?.let { recordedWaiting = it }
         fleet.outbox += SchedulerAction.Record(RecordBatch(progress, roster, newWaiting))
@@ -74,13 +98,25 @@
     fun recorded(): List<OpenWorkflow> {
         val done = inFlight ?: return emptyList()
         inFlight = null
-        done.workflows.zip(done.phases).forEach { (w, phase) -> w.durablePhase = phase }
-        done.ends.forEach { (worker, end) -> worker.recordedEnd = maxOf(worker.recordedEnd, end) }
+        for (record in done.workflows) {
+            record.workflow.durablePhase = record.phase
+            record.workflow.durableChange = record.change
+        }
+        pendingEnds.entries.removeIf { (worker, ends) -> releaseEnds(worker, ends) }
         if (done.roster != null) {
             fleet.workers.values.forEach { if (it.id in done.roster) it.isInRoster = true }
             fleet.mayPlace = true
         }
-        return done.workflows
+        return done.workflows.map { it.workflow }
+    }
+
+    /** Lets the durable ones of [ends] be acknowledged, in order; returns whether none is left. */
+    private fun releaseEnds(worker: FleetWorker, ends: ArrayDeque<PendingEnd>): Boolean {
+        while (ends.firstOrNull()?.isDurable == true) {
+            worker.recordedEnd = ends.removeFirst().number
+        }
+        if (ends.isEmpty()) worker.recordedEnd = worker.seenEnd
+        return ends.isEmpty()
     }
 
     private companion object {
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunPort.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunPort.kt
@@ -20,3 +20,11 @@
     /** Changes the pace of a run. */
     fun pace(order: PaceOrder, done: (WorkerAnswer) -> Unit)
 }
+
+/** Sends [order]; the answer goes to [done]. */
+fun RunPort.send(order: WorkerOrder, done: (WorkerAnswer) -> Unit) = when (order) {
+    is StartOrder -> start(order, done)
+    is StopOrder -> stop(order, done)
+    is PollOrder -> poll(order, done)
+    is PaceOrder -> pace(order, done)
+}
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
@@ -52,6 +52,7 @@
             RejectReason.OTHER_INCARNATION -> return lose(worker, nowMillis, "other incarnation")
             RejectReason.STALE_RUN -> task.lastRun += RUN_SKIP
             RejectReason.NOT_SENT -> worker.contactFailed()
+            RejectReason.CONGESTED -> task.notBeforeMillis = nowMillis + CONGESTED_PAUSE_MILLIS
             RejectReason.LATE -> worker.nextPollMillis = nowMillis
             else -> worker.barredUntilMillis = nowMillis + REJECTED_PAUSE_MILLIS
         }
@@ -132,6 +133,7 @@
         }
         if (worker.isReborn(report.bornUnixMillis)) {
             releaseAll(worker, nowMillis, "started anew")
+            recorder.forgetEnds(worker)
             worker.startOver()
         }
         worker.answered(report.clockMillis, report.receivedMillis)
@@ -142,6 +144,7 @@
         report.ended.filter { it.number > before }.sortedBy { it.number }.forEach {
             worker.seenEnd = it.number
             ended(worker, it, nowMillis)
+            recorder.ended(worker, it.number, fleet.workflows[it.task.workflow])
         }
         val running = report.running.associateBy { it.task }
         running.values.forEach { seen(worker, it, nowMillis) }
@@ -242,6 +245,7 @@
         worker.failuresInRow = 0
         val workflow = task.step.workflow
         recorder.changed(workflow)
+        fleet.mayHaveEnded += workflow
         if (task.step.spec.isLongRunning) return
         if (task.step.spec.isGang) {
             // One member's end stands for all of them.
@@ -272,13 +276,15 @@
             )
         }
         recorder.changed(task.step.workflow)
+        fleet.mayHaveEnded += task.step.workflow
     }
 
     /** Takes in that nothing of [worker] runs any more. */
     fun lose(worker: FleetWorker, nowMillis: Long, reason: String) {
         worker.isGone = true
         worker.isAccounted = true
-        fleet.workers -= worker.id
+        fleet.remove(worker)
+        recorder.forgetEnds(worker)
         recorder.rosterChanged()
         releaseAll(worker, nowMillis, reason)
     }
@@ -307,6 +313,9 @@
         /** Gives a worker time to list the end that makes room. */
         const val REJECTED_PAUSE_MILLIS = 300L
 
+        /** Leaves the orders that are under way some time to be answered. */
+        const val CONGESTED_PAUSE_MILLIS = 200L
+
         /** Keeps a malformed order from being repeated at once. */
         const val MALFORMED_PAUSE_MILLIS = 1_000L
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerAction.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerAction.kt
@@ -28,12 +28,14 @@
 /**
  * The records to write in one transaction; a null [roster] or [waiting] has not changed.
  *
- * [waiting] is the number of workflows without a started task by queue.
+ * [waiting] is the number of workflows without a started task by queue. [leasesLeft] goes with the
+ * last roster of an owner that gives up as planned: how long its workers' leases may last, by ID.
  */
 data class RecordBatch(
     val progress: Map<String, WorkflowProgress>,
     val roster: List<WorkerRef>?,
-    val waiting: Map<String, Int>?
+    val waiting: Map<String, Int>?,
+    val leasesLeft: Map<String, Long>? = null
 )
 
 /** A decision or a change of belief, for the log, with the inputs that decided it. */
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Sharing.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Sharing.kt
@@ -17,9 +17,8 @@
     /** Takes in the readings of a new report of [worker], and adjusts the pace of neighbours. */
     fun reported(worker: FleetWorker, nowMillis: Long) {
         if (worker.servingCount == 0) return
-        val shares = shares(worker)
         val covered = coveredShares(worker, nowMillis)
-        val serving = worker.placements.values.filter { it.isServingSteadily(nowMillis) }
+        val serving = worker.sharing.serving.filter { it.isServingSteadily(nowMillis) }
         for (placement in serving) {
             val headroom = placement.headroomOrNull ?: continue
             val image = placement.task.step.spec.image
@@ -37,11 +36,9 @@
      */
     fun isHarmless(worker: FleetWorker, extra: WorkflowStep, nowMillis: Long): Boolean {
         if (isUnexplained(worker, nowMillis)) return false
-        val images = worker.placements.values.map { it.task.step.spec }
-            .filter { it.isServing }.mapTo(HashSet()) { it.image }
         val share = extra.demand.milliCpus.toDouble() / worker.capacity.milliCpus
-        val there = shares(worker)
-        return images.all {
+        val there = worker.sharing.shares
+        return worker.sharing.images.all {
             val added = model.effect(it, extra.image) * share
             added <= NEGLIGIBLE_COST && model.cost(it, there) + added <= MOST_HARMLESS_COST
         }
@@ -51,7 +48,7 @@
     fun headroomWithOrNull(worker: FleetWorker, extra: WorkflowStep, nowMillis: Long): Double? {
         if (worker.servingCount == 0) return null
         if (nowMillis < worker.noSharingUntilMillis) return 0.0
-        val shares = shares(worker).toMutableMap()
+        val shares = worker.sharing.shares.toMutableMap()
         val share = extra.demand.milliCpus.toDouble() / worker.capacity.milliCpus
         shares.merge(extra.image, share, Double::plus)
         return leastHeadroom(worker, shares, nowMillis)
@@ -61,8 +58,8 @@
         worker: FleetWorker,
         shares: Map<String, Double>,
         nowMillis: Long
-    ): Double = worker.placements.values.filter { it.task.step.spec.isServing }
-        .minOfOrNull { predicted(it.task.step, shares, nowMillis) } ?: NO_PRESSURE
+    ): Double = worker.sharing.serving.minOfOrNull { predicted(it.task.step, shares, nowMillis) }
+        ?: NO_PRESSURE
 
     private fun predicted(step: OpenStep, shares: Map<String, Double>, nowMillis: Long): Double {
         val baseline = baselines[step] ?: return UNKNOWN_HEADROOM
@@ -96,20 +93,6 @@
         return known.headroom
     }
 
-    private fun shares(worker: FleetWorker): Map<String, Double> {
-        val shares = HashMap<String, Double>()
-        for (placement in worker.placements.values) {
-            val spec = placement.task.step.spec
-            if (!spec.usesIdleCpu) continue
-            shares.merge(spec.image, share(placement, placement.pacePercent), Double::plus)
-        }
-        return shares
-    }
-
-    private fun share(placement: Placement, percent: Int) =
-        placement.task.step.spec.demand.milliCpus.toDouble() * percent /
-            (Placement.FULL_PACE * placement.worker.capacity.milliCpus)
-
     /** Returns the shares of neighbours over the time that a reading covers, as an average. */
     private fun coveredShares(worker: FleetWorker, nowMillis: Long): Map<String, Double> {
         val shares = HashMap<String, Double>()
@@ -117,13 +100,13 @@
             if (!placement.task.step.spec.usesIdleCpu) continue
             val age = nowMillis - maxOf(placement.startedMillis, placement.pacedMillis)
             val part = (age.toDouble() / READING_MILLIS).coerceIn(0.0, 1.0)
-            val share = share(placement, placement.pacePercent) * part
+            val share = SharingView.shareOf(placement) * part
             shares.merge(placement.task.step.spec.image, share, Double::plus)
         }
         for ((placement, atMillis) in worker.departures) {
             val part = 1 - (nowMillis - atMillis).toDouble() / READING_MILLIS
             if (part <= 0) continue
-            val share = share(placement, placement.pacePercent) * part
+            val share = SharingView.shareOf(placement) * part
             shares.merge(placement.task.step.spec.image, share, Double::plus)
         }
         return shares
@@ -134,8 +117,7 @@
         val neighbours = worker.placements.values.filter {
             it.task.step.spec.usesIdleCpu && it.phase == PlacementPhase.RUNNING
         }
-        val serving = worker.placements.values
-            .filter { it.task.step.spec.isServing && it.headroomOrNull != null }
+        val serving = worker.sharing.serving.filter { it.headroomOrNull != null }
             .sortedBy { it.headroomOrNull }
         val worst = serving.firstOrNull()?.headroomOrNull ?: return
         if (worst >= 1) worker.overSinceMillis = null
@@ -192,7 +174,8 @@
         cost(serving, placement, placement.pacePercent)
 
     private fun cost(serving: String, placement: Placement, percent: Int) =
-        model.effect(serving, placement.task.step.spec.image) * share(placement, percent)
+        model.effect(serving, placement.task.step.spec.image) *
+            SharingView.shareOf(placement, percent)
 
     private fun release(neighbours: List<Placement>, serving: List<Placement>, nowMillis: Long) {
         val slowed = neighbours.find { it.pacePercent < Placement.FULL_PACE } ?: return
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Starter.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Starter.kt
@@ -6,6 +6,9 @@
     private val recorder: Recorder,
     private val placer: Placer
 ) {
+    /** Begins a round of placement, in which room only shrinks. */
+    fun beginRound() = placer.beginRound()
+
     /** Starts what of [step] finds room. */
     fun startWaiting(step: OpenStep, nowMillis: Long) {
         if (step.spec.isGang) {
@@ -34,6 +37,7 @@
         }
         if (placed.size < step.tasks.size) {
             placed.forEach { fleet.release(it, nowMillis) }
+            placer.beginRound()
             return
         }
         step.tasks.forEach { it.checkpoint = checkpoint }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/TaskName.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/TaskName.kt
@@ -1,7 +1,15 @@
 /** Names of tasks, as workers know them. */
 package sycamoremast.coordination.workflow
 
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.descriptors.PrimitiveKind
+import kotlinx.serialization.descriptors.PrimitiveSerialDescriptor
+import kotlinx.serialization.encoding.Decoder
+import kotlinx.serialization.encoding.Encoder
+
 /** Names task [index] of [step] in the [occurrence] of [workflow]; its text is `id.0.1.17`. */
+@Serializable(with = TaskNameSerializer::class)
 data class TaskName(val workflow: String, val occurrence: Int, val step: Int, val index: Int) {
     override fun toString() = "$workflow.$occurrence.$step.$index"
 
@@ -27,3 +35,13 @@
         }
     }
 }
+
+/** Serializes a task's name as its text. */
+internal object TaskNameSerializer : KSerializer<TaskName> {
+    override val descriptor = PrimitiveSerialDescriptor("TaskName", PrimitiveKind.STRING)
+
+    override fun serialize(encoder: Encoder, value: TaskName) =
+        encoder.encodeString(value.toString())
+
+    override fun deserialize(decoder: Decoder): TaskName = TaskName.parse(decoder.decodeString())
+}
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerOrders.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerOrders.kt
@@ -6,28 +6,48 @@
  */
 package sycamoremast.coordination.workflow
 
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** An order to one worker; its serialized form is what entry hosts pass on for each other. */
+@Serializable
+sealed interface WorkerOrder {
+    val worker: WorkerRef
+}
+
 /** Asks [worker] to start a run of a task, going on from [checkpoint] unless that is empty. */
+@Serializable
+@SerialName("start")
 data class StartOrder(
-    val worker: WorkerRef,
-    val epoch: Long,
-    val task: TaskName,
-    val run: Int,
-    val payload: String,
-    val checkpoint: String,
-    val leaseEndMillis: Long
-)
+    @SerialName("w") override val worker: WorkerRef,
+    @SerialName("e") val epoch: Long,
+    @SerialName("t") val task: TaskName,
+    @SerialName("r") val run: Int,
+    @SerialName("p") val payload: String,
+    @SerialName("c") val checkpoint: String,
+    @SerialName("l") val leaseEndMillis: Long
+) : WorkerOrder
 
 /** Asks [worker] to stop a run; a run that has not come yet is rejected from then on. */
-data class StopOrder(val worker: WorkerRef, val epoch: Long, val task: TaskName, val run: Int)
+@Serializable
+@SerialName("stop")
+data class StopOrder(
+    @SerialName("w") override val worker: WorkerRef,
+    @SerialName("e") val epoch: Long,
+    @SerialName("t") val task: TaskName,
+    @SerialName("r") val run: Int
+) : WorkerOrder
 
 /** Lets a run work at [percent] of its speed. */
+@Serializable
+@SerialName("pace")
 data class PaceOrder(
-    val worker: WorkerRef,
-    val epoch: Long,
-    val task: TaskName,
-    val run: Int,
-    val percent: Int
-)
+    @SerialName("w") override val worker: WorkerRef,
+    @SerialName("e") val epoch: Long,
+    @SerialName("t") val task: TaskName,
+    @SerialName("r") val run: Int,
+    @SerialName("n") val percent: Int
+) : WorkerOrder
 
 /**
  * Asks [worker] for what runs and what has ended, and prolongs its lease.
@@ -35,28 +55,42 @@
  * Ends up to [acknowledgedEnd] are forgotten by the worker. The answer waits up to [waitMillis] for
  * an end.
  */
+@Serializable
+@SerialName("poll")
 data class PollOrder(
-    val worker: WorkerRef,
-    val epoch: Long,
-    val acknowledgedEnd: Long,
-    val leaseEndMillis: Long?,
-    val waitMillis: Long,
-    val sentMillis: Long
-)
+    @SerialName("w") override val worker: WorkerRef,
+    @SerialName("e") val epoch: Long,
+    @SerialName("a") val acknowledgedEnd: Long,
+    @SerialName("l") val leaseEndMillis: Long?,
+    @SerialName("m") val waitMillis: Long,
+    @SerialName("s") val sentMillis: Long
+) : WorkerOrder
 
 /** A worker's answer to an order. */
+@Serializable
 sealed interface WorkerAnswer {
     /** The order was carried out, at [clockMillis] of the worker's clock. */
-    data class Done(val clockMillis: Long?, val receivedMillis: Long) : WorkerAnswer
+    @Serializable
+    @SerialName("done")
+    data class Done(
+        @SerialName("c") val clockMillis: Long?,
+        @SerialName("r") val receivedMillis: Long
+    ) : WorkerAnswer
 
     /** The worker's report on its runs. */
-    data class Reported(val report: WorkerReport) : WorkerAnswer
+    @Serializable
+    @SerialName("report")
+    data class Reported(@SerialName("r") val report: WorkerReport) : WorkerAnswer
 
     /** The worker did nothing. */
-    data class Rejected(val reason: RejectReason) : WorkerAnswer
+    @Serializable
+    @SerialName("no")
+    data class Rejected(@SerialName("r") val reason: RejectReason) : WorkerAnswer
 
     /** The order may or may not have been carried out, or may be later. */
-    data class Unknown(val reason: String) : WorkerAnswer
+    @Serializable
+    @SerialName("lost")
+    data class Unknown(@SerialName("r") val reason: String) : WorkerAnswer
 }
 
 /** Why a worker did nothing. */
@@ -82,20 +116,24 @@
     /** Another life of the worker answered at this address. */
     OTHER_INCARNATION,
 
-    /** The order never left this host. */
+    /** The order never left this host, as the worker could not be reached. */
     NOT_SENT,
 
+    /** The order never left this host, as too many others had not been answered yet. */
+    CONGESTED,
+
     /** The worker found the order malformed. */
     MALFORMED
 }
 
 /** What a worker runs and which ends it still keeps, at [clockMillis] of its clock. */
+@Serializable
 data class WorkerReport(
-    val clockMillis: Long,
-    val bornUnixMillis: Long?,
-    val receivedMillis: Long,
-    val running: List<RunningRow>,
-    val ended: List<EndedRow>
+    @SerialName("c") val clockMillis: Long,
+    @SerialName("b") val bornUnixMillis: Long?,
+    @SerialName("r") val receivedMillis: Long,
+    @SerialName("n") val running: List<RunningRow>,
+    @SerialName("e") val ended: List<EndedRow>
 )
 
 /**
@@ -104,21 +142,23 @@
  * [percent] is the share that is done, or for a long-running task the share at work. [gauge] is the
  * tail of the response times in milliseconds for a serving task, else the processors in use.
  */
+@Serializable
 data class RunningRow(
-    val task: TaskName,
-    val run: Int,
-    val checkpoint: String,
-    val percent: Int,
-    val gauge: Double?
+    @SerialName("t") val task: TaskName,
+    @SerialName("r") val run: Int,
+    @SerialName("c") val checkpoint: String,
+    @SerialName("p") val percent: Int,
+    @SerialName("g") val gauge: Double?
 )
 
 /** An end with its [number], which grows by one with each end of a worker's life. */
+@Serializable
 data class EndedRow(
-    val number: Long,
-    val task: TaskName,
-    val run: Int,
-    val how: RunEnd,
-    val checkpoint: String
+    @SerialName("n") val number: Long,
+    @SerialName("t") val task: TaskName,
+    @SerialName("r") val run: Int,
+    @SerialName("h") val how: RunEnd,
+    @SerialName("c") val checkpoint: String
 )
 
 /** How a run ended. */
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -17,7 +17,11 @@
     private val starter = Starter(fleet, recorder, Placer(fleet, sharing))
     private val upkeep = RunUpkeep(fleet, tracker)
     private val pendingCancels = HashSet<String>()
+
+    /** How often placement has looked at a worker, a measure of its cost. */
+    val examinedWorkers: Long get() = fleet.examinedWorkers
     private var nextPlacementMillis = Long.MIN_VALUE
+    private var nextUpkeepMillis = Long.MIN_VALUE
 
     /**
      * Takes in an accepted [workflow], with the [progress] that an earlier owner recorded.
@@ -38,6 +42,7 @@
         if (progress != null) open.restore(progress, unixMillis)
         if (!open.isOpen) return
         fleet.open += open
+        fleet.mayHaveEnded += open
         open.addDue(unixMillis)
         fleet.mayPlace = true
         fleet.log(
@@ -77,11 +82,12 @@
                 fleet.log("worker-draining", listing.ref.id, "runs" to known.placements.size)
             }
             known.relist(listing)
+            fleet.workersChanged()
             fleet.mayPlace = true
             return
         }
         if (known != null) tracker.lose(known, nowMillis, "moved to another address")
-        fleet.workers[listing.ref.id] = FleetWorker(listing)
+        fleet.add(FleetWorker(listing))
         recorder.rosterChanged()
         fleet.log(
             "worker-listed",
@@ -108,13 +114,14 @@
         val worker = FleetWorker(unlistedWorker(ref))
         worker.unlist()
         worker.gaveLease(lapsedByMillis)
-        fleet.workers[ref.id] = worker
+        fleet.add(worker)
     }
 
     /** Takes in the policies in force; a workflow of a queue without one keeps its own. */
     fun policies(queues: Map<String, QueuePolicy>) {
         for (workflow in fleet.open) {
             workflow.queue = queues[workflow.spec.queue.name] ?: continue
+            fleet.mayHaveEnded += workflow
         }
         fleet.mayPlace = true
     }
@@ -177,7 +184,10 @@
             fleet.log("sole-owner", "epoch-${fleet.epoch}", "isSoleOwner" to isSoleOwner)
             fleet.isSoleOwner = isSoleOwner
         }
-        upkeep.step(nowMillis)
+        if (nowMillis >= nextUpkeepMillis) {
+            nextUpkeepMillis = nowMillis + UPKEEP_MILLIS
+            upkeep.step(nowMillis)
+        }
         endWorkflows(nowMillis, unixMillis)
         if (fleet.mayPlace || nowMillis >= nextPlacementMillis) place(nowMillis, unixMillis)
         recorder.step(nowMillis)
@@ -187,6 +197,17 @@
         return actions
     }
 
+    /** Returns what the next owner needs from one that sends no more orders from [nowMillis] on. */
+    fun handOver(nowMillis: Long): RecordBatch {
+        val workers = fleet.workers.values
+        return RecordBatch(
+            progress = emptyMap(),
+            roster = workers.map { it.ref },
+            waiting = null,
+            leasesLeft = workers.associate { it.id to it.leaseLeftMillis(nowMillis) }
+        )
+    }
+
     /** Returns how long to wait for an event before the next [step]. */
     fun waitMillis(nowMillis: Long): Long {
         val record = recorder.dueMillisOrNull() ?: Long.MAX_VALUE
@@ -195,7 +216,9 @@
     }
 
     private fun endWorkflows(nowMillis: Long, unixMillis: Long) {
-        for (workflow in fleet.open.toList()) {
+        val changed = fleet.mayHaveEnded.filter { it.isOpen }
+        fleet.mayHaveEnded.clear()
+        for (workflow in changed) {
             val mostFailures = workflow.queue.maxAttempts
             val spent = workflow.steps().flatMap { it.tasks }
                 .firstOrNull { it.failedRuns.size >= mostFailures }
@@ -241,13 +264,14 @@
         fleet.mayPlace = false
         nextPlacementMillis = nowMillis + PLACEMENT_RETRY_MILLIS
         val isAccounted = fleet.isWholeFleetAccounted()
-        val order = fleet.open.sortedWith(PLACEMENT_ORDER)
+        fleet.open.forEach { it.addDue(unixMillis) }
+        val order = fleet.open.filter { it.hasReadyTasks }.sortedWith(PLACEMENT_ORDER)
+        starter.beginRound()
         for (workflow in order) {
-            workflow.addDue(unixMillis)
             if (workflow.isRecovered && !isAccounted) continue
             if (workflow.isLongRunning && isSettling(workflow, nowMillis)) continue
             for (step in workflow.steps()) {
-                if (step.waiting.isNotEmpty() && step.isReady) starter.startWaiting(step, nowMillis)
+                if (step.hasReadyTasks) starter.startWaiting(step, nowMillis)
             }
         }
     }
@@ -268,6 +292,9 @@
             { it.objectiveMillis }
         )
 
+        /** How often leases, stops and stuck runs are looked at; all their bounds are longer. */
+        const val UPKEEP_MILLIS = 20L
+
         /** Bounds how late a timer of the scheduler may fire. */
         const val TICK_MILLIS = 50L
 
--- /dev/null
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/OrderWindowTest.kt
@@ -0,0 +1,97 @@
+package sycamoremast.coordination.workflow
+
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
+
+class OrderWindowTest {
+    private class Flood(val answered: Int, val lost: Int)
+
+    /**
+     * Plays the flood of a large fleet's start: 1,000 orders a second for three seconds at a sender
+     * that carries out 300 a second and gives an order up 600 ms after it was sent.
+     */
+    private fun flood(window: OrderWindow?): Flood {
+        val waiting = ArrayDeque<Int>()
+        val sent = ArrayDeque<Int>()
+        var answered = 0
+        var lost = 0
+        for (now in 0 until FLOOD_MILLIS + DRAIN_MILLIS) {
+            if (now < FLOOD_MILLIS) waiting += now
+            while (waiting.isNotEmpty() && window?.hasRoom != false) {
+                waiting.removeFirst()
+                sent += now
+                window?.sent()
+            }
+            val isCarriedOut = now * CARRIED_OUT_A_SECOND / 1_000 >
+                (now - 1) * CARRIED_OUT_A_SECOND / 1_000
+            if (!isCarriedOut || sent.isEmpty()) continue
+            val tookMillis = now - sent.removeFirst()
+            if (tookMillis > TIMEOUT_MILLIS) {
+                lost++
+                window?.lost()
+            } else {
+                answered++
+                window?.answered(tookMillis.toLong())
+            }
+        }
+        return Flood(answered, lost)
+    }
+
+    @Test
+    fun `starts-flood, no order is given up on where orders wait for the window`() {
+        val unbounded = flood(null)
+        expectThat(unbounded.lost).isGreaterThan(2_000)
+        val bounded = flood(OrderWindow())
+        expectThat(bounded.lost).isEqualTo(0)
+        expectThat(bounded.answered).isEqualTo(FLOOD_MILLIS)
+    }
+
+    @Test
+    fun `a window that is used up grows while answers come soon`() {
+        val window = OrderWindow(initial = 10)
+        repeat(10) { window.sent() }
+        expectThat(window.hasRoom).isFalse()
+        window.answered(5)
+        expectThat(window.limit).isEqualTo(11)
+    }
+
+    @Test
+    fun `a window that is not used up doesn't grow`() {
+        val window = OrderWindow(initial = 10)
+        repeat(100) {
+            window.sent()
+            window.answered(5)
+        }
+        expectThat(window.limit).isEqualTo(10)
+    }
+
+    @Test
+    fun `late answers to orders that were under way together shrink the window once`() {
+        val window = OrderWindow(initial = 10)
+        repeat(10) { window.sent() }
+        repeat(8) { window.answered(OrderWindow.SLOW_ANSWER_MILLIS + 1) }
+        expectThat(window.limit).isEqualTo(8)
+    }
+
+    @Test
+    fun `lost orders shrink the window to its least size at the most`() {
+        val window = OrderWindow(initial = 64)
+        repeat(1_000) {
+            window.sent()
+            window.lost()
+        }
+        expectThat(window.limit).isEqualTo(OrderWindow.LEAST_ORDERS)
+        expectThat(window.underWay).isLessThan(1)
+    }
+
+    private companion object {
+        const val FLOOD_MILLIS = 3_000
+        const val DRAIN_MILLIS = 8_000
+        const val CARRIED_OUT_A_SECOND = 300
+        const val TIMEOUT_MILLIS = 600
+    }
+}
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/WorkflowSchedulerTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/WorkflowSchedulerTest.kt
@@ -9,6 +9,7 @@
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
 import strikt.assertions.isTrue
 import strikt.assertions.map
 import sycamoremast.coordination.Resources
@@ -437,4 +438,61 @@
         /** A tail of twice the target. */
         const val OVER_TARGET_MILLIS = 100.0
     }
+
+    @Test
+    fun `an end is acknowledged while ever more other workflows change`() {
+        driver.workers("w1", "w2")
+        val small = WorkflowStep(1, Resources(10, 10))
+        driver.submit(driver.workflow("first", small))
+        driver.step()
+        val first = driver.starts.single().also(driver::done)
+        val poll = poll(first.worker.id)
+        driver.report(poll, ended = listOf(end(first, RunEnd.DONE)))
+        var acknowledged = 0L
+        repeat(6) { round ->
+            repeat(40) { driver.submit(driver.workflow("other$round-$it", small)) }
+            driver.step()
+            driver.polls.forEach {
+                if (it.worker == first.worker) acknowledged = it.acknowledgedEnd
+                driver.report(it)
+            }
+        }
+        expectThat(acknowledged).isEqualTo(1)
+    }
+
+    @Test
+    fun `an owner that gives up as planned tells how long its workers' leases may last`() {
+        val first = started()
+        val left = scheduler.handOver(driver.now).leasesLeft.orEmpty()
+        expectThat(left.getValue(first.worker.id)).isGreaterThan(6_000)
+        expectThat(left.filterKeys { it != first.worker.id }.values.toList()).containsExactly(0)
+    }
+
+    @Test
+    fun `a recovered task doesn't wait for a worker that is gone after a planned change`() {
+        scheduler.rostered(driver.ref("gone"), driver.now)
+        scheduler.listed(listOf(driver.listing("w1")), driver.now)
+        driver.submit(driver.workflow(), isRecovered = true)
+        val began = driver.now
+        while (driver.starts.isEmpty() && driver.now < began + 10_000) {
+            driver.step()
+            val (lost, reached) = driver.polls.partition { it.worker.id == "gone" }
+            lost.forEach { driver.answer(it, WorkerAnswer.Unknown("timeout")) }
+            reached.forEach { driver.report(it) }
+        }
+        expectThat(driver.now - began).isLessThan(1_000)
+    }
+
+    @Test
+    fun `a task whose order was never sent starts again without a poll or a stop`() {
+        driver.workers("w1")
+        driver.submit(driver.workflow())
+        driver.step()
+        val order = driver.starts.single()
+        val congested = WorkerAnswer.Rejected(RejectReason.CONGESTED)
+        scheduler.startAnswered(order, congested, driver.now)
+        repeat(6) { if (driver.starts.none { it.run > order.run }) driver.step() }
+        expectThat(driver.starts.single().task).isEqualTo(order.task)
+        expectThat(driver.stops).isEmpty()
+    }
 }
--- a/emulator/src/main/kotlin/sycamoremast/emulator/EmulateCommand.kt
+++ b/emulator/src/main/kotlin/sycamoremast/emulator/EmulateCommand.kt
@@ -20,11 +20,19 @@
     override fun run() {
         for (pattern in names.map(Pattern::named).ifEmpty { Pattern.all }) {
             for (seed in 1..seeds) {
-                val outcome = Emulation(pattern, seed).run()
+                val emulation = Emulation(pattern, seed)
+                val outcome = emulation.run()
                 val share = "%.3f".format(outcome.servingShare)
                 echo("${pattern.name} seed=$seed serving=$share $outcome")
+                val micros = emulation.schedulerNanos / NANOS_PER_MICRO / outcome.starts
+                val looks = outcome.examinedWorkers / outcome.starts
+                echo("  a start costs the scheduler $micros us and $looks looks at workers")
                 outcome.queues.forEach { (queue, o) -> echo("  $queue $o") }
             }
         }
     }
+
+    private companion object {
+        const val NANOS_PER_MICRO = 1_000
+    }
 }
--- a/emulator/src/main/kotlin/sycamoremast/emulator/EmulatedLoad.kt
+++ b/emulator/src/main/kotlin/sycamoremast/emulator/EmulatedLoad.kt
@@ -58,7 +58,7 @@
     }
 
     private fun step(id: String, number: Int, kind: WorkKind): WorkflowStep {
-        val count = around(kind.width).coerceIn(1, MOST_WIDTH)
+        val count = around(kind.width).coerceIn(1, kind.mostWidth)
         val cpus = (kind.milliCpus * noise(CPU_SPREAD)).toLong()
         val image = random.nextInt(if (kind.isServing) SERVING_IMAGES else SHARING_IMAGES)
         val base = kind.workMillis * noise(kind.spread)
@@ -125,7 +125,6 @@
         /** The share of reviews that write checkpoints, from the users' sheets. */
         private const val SAVING_SHARE = 0.85
         private const val MOST_STEPS = 5
-        private const val MOST_WIDTH = 32
         private const val CPU_SPREAD = 0.3
         private const val UNEVEN = 0.3
         private const val ESTIMATE_SPREAD = 0.2
--- a/emulator/src/main/kotlin/sycamoremast/emulator/Emulation.kt
+++ b/emulator/src/main/kotlin/sycamoremast/emulator/Emulation.kt
@@ -30,6 +30,11 @@
     private var paceOrders = 0
     private var polls = 0
     private var stops = 0
+    private var starts = 0
+
+    /** The time that the scheduler's decisions took, which differs from run to run. */
+    var schedulerNanos = 0L
+        private set
 
     private fun at(delayMillis: Long, run: () -> Unit) {
         queue += Timed(now + delayMillis, order++, run)
@@ -42,7 +47,7 @@
         while (now < (pattern.seconds + TAIL_SECONDS) * MILLIS) {
             while (queue.isNotEmpty() && queue.peek().atMillis <= now) queue.poll().run()
             if (now % STEP_MILLIS == 0L) tick()
-            scheduler.step(now, now).forEach(::begin)
+            if (now % DECIDE_MILLIS == 0L) decide()
             now++
         }
         return Outcome(
@@ -51,10 +56,19 @@
             fleet.longestOverMillis,
             paceOrders,
             stops,
-            polls
+            polls,
+            starts,
+            scheduler.examinedWorkers
         )
     }
 
+    private fun decide() {
+        val began = System.nanoTime()
+        val actions = scheduler.step(now, now)
+        schedulerNanos += System.nanoTime() - began
+        actions.forEach(::begin)
+    }
+
     private fun submitServing() {
         val kind = pattern.kinds.first { it.isServing }
         var left = pattern.servingReserve * fleet.milliCpus
@@ -93,6 +107,7 @@
     private fun begin(action: SchedulerAction) {
         when (action) {
             is SchedulerAction.Start -> at(CALL_MILLIS) {
+                starts++
                 fleet.start(action.order, load.traitsOf(action.order.task), now / MILLIS)
                 val answer = WorkerAnswer.Done(now, now + CALL_MILLIS)
                 at(CALL_MILLIS) { scheduler.startAnswered(action.order, answer, now) }
@@ -145,6 +160,9 @@
     private companion object {
         const val MILLIS = 1_000L
         const val STEP_MILLIS = 10
+
+        /** The least time between two decisions of a host's scheduler. */
+        const val DECIDE_MILLIS = 4L
         const val SAMPLE_MILLIS = 100L
         const val WARM_MILLIS = 3_000L
         const val TAIL_SECONDS = 14
--- a/emulator/src/main/kotlin/sycamoremast/emulator/Pattern.kt
+++ b/emulator/src/main/kotlin/sycamoremast/emulator/Pattern.kt
@@ -21,7 +21,8 @@
     val usesIdleCpu: Boolean = false,
     val isServing: Boolean = false,
     val maxAttempts: Int = 3,
-    val failShare: Double = 0.0
+    val failShare: Double = 0.0,
+    val mostWidth: Int = 32
 )
 
 /** A surge: [factor] times the work of [queue] from [fromSecond] on for [seconds]. */
@@ -195,9 +196,83 @@
             servingReserve = 0.95, heavyShare = 0.35, tailMillis = 25.0, swingSeconds = 20.0
         )
 
+        private val largeKinds = listOf(
+            WorkKind(
+                queue = "field-check",
+                priority = 0,
+                perSecond = 6.5,
+                steps = 1.6,
+                width = 7.7,
+                workMillis = 680.0,
+                spread = 0.5,
+                milliCpus = 11_000.0,
+                memoryMib = 22_000,
+                stretch = 1.5,
+                targetLatencyMillis = 250,
+                failShare = 0.03,
+                mostWidth = 46
+            ),
+            WorkKind(
+                queue = "cert-review",
+                priority = 2,
+                perSecond = 14.8,
+                steps = 2.0,
+                width = 27.0,
+                workMillis = 1_400.0,
+                spread = 0.5,
+                milliCpus = 3_500.0,
+                memoryMib = 6_400,
+                stretch = 2.0,
+                targetLatencyMillis = 1_000,
+                usesIdleCpu = true,
+                maxAttempts = 2,
+                failShare = 0.005,
+                mostWidth = 110
+            ),
+            WorkKind(
+                queue = "slope-watch",
+                priority = 0,
+                perSecond = 0.4,
+                steps = 1.0,
+                width = 24.0,
+                workMillis = 0.0,
+                spread = 0.0,
+                milliCpus = 6_400.0,
+                memoryMib = 13_000,
+                stretch = 2.2,
+                targetLatencyMillis = 2_500,
+                isServing = true,
+                mostWidth = 48
+            )
+        )
+
+        /** The large fleet: 425 workers and about 900 starts a second. */
+        val largeFleet = Pattern(
+            "large-fleet", 425, 32_000, 128_000, largeKinds,
+            servingReserve = 0.7, heavyShare = 0.35, tailMillis = 10.0, swingSeconds = 14.0,
+            seconds = 14
+        )
+
+        /** The large fleet and its load [times] as large, for a few seconds. */
+        fun larger(times: Int): Pattern = largeFleet.copy(
+            name = "large-fleet-x$times",
+            workers = largeFleet.workers * times,
+            kinds = largeKinds.map { it.copy(perSecond = it.perSecond * times) },
+            seconds = 6
+        )
+
         /** All named patterns. */
-        val all =
-            listOf(sharedCalm, sharedSurge, sharedHeavy, failingWorkers, slowWorkers, servingCrowd)
+        val all = listOf(
+            sharedCalm,
+            sharedSurge,
+            sharedHeavy,
+            failingWorkers,
+            slowWorkers,
+            servingCrowd,
+            largeFleet,
+            larger(times = 4),
+            larger(times = 16)
+        )
 
         /**
          * Returns the pattern [name].
