Pass an owner's orders on through hosts near the workers

Cause: on the large fleet one host made every call to 425 workers and could answer 170 to 440 starts a second where 900 are owed; its own orders timed out and were repeated. Change: hosts register with their strength, the owner of a fleet of more than 64 workers sends orders through the strong hosts of each worker's zone over the peer protocol, in messages gathered for 3 ms, each way bounded by its window; polls pass by that queue. A weak owner gives way to a strong host. A host that finds its own name at the owner's key claims at once; the claim names the version that it saw. Ruled out: several owners by worker set, as long-running tasks have to take room anywhere in the fleet and would have to be dealt anew all the time.

--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Election.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Election.kt
@@ -30,6 +30,9 @@
 /** A term of ownership: its [epoch] and the revision at which the epoch's key was written. */
 internal data class Term(val epoch: Long, val epochRevision: Long, val claimedMillis: Long)
 
+/** What stands at the owner's key at [version]; a null [record] names nobody. */
+private class SeenOwner(val record: OwnerRecord?, val version: Long)
+
 /** Is told when this host's ownership begins and ends, on the election's thread. */
 internal interface TermListener {
     fun onBegin(term: Term)
@@ -44,7 +47,8 @@
     private val set: Int,
     private val clock: MonotonicClock,
     private val log: EventLog,
-    private val listener: TermListener
+    private val listener: TermListener,
+    private val isStrongerKnown: () -> Boolean = { false }
 ) : PrefixListener,
     AutoCloseable {
     private class Holding(val lease: LeaseId, val term: Term, @Volatile var renewedMillis: Long)
@@ -63,11 +67,9 @@
             return clock.nowMillis() < held.renewedMillis + TTL_MILLIS - LEASE_MARGIN_MILLIS
         }
 
+    /** The owner's key as it stands in the store, or null before that is known. */
     @Volatile
-    private var owner: OwnerRecord? = null
-
-    @Volatile
-    private var isOwnerKnown = false
+    private var seen: SeenOwner? = null
 
     @Volatile
     private var isOpen = true
@@ -77,17 +79,18 @@
         thread.start()
     }
 
-    override fun onListing(listing: StoreListing) = ownerIs(
-        listing.entries.find { it.key == WorkflowKeys.owner(set) }?.value
-    )
+    override fun onListing(listing: StoreListing) {
+        val entry = listing.entries.find { it.key == WorkflowKeys.owner(set) }
+        ownerIs(entry?.value, entry?.version)
+    }
 
     override fun onChange(change: StoreChange) {
-        if (change.key == WorkflowKeys.owner(set)) ownerIs(change.value)
+        if (change.key == WorkflowKeys.owner(set)) ownerIs(change.value, change.revision)
     }
 
-    private fun ownerIs(value: String?) {
-        owner = value?.let { decodeRecordOrNull<OwnerRecord>(it) }
-        isOwnerKnown = true
+    private fun ownerIs(value: String?, version: Long?) {
+        val record = value?.let { decodeRecordOrNull<OwnerRecord>(it) }
+        seen = SeenOwner(record, version?.takeIf { value != null } ?: StoreEntry.ABSENT)
         wakeUps += ""
     }
 
@@ -113,10 +116,18 @@
         when {
             held != null && deposeReason.isNotEmpty() -> end(held, deposeReason)
             held != null -> renew(held)
-            isOwnerKnown && owner == null -> claim()
+            else -> claim()
         }
     }
 
+    /**
+     * Returns the key's version if nobody owns the set, or null.
+     *
+     * Only one process runs on a host: one that finds its host's name knows that the other ended.
+     */
+    private fun freeVersionOrNull(): Long? = seen
+        ?.takeIf { it.record == null || it.record.host == host }?.version
+
     private fun renew(held: Holding) {
         val now = clock.nowMillis()
         if (now < held.renewedMillis + RENEWAL_MILLIS) return
@@ -146,11 +157,14 @@
     }
 
     private fun claim() {
-        Thread.sleep(Random.nextLong(CLAIM_SPREAD_MILLIS))
-        if (owner != null || !isOpen) return
+        if (freeVersionOrNull() == null) return
+        val isWeak = isStrongerKnown()
+        Thread.sleep(Random.nextLong(CLAIM_SPREAD_MILLIS) + if (isWeak) WEAK_CLAIM_MILLIS else 0)
+        val free = freeVersionOrNull()
+        if (free == null || !isOpen) return
         val began = clock.nowMillis()
         val claimed = store.grantLease(TTL_MILLIS.milliseconds).flatMap { lease ->
-            store.get(WorkflowKeys.epoch(set)).flatMap { claim(lease, it, began) }
+            store.get(WorkflowKeys.epoch(set)).flatMap { claim(lease, free, it, began) }
         }
         when (claimed) {
             is Either.Left -> log.add(
@@ -166,7 +180,6 @@
 
     private fun begin(held: Holding) {
         holding = held
-        owner = OwnerRecord(host, held.term.epoch)
         log.add("owner-began", "set" to set, "epoch" to held.term.epoch)
         listener.onBegin(held.term)
     }
@@ -174,6 +187,7 @@
     /** Returns the claimed term, or null where another host was faster. */
     private fun claim(
         lease: LeaseId,
+        freeVersion: Long,
         last: StoreEntry?,
         beganMillis: Long
     ): Either<StoreError, Holding?> {
@@ -181,7 +195,7 @@
         val ownerText = encodeRecord(OwnerRecord(host, epoch))
         val transaction = StoreTransaction(
             expected = mapOf(
-                WorkflowKeys.owner(set) to StoreEntry.ABSENT,
+                WorkflowKeys.owner(set) to freeVersion,
                 WorkflowKeys.epoch(set) to (last?.version ?: StoreEntry.ABSENT)
             ),
             puts = listOf(
@@ -224,6 +238,9 @@
 
         /** Spreads the claims of the hosts that see the key go at the same moment. */
         const val CLAIM_SPREAD_MILLIS = 40L
+
+        /** Lets stronger hosts claim first; short beside the time that a weak owner would lose. */
+        const val WEAK_CLAIM_MILLIS = 600L
         const val JOIN_MILLIS = 500L
     }
 }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Gateway.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Gateway.kt
@@ -208,7 +208,7 @@
 
     /** Returns the number of accepted workflows of [queue] without a started task. */
     fun waiting(queue: String): Lookup<Int> {
-        owner()?.let { return Lookup.Found(it.waitingOf(queue)) }
+        owner()?.waitingOfOrNull(queue)?.let { return Lookup.Found(it) }
         return when (val entry = store.get(WorkflowKeys.waiting(set), mayBeStale = true)) {
             is Either.Left -> Lookup.Unavailable(entry.value.reason)
 
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
@@ -29,6 +29,7 @@
     private val clock: MonotonicClock,
     private val log: EventLog,
     private val meters: WorkflowMeters,
+    private val relays: Relays = Relays.None,
     private val routing: () -> RoutingTable?
 ) : TermListener {
     /** Is told the reason once a term can't go on. */
@@ -41,15 +42,23 @@
     @Volatile
     var loop: SchedulerLoop? = null
         private set
+
+    /** Sends the orders of the running scheduler, or null while another host owns the set. */
+    @Volatile
+    var dispatch: OrderDispatch? = null
+        private set
     private var followers = emptyList<PrefixFollower>()
 
     override fun onBegin(term: Term) {
         val writer = RecordWriter(store, set, term.epoch, term.epochRevision, log)
         val scheduler = WorkflowScheduler(term.epoch, settings)
-        val next = SchedulerLoop(scheduler, runs, writer, clock, log, meters, isSoleOwner) {
+        val sender = OrderDispatch(term.epoch, runs, relays, clock, log).start()
+        dispatch = sender
+        val next = SchedulerLoop(scheduler, sender, writer, clock, log, meters, isSoleOwner) {
             onDeposed(it)
         }
-        when (val recovered = recover(next, term)) {
+        val workers = WorkerFeed(catalog, next, sender, log)
+        when (val recovered = recover(next, workers, term)) {
             is Either.Left -> {
                 log.add(
                     "recovery-failed",
@@ -70,51 +79,69 @@
                 routing()?.let { next.policies(it.queues) }
                 next.start()
                 loop = next
-                follow(next, term)
+                follow(next, workers, term)
             }
         }
     }
 
     /** Feeds [next] with all that the store holds; returns the number of workflows. */
-    private fun recover(next: SchedulerLoop, term: Term): Either<StoreError, Int> = either {
-        val workers = store.list(catalog.workersPrefix).bind()
+    private fun recover(
+        next: SchedulerLoop,
+        workers: WorkerFeed,
+        term: Term
+    ): Either<StoreError, Int> = either {
+        val listed = store.list(catalog.workersPrefix).bind()
         val roster = store.get(WorkflowKeys.roster(set)).bind()
         val progress = store.list(WorkflowKeys.progress(set)).bind().entries
             .associate { WorkflowKeys.idOf(it.key) to readProgress(it).bind() }
         val work = store.list(WorkflowKeys.WORK).bind()
-        next.listed(workers.entries.mapNotNull(catalog::workerOrNull))
-        roster?.let { decodeRecordOrNull<RosterRecord>(it.value) }?.let {
-            val pastLease = term.claimedMillis + SchedulerSettings.PAST_LEASE_MILLIS
-            next.rostered(it, settings.lapsedBy(pastLease))
-        }
+        workers.onListing(listed)
+        roster?.let { decodeRecordOrNull<RosterRecord>(it.value) }?.let { next.rostered(it, term) }
         val feed = WorkFeed(next, set, term, log, progress)
         feed.onListing(work)
         progress.size
     }
 
+    /** The last owner may go on past its lease, unless it gave up as planned. */
+    private fun SchedulerLoop.rostered(roster: RosterRecord, term: Term) {
+        val latest = settings.lapsedBy(term.claimedMillis + SchedulerSettings.PAST_LEASE_MILLIS)
+        val left = roster.leasesLeft?.takeIf { roster.epoch == term.epoch - 1 }
+        log.add("roster", "workers" to roster.workers.size, "wasHandedOver" to (left != null))
+        for (worker in roster.workers) {
+            rostered(worker, left?.get(worker.id)?.let { term.claimedMillis + it } ?: latest)
+        }
+    }
+
     /** A workflow whose progress can't be read must not start afresh: the term ends instead. */
     private fun readProgress(entry: StoreEntry): Either<StoreError, WorkflowProgress> =
         decodeRecordOrNull<WorkflowProgress>(entry.value)?.right()
             ?: StoreError.AnswerLost("read-progress", entry.key, "unreadable record").left()
 
-    private fun follow(next: SchedulerLoop, term: Term) {
+    private fun follow(next: SchedulerLoop, workers: WorkerFeed, term: Term) {
         followers = listOf(
             PrefixFollower(store, WorkflowKeys.WORK, log, WorkFeed(next, set, term, log)),
-            PrefixFollower(store, catalog.workersPrefix, log, WorkerFeed(catalog, next, log))
+            PrefixFollower(store, catalog.workersPrefix, log, workers)
         ).onEach { it.start() }
     }
 
     override fun onEnd(reason: String) {
         followers.forEach { it.close() }
         followers = emptyList()
+        val sender = dispatch
+        dispatch = null
+        sender?.close()
         val last = loop ?: return
         loop = null
-        if (reason == SHUTDOWN) last.closeRecorded(CLOSE_MILLIS) else last.close()
+        if (reason in PLANNED) last.closeRecorded(CLOSE_MILLIS) else last.close()
     }
 
     companion object {
         /** The reason of an end by a planned stop, in which records are still written. */
         const val SHUTDOWN = "shutdown"
+
+        /** The reason of an end for the sake of a stronger host. */
+        const val STRONGER_HOST = "a stronger host is there"
+        private val PLANNED = setOf(SHUTDOWN, STRONGER_HOST)
         private const val CLOSE_MILLIS = 300L
     }
 }
@@ -173,19 +200,25 @@
 private class WorkerFeed(
     private val catalog: PlatformCatalog,
     private val loop: SchedulerLoop,
+    private val dispatch: OrderDispatch,
     private val log: EventLog
 ) : PrefixListener {
-    override fun onListing(listing: StoreListing) =
-        loop.listed(listing.entries.mapNotNull(catalog::workerOrNull))
+    override fun onListing(listing: StoreListing) {
+        val workers = listing.entries.mapNotNull(catalog::workerOrNull)
+        workers.forEach { dispatch.listed(it.ref.id, it.availabilityZone) }
+        loop.listed(workers)
+    }
 
     override fun onChange(change: StoreChange) {
         val value = change.value
         if (value == null) {
+            dispatch.unlisted(catalog.workerId(change.key))
             loop.unlisted(catalog.workerId(change.key))
             return
         }
         val worker = catalog.workerOrNull(StoreEntry(change.key, value, change.revision))
         if (worker != null) {
+            dispatch.listed(worker.ref.id, worker.availabilityZone)
             loop.listed(worker)
         } else {
             log.add("worker-entry-unreadable", "key" to change.key, "revision" to change.revision)
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/RecordWriter.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/RecordWriter.kt
@@ -54,7 +54,8 @@
             StorePut(WorkflowKeys.progress(set, id), encodeRecord(progress))
         }
         batch.roster?.let {
-            puts += StorePut(WorkflowKeys.roster(set), encodeRecord(RosterRecord(it)))
+            val record = RosterRecord(it, epoch, batch.leasesLeft)
+            puts += StorePut(WorkflowKeys.roster(set), encodeRecord(record))
         }
         batch.waiting?.let {
             puts += StorePut(WorkflowKeys.waiting(set), encodeRecord(WaitingRecord(it)))
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
@@ -17,6 +17,7 @@
 import sycamoremast.coordination.workflow.RunPort
 import sycamoremast.coordination.workflow.SchedulerAction
 import sycamoremast.coordination.workflow.WorkerListing
+import sycamoremast.coordination.workflow.WorkerRef
 import sycamoremast.coordination.workflow.Workflow
 import sycamoremast.coordination.workflow.WorkflowPhase
 import sycamoremast.coordination.workflow.WorkflowProgress
@@ -44,7 +45,9 @@
     private var isOpen = true
 
     @Volatile
-    private var waiting: Map<String, Int> = emptyMap()
+    private var waiting: Map<String, Int>? = null
+    private var nextCountMillis = Long.MIN_VALUE
+    private var steppedMillis = Long.MIN_VALUE / 2
     private val thread = Thread(::run, "scheduler").apply { isDaemon = true }
 
     fun start() = apply { thread.start() }
@@ -52,8 +55,8 @@
     /** Returns the phase of the workflow [id], or null if this owner doesn't know it. */
     fun phaseOrNull(id: String): WorkflowPhase? = phases[id]
 
-    /** Returns the number of workflows of [queue] without a started task. */
-    fun waitingOf(queue: String): Int = waiting[queue] ?: 0
+    /** Returns the number of workflows of [queue] without a started task, or null until known. */
+    fun waitingOfOrNull(queue: String): Int? = waiting?.let { it[queue] ?: 0 }
 
     fun accepted(workflow: Workflow, progress: WorkflowProgress?, isRecovered: Boolean) = tell {
         phases.putIfAbsent(workflow.id, progress?.phase ?: WorkflowPhase.QUEUED)
@@ -68,8 +71,8 @@
 
     fun unlisted(id: String) = tell { scheduler.unlisted(id) }
 
-    fun rostered(roster: RosterRecord, lapsedByMillis: Long) = tell {
-        roster.workers.forEach { scheduler.rostered(it, lapsedByMillis) }
+    fun rostered(worker: WorkerRef, lapsedByMillis: Long) = tell {
+        scheduler.rostered(worker, lapsedByMillis)
     }
 
     fun policies(queues: Map<String, QueuePolicy>) = tell { scheduler.policies(queues) }
@@ -90,9 +93,9 @@
             try {
                 val first = inbox.poll(scheduler.waitMillis(now()), MILLISECONDS)
                 first?.invoke()
+                gather()
                 while (isOpen) (inbox.poll() ?: break).invoke()
-                if (isOpen) scheduler.step(now(), unix(), isSoleOwner()).forEach(::begin)
-                waiting = scheduler.waitingByQueue()
+                if (isOpen) step()
             } catch (_: InterruptedException) {
                 return
             } catch (e: RuntimeException) {
@@ -102,6 +105,20 @@
         }
     }
 
+    /** What comes close together is decided on together. */
+    private fun gather() {
+        val tooEarly = steppedMillis + LEAST_STEP_MILLIS - now()
+        if (tooEarly > 0) Thread.sleep(tooEarly)
+    }
+
+    private fun step() {
+        steppedMillis = now()
+        scheduler.step(steppedMillis, unix(), isSoleOwner()).forEach(::begin)
+        if (steppedMillis < nextCountMillis) return
+        nextCountMillis = steppedMillis + COUNT_MILLIS
+        waiting = scheduler.waitingByQueue()
+    }
+
     private fun begin(action: SchedulerAction) {
         when (action) {
             is SchedulerAction.Start -> runs.start(action.order) {
@@ -157,12 +174,32 @@
         records.shutdownNow()
     }
 
-    /** Stops once what was decided until now is recorded, or after [limitMillis]. */
+    /**
+     * Stops once what was decided until now, and what the next owner needs, is recorded, or after
+     * [limitMillis].
+     */
     fun closeRecorded(limitMillis: Long) {
         isOpen = false
         thread.join(limitMillis)
+        if (!thread.isAlive) records.execute { handOver(limitMillis) }
         records.shutdown()
         records.awaitTermination(limitMillis, MILLISECONDS)
         close()
     }
+
+    private fun handOver(limitMillis: Long) {
+        val until = now() + limitMillis
+        try {
+            val isWritten = writer.write(scheduler.handOver(now())) { now() < until }
+            log.add("handed-over", "isRecorded" to isWritten)
+        } catch (_: InterruptedException) {
+            log.add("handed-over", "isRecorded" to false)
+        }
+    }
+
+    private companion object {
+        /** A step looks at all that waits; a start or an end is not the less in time for it. */
+        const val LEAST_STEP_MILLIS = 4L
+        const val COUNT_MILLIS = 100L
+    }
 }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowHost.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowHost.kt
@@ -1,6 +1,7 @@
 /** An entry host that schedules workflows: gateway, configuration, election and scheduler. */
 package sycamoremast.daemon.workflow
 
+import sycamoremast.configuration.Endpoint
 import sycamoremast.coordination.MonotonicClock
 import sycamoremast.coordination.TransactionalStore
 import sycamoremast.coordination.workflow.RunPort
@@ -14,6 +15,9 @@
     val catalog: PlatformCatalog
 )
 
+/** How a host speaks with the others: where it listens, and how strong it is in [cores]. */
+data class WorkflowPeers(val availabilityZone: String, val address: Endpoint, val cores: Double)
+
 /** The host [name], which stands for election as owner of worker set [set]. */
 class WorkflowHost(
     private val name: String,
@@ -21,11 +25,13 @@
     settings: SchedulerSettings,
     private val log: EventLog,
     private val meters: WorkflowMeters,
+    peers: WorkflowPeers? = null,
     set: Int = 0,
     clock: MonotonicClock = MonotonicClock.system()
 ) {
     private val store = MonitoredStore(ports.store, clock, meters)
     private val routing = RoutingReplica(ports.catalog, log, ::onRouting)
+    private val peering = peers?.let { Peering(name, it, store, ports.runs, log, meters) }
     private val ownership = Ownership(
         store,
         ports.catalog,
@@ -34,9 +40,12 @@
         settings,
         clock,
         log,
-        meters
+        meters,
+        peering?.relays ?: Relays.None
     ) { routing.table }
-    private val election = Election(store, name, set, clock, log, ownership)
+    private val election = Election(store, name, set, clock, log, ownership) {
+        peering?.isStrongerKnown == true
+    }
     private val routingFollower = PrefixFollower(store, ports.catalog.routingKey, log, routing)
 
     /** Serves callers. */
@@ -52,6 +61,8 @@
     init {
         ownership.onDeposed = election::depose
         ownership.isSoleOwner = { election.isLeaseValid }
+        peering?.dispatch = { ownership.dispatch }
+        peering?.onStrongerHost = { election.depose(Ownership.STRONGER_HOST) }
         meters.gauge("sycamore.owner") { if (ownership.loop == null) 0 else 1 }
         meters.gauge("sycamore.store.silence.millis") { store.silentMillis }
         meters.gauge("sycamore.configuration.version") { routing.table?.version ?: 0 }
@@ -62,6 +73,7 @@
         log.add("host-start", "host" to name)
         routingFollower.start()
         election.start()
+        peering?.start()
     }
 
     /** Gives ownership up; the gateway goes on until the process ends. */
@@ -73,6 +85,7 @@
     /** Stops what still runs. */
     fun stop() {
         routingFollower.close()
+        peering?.close()
         log.add("host-stop", "host" to name)
     }
 
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowKeys.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowKeys.kt
@@ -9,6 +9,11 @@
     const val JOBS = "${WORK}job/"
     const val CANCELS = "${WORK}cancel/"
 
+    /** Holds the entry hosts that are there. */
+    const val HOSTS = "${ROOT}host/"
+
+    fun host(name: String) = HOSTS + name
+
     fun job(id: String) = JOBS + id
 
     fun cancel(id: String) = CANCELS + id
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowMeters.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowMeters.kt
@@ -12,7 +12,7 @@
 
 /** Collects what the parts of a host count. */
 class WorkflowMeters {
-    private val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
+    internal val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     private val timers = ConcurrentHashMap<String, Timer>()
 
     /** Returns all figures as text. */
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowRecords.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowRecords.kt
@@ -24,9 +24,18 @@
 @Serializable
 internal data class EpochRecord(val epoch: Long, val batch: Long)
 
-/** The workers that an owner may have given work. */
+/**
+ * The workers that the owner of [epoch] may have given work.
+ *
+ * An owner that gave up as planned left behind how long the leases of its workers may last, in
+ * milliseconds by worker, as [leasesLeft].
+ */
 @Serializable
-internal data class RosterRecord(val workers: List<WorkerRef>)
+internal data class RosterRecord(
+    val workers: List<WorkerRef>,
+    val epoch: Long = 0,
+    val leasesLeft: Map<String, Long>? = null
+)
 
 /** The number of workflows without a started task by queue. */
 @Serializable
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowSettings.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowSettings.kt
@@ -18,7 +18,8 @@
  * All settings, times in milliseconds.
  *
  * [drainMillis] is how long a stopping host goes on answering callers; it has to be well below the
- * time after which the platform kills it.
+ * time after which the platform kills it. [cores] is what the host may use of its processors: the
+ * share of one core times how many cores it is as fast as.
  */
 data class WorkflowSettings(
     val host: String,
@@ -26,10 +27,12 @@
     val requests: Endpoint,
     val readiness: Endpoint,
     val metrics: Endpoint,
+    val peers: Endpoint,
     val storeAddress: Endpoint,
     val leaseMillis: Long = SchedulerSettings.DEFAULT_LEASE_MILLIS,
     val stopMillis: Long = SchedulerSettings.DEFAULT_STOP_MILLIS,
-    val drainMillis: Long = DEFAULT_DRAIN_MILLIS
+    val drainMillis: Long = DEFAULT_DRAIN_MILLIS,
+    val cores: Double = 1.0
 ) {
     companion object {
         /** Two failed readiness checks a second apart, and a second for requests under way. */
@@ -60,6 +63,12 @@
                 val host = section("host") { text("name") to text("availability-zone") }
                 val listen = section("listen") {
                     Triple(endpoint("requests"), endpoint("readiness"), endpoint("metrics"))
+                        .let { if (has("peers")) it to endpoint("peers") else it to NO_PEERS }
+                }
+                val cores = if (document.section("capacity") == null) {
+                    1.0
+                } else {
+                    section("capacity") { cores() }
                 }
                 val store = section("store") { endpoint("address") }
                 val times = section("times") {
@@ -76,17 +85,30 @@
                     WorkflowSettings(
                         host.bind().first.bind(),
                         host.bind().second.bind(),
-                        listen.bind().first.bind(),
+                        listen.bind().first.first.bind(),
+                        listen.bind().first.second.bind(),
+                        listen.bind().first.third.bind(),
                         listen.bind().second.bind(),
-                        listen.bind().third.bind(),
                         store.bind(),
                         times.bind().first.bind(),
                         times.bind().second.bind(),
-                        times.bind().third.bind()
+                        times.bind().third.bind(),
+                        cores.bind()
                     )
                 }
             }
 
+            private fun SectionReader.cores(): Double? {
+                val share = amount("cpu-share")
+                val speed = amount("cores")
+                return if (share == null || speed == null) null else share * speed
+            }
+
+            private fun SectionReader.amount(key: String): Double? =
+                convert(key, null, "must be a number above 0") { text ->
+                    text.toDoubleOrNull()?.takeIf { it > 0 && it.isFinite() }
+                }
+
             private fun <T : Any> section(name: String, read: SectionReader.() -> T?): T? {
                 val section = document.section(name)
                 if (section == null) {
@@ -99,6 +121,9 @@
             }
         }
 
-        private val SECTIONS = setOf("host", "listen", "store", "times")
+        private val SECTIONS = setOf("host", "listen", "store", "times", "capacity")
+
+        /** Stands for a host that speaks to no other one: nothing is bound. */
+        val NO_PEERS = Endpoint("0.0.0.0", 0)
     }
 }
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/GatewayTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/GatewayTest.kt
@@ -7,13 +7,22 @@
 import strikt.assertions.isNotNull
 import strikt.assertions.isNull
 import sycamoremast.coordination.CommitResult
+import sycamoremast.coordination.MonotonicClock
 import sycamoremast.coordination.Resources
 import sycamoremast.coordination.StorePut
 import sycamoremast.coordination.StoreTransaction
+import sycamoremast.coordination.workflow.PaceOrder
+import sycamoremast.coordination.workflow.PollOrder
 import sycamoremast.coordination.workflow.QueuePolicy
+import sycamoremast.coordination.workflow.RunPort
+import sycamoremast.coordination.workflow.SchedulerSettings
+import sycamoremast.coordination.workflow.StartOrder
+import sycamoremast.coordination.workflow.StopOrder
+import sycamoremast.coordination.workflow.WorkerAnswer
 import sycamoremast.coordination.workflow.Workflow
 import sycamoremast.coordination.workflow.WorkflowPhase
 import sycamoremast.coordination.workflow.WorkflowProgress
+import sycamoremast.coordination.workflow.WorkflowScheduler
 import sycamoremast.coordination.workflow.WorkflowStep
 import sycamoremast.daemon.log.EventLog
 import sycamoremast.daemon.workflow.MemoryStore.Fault
@@ -125,4 +134,32 @@
         store.carryOutLate()
         expectThat(stored()).isEqualTo(workflow)
     }
+
+    @Test
+    fun `a new owner that has not counted yet leaves the count to the store`() {
+        val count = StorePut(WorkflowKeys.waiting(0), encodeRecord(WaitingRecord(mapOf("q" to 5))))
+        store.apply(StoreTransaction(emptyMap(), listOf(count)))
+        val owner = Gateway(store, "host", 0, EventLog { }) { uncounted() }
+        expectThat(owner.waiting("q")).isEqualTo(Lookup.Found(5))
+    }
+
+    private fun uncounted() = SchedulerLoop(
+        WorkflowScheduler(1, SchedulerSettings()),
+        UnusedRuns,
+        RecordWriter(store, 0, 1, 0, EventLog { }),
+        MonotonicClock.system(),
+        EventLog { },
+        WorkflowMeters(),
+        { true }
+    ) { }
+}
+
+private object UnusedRuns : RunPort {
+    override fun start(order: StartOrder, done: (WorkerAnswer) -> Unit) = error("unused")
+
+    override fun stop(order: StopOrder, done: (WorkerAnswer) -> Unit) = error("unused")
+
+    override fun poll(order: PollOrder, done: (WorkerAnswer) -> Unit) = error("unused")
+
+    override fun pace(order: PaceOrder, done: (WorkerAnswer) -> Unit) = error("unused")
 }
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/OwnershipTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/OwnershipTest.kt
@@ -10,6 +10,9 @@
 import strikt.assertions.contains
 import strikt.assertions.containsExactly
 import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
+import strikt.assertions.isNotNull
 import sycamoremast.coordination.CommitResult
 import sycamoremast.coordination.MonotonicClock
 import sycamoremast.coordination.Resources
@@ -95,6 +98,33 @@
         expectThat(deposed.get(WAIT_SECONDS, SECONDS)).isEqualTo("recovery failed")
     }
 
+    @Test
+    fun `a planned stop leaves to the next owner how long its workers' leases last`() {
+        put(OneWorkerCatalog.workersPrefix + "w1", "")
+        ownership.onBegin(claim(1))
+        accept("job")
+        runs.awaitStart("job")
+        ownership.onEnd(Ownership.SHUTDOWN)
+        val text = store.entries.getValue(WorkflowKeys.roster(0)).value
+        expectThat(decodeRecordOrNull<RosterRecord>(text)).isNotNull().and {
+            get { epoch }.isEqualTo(1)
+            get { leasesLeft }.isNotNull().get { getValue("w1") }.isGreaterThan(0)
+        }
+    }
+
+    @Test
+    fun `after a planned stop a recovered task waits for no worker that has long been gone`() {
+        val gone = RosterRecord(listOf(WorkerRef(GONE, "address")), 1, mapOf(GONE to 0L))
+        put(WorkflowKeys.roster(0), encodeRecord(gone))
+        put(OneWorkerCatalog.workersPrefix + "w1", "")
+        accept("job")
+        val began = clock.nowMillis()
+        ownership.onBegin(claim(2))
+        ownership.isSoleOwner = { true }
+        runs.awaitStart("job")
+        expectThat(clock.nowMillis() - began).isLessThan(SchedulerSettings.PAST_LEASE_MILLIS)
+    }
+
     private companion object {
         const val WAIT_SECONDS = 30L
     }
@@ -119,6 +149,9 @@
     override fun workerId(key: String) = key.removePrefix(workersPrefix)
 }
 
+/** The ID of a worker that never answers. */
+private const val GONE = "gone"
+
 /** A worker that carries out every order and never ends a run by itself. */
 private class IdleWorker(private val clock: MonotonicClock) : RunPort {
     val started = CopyOnWriteArrayList<StartOrder>()
@@ -140,6 +173,7 @@
     override fun pace(order: PaceOrder, done: (WorkerAnswer) -> Unit) = done(answer())
 
     override fun poll(order: PollOrder, done: (WorkerAnswer) -> Unit) {
+        if (order.worker.id == GONE) return done(WorkerAnswer.Unknown("nobody answers"))
         val now = clock.nowMillis()
         val running = started.map { RunningRow(it.task, it.run, "", 0, null) }
         done(WorkerAnswer.Reported(WorkerReport(now, 1, now, running, emptyList())))
