Forget no poll of a host that is gone, and answer where the peer was heard last

Change: what a lane has not sent goes another way; of several connections to a peer the one heard last is taken. Both tests were seen failing with the old lines put back.

--- a/daemon/src/main/kotlin/sycamoremast/daemon/peer/KtorPeerNetwork.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/peer/KtorPeerNetwork.kt
@@ -136,7 +136,9 @@
         handler: (from: String, T) -> PeerMessage?
     ) = handlers.add(type, handler)
 
-    private fun connectionTo(host: String) = connections.lastOrNull { it.peer?.host == host }
+    /** Of several connections, one that was cut silently may still take messages: it is passed by. */
+    private fun connectionTo(host: String) =
+        connections.filter { it.peer?.host == host }.maxByOrNull { it.heardNanos }
 
     private fun identity() = PeerIdentity(local.host, local.availabilityZone, address, claim.value)
 
--- a/daemon/src/main/kotlin/sycamoremast/daemon/peer/PeerConnection.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/peer/PeerConnection.kt
@@ -41,6 +41,11 @@
     @Volatile
     var peer: PeerIdentity? = null
 
+    /** When something was last received, a reading of the monotonic clock. */
+    @Volatile
+    var heardNanos = System.nanoTime()
+        private set
+
     /** Queues [frame]; returns false if the queue is full or the connection has ended. */
     fun offer(frame: PeerFrame): Boolean {
         val bytes = PeerCodec.encode(frame)
@@ -69,6 +74,7 @@
         while (true) {
             val frame = withTimeoutOrNull(limits.dropAfterSilence) { read(limits.maxMessageBytes) }
                 ?: throw PeerViolationException("silent", "nothing received in time")
+            heardNanos = System.nanoTime()
             onFrame(frame)
         }
     }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/OrderDispatch.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/OrderDispatch.kt
@@ -225,8 +225,7 @@
         usable = next
         choices.clear()
         failures.clear()
-        val waiting = lanes.values.flatMap { l -> l.waiting.toList().also { l.waiting.clear() } }
-        waiting.forEach(::route)
+        lanes.values.flatMap { it.takeUnsent() }.forEach(::route)
     }
 
     /** What a relay that is gone was to send may have been sent; what waited for it was not. */
@@ -237,7 +236,7 @@
         sent.forEach { answered(it.number, WorkerAnswer.Unknown("${lane.host} disconnected")) }
         usable = usable.filter { it.name != lane.host }
         failures.clear()
-        lane.waiting.forEach(::route)
+        lane.takeUnsent().forEach(::route)
     }
 
     override fun close() {
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/OrderLane.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/OrderLane.kt
@@ -35,7 +35,7 @@
     private val batch = ArrayList<DispatchedOrder>()
 
     /** What the window leaves no room for. */
-    val waiting = ArrayDeque<DispatchedOrder>()
+    private val waiting = ArrayDeque<DispatchedOrder>()
     var answeredMillis = Long.MIN_VALUE
 
     /** Until then the host is not used, as it left orders unanswered. */
@@ -65,6 +65,14 @@
         return next
     }
 
+    /** Returns all that was not sent, which then belongs to this lane no more. */
+    fun takeUnsent(): List<DispatchedOrder> {
+        val unsent = batch + waiting
+        batch.clear()
+        waiting.clear()
+        return unsent
+    }
+
     /** Takes in the [answer] to [dispatched]; polls wait for ends and say nothing of the way. */
     fun answered(dispatched: DispatchedOrder, answer: WorkerAnswer, nowMillis: Long) {
         answeredMillis = nowMillis
--- a/daemon/src/test/kotlin/sycamoremast/daemon/peer/KtorPeerNetworkTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/peer/KtorPeerNetworkTest.kt
@@ -95,6 +95,23 @@
             .isEqualTo(InForce("nets", 8))
     }
 
+    @Test
+    fun `a message takes the connection on which the peer was heard last`() {
+        val node = Node("a1")
+        node.network.handle(InForceQuery::class) { _, query -> InForce(query.team, 7) }
+        val (first, second) = List(2) { connect(node.network.address) }
+        listOf(first, second).forEach { it.write(hello()) }
+        for (socket in listOf(first, second, first)) {
+            socket.write(PeerCodec.wrap(InForceQuery("nets"), id = 1, asks = true))
+            expectThat(socket.readMessage().answer).isTrue()
+        }
+        expectThat(node.network.send("raw", RevisionsQuery)).isTrue()
+        expectThat(first.readMessage().answer).isFalse()
+    }
+
+    private fun Socket.readMessage(): PeerFrame.Message =
+        generateSequence { readFrame() }.filterIsInstance<PeerFrame.Message>().first()
+
     @Test
     fun `a question says whether the peer can have got it`() {
         val a = Node("a1")
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/OrderDispatchTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/OrderDispatchTest.kt
@@ -1,5 +1,6 @@
 package sycamoremast.daemon.workflow
 
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit.SECONDS
@@ -23,6 +24,7 @@
 import sycamoremast.coordination.workflow.WorkerAnswer
 import sycamoremast.coordination.workflow.WorkerOrder
 import sycamoremast.coordination.workflow.WorkerRef
+import sycamoremast.daemon.control.eventually
 import sycamoremast.daemon.log.EventLog
 import sycamoremast.daemon.peer.RelayedAnswer
 import sycamoremast.daemon.peer.RelayedAnswers
@@ -103,6 +105,23 @@
         expectThat(relays.next()).isEqualTo("b1" to start("a-worker1"))
     }
 
+    @Test
+    fun `no poll is forgotten when the host that it is to go through is gone`() {
+        listLargeFleet()
+        send(start("a-worker1"))
+        relays.next()
+        relays.hosts -= "a1"
+        val settled = ConcurrentHashMap.newKeySet<Long>()
+        for (n in 1L..POLLS) {
+            dispatch.poll(PollOrder(ref("a-worker1"), 1, n, null, 0, 0)) { settled += n }
+            Thread.sleep(1)
+        }
+        eventually("every poll was sent or answered") {
+            relays.sent.mapNotNullTo(settled) { (it.order as? PollOrder)?.acknowledgedEnd }
+            settled.size == POLLS
+        }
+    }
+
     @Test
     fun `an order that the window leaves no room for comes back unsent`() {
         dispatch.listed("w1", "a")
@@ -127,6 +146,7 @@
 
     private companion object {
         const val MOST_DIRECT = 4
+        const val POLLS = 200
         const val WAIT_SECONDS = 30L
     }
 }
