--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Sharing.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Sharing.kt
@@ -120,22 +120,25 @@
         val serving = worker.sharing.serving.filter { it.headroomOrNull != null }
             .sortedBy { it.headroomOrNull }
         val worst = serving.firstOrNull()?.headroomOrNull ?: return
-        if (worst >= 1) worker.overSinceMillis = null
-        if (neighbours.isEmpty()) return
-        if (worst >= SLOW_BELOW) {
-            release(neighbours, serving, nowMillis)
-            return
+        if (worst >= 1) {
+            worker.overSinceMillis = null
+        } else if (neighbours.isNotEmpty()) {
+            worker.overSinceMillis = worker.overSinceMillis ?: nowMillis
         }
-        if (worst < 1) worker.overSinceMillis = worker.overSinceMillis ?: nowMillis
-        if (!isOverFor(worker, RELIEF_MILLIS, nowMillis)) return
-        if (isUnexplained(worker, nowMillis)) {
+        when {
+            neighbours.isEmpty() -> Unit
+
+            worst >= SLOW_BELOW -> release(neighbours, serving, nowMillis)
+
             // Whoever it is, the serving task comes first.
-            neighbours.forEach { moveAway(it, nowMillis) }
-            return
+            isUnexplained(worker, nowMillis) -> neighbours.forEach { moveAway(it, nowMillis) }
+
+            isOverFor(worker, RELIEF_MILLIS, nowMillis) -> {
+                val working = neighbours.filter { it.pacePercent > 0 }.toMutableList()
+                serving.takeWhile { (it.headroomOrNull ?: NO_PRESSURE) < SLOW_BELOW }
+                    .forEach { relieve(it, working, nowMillis) }
+            }
         }
-        val working = neighbours.filter { it.pacePercent > 0 }.toMutableList()
-        serving.takeWhile { (it.headroomOrNull ?: NO_PRESSURE) < SLOW_BELOW }
-            .forEach { relieve(it, working, nowMillis) }
     }
 
     /** Whether a task on [worker] is over its target for longer than the estimates would allow. */
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/OrderDispatch.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/OrderDispatch.kt
@@ -173,7 +173,11 @@
         val entry = underWay.remove(number) ?: return
         val now = clock.nowMillis()
         entry.lane?.answered(entry, answer, now)
-        if (answer is WorkerAnswer.Unknown || answer == NOT_SENT) failures.merge(entry.order.worker.id, 1, Int::plus)
+        if (answer is WorkerAnswer.Unknown ||
+            answer == NOT_SENT
+        ) {
+            failures.merge(entry.order.worker.id, 1, Int::plus)
+        }
         entry.done(received(answer, now))
     }
 
