Add failing tests of workers that restart under their IDs

FaultSchedule plays the scheduler against a model of the worker's protocol, with lost, slow, late and unsent orders, cuts and restarts from a seed.

--- /dev/null
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/FaultSchedule.kt
@@ -0,0 +1,229 @@
+/**
+ * A scheduler and its workers in virtual time, with what may happen on the way between them.
+ *
+ * Orders and answers take random times, so that they overtake each other; answers get lost, orders
+ * are carried out late, workers are out of reach for a while or restart, all drawn from one seed.
+ */
+package sycamoremast.coordination.workflow
+
+import java.util.PriorityQueue
+import kotlin.random.Random
+import sycamoremast.coordination.Resources
+
+/** What may happen to orders and workers; shares are of all orders. */
+internal data class Faults(
+    val lostAnswers: Double = 0.0,
+    val lateOrders: Double = 0.0,
+    val unsentOrders: Double = 0.0,
+    val restartMillis: Long = 0,
+    val cutMillis: Long = 0,
+    val slowAnswers: Double = 0.0
+)
+
+/** A start that broke a promise. */
+internal data class Violation(val kind: String, val task: TaskName, val atMillis: Long)
+
+internal class FaultSchedule(seed: Long, private val faults: Faults) {
+    private class Event(val atMillis: Long, val number: Long, val happen: () -> Unit)
+
+    private val random = Random(seed)
+    private val events = PriorityQueue<Event>(compareBy({ it.atMillis }, { it.number }))
+    private val scheduler = WorkflowScheduler(1, SchedulerSettings())
+    private val workers = (1..WORKERS).map {
+        ModelWorker(WorkerRef("w$it", "10.0.0.$it:1"), WORK_MILLIS)
+    }.associateBy { it.ref.id }
+    private val cutUntil = HashMap<String, Long>()
+    private val starts = ArrayList<Pair<TaskName, Long>>()
+    private var lastEvent = 0L
+    private var now = 0L
+    val violations = ArrayList<Violation>()
+    val log = ArrayList<String>()
+
+    private fun at(millis: Long, happen: () -> Unit) {
+        events += Event(millis, ++lastEvent, happen)
+    }
+
+    /** Plays the schedule; returns the workflows that were not completed. */
+    fun play(): List<String> {
+        scheduler.listed(workers.values.map { listing(it.ref) }, 0)
+        val ids = (1..WORKFLOWS).map { "job$it" }
+        ids.forEach { id -> at(random.nextLong(SUBMIT_MILLIS)) { submit(id) } }
+        for (worker in workers.values) {
+            if (faults.restartMillis > 0) nextRestart(worker)
+            if (faults.cutMillis > 0) nextCut(worker)
+        }
+        step()
+        while (events.isNotEmpty() && now < LAST_MILLIS) {
+            val event = events.remove()
+            now = event.atMillis
+            event.happen()
+        }
+        workers.values.flatMap { it.doneEnds }.filter { it.isAcknowledged }.forEach { end ->
+            starts.filter { it.first == end.task && it.second > end.atMillis }
+                .forEach { violations += Violation("started after done", it.first, it.second) }
+        }
+        return ids.filter { scheduler.phaseOrNull(it) != WorkflowPhase.COMPLETED }
+    }
+
+    private fun submit(id: String) {
+        val step = WorkflowStep(TASKS, Resources(CPUS, 1_000))
+        val queue = QueuePolicy("queue", "service")
+        val steps = listOf(step, step.copy(after = listOf(0)))
+        val workflow = Workflow(id, queue, "payload", steps, submittedMillis = now)
+        scheduler.accepted(workflow, null, isRecovered = false, now, now)
+    }
+
+    private fun listing(ref: WorkerRef) =
+        WorkerListing(ref, "service", "zone", Resources(4_000, 64_000), emptyList(), false)
+
+    private fun nextRestart(worker: ModelWorker) {
+        at(now + random.nextLong(faults.restartMillis)) {
+            if (now > FAULTS_END_MILLIS) return@at
+            log += "$now ${worker.ref.id} crashes"
+            worker.crash()
+            at(now + random.nextLong(LEAST_DOWN_MILLIS, MOST_DOWN_MILLIS)) {
+                log += "$now ${worker.ref.id} is back"
+                worker.restart(now)
+                nextRestart(worker)
+            }
+        }
+    }
+
+    private fun nextCut(worker: ModelWorker) {
+        at(now + random.nextLong(faults.cutMillis)) {
+            if (now > FAULTS_END_MILLIS) return@at
+            val until = now + random.nextLong(MOST_CUT_MILLIS)
+            log += "$now ${worker.ref.id} is cut off until $until"
+            cutUntil[worker.ref.id] = until
+            at(until) { nextCut(worker) }
+        }
+    }
+
+    private fun step() {
+        workers.values.forEach { it.advance(now) }
+        for (action in scheduler.step(now, now)) {
+            when (action) {
+                is SchedulerAction.Start ->
+                    send(action.order) { scheduler.startAnswered(action.order, it, now) }
+
+                is SchedulerAction.Stop ->
+                    send(action.order) { scheduler.stopAnswered(action.order, it, now) }
+
+                is SchedulerAction.Poll ->
+                    send(action.order) { scheduler.polled(action.order, it, now) }
+
+                is SchedulerAction.Pace ->
+                    send(action.order) { scheduler.paceAnswered(action.order, it, now) }
+
+                is SchedulerAction.Record ->
+                    at(now + random.nextLong(MOST_RECORD_MILLIS)) { scheduler.recorded() }
+
+                is SchedulerAction.Log ->
+                    log += "$now ${action.event.name} ${action.event.id} ${action.event.fields}"
+
+                is SchedulerAction.Depose -> error("deposed by ${action.worker}")
+            }
+        }
+        if (now < LAST_MILLIS) at(now + STEP_MILLIS) { step() }
+    }
+
+    private fun send(order: WorkerOrder, done: (WorkerAnswer) -> Unit) {
+        val worker = workers.getValue(order.worker.id)
+        val sent = now
+        val deadline = sent + TIMEOUT_MILLIS + if (order is PollOrder) order.waitMillis else 0
+        var isAnswered = false
+        fun answer(answer: WorkerAnswer) {
+            if (!isAnswered) done(answer)
+            isAnswered = true
+        }
+        at(deadline) { answer(WorkerAnswer.Unknown("timeout")) }
+        if (random.nextDouble() < faults.unsentOrders) {
+            at(sent + 1) { answer(WorkerAnswer.Rejected(RejectReason.NOT_SENT)) }
+            return
+        }
+        val life = worker.life
+        val isLate = random.nextDouble() < faults.lateOrders
+        val isLost = isLate || random.nextDouble() < faults.lostAnswers
+        val delay = if (isLate) random.nextLong(2_000, 12_000) else random.nextLong(1, MOST_DELAY)
+        at(sent + delay) {
+            when {
+                worker.life != life || !worker.isUp ->
+                    at(now + 1) { answer(WorkerAnswer.Unknown("connection reset")) }
+
+                isCut(worker) -> Unit
+
+                else -> arrive(worker, order, deadline, !isLost, ::answer)
+            }
+        }
+    }
+
+    private fun isCut(worker: ModelWorker) = now < (cutUntil[worker.ref.id] ?: 0)
+
+    private fun arrive(
+        worker: ModelWorker,
+        order: WorkerOrder,
+        deadline: Long,
+        mayAnswer: Boolean,
+        answer: (WorkerAnswer) -> Unit
+    ) {
+        val life = worker.life
+        val carriedOut = worker.carryOut(order, now) { begun(worker, it) }
+        if (order is PollOrder && order.waitMillis > 0 && isQuiet(carriedOut)) {
+            val again = order.copy(waitMillis = order.waitMillis - WAIT_STEP_MILLIS)
+            at(now + WAIT_STEP_MILLIS) {
+                if (worker.life == life && worker.isUp) {
+                    arrive(worker, again, deadline, mayAnswer, answer)
+                } else {
+                    answer(WorkerAnswer.Unknown("connection reset"))
+                }
+            }
+            return
+        }
+        if (!mayAnswer || isCut(worker)) return
+        val isSlow = random.nextDouble() < faults.slowAnswers
+        val delay = random.nextLong(1, if (isSlow) MOST_SLOW_DELAY else MOST_DELAY)
+        at(now + delay) { if (now <= deadline) answer(received(carriedOut)) }
+    }
+
+    private fun isQuiet(answer: WorkerAnswer) =
+        answer is WorkerAnswer.Reported && answer.report.ended.isEmpty()
+
+    private fun received(answer: WorkerAnswer) = when (answer) {
+        is WorkerAnswer.Done -> answer.copy(receivedMillis = now)
+
+        is WorkerAnswer.Reported ->
+            WorkerAnswer.Reported(answer.report.copy(receivedMillis = now))
+
+        is WorkerAnswer.Rejected, is WorkerAnswer.Unknown -> answer
+    }
+
+    private fun begun(worker: ModelWorker, task: TaskName) {
+        log += "$now begins $task on ${worker.ref.id}"
+        starts += task to now
+        workers.values.forEach { it.advance(now) }
+        val elsewhere = workers.values.filter { it !== worker && it.isUp && task in it.running }
+        if (elsewhere.isNotEmpty()) violations += Violation("runs twice at once", task, now)
+    }
+
+    private companion object {
+        const val WORKERS = 4
+        const val WORKFLOWS = 24
+        const val TASKS = 4
+        const val CPUS = 1_000L
+        const val WORK_MILLIS = 400L
+        const val SUBMIT_MILLIS = 20_000L
+        const val FAULTS_END_MILLIS = 25_000L
+        const val LAST_MILLIS = 60_000L
+        const val STEP_MILLIS = 5L
+        const val WAIT_STEP_MILLIS = 20L
+
+        /** The time that a host gives a worker to answer an order. */
+        const val TIMEOUT_MILLIS = 600L
+        const val MOST_DELAY = 40L
+        const val MOST_SLOW_DELAY = 1_200L
+        const val MOST_RECORD_MILLIS = 120L
+        const val LEAST_DOWN_MILLIS = 50L
+        const val MOST_DOWN_MILLIS = 1_500L
+        const val MOST_CUT_MILLIS = 9_000L
+    }
+}
--- /dev/null
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/WorkerFaultsTest.kt
@@ -0,0 +1,35 @@
+package sycamoremast.coordination.workflow
+
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEmpty
+
+class WorkerFaultsTest {
+    private fun play(seeds: LongRange, faults: Faults) {
+        for (seed in seeds) {
+            val schedule = FaultSchedule(seed, faults)
+            val unfinished = schedule.play()
+            expectThat(schedule.violations).describedAs("seed $seed").isEmpty()
+            expectThat(unfinished).describedAs("unfinished with seed $seed").isEmpty()
+        }
+    }
+
+    @Test
+    fun `no task runs twice while orders and answers overtake each other`() = play(1L..20, Faults())
+
+    @Test
+    fun `no task runs twice while answers are lost and slow`() =
+        play(1L..20, Faults(lostAnswers = 0.1, slowAnswers = 0.3, unsentOrders = 0.05))
+
+    @Test
+    fun `no task runs twice while orders are carried out late`() =
+        play(1L..20, Faults(lateOrders = 0.2))
+
+    @Test
+    fun `no task runs twice while workers are out of reach for a while`() =
+        play(1L..20, Faults(cutMillis = 6_000))
+
+    @Test
+    fun `no task runs twice while workers restart under their IDs`() =
+        play(1L..20, Faults(restartMillis = 3_000))
+}
