--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/HostRegistry.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/HostRegistry.kt
@@ -37,7 +37,9 @@
     private val onRound: () -> Unit
 ) : PrefixListener,
     AutoCloseable {
-    private val follower = PrefixFollower(store, WorkflowKeys.HOSTS, log, this, FOLLOW_WAIT)
+    // Entries change rarely, and a late one costs little.
+    private val follower =
+        PrefixFollower(store, WorkflowKeys.HOSTS, log, this, WorkflowHost.LONGEST_STORE_WAIT)
     private val thread = Thread(::run, "host-registry").apply { isDaemon = true }
     private var lease: LeaseId? = null
 
@@ -118,9 +120,6 @@
         const val TTL_MILLIS = 8_000L
         const val ROUND_MILLIS = 2_000L
 
-        /** Entries change rarely, and a late one costs little. */
-        val FOLLOW_WAIT = 5_000.milliseconds
-
         /** Smaller differences aren't worth a change of the owner. */
         const val MUCH_STRONGER = 1.5
     }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowHost.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowHost.kt
@@ -1,6 +1,7 @@
 /** An entry host that schedules workflows: gateway, configuration, election and scheduler. */
 package sycamoremast.daemon.workflow
 
+import kotlin.time.Duration.Companion.milliseconds
 import sycamoremast.configuration.Endpoint
 import sycamoremast.coordination.MonotonicClock
 import sycamoremast.coordination.TransactionalStore
@@ -93,8 +94,11 @@
         ownership.loop?.policies(table.queues)
     }
 
-    private companion object {
+    companion object {
+        /** How long a watch of the store may wait for a change. */
+        val LONGEST_STORE_WAIT = 5_000.milliseconds
+
         /** Other hosts may still reach the store; the balancer takes two more seconds to turn away. */
-        const val UNREADY_AFTER_SILENCE_MILLIS = 1_000L
+        private const val UNREADY_AFTER_SILENCE_MILLIS = 1_000L
     }
 }
