Ask a worker once more as its lease lapses before its tasks restart

Cause: an unreachable worker is polled at growing intervals, and its lease was taken for lapsed without another look, though it may have been back for half a second with the ends on its list.

Change: a lease counts as lapsed once a poll that was sent after its end has failed too; that poll is sent at once. It delays tasks of a dead worker by the answer time of a poll, twice at most.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
@@ -40,6 +40,9 @@
     var isPolling = false
     var nextPollMillis = Long.MIN_VALUE
     var lastPollMillis = Long.MIN_VALUE / 2
+
+    /** When the last poll without an answer was sent. */
+    var failedPollMillis = Long.MIN_VALUE
     var contactFailures = 0
         private set
     var barredUntilMillis = Long.MIN_VALUE
@@ -111,6 +114,20 @@
         contactFailures = 0
     }
 
+    /**
+     * Whether the worker is out of reach and has been asked in vain since its lease lapsed.
+     *
+     * One that is back just then lists ends of runs that would otherwise start again.
+     */
+    fun hasSurelyLapsed(nowMillis: Long): Boolean = contactFailures > 0 &&
+        nowMillis > lapsedByMillis &&
+        failedPollMillis > lapsedByMillis
+
+    /** Whether the poll that [hasSurelyLapsed] asks for is still to be sent. */
+    fun isLastPollDue(nowMillis: Long): Boolean = contactFailures > 0 &&
+        nowMillis > lapsedByMillis &&
+        lastPollMillis <= lapsedByMillis
+
     fun contactFailed() {
         contactFailures++
         lifeIsUnknown()
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
@@ -99,16 +99,22 @@
             is WorkerAnswer.Rejected -> when (answer.reason) {
                 RejectReason.STALE_EPOCH -> fleet.outbox += SchedulerAction.Depose(worker.ref)
                 RejectReason.OTHER_INCARNATION -> lose(worker, nowMillis, "other incarnation")
-                else -> pollFailed(worker, answer.reason.toString(), nowMillis)
+                else -> pollFailed(worker, order, answer.reason.toString(), nowMillis)
             }
 
-            is WorkerAnswer.Unknown -> pollFailed(worker, answer.reason, nowMillis)
+            is WorkerAnswer.Unknown -> pollFailed(worker, order, answer.reason, nowMillis)
 
             is WorkerAnswer.Done -> Unit
         }
     }
 
-    private fun pollFailed(worker: FleetWorker, reason: String, nowMillis: Long) {
+    private fun pollFailed(
+        worker: FleetWorker,
+        order: PollOrder,
+        reason: String,
+        nowMillis: Long
+    ) {
+        worker.failedPollMillis = order.sentMillis
         if (worker.contactFailures == 0) {
             fleet.log(
                 "worker-unreachable",
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunUpkeep.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunUpkeep.kt
@@ -6,7 +6,7 @@
 internal class RunUpkeep(private val fleet: Fleet, private val tracker: RunTracker) {
     fun step(nowMillis: Long) {
         for (worker in fleet.workers.values.toList()) {
-            if (worker.contactFailures > 0 && nowMillis > worker.lapsedByMillis) {
+            if (worker.hasSurelyLapsed(nowMillis)) {
                 // Another owner may reach the worker and prolong its lease.
                 if (fleet.isSoleOwner) lapsed(worker, nowMillis)
             } else if (isForgettable(worker, nowMillis)) {
@@ -60,7 +60,8 @@
     /** Adds the polls that are due to the outbox. */
     fun poll(nowMillis: Long) {
         for (worker in fleet.workers.values) {
-            if (worker.isPolling || worker.isGone || nowMillis < worker.nextPollMillis) continue
+            if (worker.isPolling || worker.isGone) continue
+            if (nowMillis < worker.nextPollMillis && !worker.isLastPollDue(nowMillis)) continue
             if (isPollDue(worker, nowMillis)) poll(worker, nowMillis)
         }
     }
