Count a workflow as waiting until one of its starts was carried out

Cause: a workflow counted as begun once a start was ordered, whether or not the worker got the order.

Change: it begins with the first start that a worker answered, runs or lists as ended.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
@@ -17,6 +17,7 @@
             is WorkerAnswer.Done -> {
                 answer.clockMillis?.let { placement.worker.answered(it, answer.receivedMillis) }
                 placement.on(PlacementEvent.SEEN, nowMillis)
+                begun(placement.task.step.workflow)
             }
 
             is WorkerAnswer.Rejected -> startRejected(placement, answer.reason, nowMillis)
@@ -168,6 +169,7 @@
         val known = worker.placements[row.task]
         if (known != null && known.run == row.run) {
             known.seen(row, nowMillis)
+            begun(known.task.step.workflow)
             return
         }
         val task = fleet.taskOrNull(row.task)
@@ -185,14 +187,15 @@
         placement.seen(row, nowMillis)
         if (isWanted) {
             fleet.log("run-adopted", row.task.toString(), "run" to row.run, "worker" to worker.id)
-            adopted(task.step.workflow)
+            begun(task.step.workflow)
         } else {
             fleet.stop(placement, nowMillis, "not wanted")
         }
     }
 
-    private fun adopted(workflow: OpenWorkflow) {
-        if (workflow.hasBegun) return
+    /** Takes in that a task of [workflow] has started; an order alone is no start. */
+    private fun begun(workflow: OpenWorkflow) {
+        if (workflow.hasBegun || !workflow.isOpen) return
         workflow.begin()
         recorder.changed(workflow)
     }
@@ -241,6 +244,7 @@
         )
         if (placement != null) fleet.release(placement, nowMillis)
         if (!workflow.isOpen) return
+        begun(workflow)
         when (row.how) {
             RunEnd.DONE -> done(task, worker, nowMillis)
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Starter.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Starter.kt
@@ -3,7 +3,6 @@
 
 internal class Starter(
     private val fleet: Fleet,
-    private val recorder: Recorder,
     private val placer: Placer
 ) {
     /** Begins a round of placement, in which room only shrinks. */
@@ -59,10 +58,6 @@
             "a worker without a known clock got a task: ${worker.id}"
         }
         worker.gaveLease(fleet.settings.lapsedBy(nowMillis))
-        if (!workflow.hasBegun) {
-            workflow.begin()
-            recorder.changed(workflow)
-        }
         fleet.log(
             "run-ordered",
             task.name.toString(),
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -14,7 +14,7 @@
     private val recorder = Recorder(fleet)
     private val sharing = Sharing(fleet)
     private val tracker = RunTracker(fleet, recorder, sharing)
-    private val starter = Starter(fleet, recorder, Placer(fleet, sharing))
+    private val starter = Starter(fleet, Placer(fleet, sharing))
     private val upkeep = RunUpkeep(fleet, tracker)
     private val pendingCancels = HashSet<String>()
 
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SchedulerDriver.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SchedulerDriver.kt
@@ -55,6 +55,13 @@
         polls.forEach { report(it) }
     }
 
+    /** As [settle], with all starts answered as carried out. */
+    fun settleStarts() = repeat(4) {
+        step()
+        starts.forEach(::done)
+        polls.forEach { report(it) }
+    }
+
     fun report(
         order: PollOrder,
         running: List<RunningRow> = emptyList(),
