Look at a silent worker once, not before each acknowledgement

Cause: the age of a report was counted from its receipt, and a poll that follows new ends waited its half second although acknowledgements were owed.

Change: what counts is the time between taking a report in and deciding on the next poll, as a restart under a poll fails that poll; an owed acknowledgement is due at once. A stop without an answer counts like a start without one.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
@@ -27,7 +27,7 @@
     private var clockOffsetMillis: Long? = null
     private var bornUnixMillis: Long? = null
 
-    /** When the last report came, or null if a call has failed since. */
+    /** When the last report was taken in, or null if a call has failed since. */
     private var reportedMillis: Long? = null
 
     /** When the last lease given to it has certainly lapsed. */
@@ -130,27 +130,29 @@
 
     fun contactFailed() {
         contactFailures++
-        lifeIsUnknown()
+        incarnationIsUnknown()
     }
 
     /** Notes that the worker may have restarted: what it was last told has to be told again. */
-    fun lifeIsUnknown() {
+    fun incarnationIsUnknown() {
         reportedMillis = null
         acknowledgedEnd = 0
     }
 
-    fun reported(receivedMillis: Long) {
-        reportedMillis = receivedMillis
+    /** Notes a report that was taken in at [nowMillis]. */
+    fun reported(nowMillis: Long) {
+        reportedMillis = nowMillis
     }
 
     /**
-     * Whether the worker still is in the life of its last report.
+     * Whether the worker surely is in the incarnation of its last report.
      *
-     * A worker that restarts under its ID numbers its ends from 1 again; a number of its earlier life
-     * would make it forget ends that nobody has read.
+     * A worker that restarts under its ID numbers its ends from 1 again; a number of its earlier
+     * incarnation would make it forget ends that nobody has read. A restart under a poll fails that
+     * poll, so it goes unnoticed only between a report and the next poll.
      */
-    fun isLifeKnown(nowMillis: Long): Boolean =
-        reportedMillis?.let { nowMillis - it <= LIFE_KNOWN_MILLIS } ?: false
+    fun isIncarnationKnown(nowMillis: Long): Boolean =
+        reportedMillis?.let { nowMillis - it <= UNNOTICED_RESTART_MILLIS } ?: false
 
     /** Notes the time of the worker's start; returns whether it has started anew. */
     fun isReborn(born: Long?): Boolean {
@@ -160,7 +162,7 @@
         return before != null && before != born
     }
 
-    /** Takes in that the worker is in a new life, whose ends are numbered from 1. */
+    /** Takes in that the worker has restarted, with ends numbered from 1. */
     fun startOver() {
         seenEnd = 0
         recordedEnd = 0
@@ -212,8 +214,8 @@
     private companion object {
         const val FULL = Placement.FULL_PACE
 
-        /** Shorter than any process takes to restart. */
-        const val LIFE_KNOWN_MILLIS = 200L
+        /** Assumed to be too short for a restart and a whole run after it. */
+        const val UNNOTICED_RESTART_MILLIS = 200L
 
         /** Longer than any reading covers. */
         const val DEPARTURE_MILLIS = 1_000L
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
@@ -31,7 +31,7 @@
                     "reason" to answer.reason
                 )
                 placement.on(PlacementEvent.ANSWER_LOST, nowMillis)
-                placement.worker.lifeIsUnknown()
+                placement.worker.incarnationIsUnknown()
                 placement.worker.nextPollMillis = nowMillis
             }
 
@@ -87,7 +87,9 @@
                 else -> Unit
             }
 
-            is WorkerAnswer.Unknown, is WorkerAnswer.Reported -> Unit
+            is WorkerAnswer.Unknown -> placement.worker.incarnationIsUnknown()
+
+            is WorkerAnswer.Reported -> Unit
         }
     }
 
@@ -146,7 +148,7 @@
             worker.startOver()
         }
         worker.answered(report.clockMillis, report.receivedMillis)
-        worker.reported(report.receivedMillis)
+        worker.reported(nowMillis)
         if (!worker.isAccounted || worker.contactFailures == 0) fleet.mayPlace = true
         worker.isAccounted = true
         worker.nextPollMillis = nowMillis
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunUpkeep.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunUpkeep.kt
@@ -67,6 +67,7 @@
     }
 
     private fun isPollDue(worker: FleetWorker, nowMillis: Long): Boolean {
+        if (worker.recordedEnd > worker.acknowledgedEnd) return true
         val hasUnrecorded = worker.seenEnd > worker.recordedEnd
         if (hasUnrecorded && worker.isAccounted) {
             return nowMillis > worker.lastPollMillis + UNRECORDED_POLL_MILLIS
@@ -74,7 +75,6 @@
         return !worker.isAccounted ||
             worker.contactFailures > 0 ||
             worker.placements.isNotEmpty() ||
-            worker.recordedEnd > worker.acknowledgedEnd ||
             !worker.isSynchronized
     }
 
@@ -82,17 +82,17 @@
         // An unreachable worker gets no longer lease: its tasks have to be free to restart some time.
         val leaseEnd = worker.leaseEndOrNull(nowMillis, fleet.settings.leaseMillis)
             ?.takeIf { worker.placements.isNotEmpty() && worker.contactFailures == 0 }
-        val isLifeKnown = worker.isLifeKnown(nowMillis)
+        val isIncarnationKnown = worker.isIncarnationKnown(nowMillis)
         val mayWait = worker.isAccounted &&
-            isLifeKnown &&
+            isIncarnationKnown &&
             worker.contactFailures == 0 &&
             worker.placements.isNotEmpty() &&
             worker.seenEnd == worker.recordedEnd &&
             worker.placements.values.none { it.isToBeSettled }
         worker.isPolling = true
         worker.lastPollMillis = nowMillis
-        val acknowledged = if (isLifeKnown) worker.recordedEnd else 0
-        if (isLifeKnown) worker.acknowledgedEnd = acknowledged
+        val acknowledged = if (isIncarnationKnown) worker.recordedEnd else 0
+        if (isIncarnationKnown) worker.acknowledgedEnd = acknowledged
         if (leaseEnd != null) worker.gaveLease(fleet.settings.lapsedBy(nowMillis))
         val isShared = worker.servingCount > 0 && worker.idleMilliCpus > 0
         val longest = if (isShared) SHARED_POLL_MILLIS else fleet.settings.pollWaitMillis
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerOrders.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerOrders.kt
@@ -52,7 +52,7 @@
 /**
  * Asks [worker] for what runs and what has ended, and prolongs its lease.
  *
- * Ends up to [acknowledgedEnd] are forgotten by the worker. The answer waits up to [waitMillis] for
+ * Ends up to [acknowledgedEnd] are forgotten by the worker; 0 acknowledges none. The answer waits up to [waitMillis] for
  * an end.
  */
 @Serializable
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/FaultSchedule.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/FaultSchedule.kt
@@ -17,7 +17,20 @@
     val unsentOrders: Double = 0.0,
     val restartMillis: Long = 0,
     val cutMillis: Long = 0,
-    val slowAnswers: Double = 0.0
+    val slowAnswers: Double = 0.0,
+    /** The shortest time that a restart takes. */
+    val leastDownMillis: Long = 250,
+    /** Whether an order sent to a worker that is down reaches its next life. */
+    val reachesNextLife: Boolean = false,
+    /** Whether an order that is carried out late is carried out by whichever life is up then. */
+    val lateAcrossLives: Boolean = false,
+    /** The longest time until a batch is durable, and the shortest. */
+    val mostRecordMillis: Long = 120,
+    val leastRecordMillis: Long = 0,
+    /** How long a received answer waits until the scheduler takes it in. */
+    val loopLagMillis: Long = 0,
+    /** Workers' clocks run at this many thousandths of true time. */
+    val clockPerMille: Long = 1_000
 )
 
 /** A start that broke a promise. */
@@ -30,12 +43,17 @@
     private val events = PriorityQueue<Event>(compareBy({ it.atMillis }, { it.number }))
     private val scheduler = WorkflowScheduler(1, SchedulerSettings())
     private val workers = (1..WORKERS).map {
-        ModelWorker(WorkerRef("w$it", "10.0.0.$it:1"), WORK_MILLIS)
+        ModelWorker(WorkerRef("w$it", "10.0.0.$it:1"), WORK_MILLIS, faults.clockPerMille)
     }.associateBy { it.ref.id }
     private val cutUntil = HashMap<String, Long>()
     private val starts = ArrayList<Pair<TaskName, Long>>()
     private var lastEvent = 0L
     private var now = 0L
+    var pollCount = 0
+        private set
+
+    /** The ends as done of all lives of all workers. */
+    val doneEnds: List<DoneEnd> get() = workers.values.flatMap { it.doneEnds }
     val violations = ArrayList<Violation>()
     val log = ArrayList<String>()
 
@@ -81,7 +99,7 @@
             if (now > FAULTS_END_MILLIS) return@at
             log += "$now ${worker.ref.id} crashes"
             worker.crash()
-            at(now + random.nextLong(LEAST_DOWN_MILLIS, MOST_DOWN_MILLIS)) {
+            at(now + random.nextLong(faults.leastDownMillis, MOST_DOWN_MILLIS)) {
                 log += "$now ${worker.ref.id} is back"
                 worker.restart(now)
                 nextRestart(worker)
@@ -116,7 +134,9 @@
                     send(action.order) { scheduler.paceAnswered(action.order, it, now) }
 
                 is SchedulerAction.Record ->
-                    at(now + random.nextLong(MOST_RECORD_MILLIS)) { scheduler.recorded() }
+                    at(now + random.nextLong(faults.leastRecordMillis, faults.mostRecordMillis)) {
+                        scheduler.recorded()
+                    }
 
                 is SchedulerAction.Log ->
                     log += "$now ${action.event.name} ${action.event.id} ${action.event.fields}"
@@ -130,6 +150,7 @@
     private fun send(order: WorkerOrder, done: (WorkerAnswer) -> Unit) {
         val worker = workers.getValue(order.worker.id)
         val sent = now
+        if (order is PollOrder) pollCount++
         val deadline = sent + TIMEOUT_MILLIS + if (order is PollOrder) order.waitMillis else 0
         var isAnswered = false
         fun answer(answer: WorkerAnswer) {
@@ -141,13 +162,13 @@
             at(sent + 1) { answer(WorkerAnswer.Rejected(RejectReason.NOT_SENT)) }
             return
         }
-        val life = worker.life.takeIf { worker.isUp }
+        val life = worker.life.takeIf { worker.isUp || faults.reachesNextLife }
         val isLate = random.nextDouble() < faults.lateOrders
         val isLost = isLate || random.nextDouble() < faults.lostAnswers
         val delay = if (isLate) random.nextLong(2_000, 12_000) else random.nextLong(1, MOST_DELAY)
         at(sent + delay) {
             when {
-                worker.life != life || !worker.isUp ->
+                !worker.isUp || (worker.life != life && !(isLate && faults.lateAcrossLives)) ->
                     at(now + 1) { answer(WorkerAnswer.Unknown("connection reset")) }
 
                 isCut(worker) -> Unit
@@ -182,7 +203,15 @@
         if (!mayAnswer || isCut(worker)) return
         val isSlow = random.nextDouble() < faults.slowAnswers
         val delay = random.nextLong(1, if (isSlow) MOST_SLOW_DELAY else MOST_DELAY)
-        at(now + delay) { if (now <= deadline) answer(received(carriedOut)) }
+        at(now + delay) {
+            if (now > deadline) return@at
+            val received = received(carriedOut)
+            if (faults.loopLagMillis == 0L) {
+                answer(received)
+            } else {
+                at(now + faults.loopLagMillis) { answer(received) }
+            }
+        }
     }
 
     private fun isQuiet(answer: WorkerAnswer) =
@@ -221,10 +250,6 @@
         const val TIMEOUT_MILLIS = 600L
         const val MOST_DELAY = 40L
         const val MOST_SLOW_DELAY = 1_200L
-        const val MOST_RECORD_MILLIS = 120L
-
-        /** A process takes longer to start. */
-        const val LEAST_DOWN_MILLIS = 250L
         const val MOST_DOWN_MILLIS = 1_500L
         const val MOST_CUT_MILLIS = 9_000L
     }
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelWorker.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelWorker.kt
@@ -9,9 +9,14 @@
 /** An end as done, and whether it was acknowledged before the worker's lease lapsed. */
 internal class DoneEnd(val task: TaskName, val number: Long, val atMillis: Long) {
     var isAcknowledged = false
+    var acknowledgedMillis = 0L
 }
 
-internal class ModelWorker(val ref: WorkerRef, private val workMillis: Long) {
+internal class ModelWorker(
+    val ref: WorkerRef,
+    private val workMillis: Long,
+    private val clockPerMille: Long = 1_000
+) {
     private class Run(val number: Int, val endsMillis: Long)
 
     private val runs = LinkedHashMap<TaskName, Run>()
@@ -119,7 +124,10 @@
         order.leaseEndMillis?.let { prolong(it, nowMillis) }
         ends.removeAll { it.number <= order.acknowledgedEnd }
         unacknowledged.filter { it.number <= order.acknowledgedEnd }
-            .forEach { it.isAcknowledged = true }
+            .forEach {
+                it.isAcknowledged = true
+                it.acknowledgedMillis = nowMillis
+            }
         unacknowledged.removeAll { it.isAcknowledged }
         val rows = runs.map { (task, run) ->
             RunningRow(task, run.number, "", percent(run, nowMillis), null)
@@ -138,7 +146,7 @@
 
     private fun done(nowMillis: Long) = WorkerAnswer.Done(clock(nowMillis), 0)
 
-    private fun clock(nowMillis: Long) = nowMillis - bornMillis
+    private fun clock(nowMillis: Long) = (nowMillis - bornMillis) * clockPerMille / 1_000
 
     private companion object {
         const val WHOLE = 100L
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/WorkerFaultsTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/WorkerFaultsTest.kt
@@ -33,6 +33,28 @@
     fun `no task runs twice while workers restart under their IDs`() =
         play(1L..40, Faults(restartMillis = 3_000))
 
+    // Guards against a report that was long under way being taken for proof of the worker's life.
+    @Test
+    fun `no task runs twice while workers restart and answers are slow`() =
+        play(56L..91, Faults(restartMillis = 3_000, slowAnswers = 0.3))
+
+    // Guards against a number of an earlier life reaching a worker that was down for a moment only.
+    @Test
+    fun `no task runs twice while workers restart within a tenth of a second`() =
+        play(3L..10, Faults(restartMillis = 3_000, leastDownMillis = 50))
+
+    // Guards against a report that waited in its owner being taken for proof of the worker's life.
+    @Test
+    fun `no task runs twice while workers restart and their owner lags behind`() =
+        play(46L..46, Faults(restartMillis = 3_000, loopLagMillis = 250))
+
+    // Guards against orders that wait on their way until the worker is in another life.
+    @Test
+    fun `no task runs twice while late orders are carried out by a worker's next life`() = play(
+        1L..3,
+        Faults(restartMillis = 3_000, lateOrders = 0.1, lateAcrossLives = true)
+    )
+
     @Test
     fun `no task runs twice while all of that happens`() = play(
         1L..40,
