Take no run for vanished by a report that is full of ends

What callers would see: a task that runs again after it was done. A worker lists 500 unread ends at a time; while they can't be acknowledged (the store is out), later ones are neither listed nor running, and were taken for vanished.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
@@ -160,8 +160,9 @@
         }
         val running = report.running.associateBy { it.task }
         running.values.forEach { seen(worker, it, nowMillis) }
+        val mayOmitEnds = report.ended.size >= MOST_ENDS_LISTED
         for (placement in worker.placements.values.toList()) {
-            if (running[placement.task.name]?.run == placement.run) continue
+            if (mayOmitEnds || running[placement.task.name]?.run == placement.run) continue
             absent(placement, order.sentMillis, nowMillis)
         }
         sharing.reported(worker, nowMillis)
@@ -323,6 +324,9 @@
             ?.placements?.get(name)?.takeIf { it.run == run }
 
     private companion object {
+        /** A worker lists no more ends than that in one report, by the platform's protocol. */
+        const val MOST_ENDS_LISTED = 500
+
         /** Passes the runs that an earlier order may have used up on a worker. */
         const val RUN_SKIP = 10
 
