Allow for a slow clock since a worker's clock was last read

What callers would see: a task on two workers at once. A lease is given as a reading of the worker's clock, computed from the last reading. On a worker that was idle for 30 s, with a clock 2% slow, it ended 0.6 s later than meant; a start that is carried out late could outlast what its owner believed.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
@@ -25,6 +25,7 @@
     /** Whether another life of the worker answers at its address, or its lease surely lapsed. */
     var isGone = false
     private var clockOffsetMillis: Long? = null
+    private var clockReadMillis = 0L
     private var bornUnixMillis: Long? = null
 
     /** When the last report was taken in, or null if a call has failed since. */
@@ -99,8 +100,10 @@
         nowMillis >= barredUntilMillis
 
     /** Returns the reading of the worker's clock at which a lease given now ends, if known. */
-    fun leaseEndOrNull(nowMillis: Long, leaseMillis: Long): Long? =
-        clockOffsetMillis?.let { nowMillis + it + leaseMillis }
+    fun leaseEndOrNull(nowMillis: Long, settings: SchedulerSettings): Long? =
+        clockOffsetMillis?.let {
+            nowMillis + it + settings.leaseMillis - settings.mostDrift(nowMillis - clockReadMillis)
+        }
 
     fun gaveLease(lapsedBy: Long) {
         lapsedByMillis = maxOf(lapsedByMillis, lapsedBy)
@@ -111,6 +114,7 @@
 
     fun answered(clockMillis: Long, receivedMillis: Long) {
         clockOffsetMillis = clockMillis - receivedMillis
+        clockReadMillis = receivedMillis
         contactFailures = 0
     }
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunUpkeep.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunUpkeep.kt
@@ -80,7 +80,7 @@
 
     private fun poll(worker: FleetWorker, nowMillis: Long) {
         // An unreachable worker gets no longer lease: its tasks have to be free to restart some time.
-        val leaseEnd = worker.leaseEndOrNull(nowMillis, fleet.settings.leaseMillis)
+        val leaseEnd = worker.leaseEndOrNull(nowMillis, fleet.settings)
             ?.takeIf { worker.placements.isNotEmpty() && worker.contactFailures == 0 }
         val isIncarnationKnown = worker.isIncarnationKnown(nowMillis)
         val mayWait = worker.isAccounted &&
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerSettings.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerSettings.kt
@@ -16,6 +16,10 @@
     fun lapsedBy(sentMillis: Long): Long =
         sentMillis + leaseMillis + leaseMillis / SLOWEST_CLOCK_DIVISOR + LAPSE_MARGIN_MILLIS
 
+    /** Returns how far a worker's clock may have fallen back in [elapsedMillis], half a lease at most. */
+    fun mostDrift(elapsedMillis: Long): Long =
+        (elapsedMillis / SLOWEST_CLOCK_DIVISOR).coerceIn(0, leaseMillis / 2)
+
     companion object {
         /** The platform's bound on a worker's lease. */
         const val DEFAULT_LEASE_MILLIS = 6_000L
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Starter.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Starter.kt
@@ -54,7 +54,7 @@
         val task = placement.task
         val worker = placement.worker
         val workflow = task.step.workflow
-        val leaseEnd = checkNotNull(worker.leaseEndOrNull(nowMillis, fleet.settings.leaseMillis)) {
+        val leaseEnd = checkNotNull(worker.leaseEndOrNull(nowMillis, fleet.settings)) {
             "a worker without a known clock got a task: ${worker.id}"
         }
         worker.gaveLease(fleet.settings.lapsedBy(nowMillis))
