--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
@@ -111,12 +111,7 @@
         }
     }
 
-    private fun pollFailed(
-        worker: FleetWorker,
-        order: PollOrder,
-        reason: String,
-        nowMillis: Long
-    ) {
+    private fun pollFailed(worker: FleetWorker, order: PollOrder, reason: String, nowMillis: Long) {
         worker.failedPollMillis = order.sentMillis
         if (worker.contactFailures == 0) {
             fleet.log(
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Starter.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Starter.kt
@@ -1,10 +1,7 @@
 /** Places waiting tasks on workers and orders their starts; gangs start whole or not at all. */
 package sycamoremast.coordination.workflow
 
-internal class Starter(
-    private val fleet: Fleet,
-    private val placer: Placer
-) {
+internal class Starter(private val fleet: Fleet, private val placer: Placer) {
     /** Begins a round of placement, in which room only shrinks. */
     fun beginRound() = placer.beginRound()
 
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/LapsedLeaseTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/LapsedLeaseTest.kt
@@ -24,17 +24,15 @@
     }
 
     /** Returns the starts that were ordered while [condition] held. */
-    private fun stepWhile(
-        condition: () -> Boolean,
-        onPoll: (PollOrder) -> Unit
-    ): List<StartOrder> = buildList {
-        while (condition()) {
-            driver.step(10)
-            addAll(driver.starts)
-            driver.polls.filter { it.worker.id == "w2" }.forEach { driver.report(it) }
-            driver.polls.filter { it.worker.id == "w1" }.forEach(onPoll)
+    private fun stepWhile(condition: () -> Boolean, onPoll: (PollOrder) -> Unit): List<StartOrder> =
+        buildList {
+            while (condition()) {
+                driver.step(10)
+                addAll(driver.starts)
+                driver.polls.filter { it.worker.id == "w2" }.forEach { driver.report(it) }
+                driver.polls.filter { it.worker.id == "w1" }.forEach(onPoll)
+            }
         }
-    }
 
     // Guards against a task that runs again although its worker is back and lists its end.
     @Test
@@ -55,7 +53,11 @@
     fun `a worker that stays out of reach delays its tasks by little more than its lease`() {
         val (_, lapsedMillis) = unreachable()
         stepWhile({ driver.starts.isEmpty() && driver.now < lapsedMillis + 5_000 }) {
-            if (driver.now - it.sentMillis >= 600) driver.answer(it, WorkerAnswer.Unknown("timeout"))
+            if (driver.now - it.sentMillis >=
+                600
+            ) {
+                driver.answer(it, WorkerAnswer.Unknown("timeout"))
+            }
         }
         expectThat(driver.now).isLessThan(lapsedMillis + 1_400)
     }
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/LateLeaseTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/LateLeaseTest.kt
@@ -18,17 +18,18 @@
         scheduler.listed(listOf(driver.listing("w1")), driver.now)
         repeat(4) {
             driver.step()
-            driver.polls.forEach { driver.answer(it, worker.carryOut(it, driver.now) {}.received()) }
+            driver.polls.forEach {
+                driver.answer(it, worker.carryOut(it, driver.now) {}.received())
+            }
         }
         driver.step(idleMillis)
     }
 
-    private fun WorkerAnswer.received() =
-        if (this is WorkerAnswer.Reported) {
-            WorkerAnswer.Reported(report.copy(receivedMillis = driver.now))
-        } else {
-            this
-        }
+    private fun WorkerAnswer.received() = if (this is WorkerAnswer.Reported) {
+        WorkerAnswer.Reported(report.copy(receivedMillis = driver.now))
+    } else {
+        this
+    }
 
     /**
      * Submits a task, has w1 carry out its start and the poll sent with it [LATE_MILLIS] later, lets no
