Take a worker for recorded only where the roster names its life

What would be seen: a task that a recovered owner starts a second time while its first run goes on. A worker that starts again at another address while a roster record is under way counted as recorded by its ID, although the durable roster named its earlier address. It got work at once. If the owner ended before the next roster was durable, its successor waited for the earlier address only.

Cause: the record under way kept IDs, not the lives (ID and address) that it names.

The test makes the schedule: a worker is listed at another address between a roster's record and its answer, and was given a task by that answer.

Now the record keeps what it names, so the new address waits for the next roster.

The test failed before: a start was ordered at the new address.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
@@ -23,7 +23,7 @@
         val change = workflow.lastChange
     }
 
-    private class InFlight(val workflows: List<Recorded>, val roster: Set<String>?)
+    private class InFlight(val workflows: List<Recorded>, val roster: Set<WorkerRef>?)
 
     /** End [number] of a worker, which waits for [change] of [workflow] to be durable. */
     private class PendingEnd(val number: Long, val workflow: OpenWorkflow, val change: Long) {
@@ -87,7 +87,7 @@
         changed -= batch.toSet()
         val roster = if (isRosterChanged) fleet.workers.values.map { it.ref } else null
         isRosterChanged = false
-        inFlight = InFlight(batch.map(::Recorded), roster?.mapTo(HashSet()) { it.id })
+        inFlight = InFlight(batch.map(::Recorded), roster?.toSet())
         val progress = batch.associate { it.id to it.progress() }
         newWaiting?.let { recordedWaiting = it }
         fleet.outbox += SchedulerAction.Record(RecordBatch(progress, roster, newWaiting))
@@ -104,7 +104,7 @@
         }
         pendingEnds.entries.removeIf { (worker, ends) -> releaseEnds(worker, ends) }
         if (done.roster != null) {
-            fleet.workers.values.forEach { if (it.id in done.roster) it.isInRoster = true }
+            fleet.workers.values.forEach { if (it.ref in done.roster) it.isInRoster = true }
             fleet.mayPlace = true
         }
         return done.workflows.map { it.workflow }
