Let an entry at another address end no run that may go on

What would be seen: a task starts on a second worker while its first run goes on.

Schedule that the protocol allows: a worker restarts under its ID at another address, and a write of its earlier life, left without an answer, is carried out seconds later. The entry names the earlier address until the next heartbeat. The owner took that for the end of the life that runs the task, released all that ran there, and started it elsewhere.

Cause: an ID at another address counted as proof that the life at the known address had ended, whichever life wrote the entry.

Now the entry is proof only where the life that wrote it is known to have started later (`born` in the entries, which was not read before). Otherwise the worker gets no new work and is polled where it was. If it is there its runs go on; if not they are released as with any unreachable worker: by another incarnation's answer or once the lease has lapsed. Then the entry is used. A later life is still taken at once.

The test "an entry with another address alone ends no run" failed before; the two beside it keep that a worker that really moved is used at once, or after its earlier lease.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerListing.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerListing.kt
@@ -8,12 +8,23 @@
 @Serializable
 data class WorkerRef(val id: String, val address: String)
 
-/** What the platform's list says of a worker; [labels] hold its kind and its rack. */
+/**
+ * What the platform's list says of a worker; [labels] hold its kind and its rack.
+ *
+ * The life that wrote it started at [bornUnixMillis], if that is known.
+ */
 data class WorkerListing(
     val ref: WorkerRef,
     val service: String,
     val availabilityZone: String,
     val capacity: Resources,
     val labels: List<String>,
-    val isDraining: Boolean
-)
+    val isDraining: Boolean,
+    val bornUnixMillis: Long? = null
+) {
+    /** Whether this was surely written by a later life of the worker than [other]. */
+    fun isLaterThan(other: WorkerListing): Boolean {
+        val before = other.bornUnixMillis ?: return false
+        return bornUnixMillis != null && bornUnixMillis > before
+    }
+}
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -18,6 +18,9 @@
     private val upkeep = RunUpkeep(fleet, tracker)
     private val pendingCancels = HashSet<String>()
 
+    /** Entries at other addresses than their workers', which don't show that these have ended. */
+    private val movedEntries = LinkedHashMap<String, WorkerListing>()
+
     /** How often placement has looked at a worker, a measure of its cost. */
     val examinedWorkers: Long get() = fleet.examinedWorkers
     private var nextPlacementMillis = Long.MIN_VALUE
@@ -77,6 +80,7 @@
     /** Takes in the platform's entry of one worker. */
     fun listed(listing: WorkerListing, nowMillis: Long) {
         val known = fleet.workers[listing.ref.id]
+        movedEntries -= listing.ref.id
         if (known != null && known.ref == listing.ref) {
             if (listing.isDraining && !known.listing.isDraining) {
                 fleet.log("worker-draining", listing.ref.id, "runs" to known.placements.size)
@@ -86,6 +90,11 @@
             fleet.mayPlace = true
             return
         }
+        if (known != null && known.mayRunTasks && !listing.isLaterThan(known.listing)) {
+            movedEntries[known.id] = listing
+            unlist(known)
+            return
+        }
         if (known != null) tracker.lose(known, nowMillis, "moved to another address")
         fleet.add(FleetWorker(listing))
         recorder.rosterChanged()
@@ -100,10 +109,20 @@
 
     /** Takes in that the platform lists the worker [id] no more. */
     fun unlisted(id: String) {
-        val worker = fleet.workers[id] ?: return
+        movedEntries -= id
+        fleet.workers[id]?.let(::unlist)
+    }
+
+    private fun unlist(worker: FleetWorker) {
         if (!worker.isListed) return
         worker.unlist()
-        fleet.log("worker-unlisted", id, "runs" to worker.placements.size)
+        fleet.log("worker-unlisted", worker.id, "runs" to worker.placements.size)
+    }
+
+    /** Uses the entries of workers whose earlier lives have ended meanwhile. */
+    private fun useMovedEntries(nowMillis: Long) {
+        if (movedEntries.isEmpty()) return
+        movedEntries.values.filter { it.ref.id !in fleet.workers }.forEach { listed(it, nowMillis) }
     }
 
     /** Takes in a worker of the last owner's roster, whose lease lapses by [lapsedByMillis]. */
@@ -187,6 +206,7 @@
         if (nowMillis >= nextUpkeepMillis) {
             nextUpkeepMillis = nowMillis + UPKEEP_MILLIS
             upkeep.step(nowMillis)
+            useMovedEntries(nowMillis)
         }
         endWorkflows(nowMillis, unixMillis)
         if (fleet.mayPlace || nowMillis >= nextPlacementMillis) place(nowMillis, unixMillis)
@@ -306,6 +326,8 @@
     }
 }
 
+private val FleetWorker.mayRunTasks: Boolean get() = !isAccounted || placements.isNotEmpty()
+
 private fun unlistedWorker(ref: WorkerRef) = WorkerListing(
     ref,
     service = "",
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/EarlierLifeTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/EarlierLifeTest.kt
@@ -4,6 +4,8 @@
 import strikt.api.expectThat
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThan
 
 /** What is known of a worker's earlier life must not be applied to the life that follows it. */
 class EarlierLifeTest {
@@ -35,4 +37,79 @@
         driver.step()
         expectThat(driver.starts.single().worker).isEqualTo(moved.ref)
     }
+
+    // Guards against a second run beside one that goes on, by a late entry of an earlier life.
+    @Test
+    fun `an entry with another address alone ends no run`() {
+        driver.workers("w1", "w2")
+        driver.submit(driver.workflow())
+        driver.step()
+        val run = driver.starts.single().also(driver::done)
+        val listing = driver.listing(run.worker.id)
+        scheduler.listed(elsewhere(listing), driver.now)
+        val row = RunningRow(run.task, run.run, "", 50, null)
+        repeat(STEPS) {
+            driver.step()
+            expectThat(driver.starts).isEmpty()
+            driver.polls.forEach {
+                driver.report(it, if (it.worker == run.worker) listOf(row) else emptyList())
+            }
+        }
+        scheduler.listed(listing, driver.now)
+        driver.report(driver.freshPoll(run.worker.id), running = listOf(row))
+        expectThat(driver.starts).isEmpty()
+    }
+
+    // Guards against runs that wait for a lease although their worker has certainly ended.
+    @Test
+    fun `the entry of a later life at another address restarts what ran`() {
+        val first = driver.listing("w1").copy(bornUnixMillis = 1)
+        scheduler.listed(listOf(first), driver.now)
+        driver.settle()
+        driver.submit(driver.workflow())
+        driver.step()
+        driver.done(driver.starts.single())
+        val second = elsewhere(first).copy(bornUnixMillis = 2)
+        scheduler.listed(second, driver.now)
+        val began = driver.now
+        do {
+            driver.step()
+            driver.polls.forEach { driver.report(it, born = 2) }
+        } while (driver.starts.isEmpty() && driver.now < began + LEASE_MILLIS)
+        expectThat(driver.starts.single().worker).isEqualTo(second.ref)
+        expectThat(driver.now - began).isLessThan(SOON_MILLIS)
+    }
+
+    // Guards against a worker that is lost for good because an entry at another address was held.
+    @Test
+    fun `an entry at another address is used once the earlier life's lease has lapsed`() {
+        driver.workers("w1")
+        driver.submit(driver.workflow())
+        driver.step()
+        val first = driver.starts.single().also(driver::done)
+        val moved = elsewhere(driver.listing("w1"))
+        scheduler.listed(moved, driver.now)
+        val began = driver.now
+        do {
+            driver.step()
+            val (lost, reached) = driver.polls.partition { it.worker == first.worker }
+            lost.forEach { driver.answer(it, WorkerAnswer.Unknown("timeout")) }
+            reached.forEach { driver.report(it) }
+        } while (driver.starts.isEmpty() && driver.now < began + 2 * LEASE_MILLIS)
+        expectThat(driver.starts.single().worker).isEqualTo(moved.ref)
+        expectThat(driver.now - began).isGreaterThan(MOST_LEASE_PASSED_MILLIS)
+    }
+
+    private companion object {
+        const val LEASE_MILLIS = 6_420L
+
+        /** The lease was given some steps before its worker's entry changed. */
+        const val MOST_LEASE_PASSED_MILLIS = 6_000L
+
+        /** The time of a first poll and of a record of the roster, and some steps. */
+        const val SOON_MILLIS = 500L
+
+        /** Some polls of a worker long. */
+        const val STEPS = 40
+    }
 }
