Wait for a rostered life where the list names another address

What would be seen: after a change of the owner a task starts again while its run goes on.

The next owner found the ID in the list and left out the life that the roster names. The earlier address can't be reached, and as no lease was known for it, it counted as accounted for at the first failed poll.

Cause: the roster's lease was tied to the ID at the listed address only.

Now the lease of the roster holds for the ID, whichever address is listed, also if the entry changes once more before the worker has answered.

The test failed before.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -95,8 +95,9 @@
             unlist(known)
             return
         }
+        val rosteredBy = known?.takeIf { !it.isAccounted }?.lapsedByMillis
         if (known != null) tracker.lose(known, nowMillis, "moved to another address")
-        fleet.add(FleetWorker(listing))
+        fleet.add(FleetWorker(listing).apply { rosteredBy?.let(::gaveLease) })
         recorder.rosterChanged()
         fleet.log(
             "worker-listed",
@@ -125,11 +126,14 @@
         movedEntries.values.filter { it.ref.id !in fleet.workers }.forEach { listed(it, nowMillis) }
     }
 
-    /** Takes in a worker of the last owner's roster, whose lease lapses by [lapsedByMillis]. */
+    /**
+     * Takes in a worker of the last owner's roster, whose lease lapses by [lapsedByMillis].
+     *
+     * Where it is listed at another address, either may be the one that runs tasks.
+     */
     fun rostered(ref: WorkerRef, lapsedByMillis: Long) {
-        val known = fleet.workers[ref.id]?.takeIf { it.ref == ref }
+        val known = fleet.workers[ref.id]
         if (known != null) return known.gaveLease(lapsedByMillis)
-        if (ref.id in fleet.workers) return
         val worker = FleetWorker(unlistedWorker(ref))
         worker.unlist()
         worker.gaveLease(lapsedByMillis)
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/EarlierLifeTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/EarlierLifeTest.kt
@@ -100,6 +100,25 @@
         expectThat(driver.now - began).isGreaterThan(MOST_LEASE_PASSED_MILLIS)
     }
 
+    // Guards against a second run beside one on a worker whose entry an earlier life overwrote.
+    @Test
+    fun `a new owner waits for a rostered life where the entry names another address`() {
+        val next = SchedulerDriver(epoch = 2)
+        val overwritten = elsewhere(next.listing("w1"))
+        next.scheduler.listed(listOf(overwritten, next.listing("w2")), next.now)
+        next.scheduler.rostered(next.ref("w1"), next.now + LEASE_MILLIS)
+        next.submit(next.workflow(), isRecovered = true)
+        val began = next.now
+        while (next.starts.isEmpty() && next.now < began + 2 * LEASE_MILLIS) {
+            next.step()
+            val (lost, reached) = next.polls.partition { it.worker.id == "w1" }
+            lost.forEach { next.answer(it, WorkerAnswer.Unknown("timeout")) }
+            reached.forEach { next.report(it) }
+        }
+        expectThat(next.starts.single().worker.id).isEqualTo("w2")
+        expectThat(next.now - began).isGreaterThan(LEASE_MILLIS)
+    }
+
     private companion object {
         const val LEASE_MILLIS = 6_420L
 
