Register a host anew when its entry goes

What would be seen: on a large fleet a host that has restarted relays nothing for good, as no owner that begins later knows it; the others carry its workers.

Schedule that the protocol allows: the write by which a host's earlier process registered gets no answer; the process ends, its successor registers under a lease of its own, and the late write then puts the same entry under the earlier lease. That lapses within 8 s and takes the entry along. The host went on renewing its own lease, which the store still knew.

Cause: the registry took a living lease for a standing entry.

Now the registry follows its own entry as well, as it follows those of others, and registers in the next round after it has gone.

--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/HostRegistry.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/HostRegistry.kt
@@ -41,6 +41,9 @@
     private val follower =
         PrefixFollower(store, WorkflowKeys.HOSTS, log, this, WorkflowHost.LONGEST_STORE_WAIT)
     private val thread = Thread(::run, "host-registry").apply { isDaemon = true }
+
+    /** The lease of this host's entry, or null while there is none. */
+    @Volatile
     private var lease: LeaseId? = null
 
     @Volatile
@@ -66,12 +69,15 @@
         hosts = listing.entries.mapNotNull { entry ->
             recordOrNull(entry.value)?.let { WorkflowKeys.idOf(entry.key) to it }
         }.toMap()
+        if (name !in hosts) lease = null
     }
 
     override fun onChange(change: StoreChange) {
         val host = WorkflowKeys.idOf(change.key)
         val record = change.value?.let(::recordOrNull)
         hosts = if (record == null) hosts - host else hosts + (host to record)
+        // A late write of an earlier process may have put the entry under a lease nobody renews.
+        if (host == name && record == null) lease = null
     }
 
     private fun recordOrNull(text: String) = decodeRecordOrNull<HostRecord>(text)
