Give no work past the owner's lease to workers that know no epoch

What would be seen: a task starts on two workers, ordered by two owners.

Schedule that the protocol allows: an owner loses the store but not its workers. Another claims the next epoch and polls every worker, which shuts the first one out. A worker then starts again under its ID, by which it forgets the token, and the first owner's poll reaches it before the second's. The first owner releases what ran there, sees room, and starts a task that waits with both owners; the worker accepts it, while the second owner starts the task elsewhere.

Cause: an owner past its lease relies on tokens that workers have seen, and counted on them for lives of workers that began later. The batch scheduler asks for unrestarted workers here; this one didn't.

Now the owner keeps which life of a worker reported while its own lease was valid. Past the lease it gives work to those lives only. What is left open: a restart that no report has shown yet.

The test failed before: the task started anew at once.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
@@ -23,6 +23,10 @@
     /** Whether this owner's lease in the store is valid, so that nobody else prolongs leases. */
     var isSoleOwner = true
 
+    /** The starts of workers' lives, as reported last, and last while this was the sole owner. */
+    private val births = HashMap<WorkerRef, Long>()
+    private val trustedBirths = HashMap<WorkerRef, Long>()
+
     /** Whether something changed that may let a task start. */
     var mayPlace = true
 
@@ -39,9 +43,26 @@
 
     fun remove(worker: FleetWorker) {
         byId -= worker.id
+        births -= worker.ref
+        trustedBirths -= worker.ref
         workersChanged()
     }
 
+    /** Takes in that [worker] reported in the life that started at [bornUnixMillis]. */
+    fun reported(worker: WorkerRef, bornUnixMillis: Long?) {
+        if (bornUnixMillis == null) return
+        births[worker] = bornUnixMillis
+        if (isSoleOwner) trustedBirths[worker] = bornUnixMillis
+    }
+
+    /**
+     * Whether [worker] would refuse this owner's orders if there were another owner.
+     *
+     * A worker that started anew has forgotten the epoch of an owner that may have claimed meanwhile.
+     */
+    fun isFenced(worker: WorkerRef): Boolean =
+        isSoleOwner || births[worker] == trustedBirths[worker]
+
     /** Takes in that workers came or went, or that their listings changed. */
     fun workersChanged() {
         workerList = emptyList()
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
@@ -111,6 +111,7 @@
         val spec = task.step.spec
         fleet.examinedWorkers++
         return worker.mayStart(nowMillis) &&
+            fleet.isFenced(worker.ref) &&
             worker.listing.service == task.step.workflow.queue.service &&
             (spec.requiredLabel.isEmpty() || spec.requiredLabel in worker.listing.labels) &&
             hasRoom(worker, spec) &&
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -158,8 +158,11 @@
         tracker.stopAnswered(order, answer, nowMillis)
 
     /** Takes in the answer to a poll. */
-    fun polled(order: PollOrder, answer: WorkerAnswer, nowMillis: Long) =
+    fun polled(order: PollOrder, answer: WorkerAnswer, nowMillis: Long) {
+        val report = (answer as? WorkerAnswer.Reported)?.report
+        if (report != null) fleet.reported(order.worker, report.bornUnixMillis)
         tracker.polled(order, answer, nowMillis)
+    }
 
     /** Takes in the answer to a change of pace. */
     fun paceAnswered(order: PaceOrder, answer: WorkerAnswer, nowMillis: Long) {
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/EarlierLifeTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/EarlierLifeTest.kt
@@ -119,6 +119,25 @@
         expectThat(next.now - began).isGreaterThan(LEASE_MILLIS)
     }
 
+    // Guards against a second run on a worker that has forgotten the epoch of the next owner.
+    @Test
+    fun `an owner that may have been replaced starts nothing on a worker that started anew`() {
+        driver.workers("w1")
+        driver.submit(driver.workflow())
+        driver.step()
+        val first = driver.starts.single().also(driver::done)
+        driver.isSoleOwner = false
+        repeat(STEPS) {
+            driver.step()
+            expectThat(driver.starts.filter { it.run > first.run }).isEmpty()
+            driver.polls.forEach { driver.report(it, born = 2) }
+        }
+        driver.isSoleOwner = true
+        val back = driver.now
+        do driver.step() while (driver.starts.isEmpty() && driver.now < back + SOON_MILLIS)
+        expectThat(driver.starts.single().run).isGreaterThan(first.run)
+    }
+
     private companion object {
         const val LEASE_MILLIS = 6_420L
 
