Let a restarted host be taken in by peers that knew a later clock

What would be seen: on a large fleet an owner and a relay turn each other away for good, so that one host's orders carry the whole fleet, or one host relays nothing.

Schedule that the protocol allows: a host's clock is set back, and its process ends and starts again before it has caught up. The new process connects first to a peer that has restarted itself and knows no earlier incarnation of that host. Any frame of that peer established the new, lower incarnation. Every peer that remembers the higher one refuses it from then on, and the process took that for a sign that it had been replaced.

Cause: what a peer remembers of an earlier process counted as a later process that lives.

An entry host runs one process at a time, which the election relies on as well; two could not even listen at one address. So on entry hosts of the platform the incarnation rises past any other that is seen, at whatever time. Elsewhere an established one still gives way.

The test failed before: each connection was refused as of an outdated incarnation, for 20 s.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/membership/IncarnationClaim.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/membership/IncarnationClaim.kt
@@ -6,9 +6,10 @@
  *
  * Until the incarnation is established, it is raised past any other that is seen for the same host:
  * the other process must have ended, since this one was started in its place. Afterwards a higher
- * one means that this process itself has been replaced.
+ * one means that this process itself has been replaced, unless it [isOnlyProcess]: where no two
+ * processes run for a host at a time, any other is an earlier one whose clock was ahead.
  */
-class IncarnationClaim(first: Long) {
+class IncarnationClaim(first: Long, private val isOnlyProcess: Boolean = false) {
     private var current = first
     private var established = false
     private var replacedBy = 0L
@@ -31,7 +32,7 @@
     @Synchronized
     fun observe(seen: Long): Boolean {
         if (seen <= current) return false
-        if (established) {
+        if (established && !isOnlyProcess) {
             replacedBy = maxOf(replacedBy, seen)
             return false
         }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Peering.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Peering.kt
@@ -24,7 +24,7 @@
 ) : AutoCloseable {
     private val network = KtorPeerNetwork.create(
         LocalPeer(name, peers.availabilityZone, peers.address.ip, peers.address.port),
-        IncarnationClaim(System.currentTimeMillis()),
+        IncarnationClaim(System.currentTimeMillis(), isOnlyProcess = true),
         meters.registry,
         PeerLimits(redial = REDIAL)
     )
