Number loans of slots past those of an earlier process with a later clock

What would be seen: a host borrows no slots for as long as it runs, so that its requests wait while slots of other hosts are idle.

Schedule: a host's clock is set back, and its process ends and starts again before it has caught up. It numbers its messages to lenders by the incarnation that it starts with. When it then reads of the earlier process its incarnation is raised, but not its numbers: every lender that lent to the earlier process takes them for outdated and doesn't answer.

Cause: the numbers were derived once, from an incarnation that may still be raised.

Evidence: read in Dispatcher and LoansGiven.lend; no case is known in which it happened.

Now the numbers follow the incarnation with each look at the membership; they only grow.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/request/SlotLedger.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/request/SlotLedger.kt
@@ -61,6 +61,9 @@
     /** Returns the hosts that lend slots to this one. */
     fun lenders(nowMillis: Long): Set<String> = taken.lenders(nowMillis)
 
+    /** Numbers the next messages to lenders from above [least]. */
+    fun numberFrom(least: Long) = taken.numberFrom(least)
+
     /** Returns the message that asks [lender] for [wanted] slots; [inUse] of its loans are needed. */
     fun ask(lender: String, inUse: SlotCounts, wanted: Int, nowMillis: Long): LoanRound =
         taken.ask(lender, inUse, wanted, nowMillis)
--- a/coordination/src/main/kotlin/sycamoremast/coordination/request/SlotLoans.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/request/SlotLoans.kt
@@ -76,6 +76,11 @@
     private var lastRound = firstRound
     private val asked = hashMapOf<String, Pair<Long, Long>>()
 
+    /** Numbers the next rounds from above [least], past those of an earlier process of this host. */
+    fun numberFrom(least: Long) {
+        lastRound = maxOf(lastRound, least)
+    }
+
     /** Returns the slots of [instance] that are borrowed from any host. */
     fun borrowed(instance: String, nowMillis: Long): Int = loans.values
         .filter { it.untilMillis > nowMillis }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/Dispatcher.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/Dispatcher.kt
@@ -100,8 +100,10 @@
     /** Looks at the membership, and lets requests go on whose time has come. */
     fun tick() = lock.withLock {
         val now = nowMillis()
-        val self = membership.self.host
-        val others = membership.members().filter { it.host != self }
+        val self = membership.self
+        val others = membership.members().filter { it.host != self.host }
+        // The incarnation may be raised once an earlier process with a later clock is known of.
+        ledger.numberFrom(self.incarnation * ROUNDS)
         ledger.observe(others.associate { it.host to it.state }, now.toLong())
         lanes.values.forEach { lane ->
             lane.backends.forEach { limitConnections(it, now.toLong()) }
