--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/FaultSchedule.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/FaultSchedule.kt
@@ -165,19 +165,27 @@
         val life = worker.life.takeIf { worker.isUp || faults.reachesNextLife }
         val isLate = random.nextDouble() < faults.lateOrders
         val isLost = isLate || random.nextDouble() < faults.lostAnswers
-        val delay = if (isLate) random.nextLong(2_000, 12_000) else random.nextLong(1, MOST_DELAY)
+        val delay = delayMillis(isLate)
         at(sent + delay) {
-            when {
-                !worker.isUp || (worker.life != life && !(isLate && faults.lateAcrossLives)) ->
-                    at(now + 1) { answer(WorkerAnswer.Unknown("connection reset")) }
-
-                isCut(worker) -> Unit
-
-                else -> arrive(worker, order, deadline, !isLost, ::answer)
+            val mayOutliveIt = isLate && faults.lateAcrossLives
+            val isReceiver = worker.life == life || mayOutliveIt
+            if (!worker.isUp || !isReceiver) {
+                at(now + 1) { answer(WorkerAnswer.Unknown("connection reset")) }
+            } else if (!isCut(worker)) {
+                arrive(worker, order, deadline, !isLost, ::answer)
             }
         }
     }
 
+    private fun delayMillis(isLate: Boolean) = if (isLate) {
+        random.nextLong(
+            LEAST_LATE_MILLIS,
+            MOST_LATE_MILLIS
+        )
+    } else {
+        random.nextLong(1, MOST_DELAY)
+    }
+
     private fun isCut(worker: ModelWorker) = now < (cutUntil[worker.ref.id] ?: 0)
 
     private fun arrive(
@@ -248,6 +256,8 @@
 
         /** The time that a host gives a worker to answer an order. */
         const val TIMEOUT_MILLIS = 600L
+        const val LEAST_LATE_MILLIS = 2_000L
+        const val MOST_LATE_MILLIS = 12_000L
         const val MOST_DELAY = 40L
         const val MOST_SLOW_DELAY = 1_200L
         const val MOST_DOWN_MILLIS = 1_500L
