--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
@@ -48,7 +48,7 @@
         workersChanged()
     }
 
-    /** Takes in that [worker] reported in the life that started at [bornUnixMillis]. */
+    /** Takes in that [worker] reported in the incarnation that started at [bornUnixMillis]. */
     fun reported(worker: WorkerRef, bornUnixMillis: Long?) {
         if (bornUnixMillis == null) return
         births[worker] = bornUnixMillis
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
@@ -6,7 +6,7 @@
 /** A [placement] that left its worker at [atMillis]. */
 internal data class Departure(val placement: Placement, val atMillis: Long)
 
-/** One life of a worker. */
+/** One incarnation of a worker. */
 internal class FleetWorker(listing: WorkerListing) {
     val ref: WorkerRef = listing.ref
     var listing = listing
@@ -22,7 +22,7 @@
     /** Whether it has answered this owner, so that all that runs there is known. */
     var isAccounted = false
 
-    /** Whether another life of the worker answers at its address, or its lease surely lapsed. */
+    /** Whether another incarnation answers at its address, or its lease surely lapsed. */
     var isGone = false
     private var clockOffsetMillis: Long? = null
     private var clockReadMillis = 0L
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
@@ -51,7 +51,7 @@
         }
     }
 
-    /** Forgets the ends of an earlier life of [worker]. */
+    /** Forgets the ends of an earlier incarnation of [worker]. */
     fun forgetEnds(worker: FleetWorker) {
         pendingEnds -= worker
     }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
@@ -137,7 +137,7 @@
             fleet.log("worker-reachable", worker.id, "failures" to worker.contactFailures)
         }
         if (worker.isReborn(report.bornUnixMillis)) {
-            // What was ordered since may belong to the new life: the rows below tell which.
+            // What was ordered since may belong to the new incarnation, as the rows below tell.
             fleet.log("worker-restarted", worker.id, "runs" to worker.placements.size)
             recorder.forgetEnds(worker)
             worker.startOver()
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerListing.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerListing.kt
@@ -4,14 +4,14 @@
 import kotlinx.serialization.Serializable
 import sycamoremast.coordination.Resources
 
-/** Names one life of a worker and where it is reached. */
+/** Names one incarnation of a worker and where it is reached. */
 @Serializable
 data class WorkerRef(val id: String, val address: String)
 
 /**
  * What the platform's list says of a worker; [labels] hold its kind and its rack.
  *
- * The life that wrote it started at [bornUnixMillis], if that is known.
+ * The incarnation that wrote it started at [bornUnixMillis], if that is known.
  */
 data class WorkerListing(
     val ref: WorkerRef,
@@ -22,7 +22,7 @@
     val isDraining: Boolean,
     val bornUnixMillis: Long? = null
 ) {
-    /** Whether this was surely written by a later life of the worker than [other]. */
+    /** Whether this was surely written by a later incarnation than [other]. */
     fun isLaterThan(other: WorkerListing): Boolean {
         val before = other.bornUnixMillis ?: return false
         return bornUnixMillis != null && bornUnixMillis > before
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerOrders.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerOrders.kt
@@ -113,7 +113,7 @@
     /** The worker is unhealthy or overloaded. */
     UNHEALTHY,
 
-    /** Another life of the worker answered at this address. */
+    /** Another incarnation of the worker answered at this address. */
     OTHER_INCARNATION,
 
     /** The order never left this host, as the worker could not be reached. */
@@ -151,7 +151,7 @@
     @SerialName("g") val gauge: Double?
 )
 
-/** An end with its [number], which grows by one with each end of a worker's life. */
+/** An end with its [number], which grows by one with each end of an incarnation. */
 @Serializable
 data class EndedRow(
     @SerialName("n") val number: Long,
