Empty draining workers, grant leases of at most 7 s and poll at once as one lapses

Cause: the platform accepts leases of 10 s there and the settings' limit was used as the lease, so a worker is taken for lapsed 10.5 s after its last poll, and a successor waits 7 s longer. Lasting tasks stayed on draining workers until these went. A poll in flight as the lease lapsed put off the final one by up to 0.6 s.

Change: leases of at most 7 s (3 s while draining); a worker that drains hands its lasting tasks over at once to workers with room, which is reserved before the stop; no poll is in flight when a lease lapses. LapsedLeaseTest's second test never stepped, as a start was left in the driver: it does now. The emulator has departures with and without notice (rolling-departures, sudden-departures), loads, targets and light interference by pattern, and the pattern shared-dense.

Tests seen failing with each part off: EvacuationTest, LapsedLeaseTest (8,770 ms where 8,370 is the bound), EmulationTest rolling departures.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
@@ -76,6 +76,9 @@
         private set
     var servingCount = 0
         private set
+
+    /** Tasks that will move here, with the times by which they have to start. */
+    private val reservations = LinkedHashMap<OpenTask, Long>()
     val capacity: Resources get() = listing.capacity
 
     /** Whether the offset of its clock is known, without which no lease can be granted. */
@@ -111,7 +114,8 @@
     /** Returns the end of a lease granted now, on the worker's clock, or null if unknown. */
     fun leaseEndOrNull(nowMillis: Long, settings: SchedulerSettings): Long? =
         clockOffsetMillis?.let {
-            nowMillis + it + settings.leaseMillis - settings.maxDrift(nowMillis - clockReadMillis)
+            val lease = settings.leaseMillis(listing.isDraining)
+            nowMillis + it + lease - settings.maxDrift(nowMillis - clockReadMillis)
         }
 
     fun recordLease(lapsedBy: Long) {
@@ -187,9 +191,31 @@
         isReconciled = true
     }
 
+    /** Reserves room for the next run of [task], which has to start within a few seconds. */
+    fun reserve(task: OpenTask, nowMillis: Long) {
+        reservations[task] = nowMillis + RESERVATION_MILLIS
+        task.destination = this
+        commit(task.step.spec, Placement.FULL_PACE, 1)
+    }
+
+    /** Gives up the room reserved for [task]. */
+    fun cancelReservation(task: OpenTask) {
+        if (reservations.remove(task) == null) return
+        task.destination = null
+        commit(task.step.spec, Placement.FULL_PACE, -1)
+    }
+
+    /** Gives up the reservations whose tasks have ended or did not start in time. */
+    fun expireReservations(nowMillis: Long) {
+        if (reservations.isEmpty()) return
+        reservations.filter { (task, untilMillis) ->
+            nowMillis > untilMillis || !task.step.workflow.isOpen
+        }.keys.forEach(::cancelReservation)
+    }
+
     fun add(placement: Placement) {
         placements[placement.task.name] = placement
-        commit(placement, 1)
+        commit(placement.task.step.spec, placement.pacePercent, 1)
     }
 
     fun remove(placement: Placement, nowMillis: Long) {
@@ -199,7 +225,7 @@
             departures += Departure(placement, nowMillis)
         }
         placements -= placement.task.name
-        commit(placement, -1)
+        commit(placement.task.step.spec, placement.pacePercent, -1)
     }
 
     /** Accounts for a change of the pace of [placement] to [percent]. */
@@ -212,12 +238,10 @@
             spec.demand.milliCpus * placement.pacePercent / FULL_PERCENT
     }
 
-    private fun commit(placement: Placement, sign: Int) {
+    private fun commit(spec: WorkflowStep, pacePercent: Int, sign: Int) {
         cachedView = null
-        val spec = placement.task.step.spec
         if (spec.usesIdleCpu) {
-            opportunisticMilliCpus +=
-                sign * spec.demand.milliCpus * placement.pacePercent / FULL_PERCENT
+            opportunisticMilliCpus += sign * spec.demand.milliCpus * pacePercent / FULL_PERCENT
         } else {
             reservedMilliCpus += sign * spec.demand.milliCpus
         }
@@ -235,6 +259,9 @@
         /** Assumed to be too short for a restart followed by a complete run. */
         const val INCARNATION_PROOF_MILLIS = 200L
 
+        /** Several times the longest stop; a move that takes longer has failed. */
+        const val RESERVATION_MILLIS = 3_000L
+
         /** Longer than the time that any reading covers. */
         const val DEPARTURE_RETENTION_MILLIS = 1_000L
     }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/OpenWorkflow.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/OpenWorkflow.kt
@@ -159,6 +159,9 @@
     var checkpoint = ""
     var notBeforeMillis = Long.MIN_VALUE
 
+    /** The worker that has room reserved for the next run, or null. */
+    var destination: FleetWorker? = null
+
     /** The worker on which the last failed run ran. */
     var lastFailedWorkerId: String? = null
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
@@ -23,6 +23,11 @@
      * for the reserve, the task is placed without one.
      */
     fun chooseOrNull(task: OpenTask, nowMillis: Long): FleetWorker? {
+        val reserved = task.destination
+        if (reserved != null) {
+            reserved.cancelReservation(task)
+            if (isEligible(reserved, task, nowMillis)) return reserved
+        }
         val shape = TaskShape.of(task.step)
         if (unplaceableShapes.any { it.isNoLargerThan(shape) }) return null
         val best = searchOrNull(task, nowMillis)
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunMaintenance.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunMaintenance.kt
@@ -13,6 +13,7 @@
                 tracker.markLost(worker, nowMillis, "no longer listed")
             }
             for (placement in worker.placements.values.toList()) step(placement, nowMillis)
+            worker.expireReservations(nowMillis)
         }
     }
 
@@ -60,12 +61,19 @@
     /** Adds the polls that are due to the outbox. */
     fun poll(nowMillis: Long) {
         for (worker in fleet.workers.values) {
-            if (worker.isPolling || worker.isLost) continue
+            if (worker.isPolling || worker.isLost || isLapseNear(worker, nowMillis)) continue
             if (nowMillis < worker.nextPollMillis && !worker.isFinalPollDue(nowMillis)) continue
             if (isPollDue(worker, nowMillis)) poll(worker, nowMillis)
         }
     }
 
+    /**
+     * Whether a poll sent now would delay the final poll, which is sent once the lease has lapsed.
+     */
+    private fun isLapseNear(worker: FleetWorker, nowMillis: Long): Boolean =
+        worker.contactFailures > 0 &&
+            nowMillis in worker.lapsedByMillis - FAILED_POLL_MILLIS..worker.lapsedByMillis
+
     private fun isPollDue(worker: FleetWorker, nowMillis: Long): Boolean {
         if (worker.recordedEnd > worker.acknowledgedEnd) return true
         val hasUnrecorded = worker.seenEnd > worker.recordedEnd
@@ -94,7 +102,7 @@
         worker.lastPollMillis = nowMillis
         val acknowledged = if (isIncarnationKnown) worker.recordedEnd else 0
         if (isIncarnationKnown) worker.acknowledgedEnd = acknowledged
-        if (leaseEnd != null) worker.recordLease(fleet.settings.lapsedBy(nowMillis))
+        if (leaseEnd != null) worker.recordLease(fleet.settings.lapsedBy(nowMillis, worker.listing.isDraining))
         val isShared = worker.servingCount > 0 && worker.opportunisticMilliCpus > 0
         val maxWait = if (isShared) SHARED_POLL_MILLIS else fleet.settings.pollWaitMillis
         val wait = if (mayWait) maxWait else 0
@@ -107,6 +115,9 @@
         /** Shorter than the 500 ms over which readings of shared workers are averaged. */
         const val SHARED_POLL_MILLIS = 400L
 
+        /** How long a poll of an unreachable worker takes to fail. */
+        const val FAILED_POLL_MILLIS = 600L
+
         /** Time after which an unanswered stop is sent again. */
         const val STOP_RETRY_MILLIS = 600L
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerSettings.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerSettings.kt
@@ -4,23 +4,46 @@
 /**
  * Settings of a [WorkflowScheduler]; all times are in milliseconds.
  *
- * [leaseMillis] is the longest lease that workers accept. [stopMillis] is how long a stop may take.
+ * [leaseMillis] is the lease that orders grant to a worker, and [drainingLeaseMillis] the one that
+ * they grant to a worker that is about to leave. [stopMillis] is how long a stop may take.
  */
 data class SchedulerSettings(
     val leaseMillis: Long = DEFAULT_LEASE_MILLIS,
     val stopMillis: Long = DEFAULT_STOP_MILLIS,
     val recordIntervalMillis: Long = DEFAULT_RECORD_INTERVAL_MILLIS,
-    val pollWaitMillis: Long = DEFAULT_POLL_WAIT_MILLIS
+    val pollWaitMillis: Long = DEFAULT_POLL_WAIT_MILLIS,
+    val drainingLeaseMillis: Long = DRAINING_LEASE_MILLIS
 ) {
+    /** Returns the length of the lease that an order grants to a worker. */
+    fun leaseMillis(isDraining: Boolean): Long =
+        if (isDraining) minOf(drainingLeaseMillis, leaseMillis) else leaseMillis
+
     /** Returns when a lease granted by an order sent at [sentMillis] has certainly lapsed. */
-    fun lapsedBy(sentMillis: Long): Long =
-        sentMillis + leaseMillis + leaseMillis / SLOWEST_CLOCK_DIVISOR + LAPSE_MARGIN_MILLIS
+    fun lapsedBy(sentMillis: Long, isDraining: Boolean = false): Long {
+        val lease = leaseMillis(isDraining)
+        return sentMillis + lease + lease / SLOWEST_CLOCK_DIVISOR + LAPSE_MARGIN_MILLIS
+    }
 
     /** Returns how far a worker's clock may lag after [elapsedMillis], at most half a lease. */
     fun maxDrift(elapsedMillis: Long): Long =
         (elapsedMillis / SLOWEST_CLOCK_DIVISOR).coerceIn(0, leaseMillis / 2)
 
     companion object {
+        /** Returns the settings for workers that accept leases of at most [maxLeaseMillis]. */
+        fun within(maxLeaseMillis: Long, stopMillis: Long) = SchedulerSettings(
+            leaseMillis = minOf(maxLeaseMillis, LONGEST_LEASE_MILLIS),
+            stopMillis = stopMillis
+        )
+
+        /**
+         * Outlasts a takeover and most partitions. The tasks of a lost worker can't restart before
+         * its lease lapses, so a longer lease costs time whenever a worker is lost.
+         */
+        const val LONGEST_LEASE_MILLIS = 7_000L
+
+        /** Several times the interval of polls; a worker that drains will soon be lost. */
+        const val DRAINING_LEASE_MILLIS = 3_000L
+
         /** The platform's limit on a worker's lease. */
         const val DEFAULT_LEASE_MILLIS = 6_000L
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -15,7 +15,9 @@
     private val recorder = Recorder(fleet)
     private val colocation = ColocationController(fleet)
     private val tracker = RunTracker(fleet, recorder, colocation)
-    private val starter = Starter(fleet, Placer(fleet, colocation))
+    private val placer = Placer(fleet, colocation)
+    private val starter = Starter(fleet, placer)
+    private val evacuation = Evacuation(fleet, placer)
     private val maintenance = RunMaintenance(fleet, tracker)
     private val pendingCancels = HashSet<String>()
 
@@ -223,6 +225,7 @@
         if (nowMillis >= nextMaintenanceMillis) {
             nextMaintenanceMillis = nowMillis + MAINTENANCE_INTERVAL_MILLIS
             maintenance.step(nowMillis)
+            evacuation.step(nowMillis)
             applyMovedEntries(nowMillis)
         }
         endWorkflows(nowMillis, unixMillis)
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/LapsedLeaseTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/LapsedLeaseTest.kt
@@ -19,6 +19,7 @@
         val order = driver.starts.single().also(driver::confirmStart)
         scheduler.onWorkerListed(driver.listing("w2"), driver.now)
         driver.polls.filter { it.worker.id == "w2" }.forEach { driver.report(it) }
+        driver.step(10)
         val lastGrantMillis = driver.polls.last { it.leaseEndMillis != null }.sentMillis
         return order to SchedulerSettings().lapsedBy(lastGrantMillis)
     }
@@ -63,4 +64,26 @@
         }
         expectThat(driver.now).isLessThan(lapsedMillis + 1_400)
     }
+
+    // Guards against a poll that is in flight when the lease lapses and delays the final one.
+    @Test
+    fun `sends the final poll of an unreachable worker at once when its lease lapses`() {
+        for (delayMillis in 0L until POLL_TIMEOUT_MILLIS step 50) {
+            val test = LapsedLeaseTest()
+            val (_, lapsedMillis) = test.startOnUnreachableWorker()
+            val until = lapsedMillis + 5_000
+            test.stepWhile({ test.driver.starts.isEmpty() && test.driver.now < until }) {
+                val isFirst = it.leaseEndMillis != null
+                val timeout = POLL_TIMEOUT_MILLIS + if (isFirst) delayMillis else 0
+                if (test.driver.now - it.sentMillis >= timeout) {
+                    test.driver.answer(it, WorkerAnswer.Unknown("timeout"))
+                }
+            }
+            expectThat(test.driver.now).isLessThan(lapsedMillis + POLL_TIMEOUT_MILLIS + 100)
+        }
+    }
+
+    private companion object {
+        const val POLL_TIMEOUT_MILLIS = 600L
+    }
 }
--- a/emulator/src/main/kotlin/sycamoremast/emulator/EmulatedFleet.kt
+++ b/emulator/src/main/kotlin/sycamoremast/emulator/EmulatedFleet.kt
@@ -3,7 +3,9 @@
 
 import kotlin.random.Random
 import sycamoremast.coordination.Resources
+import sycamoremast.coordination.workflow.RunEnd
 import sycamoremast.coordination.workflow.StartOrder
+import sycamoremast.coordination.workflow.TaskName
 import sycamoremast.coordination.workflow.WorkerListing
 import sycamoremast.coordination.workflow.WorkerRef
 
@@ -12,13 +14,13 @@
     private val interference = (0 until EmulatedLoad.SERVING_IMAGES).flatMap { serving ->
         (0 until EmulatedLoad.IDLE_CPU_IMAGES).map { other ->
             val isHeavy = random.nextDouble() < pattern.heavyShare
-            (serving to other) to if (isHeavy) random.nextDouble(MIN_HEAVY, MAX_HEAVY) else LIGHT
+            (serving to other) to if (isHeavy) random.nextDouble(MIN_HEAVY, MAX_HEAVY) else pattern.lightLoad
         }
     }.toMap()
     private val workers = (0 until pattern.workers).map {
         val sizeFactor = if (it % LARGE_WORKER_INTERVAL == 0) LARGE_WORKER_FACTOR else 1.0
         val milliCpus = (pattern.milliCpus * sizeFactor).toLong()
-        EmulatedWorker("w$it", milliCpus, pattern.tailMillis, pattern.periodSeconds, interference)
+        EmulatedWorker("w$it", milliCpus, pattern, interference)
     }.associateBy { it.id }
     private var servingScore = 0.0
     private var servingSamples = 0
@@ -35,22 +37,54 @@
     val servingShare: Double get() = if (servingSamples == 0) 1.0 else servingScore / servingSamples
     val milliCpus: Long get() = workers.values.sumOf { it.milliCpus }
 
+    /** When each serving task that is off was stopped, or lost with its worker. */
+    private val offSinceMillis = HashMap<TaskName, Long>()
+
+    /** The longest time that a serving task was off before it started again. */
+    var longestOffMillis = 0L
+        private set
+
     fun worker(id: String): EmulatedWorker = workers.getValue(id)
 
-    fun listings(): List<WorkerListing> = workers.values.map {
-        WorkerListing(
-            WorkerRef(it.id, it.id),
-            EmulatedLoad.SERVICE,
-            "zone",
-            Resources(it.milliCpus, pattern.memoryMib * it.milliCpus / pattern.milliCpus),
-            emptyList(),
-            isDraining = false
-        )
+    /** Returns the workers that leave, in their order. */
+    fun departing(count: Int): List<EmulatedWorker> = workers.values.toList().takeLast(count)
+
+    fun listings(): List<WorkerListing> = workers.values.map { listing(it, isDraining = false) }
+
+    fun listing(worker: EmulatedWorker, isDraining: Boolean) = WorkerListing(
+        WorkerRef(worker.id, worker.id),
+        EmulatedLoad.SERVICE,
+        "zone",
+        Resources(worker.milliCpus, pattern.memoryMib * worker.milliCpus / pattern.milliCpus),
+        emptyList(),
+        isDraining
+    )
+
+    /** Ends all that runs on [worker], which has left. */
+    fun remove(worker: EmulatedWorker, nowMillis: Long) {
+        worker.isGone = true
+        worker.runs.values.forEach { onOff(it, nowMillis) }
+        worker.runs.clear()
+    }
+
+    /** Stops the run of [task] on [worker]. */
+    fun stop(worker: EmulatedWorker, task: TaskName, nowMillis: Long) {
+        val run = worker.runs[task] ?: return
+        onOff(run, nowMillis)
+        worker.end(run, RunEnd.STOPPED)
     }
 
-    /** Starts the run of [order], whose task behaves as [traits] says, at [second]. */
-    fun start(order: StartOrder, traits: StepTraits, second: Long) {
+    private fun onOff(run: EmulatedRun, nowMillis: Long) {
+        if (run.kind.isServing) offSinceMillis[run.task] = nowMillis
+    }
+
+    /** Starts the run of [order], whose task behaves as [traits] says, at [nowMillis]. */
+    fun start(order: StartOrder, traits: StepTraits, nowMillis: Long) {
         val worker = worker(order.worker.id)
+        val second = nowMillis / MILLIS
+        offSinceMillis.remove(order.task)?.let {
+            longestOffMillis = maxOf(longestOffMillis, nowMillis - it)
+        }
         val faulty = pattern.faultyWorkers.filter { it.covers(worker.id.drop(1).toInt(), second) }
         val willFail = faulty.any { random.nextDouble() < it.failureRate }
         val run = EmulatedRun(
@@ -89,8 +123,7 @@
     }
 
     private companion object {
-        /** Load added by a neighbour on a whole worker; fitted to three days of readings. */
-        const val LIGHT = 0.07
+        /** Load added by a heavy neighbour on a whole worker; fitted to three days of readings. */
         const val MIN_HEAVY = 0.7
         const val MAX_HEAVY = 2.3
 
@@ -100,6 +133,7 @@
 
         /** The users' penalty for a serving task that its neighbours push over its target. */
         const val OVER_TARGET_PENALTY = 3.0
+        const val MILLIS = 1_000L
         const val RESTORE_MILLIS = 250.0
         const val FAIL_MILLIS = 100.0
     }
--- a/emulator/src/main/kotlin/sycamoremast/emulator/EmulatedWorker.kt
+++ b/emulator/src/main/kotlin/sycamoremast/emulator/EmulatedWorker.kt
@@ -40,24 +40,28 @@
 }
 
 /**
- * A worker; its serving tasks have the tail latency [baseTailMillis] without load.
+ * A worker whose serving tasks behave as [pattern] says.
  *
- * The load of a serving task varies in a period of [periodSeconds]. [interference] gives the load
- * that a task adds by using the whole worker, by the images of the serving task and of that task.
+ * [interference] gives the load that a task adds by using the whole worker, by the images of the
+ * serving task and of that task.
  */
 internal class EmulatedWorker(
     val id: String,
     val milliCpus: Long,
-    private val baseTailMillis: Double,
-    private val periodSeconds: Double,
+    private val pattern: LoadPattern,
     private val interference: Map<Pair<Int, Int>, Double>
 ) {
     val runs = LinkedHashMap<TaskName, EmulatedRun>()
     val ended = ArrayList<EndedRow>()
     private var lastEnd = 0L
 
-    fun load(run: EmulatedRun, second: Double) =
-        MEAN_LOAD * (1 + AMPLITUDE * kotlin.math.sin(TWO_PI * (second / periodSeconds + run.phase)))
+    /** Whether it has left, so that no call reaches it. */
+    var isGone = false
+
+    fun load(run: EmulatedRun, second: Double): Double {
+        val cycles = second / pattern.periodSeconds + run.phase
+        return pattern.meanLoad * (1 + pattern.loadSwing * kotlin.math.sin(TWO_PI * cycles))
+    }
 
     /** Advances all runs by [stepMillis] and returns those that ended. */
     fun step(stepMillis: Int, second: Double): List<EmulatedRun> {
@@ -94,7 +98,7 @@
                 milliCpus * activity(it, second)
         }
         val utilization = (load(run, second) + pressure).coerceAtMost(MAX_UTILIZATION)
-        run.tailMillis = baseTailMillis / (1 - utilization)
+        run.tailMillis = pattern.tailMillis / (1 - utilization)
         run.tails.addLast(run.tailMillis)
         if (run.tails.size > AVERAGING_MILLIS / stepMillis) run.tails.removeFirst()
     }
@@ -123,11 +127,6 @@
     }
 
     private companion object {
-        /** Mean of a serving task's load as a share of its reservation; fitted to BKTIB's days. */
-        const val MEAN_LOAD = 0.52
-
-        /** Amplitude of that load relative to its mean; fitted to BKTIB's days. */
-        const val AMPLITUDE = 0.4
         const val TWO_PI = 2 * Math.PI
         const val MAX_UTILIZATION = 0.99
         const val ACTIVITY_AMPLITUDE = 0.6
--- a/emulator/src/main/kotlin/sycamoremast/emulator/Emulation.kt
+++ b/emulator/src/main/kotlin/sycamoremast/emulator/Emulation.kt
@@ -9,7 +9,7 @@
 import kotlin.math.PI
 import kotlin.math.sin
 import kotlin.random.Random
-import sycamoremast.coordination.workflow.RunEnd
+import sycamoremast.coordination.workflow.RejectReason
 import sycamoremast.coordination.workflow.SchedulerAction
 import sycamoremast.coordination.workflow.SchedulerSettings
 import sycamoremast.coordination.workflow.WorkerAnswer
@@ -44,6 +44,7 @@
     fun run(): Outcome {
         scheduler.onWorkersListed(fleet.listings(), 0)
         submitServing()
+        pattern.departures?.let(::scheduleDepartures)
         while (now < (pattern.seconds + DRAIN_SECONDS) * MILLIS) {
             while (queue.isNotEmpty() && queue.peek().atMillis <= now) queue.poll().run()
             if (now % TICK_MILLIS == 0L) tick()
@@ -54,6 +55,7 @@
             load.outcomes(),
             fleet.servingShare,
             fleet.longestOverTargetMillis,
+            fleet.longestOffMillis,
             paceOrders,
             stops,
             polls,
@@ -63,6 +65,19 @@
         )
     }
 
+    private fun scheduleDepartures(departures: Departures) {
+        fleet.departing(departures.count).forEachIndexed { i, worker ->
+            val leaves = departures.fromSecond * MILLIS + i * departures.intervalMillis
+            if (departures.noticeMillis > 0) {
+                schedule(leaves - departures.noticeMillis) {
+                    scheduler.onWorkerListed(fleet.listing(worker, isDraining = true), now)
+                }
+            }
+            schedule(leaves) { fleet.remove(worker, now) }
+            schedule(leaves + UNLIST_MILLIS) { scheduler.onWorkerUnlisted(worker.id) }
+        }
+    }
+
     private fun runScheduler() {
         val startNanos = System.nanoTime()
         val actions = scheduler.step(now, now)
@@ -109,16 +124,17 @@
         when (action) {
             is SchedulerAction.Start -> schedule(CALL_MILLIS) {
                 starts++
-                fleet.start(action.order, load.traitsOf(action.order.task), now / MILLIS)
-                val answer = WorkerAnswer.Done(now, now + CALL_MILLIS)
+                val isGone = fleet.worker(action.order.worker.id).isGone
+                if (!isGone) fleet.start(action.order, load.traitsOf(action.order.task), now)
+                val answer = if (isGone) NOT_SENT else WorkerAnswer.Done(now, now + CALL_MILLIS)
                 schedule(CALL_MILLIS) { scheduler.onStartAnswer(action.order, answer, now) }
             }
 
             is SchedulerAction.Stop -> schedule(CALL_MILLIS) {
                 stops++
                 val worker = fleet.worker(action.order.worker.id)
-                worker.runs[action.order.task]?.let { worker.end(it, RunEnd.STOPPED) }
-                val answer = WorkerAnswer.Done(now, now + CALL_MILLIS)
+                fleet.stop(worker, action.order.task, now)
+                val answer = if (worker.isGone) NOT_SENT else WorkerAnswer.Done(now, now)
                 schedule(CALL_MILLIS) { scheduler.onStopAnswer(action.order, answer, now) }
             }
 
@@ -146,6 +162,10 @@
 
     private fun poll(action: SchedulerAction.Poll, untilMillis: Long) {
         val worker = fleet.worker(action.order.worker.id)
+        if (worker.isGone) {
+            schedule(CALL_MILLIS) { scheduler.onPollAnswer(action.order, NOT_SENT, now) }
+            return
+        }
         val hasUnreportedEnds = worker.ended.any { it.number > action.order.acknowledgedEnd }
         if (!hasUnreportedEnds && now < untilMillis) {
             schedule(1) { poll(action, untilMillis) }
@@ -159,6 +179,7 @@
     }
 
     private companion object {
+        val NOT_SENT = WorkerAnswer.Rejected(RejectReason.NOT_SENT)
         const val MILLIS = 1_000L
         const val TICK_MILLIS = 10
 
@@ -177,6 +198,9 @@
         const val CALL_MILLIS = 1L
         const val RECORD_MILLIS = 5L
         const val PACE_MILLIS = 101L
+
+        /** The time after which the platform no longer lists a worker that has left. */
+        const val UNLIST_MILLIS = 50L
         const val PERCENT = 100.0
     }
 }
--- a/emulator/src/main/kotlin/sycamoremast/emulator/LoadPattern.kt
+++ b/emulator/src/main/kotlin/sycamoremast/emulator/LoadPattern.kt
@@ -49,12 +49,25 @@
     val slowdown: Double = 1.0
 )
 
+/**
+ * The last [count] workers leave one after the other, the first at [fromSecond] and each
+ * [intervalMillis] after the one before, [noticeMillis] after the platform lists it as draining.
+ */
+data class Departures(
+    val count: Int,
+    val fromSecond: Int,
+    val intervalMillis: Long,
+    val noticeMillis: Long
+)
+
 /**
  * A load pattern: a fleet of [workers] and the workflows that arrive within [seconds].
  *
  * [servingReserve] is the share of the fleet's processors that serving tasks reserve; [heavyShare]
- * is the share of image pairs with heavy interference. [tailMillis] is the tail latency of a
- * serving task without load, and [periodSeconds] the period in which its load varies.
+ * is the share of image pairs with heavy interference, and [lightLoad] the load that a neighbour of
+ * any other pair adds by using the whole worker. [tailMillis] is the tail latency of a
+ * serving task without load, and [targetFactor] the ratio of its target to that. Its load, relative
+ * to its reservation, varies by [loadSwing] around [meanLoad] in a period of [periodSeconds].
  */
 data class LoadPattern(
     val name: String,
@@ -66,16 +79,23 @@
     val heavyShare: Double,
     val tailMillis: Double,
     val periodSeconds: Double,
+    val meanLoad: Double = BKTIB_MEAN_LOAD,
+    val loadSwing: Double = BKTIB_LOAD_SWING,
+    val targetFactor: Double = BKTIB_TARGET_FACTOR,
+    val lightLoad: Double = BKTIB_LIGHT_LOAD,
     val seconds: Int = 34,
     val surges: List<Surge> = emptyList(),
-    val faultyWorkers: List<FaultyWorkers> = emptyList()
+    val faultyWorkers: List<FaultyWorkers> = emptyList(),
+    val departures: Departures? = null
 ) {
     /** The tail latency that serving tasks must stay below. */
-    val targetMillis: Double get() = TARGET_FACTOR * tailMillis
+    val targetMillis: Double get() = targetFactor * tailMillis
 
     companion object {
-        /** The users' target as a multiple of the tail latency of a serving task without load. */
-        private const val TARGET_FACTOR = 5.0
+        private const val BKTIB_MEAN_LOAD = 0.52
+        private const val BKTIB_LOAD_SWING = 0.4
+        private const val BKTIB_TARGET_FACTOR = 5.0
+        private const val BKTIB_LIGHT_LOAD = 0.07
 
         /** The ratio of reviews on a heavy day to those on a calm one. */
         private const val HEAVY_DAY = 1.8
@@ -161,6 +181,19 @@
             faultyWorkers = listOf(FaultyWorkers(8, 8, 7, slowdown = 6.5))
         )
 
+        /** The calm day with a third of the workers leaving in turn, seven seconds after a notice. */
+        val rollingDepartures = sharedCalm.copy(
+            name = "rolling-departures",
+            servingReserve = 0.5,
+            departures = Departures(15, fromSecond = 12, intervalMillis = 300, noticeMillis = 7_000)
+        )
+
+        /** The calm day with a third of the workers leaving in turn without notice. */
+        val suddenDepartures = rollingDepartures.copy(
+            name = "sudden-departures",
+            departures = Departures(15, fromSecond = 12, intervalMillis = 300, noticeMillis = 0)
+        )
+
         private val regieKinds = listOf(
             WorkflowKind(
                 queue = "daily-tally",
@@ -214,6 +247,65 @@
             servingReserve = 0.95, heavyShare = 0.35, tailMillis = 25.0, periodSeconds = 20.0
         )
 
+        private val frotherKinds = listOf(
+            WorkflowKind(
+                queue = "diagnosis",
+                priority = 0,
+                ratePerSecond = 2.5,
+                steps = 1.6,
+                width = 6.0,
+                workMillis = 850.0,
+                spread = 0.5,
+                milliCpus = 4_600.0,
+                memoryMib = 9_200,
+                stretch = 1.5,
+                targetLatencyMillis = 250,
+                maxAttempts = 4,
+                failureRate = 0.02
+            ),
+            WorkflowKind(
+                queue = "reconciliation",
+                priority = 2,
+                ratePerSecond = 2.7,
+                steps = 2.0,
+                width = 8.0,
+                workMillis = 2_300.0,
+                spread = 0.5,
+                milliCpus = 7_000.0,
+                memoryMib = 13_000,
+                stretch = 2.0,
+                targetLatencyMillis = 1_000,
+                usesIdleCpu = true,
+                maxAttempts = 2,
+                failureRate = 0.05
+            ),
+            WorkflowKind(
+                queue = "pickup-watch",
+                priority = 0,
+                ratePerSecond = 0.127,
+                steps = 1.0,
+                width = 6.0,
+                workMillis = 0.0,
+                spread = 0.0,
+                milliCpus = 13_000.0,
+                memoryMib = 26_000,
+                stretch = 2.2,
+                targetLatencyMillis = 2_500,
+                isServing = true
+            )
+        )
+
+        /**
+         * Serving tasks reserve nearly all processors, and most batch tasks run longer than a
+         * second beside serving tasks that half of the images would push over their target.
+         */
+        val sharedDense = LoadPattern(
+            "shared-dense", 32, 64_000, 256_000, frotherKinds,
+            servingReserve = 0.93, heavyShare = 0.55, tailMillis = 25.0, periodSeconds = 20.0,
+            meanLoad = 0.48, loadSwing = 0.5, targetFactor = 6.0, lightLoad = 0.17,
+            surges = listOf(Surge("reconciliation", 13, 6, 1.4))
+        )
+
         private val largeKinds = listOf(
             WorkflowKind(
                 queue = "field-check",
@@ -286,7 +378,10 @@
             sharedHeavy,
             failingWorkers,
             slowWorkers,
+            rollingDepartures,
+            suddenDepartures,
             servingCrowd,
+            sharedDense,
             largeFleet,
             scaledLargeFleet(factor = 4),
             scaledLargeFleet(factor = 16)
--- a/emulator/src/main/kotlin/sycamoremast/emulator/Outcome.kt
+++ b/emulator/src/main/kotlin/sycamoremast/emulator/Outcome.kt
@@ -6,13 +6,15 @@
  *
  * [servingShare] is the share of the serving tasks' time under the target tail latency, less a
  * penalty for the time over it; [longestOverTargetMillis] is the longest uninterrupted time that
- * one of them was over it. [paceOrders], [stops], [polls] and [starts] count the scheduler's calls.
+ * one of them was over it, and [longestOffMillis] the longest time that one was off between two runs.
+ * [paceOrders], [stops], [polls] and [starts] count the scheduler's calls.
  * [examinedWorkers] is the number of workers that placement examined, summed over all attempts.
  */
 data class Outcome(
     val queues: Map<String, QueueOutcome>,
     val servingShare: Double,
     val longestOverTargetMillis: Long,
+    val longestOffMillis: Long,
     val paceOrders: Int,
     val stops: Int,
     val polls: Int,
--- a/emulator/src/test/kotlin/sycamoremast/emulator/EmulationTest.kt
+++ b/emulator/src/test/kotlin/sycamoremast/emulator/EmulationTest.kt
@@ -5,6 +5,7 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThan
+import sycamoremast.coordination.workflow.SchedulerSettings
 
 /** The bounds follow the users' rules: no tail over its target for 4 s, and work in time. */
 class EmulationTest {
@@ -64,6 +65,20 @@
         expectThat(share(outcomes(LoadPattern.slowWorkers), "cert-review")).isGreaterThan(0.8)
     }
 
+    @Test
+    fun `moves serving tasks off departing workers within a second in rolling departures`() {
+        val outcomes = outcomes(LoadPattern.rollingDepartures)
+        expectThat(outcomes.maxOf { it.longestOffMillis }).isLessThan(1_000)
+        expectThat(share(outcomes, "cert-review")).isGreaterThan(0.9)
+    }
+
+    @Test
+    fun `restarts serving tasks half a second after their lease in sudden departures`() {
+        val outcomes = outcomes(LoadPattern.suddenDepartures)
+        val lapsedMillis = SchedulerSettings().lapsedBy(sentMillis = 0)
+        expectThat(outcomes.maxOf { it.longestOffMillis }).isLessThan(lapsedMillis + 500)
+    }
+
     @Test
     fun `returns the same outcome for the same seed`() {
         expectThat(Emulation(LoadPattern.sharedCalm, 7).run())
