Order waiting workflows by benefit for each core-second, late ones after the others

Cause: within a priority the earliest objective came first, also one long past, so that under overload every job waited behind those that could no longer be on time.

Change: benefit (0.3 of the mean job's size plus 0.7 of its own) for each core-second still needed, times 0.15 if late and 0.05 if very late. Nearly completed jobs come first; size alone hardly counts.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/OpenWorkflow.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/OpenWorkflow.kt
@@ -33,7 +33,24 @@
 
     val objectiveMillis: Long =
         acceptedMillis + spec.queue.targetLatencyMillis +
-            (criticalPathMillis() * stretchFactor()).toLong()
+            (criticalPathMillis { _, step -> step.estimateMillis } * spec.queue.stretch).toLong()
+
+    /** The CPU time that all tasks of one occurrence take, by their estimates. */
+    val totalCoreMillis: Double = spec.steps.sumOf { coreMillis(it, it.taskCount) }
+
+    /** Returns the CPU time that tasks which are not done take, by their estimates. */
+    fun remainingCoreMillis(): Double =
+        steps().sumOf { coreMillis(it.spec, it.tasks.size - it.doneCount) }
+
+    private fun coreMillis(step: WorkflowStep, taskCount: Int): Double =
+        taskCount * step.estimateMillis * step.demand.milliCpus / MILLIS_PER_CORE
+
+    /** Returns how long the workflow takes from now on if no task has to wait for a worker. */
+    fun remainingMillis(): Long = occurrences.maxOfOrNull { occurrence ->
+        criticalPathMillis { i, step ->
+            if (occurrence.steps[i].isDone) 0 else step.estimateMillis
+        }
+    } ?: criticalPathMillis { _, step -> step.estimateMillis }
 
     fun end(final: WorkflowPhase, unixMillis: Long) {
         phase = final
@@ -110,17 +127,20 @@
         for (step in steps()) for (task in step.tasks) value(task)?.let { put(task.key, it) }
     }
 
-    private fun stretchFactor() = spec.queue.stretch
-
-    private fun criticalPathMillis(): Long {
+    /** Returns the length of the longest chain of steps, each of which takes [millis]. */
+    private fun criticalPathMillis(millis: (Int, WorkflowStep) -> Long): Long {
         val finishMillis = LongArray(spec.steps.size)
         for ((i, step) in spec.steps.withIndex()) {
             val startMillis =
                 step.after.filter { it in 0 until i }.maxOfOrNull { finishMillis[it] } ?: 0L
-            finishMillis[i] = startMillis + step.estimateMillis
+            finishMillis[i] = startMillis + millis(i, step)
         }
         return finishMillis.max()
     }
+
+    private companion object {
+        const val MILLIS_PER_CORE = 1_000.0
+    }
 }
 
 /** Occurrence [number] of [workflow]. */
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -309,7 +309,8 @@
         nextPlacementMillis = nowMillis + PLACEMENT_RETRY_MILLIS
         val isReconciled = fleet.isFleetReconciled()
         fleet.openWorkflows.forEach { it.addDueOccurrences(unixMillis) }
-        val order = fleet.openWorkflows.filter { it.hasReadyTasks }.sortedWith(PLACEMENT_ORDER)
+        val order = PlacementOrder(nowMillis)
+            .sorted(fleet.openWorkflows.filter { it.hasReadyTasks })
         starter.beginRound()
         for (workflow in order) {
             if (workflow.isRecovered && !isReconciled) continue
@@ -328,16 +329,6 @@
         /** Much shorter than the seconds that a long-running task may take to start. */
         const val SETTLE_MILLIS = 250L
 
-        /**
-         * Long-running tasks come after short ones, which would otherwise wait for them forever.
-         */
-        val PLACEMENT_ORDER = compareBy<OpenWorkflow>(
-            { it.queue.priority },
-            { it.isLongRunning },
-            { if (it.isLongRunning) it.spec.steps.first().image else "" },
-            { it.objectiveMillis }
-        )
-
         /** How often leases, stops and stuck runs are checked; all their timeouts are longer. */
         const val MAINTENANCE_INTERVAL_MILLIS = 20L
 
--- /dev/null
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/PlacementOrderTest.kt
@@ -0,0 +1,70 @@
+package sycamoremast.coordination.workflow
+
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import sycamoremast.coordination.Resources
+
+class PlacementOrderTest {
+    private fun workflow(
+        id: String,
+        acceptedMillis: Long = NOW_MILLIS,
+        tasks: Int = 8,
+        doneTasks: Int = 0,
+        priority: Int = 0,
+        isLongRunning: Boolean = false
+    ): OpenWorkflow {
+        val step = WorkflowStep(
+            tasks,
+            Resources(1_000, 1_000),
+            estimateMillis = 2_000,
+            isLongRunning = isLongRunning
+        )
+        val queue = QueuePolicy("queue$priority", "service", priority, targetLatencyMillis = 1_000)
+        val spec = Workflow(id, queue, "", listOf(step), submittedMillis = acceptedMillis)
+        return OpenWorkflow(spec, isRecovered = false, acceptedMillis).apply {
+            addDueOccurrences(acceptedMillis)
+            steps().single().tasks.take(doneTasks).forEach { it.markDone() }
+        }
+    }
+
+    private fun order(vararg workflows: OpenWorkflow) =
+        PlacementOrder(NOW_MILLIS).sorted(workflows.toList()).map { it.id }
+
+    @Test
+    fun `workflows of a more urgent queue come first`() {
+        val urgent = workflow("urgent", priority = 0)
+        expectThat(order(workflow("other", priority = 2, doneTasks = 7), urgent))
+            .containsExactly("urgent", "other")
+    }
+
+    @Test
+    fun `long-running workflows come after others of their priority`() {
+        expectThat(order(workflow("serving", isLongRunning = true), workflow("short")))
+            .containsExactly("short", "serving")
+    }
+
+    @Test
+    fun `workflows that can be on time come before late ones`() {
+        val late = workflow("late", acceptedMillis = NOW_MILLIS - 5_000)
+        val overdue = workflow("overdue", acceptedMillis = NOW_MILLIS - 60_000)
+        expectThat(order(overdue, late, workflow("fresh")))
+            .containsExactly("fresh", "late", "overdue")
+    }
+
+    @Test
+    fun `nearly completed workflows come before fresh ones`() {
+        expectThat(order(workflow("fresh"), workflow("nearlyDone", doneTasks = 6)))
+            .containsExactly("nearlyDone", "fresh")
+    }
+
+    @Test
+    fun `a late workflow that lacks one task does not wait for fresh ones`() {
+        val late = workflow("late", acceptedMillis = NOW_MILLIS - 5_000, tasks = 16, doneTasks = 15)
+        expectThat(order(workflow("fresh"), late)).containsExactly("late", "fresh")
+    }
+
+    private companion object {
+        const val NOW_MILLIS = 100_000L
+    }
+}
