Admit neighbours of serving tasks by a forecast over their run, and record what is learned

Placement looked 0.7 s ahead, weighed a heavy pair like a light one, and started many tasks of an image before the first showed its effect.

The record: 512 pairs at most, unreadable ones are logged and learned anew. Tests by pattern: shared-dense, shared-overload, fleets unlike the sites (EmulationTest), NeighbourAdmissionTest, HeadroomForecastTest (8, 20, 60 s), SwingFilterTest, TailModelTest, OwnershipTest.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/ColocationController.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/ColocationController.kt
@@ -9,8 +9,11 @@
  */
 package sycamoremast.coordination.workflow
 
-internal class ColocationController(private val fleet: Fleet) {
-    private val model = TailModel()
+internal class ColocationController(
+    private val fleet: Fleet,
+    private val model: TailModel,
+    private val forecast: HeadroomForecast
+) {
     private val baselines = HashMap<OpenStep, Baseline>()
 
     private class Baseline(var headroom: Double, var slopePerMilli: Double, var atMillis: Long)
@@ -23,57 +26,21 @@
         for (placement in serving) {
             val headroom = placement.headroomOrNull ?: continue
             val image = placement.task.step.spec.image
-            val unloaded = headroom + model.cost(image, covered)
+            val cost = model.cost(image, covered)
+            val unloaded = headroom + cost
+            forecast.onReading(placement.task.step, unloaded, trust(cost), nowMillis)
             val baseline = updateBaseline(placement.task.step, unloaded, covered, nowMillis)
             model.observe(image, covered, baseline - headroom)
         }
         adjustPaces(worker, nowMillis)
     }
 
-    /**
-     * Whether no serving task on [worker] would slow notably if [extra] joined its neighbours.
-     *
-     * The estimates are not trusted while a serving task on the worker stays over its target.
-     */
-    fun isHarmless(worker: FleetWorker, extra: WorkflowStep, nowMillis: Long): Boolean {
-        if (isUnexplained(worker, nowMillis)) return false
-        val share = extra.demand.milliCpus.toDouble() / worker.capacity.milliCpus
-        val present = worker.colocation.shares
-        return worker.colocation.images.all {
-            val added = model.effect(it, extra.image) * share
-            added <= NEGLIGIBLE_COST && model.cost(it, present) + added <= MAX_HARMLESS_COST
-        }
-    }
-
-    /**
-     * Returns the lowest headroom on [worker] with [extra] added, or null without serving tasks.
-     */
-    fun headroomWithOrNull(worker: FleetWorker, extra: WorkflowStep, nowMillis: Long): Double? {
-        if (worker.servingCount == 0) return null
-        if (nowMillis < worker.noSharingBeforeMillis) return 0.0
-        val shares = worker.colocation.shares.toMutableMap()
-        val share = extra.demand.milliCpus.toDouble() / worker.capacity.milliCpus
-        shares.merge(extra.image, share, Double::plus)
-        return minHeadroom(worker, shares, nowMillis)
-    }
-
-    private fun minHeadroom(
-        worker: FleetWorker,
-        shares: Map<String, Double>,
-        nowMillis: Long
-    ): Double =
-        worker.colocation.serving.minOfOrNull { predictedHeadroom(it.task.step, shares, nowMillis) }
-            ?: UNCONSTRAINED_HEADROOM
-
-    private fun predictedHeadroom(
-        step: OpenStep,
-        shares: Map<String, Double>,
-        nowMillis: Long
-    ): Double {
-        val baseline = baselines[step] ?: return UNKNOWN_HEADROOM
+    /** Returns the headroom of [step] without neighbours shortly after now, or null if unknown. */
+    fun baselineOrNull(step: OpenStep, nowMillis: Long): Double? {
+        val baseline = baselines[step] ?: return null
         val ahead = nowMillis - baseline.atMillis + LOOK_AHEAD_MILLIS
         val change = (baseline.slopePerMilli * ahead).coerceIn(-MAX_PREDICTED_CHANGE, 0.0)
-        return baseline.headroom + change - model.cost(step.spec.image, shares)
+        return baseline.headroom + change
     }
 
     /**
@@ -154,8 +121,11 @@
         }
     }
 
+    /** Returns the weight of a reading of which neighbours take [cost], by the model's estimate. */
+    private fun trust(cost: Double) = 1 / (1 + cost * COST_DISTRUST)
+
     /** Whether a task on [worker] is over its target for longer than the estimates can explain. */
-    private fun isUnexplained(worker: FleetWorker, nowMillis: Long) =
+    fun isUnexplained(worker: FleetWorker, nowMillis: Long) =
         isOverTargetFor(worker, MAX_EXPLAINED_MILLIS, nowMillis)
 
     private fun isOverTargetFor(worker: FleetWorker, millis: Long, nowMillis: Long) =
@@ -234,7 +204,10 @@
 
     /** Removes the baselines of the steps of [workflow], which has ended. */
     fun removeBaselines(workflow: OpenWorkflow) {
-        workflow.steps().forEach { baselines -= it }
+        workflow.steps().forEach {
+            baselines -= it
+            forecast.remove(it)
+        }
     }
 
     private fun Placement.hasSteadyReadings(nowMillis: Long) = task.step.spec.isServing &&
@@ -248,9 +221,8 @@
         /** Below this headroom, a tail latency may exceed its target before the next reading. */
         const val MIN_HEADROOM = 1.05
 
-        /** Headroom that one neighbour, or all on a worker, may cost without a notable effect. */
-        private const val NEGLIGIBLE_COST = 0.1
-        private const val MAX_HARMLESS_COST = 0.35
+        /** Headroom that a neighbour may cost without a notable effect. */
+        const val NEGLIGIBLE_COST = 0.1
 
         /**
          * How long a task is over its target before neighbours are stopped or halted.
@@ -258,7 +230,7 @@
          * Within one or two readings, noise and peaks of its own load pass, which costs less than
          * restarted runs.
          */
-        private const val RELIEF_DELAY_MILLIS = 700L
+        private const val RELIEF_DELAY_MILLIS = 300L
 
         /** Half of the time that users accept for a tail latency over its target. */
         private const val MAX_EXPLAINED_MILLIS = 2_000L
@@ -271,8 +243,8 @@
         /** Headroom assumed where no serving task has a reading. */
         const val UNCONSTRAINED_HEADROOM = 5.0
 
-        /** Headroom assumed for a serving step that has no reading yet. */
-        const val UNKNOWN_HEADROOM = 1.6
+        /** How fast a reading loses weight with the cost of the neighbours in it. */
+        private const val COST_DISTRUST = 3.0
 
         /** A reading is an average over 500 ms, and arrives a little later. */
         private const val READING_SPAN_MILLIS = 700L
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
@@ -8,7 +8,7 @@
 
 import sycamoremast.coordination.Resources
 
-internal class Placer(private val fleet: Fleet, private val colocation: ColocationController) {
+internal class Placer(private val fleet: Fleet, private val neighbours: NeighbourAdmission) {
     private val unplaceableShapes = ArrayList<TaskShape>()
     private var cursor = 0
 
@@ -153,8 +153,7 @@
         var score = when {
             spec.isServing -> servingScore(worker, spec, spare)
             spec.usesIdleCpu ->
-                spare +
-                    (interferenceScoreOrNull(worker, spec, nowMillis) ?: return null)
+                spare + (neighbours.scoreOrNull(worker, spec, nowMillis) ?: return null)
             worker.servingCount > 0 -> PACKING_BONUS + spare
             else -> spare
         }
@@ -181,17 +180,6 @@
         return if (isOneImage) PACKING_BONUS + tightness else alike / serving.size.toDouble()
     }
 
-    private fun interferenceScoreOrNull(
-        worker: FleetWorker,
-        spec: WorkflowStep,
-        nowMillis: Long
-    ): Double? {
-        val headroom = colocation.headroomWithOrNull(worker, spec, nowMillis) ?: return 1.0
-        if (colocation.isHarmless(worker, spec, nowMillis)) return HARMLESS_SCORE
-        if (headroom < ColocationController.TARGET_HEADROOM) return null
-        return minOf(headroom / SUFFICIENT_HEADROOM, 1.0) * HEADROOM_WEIGHT
-    }
-
     private companion object {
         /**
          * Short urgent tasks take about 5% of the CPU of the Regie deployment, twice that at peak.
@@ -206,9 +194,6 @@
         /** Number of eligible workers to compare; a larger sample gains little. */
         const val MAX_COMPARED_WORKERS = 48
 
-        /** Headroom above which a worker scores no better. */
-        const val SUFFICIENT_HEADROOM = 2.0
-
         /**
          * Serving tasks use about half of the CPU that they reserve, averaged over a load cycle.
          */
@@ -217,8 +202,6 @@
         /** Weights relative to the idle share of a worker; only their order matters. */
         const val PACKING_BONUS = 2.0
         const val TIGHTNESS_WEIGHT = 0.5
-        const val HARMLESS_SCORE = 0.95
-        const val HEADROOM_WEIGHT = 0.6
         const val DATA_LOCALITY_BONUS = 5.0
         const val FAILURE_PENALTY = 10.0
     }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
@@ -6,7 +6,7 @@
  */
 package sycamoremast.coordination.workflow
 
-internal class Recorder(private val fleet: Fleet) {
+internal class Recorder(private val fleet: Fleet, private val tails: TailModel) {
     private val changed = LinkedHashSet<OpenWorkflow>()
     private val pendingEnds = LinkedHashMap<FleetWorker, ArrayDeque<PendingEnd>>()
     private var lastChange = 0L
@@ -16,6 +16,9 @@
     private var lastCountMillis = Long.MIN_VALUE / 2
     private var recordedWaiting: Map<String, Int>? = null
     private var newWaiting: Map<String, Int>? = null
+    private var lastInterferenceMillis = Long.MIN_VALUE / 2
+    private var recordedReadings = 0L
+    private var newInterference: InterferenceRecord? = null
 
     /** The state of a workflow that a batch contains. */
     private class RecordedWorkflow(val workflow: OpenWorkflow) {
@@ -57,10 +60,12 @@
     }
 
     /** Adds the next batch to the outbox if one is due. */
-    fun step(nowMillis: Long) {
+    fun step(nowMillis: Long, unixMillis: Long) {
         if (inFlight != null) return
         updateWaitingCounts(nowMillis)
-        if (changed.isEmpty() && !hasRosterChanged && newWaiting == null) return
+        updateInterference(nowMillis, unixMillis)
+        val isUnchanged = changed.isEmpty() && !hasRosterChanged && newWaiting == null
+        if (isUnchanged && newInterference == null) return
         if (nowMillis < dueMillis()) return
         lastBatchMillis = nowMillis
         sendBatch()
@@ -72,6 +77,14 @@
         newWaiting = fleet.waitingByQueue().takeIf { it != recordedWaiting }
     }
 
+    private fun updateInterference(nowMillis: Long, unixMillis: Long) {
+        if (tails.readingCount == recordedReadings) return
+        if (nowMillis < lastInterferenceMillis + INTERFERENCE_INTERVAL_MILLIS) return
+        lastInterferenceMillis = nowMillis
+        recordedReadings = tails.readingCount
+        newInterference = tails.record(unixMillis)
+    }
+
     /** Returns when the next batch is due, or null if there is none to send. */
     fun dueMillisOrNull(): Long? =
         if (inFlight != null || (changed.isEmpty() && !hasRosterChanged)) null else dueMillis()
@@ -90,8 +103,10 @@
         inFlight = BatchInFlight(batch.map(::RecordedWorkflow), roster?.toSet())
         val progress = batch.associate { it.id to it.progress() }
         newWaiting?.let { recordedWaiting = it }
-        fleet.outbox += SchedulerAction.Record(RecordBatch(progress, roster, newWaiting))
+        val records = RecordBatch(progress, roster, newWaiting, interference = newInterference)
+        fleet.outbox += SchedulerAction.Record(records)
         newWaiting = null
+        newInterference = null
     }
 
     /** Marks the batch in flight as durable; returns the workflows that it contained. */
@@ -127,5 +142,8 @@
          * Callers may see counts of waiting workflows that are 2 s old; this takes up half of that.
          */
         const val COUNT_INTERVAL_MILLIS = 1_000L
+
+        /** A successor loses what was learned since then; each record has some kilobytes. */
+        const val INTERFERENCE_INTERVAL_MILLIS = 2_000L
     }
 }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunMaintenance.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunMaintenance.kt
@@ -102,7 +102,11 @@
         worker.lastPollMillis = nowMillis
         val acknowledged = if (isIncarnationKnown) worker.recordedEnd else 0
         if (isIncarnationKnown) worker.acknowledgedEnd = acknowledged
-        if (leaseEnd != null) worker.recordLease(fleet.settings.lapsedBy(nowMillis, worker.listing.isDraining))
+        if (leaseEnd !=
+            null
+        ) {
+            worker.recordLease(fleet.settings.lapsedBy(nowMillis, worker.listing.isDraining))
+        }
         val isShared = worker.servingCount > 0 && worker.opportunisticMilliCpus > 0
         val maxWait = if (isShared) SHARED_POLL_MILLIS else fleet.settings.pollWaitMillis
         val wait = if (mayWait) maxWait else 0
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerAction.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerAction.kt
@@ -26,7 +26,8 @@
 }
 
 /**
- * The records to write in one transaction; a null [roster] or [waiting] has not changed.
+ * The records to write in one transaction; a null [roster], [waiting] or [interference] has not
+ * changed.
  *
  * [waiting] is the number of workflows without a started task, by queue. [leasesLeft] is written
  * with the last roster in a planned handover: the longest remaining time of each worker's lease in
@@ -36,7 +37,8 @@
     val progress: Map<String, WorkflowProgress>,
     val roster: List<WorkerRef>?,
     val waiting: Map<String, Int>?,
-    val leasesLeft: Map<String, Long>? = null
+    val leasesLeft: Map<String, Long>? = null,
+    val interference: InterferenceRecord? = null
 )
 
 /** A decision or an observed change, for the log, with the inputs that led to it. */
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Starter.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Starter.kt
@@ -3,7 +3,11 @@
  */
 package sycamoremast.coordination.workflow
 
-internal class Starter(private val fleet: Fleet, private val placer: Placer) {
+internal class Starter(
+    private val fleet: Fleet,
+    private val placer: Placer,
+    private val neighbours: NeighbourAdmission
+) {
     /** Begins a round of placement, in which capacity only shrinks. */
     fun beginRound() = placer.beginRound()
 
@@ -46,6 +50,7 @@
         val placement = Placement(task, worker, run, nowMillis)
         worker.add(placement)
         task.place(placement)
+        neighbours.onPlaced(placement)
         return placement
     }
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/TailModel.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/TailModel.kt
@@ -9,6 +9,9 @@
  */
 package sycamoremast.coordination.workflow
 
+/** The images of a serving task and of a neighbour. */
+internal data class ImagePair(val serving: String, val neighbour: String)
+
 /** Estimates the effects of neighbours with a Kalman filter: a mean and a variance per pair. */
 internal class TailModel {
     private class Estimate {
@@ -16,23 +19,98 @@
         var variance = PRIOR_VARIANCE
     }
 
-    private val pairs = HashMap<Pair<String, String>, Estimate>()
+    /** By the image of the serving task, then of the neighbour. */
+    private val effects = HashMap<String, HashMap<String, Estimate>>()
+    private val neighbours = LinkedHashSet<String>()
+    private val tolerances = HashMap<Set<String>, Double>()
+    private var tolerancesUntilMillis = Long.MIN_VALUE
 
     /** Returns the headroom that [neighbour] would cost [serving] if it used the whole worker. */
     fun effect(serving: String, neighbour: String): Double =
-        pairs[serving to neighbour]?.mean ?: PRIOR_EFFECT
+        effects[serving]?.get(neighbour)?.mean ?: PRIOR_EFFECT
+
+    /** Whether too few readings of [pair] exist to tell a heavy effect from a light one. */
+    fun isUncertain(pair: ImagePair): Boolean = variance(pair) > UNCERTAIN_VARIANCE
+
+    private fun variance(pair: ImagePair) =
+        effects[pair.serving]?.get(pair.neighbour)?.variance ?: PRIOR_VARIANCE
+
+    /** The number of readings so far, by which a change of the estimates shows. */
+    var readingCount = 0L
+        private set
+
+    /** Returns the most certain estimates, as a record for the next owner. */
+    fun record(unixMillis: Long): InterferenceRecord {
+        val known = effects.flatMap { (serving, byNeighbour) ->
+            byNeighbour.map { (neighbour, it) ->
+                PairEffect(serving, neighbour, it.mean, it.variance)
+            }
+        }
+        return InterferenceRecord(
+            known.sortedBy { it.variance }.take(MAX_RECORDED_PAIRS),
+            unixMillis
+        )
+    }
+
+    /**
+     * Adds the estimates of [record] for pairs without readings; returns how many were added.
+     *
+     * They are the less certain the older they are. Estimates that are no valid numbers are left
+     * out.
+     */
+    fun restore(record: InterferenceRecord, unixMillis: Long): Int {
+        val ageMillis = (unixMillis - record.writtenUnixMillis).coerceIn(0, MAX_AGE_MILLIS)
+        val valid = record.effects.take(MAX_RECORDED_PAIRS)
+            .filter { it.effect in 0.0..MAX_EFFECT && it.variance in 0.0..PRIOR_VARIANCE }
+            .filter { effects[it.serving]?.containsKey(it.neighbour) != true }
+        for (pair in valid) {
+            val estimate = Estimate().apply {
+                mean = pair.effect
+                variance = minOf(
+                    pair.variance + ageMillis * VARIANCE_PER_MILLI_OF_AGE,
+                    PRIOR_VARIANCE
+                )
+            }
+            effects.getOrPut(pair.serving) { HashMap() }[pair.neighbour] = estimate
+            neighbours += pair.neighbour
+        }
+        return valid.size
+    }
+
+    /** Returns the share of the known neighbours' images that slow none of [serving] notably. */
+    fun tolerance(serving: Set<String>, nowMillis: Long): Double {
+        if (neighbours.isEmpty()) return 1.0
+        if (nowMillis >= tolerancesUntilMillis) {
+            tolerances.clear()
+            tolerancesUntilMillis = nowMillis + TOLERANCE_UPDATE_MILLIS
+        }
+        return tolerances.getOrPut(serving) {
+            val tolerated = neighbours.count { other ->
+                serving.all { effect(it, other) <= MAX_LIGHT_EFFECT }
+            }
+            tolerated.toDouble() / neighbours.size
+        }
+    }
 
     /** Returns the headroom that neighbours with these [shares] of a worker cost [serving]. */
-    fun cost(serving: String, shares: Map<String, Double>): Double =
-        shares.entries.sumOf { (image, share) -> effect(serving, image) * share }
+    fun cost(serving: String, shares: Map<String, Double>): Double {
+        if (shares.isEmpty()) return 0.0
+        val ofServing = effects[serving]
+        return shares.entries.sumOf { (image, share) ->
+            (ofServing?.get(image)?.mean ?: PRIOR_EFFECT) * share
+        }
+    }
 
     /**
      * Updates the estimates from a reading: neighbours with [shares] cost [serving] this [loss].
      */
     fun observe(serving: String, shares: Map<String, Double>, loss: Double) {
+        val ofServing = effects.getOrPut(serving) { HashMap() }
         val known = shares.filterValues { it > 0.0 }
-            .mapValues { pairs.getOrPut(serving to it.key) { Estimate() } }
+            .mapValues { ofServing.getOrPut(it.key) { Estimate() } }
         if (known.isEmpty()) return
+        readingCount++
+        neighbours += known.keys
         val error = loss - cost(serving, shares)
         val spread = NOISE_VARIANCE + known.entries.sumOf { (image, estimate) ->
             estimate.variance * shares.getValue(image).let { it * it }
@@ -51,6 +129,20 @@
         const val PRIOR_VARIANCE = 9.0
         const val MAX_EFFECT = 30.0
 
+        /** An effect of which a neighbour on a tenth of a worker takes a fifth of the target. */
+        const val MAX_LIGHT_EFFECT = 2.0
+
+        /** Above this variance, the estimate may be wrong by the effect of a heavy pair. */
+        const val UNCERTAIN_VARIANCE = 4.0
+        const val TOLERANCE_UPDATE_MILLIS = 500L
+
+        /** Bounds the record to about 40 KB. */
+        const val MAX_RECORDED_PAIRS = 512
+
+        /** An estimate is as uncertain as an unknown one after about ten minutes. */
+        const val MAX_AGE_MILLIS = 600_000L
+        const val VARIANCE_PER_MILLI_OF_AGE = PRIOR_VARIANCE / MAX_AGE_MILLIS
+
         /** Variance of a reading of headroom that the model does not explain, on BKTIB. */
         const val NOISE_VARIANCE = 0.2
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -12,11 +12,14 @@
 /** Schedules workflows on the workers of one set, as the owner with [epoch]. */
 class WorkflowScheduler(epoch: Long, settings: SchedulerSettings) {
     private val fleet = Fleet(epoch, settings)
-    private val recorder = Recorder(fleet)
-    private val colocation = ColocationController(fleet)
+    private val tails = TailModel()
+    private val recorder = Recorder(fleet, tails)
+    private val forecast = HeadroomForecast()
+    private val colocation = ColocationController(fleet, tails, forecast)
     private val tracker = RunTracker(fleet, recorder, colocation)
-    private val placer = Placer(fleet, colocation)
-    private val starter = Starter(fleet, placer)
+    private val neighbours = NeighbourAdmission(tails, forecast, colocation)
+    private val placer = Placer(fleet, neighbours)
+    private val starter = Starter(fleet, placer, neighbours)
     private val evacuation = Evacuation(fleet, placer)
     private val maintenance = RunMaintenance(fleet, tracker)
     private val pendingCancels = HashSet<String>()
@@ -152,6 +155,17 @@
         fleet.add(worker)
     }
 
+    /** Adds what an earlier owner has learned about interference between tasks. */
+    fun restoreInterference(record: InterferenceRecord, unixMillis: Long) {
+        val restored = tails.restore(record, unixMillis)
+        fleet.log(
+            "interference-restored",
+            "epoch-${fleet.epoch}",
+            "pairs" to restored,
+            "ageMillis" to unixMillis - record.writtenUnixMillis
+        )
+    }
+
     /** Applies the current policies by queue; a workflow of a queue without one keeps its own. */
     fun updateQueuePolicies(queues: Map<String, QueuePolicy>) {
         for (workflow in fleet.openWorkflows) {
@@ -234,7 +248,7 @@
         ) {
             placeWaiting(nowMillis, unixMillis)
         }
-        recorder.step(nowMillis)
+        recorder.step(nowMillis, unixMillis)
         maintenance.poll(nowMillis)
         val actions = fleet.outbox.toList()
         fleet.outbox.clear()
@@ -242,13 +256,14 @@
     }
 
     /** Returns the batch to record for the next owner if no order is sent after [nowMillis]. */
-    fun handoverBatch(nowMillis: Long): RecordBatch {
+    fun handoverBatch(nowMillis: Long, unixMillis: Long): RecordBatch {
         val workers = fleet.workers.values
         return RecordBatch(
             progress = emptyMap(),
             roster = workers.map { it.ref },
             waiting = null,
-            leasesLeft = workers.associate { it.id to it.remainingLeaseMillis(nowMillis) }
+            leasesLeft = workers.associate { it.id to it.remainingLeaseMillis(nowMillis) },
+            interference = tails.record(unixMillis)
         )
     }
 
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
@@ -14,6 +14,7 @@
 import sycamoremast.coordination.StoreError
 import sycamoremast.coordination.StoreListing
 import sycamoremast.coordination.TransactionalStore
+import sycamoremast.coordination.workflow.InterferenceRecord
 import sycamoremast.coordination.workflow.RunPort
 import sycamoremast.coordination.workflow.SchedulerSettings
 import sycamoremast.coordination.workflow.WorkflowProgress
@@ -95,9 +96,11 @@
         val roster = store.get(WorkflowKeys.roster(set)).bind()
         val progress = store.list(WorkflowKeys.progress(set)).bind().entries
             .associate { WorkflowKeys.idOf(it.key) to readProgress(it).bind() }
+        val interference = store.get(WorkflowKeys.interference(set)).bind()
         val work = store.list(WorkflowKeys.WORK).bind()
         workers.onListing(listed)
         roster?.let { decodeRecordOrNull<RosterRecord>(it.value) }?.let { next.addRoster(it, term) }
+        interference?.let { restoreInterference(next, it) }
         val feed = WorkflowFeed(next, set, term, log, progress)
         feed.onListing(work)
         progress.size
@@ -122,6 +125,13 @@
         }
     }
 
+    /** Passes on what [entry] holds; a scheduler without it learns anew. */
+    private fun restoreInterference(next: SchedulerLoop, entry: StoreEntry) {
+        val record = decodeRecordOrNull<InterferenceRecord>(entry.value)
+        if (record != null) return next.restoreInterference(record)
+        log.add("interference-unreadable", "key" to entry.key, "version" to entry.version)
+    }
+
     /**
      * Returns the progress that [entry] holds, or an error that ends the term: a workflow with
      * unreadable progress must not start over.
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/RecordWriter.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/RecordWriter.kt
@@ -62,6 +62,9 @@
         batch.waiting?.let {
             puts += StorePut(WorkflowKeys.waiting(set), encodeRecord(WaitingRecord(it)))
         }
+        batch.interference?.let {
+            puts += StorePut(WorkflowKeys.interference(set), encodeRecord(it))
+        }
         return StoreTransaction(mapOf(WorkflowKeys.epoch(set) to epochRevision), puts)
     }
 
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
@@ -12,6 +12,7 @@
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit.MILLISECONDS
 import sycamoremast.coordination.MonotonicClock
+import sycamoremast.coordination.workflow.InterferenceRecord
 import sycamoremast.coordination.workflow.QueuePolicy
 import sycamoremast.coordination.workflow.RecordBatch
 import sycamoremast.coordination.workflow.RunPort
@@ -87,6 +88,11 @@
         scheduler.addRosteredWorker(worker, lapsedByMillis)
     }
 
+    /** Adds what an earlier owner has learned about interference between tasks. */
+    fun restoreInterference(record: InterferenceRecord) = enqueue {
+        scheduler.restoreInterference(record, unixMillis())
+    }
+
     fun updatePolicies(queues: Map<String, QueuePolicy>) = enqueue {
         scheduler.updateQueuePolicies(queues)
     }
@@ -205,7 +211,7 @@
     private fun handOver(limitMillis: Long) {
         val deadlineMillis = nowMillis() + limitMillis
         try {
-            val isRecorded = writer.write(scheduler.handoverBatch(nowMillis())) {
+            val isRecorded = writer.write(scheduler.handoverBatch(nowMillis(), unixMillis())) {
                 nowMillis() < deadlineMillis
             }
             log.add("handed-over", "isRecorded" to isRecorded)
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowKeys.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowKeys.kt
@@ -31,4 +31,6 @@
     fun roster(set: Int) = "${ROOT}roster/$set"
 
     fun waiting(set: Int) = "${ROOT}waiting/$set"
+
+    fun interference(set: Int) = "${ROOT}interference/$set"
 }
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/OwnershipTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/OwnershipTest.kt
@@ -19,7 +19,9 @@
 import sycamoremast.coordination.StoreEntry
 import sycamoremast.coordination.StorePut
 import sycamoremast.coordination.StoreTransaction
+import sycamoremast.coordination.workflow.InterferenceRecord
 import sycamoremast.coordination.workflow.PaceOrder
+import sycamoremast.coordination.workflow.PairEffect
 import sycamoremast.coordination.workflow.PollOrder
 import sycamoremast.coordination.workflow.QueuePolicy
 import sycamoremast.coordination.workflow.RunPort
@@ -112,6 +114,31 @@
         }
     }
 
+    @Test
+    fun `begins a term although what was learned about interference can't be read`() {
+        put(OneWorkerCatalog.workersPrefix + "w1", "")
+        put(WorkflowKeys.interference(0), "unreadable")
+        accept("job")
+        ownership.onBegin(claim(1))
+        runs.awaitStart("job")
+        expectThat(store.entries.getValue(WorkflowKeys.interference(0)).value)
+            .isEqualTo("unreadable")
+    }
+
+    @Test
+    fun `hands over what was learned about interference from owner to owner`() {
+        val learned = InterferenceRecord(listOf(PairEffect("a", "b", 9.0, 0.5)), 1)
+        put(OneWorkerCatalog.workersPrefix + "w1", "")
+        put(WorkflowKeys.interference(0), encodeRecord(learned))
+        ownership.onBegin(claim(1))
+        accept("job")
+        runs.awaitStart("job")
+        ownership.onEnd(Ownership.SHUTDOWN)
+        val text = store.entries.getValue(WorkflowKeys.interference(0)).value
+        expectThat(decodeRecordOrNull<InterferenceRecord>(text)).isNotNull()
+            .get { effects.single().effect }.isEqualTo(9.0)
+    }
+
     @Test
     fun `does not wait for a lost worker with no lease left after a planned stop`() {
         val lostWorkers = RosterRecord(
--- a/emulator/src/main/kotlin/sycamoremast/emulator/EmulatedFleet.kt
+++ b/emulator/src/main/kotlin/sycamoremast/emulator/EmulatedFleet.kt
@@ -14,7 +14,8 @@
     private val interference = (0 until EmulatedLoad.SERVING_IMAGES).flatMap { serving ->
         (0 until EmulatedLoad.IDLE_CPU_IMAGES).map { other ->
             val isHeavy = random.nextDouble() < pattern.heavyShare
-            (serving to other) to if (isHeavy) random.nextDouble(MIN_HEAVY, MAX_HEAVY) else pattern.lightLoad
+            (serving to other) to
+                if (isHeavy) random.nextDouble(MIN_HEAVY, MAX_HEAVY) else pattern.lightLoad
         }
     }.toMap()
     private val workers = (0 until pattern.workers).map {
--- a/emulator/src/main/kotlin/sycamoremast/emulator/LoadPattern.kt
+++ b/emulator/src/main/kotlin/sycamoremast/emulator/LoadPattern.kt
@@ -100,6 +100,9 @@
         /** The ratio of reviews on a heavy day to those on a calm one. */
         private const val HEAVY_DAY = 1.8
 
+        /** The ratio of the batch work in an overload to that of a dense fleet's usual day. */
+        private const val OVERLOAD = 1.85
+
         private val bktibKinds = listOf(
             WorkflowKind(
                 queue = "field-check",
@@ -306,6 +309,14 @@
             surges = listOf(Surge("reconciliation", 13, 6, 1.4))
         )
 
+        /** The dense fleet with nearly twice the batch work, more than it can do in time. */
+        val sharedOverload = sharedDense.copy(
+            name = "shared-overload",
+            kinds = frotherKinds.map {
+                if (it.usesIdleCpu) it.copy(ratePerSecond = it.ratePerSecond * OVERLOAD) else it
+            }
+        )
+
         private val largeKinds = listOf(
             WorkflowKind(
                 queue = "field-check",
@@ -382,6 +393,7 @@
             suddenDepartures,
             servingCrowd,
             sharedDense,
+            sharedOverload,
             largeFleet,
             scaledLargeFleet(factor = 4),
             scaledLargeFleet(factor = 16)
--- a/emulator/src/test/kotlin/sycamoremast/emulator/EmulationTest.kt
+++ b/emulator/src/test/kotlin/sycamoremast/emulator/EmulationTest.kt
@@ -65,6 +65,39 @@
         expectThat(share(outcomes(LoadPattern.slowWorkers), "cert-review")).isGreaterThan(0.8)
     }
 
+    @Test
+    fun `completes batch work beside dense serving tasks that half of the images disturb`() {
+        val outcomes = outcomes(LoadPattern.sharedDense)
+        expectThat(share(outcomes, "reconciliation")).isGreaterThan(0.8)
+        expectThat(outcomes.minOf { it.servingShare }).isGreaterThan(0.9)
+        expectThat(outcomes.maxOf { it.longestOverTargetMillis }).isLessThan(4_000)
+    }
+
+    @Test
+    fun `completes batch work while more of it arrives than the dense fleet can do in time`() {
+        val outcomes = outcomes(LoadPattern.sharedOverload)
+        expectThat(share(outcomes, "reconciliation")).isGreaterThan(0.7)
+        expectThat(outcomes.minOf { it.servingShare }).isGreaterThan(0.9)
+    }
+
+    @Test
+    fun `keeps serving tasks under target whatever their load and its period`() {
+        val dense = LoadPattern.sharedDense
+        val unlike = listOf(
+            dense.copy(name = "sparse", servingReserve = 0.4, meanLoad = 0.3, periodSeconds = 8.0),
+            dense.copy(name = "slow swing", servingReserve = 0.97, periodSeconds = 60.0),
+            dense.copy(name = "high load", meanLoad = 0.7, loadSwing = 0.1),
+            dense.copy(name = "no heavy pairs", heavyShare = 0.0),
+            dense.copy(name = "all pairs heavy", heavyShare = 1.0, servingReserve = 0.6)
+        )
+        for (pattern in unlike) {
+            val outcome = Emulation(pattern, 1).run()
+            expectThat(outcome.servingShare).describedAs(pattern.name).isGreaterThan(0.85)
+            expectThat(share(listOf(outcome), "diagnosis")).describedAs(pattern.name)
+                .isGreaterThan(0.8)
+        }
+    }
+
     @Test
     fun `moves serving tasks off departing workers within a second in rolling departures`() {
         val outcomes = outcomes(LoadPattern.rollingDepartures)
