Count serving tasks by what runs on a worker, not by what has room reserved there

What callers saw: nothing yet; batch tasks kept off a worker without a serving task.

Cause: room that is reserved for a serving task about to move counted as a serving task on that worker, so admission asked for readings of a task that wasn't there and found none.

Change: reservations take room only; servingCount and servingMilliCpus follow placements.

Test seen failing before: `places batch tasks on a worker that has room reserved for a serving task`.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
@@ -216,6 +216,7 @@
     fun add(placement: Placement) {
         placements[placement.task.name] = placement
         commit(placement.task.step.spec, placement.pacePercent, 1)
+        countServing(placement.task.step.spec, 1)
     }
 
     fun remove(placement: Placement, nowMillis: Long) {
@@ -226,6 +227,7 @@
         }
         placements -= placement.task.name
         commit(placement.task.step.spec, placement.pacePercent, -1)
+        countServing(placement.task.step.spec, -1)
     }
 
     /** Accounts for a change of the pace of [placement] to [percent]. */
@@ -247,10 +249,12 @@
         }
         committedMemoryMib += sign * spec.demand.memoryMib
         committedAccelerators += sign * spec.demand.accelerators
-        if (spec.isServing) {
-            servingCount += sign
-            servingMilliCpus += sign * spec.demand.milliCpus
-        }
+    }
+
+    private fun countServing(spec: WorkflowStep, sign: Int) {
+        if (!spec.isServing) return
+        servingCount += sign
+        servingMilliCpus += sign * spec.demand.milliCpus
     }
 
     private companion object {
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/EvacuationTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/EvacuationTest.kt
@@ -56,9 +56,9 @@
         val stops = driver.stops
         expectThat(stops).map { it.task }
             .containsExactlyInAnyOrder(first.map { it.task })
-        val ends = stops.mapIndexed { i, it ->
-            scheduler.onStopAnswer(it, WorkerAnswer.Done(driver.now, driver.now), driver.now)
-            EndedRow(i + 1L, it.task, it.run, RunEnd.STOPPED, "")
+        val ends = stops.mapIndexed { i, stop ->
+            scheduler.onStopAnswer(stop, WorkerAnswer.Done(driver.now, driver.now), driver.now)
+            EndedRow(i + 1L, stop.task, stop.run, RunEnd.STOPPED, "")
         }
         driver.polls.filter { it.worker.id == "w1" }.forEach { driver.report(it, ended = ends) }
         driver.step()
@@ -82,6 +82,19 @@
         repeat(10) { expectThat(driver.step().filterIsInstance<SchedulerAction.Stop>()).isEmpty() }
     }
 
+    // Guards against taking a worker with reserved room for one on which a serving task runs.
+    @Test
+    fun `places batch tasks on a worker that has room reserved for a serving task`() {
+        val serving = longRunning(1, 10_000).copy(image = "serving", targetTailMillis = 100)
+        startOnDraining(serving)
+        driver.step()
+        expectThat(driver.stops).hasSize(1)
+        val batch = driver.taskStep().copy(image = "batch", usesIdleCpu = true)
+        driver.submit(driver.workflow("batch", batch))
+        driver.step()
+        expectThat(driver.starts).map { it.worker.id }.isEqualTo(listOf("w2"))
+    }
+
     @Test
     fun `leaves short tasks on a draining worker`() {
         startOnDraining(driver.taskStep())
