Move the directory of workers out of WorkflowScheduler

Listings, moved entries and the last owner's roster are one job of their own; WorkflowScheduler keeps the rounds.

--- /dev/null
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerDirectory.kt
@@ -0,0 +1,103 @@
+/**
+ * The workers of an owner's set, as the platform lists them and as the last owner recorded them.
+ *
+ * An entry shows only where a worker is found. Whether the worker is alive is shown by its answers,
+ * so a worker that is no longer listed stays in the fleet until its lease has lapsed.
+ */
+package sycamoremast.coordination.workflow
+
+import sycamoremast.coordination.Resources
+
+internal class WorkerDirectory(
+    private val fleet: Fleet,
+    private val tracker: RunTracker,
+    private val recorder: Recorder
+) {
+    /**
+     * Entries that name a new address of a worker whose earlier incarnation may still run tasks.
+     */
+    private val movedEntries = LinkedHashMap<String, WorkerListing>()
+
+    /** Updates the fleet from the complete list of the platform. */
+    fun onWorkersListed(workers: List<WorkerListing>, nowMillis: Long) {
+        val byId = workers.associateBy { it.ref.id }
+        fleet.workers.values.filter { it.id !in byId }.forEach { onWorkerUnlisted(it.id) }
+        workers.forEach { onWorkerListed(it, nowMillis) }
+    }
+
+    /** Updates the fleet from the platform's entry of one worker. */
+    fun onWorkerListed(listing: WorkerListing, nowMillis: Long) {
+        val known = fleet.workers[listing.ref.id]
+        movedEntries -= listing.ref.id
+        if (known != null && known.ref == listing.ref) {
+            if (listing.isDraining && !known.listing.isDraining) {
+                fleet.log("worker-draining", listing.ref.id, "runs" to known.placements.size)
+            }
+            known.updateListing(listing)
+            fleet.resetWorkerIndexes()
+            fleet.isPlacementDue = true
+            return
+        }
+        if (known != null && known.mayRunTasks && !listing.isLaterThan(known.listing)) {
+            movedEntries[known.id] = listing
+            unlist(known)
+            return
+        }
+        val rosterLapsedByMillis = known?.takeIf { !it.isReconciled }?.lapsedByMillis
+        if (known != null) tracker.markLost(known, nowMillis, "moved to another address")
+        fleet.add(FleetWorker(listing).apply { rosterLapsedByMillis?.let(::recordLease) })
+        recorder.markRosterChanged()
+        fleet.log(
+            "worker-listed",
+            listing.ref.id,
+            "zone" to listing.availabilityZone,
+            "address" to listing.ref.address,
+            "milliCpus" to listing.capacity.milliCpus
+        )
+    }
+
+    /** Marks the worker [id] as no longer listed by the platform. */
+    fun onWorkerUnlisted(id: String) {
+        movedEntries -= id
+        fleet.workers[id]?.let(::unlist)
+    }
+
+    private fun unlist(worker: FleetWorker) {
+        if (!worker.isListed) return
+        worker.unlist()
+        fleet.log("worker-unlisted", worker.id, "runs" to worker.placements.size)
+    }
+
+    /** Applies the moved entries of workers whose earlier incarnations have ended meanwhile. */
+    fun applyMovedEntries(nowMillis: Long) {
+        if (movedEntries.isEmpty()) return
+        movedEntries.values.filter {
+            it.ref.id !in fleet.workers
+        }.forEach { onWorkerListed(it, nowMillis) }
+    }
+
+    /**
+     * Adds a worker of the last owner's roster, whose lease has lapsed by [lapsedByMillis].
+     *
+     * If it is listed at another address, tasks may run at either address.
+     */
+    fun addRosteredWorker(ref: WorkerRef, lapsedByMillis: Long) {
+        val known = fleet.workers[ref.id]
+        if (known != null) return known.recordLease(lapsedByMillis)
+        val worker = FleetWorker(placeholderListing(ref))
+        worker.unlist()
+        worker.recordLease(lapsedByMillis)
+        fleet.add(worker)
+    }
+}
+
+private val FleetWorker.mayRunTasks: Boolean get() = !isReconciled || placements.isNotEmpty()
+
+private fun placeholderListing(ref: WorkerRef) = WorkerListing(
+    ref,
+    service = "",
+    availabilityZone = "",
+    capacity = Resources.NONE,
+    labels = emptyList(),
+    isDraining = false
+)
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -7,8 +7,6 @@
  */
 package sycamoremast.coordination.workflow
 
-import sycamoremast.coordination.Resources
-
 /** Schedules workflows on the workers of one set, as the owner with [epoch]. */
 class WorkflowScheduler(epoch: Long, settings: SchedulerSettings) {
     private val fleet = Fleet(epoch, settings)
@@ -22,13 +20,9 @@
     private val starter = Starter(fleet, placer, neighbours)
     private val evacuation = Evacuation(fleet, placer)
     private val maintenance = RunMaintenance(fleet, tracker)
+    private val directory = WorkerDirectory(fleet, tracker, recorder)
     private val pendingCancels = HashSet<String>()
 
-    /**
-     * Entries that name a new address of a worker whose earlier incarnation may still run tasks.
-     */
-    private val movedEntries = LinkedHashMap<String, WorkerListing>()
-
     /** How many times placement has examined a worker, as a measure of its cost. */
     val examinedWorkers: Long get() = fleet.examinedWorkers
     private var nextPlacementMillis = Long.MIN_VALUE
@@ -84,76 +78,23 @@
     }
 
     /** Updates the fleet from the complete list of the platform. */
-    fun onWorkersListed(workers: List<WorkerListing>, nowMillis: Long) {
-        val byId = workers.associateBy { it.ref.id }
-        fleet.workers.values.filter { it.id !in byId }.forEach { onWorkerUnlisted(it.id) }
-        workers.forEach { onWorkerListed(it, nowMillis) }
-    }
+    fun onWorkersListed(workers: List<WorkerListing>, nowMillis: Long) =
+        directory.onWorkersListed(workers, nowMillis)
 
     /** Updates the fleet from the platform's entry of one worker. */
-    fun onWorkerListed(listing: WorkerListing, nowMillis: Long) {
-        val known = fleet.workers[listing.ref.id]
-        movedEntries -= listing.ref.id
-        if (known != null && known.ref == listing.ref) {
-            if (listing.isDraining && !known.listing.isDraining) {
-                fleet.log("worker-draining", listing.ref.id, "runs" to known.placements.size)
-            }
-            known.updateListing(listing)
-            fleet.resetWorkerIndexes()
-            fleet.isPlacementDue = true
-            return
-        }
-        if (known != null && known.mayRunTasks && !listing.isLaterThan(known.listing)) {
-            movedEntries[known.id] = listing
-            unlist(known)
-            return
-        }
-        val rosterLapsedByMillis = known?.takeIf { !it.isReconciled }?.lapsedByMillis
-        if (known != null) tracker.markLost(known, nowMillis, "moved to another address")
-        fleet.add(FleetWorker(listing).apply { rosterLapsedByMillis?.let(::recordLease) })
-        recorder.markRosterChanged()
-        fleet.log(
-            "worker-listed",
-            listing.ref.id,
-            "zone" to listing.availabilityZone,
-            "address" to listing.ref.address,
-            "milliCpus" to listing.capacity.milliCpus
-        )
-    }
+    fun onWorkerListed(listing: WorkerListing, nowMillis: Long) =
+        directory.onWorkerListed(listing, nowMillis)
 
     /** Marks the worker [id] as no longer listed by the platform. */
-    fun onWorkerUnlisted(id: String) {
-        movedEntries -= id
-        fleet.workers[id]?.let(::unlist)
-    }
-
-    private fun unlist(worker: FleetWorker) {
-        if (!worker.isListed) return
-        worker.unlist()
-        fleet.log("worker-unlisted", worker.id, "runs" to worker.placements.size)
-    }
-
-    /** Applies the moved entries of workers whose earlier incarnations have ended meanwhile. */
-    private fun applyMovedEntries(nowMillis: Long) {
-        if (movedEntries.isEmpty()) return
-        movedEntries.values.filter {
-            it.ref.id !in fleet.workers
-        }.forEach { onWorkerListed(it, nowMillis) }
-    }
+    fun onWorkerUnlisted(id: String) = directory.onWorkerUnlisted(id)
 
     /**
      * Adds a worker of the last owner's roster, whose lease has lapsed by [lapsedByMillis].
      *
      * If it is listed at another address, tasks may run at either address.
      */
-    fun addRosteredWorker(ref: WorkerRef, lapsedByMillis: Long) {
-        val known = fleet.workers[ref.id]
-        if (known != null) return known.recordLease(lapsedByMillis)
-        val worker = FleetWorker(placeholderListing(ref))
-        worker.unlist()
-        worker.recordLease(lapsedByMillis)
-        fleet.add(worker)
-    }
+    fun addRosteredWorker(ref: WorkerRef, lapsedByMillis: Long) =
+        directory.addRosteredWorker(ref, lapsedByMillis)
 
     /** Adds what an earlier owner has learned about interference between tasks. */
     fun restoreInterference(record: InterferenceRecord, unixMillis: Long) {
@@ -240,7 +181,7 @@
             nextMaintenanceMillis = nowMillis + MAINTENANCE_INTERVAL_MILLIS
             maintenance.step(nowMillis)
             evacuation.step(nowMillis)
-            applyMovedEntries(nowMillis)
+            directory.applyMovedEntries(nowMillis)
         }
         endWorkflows(nowMillis, unixMillis)
         if (fleet.isPlacementDue ||
@@ -357,14 +298,3 @@
         const val MAX_AGE_MILLIS = 600_000L
     }
 }
-
-private val FleetWorker.mayRunTasks: Boolean get() = !isReconciled || placements.isNotEmpty()
-
-private fun placeholderListing(ref: WorkerRef) = WorkerListing(
-    ref,
-    service = "",
-    availabilityZone = "",
-    capacity = Resources.NONE,
-    labels = emptyList(),
-    isDraining = false
-)
