Learn nothing from workers of unknown capacity, and end a term whose records fail

No later batch was formed, so nothing that the owner learned or ended was recorded until its term ended.

Cause: a worker of the last owner's roster has a capacity of 0 until the platform lists it, and entries lapse while the store is down. A neighbour's share of 0 is infinite, times a part of 0 is NaN. Then: an exception of the writer left the recorder waiting for a batch in flight for ever.

Ruled out: a reading of 0, as headroomOrNull leaves it out.

Change: readings of a worker count once its capacity is known; a changed listing drops the cached shares; an error of the writer ends the term, with a line records-error.

Tests seen failing: `learns nothing from a worker whose capacity is not known yet` (effect and variance NaN), `ends the term if records can't be written because of an error` (no end within the wait).

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/ColocationController.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/ColocationController.kt
@@ -20,7 +20,7 @@
 
     /** Processes the readings of a new report of [worker] and adjusts the neighbours on it. */
     fun onReport(worker: FleetWorker, nowMillis: Long) {
-        if (worker.servingCount == 0) return
+        if (worker.servingCount == 0 || !worker.isCapacityKnown) return
         val covered = coveredShares(worker, nowMillis)
         val serving = worker.colocation.serving.filter { it.hasSteadyReadings(nowMillis) }
         for (placement in serving) {
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
@@ -81,6 +81,9 @@
     private val reservations = LinkedHashMap<OpenTask, Long>()
     val capacity: Resources get() = listing.capacity
 
+    /** Whether the platform has listed the worker since this owner began. */
+    val isCapacityKnown: Boolean get() = capacity.milliCpus > 0
+
     /** Whether the offset of its clock is known, without which no lease can be granted. */
     val hasClockOffset: Boolean get() = clockOffsetMillis != null
 
@@ -96,6 +99,7 @@
     fun updateListing(changed: WorkerListing) {
         listing = changed
         isListed = true
+        cachedView = null
     }
 
     fun unlist() {
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/NeighbourAdmissionTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/NeighbourAdmissionTest.kt
@@ -103,6 +103,25 @@
         expectThat(driver.starts).hasSize(1)
     }
 
+    // Guards against shares of a capacity of 0: a successor reads a worker of the last owner's
+    // roster before the platform lists it, as entries lapse while the store is down.
+    @Test
+    fun `learns nothing from a worker whose capacity is not known yet`() {
+        val next = SchedulerDriver(epoch = 2)
+        next.scheduler.addRosteredWorker(next.ref("w1"), next.now + 6_420)
+        next.submit(next.workflow("serving", serving("a")), isRecovered = true)
+        next.submit(next.workflow("job", batch(1, "batch")), isRecovered = true)
+        val rows = listOf("serving", "job").map {
+            RunningRow(TaskName(it, 0, 0, 0), 1, "", Placement.FULL_PACE, TAIL_MILLIS)
+        }
+        repeat(40) {
+            next.step()
+            next.polls.forEach { next.report(it, running = rows) }
+        }
+        val record = next.scheduler.handoverBatch(next.now, next.now).interference
+        expectThat(record?.effects.orEmpty()).isEmpty()
+    }
+
     private companion object {
         /** Two thirds of the target, a headroom of 1.5. */
         const val TAIL_MILLIS = 66.7
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
@@ -178,6 +178,10 @@
             }
         } catch (_: InterruptedException) {
             Thread.currentThread().interrupt()
+        } catch (e: RuntimeException) {
+            // Without the answer to this batch no other is formed, so another owner has to go on.
+            log.add("records-error", "error" to e, "at" to e.stackTrace.firstOrNull())
+            endTerm("records error")
         }
     }
 
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/OwnershipTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/OwnershipTest.kt
@@ -19,6 +19,7 @@
 import sycamoremast.coordination.StoreEntry
 import sycamoremast.coordination.StorePut
 import sycamoremast.coordination.StoreTransaction
+import sycamoremast.coordination.TransactionalStore
 import sycamoremast.coordination.workflow.InterferenceRecord
 import sycamoremast.coordination.workflow.PaceOrder
 import sycamoremast.coordination.workflow.PairEffect
@@ -42,8 +43,15 @@
     private val clock = MonotonicClock.system()
     private val runs = IdleWorker(clock)
     private val deposed = CompletableFuture<String>()
+
+    /** Whether committing a record fails for a reason that a retry does not change. */
+    @Volatile
+    private var isCommitBroken = false
     private val ownership = Ownership(
-        store,
+        object : TransactionalStore by store {
+            override fun commit(transaction: StoreTransaction) =
+                if (isCommitBroken) error("record of NaN") else store.commit(transaction)
+        },
         OneWorkerCatalog,
         runs,
         0,
@@ -100,6 +108,16 @@
         expectThat(deposed.get(WAIT_SECONDS, SECONDS)).isEqualTo("recovery failed")
     }
 
+    // Guards against an owner that goes on without recording anything.
+    @Test
+    fun `ends the term if records can't be written because of an error`() {
+        put(OneWorkerCatalog.workersPrefix + "w1", "")
+        ownership.onBegin(claim(1))
+        isCommitBroken = true
+        accept("job")
+        expectThat(deposed.get(WAIT_SECONDS, SECONDS)).isEqualTo("records error")
+    }
+
     @Test
     fun `records the remaining leases of its workers at a planned stop`() {
         put(OneWorkerCatalog.workersPrefix + "w1", "")
