Let the headroom that admission keeps grow with the estimated cost

Hypothesis: a fixed reserve of 0.25 keeps light neighbours off where nothing is at stake and is too little beside heavy ones, whose estimate errs in proportion.

Change: a task starts where the lowest headroom forecast, less the cost of all neighbours, stays above 1.05 plus 0.15 of that cost. It was 1.25 whatever the cost.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/NeighbourAdmission.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/NeighbourAdmission.kt
@@ -23,7 +23,7 @@
         val isHarmless = added <= NEGLIGIBLE_COST &&
             !colocation.isUnexplained(worker, nowMillis) &&
             maxCost(worker) + added <= MAX_HARMLESS_COST
-        if (!isHarmless && lowestHeadroom(worker, extra, nowMillis) < TARGET_HEADROOM) return null
+        if (!isHarmless && !staysUnderTarget(worker, extra, nowMillis)) return null
         val tolerance = model.tolerance(worker.colocation.images, nowMillis)
         return HARMLESS_SCORE - added * COST_WEIGHT - tolerance * TOLERANCE_WEIGHT
     }
@@ -54,24 +54,30 @@
     private fun maxCost(worker: FleetWorker) =
         worker.colocation.images.maxOf { model.cost(it, worker.colocation.shares) }
 
-    /** Returns the lowest headroom of a serving task on [worker] until [extra] ends beside it. */
-    private fun lowestHeadroom(worker: FleetWorker, extra: WorkflowStep, nowMillis: Long): Double {
+    /** Whether all serving tasks on [worker] are expected to meet their target beside [extra]. */
+    private fun staysUnderTarget(
+        worker: FleetWorker,
+        extra: WorkflowStep,
+        nowMillis: Long
+    ): Boolean {
         val share = extra.demand.milliCpus.toDouble() / worker.capacity.milliCpus
-        return worker.colocation.serving.minOf {
-            val step = it.task.step
-            val image = step.spec.image
+        return worker.colocation.serving.all {
+            val image = it.task.step.spec.image
             val cost = model.cost(image, worker.colocation.shares) +
                 model.effect(image, extra.image) * share
-            val present = colocation.baselineOrNull(step, nowMillis) ?: UNKNOWN_HEADROOM
-            val lowest = forecast.lowestOrNull(step, nowMillis, extra.estimateMillis)
-                ?: minOf(present, UNKNOWN_HEADROOM)
-            minOf(present, lowest) - cost
+            val unloaded = lowestBaseline(it.task.step, extra.estimateMillis, nowMillis)
+            unloaded - cost >= ColocationController.MIN_HEADROOM + cost * COST_MARGIN
         }
     }
 
-    private companion object {
-        const val TARGET_HEADROOM = ColocationController.TARGET_HEADROOM
+    /** Returns the lowest headroom of [step] without neighbours within [durationMillis]. */
+    private fun lowestBaseline(step: OpenStep, durationMillis: Long, nowMillis: Long): Double {
+        val present = colocation.baselineOrNull(step, nowMillis) ?: UNKNOWN_HEADROOM
+        val lowest = forecast.lowestOrNull(step, nowMillis, durationMillis) ?: UNKNOWN_HEADROOM
+        return minOf(present, lowest)
+    }
 
+    private companion object {
         /** Headroom that one neighbour, or all on a worker, may cost without a notable effect. */
         const val NEGLIGIBLE_COST = ColocationController.NEGLIGIBLE_COST
         const val MAX_HARMLESS_COST = 0.35
@@ -81,6 +87,9 @@
          */
         const val UNKNOWN_HEADROOM = 1.6
 
+        /** The error of an estimated cost relative to it, which the headroom has to cover. */
+        const val COST_MARGIN = 0.15
+
         /** Weights relative to the idle share of a worker; only their order matters. */
         const val HARMLESS_SCORE = 0.95
         const val NO_SERVING_SCORE = 0.5
