Consolidate serving tasks so that their workers tolerate more neighbours

Cause: workers serve several images. 15 of 32 serve one at the start, 2 or 3 after the zone cut, as lost tasks restart wherever there is room. A neighbour has to suit all of them: with 55% of pairs heavy, one image tolerates 0.45 of the neighbours' images, two 0.2 and three 0.1.

Change: every 200 ms, up to two workers that serve several images look for the exchange of serving tasks that most raises the CPU which neighbours of known images could use. Room is reserved first, a task that waits for the one it replaces doesn't go elsewhere, and no step misses more than it may.

--- /dev/null
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Consolidation.kt
@@ -0,0 +1,153 @@
+/**
+ * Moves serving tasks so that their workers tolerate more neighbours.
+ *
+ * A neighbour has to suit every serving task on its worker, so the more images a worker serves, the
+ * fewer neighbours may start there. Workers come to serve several images as lost tasks restart
+ * wherever there is room. Two tasks change places where a worker has no room for another one. A
+ * move costs its task a stop and a start.
+ */
+package sycamoremast.coordination.workflow
+
+internal class Consolidation(
+    private val fleet: Fleet,
+    private val placer: Placer,
+    private val model: TailModel
+) {
+    /** A move of [task] to [destination], where [replaced] makes room by moving the other way. */
+    private class Exchange(
+        val task: Placement,
+        val destination: FleetWorker,
+        val replaced: Placement?,
+        val gain: Double
+    )
+
+    private var nextStepMillis = Long.MIN_VALUE
+    private var cursor = 0
+    private val moving = ArrayList<OpenTask>()
+
+    /** Begins the most useful exchange for each of the next workers that serve several images. */
+    fun step(nowMillis: Long) {
+        if (nowMillis < nextStepMillis) return
+        nextStepMillis = nowMillis + INTERVAL_MILLIS
+        moving.removeAll { it.destination == null }
+        if (!model.hasNeighbours || !fleet.isSoleOwner || !fleet.isFleetReconciled()) return
+        val workers = fleet.workerList
+        var examined = 0
+        for (i in workers.indices) {
+            if (examined == MAX_EXAMINED_WORKERS || moving.size >= maxMoving(workers.size)) return
+            cursor = (cursor + 1) % workers.size
+            val worker = workers[cursor]
+            if (!worker.acceptsStarts(nowMillis) || imagesOf(worker).toSet().size < 2) continue
+            examined++
+            bestOrNull(worker, nowMillis)?.let { begin(it, nowMillis) }
+        }
+    }
+
+    private fun maxMoving(workerCount: Int) = maxOf(2, workerCount / WORKERS_PER_MOVE)
+
+    private fun bestOrNull(source: FleetWorker, nowMillis: Long): Exchange? {
+        val main = imagesOf(source).groupingBy { it }.eachCount().maxBy { it.value }.key
+        val others = source.colocation.serving
+            .filter { it.image != main && isMovable(it, nowMillis) }
+        return others.asSequence()
+            .flatMap { exchanges(it, main, nowMillis) }
+            .filter { it.gain >= MIN_GAIN * source.capacity.milliCpus }
+            .maxByOrNull { it.gain }
+    }
+
+    /** Returns the moves of [task], also in exchange for a task of the image [main]. */
+    private fun exchanges(task: Placement, main: String, nowMillis: Long) = sequence {
+        for (destination in fleet.workerList) {
+            if (destination === task.worker || destination.servingCount == 0) continue
+            if (placer.canMove(task.task, destination, null, nowMillis)) {
+                yield(exchange(task, destination, null))
+                continue
+            }
+            for (replaced in destination.colocation.serving) {
+                if (replaced.image != main || !isMovable(replaced, nowMillis)) continue
+                val fits = placer.canMove(task.task, destination, replaced, nowMillis) &&
+                    placer.canMove(replaced.task, task.worker, task, nowMillis)
+                if (fits) yield(exchange(task, destination, replaced))
+            }
+        }
+    }
+
+    private fun exchange(task: Placement, destination: FleetWorker, replaced: Placement?): Exchange {
+        val here = imagesOf(task.worker)
+        val there = imagesOf(destination)
+        val came = replaced?.image
+        val hereAfter = here - task.image + listOfNotNull(came)
+        val thereAfter = (if (came == null) there else there - came) + task.image
+        val gain = value(task.worker, hereAfter) - value(task.worker, here) +
+            value(destination, thereAfter) - value(destination, there)
+        return Exchange(task, destination, replaced, gain)
+    }
+
+    /** Returns the CPU of [worker] that neighbours of the known images could use beside [images]. */
+    private fun value(worker: FleetWorker, images: List<String>): Double {
+        if (images.isEmpty()) return worker.capacity.milliCpus.toDouble()
+        val counts = images.groupingBy { it }.eachCount()
+        val largest = counts.values.max().toDouble() / images.size
+        return worker.capacity.milliCpus *
+            (model.tolerance(counts.keys) + largest * CONCENTRATION_WEIGHT)
+    }
+
+    /** Returns the images of the serving tasks on [worker] once all moves have ended. */
+    private fun imagesOf(worker: FleetWorker): List<String> =
+        worker.colocation.serving.filter { it.task.destination == null }.map { it.image } +
+            worker.expectedTasks.filter { it.step.spec.isServing }.map { it.step.spec.image }
+
+    private val Placement.image get() = task.step.spec.image
+
+    private fun isMovable(placement: Placement, nowMillis: Long): Boolean {
+        val task = placement.task
+        return placement.isAtWork &&
+            !task.step.spec.isGang &&
+            task.destination == null &&
+            nowMillis >= placement.startedMillis + MIN_STAY_MILLIS &&
+            task.step.tasks.count { it !== task && !it.isAtWork } < maxOf(task.step.spec.mayMiss, 1)
+    }
+
+    private val OpenTask.isAtWork get() = placements.any { it.isAtWork }
+
+    private val Placement.isAtWork
+        get() = phase == PlacementPhase.RUNNING && percent == Placement.FULL_PACE
+
+    private fun begin(exchange: Exchange, nowMillis: Long) {
+        move(exchange.task, exchange.destination, exchange.gain, nowMillis)
+        exchange.replaced?.let { move(it, exchange.task.worker, exchange.gain, nowMillis) }
+    }
+
+    private fun move(placement: Placement, to: FleetWorker, gain: Double, nowMillis: Long) {
+        to.reserve(placement.task, nowMillis)
+        moving += placement.task
+        fleet.log(
+            "run-moved",
+            placement.task.name.toString(),
+            "run" to placement.run,
+            "worker" to placement.worker.id,
+            "destination" to to.id,
+            "gainMilliCpus" to gain.toLong()
+        )
+        fleet.stop(placement, nowMillis, "consolidated")
+    }
+
+    private companion object {
+        const val INTERVAL_MILLIS = 200L
+
+        /** Bounds the cost of a step, which compares all serving tasks for each of these. */
+        const val MAX_EXAMINED_WORKERS = 2
+
+        /** One task in flight for so many workers, so that few serving tasks are away at a time. */
+        const val WORKERS_PER_MOVE = 8
+
+        /** The least gain of an exchange, as a share of a worker. */
+        const val MIN_GAIN = 0.05
+
+        /** Weight of the share of a worker's main image, which makes later exchanges possible. */
+        const val CONCENTRATION_WEIGHT = 0.1
+
+        /** Many times what a move costs. */
+        const val MIN_STAY_MILLIS = 6_000L
+    }
+}
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
@@ -79,6 +79,9 @@
 
     /** Tasks that will move here, with the times by which they have to start. */
     private val reservations = LinkedHashMap<OpenTask, Long>()
+
+    /** The tasks that have room reserved here for their next run. */
+    val expectedTasks: Set<OpenTask> get() = reservations.keys
     val capacity: Resources get() = listing.capacity
 
     /** Whether the platform has listed the worker since this owner began. */
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/NeighbourAdmission.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/NeighbourAdmission.kt
@@ -24,7 +24,7 @@
             !colocation.isUnexplained(worker, nowMillis) &&
             maxCost(worker) + added <= MAX_HARMLESS_COST
         if (!isHarmless && !staysUnderTarget(worker, extra, nowMillis)) return null
-        val tolerance = model.tolerance(worker.colocation.images, nowMillis)
+        val tolerance = model.tolerance(worker.colocation.images)
         return HARMLESS_SCORE - added * COST_WEIGHT - tolerance * TOLERANCE_WEIGHT
     }
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
@@ -116,30 +116,49 @@
         return best
     }
 
-    private fun isEligible(worker: FleetWorker, task: OpenTask, nowMillis: Long): Boolean {
+    private fun isEligible(
+        worker: FleetWorker,
+        task: OpenTask,
+        nowMillis: Long,
+        freed: Resources? = null
+    ): Boolean {
         val spec = task.step.spec
         fleet.examinedWorkers++
         return worker.acceptsStarts(nowMillis) &&
             fleet.enforcesFencing(worker.ref) &&
             worker.listing.service == task.step.workflow.queue.service &&
             (spec.requiredLabel.isEmpty() || spec.requiredLabel in worker.listing.labels) &&
-            fits(worker, spec) &&
+            fits(worker, spec, freed ?: Resources.NONE) &&
             (spec.maxPerWorker == 0 || taskCountOfStep(worker, task.step) < spec.maxPerWorker) &&
             task.name !in worker.placements
     }
 
+    /** Whether [task] may start on [worker] once [replaced] has left that, unless it is null. */
+    fun canMove(
+        task: OpenTask,
+        worker: FleetWorker,
+        replaced: Placement?,
+        nowMillis: Long
+    ): Boolean =
+        isEligible(worker, task, nowMillis, freed = replaced?.task?.step?.spec?.demand)
+
+    /** Whether the room that is reserved for [task] is still taken by a task that leaves. */
+    fun isAwaitingRoom(task: OpenTask, nowMillis: Long): Boolean {
+        val reserved = task.destination ?: return false
+        val spec = task.step.spec
+        return reserved.acceptsStarts(nowMillis) && !fits(reserved, spec, freed = spec.demand)
+    }
+
     private fun taskCountOfStep(worker: FleetWorker, step: OpenStep) =
         worker.placements.values.count { it.task.step === step }
 
-    private fun fits(worker: FleetWorker, spec: WorkflowStep): Boolean {
-        val capacity = worker.capacity
-        if (worker.committedMemoryMib + spec.demand.memoryMib > capacity.memoryMib) return false
-        val accelerators = worker.committedAccelerators + spec.demand.accelerators
-        if (accelerators > capacity.accelerators) return false
-        if (spec.usesIdleCpu) {
-            return spec.demand.milliCpus <= spareMilliCpus(worker)
-        }
-        return worker.reservedMilliCpus + spec.demand.milliCpus <= capacity.milliCpus
+    /** Whether a task of [spec] fits on [worker] once the room [freed] has become free. */
+    private fun fits(worker: FleetWorker, spec: WorkflowStep, freed: Resources): Boolean {
+        val room = worker.capacity + freed
+        if (worker.committedMemoryMib + spec.demand.memoryMib > room.memoryMib) return false
+        if (worker.committedAccelerators + spec.demand.accelerators > room.accelerators) return false
+        if (spec.usesIdleCpu) return spec.demand.milliCpus <= spareMilliCpus(worker)
+        return worker.reservedMilliCpus + spec.demand.milliCpus <= room.milliCpus
     }
 
     private fun spareMilliCpus(worker: FleetWorker) =
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Starter.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Starter.kt
@@ -18,7 +18,7 @@
             return
         }
         for (task in step.waiting.toList()) {
-            if (nowMillis < task.notBeforeMillis) continue
+            if (nowMillis < task.notBeforeMillis || placer.isAwaitingRoom(task, nowMillis)) continue
             val worker = placer.chooseOrNull(task, nowMillis) ?: return
             val run = maxOf(task.lastRun + 1, fleet.firstRun)
             orderStart(place(task, worker, run, nowMillis), nowMillis)
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/TailModel.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/TailModel.kt
@@ -23,7 +23,10 @@
     private val effects = HashMap<String, HashMap<String, Estimate>>()
     private val neighbours = LinkedHashSet<String>()
     private val tolerances = HashMap<Set<String>, Double>()
-    private var tolerancesUntilMillis = Long.MIN_VALUE
+    private var tolerancesUntilReading = 0L
+
+    /** Whether any neighbour of a serving task has been observed. */
+    val hasNeighbours: Boolean get() = neighbours.isNotEmpty()
 
     /** Returns the headroom that [neighbour] would cost [serving] if it used the whole worker. */
     fun effect(serving: String, neighbour: String): Double =
@@ -74,15 +77,16 @@
             effects.getOrPut(pair.serving) { HashMap() }[pair.neighbour] = estimate
             neighbours += pair.neighbour
         }
+        tolerances.clear()
         return valid.size
     }
 
     /** Returns the share of the known neighbours' images that slow none of [serving] notably. */
-    fun tolerance(serving: Set<String>, nowMillis: Long): Double {
+    fun tolerance(serving: Set<String>): Double {
         if (neighbours.isEmpty()) return 1.0
-        if (nowMillis >= tolerancesUntilMillis) {
+        if (readingCount >= tolerancesUntilReading) {
             tolerances.clear()
-            tolerancesUntilMillis = nowMillis + TOLERANCE_UPDATE_MILLIS
+            tolerancesUntilReading = readingCount + TOLERANCE_READINGS
         }
         return tolerances.getOrPut(serving) {
             val tolerated = neighbours.count { other ->
@@ -134,7 +138,9 @@
 
         /** Above this variance, the estimate may be wrong by the effect of a heavy pair. */
         const val UNCERTAIN_VARIANCE = 4.0
-        const val TOLERANCE_UPDATE_MILLIS = 500L
+
+        /** After so many readings, shares of tolerated images are computed anew. */
+        const val TOLERANCE_READINGS = 50L
 
         /** Bounds the record to about 40 KB. */
         const val MAX_RECORDED_PAIRS = 512
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -19,6 +19,7 @@
     private val placer = Placer(fleet, neighbours)
     private val starter = Starter(fleet, placer, neighbours)
     private val evacuation = Evacuation(fleet, placer)
+    private val consolidation = Consolidation(fleet, placer, tails)
     private val maintenance = RunMaintenance(fleet, tracker)
     private val directory = WorkerDirectory(fleet, tracker, recorder)
     private val pendingCancels = HashSet<String>()
@@ -181,6 +182,7 @@
             nextMaintenanceMillis = nowMillis + MAINTENANCE_INTERVAL_MILLIS
             maintenance.step(nowMillis)
             evacuation.step(nowMillis)
+            consolidation.step(nowMillis)
             directory.applyMovedEntries(nowMillis)
         }
         endWorkflows(nowMillis, unixMillis)
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/TailModelTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/TailModelTest.kt
@@ -69,6 +69,6 @@
     fun `knows the share of neighbours that slow no serving task notably`() {
         val model = modelWithHeavyPair()
         repeat(20) { model.observe("serving", mapOf("light" to 0.1), 0.05) }
-        expectThat(model.tolerance(setOf("serving"), 0)).isEqualTo(0.5)
+        expectThat(model.tolerance(setOf("serving"))).isEqualTo(0.5)
     }
 }
