Place serving workflows that have to spread before others of their image

Hypothesis: tasks of which a worker may run only one or two find no room on workers that other tasks of their image have filled, and so end up beside other images.

Change: among long-running workflows of an image, those whose tasks need the most workers come first.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/PlacementOrder.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/PlacementOrder.kt
@@ -5,12 +5,16 @@
  * come after others, which would otherwise wait for them forever. Other workflows are ordered by
  * the benefit to their callers for each core-second that they still need. A workflow that can no
  * longer meet its objective is worth less to its caller, so it yields to those that can.
+ *
+ * Long-running workflows are ordered by image, so that workers serve few images, and those whose
+ * tasks have to run on many workers come first, as the others fit into the room that these leave.
  */
 package sycamoremast.coordination.workflow
 
 internal class PlacementOrder(private val nowMillis: Long) {
     private class Rank(val workflow: OpenWorkflow, val benefitRate: Double) {
         val image = if (workflow.isLongRunning) workflow.spec.steps.first().image else ""
+        val spread = if (workflow.isLongRunning) spreadOf(workflow.spec.steps.first()) else 0
     }
 
     /** Returns [workflows] in the order in which their tasks are placed. */
@@ -40,8 +44,13 @@
     }
 
     private companion object {
+        /** Returns on how many workers the tasks of [step] have to run at least. */
+        fun spreadOf(step: WorkflowStep): Int =
+            if (step.maxPerWorker == 0) 1 else (step.taskCount - 1) / step.maxPerWorker + 1
+
         val ORDER = compareBy<Rank>({ it.workflow.queue.priority }, { it.workflow.isLongRunning })
             .thenBy { it.image }
+            .thenByDescending { it.spread }
             .thenByDescending { it.benefitRate }
             .thenBy { it.workflow.objectiveMillis }
 
