--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Consolidation.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Consolidation.kt
@@ -11,6 +11,7 @@
 internal class Consolidation(
     private val fleet: Fleet,
     private val placer: Placer,
+    private val moves: TaskMoves,
     private val model: TailModel
 ) {
     /** A move of [task] to [destination], where [replaced] makes room by moving the other way. */
@@ -23,18 +24,16 @@
 
     private var nextStepMillis = Long.MIN_VALUE
     private var cursor = 0
-    private val moving = ArrayList<OpenTask>()
 
     /** Begins the most useful exchange for each of the next workers that serve several images. */
     fun step(nowMillis: Long) {
         if (nowMillis < nextStepMillis) return
         nextStepMillis = nowMillis + INTERVAL_MILLIS
-        moving.removeAll { it.destination == null }
-        if (!model.hasNeighbours || !fleet.isSoleOwner || !fleet.isFleetReconciled()) return
+        if (!model.hasNeighbours) return
         val workers = fleet.workerList
         var examined = 0
         for (i in workers.indices) {
-            if (examined == MAX_EXAMINED_WORKERS || moving.size >= maxMoving(workers.size)) return
+            if (examined == MAX_EXAMINED_WORKERS || !moves.mayBegin()) return
             cursor = (cursor + 1) % workers.size
             val worker = workers[cursor]
             if (!worker.acceptsStarts(nowMillis) || imagesOf(worker).toSet().size < 2) continue
@@ -43,12 +42,10 @@
         }
     }
 
-    private fun maxMoving(workerCount: Int) = maxOf(2, workerCount / WORKERS_PER_MOVE)
-
     private fun bestOrNull(source: FleetWorker, nowMillis: Long): Exchange? {
         val main = imagesOf(source).groupingBy { it }.eachCount().maxBy { it.value }.key
         val others = source.colocation.serving
-            .filter { it.image != main && isMovable(it, nowMillis) }
+            .filter { it.image != main && moves.isMovable(it, nowMillis) }
         return others.asSequence()
             .flatMap { exchanges(it, main, nowMillis) }
             .filter { it.gain >= MIN_GAIN * source.capacity.milliCpus }
@@ -64,7 +61,7 @@
                 continue
             }
             for (replaced in destination.colocation.serving) {
-                if (replaced.image != main || !isMovable(replaced, nowMillis)) continue
+                if (replaced.image != main || !moves.isMovable(replaced, nowMillis)) continue
                 val fits = placer.canMove(task.task, destination, replaced, nowMillis) &&
                     placer.canMove(replaced.task, task.worker, task, nowMillis)
                 if (fits) yield(exchange(task, destination, replaced))
@@ -72,7 +69,11 @@
         }
     }
 
-    private fun exchange(task: Placement, destination: FleetWorker, replaced: Placement?): Exchange {
+    private fun exchange(
+        task: Placement,
+        destination: FleetWorker,
+        replaced: Placement?
+    ): Exchange {
         val here = imagesOf(task.worker)
         val there = imagesOf(destination)
         val came = replaced?.image
@@ -99,55 +100,22 @@
 
     private val Placement.image get() = task.step.spec.image
 
-    private fun isMovable(placement: Placement, nowMillis: Long): Boolean {
-        val task = placement.task
-        return placement.isAtWork &&
-            !task.step.spec.isGang &&
-            task.destination == null &&
-            nowMillis >= placement.startedMillis + MIN_STAY_MILLIS &&
-            task.step.tasks.count { it !== task && !it.isAtWork } < maxOf(task.step.spec.mayMiss, 1)
-    }
-
-    private val OpenTask.isAtWork get() = placements.any { it.isAtWork }
-
-    private val Placement.isAtWork
-        get() = phase == PlacementPhase.RUNNING && percent == Placement.FULL_PACE
-
     private fun begin(exchange: Exchange, nowMillis: Long) {
-        move(exchange.task, exchange.destination, exchange.gain, nowMillis)
-        exchange.replaced?.let { move(it, exchange.task.worker, exchange.gain, nowMillis) }
-    }
-
-    private fun move(placement: Placement, to: FleetWorker, gain: Double, nowMillis: Long) {
-        to.reserve(placement.task, nowMillis)
-        moving += placement.task
-        fleet.log(
-            "run-moved",
-            placement.task.name.toString(),
-            "run" to placement.run,
-            "worker" to placement.worker.id,
-            "destination" to to.id,
-            "gainMilliCpus" to gain.toLong()
-        )
-        fleet.stop(placement, nowMillis, "consolidated")
+        moves.move(exchange.task, exchange.destination, REASON, nowMillis)
+        exchange.replaced?.let { moves.move(it, exchange.task.worker, REASON, nowMillis) }
     }
 
     private companion object {
+        const val REASON = "consolidated"
         const val INTERVAL_MILLIS = 200L
 
         /** Bounds the cost of a step, which compares all serving tasks for each of these. */
         const val MAX_EXAMINED_WORKERS = 2
 
-        /** One task in flight for so many workers, so that few serving tasks are away at a time. */
-        const val WORKERS_PER_MOVE = 8
-
         /** The least gain of an exchange, as a share of a worker. */
         const val MIN_GAIN = 0.05
 
         /** Weight of the share of a worker's main image, which makes later exchanges possible. */
         const val CONCENTRATION_WEIGHT = 0.1
-
-        /** Many times what a move costs. */
-        const val MIN_STAY_MILLIS = 6_000L
     }
 }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Evacuation.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Evacuation.kt
@@ -1,13 +1,15 @@
 /**
  * Moves long-running tasks off workers that drain.
  *
- * A task that stays until its worker has left restarts only once the lease has lapsed. A move costs
- * it a stop and a start. Room is reserved on the destination first, so that no task is stopped for
- * room that another one takes.
+ * A task that stays until its worker has left restarts only once the lease has lapsed.
  */
 package sycamoremast.coordination.workflow
 
-internal class Evacuation(private val fleet: Fleet, private val placer: Placer) {
+internal class Evacuation(
+    private val fleet: Fleet,
+    private val placer: Placer,
+    private val moves: TaskMoves
+) {
     /** Stops the long-running tasks on draining workers that have room elsewhere. */
     fun step(nowMillis: Long) {
         val draining = fleet.workerList.filter { it.listing.isDraining && it.isListed }
@@ -25,14 +27,6 @@
 
     private fun move(placement: Placement, nowMillis: Long) {
         val destination = placer.chooseOrNull(placement.task, nowMillis) ?: return
-        destination.reserve(placement.task, nowMillis)
-        fleet.log(
-            "run-moved",
-            placement.task.name.toString(),
-            "run" to placement.run,
-            "worker" to placement.worker.id,
-            "destination" to destination.id
-        )
-        fleet.stop(placement, nowMillis, "worker drains")
+        moves.move(placement, destination, "worker drains", nowMillis)
     }
 }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
@@ -139,8 +139,7 @@
         worker: FleetWorker,
         replaced: Placement?,
         nowMillis: Long
-    ): Boolean =
-        isEligible(worker, task, nowMillis, freed = replaced?.task?.step?.spec?.demand)
+    ): Boolean = isEligible(worker, task, nowMillis, freed = replaced?.task?.step?.spec?.demand)
 
     /** Whether the room that is reserved for [task] is still taken by a task that leaves. */
     fun isAwaitingRoom(task: OpenTask, nowMillis: Long): Boolean {
@@ -156,7 +155,11 @@
     private fun fits(worker: FleetWorker, spec: WorkflowStep, freed: Resources): Boolean {
         val room = worker.capacity + freed
         if (worker.committedMemoryMib + spec.demand.memoryMib > room.memoryMib) return false
-        if (worker.committedAccelerators + spec.demand.accelerators > room.accelerators) return false
+        if (worker.committedAccelerators + spec.demand.accelerators >
+            room.accelerators
+        ) {
+            return false
+        }
         if (spec.usesIdleCpu) return spec.demand.milliCpus <= spareMilliCpus(worker)
         return worker.reservedMilliCpus + spec.demand.milliCpus <= room.milliCpus
     }
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/PlacementOrderTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/PlacementOrderTest.kt
@@ -12,13 +12,17 @@
         tasks: Int = 8,
         doneTasks: Int = 0,
         priority: Int = 0,
-        isLongRunning: Boolean = false
+        isLongRunning: Boolean = false,
+        image: String = "",
+        maxPerWorker: Int = 0
     ): OpenWorkflow {
         val step = WorkflowStep(
             tasks,
             Resources(1_000, 1_000),
             estimateMillis = 2_000,
-            isLongRunning = isLongRunning
+            isLongRunning = isLongRunning,
+            image = image,
+            maxPerWorker = maxPerWorker
         )
         val queue = QueuePolicy("queue$priority", "service", priority, targetLatencyMillis = 1_000)
         val spec = Workflow(id, queue, "", listOf(step), submittedMillis = acceptedMillis)
@@ -64,6 +68,20 @@
         expectThat(order(workflow("fresh"), late)).containsExactly("late", "fresh")
     }
 
+    @Test
+    fun `serving workflows of an image that have to spread come before others of it`() {
+        fun serving(id: String, image: String, maxPerWorker: Int) =
+            workflow(id, isLongRunning = true, image = image, maxPerWorker = maxPerWorker)
+        val workflows = arrayOf(
+            serving("packed", "a", 0),
+            serving("other image", "b", 0),
+            serving("two a worker", "a", 2),
+            serving("one a worker", "a", 1)
+        )
+        expectThat(order(*workflows))
+            .containsExactly("one a worker", "two a worker", "packed", "other image")
+    }
+
     private companion object {
         const val NOW_MILLIS = 100_000L
     }
