--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
@@ -203,14 +203,10 @@
     }
 
     private companion object {
-        /**
-         * Short urgent tasks take about 5% of the CPU of the Regie deployment, twice that at peak.
-         */
+        /** The share of a worker to leave to short tasks, about the size of one of them. */
         const val SHORT_WORK_RESERVE = 0.09
 
-        /**
-         * Between the shares that long-running tasks reserve on BKTIB, 0.82, and on the Regie, 0.9.
-         */
+        /** Below this share, long-running tasks leave enough to short ones by themselves. */
         const val CROWDED_SHARE = 0.85
 
         /** Number of eligible workers to compare; a larger sample gains little. */
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/TailModel.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/TailModel.kt
@@ -128,7 +128,7 @@
     }
 
     private companion object {
-        /** Most pairs of images on BKTIB have an effect between 0 and 4, some between 8 and 12. */
+        /** Nearer to light pairs, so that unknown ones are tried, with a variance for both kinds. */
         const val PRIOR_EFFECT = 1.5
         const val PRIOR_VARIANCE = 9.0
         const val MAX_EFFECT = 30.0
@@ -149,7 +149,7 @@
         const val MAX_AGE_MILLIS = 600_000L
         const val VARIANCE_PER_MILLI_OF_AGE = PRIOR_VARIANCE / MAX_AGE_MILLIS
 
-        /** Variance of a reading of headroom that the model does not explain, on BKTIB. */
+        /** Variance of a reading of headroom that the model does not explain. */
         const val NOISE_VARIANCE = 0.2
 
         /** Added per reading, so that old readings lose weight as effects change. */
