--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Consolidation.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Consolidation.kt
@@ -27,19 +27,26 @@
 
     /** Begins the most useful exchange for each of the next workers that serve several images. */
     fun step(nowMillis: Long) {
-        if (nowMillis < nextStepMillis) return
+        if (nowMillis < nextStepMillis || !model.hasNeighbours) return
         nextStepMillis = nowMillis + INTERVAL_MILLIS
-        if (!model.hasNeighbours) return
+        for (source in nextSources(nowMillis)) {
+            if (!moves.mayBegin()) return
+            bestOrNull(source, nowMillis)?.let { begin(it, nowMillis) }
+        }
+    }
+
+    /** Returns the next workers that serve several images, from where the last call ended. */
+    private fun nextSources(nowMillis: Long): List<FleetWorker> {
         val workers = fleet.workerList
-        var examined = 0
-        for (i in workers.indices) {
-            if (examined == MAX_EXAMINED_WORKERS || !moves.mayBegin()) return
+        val sources = ArrayList<FleetWorker>()
+        repeat(workers.size) {
+            if (sources.size == MAX_EXAMINED_WORKERS) return sources
             cursor = (cursor + 1) % workers.size
             val worker = workers[cursor]
-            if (!worker.acceptsStarts(nowMillis) || imagesOf(worker).toSet().size < 2) continue
-            examined++
-            bestOrNull(worker, nowMillis)?.let { begin(it, nowMillis) }
+            val isMixed = imagesOf(worker).toSet().size > 1
+            if (isMixed && worker.acceptsStarts(nowMillis)) sources += worker
         }
+        return sources
     }
 
     private fun bestOrNull(source: FleetWorker, nowMillis: Long): Exchange? {
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/PlacementOrderTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/PlacementOrderTest.kt
@@ -12,24 +12,40 @@
         tasks: Int = 8,
         doneTasks: Int = 0,
         priority: Int = 0,
-        isLongRunning: Boolean = false,
-        image: String = "",
-        maxPerWorker: Int = 0
+        isLongRunning: Boolean = false
     ): OpenWorkflow {
         val step = WorkflowStep(
             tasks,
             Resources(1_000, 1_000),
             estimateMillis = 2_000,
-            isLongRunning = isLongRunning,
+            isLongRunning = isLongRunning
+        )
+        return open(id, step, acceptedMillis, priority).apply {
+            steps().single().tasks.take(doneTasks).forEach { it.markDone() }
+        }
+    }
+
+    private fun serving(id: String, image: String, maxPerWorker: Int): OpenWorkflow {
+        val step = WorkflowStep(
+            8,
+            Resources(1_000, 1_000),
+            isLongRunning = true,
             image = image,
             maxPerWorker = maxPerWorker
         )
+        return open(id, step)
+    }
+
+    private fun open(
+        id: String,
+        step: WorkflowStep,
+        acceptedMillis: Long = NOW_MILLIS,
+        priority: Int = 0
+    ): OpenWorkflow {
         val queue = QueuePolicy("queue$priority", "service", priority, targetLatencyMillis = 1_000)
         val spec = Workflow(id, queue, "", listOf(step), submittedMillis = acceptedMillis)
-        return OpenWorkflow(spec, isRecovered = false, acceptedMillis).apply {
-            addDueOccurrences(acceptedMillis)
-            steps().single().tasks.take(doneTasks).forEach { it.markDone() }
-        }
+        return OpenWorkflow(spec, isRecovered = false, acceptedMillis)
+            .apply { addDueOccurrences(acceptedMillis) }
     }
 
     private fun order(vararg workflows: OpenWorkflow) =
@@ -70,8 +86,6 @@
 
     @Test
     fun `serving workflows of an image that have to spread come before others of it`() {
-        fun serving(id: String, image: String, maxPerWorker: Int) =
-            workflow(id, isLongRunning = true, image = image, maxPerWorker = maxPerWorker)
         val workflows = arrayOf(
             serving("packed", "a", 0),
             serving("other image", "b", 0),
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/HostRegistry.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/HostRegistry.kt
@@ -70,13 +70,13 @@
 
     override fun onListing(listing: StoreListing) {
         hosts = listing.entries.mapNotNull { entry ->
-            recordOrNull(entry.value)?.let { WorkflowKeys.idOf(entry.key) to it }
+            recordOrNull(entry.value)?.let { entry.key.lastSegment() to it }
         }.toMap()
         if (name !in hosts) lease = null
     }
 
     override fun onChange(change: StoreChange) {
-        val host = WorkflowKeys.idOf(change.key)
+        val host = change.key.lastSegment()
         val record = change.value?.let(::recordOrNull)
         hosts = if (record == null) hosts - host else hosts + (host to record)
         // A delayed write of an earlier process may have put the entry under a lease that nobody
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
@@ -95,7 +95,7 @@
         val listed = store.list(catalog.workersPrefix).bind()
         val roster = store.get(WorkflowKeys.roster(set)).bind()
         val progress = store.list(WorkflowKeys.progress(set)).bind().entries
-            .associate { WorkflowKeys.idOf(it.key) to readProgress(it).bind() }
+            .associate { it.key.lastSegment() to readProgress(it).bind() }
         val interference = store.get(WorkflowKeys.interference(set)).bind()
         val work = store.list(WorkflowKeys.WORK).bind()
         workers.onListing(listed)
@@ -208,7 +208,7 @@
     }
 
     private fun applyEntry(entry: StoreEntry) {
-        val id = WorkflowKeys.idOf(entry.key)
+        val id = entry.key.lastSegment()
         when {
             entry.key.startsWith(WorkflowKeys.JOBS) -> accept(id, entry)
             entry.key.startsWith(WorkflowKeys.CANCELS) -> loop.cancelWorkflow(id)
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowKeys.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowKeys.kt
@@ -18,8 +18,6 @@
 
     fun cancel(id: String) = CANCELS + id
 
-    fun idOf(key: String) = key.substringAfterLast('/')
-
     fun progress(set: Int) = "${ROOT}progress/$set/"
 
     fun progress(set: Int, id: String) = progress(set) + id
@@ -34,3 +32,6 @@
 
     fun interference(set: Int) = "${ROOT}interference/$set"
 }
+
+/** Returns the last segment of a key, which names a workflow or a host. */
+internal fun String.lastSegment() = substringAfterLast('/')
