Record how long the leases of silent workers last, so that owners don't wait anew

Cause: a successor takes the lease of each worker of the roster that doesn't answer for as long as the last owner may have granted it, 14.4 s from its claim, and each successor began anew.

Change: after two failed calls an owner records, with its roster, how long the worker's last lease may last, each second while it runs out, and from the moment the batch is formed it grants that worker no lease until a later roster without the limit is durable; a new incarnation under the ID is bound as well. The next owner counts from its claim, which is later than the record, so its wait can only be too long. A limit counts only if the record is of the epoch before the claim: an owner that recorded nothing may have granted leases. At most one roster a second more, and only while a worker is silent.

Tests, which need the record and so fail to compile before: LeaseLimitTest (four).

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
@@ -39,6 +39,13 @@
     /** Workflows that may have ended since they were last checked. */
     val endCandidates = LinkedHashSet<OpenWorkflow>()
 
+    /**
+     * The IDs of workers of which the store may hold the end of the lease, for the next owner.
+     *
+     * They get no lease until the store certainly doesn't, also if they have restarted.
+     */
+    var limitedLeases: Set<String> = emptySet()
+
     /** How many times placement has examined a worker, as a measure of its cost. */
     var examinedWorkers = 0L
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
@@ -153,6 +153,9 @@
         nowMillis > lapsedByMillis &&
         lastPollMillis <= lapsedByMillis
 
+    /** Whether repeated calls have failed, so that no lease is granted for the present. */
+    val isSilent: Boolean get() = contactFailures >= SILENT_FAILURES
+
     fun recordContactFailure() {
         contactFailures++
         forgetIncarnation()
@@ -270,6 +273,9 @@
         /** Assumed to be too short for a restart followed by a complete run. */
         const val INCARNATION_PROOF_MILLIS = 200L
 
+        /** A single call fails now and then. */
+        const val SILENT_FAILURES = 2
+
         /** Several times the longest stop; a move that takes longer has failed. */
         const val RESERVATION_MILLIS = 3_000L
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
@@ -16,6 +16,7 @@
     private var lastCountMillis = Long.MIN_VALUE / 2
     private var recordedWaiting: Map<String, Int>? = null
     private var newWaiting: Map<String, Int>? = null
+    private var lastLimitsMillis = Long.MIN_VALUE / 2
     private var lastInterferenceMillis = Long.MIN_VALUE / 2
     private var recordedReadings = 0L
     private var newInterference: InterferenceRecord? = null
@@ -26,7 +27,12 @@
         val change = workflow.lastChange
     }
 
-    private class BatchInFlight(val workflows: List<RecordedWorkflow>, val roster: Set<WorkerRef>?)
+    /** A batch with the workers of its [roster], of which the leases of some are [limited]. */
+    private class BatchInFlight(
+        val workflows: List<RecordedWorkflow>,
+        val roster: Set<WorkerRef>?,
+        val limited: Set<String>
+    )
 
     /** End [number] of a worker, to be acknowledged once [change] of [workflow] is durable. */
     private class PendingEnd(val number: Long, val workflow: OpenWorkflow, val change: Long) {
@@ -64,11 +70,12 @@
         if (inFlight != null) return
         updateWaitingCounts(nowMillis)
         updateInterference(nowMillis, unixMillis)
+        updateLeaseLimits(nowMillis)
         val isUnchanged = changed.isEmpty() && !hasRosterChanged && newWaiting == null
         if (isUnchanged && newInterference == null) return
         if (nowMillis < dueMillis()) return
         lastBatchMillis = nowMillis
-        sendBatch()
+        sendBatch(nowMillis)
     }
 
     private fun updateWaitingCounts(nowMillis: Long) {
@@ -85,6 +92,28 @@
         newInterference = tails.record(unixMillis)
     }
 
+    /**
+     * Marks the roster as changed while the leases of silent workers run out.
+     *
+     * The next owner then waits for these workers no longer than this one would.
+     */
+    private fun updateLeaseLimits(nowMillis: Long) {
+        if (nowMillis < lastLimitsMillis + LIMITS_INTERVAL_MILLIS) return
+        val isRunningOut = fleet.workers.values.any {
+            val isRecorded = it.id in fleet.limitedLeases
+            it.isSilent && (!isRecorded || nowMillis <= it.lapsedByMillis + LIMITS_INTERVAL_MILLIS)
+        }
+        if (isRunningOut) hasRosterChanged = true
+    }
+
+    /** Returns the remaining leases of silent workers, which get none from now on. */
+    private fun limitLeases(nowMillis: Long): Map<String, Long> {
+        lastLimitsMillis = nowMillis
+        val silent = fleet.workers.values.filter { it.isSilent }
+        fleet.limitedLeases += silent.map { it.id }
+        return silent.associate { it.id to it.remainingLeaseMillis(nowMillis) }
+    }
+
     /** Returns when the next batch is due, or null if there is none to send. */
     fun dueMillisOrNull(): Long? =
         if (inFlight != null || (changed.isEmpty() && !hasRosterChanged)) null else dueMillis()
@@ -95,15 +124,22 @@
         return lastBatchMillis + if (isFull) 0 else fleet.settings.recordIntervalMillis
     }
 
-    private fun sendBatch() {
+    private fun sendBatch(nowMillis: Long) {
         val batch = changed.take(MAX_BATCH_WORKFLOWS)
         changed -= batch.toSet()
         val roster = if (hasRosterChanged) fleet.workers.values.map { it.ref } else null
         hasRosterChanged = false
-        inFlight = BatchInFlight(batch.map(::RecordedWorkflow), roster?.toSet())
+        val limits = if (roster != null) limitLeases(nowMillis) else emptyMap()
+        inFlight = BatchInFlight(batch.map(::RecordedWorkflow), roster?.toSet(), limits.keys)
         val progress = batch.associate { it.id to it.progress() }
         newWaiting?.let { recordedWaiting = it }
-        val records = RecordBatch(progress, roster, newWaiting, interference = newInterference)
+        val records = RecordBatch(
+            progress,
+            roster,
+            newWaiting,
+            leasesLeft = limits.ifEmpty { null },
+            interference = newInterference
+        )
         fleet.outbox += SchedulerAction.Record(records)
         newWaiting = null
         newInterference = null
@@ -120,6 +156,7 @@
         pendingEnds.entries.removeIf { (worker, ends) -> releaseDurableEnds(worker, ends) }
         if (done.roster != null) {
             fleet.workers.values.forEach { if (it.ref in done.roster) it.isInRoster = true }
+            fleet.limitedLeases = done.limited
             fleet.isPlacementDue = true
         }
         return done.workflows.map { it.workflow }
@@ -143,6 +180,9 @@
          */
         const val COUNT_INTERVAL_MILLIS = 1_000L
 
+        /** The next owner may wait so much longer than necessary for a silent worker. */
+        const val LIMITS_INTERVAL_MILLIS = 1_000L
+
         /** A successor loses what was learned since then; each record has some kilobytes. */
         const val INTERFERENCE_INTERVAL_MILLIS = 2_000L
     }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunMaintenance.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunMaintenance.kt
@@ -90,7 +90,11 @@
         // The lease of an unreachable worker is not extended, so that its tasks can restart
         // elsewhere.
         val leaseEnd = worker.leaseEndOrNull(nowMillis, fleet.settings)
-            ?.takeIf { worker.placements.isNotEmpty() && worker.contactFailures == 0 }
+            ?.takeIf {
+                worker.placements.isNotEmpty() &&
+                    worker.contactFailures == 0 &&
+                    worker.id !in fleet.limitedLeases
+            }
         val isIncarnationKnown = worker.isIncarnationKnown(nowMillis)
         val mayWait = worker.isReconciled &&
             isIncarnationKnown &&
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerAction.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerAction.kt
@@ -29,9 +29,9 @@
  * The records to write in one transaction; a null [roster], [waiting] or [interference] has not
  * changed.
  *
- * [waiting] is the number of workflows without a started task, by queue. [leasesLeft] is written
- * with the last roster in a planned handover: the longest remaining time of each worker's lease in
- * milliseconds, by worker ID.
+ * [waiting] is the number of workflows without a started task, by queue. [leasesLeft] goes with the
+ * roster: the longest remaining time of a lease in milliseconds, by worker ID, for workers that get
+ * no lease any more. These are all of them in a planned handover, otherwise those that are silent.
  */
 data class RecordBatch(
     val progress: Map<String, WorkflowProgress>,
--- /dev/null
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/LeaseLimitTest.kt
@@ -0,0 +1,114 @@
+package sycamoremast.coordination.workflow
+
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.all
+import strikt.assertions.any
+import strikt.assertions.isEmpty
+import strikt.assertions.isLessThan
+import strikt.assertions.isNotEmpty
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
+
+/**
+ * Tests of what an owner records of workers that don't answer.
+ *
+ * Without it each owner of a series waits anew for the longest lease that the one before may have
+ * granted, and no task of a recovered workflow starts.
+ */
+class LeaseLimitTest {
+    private val driver = SchedulerDriver()
+    private val scheduler = driver.scheduler
+    private val settings = SchedulerSettings()
+
+    /** Starts a task on w1, the only worker. */
+    private fun start(): StartOrder {
+        driver.listWorkers("w1")
+        driver.submit(driver.workflow("job", driver.taskStep()))
+        driver.step()
+        return driver.starts.single().also(driver::confirmStart)
+    }
+
+    /** Steps for [millis] while w1 answers nothing; returns the recorded limits of its lease. */
+    private fun stepInSilence(millis: Int): List<Long> {
+        val limits = ArrayList<Long>()
+        repeat(millis / 50) {
+            driver.step()
+            limits += driver.records.mapNotNull { it.leasesLeft?.get("w1") }
+            driver.polls.forEach { driver.answer(it, WorkerAnswer.Unknown("timeout")) }
+        }
+        return limits
+    }
+
+    private fun row(start: StartOrder) = RunningRow(start.task, start.run, "", 50, null)
+
+    @Test
+    fun `records how long the lease of a silent worker may last, less as time passes`() {
+        start()
+        val limits = stepInSilence(5_000)
+        expectThat(limits).isNotEmpty()
+        expectThat(limits.first()).isLessThan(settings.lapsedBy(0))
+        expectThat(limits.last()).isLessThan(limits.first() - 2_000)
+    }
+
+    @Test
+    fun `records the limit that a successor waits for a worker which it never reached`() {
+        val next = SchedulerDriver(epoch = 2)
+        next.scheduler.onWorkersListed(listOf(next.listing("w1")), next.now)
+        next.scheduler.addRosteredWorker(next.ref("gone"), next.now + 14_000)
+        val limits = ArrayList<Long>()
+        repeat(100) {
+            next.step()
+            limits += next.records.mapNotNull { it.leasesLeft?.get("gone") }
+            next.polls.forEach {
+                if (it.worker.id == "w1") {
+                    next.report(it)
+                } else {
+                    next.answer(it, WorkerAnswer.Rejected(RejectReason.NOT_SENT))
+                }
+            }
+        }
+        expectThat(limits.last()).isLessThan(14_000L - 3_000)
+    }
+
+    @Test
+    fun `grants a worker that answers again no lease until its limit is gone from the store`() {
+        val started = start()
+        stepInSilence(3_000)
+        driver.areRecordsDurableAtOnce = false
+        val poll = driver.freshPoll("w1")
+        driver.report(poll, running = listOf(row(started)))
+        repeat(10) {
+            driver.step()
+            expectThat(driver.polls).all { get { leaseEndMillis }.isNull() }
+            driver.polls.forEach { driver.report(it, running = listOf(row(started))) }
+        }
+        scheduler.onBatchDurable()
+        driver.areRecordsDurableAtOnce = true
+        val later = ArrayList<PollOrder>()
+        repeat(10) {
+            driver.step()
+            later += driver.polls
+            driver.polls.forEach { driver.report(it, running = listOf(row(started))) }
+        }
+        expectThat(later).any { get { leaseEndMillis }.isNotNull() }
+    }
+
+    @Test
+    fun `starts nothing on a restarted worker until the limit of its lease is gone`() {
+        start()
+        stepInSilence(3_000)
+        driver.areRecordsDurableAtOnce = false
+        val moved = driver.listing("w1")
+            .copy(ref = WorkerRef("w1", "10.0.0.9:1"), startedUnixMillis = 9)
+        scheduler.onWorkerUnlisted("w1")
+        scheduler.onWorkerListed(moved, driver.now)
+        repeat(10) {
+            driver.step()
+            driver.polls.filter {
+                it.worker == moved.ref
+            }.forEach { driver.report(it, started = 9) }
+            expectThat(driver.starts).isEmpty()
+        }
+    }
+}
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
@@ -110,13 +110,14 @@
      * Adds the workers of the previous owner's [roster], with the time by which their leases
      * expire.
      *
-     * The previous owner may have continued past its own lease, unless it handed over as planned.
+     * The previous owner may have continued past its own lease, but it granted none to the workers
+     * whose remaining lease it recorded.
      */
     private fun SchedulerLoop.addRoster(roster: RosterRecord, term: Term) {
         val latestExpiryMillis =
             settings.lapsedBy(term.claimedMillis + SchedulerSettings.PAST_LEASE_MILLIS)
         val leasesLeft = roster.leasesLeft?.takeIf { roster.epoch == term.epoch - 1 }
-        log.add("roster", "workers" to roster.workers.size, "wasHandedOver" to (leasesLeft != null))
+        log.add("roster", "workers" to roster.workers.size, "knownLeases" to (leasesLeft?.size ?: 0))
         for (worker in roster.workers) {
             addRosterWorker(
                 worker,
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowRecords.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowRecords.kt
@@ -27,8 +27,9 @@
 /**
  * The workers to which the owner of [epoch] may have assigned work.
  *
- * [leasesLeft] is written by an owner that hands over as planned: the time in milliseconds, by
- * worker, for which its leases may still last.
+ * [leasesLeft] names the workers to which that owner grants no more leases: the time in milliseconds
+ * for which the last one may still be valid. An owner that hands over as planned names all workers,
+ * others name those that don't answer.
  */
 @Serializable
 internal data class RosterRecord(
