Record that draining workers get short leases, and none past the owner's own

Change: an owner records that a worker drains: from then on it grants that one leases of 3 s, and none once it is no longer the sole owner.

Test: `records that a draining worker gets short leases only, and none past the owner's own`.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
@@ -39,12 +39,8 @@
     /** Workflows that may have ended since they were last checked. */
     val endCandidates = LinkedHashSet<OpenWorkflow>()
 
-    /**
-     * The IDs of workers of which the store may hold the end of the lease, for the next owner.
-     *
-     * They get no lease until the store certainly doesn't, also if they have restarted.
-     */
-    var limitedLeases: Set<String> = emptySet()
+    /** What the store may tell the next owner about leases of workers. */
+    var leaseLimits = LeaseLimits.NONE
 
     /** How many times placement has examined a worker, as a measure of its cost. */
     var examinedWorkers = 0L
@@ -97,6 +93,13 @@
         outbox += SchedulerAction.Log(SchedulerEvent(name, id, mapOf(*fields)))
     }
 
+    /** Whether [worker] may get a lease, so that what the store may tell of its lease stays true. */
+    fun mayGrantLease(worker: FleetWorker): Boolean = when (worker.id) {
+        in leaseLimits.ended -> false
+        in leaseLimits.short -> worker.listing.isDraining && isSoleOwner
+        else -> true
+    }
+
     fun taskOrNull(name: TaskName): OpenTask? = workflows[name.workflow]?.taskOrNull(name)
 
     /** Whether every worker that may run recovered work has reported it or certainly ended it. */
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
@@ -126,7 +126,7 @@
         fleet.examinedWorkers++
         return worker.acceptsStarts(nowMillis) &&
             fleet.enforcesFencing(worker.ref) &&
-            worker.id !in fleet.limitedLeases &&
+            fleet.mayGrantLease(worker) &&
             worker.listing.service == task.step.workflow.queue.service &&
             (spec.requiredLabel.isEmpty() || spec.requiredLabel in worker.listing.labels) &&
             fits(worker, spec, freed ?: Resources.NONE) &&
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
@@ -17,6 +17,7 @@
     private var recordedWaiting: Map<String, Int>? = null
     private var newWaiting: Map<String, Int>? = null
     private var lastLimitsMillis = Long.MIN_VALUE / 2
+    private var newLimits = LeaseLimits.NONE
     private var lastInterferenceMillis = Long.MIN_VALUE / 2
     private var recordedReadings = 0L
     private var newInterference: InterferenceRecord? = null
@@ -27,11 +28,11 @@
         val change = workflow.lastChange
     }
 
-    /** A batch with the workers of its [roster], of which the leases of some are [limited]. */
+    /** A batch with the workers of its [roster], whose leases have [limits]. */
     private class BatchInFlight(
         val workflows: List<RecordedWorkflow>,
         val roster: Set<WorkerRef>?,
-        val limited: Set<String>
+        val limits: LeaseLimits
     )
 
     /** End [number] of a worker, to be acknowledged once [change] of [workflow] is durable. */
@@ -93,25 +94,31 @@
     }
 
     /**
-     * Marks the roster as changed while the leases of silent workers run out.
+     * Marks the roster as changed while leases of silent or draining workers run out.
      *
-     * The next owner then waits for these workers no longer than this one would.
+     * The next owner then waits for these workers hardly longer than this one would.
      */
     private fun updateLeaseLimits(nowMillis: Long) {
         if (nowMillis < lastLimitsMillis + LIMITS_INTERVAL_MILLIS) return
         val isRunningOut = fleet.workers.values.any {
-            val isRecorded = it.id in fleet.limitedLeases
-            it.isSilent && (!isRecorded || nowMillis <= it.lapsedByMillis + LIMITS_INTERVAL_MILLIS)
+            val isRecorded = it.id in fleet.leaseLimits.ended
+            val isOver = nowMillis > it.lapsedByMillis + LIMITS_INTERVAL_MILLIS
+            (it.isSilent && !(isRecorded && isOver)) || (it.listing.isDraining && !isOver)
         }
         if (isRunningOut) hasRosterChanged = true
     }
 
-    /** Returns the remaining leases of silent workers, which get none from now on. */
+    /** Returns how long leases of silent and draining workers may last, and limits them to that. */
     private fun limitLeases(nowMillis: Long): Map<String, Long> {
         lastLimitsMillis = nowMillis
-        val silent = fleet.workers.values.filter { it.isSilent }
-        fleet.limitedLeases += silent.map { it.id }
-        return silent.associate { it.id to it.remainingLeaseMillis(nowMillis) }
+        val (silent, others) = fleet.workers.values.partition { it.isSilent }
+        val draining = others.filter { it.listing.isDraining }
+        newLimits =
+            LeaseLimits(silent.mapTo(HashSet()) { it.id }, draining.mapTo(HashSet()) { it.id })
+        fleet.leaseLimits += newLimits
+        val shortest = fleet.settings.drainingLimitMillis()
+        return silent.associate { it.id to it.remainingLeaseMillis(nowMillis) } +
+            draining.associate { it.id to maxOf(it.remainingLeaseMillis(nowMillis), shortest) }
     }
 
     /** Returns when the next batch is due, or null if there is none to send. */
@@ -129,15 +136,15 @@
         changed -= batch.toSet()
         val roster = if (hasRosterChanged) fleet.workers.values.map { it.ref } else null
         hasRosterChanged = false
-        val limits = if (roster != null) limitLeases(nowMillis) else emptyMap()
-        inFlight = BatchInFlight(batch.map(::RecordedWorkflow), roster?.toSet(), limits.keys)
+        val leasesLeft = if (roster != null) limitLeases(nowMillis) else emptyMap()
+        inFlight = BatchInFlight(batch.map(::RecordedWorkflow), roster?.toSet(), newLimits)
         val progress = batch.associate { it.id to it.progress() }
         newWaiting?.let { recordedWaiting = it }
         val records = RecordBatch(
             progress,
             roster,
             newWaiting,
-            leasesLeft = limits.ifEmpty { null },
+            leasesLeft = leasesLeft.ifEmpty { null },
             interference = newInterference
         )
         fleet.outbox += SchedulerAction.Record(records)
@@ -156,7 +163,7 @@
         pendingEnds.entries.removeIf { (worker, ends) -> releaseDurableEnds(worker, ends) }
         if (done.roster != null) {
             fleet.workers.values.forEach { if (it.ref in done.roster) it.isInRoster = true }
-            fleet.limitedLeases = done.limited
+            fleet.leaseLimits = done.limits
             fleet.isPlacementDue = true
         }
         return done.workflows.map { it.workflow }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunMaintenance.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunMaintenance.kt
@@ -93,7 +93,7 @@
             ?.takeIf {
                 worker.placements.isNotEmpty() &&
                     worker.contactFailures == 0 &&
-                    worker.id !in fleet.limitedLeases
+                    fleet.mayGrantLease(worker)
             }
         val isIncarnationKnown = worker.isIncarnationKnown(nowMillis)
         val mayWait = worker.isReconciled &&
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerAction.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerAction.kt
@@ -30,8 +30,8 @@
  * changed.
  *
  * [waiting] is the number of workflows without a started task, by queue. [leasesLeft] goes with the
- * roster: the longest remaining time of a lease in milliseconds, by worker ID, for workers that get
- * no lease any more. These are all of them in a planned handover, otherwise those that are silent.
+ * roster: how long a lease may last after another owner's claim, in milliseconds by worker ID. It
+ * names all workers in a planned handover, otherwise those that are silent or drain.
  */
 data class RecordBatch(
     val progress: Map<String, WorkflowProgress>,
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerSettings.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerSettings.kt
@@ -24,6 +24,13 @@
         return sentMillis + lease + lease / SLOWEST_CLOCK_DIVISOR + LAPSE_MARGIN_MILLIS
     }
 
+    /**
+     * Returns how long after another owner's claim the lease of a draining worker may last.
+     *
+     * An owner that is no longer the sole one grants it none.
+     */
+    fun drainingLimitMillis(): Long = OWNER_OVERRUN_MILLIS + lapsedBy(0, isDraining = true)
+
     /** Returns how far a worker's clock may lag after [elapsedMillis], at most half a lease. */
     fun maxDrift(elapsedMillis: Long): Long =
         (elapsedMillis / SLOWEST_CLOCK_DIVISOR).coerceIn(0, leaseMillis / 2)
@@ -62,6 +69,9 @@
         /** Covers the error of a worker's clock reading and the time that killing a run takes. */
         private const val LAPSE_MARGIN_MILLIS = 300L
 
+        /** How late an owner may notice that its lease in the store has ended. */
+        private const val OWNER_OVERRUN_MILLIS = 2_000L
+
         /** How long an owner may go on without a valid lease in the store, relying on fencing. */
         const val PAST_LEASE_MILLIS = 7_000L
     }
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/LeaseLimitTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/LeaseLimitTest.kt
@@ -5,6 +5,8 @@
 import strikt.assertions.all
 import strikt.assertions.any
 import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThan
 import strikt.assertions.isNotEmpty
 import strikt.assertions.isNotNull
@@ -111,4 +113,23 @@
             expectThat(driver.starts).isEmpty()
         }
     }
+
+    // Guards against a wait for workers that leave as planned while there is no owner.
+    @Test
+    fun `records that a draining worker gets short leases only, and none past the owner's own`() {
+        val started = start()
+        scheduler.onWorkerListed(driver.listing("w1", isDraining = true), driver.now)
+        val limits = ArrayList<Long>()
+        val ends = ArrayList<Long?>()
+        repeat(200) {
+            if (it == 160) driver.isSoleOwner = false
+            driver.step()
+            limits += driver.records.mapNotNull { record -> record.leasesLeft?.get("w1") }
+            if (it > 160) ends += driver.polls.map { poll -> poll.leaseEndMillis }
+            driver.polls.forEach { poll -> driver.report(poll, running = listOf(row(started))) }
+        }
+        expectThat(limits.first()).isGreaterThan(settings.drainingLimitMillis())
+        expectThat(limits.last()).isEqualTo(settings.drainingLimitMillis())
+        expectThat(ends).isNotEmpty().all { isNull() }
+    }
 }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
@@ -110,8 +110,8 @@
      * Adds the workers of the previous owner's [roster], with the time by which their leases
      * expire.
      *
-     * The previous owner may have continued past its own lease, but it granted none to the workers
-     * whose remaining lease it recorded.
+     * The previous owner may have continued past its own lease, but not with the workers whose
+     * remaining lease it recorded.
      */
     private fun SchedulerLoop.addRoster(roster: RosterRecord, term: Term) {
         val latestExpiryMillis =
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowRecords.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowRecords.kt
@@ -27,9 +27,9 @@
 /**
  * The workers to which the owner of [epoch] may have assigned work.
  *
- * [leasesLeft] names the workers to which that owner grants no more leases: the time in milliseconds
- * for which the last one may still be valid. An owner that hands over as planned names all workers,
- * others name those that don't answer.
+ * [leasesLeft] gives the time in milliseconds, by worker, for which its leases may last after the
+ * next owner's claim. An owner that hands over as planned names all workers, others name those that
+ * don't answer or drain.
  */
 @Serializable
 internal data class RosterRecord(
