--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
@@ -117,7 +117,11 @@
         val latestExpiryMillis =
             settings.lapsedBy(term.claimedMillis + SchedulerSettings.PAST_LEASE_MILLIS)
         val leasesLeft = roster.leasesLeft?.takeIf { roster.epoch == term.epoch - 1 }
-        log.add("roster", "workers" to roster.workers.size, "knownLeases" to (leasesLeft?.size ?: 0))
+        log.add(
+            "roster",
+            "workers" to roster.workers.size,
+            "knownLeases" to (leasesLeft?.size ?: 0)
+        )
         for (worker in roster.workers) {
             addRosterWorker(
                 worker,
