Give up the limit of a lease as soon as its reason is gone

Cause: a silent worker that answered a start or a stop again had no runs, so it was not polled, and the roster was marked as changed by reports only: its limit stayed, and it got no work any more.

Change: the limits are compared with the workers' state before each batch.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
@@ -94,11 +94,15 @@
     }
 
     /**
-     * Marks the roster as changed while leases of silent or draining workers run out.
+     * Marks the roster as changed if it limits the lease of a worker for no reason any more, and
+     * while leases of silent or draining workers run out.
      *
      * The next owner then waits for these workers hardly longer than this one would.
      */
     private fun updateLeaseLimits(nowMillis: Long) {
+        val isObsolete = fleet.leaseLimits.ended.any { fleet.workers[it]?.isSilent == false } ||
+            fleet.leaseLimits.short.any { fleet.workers[it]?.listing?.isDraining == false }
+        if (isObsolete) hasRosterChanged = true
         if (nowMillis < lastLimitsMillis + LIMITS_INTERVAL_MILLIS) return
         val isRunningOut = fleet.workers.values.any {
             val isRecorded = it.id in fleet.leaseLimits.ended
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
@@ -153,7 +153,6 @@
         }
         worker.recordAnswer(report.clockMillis, report.receivedMillis)
         worker.recordReport(nowMillis)
-        if (!fleet.mayGrantLease(worker)) recorder.markRosterChanged()
         if (!worker.isReconciled || worker.contactFailures == 0) fleet.isPlacementDue = true
         worker.isReconciled = true
         worker.nextPollMillis = nowMillis
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/LeaseLimitTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/LeaseLimitTest.kt
@@ -114,6 +114,23 @@
         }
     }
 
+    // Guards against a worker that gets no work any more, as one without runs isn't polled.
+    @Test
+    fun `starts tasks on a worker without runs that was silent for a while`() {
+        driver.listWorkers("w1")
+        driver.submit(driver.workflow("first", driver.taskStep()))
+        driver.step()
+        val first = driver.starts.single()
+        stepInSilence(3_000)
+        val poll = driver.freshPoll("w1")
+        val end = EndedRow(1, first.task, first.run, RunEnd.DONE, "")
+        driver.report(poll, ended = listOf(end))
+        driver.settle()
+        driver.submit(driver.workflow("second", driver.taskStep()))
+        driver.step()
+        expectThat(driver.starts.map { it.task.workflow }).isEqualTo(listOf("second"))
+    }
+
     // Guards against a wait for workers that leave as planned while there is no owner.
     @Test
     fun `records that a draining worker gets short leases only, and none past the owner's own`() {
--- a/daemon/src/test/kotlin/sycamoremast/daemon/batch/BatchSchedulerTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/batch/BatchSchedulerTest.kt
@@ -90,6 +90,7 @@
         await { workers.any { it.runningTasks().isNotEmpty() } }
         workers.first { it.runningTasks().isNotEmpty() }.isReachable = false
         await { batch.jobs("nets").single().state == "unknown" }
+        await { problems.raised.isNotEmpty() }
         expectThat(problems.raised).containsExactly(ProblemKind.UNKNOWN to "nets/invoice/0")
         expectThat(workers.sumOf { it.runningTasks().size }).isEqualTo(0)
     }
