--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/NeighbourAdmission.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/NeighbourAdmission.kt
@@ -66,7 +66,7 @@
             val cost = model.cost(image, worker.colocation.shares) +
                 model.effect(image, extra.image) * share
             val unloaded = lowestBaseline(it.task.step, extra.estimateMillis, nowMillis)
-            unloaded - cost >= ColocationController.MIN_HEADROOM + cost * COST_MARGIN
+            unloaded - cost >= ColocationController.TARGET_HEADROOM
         }
     }
 
@@ -87,9 +87,6 @@
          */
         const val UNKNOWN_HEADROOM = 1.6
 
-        /** The error of an estimated cost relative to it, which the headroom has to cover. */
-        const val COST_MARGIN = 0.15
-
         /** Weights relative to the idle share of a worker; only their order matters. */
         const val HARMLESS_SCORE = 0.95
         const val NO_SERVING_SCORE = 0.5
