--- a/emulator/src/main/kotlin/sycamoremast/emulator/LoadPattern.kt
+++ b/emulator/src/main/kotlin/sycamoremast/emulator/LoadPattern.kt
@@ -1,65 +1,10 @@
 /**
  * Named load patterns: which workflows arrive, how many workers there are, and how they behave.
  *
- * The named patterns use the figures of the users' sheets on their two deployments.
+ * The named patterns use the figures of the users' sheets on their deployments.
  */
 package sycamoremast.emulator
 
-/**
- * A kind of workflow of [queue]; [ratePerSecond] of them arrive on average.
- *
- * [steps] is the mean number of steps, [width] the mean number of tasks per step, limited to
- * [maxWidth]. A task takes [workMillis] on average; [spread] is the deviation of the logarithm of
- * that time. [failureRate] is the probability that the first run of a task fails. A workflow is in
- * time if it completes within [stretch] times its ideal run time plus [targetLatencyMillis].
- */
-data class WorkflowKind(
-    val queue: String,
-    val priority: Int,
-    val ratePerSecond: Double,
-    val steps: Double,
-    val width: Double,
-    val workMillis: Double,
-    val spread: Double,
-    val milliCpus: Double,
-    val memoryMib: Long,
-    val stretch: Double,
-    val targetLatencyMillis: Long,
-    val usesIdleCpu: Boolean = false,
-    val isServing: Boolean = false,
-    val maxAttempts: Int = 3,
-    val failureRate: Double = 0.0,
-    val maxWidth: Int = 32
-)
-
-/** A surge: arrivals in [queue] are multiplied by [factor] from [fromSecond] on for [seconds]. */
-data class Surge(val queue: String, val fromSecond: Int, val seconds: Int, val factor: Double)
-
-/**
- * The first [count] workers are faulty from [fromSecond] on for [seconds].
- *
- * [failureRate] is the probability that a run started there fails; each run takes [slowdown] times
- * as long.
- */
-data class FaultyWorkers(
-    val count: Int,
-    val fromSecond: Int,
-    val seconds: Int,
-    val failureRate: Double = 0.0,
-    val slowdown: Double = 1.0
-)
-
-/**
- * The last [count] workers leave one after the other, the first at [fromSecond] and each
- * [intervalMillis] after the one before, [noticeMillis] after the platform lists it as draining.
- */
-data class Departures(
-    val count: Int,
-    val fromSecond: Int,
-    val intervalMillis: Long,
-    val noticeMillis: Long
-)
-
 /**
  * A load pattern: a fleet of [workers] and the workflows that arrive within [seconds].
  *
@@ -103,56 +48,9 @@
         /** The ratio of the batch work in an overload to that of a dense fleet's usual day. */
         private const val OVERLOAD = 1.85
 
-        private val bktibKinds = listOf(
-            WorkflowKind(
-                queue = "field-check",
-                priority = 0,
-                ratePerSecond = 2.1,
-                steps = 1.6,
-                width = 6.0,
-                workMillis = 850.0,
-                spread = 0.5,
-                milliCpus = 3_100.0,
-                memoryMib = 6_200,
-                stretch = 1.5,
-                targetLatencyMillis = 250,
-                maxAttempts = 2,
-                failureRate = 0.05
-            ),
-            WorkflowKind(
-                queue = "cert-review",
-                priority = 2,
-                ratePerSecond = 5.0,
-                steps = 2.0,
-                width = 8.0,
-                workMillis = 1_400.0,
-                spread = 0.5,
-                milliCpus = 3_500.0,
-                memoryMib = 6_400,
-                stretch = 2.0,
-                targetLatencyMillis = 1_000,
-                usesIdleCpu = true,
-                failureRate = 0.05
-            ),
-            WorkflowKind(
-                queue = "slope-watch",
-                priority = 0,
-                ratePerSecond = 0.15,
-                steps = 1.0,
-                width = 6.0,
-                workMillis = 0.0,
-                spread = 0.0,
-                milliCpus = 6_400.0,
-                memoryMib = 13_000,
-                stretch = 2.2,
-                targetLatencyMillis = 2_500,
-                isServing = true
-            )
-        )
-
         /** A calm day at BKTIB: serving tasks reserve most processors, reviews use idle ones. */
         val sharedCalm = LoadPattern(
-            "shared-calm", 45, 32_000, 128_000, bktibKinds,
+            "shared-calm", 45, 32_000, 128_000, Workloads.inspections,
             servingReserve = 0.8, heavyShare = 0.35, tailMillis = 10.0, periodSeconds = 14.0
         )
 
@@ -165,7 +63,7 @@
         /** A heavy day at BKTIB: more reviews, and nearly half of image pairs interfere heavily. */
         val sharedHeavy = sharedCalm.copy(
             name = "shared-heavy",
-            kinds = bktibKinds.map {
+            kinds = Workloads.inspections.map {
                 if (it.usesIdleCpu) it.copy(ratePerSecond = it.ratePerSecond * HEAVY_DAY) else it
             },
             heavyShare = 0.45,
@@ -197,113 +95,18 @@
             departures = Departures(15, fromSecond = 12, intervalMillis = 300, noticeMillis = 0)
         )
 
-        private val regieKinds = listOf(
-            WorkflowKind(
-                queue = "daily-tally",
-                priority = 0,
-                ratePerSecond = 2.4,
-                steps = 1.6,
-                width = 6.0,
-                workMillis = 680.0,
-                spread = 0.5,
-                milliCpus = 4_600.0,
-                memoryMib = 9_200,
-                stretch = 1.5,
-                targetLatencyMillis = 250,
-                maxAttempts = 2,
-                failureRate = 0.05
-            ),
-            WorkflowKind(
-                queue = "species-review",
-                priority = 2,
-                ratePerSecond = 3.0,
-                steps = 2.0,
-                width = 8.0,
-                workMillis = 1_400.0,
-                spread = 0.5,
-                milliCpus = 7_000.0,
-                memoryMib = 13_000,
-                stretch = 2.0,
-                targetLatencyMillis = 1_000,
-                usesIdleCpu = true,
-                failureRate = 0.02
-            ),
-            WorkflowKind(
-                queue = "watch-stream",
-                priority = 0,
-                ratePerSecond = 0.1,
-                steps = 1.0,
-                width = 6.0,
-                workMillis = 0.0,
-                spread = 0.0,
-                milliCpus = 13_000.0,
-                memoryMib = 26_000,
-                stretch = 2.2,
-                targetLatencyMillis = 2_500,
-                isServing = true
-            )
-        )
-
         /** The Regie's fleet with more serving tasks than fit; short tallies compete with them. */
         val servingCrowd = LoadPattern(
-            "serving-crowd", 32, 64_000, 256_000, regieKinds,
+            "serving-crowd", 32, 64_000, 256_000, Workloads.fishCounts,
             servingReserve = 0.95, heavyShare = 0.35, tailMillis = 25.0, periodSeconds = 20.0
         )
 
-        private val frotherKinds = listOf(
-            WorkflowKind(
-                queue = "diagnosis",
-                priority = 0,
-                ratePerSecond = 2.5,
-                steps = 1.6,
-                width = 6.0,
-                workMillis = 850.0,
-                spread = 0.5,
-                milliCpus = 4_600.0,
-                memoryMib = 9_200,
-                stretch = 1.5,
-                targetLatencyMillis = 250,
-                maxAttempts = 4,
-                failureRate = 0.02
-            ),
-            WorkflowKind(
-                queue = "reconciliation",
-                priority = 2,
-                ratePerSecond = 2.7,
-                steps = 2.0,
-                width = 8.0,
-                workMillis = 2_300.0,
-                spread = 0.5,
-                milliCpus = 7_000.0,
-                memoryMib = 13_000,
-                stretch = 2.0,
-                targetLatencyMillis = 1_000,
-                usesIdleCpu = true,
-                maxAttempts = 2,
-                failureRate = 0.05
-            ),
-            WorkflowKind(
-                queue = "pickup-watch",
-                priority = 0,
-                ratePerSecond = 0.127,
-                steps = 1.0,
-                width = 6.0,
-                workMillis = 0.0,
-                spread = 0.0,
-                milliCpus = 13_000.0,
-                memoryMib = 26_000,
-                stretch = 2.2,
-                targetLatencyMillis = 2_500,
-                isServing = true
-            )
-        )
-
         /**
          * Serving tasks reserve nearly all processors, and most batch tasks run longer than a
          * second beside serving tasks that half of the images would push over their target.
          */
         val sharedDense = LoadPattern(
-            "shared-dense", 32, 64_000, 256_000, frotherKinds,
+            "shared-dense", 32, 64_000, 256_000, Workloads.repairs,
             servingReserve = 0.93, heavyShare = 0.55, tailMillis = 25.0, periodSeconds = 20.0,
             meanLoad = 0.48, loadSwing = 0.5, targetFactor = 6.0, lightLoad = 0.17,
             surges = listOf(Surge("reconciliation", 13, 6, 1.4))
@@ -312,64 +115,14 @@
         /** The dense fleet with nearly twice the batch work, more than it can do in time. */
         val sharedOverload = sharedDense.copy(
             name = "shared-overload",
-            kinds = frotherKinds.map {
+            kinds = Workloads.repairs.map {
                 if (it.usesIdleCpu) it.copy(ratePerSecond = it.ratePerSecond * OVERLOAD) else it
             }
         )
 
-        private val largeKinds = listOf(
-            WorkflowKind(
-                queue = "field-check",
-                priority = 0,
-                ratePerSecond = 6.5,
-                steps = 1.6,
-                width = 7.7,
-                workMillis = 680.0,
-                spread = 0.5,
-                milliCpus = 11_000.0,
-                memoryMib = 22_000,
-                stretch = 1.5,
-                targetLatencyMillis = 250,
-                failureRate = 0.03,
-                maxWidth = 46
-            ),
-            WorkflowKind(
-                queue = "cert-review",
-                priority = 2,
-                ratePerSecond = 14.8,
-                steps = 2.0,
-                width = 27.0,
-                workMillis = 1_400.0,
-                spread = 0.5,
-                milliCpus = 3_500.0,
-                memoryMib = 6_400,
-                stretch = 2.0,
-                targetLatencyMillis = 1_000,
-                usesIdleCpu = true,
-                maxAttempts = 2,
-                failureRate = 0.005,
-                maxWidth = 110
-            ),
-            WorkflowKind(
-                queue = "slope-watch",
-                priority = 0,
-                ratePerSecond = 0.4,
-                steps = 1.0,
-                width = 24.0,
-                workMillis = 0.0,
-                spread = 0.0,
-                milliCpus = 6_400.0,
-                memoryMib = 13_000,
-                stretch = 2.2,
-                targetLatencyMillis = 2_500,
-                isServing = true,
-                maxWidth = 48
-            )
-        )
-
         /** A large fleet: 425 workers and about 900 starts per second. */
         val largeFleet = LoadPattern(
-            "large-fleet", 425, 32_000, 128_000, largeKinds,
+            "large-fleet", 425, 32_000, 128_000, Workloads.manyInspections,
             servingReserve = 0.7, heavyShare = 0.35, tailMillis = 10.0, periodSeconds = 14.0,
             seconds = 14
         )
@@ -378,7 +131,12 @@
         fun scaledLargeFleet(factor: Int): LoadPattern = largeFleet.copy(
             name = "large-fleet-x$factor",
             workers = largeFleet.workers * factor,
-            kinds = largeKinds.map { it.copy(ratePerSecond = it.ratePerSecond * factor) },
+            kinds = Workloads.manyInspections.map {
+                it.copy(
+                    ratePerSecond =
+                    it.ratePerSecond * factor
+                )
+            },
             seconds = 6
         )
 
