--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
@@ -7,6 +7,7 @@
 package sycamoremast.coordination.workflow
 
 internal class Recorder(private val fleet: Fleet, private val tails: TailModel) {
+    private val leases = LeaseLimiter(fleet)
     private val changed = LinkedHashSet<OpenWorkflow>()
     private val pendingEnds = LinkedHashMap<FleetWorker, ArrayDeque<PendingEnd>>()
     private var lastChange = 0L
@@ -16,8 +17,6 @@
     private var lastCountMillis = Long.MIN_VALUE / 2
     private var recordedWaiting: Map<String, Int>? = null
     private var newWaiting: Map<String, Int>? = null
-    private var lastLimitsMillis = Long.MIN_VALUE / 2
-    private var newLimits = LeaseLimits.NONE
     private var lastInterferenceMillis = Long.MIN_VALUE / 2
     private var recordedReadings = 0L
     private var newInterference: InterferenceRecord? = null
@@ -28,12 +27,7 @@
         val change = workflow.lastChange
     }
 
-    /** A batch with the workers of its [roster], whose leases have [limits]. */
-    private class BatchInFlight(
-        val workflows: List<RecordedWorkflow>,
-        val roster: Set<WorkerRef>?,
-        val limits: LeaseLimits
-    )
+    private class BatchInFlight(val workflows: List<RecordedWorkflow>, val roster: Set<WorkerRef>?)
 
     /** End [number] of a worker, to be acknowledged once [change] of [workflow] is durable. */
     private class PendingEnd(val number: Long, val workflow: OpenWorkflow, val change: Long) {
@@ -45,6 +39,13 @@
         changed += workflow
     }
 
+    /** Marks [workflow] as begun once a start of a task is confirmed; an order is not enough. */
+    fun markBegun(workflow: OpenWorkflow) {
+        if (workflow.hasBegun || !workflow.isOpen) return
+        workflow.begin()
+        markChanged(workflow)
+    }
+
     fun markRosterChanged() {
         hasRosterChanged = true
     }
@@ -71,7 +72,7 @@
         if (inFlight != null) return
         updateWaitingCounts(nowMillis)
         updateInterference(nowMillis, unixMillis)
-        updateLeaseLimits(nowMillis)
+        if (leases.isRecordDue(nowMillis)) hasRosterChanged = true
         val isUnchanged = changed.isEmpty() && !hasRosterChanged && newWaiting == null
         if (isUnchanged && newInterference == null) return
         if (nowMillis < dueMillis()) return
@@ -93,38 +94,6 @@
         newInterference = tails.record(unixMillis)
     }
 
-    /**
-     * Marks the roster as changed if it limits the lease of a worker for no reason any more, and
-     * while leases of silent or draining workers run out.
-     *
-     * The next owner then waits for these workers hardly longer than this one would.
-     */
-    private fun updateLeaseLimits(nowMillis: Long) {
-        val isObsolete = fleet.leaseLimits.ended.any { fleet.workers[it]?.isSilent == false } ||
-            fleet.leaseLimits.short.any { fleet.workers[it]?.listing?.isDraining == false }
-        if (isObsolete) hasRosterChanged = true
-        if (nowMillis < lastLimitsMillis + LIMITS_INTERVAL_MILLIS) return
-        val isRunningOut = fleet.workers.values.any {
-            val isRecorded = it.id in fleet.leaseLimits.ended
-            val isOver = nowMillis > it.lapsedByMillis + LIMITS_INTERVAL_MILLIS
-            (it.isSilent && !(isRecorded && isOver)) || (it.listing.isDraining && !isOver)
-        }
-        if (isRunningOut) hasRosterChanged = true
-    }
-
-    /** Returns how long leases of silent and draining workers may last, and limits them to that. */
-    private fun limitLeases(nowMillis: Long): Map<String, Long> {
-        lastLimitsMillis = nowMillis
-        val (silent, others) = fleet.workers.values.partition { it.isSilent }
-        val draining = others.filter { it.listing.isDraining }
-        newLimits =
-            LeaseLimits(silent.mapTo(HashSet()) { it.id }, draining.mapTo(HashSet()) { it.id })
-        fleet.leaseLimits += newLimits
-        val shortest = fleet.settings.drainingLimitMillis()
-        return silent.associate { it.id to it.remainingLeaseMillis(nowMillis) } +
-            draining.associate { it.id to maxOf(it.remainingLeaseMillis(nowMillis), shortest) }
-    }
-
     /** Returns when the next batch is due, or null if there is none to send. */
     fun dueMillisOrNull(): Long? =
         if (inFlight != null || (changed.isEmpty() && !hasRosterChanged)) null else dueMillis()
@@ -140,8 +109,8 @@
         changed -= batch.toSet()
         val roster = if (hasRosterChanged) fleet.workers.values.map { it.ref } else null
         hasRosterChanged = false
-        val leasesLeft = if (roster != null) limitLeases(nowMillis) else emptyMap()
-        inFlight = BatchInFlight(batch.map(::RecordedWorkflow), roster?.toSet(), newLimits)
+        val leasesLeft = if (roster != null) leases.limit(nowMillis) else emptyMap()
+        inFlight = BatchInFlight(batch.map(::RecordedWorkflow), roster?.toSet())
         val progress = batch.associate { it.id to it.progress() }
         newWaiting?.let { recordedWaiting = it }
         val records = RecordBatch(
@@ -167,7 +136,7 @@
         pendingEnds.entries.removeIf { (worker, ends) -> releaseDurableEnds(worker, ends) }
         if (done.roster != null) {
             fleet.workers.values.forEach { if (it.ref in done.roster) it.isInRoster = true }
-            fleet.leaseLimits = done.limits
+            leases.onRecorded()
             fleet.isPlacementDue = true
         }
         return done.workflows.map { it.workflow }
@@ -191,9 +160,6 @@
          */
         const val COUNT_INTERVAL_MILLIS = 1_000L
 
-        /** The next owner may wait so much longer than necessary for a silent worker. */
-        const val LIMITS_INTERVAL_MILLIS = 1_000L
-
         /** A successor loses what was learned since then; each record has some kilobytes. */
         const val INTERFERENCE_INTERVAL_MILLIS = 2_000L
     }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
@@ -11,13 +11,15 @@
     private val recorder: Recorder,
     private val colocation: ColocationController
 ) {
+    private val ends = RunEnds(fleet, recorder)
+
     fun onStartAnswer(order: StartOrder, answer: WorkerAnswer, nowMillis: Long) {
         val placement = findPlacementOrNull(order.task, order.worker, order.run) ?: return
         when (answer) {
             is WorkerAnswer.Done -> {
                 answer.clockMillis?.let { placement.worker.recordAnswer(it, answer.receivedMillis) }
                 placement.transition(PlacementEvent.SEEN, nowMillis)
-                markBegun(placement.task.step.workflow)
+                recorder.markBegun(placement.task.step.workflow)
             }
 
             is WorkerAnswer.Rejected -> onStartRejected(placement, answer.reason, nowMillis)
@@ -159,7 +161,7 @@
         val previousEnd = worker.seenEnd
         report.ended.filter { it.number > previousEnd }.sortedBy { it.number }.forEach {
             worker.seenEnd = it.number
-            onEnded(worker, it, nowMillis)
+            ends.onEnded(worker, it, nowMillis)
             recorder.trackEnd(worker, it.number, fleet.workflows[it.task.workflow])
         }
         val running = report.running.associateBy { it.task }
@@ -176,7 +178,7 @@
         val known = worker.placements[row.task]
         if (known != null && known.run == row.run) {
             known.recordProgress(row, nowMillis)
-            markBegun(known.task.step.workflow)
+            recorder.markBegun(known.task.step.workflow)
             return
         }
         val task = fleet.taskOrNull(row.task)
@@ -194,19 +196,12 @@
         placement.recordProgress(row, nowMillis)
         if (isWanted) {
             fleet.log("run-adopted", row.task.toString(), "run" to row.run, "worker" to worker.id)
-            markBegun(task.step.workflow)
+            recorder.markBegun(task.step.workflow)
         } else {
             fleet.stop(placement, nowMillis, "not wanted")
         }
     }
 
-    /** Marks [workflow] as begun once a start of a task is confirmed; an order is not enough. */
-    private fun markBegun(workflow: OpenWorkflow) {
-        if (workflow.hasBegun || !workflow.isOpen) return
-        workflow.begin()
-        recorder.markChanged(workflow)
-    }
-
     private fun stopUnknown(worker: FleetWorker, row: RunningRow) {
         fleet.log("run-unknown", row.task.toString(), "run" to row.run, "worker" to worker.id)
         val order = StopOrder(worker.ref, fleet.epoch, row.task, row.run)
@@ -235,72 +230,6 @@
         }
     }
 
-    private fun onEnded(worker: FleetWorker, row: EndedRow, nowMillis: Long) {
-        val task = fleet.taskOrNull(row.task) ?: return
-        val placement = worker.placements[row.task]?.takeIf { it.run == row.run }
-        task.lastRun = maxOf(task.lastRun, row.run)
-        if (row.checkpoint.isNotEmpty()) task.checkpoint = row.checkpoint
-        val workflow = task.step.workflow
-        fleet.log(
-            "run-ended",
-            row.task.toString(),
-            "run" to row.run,
-            "worker" to worker.id,
-            "how" to row.how,
-            "ranMillis" to placement?.let { nowMillis - it.startedMillis }
-        )
-        if (placement != null) fleet.release(placement, nowMillis)
-        if (!workflow.isOpen) return
-        markBegun(workflow)
-        when (row.how) {
-            RunEnd.DONE -> onDone(task, worker, nowMillis)
-
-            RunEnd.FAILED -> onFailed(task, row.run, worker, nowMillis)
-
-            RunEnd.STOPPED, RunEnd.LAPSED, RunEnd.BROKEN, RunEnd.ALONE ->
-                recorder.markChanged(workflow)
-        }
-    }
-
-    private fun onDone(task: OpenTask, worker: FleetWorker, nowMillis: Long) {
-        worker.consecutiveFailures = 0
-        val workflow = task.step.workflow
-        recorder.markChanged(workflow)
-        fleet.endCandidates += workflow
-        if (task.step.spec.isLongRunning) return
-        if (task.step.spec.isGang) {
-            // If one member is done, the whole gang is done.
-            task.step.tasks.forEach { it.markDone() }
-            fleet.isPlacementDue = true
-            return
-        }
-        task.markDone()
-        task.placements.toList().forEach { fleet.stop(it, nowMillis, "done elsewhere") }
-        fleet.isPlacementDue = true
-    }
-
-    private fun onFailed(task: OpenTask, run: Int, worker: FleetWorker, nowMillis: Long) {
-        // Failures of one run of a gang count once, for its first task. Long-running tasks always
-        // restart.
-        val counted = if (task.step.spec.isGang) task.step.tasks.first() else task
-        if (!task.step.spec.isLongRunning && !counted.recordFailure(run)) return
-        task.lastFailedWorkerId = worker.id
-        worker.consecutiveFailures++
-        if (worker.consecutiveFailures >= SUSPECT_FAILURES) {
-            val pause = SUSPECT_PAUSE_MILLIS shl
-                minOf(worker.consecutiveFailures - SUSPECT_FAILURES, MAX_BACKOFF_STEPS)
-            worker.noStartsBeforeMillis = nowMillis + pause
-            fleet.log(
-                "worker-barred",
-                worker.id,
-                "failuresInRow" to worker.consecutiveFailures,
-                "pauseMillis" to pause
-            )
-        }
-        recorder.markChanged(task.step.workflow)
-        fleet.endCandidates += task.step.workflow
-    }
-
     /** Removes [worker], on which nothing runs any more, and releases its placements. */
     fun markLost(worker: FleetWorker, nowMillis: Long, reason: String) {
         worker.isLost = true
@@ -349,9 +278,5 @@
          */
         const val REPOLL_BACKOFF_MILLIS = 150L
         const val MAX_BACKOFF_STEPS = 4
-
-        /** Consecutive failures that make a worker suspect; a single one is blamed on the task. */
-        const val SUSPECT_FAILURES = 2
-        const val SUSPECT_PAUSE_MILLIS = 1_000L
     }
 }
