--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
@@ -120,7 +120,7 @@
         worker: FleetWorker,
         task: OpenTask,
         nowMillis: Long,
-        freed: Resources? = null
+        freed: Resources = Resources.NONE
     ): Boolean {
         val spec = task.step.spec
         fleet.examinedWorkers++
@@ -129,7 +129,7 @@
             fleet.mayGrantLease(worker) &&
             worker.listing.service == task.step.workflow.queue.service &&
             (spec.requiredLabel.isEmpty() || spec.requiredLabel in worker.listing.labels) &&
-            fits(worker, spec, freed ?: Resources.NONE) &&
+            fits(worker, spec, freed) &&
             (spec.maxPerWorker == 0 || taskCountOfStep(worker, task.step) < spec.maxPerWorker) &&
             task.name !in worker.placements
     }
@@ -140,7 +140,10 @@
         worker: FleetWorker,
         replaced: Placement?,
         nowMillis: Long
-    ): Boolean = isEligible(worker, task, nowMillis, freed = replaced?.task?.step?.spec?.demand)
+    ): Boolean {
+        val freed = replaced?.task?.step?.spec?.demand ?: Resources.NONE
+        return isEligible(worker, task, nowMillis, freed)
+    }
 
     /** Whether the room that is reserved for [task] is still taken by a task that leaves. */
     fun isAwaitingRoom(task: OpenTask, nowMillis: Long): Boolean {
@@ -155,12 +158,9 @@
     /** Whether a task of [spec] fits on [worker] once the room [freed] has become free. */
     private fun fits(worker: FleetWorker, spec: WorkflowStep, freed: Resources): Boolean {
         val room = worker.capacity + freed
+        val accelerators = worker.committedAccelerators + spec.demand.accelerators
+        if (accelerators > room.accelerators) return false
         if (worker.committedMemoryMib + spec.demand.memoryMib > room.memoryMib) return false
-        if (worker.committedAccelerators + spec.demand.accelerators >
-            room.accelerators
-        ) {
-            return false
-        }
         if (spec.usesIdleCpu) return spec.demand.milliCpus <= spareMilliCpus(worker)
         return worker.reservedMilliCpus + spec.demand.milliCpus <= room.milliCpus
     }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunMaintenance.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunMaintenance.kt
@@ -106,9 +106,7 @@
         worker.lastPollMillis = nowMillis
         val acknowledged = if (isIncarnationKnown) worker.recordedEnd else 0
         if (isIncarnationKnown) worker.acknowledgedEnd = acknowledged
-        if (leaseEnd !=
-            null
-        ) {
+        if (leaseEnd != null) {
             worker.recordLease(fleet.settings.lapsedBy(nowMillis, worker.listing.isDraining))
         }
         val isShared = worker.servingCount > 0 && worker.opportunisticMilliCpus > 0
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -60,12 +60,8 @@
             "recovered" to isRecovered,
             "objectiveMillis" to open.objectiveMillis - nowMillis
         )
-        if (pendingCancels.remove(
-                workflow.id
-            )
-        ) {
-            onWorkflowCancelled(workflow.id, nowMillis, unixMillis)
-        }
+        val isCancelled = pendingCancels.remove(workflow.id)
+        if (isCancelled) onWorkflowCancelled(workflow.id, nowMillis, unixMillis)
     }
 
     /** Ends the workflow [id], which was cancelled, now or once it is accepted. */
