--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/LeaseLimitTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/LeaseLimitTest.kt
@@ -73,6 +73,45 @@
         expectThat(limits.last()).isLessThan(14_000L - 3_000)
     }
 
+    // Guards against a wait that begins anew with each owner of a series that lives for a second.
+    @Test
+    fun `records with its first roster how long leases of workers without an answer may last`() {
+        val next = SchedulerDriver(epoch = 2)
+        next.scheduler.onWorkersListed(listOf(next.listing("w1")), next.now)
+        next.scheduler.addRosteredWorker(next.ref("gone"), next.now + 14_000)
+        do next.step() while (next.records.isEmpty() && next.now < 2_000)
+        expectThat(next.records.first().leasesLeft?.get("gone")).isNotNull().isLessThan(14_000)
+    }
+
+    // Guards against a lease that the next owner can't know of, as its grantor recorded nothing.
+    @Test
+    fun `grants no lease before its first roster is durable`() {
+        val started = start()
+        val next = SchedulerDriver(epoch = 2)
+        next.areRecordsDurableAtOnce = false
+        next.scheduler.onWorkersListed(listOf(next.listing("w1")), next.now)
+        next.submit(next.workflow("job", next.taskStep()), isRecovered = true)
+        val before = next.grantsWhileRunning(started)
+        next.scheduler.onBatchDurable()
+        next.areRecordsDurableAtOnce = true
+        val after = next.grantsWhileRunning(started)
+        expectThat(before).isEmpty()
+        expectThat(after).isNotEmpty()
+    }
+
+    /** Steps while w1 reports [started] as running; returns the leases that polls grant. */
+    private fun SchedulerDriver.grantsWhileRunning(started: StartOrder): List<Long> {
+        val grants = ArrayList<Long>()
+        repeat(10) {
+            step()
+            polls.forEach { poll ->
+                poll.leaseEndMillis?.let { grants += it }
+                report(poll, running = listOf(row(started)))
+            }
+        }
+        return grants
+    }
+
     @Test
     fun `grants a worker that answers again no lease until its limit is gone from the store`() {
         val started = start()
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/OwnershipTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/OwnershipTest.kt
@@ -174,6 +174,24 @@
         expectThat(clock.nowMillis() - began).isLessThan(SchedulerSettings.PAST_LEASE_MILLIS)
     }
 
+    // Guards against a wait that begins anew after each owner of a series that records nothing.
+    @Test
+    fun `does not wait anew for a lost worker if the last owner has recorded nothing`() {
+        val lostWorkers = RosterRecord(
+            listOf(WorkerRef(LOST_WORKER, "address")),
+            1,
+            mapOf(LOST_WORKER to 0L)
+        )
+        put(WorkflowKeys.roster(0), encodeRecord(lostWorkers))
+        put(OneWorkerCatalog.workersPrefix + "w1", "")
+        accept("job")
+        claim(2)
+        val began = clock.nowMillis()
+        ownership.onBegin(claim(3))
+        runs.awaitStart("job")
+        expectThat(clock.nowMillis() - began).isLessThan(SchedulerSettings.PAST_LEASE_MILLIS)
+    }
+
     private companion object {
         const val WAIT_SECONDS = 30L
     }
