Let a series of owners wait for a lost worker once, also if some of them record nothing

Cause: what an owner had already waited for a worker was lost with it. It recorded the limit of a silent worker's lease only after two failed calls and a second more; the time from that record to the next claim counted for nothing; and where an owner died before its first record, its successor ignored what the owner before had recorded and waited 13.4 s from its own claim.

Now - an owner grants no lease before its first roster is durable, so owners without a roster don't matter to their successors, which use the last roster whatever its epoch; - the first roster is formed once inherited workers have answered, after 200 ms at most, and limits those that have not; - a roster says how long after its owner's claim it was formed. A host that saw that claim knows how old the limits are, and one that saw the next claim knows how long the owner may have gone on.

Not covered: a host that starts anew has seen no claim and counts from its own.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
@@ -39,6 +39,13 @@
     /** Workflows that may have ended since they were last checked. */
     val endCandidates = LinkedHashSet<OpenWorkflow>()
 
+    /**
+     * Whether a roster of this owner is durable.
+     *
+     * Before that, the next owner relies on the roster of an earlier one, so no lease is granted.
+     */
+    var isRosterDurable = false
+
     /** What the store may tell the next owner about leases of workers. */
     var leaseLimits = LeaseLimits.NONE
 
@@ -94,9 +101,10 @@
     }
 
     /** Whether [worker] may get a lease, so that what the store may tell of its lease stays true. */
-    fun mayGrantLease(worker: FleetWorker): Boolean = when (worker.id) {
-        in leaseLimits.ended -> false
-        in leaseLimits.short -> worker.listing.isDraining && isSoleOwner
+    fun mayGrantLease(worker: FleetWorker): Boolean = when {
+        !isRosterDurable -> false
+        worker.id in leaseLimits.ended -> false
+        worker.id in leaseLimits.short -> worker.listing.isDraining && isSoleOwner
         else -> true
     }
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/LeaseLimiter.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/LeaseLimiter.kt
@@ -20,34 +20,38 @@
         (nowMillis >= limitedMillis + INTERVAL_MILLIS && isRunningOut(nowMillis))
 
     private fun isObsolete(): Boolean =
-        fleet.leaseLimits.ended.any { fleet.workers[it]?.isSilent == false } ||
+        fleet.leaseLimits.ended.any { fleet.workers[it]?.isWithoutContact == false } ||
             fleet.leaseLimits.short.any { fleet.workers[it]?.listing?.isDraining == false }
 
     private fun isRunningOut(nowMillis: Long): Boolean = fleet.workers.values.any {
         val isRecorded = it.id in fleet.leaseLimits.ended
         val isOver = nowMillis > it.lapsedByMillis + INTERVAL_MILLIS
-        (it.isSilent && !(isRecorded && isOver)) || (it.listing.isDraining && !isOver)
+        (it.isWithoutContact && !(isRecorded && isOver)) || (it.listing.isDraining && !isOver)
     }
 
     /**
-     * Limits the leases of silent and draining workers for a roster that is formed now.
+     * Limits the leases of workers without contact and of draining ones for a roster that is formed
+     * now.
      *
-     * Returns how long they may last after another owner's claim, in milliseconds by worker ID.
+     * Returns how long they may last.
      */
-    fun limit(nowMillis: Long): Map<String, Long> {
+    fun limit(nowMillis: Long): LeasesLeft {
         limitedMillis = nowMillis
-        val (silent, others) = fleet.workers.values.partition { it.isSilent }
+        val (silent, others) = fleet.workers.values.partition { it.isWithoutContact }
         val draining = others.filter { it.listing.isDraining }
         formed = LeaseLimits(silent.mapTo(HashSet()) { it.id }, draining.mapTo(HashSet()) { it.id })
         fleet.leaseLimits += formed
         val shortest = fleet.settings.drainingLimitMillis()
-        return silent.associate { it.id to it.remainingLeaseMillis(nowMillis) } +
+        return LeasesLeft(
+            silent.associate { it.id to it.remainingLeaseMillis(nowMillis) },
             draining.associate { it.id to maxOf(it.remainingLeaseMillis(nowMillis), shortest) }
+        )
     }
 
     /** Gives up the limits that the roster formed last, which is durable now, doesn't contain. */
     fun onRecorded() {
         fleet.leaseLimits = formed
+        fleet.isRosterDurable = true
     }
 
     private companion object {
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
@@ -11,7 +11,8 @@
     private val changed = LinkedHashSet<OpenWorkflow>()
     private val pendingEnds = LinkedHashMap<FleetWorker, ArrayDeque<PendingEnd>>()
     private var lastChange = 0L
-    private var hasRosterChanged = false
+    private var hasRosterChanged = true
+    private var firstStepMillis: Long? = null
     private var inFlight: BatchInFlight? = null
     private var lastBatchMillis = Long.MIN_VALUE / 2
     private var lastCountMillis = Long.MIN_VALUE / 2
@@ -69,7 +70,7 @@
 
     /** Adds the next batch to the outbox if one is due. */
     fun step(nowMillis: Long, unixMillis: Long) {
-        if (inFlight != null) return
+        if (inFlight != null || isAwaitingAnswers(nowMillis)) return
         updateWaitingCounts(nowMillis)
         updateInterference(nowMillis, unixMillis)
         if (leases.isRecordDue(nowMillis)) hasRosterChanged = true
@@ -80,6 +81,19 @@
         sendBatch(nowMillis)
     }
 
+    /**
+     * Whether the first roster waits for the first answers of inherited workers.
+     *
+     * A worker that has answered by then is not limited, and may get a lease once the roster is
+     * durable.
+     */
+    private fun isAwaitingAnswers(nowMillis: Long): Boolean {
+        if (fleet.isRosterDurable) return false
+        val first = firstStepMillis ?: nowMillis.also { firstStepMillis = it }
+        return nowMillis < first + FIRST_ROSTER_DELAY_MILLIS &&
+            fleet.workers.values.any { it.isInherited && !it.isSilent }
+    }
+
     private fun updateWaitingCounts(nowMillis: Long) {
         if (nowMillis < lastCountMillis + COUNT_INTERVAL_MILLIS) return
         lastCountMillis = nowMillis
@@ -109,7 +123,7 @@
         changed -= batch.toSet()
         val roster = if (hasRosterChanged) fleet.workers.values.map { it.ref } else null
         hasRosterChanged = false
-        val leasesLeft = if (roster != null) leases.limit(nowMillis) else emptyMap()
+        val leasesLeft = if (roster != null) leases.limit(nowMillis) else LeasesLeft.NONE
         inFlight = BatchInFlight(batch.map(::RecordedWorkflow), roster?.toSet())
         val progress = batch.associate { it.id to it.progress() }
         newWaiting?.let { recordedWaiting = it }
@@ -117,7 +131,8 @@
             progress,
             roster,
             newWaiting,
-            leasesLeft = leasesLeft.ifEmpty { null },
+            leasesLeft,
+            nowMillis,
             interference = newInterference
         )
         fleet.outbox += SchedulerAction.Record(records)
@@ -152,6 +167,9 @@
     }
 
     private companion object {
+        /** Many times the response time of a worker. */
+        const val FIRST_ROSTER_DELAY_MILLIS = 200L
+
         /** A transaction holds 32 entries, four of which are for the owner's own records. */
         const val MAX_BATCH_WORKFLOWS = 28
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerAction.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerAction.kt
@@ -30,14 +30,14 @@
  * changed.
  *
  * [waiting] is the number of workflows without a started task, by queue. [leasesLeft] goes with the
- * roster: how long a lease may last after another owner's claim, in milliseconds by worker ID. It
- * names all workers in a planned handover, otherwise those that are silent or drain.
+ * roster, and [formedMillis] is when the batch was formed.
  */
 data class RecordBatch(
     val progress: Map<String, WorkflowProgress>,
     val roster: List<WorkerRef>?,
     val waiting: Map<String, Int>?,
-    val leasesLeft: Map<String, Long>? = null,
+    val leasesLeft: LeasesLeft = LeasesLeft.NONE,
+    val formedMillis: Long = 0,
     val interference: InterferenceRecord? = null
 )
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerSettings.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerSettings.kt
@@ -36,6 +36,9 @@
         (elapsedMillis / SLOWEST_CLOCK_DIVISOR).coerceIn(0, leaseMillis / 2)
 
     companion object {
+        /** Returns how far two clocks may drift apart within [elapsedMillis]. */
+        fun maxClockError(elapsedMillis: Long): Long = elapsedMillis / SLOWEST_CLOCK_DIVISOR
+
         /** Returns the settings for workers that accept leases of at most [maxLeaseMillis]. */
         fun within(maxLeaseMillis: Long, stopMillis: Long) = SchedulerSettings(
             leaseMillis = minOf(maxLeaseMillis, LONGEST_LEASE_MILLIS),
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -202,7 +202,9 @@
             progress = emptyMap(),
             roster = workers.map { it.ref },
             waiting = null,
-            leasesLeft = workers.associate { it.id to it.remainingLeaseMillis(nowMillis) },
+            leasesLeft =
+            LeasesLeft(workers.associate { it.id to it.remainingLeaseMillis(nowMillis) }),
+            formedMillis = nowMillis,
             interference = tails.record(unixMillis)
         )
     }
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/LeaseLimitTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/LeaseLimitTest.kt
@@ -36,7 +36,7 @@
         val limits = ArrayList<Long>()
         repeat(millis / 50) {
             driver.step()
-            limits += driver.records.mapNotNull { it.leasesLeft?.get("w1") }
+            limits += driver.records.mapNotNull { it.leasesLeft.fixed["w1"] }
             driver.polls.forEach { driver.answer(it, WorkerAnswer.Unknown("timeout")) }
         }
         return limits
@@ -61,7 +61,7 @@
         val limits = ArrayList<Long>()
         repeat(100) {
             next.step()
-            limits += next.records.mapNotNull { it.leasesLeft?.get("gone") }
+            limits += next.records.mapNotNull { it.leasesLeft.fixed["gone"] }
             next.polls.forEach {
                 if (it.worker.id == "w1") {
                     next.report(it)
@@ -80,7 +80,7 @@
         next.scheduler.onWorkersListed(listOf(next.listing("w1")), next.now)
         next.scheduler.addRosteredWorker(next.ref("gone"), next.now + 14_000)
         do next.step() while (next.records.isEmpty() && next.now < 2_000)
-        expectThat(next.records.first().leasesLeft?.get("gone")).isNotNull().isLessThan(14_000)
+        expectThat(next.records.first().leasesLeft.fixed["gone"]).isNotNull().isLessThan(14_000)
     }
 
     // Guards against a lease that the next owner can't know of, as its grantor recorded nothing.
@@ -180,7 +180,7 @@
         repeat(200) {
             if (it == 160) driver.isSoleOwner = false
             driver.step()
-            limits += driver.records.mapNotNull { record -> record.leasesLeft?.get("w1") }
+            limits += driver.records.mapNotNull { record -> record.leasesLeft.draining["w1"] }
             if (it > 160) ends += driver.polls.map { poll -> poll.leaseEndMillis }
             driver.polls.forEach { poll -> driver.report(poll, running = listOf(row(started))) }
         }
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/WorkflowSchedulerTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/WorkflowSchedulerTest.kt
@@ -482,7 +482,7 @@
     @Test
     fun `returns the remaining leases in a planned handover`() {
         val first = startFirst()
-        val left = scheduler.handoverBatch(driver.now, driver.now).leasesLeft.orEmpty()
+        val left = scheduler.handoverBatch(driver.now, driver.now).leasesLeft.fixed
         expectThat(left.getValue(first.worker.id)).isGreaterThan(6_000)
         expectThat(left.filterKeys { it != first.worker.id }.values.toList()).containsExactly(0)
     }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Election.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Election.kt
@@ -10,6 +10,7 @@
 
 import arrow.core.Either
 import arrow.core.flatMap
+import java.util.concurrent.ConcurrentSkipListMap
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit.MILLISECONDS
 import kotlin.random.Random
@@ -24,16 +25,17 @@
 import sycamoremast.coordination.StorePut
 import sycamoremast.coordination.StoreTransaction
 import sycamoremast.coordination.TransactionalStore
+import sycamoremast.coordination.workflow.ClaimTimes
 import sycamoremast.coordination.workflow.SchedulerSettings
 import sycamoremast.daemon.log.EventLog
 
 /**
  * A term of ownership.
  *
- * [epochRevision] is the revision at which the key of [epoch] was written, and [claimedMillis] is
- * the time just before the claim was sent.
+ * [epochRevision] is the revision at which the key of [epoch] was written, and [claims] tells when
+ * this host made its claim and when it saw those of earlier epochs.
  */
-internal data class Term(val epoch: Long, val epochRevision: Long, val claimedMillis: Long)
+internal data class Term(val epoch: Long, val epochRevision: Long, val claims: ClaimTimes)
 
 /** The owner key's content at [version]; [record] is null if the key is absent or unreadable. */
 private class OwnerKeyState(val record: OwnerRecord?, val version: Long)
@@ -77,6 +79,9 @@
             return clock.nowMillis() < held.renewedMillis + LEASE_TTL_MILLIS - LEASE_MARGIN_MILLIS
         }
 
+    /** When the claims of the latest epochs were first seen. */
+    private val claimsSeen = ConcurrentSkipListMap<Long, Long>()
+
     /** The last seen content of the owner's key, or null before the first listing. */
     @Volatile
     private var ownerKey: OwnerKeyState? = null
@@ -100,6 +105,8 @@
 
     private fun updateOwnerKey(value: String?, version: Long?) {
         val record = value?.let { decodeRecordOrNull<OwnerRecord>(it) }
+        if (record != null) claimsSeen.putIfAbsent(record.epoch, clock.nowMillis())
+        if (claimsSeen.size > MAX_CLAIMS_SEEN) claimsSeen.pollFirstEntry()
         ownerKey = OwnerKeyState(record, version?.takeIf { value != null } ?: StoreEntry.ABSENT)
         wakeUps += ""
     }
@@ -222,7 +229,7 @@
                 is CommitResult.Applied ->
                     HeldTerm(
                         lease,
-                        Term(epoch, result.revision, startedMillis),
+                        Term(epoch, result.revision, ClaimTimes(startedMillis, claimsSeen.toMap())),
                         startedMillis
                     )
 
@@ -260,5 +267,8 @@
         /** Lets stronger hosts claim first; costs less time than a weak owner would lose. */
         const val WEAK_HOST_CLAIM_DELAY_MILLIS = 600L
         const val JOIN_TIMEOUT_MILLIS = 500L
+
+        /** Far more than there are owners within the longest lease. */
+        const val MAX_CLAIMS_SEEN = 64
     }
 }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
@@ -15,6 +15,7 @@
 import sycamoremast.coordination.StoreListing
 import sycamoremast.coordination.TransactionalStore
 import sycamoremast.coordination.workflow.InterferenceRecord
+import sycamoremast.coordination.workflow.RosterRecord
 import sycamoremast.coordination.workflow.RunPort
 import sycamoremast.coordination.workflow.SchedulerSettings
 import sycamoremast.coordination.workflow.WorkflowProgress
@@ -52,7 +53,7 @@
     private var followers = emptyList<PrefixFollower>()
 
     override fun onBegin(term: Term) {
-        val writer = RecordWriter(store, set, term.epoch, term.epochRevision, log)
+        val writer = RecordWriter(store, set, term, log)
         val scheduler = WorkflowScheduler(term.epoch, settings)
         val sender = OrderDispatch(term.epoch, runs, relays, clock, log).start()
         dispatch = sender
@@ -76,7 +77,7 @@
                     "recovered",
                     "epoch" to term.epoch,
                     "workflows" to recovered.value,
-                    "tookMillis" to clock.nowMillis() - term.claimedMillis
+                    "tookMillis" to clock.nowMillis() - term.claims.claimedMillis
                 )
                 routing()?.let { next.updatePolicies(it.queues) }
                 next.start()
@@ -106,27 +107,19 @@
         progress.size
     }
 
-    /**
-     * Adds the workers of the previous owner's [roster], with the time by which their leases
-     * expire.
-     *
-     * The previous owner may have continued past its own lease, but not with the workers whose
-     * remaining lease it recorded.
-     */
+    /** Adds the workers of the last [roster], with the time by which their leases expire. */
     private fun SchedulerLoop.addRoster(roster: RosterRecord, term: Term) {
-        val latestExpiryMillis =
-            settings.lapsedBy(term.claimedMillis + SchedulerSettings.PAST_LEASE_MILLIS)
-        val leasesLeft = roster.leasesLeft?.takeIf { roster.epoch == term.epoch - 1 }
         log.add(
             "roster",
             "workers" to roster.workers.size,
-            "knownLeases" to (leasesLeft?.size ?: 0)
+            "epoch" to roster.epoch,
+            "succeededMillisAgo" to
+                clock.nowMillis() - term.claims.seenByMillis(roster.epoch + 1),
+            "knownLeases" to (roster.leasesLeft?.size ?: 0),
+            "drainingLeases" to (roster.drainingLeasesLeft?.size ?: 0)
         )
         for (worker in roster.workers) {
-            addRosterWorker(
-                worker,
-                leasesLeft?.get(worker.id)?.let { term.claimedMillis + it } ?: latestExpiryMillis
-            )
+            addRosterWorker(worker, roster.lapsedByMillis(worker, term.claims, settings))
         }
     }
 
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/RecordWriter.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/RecordWriter.kt
@@ -14,16 +14,18 @@
 import sycamoremast.coordination.StoreTransaction
 import sycamoremast.coordination.TransactionalStore
 import sycamoremast.coordination.workflow.RecordBatch
+import sycamoremast.coordination.workflow.RosterRecord
 import sycamoremast.daemon.log.EventLog
 
-/** Writes the records of worker set [set] in [epoch], claimed at revision [epochRevision]. */
+/** Writes the records of worker set [set] in [term]. */
 internal class RecordWriter(
     private val store: TransactionalStore,
     private val set: Int,
-    private val epoch: Long,
-    private var epochRevision: Long,
+    private val term: Term,
     private val log: EventLog
 ) {
+    private val epoch = term.epoch
+    private var epochRevision = term.epochRevision
     private var batchNumber = 0L
 
     /**
@@ -56,7 +58,13 @@
             StorePut(WorkflowKeys.progress(set, id), encodeRecord(progress))
         }
         batch.roster?.let {
-            val record = RosterRecord(it, epoch, batch.leasesLeft)
+            val record = RosterRecord(
+                it,
+                epoch,
+                batch.leasesLeft.fixed,
+                batch.leasesLeft.draining,
+                batch.formedMillis - term.claims.claimedMillis
+            )
             puts += StorePut(WorkflowKeys.roster(set), encodeRecord(record))
         }
         batch.waiting?.let {
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowRecords.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowRecords.kt
@@ -4,7 +4,6 @@
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
-import sycamoremast.coordination.workflow.WorkerRef
 import sycamoremast.coordination.workflow.Workflow
 
 /**
@@ -24,20 +23,6 @@
 @Serializable
 internal data class EpochRecord(val epoch: Long, val batch: Long)
 
-/**
- * The workers to which the owner of [epoch] may have assigned work.
- *
- * [leasesLeft] gives the time in milliseconds, by worker, for which its leases may last after the
- * next owner's claim. An owner that hands over as planned names all workers, others name those that
- * don't answer or drain.
- */
-@Serializable
-internal data class RosterRecord(
-    val workers: List<WorkerRef>,
-    val epoch: Long = 0,
-    val leasesLeft: Map<String, Long>? = null
-)
-
 /** The number of workflows without a started task, by queue. */
 @Serializable
 internal data class WaitingRecord(val byQueue: Map<String, Int>)
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/GatewayTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/GatewayTest.kt
@@ -11,6 +11,7 @@
 import sycamoremast.coordination.Resources
 import sycamoremast.coordination.StorePut
 import sycamoremast.coordination.StoreTransaction
+import sycamoremast.coordination.workflow.ClaimTimes
 import sycamoremast.coordination.workflow.PaceOrder
 import sycamoremast.coordination.workflow.PollOrder
 import sycamoremast.coordination.workflow.QueuePolicy
@@ -148,7 +149,7 @@
     private fun loopBeforeFirstCount() = SchedulerLoop(
         WorkflowScheduler(1, SchedulerSettings()),
         UnusedRunPort,
-        RecordWriter(store, 0, 1, 0, EventLog { }),
+        RecordWriter(store, 0, Term(1, 0, ClaimTimes(0)), EventLog { }),
         MonotonicClock.system(),
         EventLog { },
         WorkflowMeters(),
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/OwnershipTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/OwnershipTest.kt
@@ -20,11 +20,13 @@
 import sycamoremast.coordination.StorePut
 import sycamoremast.coordination.StoreTransaction
 import sycamoremast.coordination.TransactionalStore
+import sycamoremast.coordination.workflow.ClaimTimes
 import sycamoremast.coordination.workflow.InterferenceRecord
 import sycamoremast.coordination.workflow.PaceOrder
 import sycamoremast.coordination.workflow.PairEffect
 import sycamoremast.coordination.workflow.PollOrder
 import sycamoremast.coordination.workflow.QueuePolicy
+import sycamoremast.coordination.workflow.RosterRecord
 import sycamoremast.coordination.workflow.RunPort
 import sycamoremast.coordination.workflow.RunningRow
 import sycamoremast.coordination.workflow.SchedulerSettings
@@ -71,7 +73,7 @@
     private fun claim(epoch: Long): Term {
         put(WorkflowKeys.owner(0), encodeRecord(OwnerRecord("host$epoch", epoch)))
         val revision = put(WorkflowKeys.epoch(0), encodeRecord(EpochRecord(epoch, 0)))
-        return Term(epoch, revision, clock.nowMillis())
+        return Term(epoch, revision, ClaimTimes(clock.nowMillis()))
     }
 
     private fun accept(id: String) =
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/RecordWriterTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/RecordWriterTest.kt
@@ -10,6 +10,7 @@
 import sycamoremast.coordination.StoreEntry
 import sycamoremast.coordination.StorePut
 import sycamoremast.coordination.StoreTransaction
+import sycamoremast.coordination.workflow.ClaimTimes
 import sycamoremast.coordination.workflow.RecordBatch
 import sycamoremast.coordination.workflow.WorkflowPhase
 import sycamoremast.coordination.workflow.WorkflowProgress
@@ -18,7 +19,7 @@
 
 class RecordWriterTest {
     private val store = MemoryStore()
-    private val writer = RecordWriter(store, 0, 1, claim(1), EventLog { })
+    private val writer = RecordWriter(store, 0, Term(1, claim(1), ClaimTimes(0)), EventLog { })
 
     private fun claim(epoch: Long): Long {
         val key = WorkflowKeys.epoch(0)
