--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -23,6 +23,7 @@
     private val consolidation = Consolidation(fleet, placer, moves, tails)
     private val maintenance = RunMaintenance(fleet, tracker)
     private val directory = WorkerDirectory(fleet, tracker, recorder)
+    private val recoveryWait = RecoveryWait(fleet)
     private val pendingCancels = HashSet<String>()
 
     /** How many times placement has examined a worker, as a measure of its cost. */
@@ -182,6 +183,7 @@
             consolidation.step(nowMillis)
             directory.applyMovedEntries(nowMillis)
         }
+        recoveryWait.step(nowMillis)
         endWorkflows(nowMillis, unixMillis)
         if (fleet.isPlacementDue ||
             nowMillis >= nextPlacementMillis
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/OwnerSeriesTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/OwnerSeriesTest.kt
@@ -2,6 +2,7 @@
 
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThan
 
@@ -103,6 +104,30 @@
         }
     }
 
+    @Test
+    fun `logs for which workers recovered tasks wait, and when the wait is over`() {
+        roster = RosterRecord(listOf(WorkerRef("gone", "address")), 1)
+        val driver = owner(2, 0)
+        val events = ArrayList<SchedulerEvent>()
+        while (driver.now < 20_000) {
+            driver.step()
+            events += driver.actions.filterIsInstance<SchedulerAction.Log>().map { it.event }
+            driver.polls.forEach {
+                if (it.worker.id == "w1") {
+                    driver.report(it)
+                } else {
+                    driver.answer(it, WorkerAnswer.Rejected(RejectReason.NOT_SENT))
+                }
+            }
+        }
+        val waits = events.single { it.name == "recovery-waits" }
+        expectThat(waits.fields["first"]).isEqualTo("gone")
+        expectThat(waits.fields["recoveredWorkflows"]).isEqualTo(1)
+        val complete = events.single { it.name == "recovery-complete" }
+        expectThat(complete.fields["waitedMillis"] as Long)
+            .isGreaterThan(SchedulerSettings.PAST_LEASE_MILLIS)
+    }
+
     private companion object {
         const val POLL_TIMEOUT_MILLIS = 600L
 
