Count the lease of an inherited worker from its first answer to the new owner

Cause: a new owner assumes that the old one went on for 7 s and granted leases until then, and so adds 13.4 s to its claim. It kept this time for workers that had answered it meanwhile, although a worker rejects all older epochs from then on. Where such a worker was lost a moment later, its tasks, and recovered ones, waited for the rest.

Now the first report of a worker to its owner limits earlier leases to one lease from there.

Evidence: the new test in LeaseLimitTest failed before: the roster limits the lease to 12,900 ms, the bound is 6,420.

Why it is safe: a lease is never longer than the settings' from the moment at which the worker grants it, the worker grants none to an older epoch after its answer, and the time is counted from when the answer was processed. This owner has granted no lease before the first report, as it doesn't know the worker's clock.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
@@ -129,6 +129,14 @@
         lapsedByMillis = maxOf(lapsedByMillis, lapsedBy)
     }
 
+    /**
+     * Records the first answer to this owner, from which on the worker rejects orders of earlier
+     * ones: their leases have lapsed by [lapsedBy].
+     */
+    fun recordFenced(lapsedBy: Long) {
+        lapsedByMillis = minOf(lapsedByMillis, lapsedBy)
+    }
+
     /** Returns the longest time that the last lease may still be valid. */
     fun remainingLeaseMillis(nowMillis: Long): Long = maxOf(lapsedByMillis, nowMillis) - nowMillis
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
@@ -156,6 +156,7 @@
         worker.recordAnswer(report.clockMillis, report.receivedMillis)
         worker.recordReport(nowMillis)
         if (!worker.isReconciled || worker.contactFailures == 0) fleet.isPlacementDue = true
+        if (!worker.isReconciled) worker.recordFenced(fleet.settings.lapsedBy(nowMillis))
         worker.isReconciled = true
         worker.nextPollMillis = nowMillis
         val previousEnd = worker.seenEnd
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/LeaseLimitTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/LeaseLimitTest.kt
@@ -99,6 +99,24 @@
         expectThat(after).isNotEmpty()
     }
 
+    // Guards against a wait for an old owner that a worker which has answered rejects.
+    @Test
+    fun `limits the lease of an inherited worker by its first answer to this owner`() {
+        val next = SchedulerDriver(epoch = 2)
+        next.scheduler.onWorkersListed(listOf(next.listing("w1")), next.now)
+        next.scheduler.addRosteredWorker(next.ref("w1"), next.now + 14_000)
+        next.settle()
+        val limits = ArrayList<Long>()
+        repeat(100) {
+            next.step()
+            limits += next.records.mapNotNull { it.leasesLeft.fixed["w1"] }
+            next.polls.forEach { next.answer(it, WorkerAnswer.Unknown("timeout")) }
+            if (it == 0) next.submit(next.workflow("job", next.taskStep()))
+        }
+        expectThat(limits).isNotEmpty()
+        expectThat(limits.first()).isLessThan(SchedulerSettings().lapsedBy(0))
+    }
+
     /** Steps while w1 reports [started] as running; returns the leases that polls grant. */
     private fun SchedulerDriver.grantsWhileRunning(started: StartOrder): List<Long> {
         val grants = ArrayList<Long>()
