Keep the limit of a lost worker's lease after the lease has lapsed

Cause, found in review: a worker whose lease had lapsed counted as reconciled, so the next roster dropped its limit; while the platform still listed it, the next owner took it for one that may have any lease.

Evidence: the new test in OwnerSeriesTest (an owner that waits the lease out, then one that lives for 0.1 to 2 s) failed before, from 700 ms on. Now the limit stays until the worker answers.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
@@ -164,8 +164,12 @@
     /** Whether repeated calls have failed, so that no lease is granted for the present. */
     val isSilent: Boolean get() = contactFailures >= SILENT_FAILURES
 
-    /** Whether an earlier owner may have granted it a lease, and it has not answered this one. */
-    val isInherited: Boolean get() = !isReconciled && lapsedByMillis > Long.MIN_VALUE
+    /**
+     * Whether an earlier owner may have granted it a lease, and it has never answered this one.
+     *
+     * It stays so when that lease has lapsed: the next owner must not wait for it again.
+     */
+    val isInherited: Boolean get() = clockOffsetMillis == null && lapsedByMillis > Long.MIN_VALUE
 
     /** Whether no lease is granted for the present, as it has not answered yet or stopped to. */
     val isWithoutContact: Boolean get() = isSilent || isInherited
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/OwnerSeriesTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/OwnerSeriesTest.kt
@@ -17,11 +17,14 @@
     private var roster: RosterRecord? = null
     private val claims = HashMap<Long, Long>()
 
+    /** The workers that the platform lists. */
+    private var listed = listOf("w1")
+
     /** The owner of [epoch], which begins at [nowMillis] with what the store holds. */
     private fun owner(epoch: Long, nowMillis: Long): SchedulerDriver {
         claims[epoch] = nowMillis
         val driver = SchedulerDriver(epoch).apply { now = nowMillis }
-        driver.scheduler.onWorkersListed(listOf(driver.listing("w1")), nowMillis)
+        driver.scheduler.onWorkersListed(listed.map(driver::listing), nowMillis)
         val inherited = roster
         inherited?.workers?.forEach {
             val times = ClaimTimes(nowMillis, claims.toMap())
@@ -93,6 +96,29 @@
         }
     }
 
+    // Guards against a limit that is dropped once the lease has lapsed, while the worker is listed.
+    @Test
+    fun `starts a lost task soon if an earlier owner has waited until the lease had lapsed`() {
+        listed = listOf("w1", "gone")
+        for (millis in 100L..2_000L step 50) {
+            roster = RosterRecord(listOf(ref("gone"), ref("w1")), 1)
+            owner(2, 0).waitFor(WAIT_MILLIS, 2)
+            owner(3, WAIT_MILLIS + TAKEOVER_MILLIS).waitFor(millis, 3)
+            val claimed = WAIT_MILLIS + millis + 2 * TAKEOVER_MILLIS
+            val started = owner(4, claimed).ownFor(LONGEST_MILLIS, 4)
+            expectThat(checkNotNull(started) - claimed).describedAs("an owner for $millis ms")
+                .isLessThan(MARGIN_MILLIS)
+        }
+    }
+
+    private fun ref(id: String) = WorkerRef(id, "10.0.0.1:$id")
+
+    /** Like [ownFor], with nothing to start. */
+    private fun SchedulerDriver.waitFor(millis: Long, epoch: Long) {
+        scheduler.onWorkflowCancelled("job", now, now)
+        ownFor(millis, epoch)
+    }
+
     // The time of the first owner's death is not known, so that it may have granted a lease since.
     @Test
     fun `starts a lost task no earlier than a lease that the first owner may have granted`() {
@@ -135,6 +161,9 @@
         const val TAKEOVER_MILLIS = 2_000L
         const val LONGEST_MILLIS = 60_000L
 
+        /** Longer than any lease may last after a claim. */
+        const val WAIT_MILLIS = 15_000L
+
         /** A takeover and one more poll. */
         const val MARGIN_MILLIS = TAKEOVER_MILLIS + 1_500L
     }
