Poll a worker that has no lease yet again within 100 ms

What callers would see: leases that lapse, so tasks that last stop, as a new owner extends them late.

Evidence: the new test in LeaseLimitTest failed before (first lease 980 ms after the roster was durable, bound 200).

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunMaintenance.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunMaintenance.kt
@@ -111,7 +111,11 @@
         }
         val isShared = worker.servingCount > 0 && worker.opportunisticMilliCpus > 0
         val maxWait = if (isShared) SHARED_POLL_MILLIS else fleet.settings.pollWaitMillis
-        val wait = if (mayWait) maxWait else 0
+        val wait = when {
+            !mayWait -> 0
+            leaseEnd == null -> minOf(LEASELESS_POLL_MILLIS, maxWait)
+            else -> maxWait
+        }
         fleet.outbox += SchedulerAction.Poll(
             PollOrder(worker.ref, fleet.epoch, acknowledged, leaseEnd, wait, nowMillis)
         )
@@ -124,6 +128,9 @@
         /** How long a poll of an unreachable worker takes to fail. */
         const val FAILED_POLL_MILLIS = 600L
 
+        /** Soon after a lease may be granted again, the poll that does so has to be sent. */
+        const val LEASELESS_POLL_MILLIS = 100L
+
         /** Time after which an unanswered stop is sent again. */
         const val STOP_RETRY_MILLIS = 600L
 
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/LeaseLimitTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/LeaseLimitTest.kt
@@ -117,6 +117,27 @@
         expectThat(limits.first()).isLessThan(SchedulerSettings().lapsedBy(0))
     }
 
+    // Guards against leases that lapse as a new owner grants its first ones a second late.
+    @Test
+    fun `grants the first lease soon after the roster is durable although polls wait`() {
+        val started = start()
+        val next = SchedulerDriver(epoch = 2)
+        next.areRecordsDurableAtOnce = false
+        next.scheduler.onWorkersListed(listOf(next.listing("w1")), next.now)
+        next.scheduler.addRosteredWorker(next.ref("w1"), next.now + 14_000)
+        next.submit(next.workflow("job", next.taskStep()), isRecovered = true)
+        var durableMillis = Long.MAX_VALUE
+        while (next.now < 5_000) {
+            next.step(10)
+            if (next.now >= durableMillis) next.scheduler.onBatchDurable()
+            if (next.records.isNotEmpty()) durableMillis = next.now + COMMIT_MILLIS
+            if (next.polls.any { it.leaseEndMillis != null }) break
+            next.polls.filter { next.now >= it.sentMillis + it.waitMillis + ANSWER_MILLIS }
+                .forEach { next.report(it, running = listOf(row(started))) }
+        }
+        expectThat(next.now).isLessThan(durableMillis + MAX_GRANT_DELAY_MILLIS)
+    }
+
     /** Steps while w1 reports [started] as running; returns the leases that polls grant. */
     private fun SchedulerDriver.grantsWhileRunning(started: StartOrder): List<Long> {
         val grants = ArrayList<Long>()
@@ -206,4 +227,12 @@
         expectThat(limits.last()).isEqualTo(settings.drainingLimitMillis())
         expectThat(ends).isNotEmpty().all { isNull() }
     }
+
+    private companion object {
+        const val ANSWER_MILLIS = 10L
+        const val COMMIT_MILLIS = 40L
+
+        /** A poll that is under way and one more step. */
+        const val MAX_GRANT_DELAY_MILLIS = 200L
+    }
 }
