Write the hand-over of a planned stop also after a batch that was given up

Cause, found in review: a batch that is given up leaves it open whether it took effect, and the next batch had the same number. If it had taken effect, the hand-over met a conflict with a record of its own number and was taken for written. Besides, the hand-over was given up after 300 ms, less than one call without an answer takes.

Now each batch has a number of its own; a conflict with a record of the same epoch gives the next attempt its revision. The hand-over has 1.5 s.

Evidence: the new test in RecordWriterTest failed before: RUNNING is stored instead of COMPLETED.

--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
@@ -167,7 +167,9 @@
         /** The end reason when a stronger host is to take over, also with records written. */
         const val STRONGER_HOST = "a stronger host is there"
         private val PLANNED_END_REASONS = setOf(SHUTDOWN, STRONGER_HOST)
-        private const val CLOSE_TIMEOUT_MILLIS = 300L
+
+        /** Longer than two calls of the store without an answer take; a stop may take seconds. */
+        private const val CLOSE_TIMEOUT_MILLIS = 1_500L
     }
 }
 
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/RecordWriter.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/RecordWriter.kt
@@ -26,7 +26,7 @@
 ) {
     private val epoch = term.epoch
     private var epochRevision = term.epochRevision
-    private var batchNumber = 0L
+    private var lastBatch = 0L
 
     /**
      * Returns true once [batch] is durable, or false if another owner has taken over.
@@ -35,11 +35,10 @@
      * returns false once it does not.
      */
     fun write(batch: RecordBatch, shouldRetry: () -> Boolean): Boolean {
-        val next = EpochRecord(epoch, batchNumber + 1)
-        val transaction = transaction(batch, next)
+        val next = EpochRecord(epoch, ++lastBatch)
         var failures = 0
         while (shouldRetry()) {
-            val outcome = attempt(transaction, next)
+            val outcome = attempt(transaction(batch, next), next)
             if (outcome != null) {
                 if (failures > 0) {
                     log.add("records-written", "batch" to next.batch, "failures" to failures)
@@ -83,27 +82,27 @@
             is Either.Right -> answer.value
         }
         return when (result) {
-            is CommitResult.Applied -> advance(result.revision)
+            is CommitResult.Applied -> {
+                epochRevision = result.revision
+                true
+            }
 
             is CommitResult.Conflict -> {
                 val current = result.current[WorkflowKeys.epoch(set)]
                 val record = current?.let { decodeRecordOrNull<EpochRecord>(it.value) }
-                // An earlier attempt of this transaction took effect, but its answer was lost.
-                if (current != null && record == next) return advance(current.version)
-                log.add("records-refused", "epoch" to epoch, "current" to record?.epoch)
-                false
+                if (current == null || record?.epoch != epoch) {
+                    log.add("records-refused", "epoch" to epoch, "current" to record?.epoch)
+                    return false
+                }
+                // An earlier attempt took effect, of this batch or of one that was given up.
+                epochRevision = current.version
+                if (record == next) true else null
             }
 
             CommitResult.LeaseGone -> null
         }
     }
 
-    private fun advance(revision: Long): Boolean {
-        epochRevision = revision
-        batchNumber++
-        return true
-    }
-
     private companion object {
         const val RETRY_DELAY_MILLIS = 150L
     }
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/RecordWriterTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/RecordWriterTest.kt
@@ -5,6 +5,7 @@
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
+import strikt.assertions.isNotNull
 import strikt.assertions.isTrue
 import sycamoremast.coordination.CommitResult
 import sycamoremast.coordination.StoreEntry
@@ -12,6 +13,7 @@
 import sycamoremast.coordination.StoreTransaction
 import sycamoremast.coordination.workflow.ClaimTimes
 import sycamoremast.coordination.workflow.RecordBatch
+import sycamoremast.coordination.workflow.RosterRecord
 import sycamoremast.coordination.workflow.WorkflowPhase
 import sycamoremast.coordination.workflow.WorkflowProgress
 import sycamoremast.daemon.log.EventLog
@@ -59,6 +61,26 @@
         expectThat(phase()).isEqualTo(WorkflowPhase.COMPLETED)
     }
 
+    // Guards against a planned stop whose hand-over is taken for written though it is not.
+    @Test
+    fun `writes a batch after one that was given up although it took effect`() {
+        store.failCommits(Fault.ANSWER_LOST)
+        var attempts = 0
+        val running = RecordBatch(mapOf("id" to WorkflowProgress(WorkflowPhase.RUNNING)), null, null)
+        expectThat(writer.write(running) { attempts++ == 0 }).isFalse()
+        expectThat(write(WorkflowPhase.COMPLETED)).isTrue()
+        expectThat(phase()).isEqualTo(WorkflowPhase.COMPLETED)
+    }
+
+    @Test
+    fun `records how long after the claim a roster was formed`() {
+        val late = RecordWriter(store, 0, Term(2, claim(2), ClaimTimes(1_000)), EventLog { })
+        late.write(RecordBatch(emptyMap(), emptyList(), null, formedMillis = 1_250)) { true }
+        val text = store.entries.getValue(WorkflowKeys.roster(0)).value
+        expectThat(decodeRecordOrNull<RosterRecord>(text)).isNotNull()
+            .get { formedAfterMillis }.isEqualTo(250)
+    }
+
     @Test
     fun `writes nothing after another owner's claim`() {
         write(WorkflowPhase.RUNNING)
