--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/FaultSchedule.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/FaultSchedule.kt
@@ -6,7 +6,6 @@
  */
 package sycamoremast.coordination.workflow
 
-import java.util.PriorityQueue
 import kotlin.random.Random
 import sycamoremast.coordination.Resources
 
@@ -33,33 +32,25 @@
     val clockPerMille: Long = 1_000
 )
 
-/** A start that violated a guarantee of the scheduler. */
-internal data class Violation(val kind: String, val task: TaskName, val atMillis: Long)
-
 internal class FaultSchedule(seed: Long, private val faults: Faults) {
-    private class Event(val atMillis: Long, val number: Long, val action: () -> Unit)
-
     private val random = Random(seed)
-    private val events = PriorityQueue<Event>(compareBy({ it.atMillis }, { it.number }))
+    private val time = VirtualTime()
     private val scheduler = WorkflowScheduler(1, SchedulerSettings())
     private val workers = (1..WORKERS).map {
         ModelWorker(WorkerRef("w$it", "10.0.0.$it:1"), WORK_MILLIS, faults.clockPerMille)
     }.associateBy { it.ref.id }
     private val partitionedUntil = HashMap<String, Long>()
-    private val starts = ArrayList<Pair<TaskName, Long>>()
-    private var lastEventNumber = 0L
-    private var now = 0L
+    private val monitor = RunMonitor { workers.values }
+    private val now: Long get() = time.now
     var pollCount = 0
         private set
 
     /** The ends as done of all incarnations of all workers. */
     val doneEnds: List<DoneEnd> get() = workers.values.flatMap { it.doneEnds }
-    val violations = ArrayList<Violation>()
+    val violations: List<Violation> get() = monitor.violations
     val log = ArrayList<String>()
 
-    private fun at(millis: Long, action: () -> Unit) {
-        events += Event(millis, ++lastEventNumber, action)
-    }
+    private fun at(millis: Long, action: () -> Unit) = time.at(millis, action)
 
     /** Runs the simulation; returns the workflows that were not completed. */
     fun play(): List<String> {
@@ -71,15 +62,8 @@
             if (faults.maxPartitionIntervalMillis > 0) schedulePartition(worker)
         }
         step()
-        while (events.isNotEmpty() && now < END_MILLIS) {
-            val event = events.remove()
-            now = event.atMillis
-            event.action()
-        }
-        workers.values.flatMap { it.doneEnds }.filter { it.isAcknowledged }.forEach { end ->
-            starts.filter { it.first == end.task && it.second > end.atMillis }
-                .forEach { violations += Violation("started after done", it.first, it.second) }
-        }
+        time.playUntil(END_MILLIS)
+        monitor.checkEnds()
         return ids.filter { scheduler.phaseOrNull(it) != WorkflowPhase.COMPLETED }
     }
 
@@ -236,10 +220,7 @@
 
     private fun onRunBegun(worker: ModelWorker, task: TaskName) {
         log += "$now begins $task on ${worker.ref.id}"
-        starts += task to now
-        workers.values.forEach { it.advance(now) }
-        val otherWorkers = workers.values.filter { it !== worker && it.isUp && task in it.running }
-        if (otherWorkers.isNotEmpty()) violations += Violation("runs twice at once", task, now)
+        monitor.onRunBegun(worker, task, now)
     }
 
     private companion object {
--- /dev/null
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
@@ -0,0 +1,405 @@
+/**
+ * A model of a host that takes part in the election and owns the workers of its world in turn.
+ *
+ * It does in virtual time what the daemon's election, ownership and record writer do on threads. A
+ * [process][ModelHost.kill] that is killed loses all that it knows.
+ */
+package sycamoremast.coordination.workflow
+
+/** What hosts have in common: the time, the store, the workers and the network to them. */
+internal interface HostWorld {
+    val time: VirtualTime
+    val store: ModelStore
+    val isStoreLossy: Boolean
+
+    /** The platform's entries of workers. */
+    val listings: Map<String, WorkerListing>
+
+    /** Whether [host] reaches [target], which is a worker's ID or [STORE]. */
+    fun reaches(host: String, target: String): Boolean
+
+    fun delayMillis(): Long
+
+    /** Returns the delay of a call that is carried out late, or null for most calls. */
+    fun lateMillisOrNull(): Long?
+
+    /** Sends [order] for [host]; [answer] is called at most once, without a time of receipt. */
+    fun send(host: String, order: WorkerOrder, answer: (WorkerAnswer) -> Unit)
+
+    fun log(text: String)
+
+    companion object {
+        const val STORE = "store"
+    }
+}
+
+/** A host whose steady clock runs at [clockPerMille] thousandths of true time. */
+internal class ModelHost(
+    val name: String,
+    private val world: HostWorld,
+    private val clockPerMille: Long
+) {
+    private val time = world.time
+    private val store = world.store
+    private val settings = SchedulerSettings()
+    private var process = 0
+    private var frozenUntilMillis = 0L
+    private var freezeMillis = 0L
+    private var uncountedMillis = 0L
+    private var claimsSeen = HashMap<Long, Long>()
+    private var isClaiming = false
+    private var isRenewing = false
+
+    /** The owner's key as last seen, and its version. */
+    private var seenOwner: OwnerKey? = null
+    private var seenOwnerVersion: Long? = null
+
+    var isUp = false
+        private set
+    val isFrozen: Boolean get() = time.now < frozenUntilMillis
+
+    /** The present term of ownership, or null. */
+    var term: Term? = null
+        private set
+
+    fun clock(): Long = time.now * clockPerMille / PER_MILLE - uncountedMillis
+
+    /** One term of ownership. */
+    inner class Term(val epoch: Long, val lease: Int, var renewedMillis: Long) {
+        val scheduler = WorkflowScheduler(epoch, settings)
+        lateinit var claims: ClaimTimes
+        var epochVersion = 0L
+        var batchNumber = 0L
+        var isOpen = true
+        var isWriting = false
+
+        /** When the scheduler began to decide, or null while the store is being read. */
+        var begunMillis: Long? = null
+        var knownListings: Map<String, WorkerListing> = emptyMap()
+        val isSoleOwner: Boolean
+            get() = clock() < renewedMillis + ModelStore.LEASE_TTL_MILLIS - LEASE_MARGIN_MILLIS
+    }
+
+    fun start() {
+        process++
+        isUp = true
+        frozenUntilMillis = 0
+        seenOwnerVersion = null
+        val started = process
+        tick(started)
+    }
+
+    fun kill() {
+        isUp = false
+        process++
+        term = null
+        isClaiming = false
+        isRenewing = false
+        claimsSeen = HashMap()
+    }
+
+    /** Stops for [millis] between a reading of the clock and the actions that depend on it. */
+    fun freeze(millis: Long, isClockCounting: Boolean) {
+        if (term == null) frozenUntilMillis = time.now + millis else freezeMillis = millis
+        isUncountedFreeze = !isClockCounting
+        if (term == null) suspendClock(millis)
+    }
+
+    private var isUncountedFreeze = false
+
+    private fun suspendClock(millis: Long) {
+        if (isUncountedFreeze) uncountedMillis += millis
+    }
+
+    /** Runs [action] in this process unless it has ended, once it isn't frozen. */
+    private fun inProcess(started: Int = process, action: () -> Unit) {
+        when {
+            started != process || !isUp -> Unit
+            isFrozen -> time.at(frozenUntilMillis) { inProcess(started, action) }
+            else -> action()
+        }
+    }
+
+    private fun after(millis: Long, action: () -> Unit) {
+        val started = process
+        time.at(time.now + millis) { inProcess(started, action) }
+    }
+
+    private fun tick(started: Int) {
+        inProcess(started) {
+            syncWithStore()
+            val held = term
+            if (held == null) claimIfFree() else renew(held)
+            after(TICK_MILLIS) { tick(started) }
+        }
+    }
+
+    /** Calls the store; [answer] gets null if there is no answer in time. */
+    private fun <T> call(send: () -> T, answer: (T?) -> Unit) {
+        var isAnswered = false
+        fun answerOnce(result: T?) {
+            if (!isAnswered) answer(result)
+            isAnswered = true
+        }
+        val started = process
+        val late = world.lateMillisOrNull()
+        time.at(time.now + (late ?: world.delayMillis())) {
+            if (!store.isUp || !world.reaches(name, HostWorld.STORE)) return@at
+            val result = send()
+            if (late != null || world.isStoreLossy) return@at
+            time.at(time.now + world.delayMillis()) { inProcess(started) { answerOnce(result) } }
+        }
+        after(STORE_TIMEOUT_MILLIS) { answerOnce(null) }
+    }
+
+    /** Called when the owner's key has changed, and now and then by [tick]. */
+    fun onOwnerKey() = after(world.delayMillis()) { syncWithStore() }
+
+    private fun syncWithStore() {
+        if (!store.isUp || !world.reaches(name, HostWorld.STORE)) return
+        store.expire()
+        val owner = store.owner
+        if (owner != null) claimsSeen.putIfAbsent(owner.epoch, clock())
+        seenOwner = owner
+        seenOwnerVersion = store.ownerVersion
+        val held = term ?: return claimIfFree()
+        if (held.begunMillis == null) return
+        if (owner?.epoch != held.epoch) return endTerm(held, "owner key names $owner")
+        if (held.knownListings != world.listings) {
+            held.knownListings = HashMap(world.listings)
+            held.scheduler.onWorkersListed(held.knownListings.values.toList(), clock())
+        }
+        store.jobs.values.forEach {
+            held.scheduler.onWorkflowAccepted(it, null, false, clock(), time.now)
+        }
+    }
+
+    private fun claimIfFree() {
+        if (isClaiming || term != null || claimableVersionOrNull() == null) return
+        isClaiming = true
+        after(world.delayMillis()) {
+            val version = claimableVersionOrNull()
+            if (version == null) {
+                isClaiming = false
+            } else {
+                claim(version, clock())
+            }
+        }
+    }
+
+    private fun claimableVersionOrNull(): Long? =
+        seenOwnerVersion?.takeIf { seenOwner.let { it == null || it.host == name } }
+
+    private fun claim(ownerVersion: Long, startedMillis: Long) {
+        call({ store.grantLease() to store.epochVersion }) { granted ->
+            if (granted == null) {
+                isClaiming = false
+                return@call
+            }
+            val (lease, epochVersion) = granted
+            call({
+                store.claim(name, lease, ownerVersion, epochVersion)?.let { it to store.version }
+            }) {
+                isClaiming = false
+                if (it != null) beginTerm(it.first, it.second, lease, startedMillis)
+            }
+        }
+    }
+
+    private fun beginTerm(epoch: Long, version: Long, lease: Int, startedMillis: Long) {
+        val next = Term(epoch, lease, startedMillis)
+        next.claims = ClaimTimes(startedMillis, claimsSeen.toMap())
+        next.epochVersion = version
+        term = next
+        world.log("$name claims epoch $epoch")
+        call({ RecoveredState(store, world.listings) }) {
+            when {
+                !next.isOpen -> Unit
+                it == null -> endTerm(next, "recovery failed")
+                else -> recover(next, it)
+            }
+        }
+    }
+
+    private class RecoveredState(store: ModelStore, listed: Map<String, WorkerListing>) {
+        val listings = HashMap(listed)
+        val roster = store.roster
+        val progress = HashMap(store.progress)
+        val jobs = store.jobs.values.toList()
+    }
+
+    private fun recover(next: Term, state: RecoveredState) {
+        next.knownListings = state.listings
+        next.scheduler.onWorkersListed(state.listings.values.toList(), clock())
+        state.roster?.record?.let { roster ->
+            for (worker in roster.workers) {
+                val lapsedBy = roster.lapsedByMillis(worker, next.claims, settings)
+                world.log("  roster ${worker.id} lapsed by ${lapsedBy - clock()} ms from now")
+                next.scheduler.addRosteredWorker(worker, lapsedBy)
+            }
+        }
+        state.jobs.forEach {
+            next.scheduler.onWorkflowAccepted(it, state.progress[it.id], true, clock(), time.now)
+        }
+        next.begunMillis = time.now
+        step(next)
+    }
+
+    private fun step(held: Term) {
+        if (!held.isOpen) return
+        val actions = held.scheduler.step(clock(), time.now, held.isSoleOwner)
+        if (freezeMillis > 0) {
+            frozenUntilMillis = time.now + freezeMillis
+            suspendClock(freezeMillis)
+            freezeMillis = 0
+        }
+        inProcess {
+            actions.forEach { execute(held, it) }
+            after(STEP_MILLIS) { step(held) }
+        }
+    }
+
+    private fun execute(held: Term, action: SchedulerAction) {
+        val scheduler = held.scheduler
+        when (action) {
+            is SchedulerAction.Start -> send(held, action.order) {
+                scheduler.onStartAnswer(action.order, it, clock())
+            }
+
+            is SchedulerAction.Stop -> send(held, action.order) {
+                scheduler.onStopAnswer(action.order, it, clock())
+            }
+
+            is SchedulerAction.Poll -> send(held, action.order) {
+                scheduler.onPollAnswer(action.order, it, clock())
+            }
+
+            is SchedulerAction.Pace -> send(held, action.order) {
+                scheduler.onPaceAnswer(action.order, it, clock())
+            }
+
+            is SchedulerAction.Record -> write(held, action.batch)
+
+            is SchedulerAction.Depose -> endTerm(held, "${action.worker} has a higher epoch")
+
+            is SchedulerAction.Log -> world.log("  $name ${held.epoch} ${action.event}")
+        }
+    }
+
+    private fun send(held: Term, order: WorkerOrder, done: (WorkerAnswer) -> Unit) {
+        if (!held.isOpen) return
+        val started = process
+        world.send(name, order) { answer ->
+            val receivedMillis = clock()
+            inProcess(started) { if (held.isOpen) done(received(answer, receivedMillis)) }
+        }
+    }
+
+    private fun received(answer: WorkerAnswer, receivedMillis: Long) = when (answer) {
+        is WorkerAnswer.Done -> answer.copy(receivedMillis = receivedMillis)
+
+        is WorkerAnswer.Reported ->
+            WorkerAnswer.Reported(answer.report.copy(receivedMillis = receivedMillis))
+
+        is WorkerAnswer.Rejected, is WorkerAnswer.Unknown -> answer
+    }
+
+    private fun rosterRecord(held: Term, batch: RecordBatch) = batch.roster?.let {
+        RosterRecord(
+            it,
+            held.epoch,
+            batch.leasesLeft.fixed,
+            batch.leasesLeft.draining,
+            batch.formedMillis - held.claims.claimedMillis
+        )
+    }
+
+    private fun write(held: Term, batch: RecordBatch) {
+        held.isWriting = true
+        val next = EpochKey(held.epoch, held.batchNumber + 1)
+        val roster = rosterRecord(held, batch)
+        val expected = held.epochVersion
+        if (roster != null) world.log("  $name ${held.epoch} writes roster $roster")
+        call({ store.commit(expected, next, batch, roster) }) { result ->
+            val isApplied = result != null && (result.version != null || result.current == next)
+            if (isApplied) {
+                held.epochVersion = result!!.version ?: result.currentVersion
+                held.batchNumber++
+            }
+            when {
+                !isApplied && result == null && held.isOpen ->
+                    after(WRITE_RETRY_MILLIS) { write(held, batch) }
+
+                else -> {
+                    held.isWriting = false
+                    onWritten(held, isApplied)
+                }
+            }
+        }
+    }
+
+    private fun onWritten(held: Term, isApplied: Boolean) {
+        when {
+            !held.isOpen -> Unit
+            isApplied -> held.scheduler.onBatchDurable()
+            else -> endTerm(held, "records refused")
+        }
+    }
+
+    private fun renew(held: Term) {
+        val sentMillis = clock()
+        if (isRenewing || sentMillis < held.renewedMillis + RENEWAL_INTERVAL_MILLIS) return
+        isRenewing = true
+        call({ store.keepAlive(held.lease) }) {
+            isRenewing = false
+            when {
+                held !== term -> Unit
+                it == true -> held.renewedMillis = sentMillis
+                it == false -> endTerm(held, "lease ended")
+                sentMillis > held.renewedMillis + ModelStore.LEASE_TTL_MILLIS +
+                    SchedulerSettings.PAST_LEASE_MILLIS -> endTerm(held, "store unreachable")
+            }
+        }
+    }
+
+    private fun endTerm(held: Term, reason: String) {
+        if (!held.isOpen) return
+        held.isOpen = false
+        term = null
+        isRenewing = false
+        world.log("$name ends epoch ${held.epoch}: $reason")
+        call({ store.endLease(held.lease) }) {}
+    }
+
+    /** Hands over to another host as planned, then ends the process and calls [onEnded]. */
+    fun stop(onEnded: () -> Unit) {
+        val held = term
+        val begun = held?.begunMillis
+        if (held == null || begun == null) {
+            kill()
+            return onEnded()
+        }
+        held.isOpen = false
+        inProcess {
+            after(HANDOVER_MILLIS) {
+                if (!held.isWriting) write(held, held.scheduler.handoverBatch(clock(), time.now))
+                after(HANDOVER_MILLIS) {
+                    call({ store.endLease(held.lease) }) {}
+                    kill()
+                    onEnded()
+                }
+            }
+        }
+    }
+
+    private companion object {
+        const val PER_MILLE = 1_000L
+        const val TICK_MILLIS = 100L
+        const val STEP_MILLIS = 20L
+        const val STORE_TIMEOUT_MILLIS = 600L
+        const val WRITE_RETRY_MILLIS = 150L
+        const val RENEWAL_INTERVAL_MILLIS = 400L
+        const val LEASE_MARGIN_MILLIS = 200L
+        const val HANDOVER_MILLIS = 300L
+    }
+}
--- /dev/null
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelStore.kt
@@ -0,0 +1,125 @@
+/**
+ * A model of the platform's store in virtual time, with the keys that owners use.
+ *
+ * The owner's key is held under a lease. Records are written under the condition that the epoch's
+ * key is at the version that their writer last wrote.
+ */
+package sycamoremast.coordination.workflow
+
+/** The content of the owner's key. */
+internal data class OwnerKey(val host: String, val epoch: Long, val lease: Int)
+
+/** The content of the epoch's key. */
+internal data class EpochKey(val epoch: Long, val batch: Long)
+
+/** The roster as it was written at [version]. */
+internal class StoredRoster(val record: RosterRecord, val version: Long)
+
+/** The version at which records were written, or null if [current] prevented it. */
+internal class Commit(val version: Long?, val current: EpochKey, val currentVersion: Long)
+
+internal class ModelStore(private val time: VirtualTime, private val pausesLeases: Boolean) {
+    private val leaseEnds = HashMap<Int, Long>()
+    private var lastLease = 0
+    private var downSinceMillis: Long? = null
+    val isUp: Boolean get() = downSinceMillis == null
+
+    /** The version of the last change. */
+    var version = 1L
+        private set
+    var owner: OwnerKey? = null
+        private set
+
+    /** The version of the owner's key, or 0 if it is absent. */
+    var ownerVersion = 0L
+        private set
+    var epoch = EpochKey(0, 0)
+        private set
+    var epochVersion = 1L
+        private set
+    var roster: StoredRoster? = null
+        private set
+    val progress = LinkedHashMap<String, WorkflowProgress>()
+    val jobs = LinkedHashMap<String, Workflow>()
+
+    /** Called after each change of the owner's key. */
+    var onOwnerChanged: () -> Unit = {}
+
+    fun accept(job: Workflow) {
+        version++
+        jobs[job.id] = job
+    }
+
+    fun goDown() {
+        downSinceMillis = time.now
+    }
+
+    fun comeUp() {
+        val since = downSinceMillis ?: return
+        downSinceMillis = null
+        if (pausesLeases) {
+            leaseEnds.replaceAll { _, end -> if (end > since) end + time.now - since else end }
+        }
+    }
+
+    fun grantLease(): Int = (++lastLease).also { leaseEnds[it] = time.now + LEASE_TTL_MILLIS }
+
+    fun keepAlive(lease: Int): Boolean {
+        expire()
+        if (lease !in leaseEnds) return false
+        leaseEnds[lease] = time.now + LEASE_TTL_MILLIS
+        return true
+    }
+
+    fun endLease(lease: Int) {
+        leaseEnds -= lease
+        expire()
+    }
+
+    /** Deletes the owner's key if its lease has ended. */
+    fun expire() {
+        if (!isUp) return
+        leaseEnds.values.removeIf { it <= time.now }
+        val held = owner ?: return
+        if (held.lease in leaseEnds) return
+        owner = null
+        ownerVersion = 0
+        version++
+        onOwnerChanged()
+    }
+
+    /** Writes the owner's key for [host]; returns the new epoch, or null if there is a conflict. */
+    fun claim(host: String, lease: Int, ownerVersion: Long, epochVersion: Long): Long? {
+        expire()
+        val isUnchanged =
+            ownerVersion == this.ownerVersion && epochVersion == this.epochVersion
+        if (!isUnchanged || lease !in leaseEnds) return null
+        version++
+        epoch = EpochKey(epoch.epoch + 1, 0)
+        this.epochVersion = version
+        owner = OwnerKey(host, epoch.epoch, lease)
+        this.ownerVersion = version
+        onOwnerChanged()
+        return epoch.epoch
+    }
+
+    /** Writes [batch] with [next] if the epoch's key is at [expectedVersion]. */
+    fun commit(
+        expectedVersion: Long,
+        next: EpochKey,
+        batch: RecordBatch,
+        rosterRecord: RosterRecord?
+    ): Commit {
+        if (epochVersion != expectedVersion) return Commit(null, epoch, epochVersion)
+        version++
+        epoch = next
+        epochVersion = version
+        progress += batch.progress
+        if (rosterRecord != null) roster = StoredRoster(rosterRecord, version)
+        return Commit(version, epoch, epochVersion)
+    }
+
+    companion object {
+        const val LEASE_TTL_MILLIS = 2_000L
+    }
+}
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelWorker.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelWorker.kt
@@ -14,8 +14,9 @@
 
 internal class ModelWorker(
     val ref: WorkerRef,
-    private val workMillis: Long,
-    private val clockPerMille: Long = 1_000
+    workMillis: Long,
+    private val clockPerMille: Long = 1_000,
+    private val workMillisOf: (TaskName) -> Long = { workMillis }
 ) {
     private class Run(val number: Int, val endsMillis: Long)
 
@@ -109,7 +110,7 @@
         if (current != null || order.run <= (highestFencedRuns[order.task] ?: 0)) {
             return WorkerAnswer.Rejected(RejectReason.STALE_RUN)
         }
-        runs[order.task] = Run(order.run, nowMillis + workMillis)
+        runs[order.task] = Run(order.run, nowMillis + workMillisOf(order.task))
         onStart(order.task)
         return done(nowMillis)
     }
@@ -130,14 +131,16 @@
             }
         unacknowledged.removeAll { it.isAcknowledged }
         val rows = runs.map { (task, run) ->
-            RunningRow(task, run.number, "", percent(run, nowMillis), null)
+            RunningRow(task, run.number, "", percent(task, run, nowMillis), null)
         }
         val report = WorkerReport(clock(nowMillis), startedMillis, 0, rows, ends.toList())
         return WorkerAnswer.Reported(report)
     }
 
-    private fun percent(run: Run, nowMillis: Long) =
-        (FULL_PERCENT - FULL_PERCENT * (run.endsMillis - nowMillis) / workMillis).toInt()
+    private fun percent(task: TaskName, run: Run, nowMillis: Long): Int {
+        val leftMillis = run.endsMillis - nowMillis
+        return (FULL_PERCENT - FULL_PERCENT * leftMillis / workMillisOf(task)).toInt()
+    }
 
     private fun extendLease(untilMillis: Long, nowMillis: Long) {
         val most = clock(nowMillis) + SchedulerSettings.DEFAULT_LEASE_MILLIS
--- /dev/null
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionSchedule.kt
@@ -0,0 +1,401 @@
+/**
+ * A simulation of several hosts that own the same workers in turn, in virtual time, with faults
+ * drawn from a seed.
+ *
+ * It checks that no task runs at two places at once, and that a lost task that is to last starts by
+ * a bound that does not depend on how many owners there were.
+ */
+package sycamoremast.coordination.workflow
+
+import kotlin.random.Random
+import sycamoremast.coordination.Resources
+
+/** A kind of fault, which occurs every [meanMillis] on average. */
+internal enum class SuccessionFault(val meanMillis: Long) {
+    KILL_HOST(5_000),
+    STOP_HOST(7_000),
+    FREEZE_HOST(4_000),
+
+    /** The steady clock doesn't count the time for which a host is suspended. */
+    SUSPEND_HOST(3_000),
+    CUT_HOST_FROM_STORE(5_000),
+    CUT_HOST_FROM_WORKER(1_500),
+    STORE_OUTAGE(9_000),
+
+    /** The owner loses the store, and the other hosts lose some workers for longer. */
+    SPLIT(9_000),
+
+    /** The owner's key is deleted before its lease ends. */
+    REVOKE_KEY(5_000),
+
+    /** The owner's key is deleted while the owner can't learn of it. */
+    REVOKE_KEY_AND_SPLIT(9_000),
+    CRASH_WORKER(3_000),
+    CUT_WORKER(5_000),
+    MOVE_WORKER(4_000),
+    DRAIN_WORKER(5_000)
+}
+
+internal data class SuccessionFaults(
+    val kinds: Set<SuccessionFault>,
+    val lateCalls: Double = 0.0,
+    val lostAnswers: Double = 0.0,
+    /** How far the rates of hosts' clocks differ from true time, in thousandths. */
+    val hostClockError: Long = 0,
+    /** How much slower than true time workers' clocks may be, in thousandths. */
+    val workerClockError: Long = 20,
+    val restartsHosts: Boolean = true
+)
+
+internal class SuccessionSchedule(seed: Long, private val faults: SuccessionFaults) : HostWorld {
+    private val random = Random(seed)
+    override val time = VirtualTime()
+    private val now: Long get() = time.now
+    override val store = ModelStore(time, pausesLeases = random.nextBoolean())
+    private val workers = LinkedHashMap<WorkerRef, ModelWorker>()
+    private val entries = LinkedHashMap<String, WorkerListing>()
+    override val listings: Map<String, WorkerListing> get() = entries
+    private val monitor = RunMonitor { workers.values }
+    private val hosts = (1..HOSTS).map {
+        val error = faults.hostClockError
+        ModelHost("h$it", this, PER_MILLE + random.nextLong(-error, error + 1))
+    }
+
+    /** Until when a host or worker is cut off, by the pair of their names. */
+    private val cutUntil = HashMap<Pair<String, String>, Long>()
+
+    /** Since when each host has been able to use each worker or the store. */
+    private val usableSince = HashMap<Pair<String, String>, Long>()
+
+    /** When an order was last sent to each worker that may have extended its lease or answered. */
+    private val lastOrderMillis = HashMap<WorkerRef, Long>()
+    private val lastRanMillis = HashMap<TaskName, Long>()
+    private val late = HashSet<TaskName>()
+    private var lastAddress = 0
+    val violations: List<Violation> get() = monitor.violations
+    val log = ArrayList<String>()
+
+    /** The number of terms of ownership. */
+    val terms: Long get() = store.epoch.epoch
+
+    /** Plays the faults and a calm time after them. */
+    fun play() {
+        repeat(WORKERS) { addWorker("w${it + 1}") }
+        store.onOwnerChanged = { hosts.forEach { it.onOwnerKey() } }
+        store.accept(lasting())
+        hosts.forEach { host -> time.at(random.nextLong(MAX_START_MILLIS)) { host.start() } }
+        for (kind in SuccessionFault.entries.filter { it in faults.kinds }) schedule(kind)
+        for (i in 0 until SHORT_JOBS) {
+            time.at(random.nextLong(FAULTS_END_MILLIS)) { store.accept(short("job$i")) }
+        }
+        observe()
+        time.playUntil(END_MILLIS)
+        monitor.checkEnds()
+    }
+
+    private fun lasting(): Workflow {
+        val step = WorkflowStep(LASTING_TASKS, Resources(MILLI_CPUS, 1_000), isLongRunning = true)
+        return Workflow(LASTING, QUEUE, "payload", listOf(step), submittedMillis = now)
+    }
+
+    private fun short(id: String): Workflow {
+        val step = WorkflowStep(2, Resources(MILLI_CPUS, 1_000))
+        return Workflow(id, QUEUE, "payload", listOf(step), submittedMillis = now)
+    }
+
+    private fun addWorker(id: String) {
+        val ref = WorkerRef(id, "10.0.0.${++lastAddress}:1")
+        val rate = PER_MILLE - random.nextLong(faults.workerClockError + 1)
+        val worker = ModelWorker(ref, SHORT_MILLIS, rate) {
+            if (it.workflow == LASTING) LASTING_MILLIS else SHORT_MILLIS
+        }
+        worker.restart(now)
+        workers[ref] = worker
+        list(worker, isDraining = false)
+    }
+
+    private fun list(worker: ModelWorker, isDraining: Boolean, startedMillis: Long = now) {
+        val capacity = Resources(CAPACITY_MILLI_CPUS, 64_000)
+        entries[worker.ref.id] = WorkerListing(
+            worker.ref,
+            "service",
+            "zone",
+            capacity,
+            emptyList(),
+            isDraining,
+            startedMillis
+        )
+    }
+
+    private fun schedule(kind: SuccessionFault) {
+        time.at(now + random.nextLong(1, 2 * kind.meanMillis)) {
+            if (now > FAULTS_END_MILLIS) return@at
+            occur(kind)
+            schedule(kind)
+        }
+    }
+
+    private fun occur(kind: SuccessionFault) {
+        val host = randomHost()
+        val current = entries.keys.randomOrNull(random)
+            ?.let { id -> workers.values.lastOrNull { it.ref.id == id && it.isUp } }
+        log("$kind ${host.name} ${current?.ref}")
+        when (kind) {
+            SuccessionFault.KILL_HOST -> {
+                host.kill()
+                restartLater(host)
+            }
+
+            SuccessionFault.STOP_HOST -> if (host.isUp) host.stop { restartLater(host) }
+
+            SuccessionFault.FREEZE_HOST ->
+                host.freeze(random.nextLong(MAX_FREEZE_MILLIS), isClockCounting = true)
+
+            SuccessionFault.SUSPEND_HOST ->
+                host.freeze(random.nextLong(MAX_SUSPEND_MILLIS), isClockCounting = false)
+
+            SuccessionFault.CUT_HOST_FROM_STORE -> cut(host.name, HostWorld.STORE)
+
+            SuccessionFault.CUT_HOST_FROM_WORKER -> cut(
+                host.name,
+                "w${1 + random.nextInt(WORKERS)}"
+            )
+
+            SuccessionFault.STORE_OUTAGE -> {
+                store.goDown()
+                time.at(now + random.nextLong(MAX_CUT_MILLIS)) { store.comeUp() }
+            }
+
+            SuccessionFault.SPLIT -> split()
+
+            SuccessionFault.REVOKE_KEY_AND_SPLIT -> {
+                split()
+                store.owner?.let { store.endLease(it.lease) }
+            }
+
+            SuccessionFault.REVOKE_KEY -> store.owner?.let { store.endLease(it.lease) }
+
+            SuccessionFault.CRASH_WORKER -> if (current != null) crash(current)
+
+            SuccessionFault.CUT_WORKER -> if (current != null) {
+                hosts.forEach { cut(it.name, current.ref.id) }
+            }
+
+            SuccessionFault.MOVE_WORKER -> if (current != null) {
+                current.crash()
+                entries -= current.ref.id
+                time.at(now + random.nextLong(MAX_DOWN_MILLIS)) { addWorker(current.ref.id) }
+            }
+
+            SuccessionFault.DRAIN_WORKER -> if (current != null) drain(current)
+        }
+    }
+
+    private fun split() {
+        val owner = hosts.firstOrNull { it.term != null } ?: return
+        cut(owner.name, HostWorld.STORE, LONGEST_CUT_MILLIS)
+        for (id in entries.keys.filter { random.nextInt(3) == 0 }) {
+            hosts.filter { it !== owner }.forEach { cut(it.name, id, LONGEST_CUT_MILLIS) }
+        }
+    }
+
+    private fun randomHost(): ModelHost =
+        hosts.firstOrNull { it.term != null && random.nextBoolean() } ?: hosts.random(random)
+
+    private fun restartLater(host: ModelHost) {
+        if (!faults.restartsHosts && hosts.count { it.isUp } > 1) return
+        time.at(now + random.nextLong(MIN_DOWN_MILLIS, MAX_DOWN_MILLIS)) {
+            if (!host.isUp) host.start()
+        }
+    }
+
+    private fun cut(host: String, target: String, millis: Long = random.nextLong(MAX_CUT_MILLIS)) {
+        val until = now + millis
+        log("  $host is cut off from $target until $until")
+        cutUntil.merge(host to target, until, ::maxOf)
+    }
+
+    private fun crash(worker: ModelWorker) {
+        worker.crash()
+        time.at(now + EXPIRY_MILLIS) { if (!worker.isUp) unlist(worker) }
+        val isBack = random.nextInt(4) > 0
+        if (!isBack) {
+            time.at(now + MAX_CUT_MILLIS) { addWorker("x${lastAddress + 1}") }
+            return
+        }
+        time.at(now + random.nextLong(MIN_DOWN_MILLIS, MAX_CUT_MILLIS)) {
+            log("${worker.ref} is back")
+            worker.restart(now)
+            list(worker, isDraining = false)
+        }
+    }
+
+    private fun unlist(worker: ModelWorker) {
+        if (entries[worker.ref.id]?.ref == worker.ref) entries -= worker.ref.id
+    }
+
+    private fun drain(worker: ModelWorker) {
+        list(worker, isDraining = true, entries.getValue(worker.ref.id).startedUnixMillis ?: now)
+        time.at(now + random.nextLong(MIN_DRAIN_MILLIS, MAX_CUT_MILLIS)) {
+            if (!worker.isUp) return@at
+            log("${worker.ref} leaves")
+            worker.crash()
+            unlist(worker)
+            addWorker("x${lastAddress + 1}")
+        }
+    }
+
+    override val isStoreLossy: Boolean get() = random.nextDouble() < faults.lostAnswers
+
+    override fun reaches(host: String, target: String): Boolean =
+        now >= (cutUntil[host to target] ?: 0)
+
+    override fun delayMillis(): Long = random.nextLong(1, MAX_DELAY_MILLIS)
+
+    override fun lateMillisOrNull(): Long? = if (random.nextDouble() < faults.lateCalls) {
+        random.nextLong(MIN_LATE_MILLIS, MAX_LATE_MILLIS)
+    } else {
+        null
+    }
+
+    override fun log(text: String) {
+        log += "$now $text"
+    }
+
+    override fun send(host: String, order: WorkerOrder, answer: (WorkerAnswer) -> Unit) {
+        val worker = workers.getValue(order.worker)
+        val mayGrant = order is StartOrder || (order is PollOrder && order.leaseEndMillis != null)
+        if (mayGrant) lastOrderMillis[order.worker] = now
+        var isAnswered = false
+        fun answerOnce(result: WorkerAnswer) {
+            if (!isAnswered) answer(result)
+            isAnswered = true
+        }
+        val wait = if (order is PollOrder) minOf(order.waitMillis, MAX_WAIT_MILLIS) else 0
+        time.at(now + ORDER_TIMEOUT_MILLIS + wait) { answerOnce(WorkerAnswer.Unknown("timeout")) }
+        val late = lateMillisOrNull()
+        val incarnation = worker.incarnation
+        fun carryOut(isLast: Boolean) {
+            if (!worker.isUp || worker.incarnation != incarnation) {
+                time.at(now + 1) { answerOnce(WorkerAnswer.Unknown("connection reset")) }
+            } else if (reaches(host, order.worker.id)) {
+                lastOrderMillis[order.worker] = now
+                val result = worker.carryOut(order, now) {
+                    log("begins $it on ${worker.ref} by $host")
+                    monitor.onRunBegun(worker, it, now)
+                }
+                val isLost = late != null || random.nextDouble() < faults.lostAnswers
+                if (!isLast || isLost) return
+                time.at(now + delayMillis()) {
+                    if (reaches(host, order.worker.id)) answerOnce(result)
+                }
+            }
+        }
+        val arrivalMillis = now + (late ?: delayMillis())
+        time.at(arrivalMillis) { carryOut(isLast = wait == 0L) }
+        if (wait > 0) time.at(arrivalMillis + wait) { carryOut(isLast = true) }
+    }
+
+    private fun observe() {
+        workers.values.forEach { it.advance(now) }
+        workers.values.filter { it.isUp }.flatMap { it.running }.forEach { lastRanMillis[it] = now }
+        updateUsable()
+        hosts.firstOrNull { isOwnerInPlace(it) }?.let(::checkLasting)
+        if (now < END_MILLIS) time.at(now + OBSERVE_MILLIS) { observe() }
+    }
+
+    private fun updateUsable() {
+        for (host in hosts) {
+            val isHostUp = host.isUp && !host.isFrozen
+            val hasStore = isHostUp && store.isUp && reaches(host.name, HostWorld.STORE)
+            updateUsable(host.name to HostWorld.STORE, hasStore)
+            workers.values.groupBy { it.ref.id }.forEach { (id, lives) ->
+                val isReached = lives.any { it.isUp } && isHostUp && reaches(host.name, id)
+                updateUsable(host.name to id, isReached)
+            }
+        }
+    }
+
+    private fun updateUsable(pair: Pair<String, String>, isUsable: Boolean) {
+        if (isUsable) usableSince.putIfAbsent(pair, now) else usableSince -= pair
+    }
+
+    private fun isUsable(host: ModelHost, target: String): Boolean =
+        now - (usableSince[host.name to target] ?: now) >= IN_PLACE_MILLIS
+
+    private fun isOwnerInPlace(host: ModelHost): Boolean {
+        val term = host.term ?: return false
+        val begunMillis = term.begunMillis ?: return false
+        return now - begunMillis >= IN_PLACE_MILLIS &&
+            store.owner?.epoch == term.epoch &&
+            isUsable(host, HostWorld.STORE)
+    }
+
+    /**
+     * Checks that all lasting tasks run if [host], the owner, has been undisturbed for a while and
+     * all leases of workers that it does not reach lapsed long ago.
+     *
+     * A host can't know how old leases are that were granted before it reached the store.
+     */
+    private fun checkLasting(host: ModelHost) {
+        val informedMillis = usableSince[host.name to HostWorld.STORE] ?: now
+        if (now < informedMillis + LOST_BOUND_MILLIS) return
+        val unreached = workers.values.filter { !it.isUp || !isUsable(host, it.ref.id) }
+        if (unreached.any { now < (lastOrderMillis[it.ref] ?: 0) + LOST_BOUND_MILLIS }) return
+        val hasRoom = entries.values.any { !it.isDraining && isUsable(host, it.ref.id) }
+        if (!hasRoom) return
+        for (index in 0 until LASTING_TASKS) {
+            val task = TaskName(LASTING, 0, 0, index)
+            val offMillis = now - (lastRanMillis[task] ?: 0)
+            if (offMillis > LOST_BOUND_MILLIS && late.add(task)) {
+                log("late $task, off for $offMillis ms")
+                monitor.violations += Violation("does not last", task, now)
+            }
+        }
+    }
+
+    private companion object {
+        const val HOSTS = 4
+        const val WORKERS = 6
+        const val LASTING = "lasting"
+        const val LASTING_TASKS = 8
+        const val LASTING_MILLIS = 10_000_000L
+        const val SHORT_MILLIS = 700L
+        const val SHORT_JOBS = 40
+        const val MILLI_CPUS = 1_000L
+        const val CAPACITY_MILLI_CPUS = 12_000L
+        const val PER_MILLE = 1_000L
+        const val FAULTS_END_MILLIS = 35_000L
+        const val END_MILLIS = 60_000L
+        const val OBSERVE_MILLIS = 100L
+        const val MAX_START_MILLIS = 300L
+        const val MAX_DELAY_MILLIS = 20L
+        const val MAX_WAIT_MILLIS = 200L
+        const val ORDER_TIMEOUT_MILLIS = 600L
+        const val MIN_LATE_MILLIS = 1_000L
+        const val MAX_LATE_MILLIS = 6_000L
+        const val MIN_DOWN_MILLIS = 300L
+        const val MAX_DOWN_MILLIS = 2_500L
+        const val MAX_CUT_MILLIS = 12_000L
+
+        /** Longer than an owner may go on and a lease may last after that. */
+        const val LONGEST_CUT_MILLIS = 20_000L
+        const val MAX_FREEZE_MILLIS = 6_000L
+        const val MAX_SUSPEND_MILLIS = 3_000L
+        const val MIN_DRAIN_MILLIS = 2_000L
+
+        /** Three heartbeats. */
+        const val EXPIRY_MILLIS = 3_300L
+
+        /** How long an owner and its links have to be sound before tasks are due. */
+        const val IN_PLACE_MILLIS = 3_000L
+
+        /**
+         * A takeover, the time for which the old owner may go on, a lease and three seconds in
+         * which calls fail and answers arrive.
+         */
+        val LOST_BOUND_MILLIS = ModelStore.LEASE_TTL_MILLIS +
+            SchedulerSettings().lapsedBy(SchedulerSettings.PAST_LEASE_MILLIS) + IN_PLACE_MILLIS
+        val QUEUE = QueuePolicy("queue", "service")
+    }
+}
--- /dev/null
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionTest.kt
@@ -0,0 +1,111 @@
+package sycamoremast.coordination.workflow
+
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEmpty
+import sycamoremast.coordination.workflow.SuccessionFault.CRASH_WORKER
+import sycamoremast.coordination.workflow.SuccessionFault.CUT_HOST_FROM_STORE
+import sycamoremast.coordination.workflow.SuccessionFault.CUT_HOST_FROM_WORKER
+import sycamoremast.coordination.workflow.SuccessionFault.CUT_WORKER
+import sycamoremast.coordination.workflow.SuccessionFault.DRAIN_WORKER
+import sycamoremast.coordination.workflow.SuccessionFault.FREEZE_HOST
+import sycamoremast.coordination.workflow.SuccessionFault.KILL_HOST
+import sycamoremast.coordination.workflow.SuccessionFault.MOVE_WORKER
+import sycamoremast.coordination.workflow.SuccessionFault.REVOKE_KEY
+import sycamoremast.coordination.workflow.SuccessionFault.REVOKE_KEY_AND_SPLIT
+import sycamoremast.coordination.workflow.SuccessionFault.SPLIT
+import sycamoremast.coordination.workflow.SuccessionFault.STOP_HOST
+import sycamoremast.coordination.workflow.SuccessionFault.STORE_OUTAGE
+import sycamoremast.coordination.workflow.SuccessionFault.SUSPEND_HOST
+
+/** Tests of owners that succeed each other while hosts, workers, links and the store fail. */
+class SuccessionTest {
+    private fun expectNoViolations(
+        seeds: LongRange,
+        vararg kinds: SuccessionFault,
+        clockError: Long = 0,
+        lateCalls: Double = 0.0,
+        lostAnswers: Double = 0.0
+    ) {
+        for (seed in seeds) {
+            val faults = SuccessionFaults(kinds.toSet(), lateCalls, lostAnswers, clockError)
+            val schedule = SuccessionSchedule(seed, faults)
+            schedule.play()
+            expectThat(schedule.violations).describedAs("seed $seed").isEmpty()
+        }
+    }
+
+    @Test
+    fun `starts each lasting task once and in time while hosts and workers crash`() =
+        expectNoViolations(1L..8, KILL_HOST, CRASH_WORKER)
+
+    @Test
+    fun `starts each lasting task once and in time while hosts stop and workers are cut off`() =
+        expectNoViolations(1L..8, STOP_HOST, CUT_WORKER, CRASH_WORKER)
+
+    @Test
+    fun `starts each lasting task once and in time while hosts lose the store and workers`() =
+        expectNoViolations(
+            1L..8,
+            CUT_HOST_FROM_STORE,
+            CUT_HOST_FROM_WORKER,
+            KILL_HOST,
+            lateCalls = 0.03,
+            lostAnswers = 0.05,
+            clockError = 20
+        )
+
+    @Test
+    fun `starts each lasting task once and in time while the store is down for all`() =
+        expectNoViolations(1L..8, STORE_OUTAGE, CUT_HOST_FROM_WORKER, KILL_HOST)
+
+    @Test
+    fun `starts each lasting task once and in time while hosts freeze`() =
+        expectNoViolations(1L..8, FREEZE_HOST, CUT_HOST_FROM_WORKER, CUT_WORKER)
+
+    @Test
+    fun `starts each lasting task once and in time while keys of live owners are deleted`() =
+        expectNoViolations(1L..8, REVOKE_KEY, CUT_HOST_FROM_STORE, CUT_HOST_FROM_WORKER)
+
+    @Test
+    fun `starts each lasting task once and in time while workers move`() =
+        expectNoViolations(1L..8, MOVE_WORKER, KILL_HOST, CUT_WORKER)
+
+    @Test
+    fun `starts each lasting task once and in time while workers drain`() = expectNoViolations(
+        1L..8,
+        DRAIN_WORKER,
+        KILL_HOST,
+        CUT_HOST_FROM_STORE,
+        CUT_HOST_FROM_WORKER
+    )
+
+    @Test
+    fun `starts each lasting task once and in time while old owners live on behind cuts`() =
+        expectNoViolations(1L..8, SPLIT)
+
+    // Guards against a lease limit that counts from the clock of an owner that was suspended.
+    @Test
+    fun `starts each lasting task once while owners are suspended within their leases`() =
+        expectNoViolations(8L..8, SUSPEND_HOST, CUT_WORKER, KILL_HOST, STOP_HOST)
+
+    // Guards against an owner that acts after a freeze before it notices that its time is over.
+    @Test
+    fun `starts each lasting task once while old owners freeze behind cuts`() =
+        expectNoViolations(26L..26, SPLIT, FREEZE_HOST)
+
+    // Guards against an owner that goes on until its last call to the store has failed.
+    @Test
+    fun `starts each lasting task once while old owners with slow clocks live on behind cuts`() =
+        expectNoViolations(38L..38, SPLIT, clockError = 20)
+
+    // Guards against an owner that can't tell how long it was suspended.
+    @Test
+    fun `starts each lasting task once while old owners are suspended behind cuts`() =
+        expectNoViolations(33L..33, SPLIT, SUSPEND_HOST)
+
+    // Guards against a successor that counts on the time for which the store keeps an owner's key.
+    @Test
+    fun `starts each lasting task once while the keys of owners behind cuts are deleted`() =
+        expectNoViolations(35L..35, REVOKE_KEY_AND_SPLIT)
+}
