Stop an owner that lost the store before its successor counts on that

What callers may see: a task that runs twice. An owner that can't reach the store may act until 9 s after the last renewal of its lease; its successor adds 7 s to its own claim and then takes leases of workers that it can't reach for lapsed.

Cause: only the election thread ended that time, and only after one more call to the store had failed: up to 0.4 s until the next call and 0.6 s for it. After a freeze, the scheduler went on in between however long the freeze was. Nothing covered a difference between the hosts' clocks.

Now each step reads the state of the lease after the clock, and ends the term at once if the time is over. The time is shorter by the error of a clock (2%) and by the usual margin of 0.2 s, so it ends 8.6 s after the last renewal. An outage of the store of 8 s is still survived, as renewals are 0.4 s apart.

The new test in OwnershipTest covers the daemon's side.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerSettings.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerSettings.kt
@@ -39,6 +39,17 @@
         /** Returns how far two clocks may drift apart within [elapsedMillis]. */
         fun maxClockError(elapsedMillis: Long): Long = elapsedMillis / SLOWEST_CLOCK_DIVISOR
 
+        /**
+         * Returns how long after the last renewal of its lease in the store, of [leaseMillis], an
+         * owner may act.
+         *
+         * By any clock, that ends at most [PAST_LEASE_MILLIS] after the lease.
+         */
+        fun actingMillis(leaseMillis: Long): Long {
+            val longestMillis = leaseMillis + PAST_LEASE_MILLIS
+            return longestMillis - maxClockError(longestMillis)
+        }
+
         /** Returns the settings for workers that accept leases of at most [maxLeaseMillis]. */
         fun within(maxLeaseMillis: Long, stopMillis: Long) = SchedulerSettings(
             leaseMillis = minOf(maxLeaseMillis, LONGEST_LEASE_MILLIS),
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
@@ -78,6 +78,7 @@
         var knownListings: Map<String, WorkerListing> = emptyMap()
         val isSoleOwner: Boolean
             get() = clock() < renewedMillis + ModelStore.LEASE_TTL_MILLIS - LEASE_MARGIN_MILLIS
+        val isOver: Boolean get() = clock() >= renewedMillis + LONGEST_TERM_MILLIS
     }
 
     fun start() {
@@ -247,6 +248,7 @@
 
     private fun step(held: Term) {
         if (!held.isOpen) return
+        if (held.isOver) return endTerm(held, "store unreachable")
         val actions = held.scheduler.step(clock(), time.now, held.isSoleOwner)
         if (freezeMillis > 0) {
             frozenUntilMillis = time.now + freezeMillis
@@ -356,8 +358,7 @@
                 held !== term -> Unit
                 it == true -> held.renewedMillis = sentMillis
                 it == false -> endTerm(held, "lease ended")
-                sentMillis > held.renewedMillis + ModelStore.LEASE_TTL_MILLIS +
-                    SchedulerSettings.PAST_LEASE_MILLIS -> endTerm(held, "store unreachable")
+                held.isOver -> endTerm(held, "store unreachable")
             }
         }
     }
@@ -401,5 +402,7 @@
         const val RENEWAL_INTERVAL_MILLIS = 400L
         const val LEASE_MARGIN_MILLIS = 200L
         const val HANDOVER_MILLIS = 300L
+        val LONGEST_TERM_MILLIS = SchedulerSettings.actingMillis(ModelStore.LEASE_TTL_MILLIS) -
+            LEASE_MARGIN_MILLIS
     }
 }
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionSchedule.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionSchedule.kt
@@ -156,10 +156,8 @@
 
             SuccessionFault.CUT_HOST_FROM_STORE -> cut(host.name, HostWorld.STORE)
 
-            SuccessionFault.CUT_HOST_FROM_WORKER -> cut(
-                host.name,
-                "w${1 + random.nextInt(WORKERS)}"
-            )
+            SuccessionFault.CUT_HOST_FROM_WORKER ->
+                cut(host.name, "w${1 + random.nextInt(WORKERS)}")
 
             SuccessionFault.STORE_OUTAGE -> {
                 store.goDown()
@@ -168,27 +166,35 @@
 
             SuccessionFault.SPLIT -> split()
 
+            SuccessionFault.REVOKE_KEY -> revokeKey()
+
             SuccessionFault.REVOKE_KEY_AND_SPLIT -> {
                 split()
-                store.owner?.let { store.endLease(it.lease) }
+                revokeKey()
             }
 
-            SuccessionFault.REVOKE_KEY -> store.owner?.let { store.endLease(it.lease) }
-
-            SuccessionFault.CRASH_WORKER -> if (current != null) crash(current)
+            else -> if (current != null) occur(kind, current)
+        }
+    }
 
-            SuccessionFault.CUT_WORKER -> if (current != null) {
-                hosts.forEach { cut(it.name, current.ref.id) }
-            }
+    private fun occur(kind: SuccessionFault, worker: ModelWorker) = when (kind) {
+        SuccessionFault.CRASH_WORKER -> crash(worker)
 
-            SuccessionFault.MOVE_WORKER -> if (current != null) {
-                current.crash()
-                entries -= current.ref.id
-                time.at(now + random.nextLong(MAX_DOWN_MILLIS)) { addWorker(current.ref.id) }
-            }
+        SuccessionFault.CUT_WORKER -> hosts.forEach { cut(it.name, worker.ref.id) }
 
-            SuccessionFault.DRAIN_WORKER -> if (current != null) drain(current)
+        SuccessionFault.MOVE_WORKER -> {
+            worker.crash()
+            entries -= worker.ref.id
+            time.at(now + random.nextLong(MAX_DOWN_MILLIS)) { addWorker(worker.ref.id) }
         }
+
+        SuccessionFault.DRAIN_WORKER -> drain(worker)
+
+        else -> error("not a fault of a worker: $kind")
+    }
+
+    private fun revokeKey() {
+        store.owner?.let { store.endLease(it.lease) }
     }
 
     private fun split() {
@@ -278,17 +284,14 @@
         fun carryOut(isLast: Boolean) {
             if (!worker.isUp || worker.incarnation != incarnation) {
                 time.at(now + 1) { answerOnce(WorkerAnswer.Unknown("connection reset")) }
-            } else if (reaches(host, order.worker.id)) {
-                lastOrderMillis[order.worker] = now
-                val result = worker.carryOut(order, now) {
-                    log("begins $it on ${worker.ref} by $host")
-                    monitor.onRunBegun(worker, it, now)
-                }
-                val isLost = late != null || random.nextDouble() < faults.lostAnswers
-                if (!isLast || isLost) return
-                time.at(now + delayMillis()) {
-                    if (reaches(host, order.worker.id)) answerOnce(result)
-                }
+                return
+            }
+            if (!reaches(host, order.worker.id)) return
+            val result = carryOut(host, order, worker)
+            val isLost = late != null || random.nextDouble() < faults.lostAnswers
+            if (!isLast || isLost) return
+            time.at(now + delayMillis()) {
+                if (reaches(host, order.worker.id)) answerOnce(result)
             }
         }
         val arrivalMillis = now + (late ?: delayMillis())
@@ -296,6 +299,14 @@
         if (wait > 0) time.at(arrivalMillis + wait) { carryOut(isLast = true) }
     }
 
+    private fun carryOut(host: String, order: WorkerOrder, worker: ModelWorker): WorkerAnswer {
+        lastOrderMillis[order.worker] = now
+        return worker.carryOut(order, now) {
+            log("begins $it on ${worker.ref} by $host")
+            monitor.onRunBegun(worker, it, now)
+        }
+    }
+
     private fun observe() {
         workers.values.forEach { it.advance(now) }
         workers.values.filter { it.isUp }.flatMap { it.running }.forEach { lastRanMillis[it] = now }
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionTest.kt
@@ -106,6 +106,8 @@
 
     // Guards against a successor that counts on the time for which the store keeps an owner's key.
     @Test
-    fun `starts each lasting task once while the keys of owners behind cuts are deleted`() =
+    fun `starts each lasting task once while the keys of owners behind cuts are deleted`() {
         expectNoViolations(35L..35, REVOKE_KEY_AND_SPLIT)
+        expectNoViolations(156L..156, REVOKE_KEY_AND_SPLIT)
+    }
 }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Election.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Election.kt
@@ -72,12 +72,9 @@
     @Volatile
     private var heldTerm: HeldTerm? = null
 
-    /** Whether the lease is certain to be in force, measured from its last renewal. */
-    val isLeaseValid: Boolean
-        get() {
-            val held = heldTerm ?: return false
-            return clock.nowMillis() < held.renewedMillis + LEASE_TTL_MILLIS - LEASE_MARGIN_MILLIS
-        }
+    /** The state of the lease of the current term; without a term, it is not in force. */
+    val leaseState: LeaseState
+        get() = heldTerm?.let(::leaseState) ?: LeaseState.LAPSED
 
     /** When the claims of the latest epochs were first seen. */
     private val claimsSeen = ConcurrentSkipListMap<Long, Long>()
@@ -146,11 +143,20 @@
     private fun claimableVersionOrNull(): Long? = ownerKey
         ?.takeIf { it.record == null || it.record.host == host }?.version
 
+    private fun leaseState(held: HeldTerm): LeaseState {
+        val elapsedMillis = clock.nowMillis() - held.renewedMillis
+        return when {
+            elapsedMillis < LEASE_TTL_MILLIS - LEASE_MARGIN_MILLIS -> LeaseState.VALID
+            elapsedMillis < ACTING_MILLIS -> LeaseState.LAPSED
+            else -> LeaseState.OVER
+        }
+    }
+
     private fun renew(held: HeldTerm) {
         val now = clock.nowMillis()
         if (now < held.renewedMillis + RENEWAL_INTERVAL_MILLIS) return
         when (val renewed = store.keepAlive(held.lease)) {
-            is Either.Left -> if (now > held.renewedMillis + LEASE_TTL_MILLIS + PAST_LEASE_MILLIS) {
+            is Either.Left -> if (leaseState(held) == LeaseState.OVER) {
                 endTerm(held, "store unreachable: ${renewed.value.reason}")
             }
 
@@ -259,7 +265,7 @@
 
         /** Four renewals may be lost before the lease expires. */
         const val RENEWAL_INTERVAL_MILLIS = 400L
-        const val PAST_LEASE_MILLIS = SchedulerSettings.PAST_LEASE_MILLIS
+        val ACTING_MILLIS = SchedulerSettings.actingMillis(LEASE_TTL_MILLIS) - LEASE_MARGIN_MILLIS
 
         /** Spreads the claims of hosts that see the deletion of the key at the same moment. */
         const val MAX_CLAIM_JITTER_MILLIS = 40L
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
@@ -38,8 +38,8 @@
     /** Called with the reason when a term can't continue. */
     var onDeposed: (String) -> Unit = {}
 
-    /** Returns whether it is certain that no other host owns the set at present. */
-    var isSoleOwner: () -> Boolean = { true }
+    /** Returns the state of this host's lease. */
+    var leaseState: () -> LeaseState = { LeaseState.VALID }
 
     /** The running scheduler, or null while another host owns the set. */
     @Volatile
@@ -57,7 +57,7 @@
         val scheduler = WorkflowScheduler(term.epoch, settings)
         val sender = OrderDispatch(term.epoch, runs, relays, clock, log).start()
         dispatch = sender
-        val next = SchedulerLoop(scheduler, sender, writer, clock, log, meters, isSoleOwner) {
+        val next = SchedulerLoop(scheduler, sender, writer, clock, log, meters, leaseState) {
             onDeposed(it)
         }
         val workers = WorkerFeed(catalog, next, sender, log)
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
@@ -33,7 +33,7 @@
     private val clock: MonotonicClock,
     private val log: EventLog,
     private val meters: WorkflowMeters,
-    private val isSoleOwner: () -> Boolean,
+    private val leaseState: () -> LeaseState,
     private val onDeposed: (String) -> Unit
 ) : AutoCloseable {
     private val inbox = LinkedBlockingQueue<() -> Unit>()
@@ -132,8 +132,12 @@
     }
 
     private fun step() {
+        // The clock is read before the lease's state, so that orders of this step are in time.
         lastStepMillis = nowMillis()
-        scheduler.step(lastStepMillis, unixMillis(), isSoleOwner()).forEach(::execute)
+        val lease = leaseState()
+        if (lease == LeaseState.OVER) return endTerm("lease ended long ago")
+        val isSoleOwner = lease == LeaseState.VALID
+        scheduler.step(lastStepMillis, unixMillis(), isSoleOwner).forEach(::execute)
         if (lastStepMillis < nextCountMillis) return
         nextCountMillis = lastStepMillis + COUNT_INTERVAL_MILLIS
         waitingCounts = scheduler.waitingByQueue()
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowHost.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowHost.kt
@@ -61,7 +61,7 @@
 
     init {
         ownership.onDeposed = election::depose
-        ownership.isSoleOwner = { election.isLeaseValid }
+        ownership.leaseState = { election.leaseState }
         peering?.dispatch = { ownership.dispatch }
         peering?.onStrongerHost = { election.depose(Ownership.STRONGER_HOST) }
         meters.registerGauge("sycamore.owner") { if (ownership.loop == null) 0 else 1 }
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/GatewayTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/GatewayTest.kt
@@ -153,7 +153,7 @@
         MonotonicClock.system(),
         EventLog { },
         WorkflowMeters(),
-        { true }
+        { LeaseState.VALID }
     ) { }
 }
 
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/OwnershipTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/OwnershipTest.kt
@@ -9,6 +9,7 @@
 import strikt.api.expectThat
 import strikt.assertions.contains
 import strikt.assertions.containsExactly
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThan
@@ -171,11 +172,22 @@
         accept("job")
         val began = clock.nowMillis()
         ownership.onBegin(claim(2))
-        ownership.isSoleOwner = { true }
+        ownership.leaseState = { LeaseState.VALID }
         runs.awaitStart("job")
         expectThat(clock.nowMillis() - began).isLessThan(SchedulerSettings.PAST_LEASE_MILLIS)
     }
 
+    // Guards against orders of an owner that was frozen and has not called the store since.
+    @Test
+    fun `ends the term before it gives an order if its lease ended long ago`() {
+        put(OneWorkerCatalog.workersPrefix + "w1", "")
+        accept("job")
+        ownership.leaseState = { LeaseState.OVER }
+        ownership.onBegin(claim(1))
+        expectThat(deposed.get(WAIT_SECONDS, SECONDS)).isEqualTo("lease ended long ago")
+        expectThat(runs.started).isEmpty()
+    }
+
     // Guards against a wait that begins anew after each owner of a series that records nothing.
     @Test
     fun `does not wait anew for a lost worker if the last owner has recorded nothing`() {
