Tell how old a roster is by when this host saw it, not by its owner's clock

What callers might have seen with: a task that runs twice after an owner was suspended. Its clock hadn't counted the time of the suspension, so the roster that it formed looked older than it was, and limits of leases in it were taken for over too early.

Now a roster's version stands beside the owner's key, under the prefix that every host watches already, and a successor counts from when it saw that version. No clock but its own is involved. As proposed in review, any later claim that a host has seen shows that an earlier owner was replaced, and what counts from the own claim counts from the reading of the epoch's key, after which no earlier owner can record anything.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -206,7 +206,6 @@
             waiting = null,
             leasesLeft =
             LeasesLeft(workers.associate { it.id to it.remainingLeaseMillis(nowMillis) }),
-            formedMillis = nowMillis,
             interference = tails.record(unixMillis)
         )
     }
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
@@ -47,6 +47,7 @@
     private var freezeMillis = 0L
     private var uncountedMillis = 0L
     private var claimsSeen = HashMap<Long, Long>()
+    private var rostersSeen = HashMap<RosterVersion, Long>()
     private var isClaiming = false
     private var isRenewing = false
 
@@ -67,7 +68,7 @@
     /** One term of ownership. */
     inner class Term(val epoch: Long, val lease: Int, var renewedMillis: Long) {
         val scheduler = WorkflowScheduler(epoch, settings)
-        lateinit var claims: ClaimTimes
+        lateinit var sightings: StoreSightings
         var epochVersion = 0L
         var batchNumber = 0L
         var isOpen = true
@@ -97,6 +98,7 @@
         isClaiming = false
         isRenewing = false
         claimsSeen = HashMap()
+        rostersSeen = HashMap()
     }
 
     /** Stops for [millis] between a reading of the clock and the actions that depend on it. */
@@ -161,6 +163,7 @@
         store.expire()
         val owner = store.owner
         if (owner != null) claimsSeen.putIfAbsent(owner.epoch, clock())
+        store.roster?.let { rostersSeen.putIfAbsent(it.record.version, clock()) }
         seenOwner = owner
         seenOwnerVersion = store.ownerVersion
         val held = term ?: return claimIfFree()
@@ -198,18 +201,25 @@
                 return@call
             }
             val (lease, epochVersion) = granted
+            val readMillis = clock()
             call({
                 store.claim(name, lease, ownerVersion, epochVersion)?.let { it to store.version }
             }) {
                 isClaiming = false
-                if (it != null) beginTerm(it.first, it.second, lease, startedMillis)
+                if (it != null) beginTerm(it.first, it.second, lease, startedMillis, readMillis)
             }
         }
     }
 
-    private fun beginTerm(epoch: Long, version: Long, lease: Int, startedMillis: Long) {
+    private fun beginTerm(
+        epoch: Long,
+        version: Long,
+        lease: Int,
+        startedMillis: Long,
+        readMillis: Long
+    ) {
         val next = Term(epoch, lease, startedMillis)
-        next.claims = ClaimTimes(startedMillis, claimsSeen.toMap())
+        next.sightings = StoreSightings(readMillis, claimsSeen.toMap(), rostersSeen.toMap())
         next.epochVersion = version
         term = next
         world.log("$name claims epoch $epoch")
@@ -234,7 +244,7 @@
         next.scheduler.onWorkersListed(state.listings.values.toList(), clock())
         state.roster?.record?.let { roster ->
             for (worker in roster.workers) {
-                val lapsedBy = roster.lapsedByMillis(worker, next.claims, settings)
+                val lapsedBy = roster.lapsedByMillis(worker, next.sightings, settings)
                 world.log("  roster ${worker.id} lapsed by ${lapsedBy - clock()} ms from now")
                 next.scheduler.addRosteredWorker(worker, lapsedBy)
             }
@@ -306,20 +316,20 @@
         is WorkerAnswer.Rejected, is WorkerAnswer.Unknown -> answer
     }
 
-    private fun rosterRecord(held: Term, batch: RecordBatch) = batch.roster?.let {
+    private fun rosterRecord(held: Term, batch: RecordBatch, number: Long) = batch.roster?.let {
         RosterRecord(
             it,
             held.epoch,
             batch.leasesLeft.fixed,
             batch.leasesLeft.draining,
-            batch.formedMillis - held.claims.claimedMillis
+            number
         )
     }
 
     private fun write(held: Term, batch: RecordBatch) {
         held.isWriting = true
         val next = EpochKey(held.epoch, held.batchNumber + 1)
-        val roster = rosterRecord(held, batch)
+        val roster = rosterRecord(held, batch, next.batch)
         val expected = held.epochVersion
         if (roster != null) world.log("  $name ${held.epoch} writes roster $roster")
         call({ store.commit(expected, next, batch, roster) }) { result ->
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelStore.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelStore.kt
@@ -42,7 +42,7 @@
     val progress = LinkedHashMap<String, WorkflowProgress>()
     val jobs = LinkedHashMap<String, Workflow>()
 
-    /** Called after each change of the owner's key. */
+    /** Called after each change of the owner's key and of the roster. */
     var onOwnerChanged: () -> Unit = {}
 
     fun accept(job: Workflow) {
@@ -115,7 +115,10 @@
         epoch = next
         epochVersion = version
         progress += batch.progress
-        if (rosterRecord != null) roster = StoredRoster(rosterRecord, version)
+        if (rosterRecord != null) {
+            roster = StoredRoster(rosterRecord, version)
+            onOwnerChanged()
+        }
         return Commit(version, epoch, epochVersion)
     }
 
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/OwnerSeriesTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/OwnerSeriesTest.kt
@@ -16,6 +16,8 @@
     private val settings = SchedulerSettings()
     private var roster: RosterRecord? = null
     private val claims = HashMap<Long, Long>()
+    private val rosters = HashMap<RosterVersion, Long>()
+    private var lastBatch = 0L
 
     /** The workers that the platform lists. */
     private var listed = listOf("w1")
@@ -27,8 +29,8 @@
         driver.scheduler.onWorkersListed(listed.map(driver::listing), nowMillis)
         val inherited = roster
         inherited?.workers?.forEach {
-            val times = ClaimTimes(nowMillis, claims.toMap())
-            val lapsedBy = inherited.lapsedByMillis(it, times, settings)
+            val sightings = StoreSightings(nowMillis, claims.toMap(), rosters.toMap())
+            val lapsedBy = inherited.lapsedByMillis(it, sightings, settings)
             driver.scheduler.addRosteredWorker(it, lapsedBy)
         }
         driver.submit(driver.workflow("job", driver.taskStep()), isRecovered = epoch > 1)
@@ -45,9 +47,11 @@
             step()
             records.forEach { batch ->
                 batch.roster?.let { workers ->
-                    val after = batch.formedMillis - claims.getValue(epoch)
                     val left = batch.leasesLeft
-                    roster = RosterRecord(workers, epoch, left.fixed, left.draining, after)
+                    val record =
+                        RosterRecord(workers, epoch, left.fixed, left.draining, ++lastBatch)
+                    rosters[record.version] = now + SIGHTING_MILLIS
+                    roster = record
                 }
             }
             if (starts.isNotEmpty()) return now
@@ -157,6 +161,9 @@
     private companion object {
         const val POLL_TIMEOUT_MILLIS = 600L
 
+        /** How long a host takes to see what another one has written. */
+        const val SIGHTING_MILLIS = 20L
+
         /** How long the store keeps the key of an owner that has ended. */
         const val TAKEOVER_MILLIS = 2_000L
         const val LONGEST_MILLIS = 60_000L
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Election.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Election.kt
@@ -25,17 +25,18 @@
 import sycamoremast.coordination.StorePut
 import sycamoremast.coordination.StoreTransaction
 import sycamoremast.coordination.TransactionalStore
-import sycamoremast.coordination.workflow.ClaimTimes
+import sycamoremast.coordination.workflow.RosterVersion
 import sycamoremast.coordination.workflow.SchedulerSettings
+import sycamoremast.coordination.workflow.StoreSightings
 import sycamoremast.daemon.log.EventLog
 
 /**
  * A term of ownership.
  *
- * [epochRevision] is the revision at which the key of [epoch] was written, and [claims] tells when
- * this host made its claim and when it saw those of earlier epochs.
+ * [epochRevision] is the revision at which the key of [epoch] was written, and [sightings] tells
+ * when this host made its claim and when it saw those and the rosters of earlier epochs.
  */
-internal data class Term(val epoch: Long, val epochRevision: Long, val claims: ClaimTimes)
+internal data class Term(val epoch: Long, val epochRevision: Long, val sightings: StoreSightings)
 
 /** The owner key's content at [version]; [record] is null if the key is absent or unreadable. */
 private class OwnerKeyState(val record: OwnerRecord?, val version: Long)
@@ -76,8 +77,10 @@
     val leaseState: LeaseState
         get() = heldTerm?.let(::leaseState) ?: LeaseState.LAPSED
 
-    /** When the claims of the latest epochs were first seen. */
+    /** When the claims of the latest epochs, and the latest rosters, were first seen. */
     private val claimsSeen = ConcurrentSkipListMap<Long, Long>()
+    private val rostersSeen =
+        ConcurrentSkipListMap<RosterVersion, Long>(compareBy({ it.epoch }, { it.batch }))
 
     /** The last seen content of the owner's key, or null before the first listing. */
     @Volatile
@@ -92,18 +95,33 @@
     }
 
     override fun onListing(listing: StoreListing) {
+        listing.entries.find { it.key == WorkflowKeys.rosterVersion(set) }
+            ?.let { recordRoster(it.value) }
         val entry = listing.entries.find { it.key == WorkflowKeys.owner(set) }
         updateOwnerKey(entry?.value, entry?.version)
     }
 
     override fun onChange(change: StoreChange) {
-        if (change.key == WorkflowKeys.owner(set)) updateOwnerKey(change.value, change.revision)
+        when (change.key) {
+            WorkflowKeys.owner(set) -> updateOwnerKey(change.value, change.revision)
+            WorkflowKeys.rosterVersion(set) -> change.value?.let(::recordRoster)
+        }
+    }
+
+    private fun recordRoster(text: String) {
+        val roster = decodeRecordOrNull<RosterVersion>(text)
+        if (roster == null) {
+            log.add("roster-version-unreadable", "set" to set)
+            return
+        }
+        rostersSeen.putIfAbsent(roster, clock.nowMillis())
+        if (rostersSeen.size > MAX_SIGHTINGS) rostersSeen.pollFirstEntry()
     }
 
     private fun updateOwnerKey(value: String?, version: Long?) {
         val record = value?.let { decodeRecordOrNull<OwnerRecord>(it) }
         if (record != null) claimsSeen.putIfAbsent(record.epoch, clock.nowMillis())
-        if (claimsSeen.size > MAX_CLAIMS_SEEN) claimsSeen.pollFirstEntry()
+        if (claimsSeen.size > MAX_SIGHTINGS) claimsSeen.pollFirstEntry()
         ownerKey = OwnerKeyState(record, version?.takeIf { value != null } ?: StoreEntry.ABSENT)
         wakeUps += ""
     }
@@ -218,6 +236,8 @@
         lastEpoch: StoreEntry?,
         startedMillis: Long
     ): Either<StoreError, HeldTerm?> {
+        // What an earlier owner has recorded since would be in conflict with this claim.
+        val readMillis = clock.nowMillis()
         val epoch = (lastEpoch?.let { decodeRecordOrNull<EpochRecord>(it.value) }?.epoch ?: 0) + 1
         val ownerText = encodeRecord(OwnerRecord(host, epoch))
         val transaction = StoreTransaction(
@@ -235,7 +255,11 @@
                 is CommitResult.Applied ->
                     HeldTerm(
                         lease,
-                        Term(epoch, result.revision, ClaimTimes(startedMillis, claimsSeen.toMap())),
+                        Term(
+                            epoch,
+                            result.revision,
+                            StoreSightings(readMillis, claimsSeen.toMap(), rostersSeen.toMap())
+                        ),
                         startedMillis
                     )
 
@@ -274,7 +298,7 @@
         const val WEAK_HOST_CLAIM_DELAY_MILLIS = 600L
         const val JOIN_TIMEOUT_MILLIS = 500L
 
-        /** Far more than there are owners within the longest lease. */
-        const val MAX_CLAIMS_SEEN = 64
+        /** Far more than there are owners or rosters within the longest lease. */
+        const val MAX_SIGHTINGS = 64
     }
 }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
@@ -77,7 +77,7 @@
                     "recovered",
                     "epoch" to term.epoch,
                     "workflows" to recovered.value,
-                    "tookMillis" to clock.nowMillis() - term.claims.claimedMillis
+                    "tookMillis" to clock.nowMillis() - term.sightings.claimedMillis
                 )
                 routing()?.let { next.updatePolicies(it.queues) }
                 next.start()
@@ -114,12 +114,14 @@
             "workers" to roster.workers.size,
             "epoch" to roster.epoch,
             "succeededMillisAgo" to
-                clock.nowMillis() - term.claims.seenByMillis(roster.epoch + 1),
+                clock.nowMillis() - term.sightings.claimedByMillis(roster.epoch + 1),
+            "writtenMillisAgo" to
+                term.sightings.rosterMillisOrNull(roster.version)?.let { clock.nowMillis() - it },
             "knownLeases" to (roster.leasesLeft?.size ?: 0),
             "drainingLeases" to (roster.drainingLeasesLeft?.size ?: 0)
         )
         for (worker in roster.workers) {
-            addRosterWorker(worker, roster.lapsedByMillis(worker, term.claims, settings))
+            addRosterWorker(worker, roster.lapsedByMillis(worker, term.sightings, settings))
         }
     }
 
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/RecordWriter.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/RecordWriter.kt
@@ -62,9 +62,10 @@
                 epoch,
                 batch.leasesLeft.fixed,
                 batch.leasesLeft.draining,
-                batch.formedMillis - term.claims.claimedMillis
+                next.batch
             )
             puts += StorePut(WorkflowKeys.roster(set), encodeRecord(record))
+            puts += StorePut(WorkflowKeys.rosterVersion(set), encodeRecord(record.version))
         }
         batch.waiting?.let {
             puts += StorePut(WorkflowKeys.waiting(set), encodeRecord(WaitingRecord(it)))
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowKeys.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowKeys.kt
@@ -24,6 +24,9 @@
 
     fun owner(set: Int) = "${WORK}owner/$set"
 
+    /** Names the newest roster, under the owner's key so that the same watch reports both. */
+    fun rosterVersion(set: Int) = "${owner(set)}/roster"
+
     fun epoch(set: Int) = "${ROOT}epoch/$set"
 
     fun roster(set: Int) = "${ROOT}roster/$set"
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/GatewayTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/GatewayTest.kt
@@ -11,7 +11,6 @@
 import sycamoremast.coordination.Resources
 import sycamoremast.coordination.StorePut
 import sycamoremast.coordination.StoreTransaction
-import sycamoremast.coordination.workflow.ClaimTimes
 import sycamoremast.coordination.workflow.PaceOrder
 import sycamoremast.coordination.workflow.PollOrder
 import sycamoremast.coordination.workflow.QueuePolicy
@@ -19,6 +18,7 @@
 import sycamoremast.coordination.workflow.SchedulerSettings
 import sycamoremast.coordination.workflow.StartOrder
 import sycamoremast.coordination.workflow.StopOrder
+import sycamoremast.coordination.workflow.StoreSightings
 import sycamoremast.coordination.workflow.WorkerAnswer
 import sycamoremast.coordination.workflow.Workflow
 import sycamoremast.coordination.workflow.WorkflowPhase
@@ -149,7 +149,7 @@
     private fun loopBeforeFirstCount() = SchedulerLoop(
         WorkflowScheduler(1, SchedulerSettings()),
         UnusedRunPort,
-        RecordWriter(store, 0, Term(1, 0, ClaimTimes(0)), EventLog { }),
+        RecordWriter(store, 0, Term(1, 0, StoreSightings(0)), EventLog { }),
         MonotonicClock.system(),
         EventLog { },
         WorkflowMeters(),
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/OwnershipTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/OwnershipTest.kt
@@ -21,7 +21,6 @@
 import sycamoremast.coordination.StorePut
 import sycamoremast.coordination.StoreTransaction
 import sycamoremast.coordination.TransactionalStore
-import sycamoremast.coordination.workflow.ClaimTimes
 import sycamoremast.coordination.workflow.InterferenceRecord
 import sycamoremast.coordination.workflow.PaceOrder
 import sycamoremast.coordination.workflow.PairEffect
@@ -33,6 +32,7 @@
 import sycamoremast.coordination.workflow.SchedulerSettings
 import sycamoremast.coordination.workflow.StartOrder
 import sycamoremast.coordination.workflow.StopOrder
+import sycamoremast.coordination.workflow.StoreSightings
 import sycamoremast.coordination.workflow.WorkerAnswer
 import sycamoremast.coordination.workflow.WorkerListing
 import sycamoremast.coordination.workflow.WorkerRef
@@ -74,7 +74,7 @@
     private fun claim(epoch: Long): Term {
         put(WorkflowKeys.owner(0), encodeRecord(OwnerRecord("host$epoch", epoch)))
         val revision = put(WorkflowKeys.epoch(0), encodeRecord(EpochRecord(epoch, 0)))
-        return Term(epoch, revision, ClaimTimes(clock.nowMillis()))
+        return Term(epoch, revision, StoreSightings(clock.nowMillis()))
     }
 
     private fun accept(id: String) =
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/RecordWriterTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/RecordWriterTest.kt
@@ -11,9 +11,10 @@
 import sycamoremast.coordination.StoreEntry
 import sycamoremast.coordination.StorePut
 import sycamoremast.coordination.StoreTransaction
-import sycamoremast.coordination.workflow.ClaimTimes
 import sycamoremast.coordination.workflow.RecordBatch
 import sycamoremast.coordination.workflow.RosterRecord
+import sycamoremast.coordination.workflow.RosterVersion
+import sycamoremast.coordination.workflow.StoreSightings
 import sycamoremast.coordination.workflow.WorkflowPhase
 import sycamoremast.coordination.workflow.WorkflowProgress
 import sycamoremast.daemon.log.EventLog
@@ -21,7 +22,7 @@
 
 class RecordWriterTest {
     private val store = MemoryStore()
-    private val writer = RecordWriter(store, 0, Term(1, claim(1), ClaimTimes(0)), EventLog { })
+    private val writer = RecordWriter(store, 0, Term(1, claim(1), StoreSightings(0)), EventLog { })
 
     private fun claim(epoch: Long): Long {
         val key = WorkflowKeys.epoch(0)
@@ -66,19 +67,22 @@
     fun `writes a batch after one that was given up although it took effect`() {
         store.failCommits(Fault.ANSWER_LOST)
         var attempts = 0
-        val running = RecordBatch(mapOf("id" to WorkflowProgress(WorkflowPhase.RUNNING)), null, null)
+        val running =
+            RecordBatch(mapOf("id" to WorkflowProgress(WorkflowPhase.RUNNING)), null, null)
         expectThat(writer.write(running) { attempts++ == 0 }).isFalse()
         expectThat(write(WorkflowPhase.COMPLETED)).isTrue()
         expectThat(phase()).isEqualTo(WorkflowPhase.COMPLETED)
     }
 
     @Test
-    fun `records how long after the claim a roster was formed`() {
-        val late = RecordWriter(store, 0, Term(2, claim(2), ClaimTimes(1_000)), EventLog { })
-        late.write(RecordBatch(emptyMap(), emptyList(), null, formedMillis = 1_250)) { true }
-        val text = store.entries.getValue(WorkflowKeys.roster(0)).value
-        expectThat(decodeRecordOrNull<RosterRecord>(text)).isNotNull()
-            .get { formedAfterMillis }.isEqualTo(250)
+    fun `names the roster that it wrote where other hosts see it`() {
+        write(WorkflowPhase.RUNNING)
+        writer.write(RecordBatch(emptyMap(), emptyList(), null)) { true }
+        val roster = store.entries.getValue(WorkflowKeys.roster(0)).value
+        val version = store.entries.getValue(WorkflowKeys.rosterVersion(0)).value
+        expectThat(decodeRecordOrNull<RosterRecord>(roster)).isNotNull()
+            .get { this.version }.isEqualTo(RosterVersion(1, 2))
+        expectThat(decodeRecordOrNull<RosterVersion>(version)).isEqualTo(RosterVersion(1, 2))
     }
 
     @Test
