Hold recovered tasks back only for workers that an earlier owner has recorded

Cause, found in review: any worker that had not answered yet held them back, during the whole term. An owner starts nothing on a worker before it is in its durable roster, so a worker in no roster runs nothing of an earlier owner.

Evidence: the new test in OwnerSeriesTest failed before.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
@@ -110,8 +110,12 @@
 
     fun taskOrNull(name: TaskName): OpenTask? = workflows[name.workflow]?.taskOrNull(name)
 
-    /** Whether every worker that may run recovered work has reported it or certainly ended it. */
-    fun isFleetReconciled(): Boolean = workers.values.all { it.isReconciled }
+    /**
+     * Whether every worker that may run recovered work has reported it or certainly ended it.
+     *
+     * A worker that no earlier owner has recorded has got none.
+     */
+    fun isFleetReconciled(): Boolean = workers.values.all { it.isReconciled || !it.isInherited }
 
     /** Returns the CPU that all long-running tasks reserve, whether they run or wait. */
     fun longRunningMilliCpus(): Long = openWorkflows.sumOf { it.longRunningMilliCpus }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RecoveryWait.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RecoveryWait.kt
@@ -20,7 +20,7 @@
             log("recovery-complete", "waitedMillis" to nowMillis - began)
         } else if (!isLogged && nowMillis >= began + LONG_WAIT_MILLIS) {
             isLogged = true
-            val missing = fleet.workers.values.filter { !it.isReconciled }
+            val missing = fleet.workers.values.filter { !it.isReconciled && it.isInherited }
             log(
                 "recovery-waits",
                 "workers" to missing.size,
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/OwnerSeriesTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/OwnerSeriesTest.kt
@@ -5,6 +5,7 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThan
+import strikt.assertions.isTrue
 
 /**
  * Tests of a series of owners, each of which ends without notice, after a worker was lost.
@@ -134,6 +135,21 @@
         }
     }
 
+    // Guards against recovered tasks that wait whenever a worker is added to the fleet.
+    @Test
+    fun `starts recovered tasks while a worker that no earlier owner knew has not answered`() {
+        listed = listOf("w1", "new")
+        roster = RosterRecord(listOf(ref("w1")), 1)
+        val driver = owner(2, 0)
+        var started = false
+        while (driver.now < 500) {
+            driver.step()
+            started = started || driver.starts.isNotEmpty()
+            driver.polls.filter { it.worker.id == "w1" }.forEach { driver.report(it) }
+        }
+        expectThat(started).isTrue()
+    }
+
     @Test
     fun `logs for which workers recovered tasks wait, and when the wait is over`() {
         roster = RosterRecord(listOf(WorkerRef("gone", "address")), 1)
