--- /dev/null
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/CapacityTest.kt
@@ -0,0 +1,204 @@
+package sycamoremast.coordination.workflow
+
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.hasSize
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotEqualTo
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
+import sycamoremast.coordination.Resources
+
+/** Tests of workers whose capacity shrinks and grows while they run tasks. */
+class CapacityTest {
+    private val driver = SchedulerDriver()
+    private val scheduler = driver.scheduler
+    private val workers = ObedientWorkers(driver, tailMillis = 10.0)
+
+    private fun list(id: String, capacity: Resources) =
+        scheduler.onWorkerListed(driver.listing(id).copy(capacity = capacity), driver.now)
+
+    private fun fixed(demand: Resources) = WorkflowStep(1, demand, isLongRunning = true)
+
+    private fun serving(milliCpus: Long) =
+        fixed(Resources(milliCpus, 1_000)).copy(image = "serving", targetTailMillis = 100)
+
+    private val onIdleCpu = WorkflowStep(
+        1,
+        Resources(1_000, 1_000),
+        image = "batch",
+        usesIdleCpu = true,
+        savesProgress = true
+    )
+
+    @Test
+    fun `starts nothing on a worker whose runs exceed a dimension of its capacity`() {
+        val demand = Resources(10_000, 10_000, accelerators = 2)
+        val full = Resources(32_000, 128_000, accelerators = 8)
+        val reduced = listOf(
+            full.copy(milliCpus = 5_000),
+            full.copy(memoryMib = 5_000),
+            full.copy(accelerators = 1),
+            Resources.NONE
+        )
+        driver.listWorkers("w1")
+        list("w1", full)
+        workers.submit("running", fixed(demand))
+        for ((i, capacity) in reduced.withIndex()) {
+            list("w1", capacity)
+            workers.submit("small$i", fixed(Resources(100, 100)))
+            workers.submit("idle$i", onIdleCpu)
+        }
+        expectThat(workers.running.map { it.task.workflow }).isEqualTo(listOf("running"))
+        expectThat(workers.stopped).isEmpty()
+    }
+
+    @Test
+    fun `uses capacity that has grown again at once`() {
+        driver.listWorkers("w1")
+        list("w1", Resources(1_000, 128_000))
+        workers.submit("job", fixed(Resources(10_000, 1_000)))
+        expectThat(workers.running).isEmpty()
+        list("w1", Resources(32_000, 128_000))
+        workers.run(50)
+        expectThat(workers.workerOf("job")).isNotNull()
+    }
+
+    @Test
+    fun `counts starts without an answer against the capacity`() {
+        driver.listWorkers("w1")
+        list("w1", Resources(3_000, 128_000))
+        driver.submit(driver.workflow("job", driver.taskStep(5)))
+        driver.step()
+        expectThat(driver.starts).hasSize(3)
+        driver.step(1_000)
+        expectThat(driver.starts).isEmpty()
+    }
+
+    @Test
+    fun `counts a stopped run against the capacity until a later report lacks it`() {
+        driver.listWorkers("w1")
+        list("w1", Resources(1_000, 128_000))
+        driver.submit(driver.workflow("first"))
+        driver.step()
+        val first = driver.starts.single().also(driver::confirmStart)
+        val row = RunningRow(first.task, first.run, "", 10, null)
+        driver.polls.forEach { driver.report(it, listOf(row)) }
+        driver.submit(driver.workflow("second"))
+        scheduler.onWorkflowCancelled("first", driver.now, driver.now)
+        driver.step()
+        val stop = driver.stops.single()
+        scheduler.onStopAnswer(stop, WorkerAnswer.Done(driver.now, driver.now), driver.now)
+        repeat(10) {
+            driver.step()
+            expectThat(driver.starts).isEmpty()
+            driver.polls.forEach { driver.report(it, listOf(row)) }
+        }
+        driver.step()
+        driver.polls.forEach { driver.report(it) }
+        driver.step()
+        expectThat(driver.starts.single().task.workflow).isEqualTo("second")
+    }
+
+    @Test
+    fun `counts runs that a worker reports to a new owner against the capacity`() {
+        scheduler.addRosteredWorker(driver.ref("w1"), driver.now + 5_000)
+        driver.submit(driver.workflow("old"), isRecovered = true)
+        driver.submit(driver.workflow("new"))
+        list("w1", Resources(1_000, 128_000))
+        val row = RunningRow(TaskName("old", 0, 0, 0), 1, "", 10, null)
+        repeat(10) {
+            driver.step()
+            expectThat(driver.starts).isEmpty()
+            driver.polls.forEach { driver.report(it, listOf(row)) }
+        }
+    }
+
+    @Test
+    fun `places by the capacity of a worker's next incarnation`() {
+        scheduler.onWorkersListed(
+            listOf(driver.listing("w1").copy(startedUnixMillis = 1)),
+            driver.now
+        )
+        driver.settle()
+        val next = driver.listing("w1")
+            .copy(startedUnixMillis = 2, capacity = Resources(1_000, 128_000))
+        scheduler.onWorkerListed(next, driver.now)
+        driver.submit(driver.workflow("job", driver.taskStep(4)))
+        driver.step()
+        expectThat(driver.starts).hasSize(1)
+    }
+
+    // Guards against starts that a worker takes although its runs reserve more than its capacity.
+    @Test
+    fun `starts no task on idle CPU where runs reserve more than the capacity`() {
+        driver.listWorkers("w1")
+        workers.submit("serving", serving(28_000))
+        list("w1", Resources(20_000, 128_000))
+        workers.submit("batch", onIdleCpu)
+        expectThat(workers.workerOf("batch")).isNull()
+        list("w1", Resources(32_000, 128_000))
+        workers.run(200)
+        expectThat(workers.workerOf("batch")).isNotNull()
+    }
+
+    // Guards against counting as free what a run takes whose workflow ended under an earlier owner.
+    @Test
+    fun `starts nothing beside a run of an ended workflow until that is no longer reported`() {
+        val ended = driver.workflow("ended", driver.taskStep())
+        val progress = WorkflowProgress(WorkflowPhase.CANCELLED)
+        scheduler.onWorkflowAccepted(ended, progress, isRecovered = true, driver.now, driver.now)
+        scheduler.onWorkersListed(
+            listOf(driver.listing("w1").copy(capacity = Resources(1_000, 128_000))),
+            driver.now
+        )
+        driver.submit(driver.workflow("next"))
+        val row = RunningRow(TaskName("ended", 0, 0, 0), 1, "", 10, null)
+        val stops = ArrayList<StopOrder>()
+        repeat(10) {
+            driver.step()
+            expectThat(driver.starts).isEmpty()
+            stops += driver.stops
+            driver.polls.forEach { driver.report(it, listOf(row)) }
+        }
+        expectThat(stops.map { it.task }.distinct()).isEqualTo(listOf(row.task))
+        driver.settleWithStarts()
+        driver.report(driver.freshPoll("w1"))
+        expectThat(scheduler.phaseOrNull("next")).isEqualTo(WorkflowPhase.RUNNING)
+    }
+
+    // Guards against a task that waits for room that its worker no longer has.
+    @Test
+    fun `starts a moved task elsewhere at once if its destination shrinks`() {
+        driver.listWorkers("w1")
+        workers.submit("job", serving(10_000))
+        list("w2", Resources(32_000, 128_000))
+        list("w3", Resources(32_000, 128_000))
+        workers.run(500)
+        scheduler.onWorkerListed(driver.listing("w1", isDraining = true), driver.now)
+        workers.run(50)
+        val moved = driver.actions.filterIsInstance<SchedulerAction.Log>()
+            .single { it.event.name == "run-moved" }
+        val destination = moved.event.fields["destination"] as String
+        list(destination, Resources(4_000, 128_000))
+        workers.run(200)
+        expectThat(workers.workerOf("job")?.id).isNotNull().isNotEqualTo(destination)
+    }
+
+    // Guards against neighbours that push a serving task over its target unnoticed.
+    @Test
+    fun `stops neighbours of a serving task over its target on a worker listed without CPU`() {
+        driver.listWorkers("w1")
+        val overTarget = ObedientWorkers(driver, tailMillis = 150.0)
+        workers.submit("serving", serving(10_000))
+        workers.submit("batch", onIdleCpu)
+        overTarget.running += workers.running
+        expectThat(overTarget.running).hasSize(2)
+        list("w1", Resources(0, 128_000))
+        // Shorter than the time after which a run without progress is stopped.
+        overTarget.run(1_500)
+        expectThat(overTarget.stopped.map { it.task.workflow }.distinct())
+            .isEqualTo(listOf("batch"))
+    }
+}
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ConsolidationTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ConsolidationTest.kt
@@ -88,4 +88,23 @@
         workers.run(12_000)
         expectThat(workers.stopped).isEmpty()
     }
+
+    // Guards against moves that gain little, as a share of no CPU is no bound.
+    @Test
+    fun `moves no serving task for little gain where a worker is listed without CPU`() {
+        fun small(image: String) = serving(image).copy(demand = Resources(9_000, 1_000))
+        driver.listWorkers("w1")
+        listOf("a1", "a2", "b1").forEach { workers.submit(it, small(it.take(1))) }
+        scheduler.onWorkerListed(driver.listing("w2"), driver.now)
+        workers.run(500)
+        workers.submit("b2", serving("b"))
+        val light = listOf("a", "b").map { PairEffect(it, "x", 0.1, variance = 0.1) }
+        scheduler.restoreInterference(InterferenceRecord(light, driver.now), driver.now)
+        workers.run(8_000)
+        expectThat(workers.stopped).isEmpty()
+        val withoutCpu = driver.listing("w1").copy(capacity = Resources(0, 128_000))
+        scheduler.onWorkerListed(withoutCpu, driver.now)
+        workers.run(8_000)
+        expectThat(workers.stopped).isEmpty()
+    }
 }
