Start no task on idle CPU where runs reserve more than the capacity

Callers saw: a worker that doesn't guard its capacity takes a start while its runs exceed that. Cause: tasks on idle CPU were admitted by the CPU that serving tasks leave idle, half of their reservation, without a look at the reservation itself, which a shrunk capacity no longer covers. Why it works: a start on idle CPU now requires, as any other, that all runs that count fit into the capacity as it is listed.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
@@ -161,7 +161,10 @@
         val accelerators = worker.committedAccelerators + spec.demand.accelerators
         if (accelerators > room.accelerators) return false
         if (worker.committedMemoryMib + spec.demand.memoryMib > room.memoryMib) return false
-        if (spec.usesIdleCpu) return spec.demand.milliCpus <= spareMilliCpus(worker)
+        if (spec.usesIdleCpu) {
+            return worker.reservedMilliCpus <= worker.capacity.milliCpus &&
+                spec.demand.milliCpus <= spareMilliCpus(worker)
+        }
         return worker.reservedMilliCpus + spec.demand.milliCpus <= room.milliCpus
     }
 
