Start nothing beside runs of unknown tasks until they have ended

Callers saw: a start that exceeds the capacity beside a run that is being stopped. Cause: an owner that finds a run of a workflow that ended under an earlier owner has no task for it. It orders a stop, but nothing counted the run meanwhile, and a worker without any other run wasn't polled again to see its end, or to repeat a lost stop. Why it works: what the run takes is unknown, so the worker gets no start until a report lacks it; the worker is polled, and the stop repeated, every 100 ms.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
@@ -77,6 +77,13 @@
     var servingCount = 0
         private set
 
+    /**
+     * The runs in the last report that belong to no task of an open workflow.
+     *
+     * They take room until they have ended, but nothing tells how much.
+     */
+    var unknownRuns: Set<TaskName> = emptySet()
+
     /** Tasks that will move here, with the times by which they have to start. */
     private val reservations = LinkedHashMap<OpenTask, Long>()
 
@@ -116,6 +123,7 @@
         isReconciled &&
         clockOffsetMillis != null &&
         contactFailures == 0 &&
+        unknownRuns.isEmpty() &&
         nowMillis >= noStartsBeforeMillis
 
     /** Returns the end of a lease granted now, on the worker's clock, or null if unknown. */
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunMaintenance.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunMaintenance.kt
@@ -83,6 +83,7 @@
         return !worker.isReconciled ||
             worker.contactFailures > 0 ||
             worker.placements.isNotEmpty() ||
+            worker.unknownRuns.isNotEmpty() ||
             !worker.hasClockOffset
     }
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
@@ -166,6 +166,10 @@
         }
         val running = report.running.associateBy { it.task }
         running.values.forEach { onRunning(worker, it, nowMillis) }
+        worker.unknownRuns = running.keys.filterTo(HashSet()) { fleet.taskOrNull(it) == null }
+        if (worker.unknownRuns.isNotEmpty()) {
+            worker.nextPollMillis = nowMillis + UNKNOWN_RUN_POLL_MILLIS
+        }
         val mayOmitEnds = report.ended.size >= MAX_ENDS_PER_REPORT
         for (placement in worker.placements.values.toList()) {
             if (mayOmitEnds || running[placement.task.name]?.run == placement.run) continue
@@ -261,6 +265,9 @@
         /** The platform's protocol limits a report to this number of ends. */
         const val MAX_ENDS_PER_REPORT = 500
 
+        /** How long a worker has to end a run of an unknown task before it is polled again. */
+        const val UNKNOWN_RUN_POLL_MILLIS = 100L
+
         /** Skips run numbers that earlier orders may have used on a worker. */
         const val RUN_SKIP = 10
 
