Give up reservations that a shrunk capacity has no room for

Callers saw: a task that moves is off for up to 3 s while other workers have room. Cause: a task whose destination has no room waits for the run that leaves there. If the capacity shrinks, no run that leaves makes room, and only the end of the reservation helped. Why it works: with each entry a worker gives up the reservations that won't fit even once all stopped runs have ended; their tasks are placed like others.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
@@ -110,6 +110,7 @@
         listing = changed
         isListed = true
         cachedView = null
+        cancelUnfitReservations()
     }
 
     fun unlist() {
@@ -237,6 +238,22 @@
         }.keys.forEach(::cancelReservation)
     }
 
+    /** Gives up the last reservations that won't fit even when all stopped runs have ended. */
+    private fun cancelUnfitReservations() {
+        while (reservations.isNotEmpty() && !hasRoomForReservations()) {
+            cancelReservation(reservations.keys.last())
+        }
+    }
+
+    private fun hasRoomForReservations(): Boolean {
+        val leaving = placements.values.filter { it.isLeaving }.map { it.task.step.spec }
+        val leavingMilliCpus = leaving.filter { !it.usesIdleCpu }.sumOf { it.demand.milliCpus }
+        return reservedMilliCpus - leavingMilliCpus <= capacity.milliCpus &&
+            committedMemoryMib - leaving.sumOf { it.demand.memoryMib } <= capacity.memoryMib &&
+            committedAccelerators - leaving.sumOf { it.demand.accelerators } <=
+            capacity.accelerators
+    }
+
     fun add(placement: Placement) {
         placements[placement.task.name] = placement
         commit(placement.task.step.spec, placement.pacePercent, 1)
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placement.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placement.kt
@@ -79,6 +79,10 @@
     val needsImmediateReport: Boolean
         get() = phase == PlacementPhase.UNCONFIRMED || phase == PlacementPhase.FENCED
 
+    /** Whether the run was told to stop. */
+    val isLeaving: Boolean
+        get() = phase == PlacementPhase.STOPPING || phase == PlacementPhase.FENCED
+
     companion object {
         /** The pace, in percent, at which a run starts. */
         const val FULL_PACE = 100
