Compute shares of CPU from the last capacity that had any

Callers saw: serving tasks over their target beside neighbours on a worker listed without CPU, and a serving task stopped for a move that gains nothing. Cause: a capacity without CPU was taken for a worker that was never listed, whose readings are ignored; and the least gain of a move is a share of the worker's CPU, which was 0. Evidence: 'stops neighbours of a serving task over its target on a worker listed without CPU' and 'moves no serving task for little gain where a worker is listed without CPU' failed before and pass now. Why it works: what runs shares the worker as before the shrinking, so its readings and the gain of a move are related to the last CPU capacity above 0.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/ColocationView.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/ColocationView.kt
@@ -34,6 +34,6 @@
          */
         fun shareOf(placement: Placement, percent: Int = placement.pacePercent): Double =
             placement.task.step.spec.demand.milliCpus.toDouble() * percent /
-                (Placement.FULL_PACE * placement.worker.capacity.milliCpus)
+                (Placement.FULL_PACE * placement.worker.sharedMilliCpus)
     }
 }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Consolidation.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Consolidation.kt
@@ -55,7 +55,7 @@
             .filter { it.image != main && moves.isMovable(it, nowMillis) }
         return others.asSequence()
             .flatMap { exchanges(it, main, nowMillis) }
-            .filter { it.gain >= MIN_GAIN * source.capacity.milliCpus }
+            .filter { it.gain >= MIN_GAIN * source.sharedMilliCpus }
             .maxByOrNull { it.gain }
     }
 
@@ -93,10 +93,10 @@
 
     /** Returns the CPU of [worker] that neighbours of the known images could use beside [images]. */
     private fun value(worker: FleetWorker, images: List<String>): Double {
-        if (images.isEmpty()) return worker.capacity.milliCpus.toDouble()
+        if (images.isEmpty()) return worker.sharedMilliCpus.toDouble()
         val counts = images.groupingBy { it }.eachCount()
         val largest = counts.values.max().toDouble() / images.size
-        return worker.capacity.milliCpus *
+        return worker.sharedMilliCpus *
             (model.tolerance(counts.keys) + largest * CONCENTRATION_WEIGHT)
     }
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
@@ -91,8 +91,12 @@
     val expectedTasks: Set<OpenTask> get() = reservations.keys
     val capacity: Resources get() = listing.capacity
 
-    /** Whether the platform has listed the worker since this owner began. */
-    val isCapacityKnown: Boolean get() = capacity.milliCpus > 0
+    /** The CPU that the runs share: its capacity, or the last one listed above 0. */
+    var sharedMilliCpus = listing.capacity.milliCpus
+        private set
+
+    /** Whether the platform has listed the worker with any CPU since this owner began. */
+    val isCapacityKnown: Boolean get() = sharedMilliCpus > 0
 
     /** Whether the offset of its clock is known, without which no lease can be granted. */
     val hasClockOffset: Boolean get() = clockOffsetMillis != null
@@ -109,6 +113,7 @@
     fun updateListing(changed: WorkerListing) {
         listing = changed
         isListed = true
+        if (capacity.milliCpus > 0) sharedMilliCpus = capacity.milliCpus
         cachedView = null
         cancelUnfitReservations()
     }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/NeighbourAdmission.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/NeighbourAdmission.kt
@@ -47,7 +47,7 @@
         }
 
     private fun addedCost(worker: FleetWorker, extra: WorkflowStep): Double {
-        val share = extra.demand.milliCpus.toDouble() / worker.capacity.milliCpus
+        val share = extra.demand.milliCpus.toDouble() / worker.sharedMilliCpus
         return share * worker.colocation.images.maxOf { model.effect(it, extra.image) }
     }
 
@@ -60,7 +60,7 @@
         extra: WorkflowStep,
         nowMillis: Long
     ): Boolean {
-        val share = extra.demand.milliCpus.toDouble() / worker.capacity.milliCpus
+        val share = extra.demand.milliCpus.toDouble() / worker.sharedMilliCpus
         return worker.colocation.serving.all {
             val image = it.task.step.spec.image
             val cost = model.cost(image, worker.colocation.shares) +
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
@@ -175,7 +175,7 @@
     /** Returns the score of [worker] for [task], or null if serving tasks lack the headroom. */
     private fun score(worker: FleetWorker, task: OpenTask, nowMillis: Long): Double? {
         val spec = task.step.spec
-        val spare = spareMilliCpus(worker).toDouble() / worker.capacity.milliCpus
+        val spare = spareMilliCpus(worker).toDouble() / worker.sharedMilliCpus.coerceAtLeast(1)
         var score = when {
             spec.isServing -> servingScore(worker, spec, spare)
             spec.usesIdleCpu ->
