Count a stopped run for the longest stop unless its end is listed

Callers may see: a start that exceeds the capacity within the time that a stop takes. Cause: a stopped run was released as soon as a later report lacked it. The platform frees the room when the end is listed; nothing says that a run which is being stopped stays in the list of running ones until then. The setting for the longest stop was read and not used. Why it works: the end in a report releases the run at once; without one it counts until a poll sent after the longest stop lacks it. A run that was never seen is released as before, as its worker rejects it.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placement.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placement.kt
@@ -24,6 +24,10 @@
     var phaseSinceMillis = startedMillis
         private set
 
+    /** Whether the worker has confirmed or reported the run. */
+    var wasSeen = false
+        private set
+
     /** When the run last reported progress, started or changed its pace. */
     var lastProgressMillis = startedMillis
         private set
@@ -45,6 +49,7 @@
         val next = CHART.nextOrNull(phase, event) ?: return false
         if (next != phase) phaseSinceMillis = nowMillis
         phase = next
+        if (event == PlacementEvent.SEEN) wasSeen = true
         return true
     }
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
@@ -228,12 +228,22 @@
                 recorder.markChanged(placement.task.step.workflow)
             }
 
-            PlacementPhase.FENCED -> fleet.release(placement, nowMillis)
+            PlacementPhase.FENCED -> onFencedAbsent(placement, polledMillis, nowMillis)
 
             PlacementPhase.STARTING, PlacementPhase.STOPPING, PlacementPhase.RELEASED -> Unit
         }
     }
 
+    /** Releases a stopped run once no end of it can be outstanding, as it may still take room. */
+    private fun onFencedAbsent(placement: Placement, polledMillis: Long, nowMillis: Long) {
+        val stopMillis = if (placement.wasSeen) fleet.settings.stopMillis else 0
+        if (polledMillis >= placement.phaseSinceMillis + stopMillis) {
+            fleet.release(placement, nowMillis)
+        } else {
+            placement.worker.nextPollMillis = nowMillis + FENCED_POLL_MILLIS
+        }
+    }
+
     /** Removes [worker], on which nothing runs any more, and releases its placements. */
     fun markLost(worker: FleetWorker, nowMillis: Long, reason: String) {
         worker.isLost = true
@@ -268,6 +278,9 @@
         /** How long a worker has to end a run of an unknown task before it is polled again. */
         const val UNKNOWN_RUN_POLL_MILLIS = 100L
 
+        /** Pause before a worker is polled again that lists neither a stopped run nor its end. */
+        const val FENCED_POLL_MILLIS = 50L
+
         /** Skips run numbers that earlier orders may have used on a worker. */
         const val RUN_SKIP = 10
 
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/CapacityTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/CapacityTest.kt
@@ -5,6 +5,7 @@
 import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isIn
 import strikt.assertions.isNotEqualTo
 import strikt.assertions.isNotNull
 import strikt.assertions.isNull
@@ -201,4 +202,36 @@
         expectThat(overTarget.stopped.map { it.task.workflow }.distinct())
             .isEqualTo(listOf("batch"))
     }
+
+    // Guards against counting room as free between a stop and the end that the worker lists.
+    @Test
+    fun `counts a stopped run for the longest stop although reports lack it meanwhile`() {
+        driver.listWorkers("w1")
+        list("w1", Resources(1_000, 128_000))
+        driver.submit(driver.workflow("first"))
+        driver.step()
+        val first = driver.starts.single().also(driver::confirmStart)
+        val row = RunningRow(first.task, first.run, "", 10, null)
+        driver.polls.forEach { driver.report(it, listOf(row)) }
+        driver.submit(driver.workflow("second"))
+        scheduler.onWorkflowCancelled("first", driver.now, driver.now)
+        driver.step()
+        val stop = driver.stops.single()
+        scheduler.onStopAnswer(stop, WorkerAnswer.Done(driver.now, driver.now), driver.now)
+        val fencedMillis = driver.now
+        do {
+            driver.step(10)
+            driver.polls.forEach { driver.report(it) }
+        } while (driver.starts.isEmpty() && driver.now < fencedMillis + 1_000)
+        expectThat(driver.now - fencedMillis).isIn(SchedulerSettings.DEFAULT_STOP_MILLIS..400L)
+    }
+
+    @Test
+    fun `places a task that demands no CPU on a worker listed without CPU`() {
+        driver.listWorkers("w1")
+        list("w1", Resources(0, 128_000))
+        list("w2", Resources(0, 128_000))
+        workers.submit("job", fixed(Resources(0, 1_000)))
+        expectThat(workers.workerOf("job")).isNotNull()
+    }
 }
