Ignore an entry of a worker that a later one has replaced

Callers may see: starts by a capacity that has shrunk since. Why it works: a listing carries the store's revision of its entry, and a lower one than the last is logged and ignored.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerDirectory.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerDirectory.kt
@@ -28,6 +28,7 @@
     /** Updates the fleet from the platform's entry of one worker. */
     fun onWorkerListed(listing: WorkerListing, nowMillis: Long) {
         val known = fleet.workers[listing.ref.id]
+        if (isOutdated(listing, known)) return
         movedEntries -= listing.ref.id
         if (known != null && known.ref == listing.ref) {
             if (listing.isDraining && !known.listing.isDraining) {
@@ -56,6 +57,22 @@
         )
     }
 
+    /** Whether a later entry of the same worker than [listing] was processed. */
+    private fun isOutdated(listing: WorkerListing, known: FleetWorker?): Boolean {
+        val last = maxOf(
+            known?.listing?.revision ?: 0,
+            movedEntries[listing.ref.id]?.revision ?: 0
+        )
+        if (listing.revision >= last) return false
+        fleet.log(
+            "worker-entry-outdated",
+            listing.ref.id,
+            "revision" to listing.revision,
+            "last" to last
+        )
+        return true
+    }
+
     /** Marks the worker [id] as no longer listed by the platform. */
     fun onWorkerUnlisted(id: String) {
         movedEntries -= id
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/CapacityTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/CapacityTest.kt
@@ -234,4 +234,18 @@
         workers.submit("job", fixed(Resources(0, 1_000)))
         expectThat(workers.workerOf("job")).isNotNull()
     }
+
+    // Guards against starts by an entry that a later one has replaced.
+    @Test
+    fun `ignores an earlier entry that arrives after a later one`() {
+        driver.listWorkers("w1")
+        val shrunk = driver.listing("w1").copy(capacity = Resources.NONE, revision = 8)
+        scheduler.onWorkerListed(shrunk, driver.now)
+        scheduler.onWorkerListed(driver.listing("w1").copy(revision = 7), driver.now)
+        workers.submit("job", fixed(Resources(1_000, 1_000)))
+        expectThat(workers.running).isEmpty()
+        scheduler.onWorkerListed(driver.listing("w1").copy(revision = 9), driver.now)
+        workers.run(200)
+        expectThat(workers.workerOf("job")).isNotNull()
+    }
 }
