Start nothing by old readings on workers that don't guard their capacity

Callers may see: a start that exceeds the capacity of a worker that takes what it is told, from an owner that has lost the store or its watch and goes on with its workers. Cause: a listed capacity was used for as long as the worker answered, though its entry may be any age, and which services' workers reject what doesn't fit was not read from the configuration. Why it works: a shrunk capacity counts no sooner than contact_ms and a heartbeat later, 4 s in all. Each answer of the watch confirms all entries as of the time of its request; an entry is used for 2.5 s after that or after its own arrival. After a longer gap, which may have been one of the store in which no worker could renew its entry, an entry counts only once it is renewed or 2 s have passed. Workers of services with rejects_overload are exempt, as they reject by themselves. Services that can't be read count as not guarding; the routes stay valid.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
@@ -49,6 +49,8 @@
     /** What the store may tell the next owner about leases of workers. */
     var leaseLimits = LeaseLimits.NONE
 
+    val capacityReadings = CapacityReadings()
+
     /** How many times placement has examined a worker, as a measure of its cost. */
     var examinedWorkers = 0L
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
@@ -7,12 +7,16 @@
 internal data class Departure(val placement: Placement, val atMillis: Long)
 
 /** One incarnation of a worker. */
-internal class FleetWorker(listing: WorkerListing) {
+internal class FleetWorker(listing: WorkerListing, listedMillis: Long) {
     val ref: WorkerRef = listing.ref
     var listing = listing
         private set
     var isListed = true
         private set
+
+    /** When its entry was last read. */
+    var listedMillis = listedMillis
+        private set
     val placements = LinkedHashMap<TaskName, Placement>()
     val id: String get() = ref.id
 
@@ -110,8 +114,9 @@
     val colocation: ColocationView get() = cachedView
         ?: ColocationView.of(this).also { cachedView = it }
 
-    fun updateListing(changed: WorkerListing) {
+    fun updateListing(changed: WorkerListing, nowMillis: Long) {
         listing = changed
+        listedMillis = nowMillis
         isListed = true
         if (capacity.milliCpus > 0) sharedMilliCpus = capacity.milliCpus
         cachedView = null
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
@@ -127,6 +127,7 @@
         return worker.acceptsStarts(nowMillis) &&
             fleet.enforcesFencing(worker.ref) &&
             fleet.mayGrantLease(worker) &&
+            fleet.capacityReadings.isUsable(worker, nowMillis) &&
             worker.listing.service == task.step.workflow.queue.service &&
             (spec.requiredLabel.isEmpty() || spec.requiredLabel in worker.listing.labels) &&
             fits(worker, spec, freed) &&
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerDirectory.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerDirectory.kt
@@ -17,6 +17,7 @@
      * Entries that name a new address of a worker whose earlier incarnation may still run tasks.
      */
     private val movedEntries = LinkedHashMap<String, WorkerListing>()
+    private var isListCurrent = false
 
     /** Updates the fleet from the complete list of the platform. */
     fun onWorkersListed(workers: List<WorkerListing>, nowMillis: Long) {
@@ -34,7 +35,7 @@
             if (listing.isDraining && !known.listing.isDraining) {
                 fleet.log("worker-draining", listing.ref.id, "runs" to known.placements.size)
             }
-            known.updateListing(listing)
+            known.updateListing(listing, nowMillis)
             fleet.resetWorkerIndexes()
             fleet.isPlacementDue = true
             return
@@ -46,7 +47,9 @@
         }
         val rosterLapsedByMillis = known?.takeIf { !it.isReconciled }?.lapsedByMillis
         if (known != null) tracker.markLost(known, nowMillis, "moved to another address")
-        fleet.add(FleetWorker(listing).apply { rosterLapsedByMillis?.let(::recordLease) })
+        val added = FleetWorker(listing, nowMillis)
+        rosterLapsedByMillis?.let(added::recordLease)
+        fleet.add(added)
         recorder.markRosterChanged()
         fleet.log(
             "worker-listed",
@@ -85,6 +88,14 @@
         fleet.log("worker-unlisted", worker.id, "runs" to worker.placements.size)
     }
 
+    /** Logs when the list of workers becomes too old for starts, or current again. */
+    fun logListAge(nowMillis: Long) {
+        val isCurrent = fleet.capacityReadings.isListCurrent(nowMillis)
+        if (isCurrent == isListCurrent) return
+        isListCurrent = isCurrent
+        fleet.log("worker-list-age", "epoch-${fleet.epoch}", "isCurrent" to isCurrent)
+    }
+
     /** Applies the moved entries of workers whose earlier incarnations have ended meanwhile. */
     fun applyMovedEntries(nowMillis: Long) {
         if (movedEntries.isEmpty()) return
@@ -101,7 +112,7 @@
     fun addRosteredWorker(ref: WorkerRef, lapsedByMillis: Long) {
         val known = fleet.workers[ref.id]
         if (known != null) return known.recordLease(lapsedByMillis)
-        val worker = FleetWorker(placeholderListing(ref))
+        val worker = FleetWorker(placeholderListing(ref), listedMillis = Long.MIN_VALUE / 2)
         worker.unlist()
         worker.recordLease(lapsedByMillis)
         fleet.add(worker)
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -83,6 +83,17 @@
     fun onWorkerListed(listing: WorkerListing, nowMillis: Long) =
         directory.onWorkerListed(listing, nowMillis)
 
+    /** Records that all changes up to [asOfMillis] of the platform's list were reported. */
+    fun onWorkersConfirmed(asOfMillis: Long) = fleet.capacityReadings.onConfirmed(asOfMillis)
+
+    /** Sets the services whose workers reject a start that exceeds their capacity. */
+    fun updateGuardingServices(services: Set<String>) {
+        if (services == fleet.capacityReadings.guardingServices) return
+        fleet.capacityReadings.guardingServices = services
+        fleet.isPlacementDue = true
+        fleet.log("guarding-services", "epoch-${fleet.epoch}", "services" to services.size)
+    }
+
     /** Marks the worker [id] as no longer listed by the platform. */
     fun onWorkerUnlisted(id: String) = directory.onWorkerUnlisted(id)
 
@@ -181,6 +192,7 @@
             evacuation.step(nowMillis)
             consolidation.step(nowMillis)
             directory.applyMovedEntries(nowMillis)
+            directory.logListAge(nowMillis)
         }
         endWorkflows(nowMillis, unixMillis)
         if (fleet.isPlacementDue ||
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/CapacityTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/CapacityTest.kt
@@ -248,4 +248,65 @@
         workers.run(200)
         expectThat(workers.workerOf("job")).isNotNull()
     }
+
+    /** Runs one task on w1, whose service doesn't guard its capacity, then waits [millis]. */
+    private fun startUnguarded(millis: Long): SchedulerDriver {
+        val unguarded = SchedulerDriver(guardsCapacity = false)
+        unguarded.listWorkers("w1")
+        unguarded.submit(unguarded.workflow("first"))
+        unguarded.step()
+        val run = unguarded.starts.single().also(unguarded::confirmStart)
+        repeat((millis / 50).toInt()) {
+            unguarded.step()
+            unguarded.polls.forEach {
+                val percent = it.sentMillis.toInt()
+                unguarded.report(it, listOf(RunningRow(run.task, run.run, "", percent, null)))
+            }
+        }
+        unguarded.submit(unguarded.workflow("second"))
+        return unguarded
+    }
+
+    /** Returns the workflows that start within [millis]. */
+    private fun SchedulerDriver.startsWithin(millis: Long): List<String> =
+        (1..millis / 50).flatMap {
+            step()
+            starts.map { it.task.workflow }
+        }
+
+    // Guards against starts that exceed a capacity that shrank while the owner had no news of it.
+    @Test
+    fun `starts nothing by an old entry on a worker that takes what exceeds its capacity`() {
+        val unguarded = startUnguarded(millis = 3_000)
+        expectThat(unguarded.startsWithin(500)).isEmpty()
+        unguarded.scheduler.onWorkerListed(unguarded.listing("w1"), unguarded.now)
+        expectThat(unguarded.startsWithin(200)).isEqualTo(listOf("second"))
+    }
+
+    @Test
+    fun `starts tasks by an unchanged entry while the list is confirmed`() {
+        val unguarded = startUnguarded(millis = 3_000)
+        val started = (1..10).flatMap {
+            unguarded.scheduler.onWorkersConfirmed(unguarded.now)
+            unguarded.startsWithin(500)
+        }
+        expectThat(started).isEqualTo(listOf("second"))
+    }
+
+    // Guards against entries that no worker could renew while the store was down.
+    @Test
+    fun `starts nothing by an old entry before workers had the time to renew theirs`() {
+        val unguarded = startUnguarded(millis = 3_000)
+        unguarded.scheduler.onWorkersConfirmed(unguarded.now)
+        expectThat(unguarded.startsWithin(1_500)).isEmpty()
+        unguarded.scheduler.onWorkersConfirmed(unguarded.now)
+        expectThat(unguarded.startsWithin(1_000)).isEqualTo(listOf("second"))
+    }
+
+    @Test
+    fun `starts tasks by an old entry on a worker that guards its capacity`() {
+        val unguarded = startUnguarded(millis = 3_000)
+        unguarded.scheduler.updateGuardingServices(setOf("service"))
+        expectThat(unguarded.startsWithin(200)).isEqualTo(listOf("second"))
+    }
 }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
@@ -79,7 +79,7 @@
                     "workflows" to recovered.value,
                     "tookMillis" to clock.nowMillis() - term.claims.claimedMillis
                 )
-                routing()?.let { next.updatePolicies(it.queues) }
+                routing()?.let(next::updateRouting)
                 next.start()
                 loop = next
                 startFollowers(next, workers, term)
@@ -141,7 +141,7 @@
     private fun startFollowers(next: SchedulerLoop, workers: WorkerFeed, term: Term) {
         followers = listOf(
             PrefixFollower(store, WorkflowKeys.WORK, log, WorkflowFeed(next, set, term, log)),
-            PrefixFollower(store, catalog.workersPrefix, log, workers)
+            PrefixFollower(store, catalog.workersPrefix, log, workers, clock = clock)
         ).onEach { it.start() }
     }
 
@@ -249,4 +249,6 @@
             log.add("worker-entry-unreadable", "key" to change.key, "revision" to change.revision)
         }
     }
+
+    override fun onCurrent(asOfMillis: Long) = loop.confirmWorkers(asOfMillis)
 }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/PlatformCatalog.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/PlatformCatalog.kt
@@ -23,8 +23,16 @@
     fun workerId(key: String): String
 }
 
-/** The routes of configuration [version]; versions only increase. */
-data class RoutingTable(val version: Long, val routes: List<QueueRoute>) {
+/**
+ * The routes of configuration [version]; versions only increase.
+ *
+ * The workers of [guardingServices] reject a start that exceeds their capacity; others take it.
+ */
+data class RoutingTable(
+    val version: Long,
+    val routes: List<QueueRoute>,
+    val guardingServices: Set<String> = emptySet()
+) {
     /** The queue policies by queue name. */
     val queues: Map<String, QueuePolicy> = routes.associate { it.queue.name to it.queue }
 
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/PrefixFollower.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/PrefixFollower.kt
@@ -10,6 +10,7 @@
 import arrow.core.Either
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
+import sycamoremast.coordination.MonotonicClock
 import sycamoremast.coordination.StoreChange
 import sycamoremast.coordination.StoreChanges
 import sycamoremast.coordination.StoreListing
@@ -23,6 +24,9 @@
 
     /** Called for each change after the listing. */
     fun onChange(change: StoreChange)
+
+    /** Called once all changes that the store had made by [asOfMillis] have been passed on. */
+    fun onCurrent(asOfMillis: Long) = Unit
 }
 
 /** Lists and watches [prefix], and passes the results to [listener] from a thread of its own. */
@@ -31,7 +35,8 @@
     private val prefix: String,
     private val log: EventLog,
     private val listener: PrefixListener,
-    private val watchTimeout: Duration = DEFAULT_WATCH_TIMEOUT
+    private val watchTimeout: Duration = DEFAULT_WATCH_TIMEOUT,
+    private val clock: MonotonicClock = MonotonicClock.system()
 ) : AutoCloseable {
     @Volatile
     private var isOpen = true
@@ -66,34 +71,41 @@
     /** Lists or watches once; returns whether the store answered. */
     private fun step(): Boolean {
         val fromRevision = revision
-        return if (fromRevision == null) list() else watch(fromRevision)
+        val beganMillis = clock.nowMillis()
+        return if (fromRevision == null) list(beganMillis) else watch(fromRevision, beganMillis)
     }
 
-    private fun list(): Boolean = when (val listing = store.list(prefix)) {
+    private fun list(beganMillis: Long): Boolean = when (val listing = store.list(prefix)) {
         is Either.Left -> recordFailure(listing.value.reason)
 
         is Either.Right -> {
             recordSuccess()
-            if (isOpen) listener.onListing(listing.value)
+            if (isOpen) {
+                listener.onListing(listing.value)
+                listener.onCurrent(beganMillis)
+            }
             revision = listing.value.revision
             true
         }
     }
 
-    private fun watch(fromRevision: Long): Boolean =
+    private fun watch(fromRevision: Long, beganMillis: Long): Boolean =
         when (val result = store.changes(prefix, fromRevision, watchTimeout)) {
             is Either.Left -> recordFailure(result.value.reason)
 
             is Either.Right -> {
                 recordSuccess()
-                applyChanges(result.value)
+                applyChanges(result.value, beganMillis)
                 true
             }
         }
 
-    private fun applyChanges(changes: StoreChanges) = when (changes) {
+    private fun applyChanges(changes: StoreChanges, beganMillis: Long) = when (changes) {
         is StoreChanges.Seen -> {
-            if (isOpen) changes.changes.forEach(listener::onChange)
+            if (isOpen) {
+                changes.changes.forEach(listener::onChange)
+                listener.onCurrent(beganMillis)
+            }
             revision = changes.revision
         }
 
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
@@ -13,7 +13,6 @@
 import java.util.concurrent.TimeUnit.MILLISECONDS
 import sycamoremast.coordination.MonotonicClock
 import sycamoremast.coordination.workflow.InterferenceRecord
-import sycamoremast.coordination.workflow.QueuePolicy
 import sycamoremast.coordination.workflow.RecordBatch
 import sycamoremast.coordination.workflow.RunPort
 import sycamoremast.coordination.workflow.SchedulerAction
@@ -81,6 +80,9 @@
         scheduler.onWorkerListed(worker, nowMillis())
     }
 
+    /** Confirms that all changes of the workers up to [asOfMillis] were passed on. */
+    fun confirmWorkers(asOfMillis: Long) = enqueue { scheduler.onWorkersConfirmed(asOfMillis) }
+
     fun removeWorker(id: String) = enqueue { scheduler.onWorkerUnlisted(id) }
 
     /** Adds a worker of the previous owner's roster, whose lease ends by [lapsedByMillis]. */
@@ -93,8 +95,10 @@
         scheduler.restoreInterference(record, unixMillis())
     }
 
-    fun updatePolicies(queues: Map<String, QueuePolicy>) = enqueue {
-        scheduler.updateQueuePolicies(queues)
+    /** Applies the policies of [table]. */
+    fun updateRouting(table: RoutingTable) = enqueue {
+        scheduler.updateQueuePolicies(table.queues)
+        scheduler.updateGuardingServices(table.guardingServices)
     }
 
     /** Ends the term before anything that is enqueued later is processed. */
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowHost.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowHost.kt
@@ -91,7 +91,7 @@
     }
 
     private fun onNewRouting(table: RoutingTable) {
-        ownership.loop?.updatePolicies(table.queues)
+        ownership.loop?.updateRouting(table)
     }
 
     companion object {
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/PrefixFollowerTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/PrefixFollowerTest.kt
@@ -7,6 +7,9 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThanOrEqualTo
+import strikt.assertions.isLessThanOrEqualTo
+import sycamoremast.coordination.MonotonicClock
 import sycamoremast.coordination.StoreChange
 import sycamoremast.coordination.StoreListing
 import sycamoremast.coordination.StorePut
@@ -67,4 +70,30 @@
         store.isDown = false
         expectThat(next()).isEqualTo("change one")
     }
+
+    // Guards against relying on entries of which there may be news that were not passed on.
+    @Test
+    fun `says that the entries are current only while the store answers`() {
+        val times = LinkedBlockingQueue<Long>()
+        val confirmed = object : PrefixListener by listener {
+            override fun onCurrent(asOfMillis: Long) {
+                times += asOfMillis
+            }
+        }
+        val clock = MonotonicClock.system()
+        PrefixFollower(store, "a/", EventLog { }, confirmed, 20.milliseconds, clock).use {
+            it.start()
+            val first = checkNotNull(times.poll(10, SECONDS))
+            expectThat(first).isLessThanOrEqualTo(clock.nowMillis())
+            expectThat(checkNotNull(times.poll(10, SECONDS))).isGreaterThanOrEqualTo(first)
+            store.isDown = true
+            val downMillis = clock.nowMillis()
+            Thread.sleep(100)
+            times.forEach { time -> expectThat(time).isLessThanOrEqualTo(downMillis) }
+            times.clear()
+            val upMillis = clock.nowMillis()
+            store.isDown = false
+            expectThat(checkNotNull(times.poll(10, SECONDS))).isGreaterThanOrEqualTo(upMillis)
+        }
+    }
 }
