Take only a newer entry for news of a worker, and log changes of capacity

Callers may see: a start that exceeds the capacity of a worker that takes what it is told, after the store was down and has lost its history. Cause: a list that was read again renewed all readings, also of entries that no worker could write meanwhile. Why it works: only an entry with a higher revision, or the first one, counts as a new reading.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
@@ -14,7 +14,7 @@
     var isListed = true
         private set
 
-    /** When its entry was last read. */
+    /** When an entry was last read that the worker had written since the one before. */
     var listedMillis = listedMillis
         private set
     val placements = LinkedHashMap<TaskName, Placement>()
@@ -115,8 +115,8 @@
         ?: ColocationView.of(this).also { cachedView = it }
 
     fun updateListing(changed: WorkerListing, nowMillis: Long) {
+        if (changed.revision > listing.revision) listedMillis = nowMillis
         listing = changed
-        listedMillis = nowMillis
         isListed = true
         if (capacity.milliCpus > 0) sharedMilliCpus = capacity.milliCpus
         cachedView = null
@@ -255,15 +255,6 @@
         }
     }
 
-    private fun hasRoomForReservations(): Boolean {
-        val leaving = placements.values.filter { it.isLeaving }.map { it.task.step.spec }
-        val leavingMilliCpus = leaving.filter { !it.usesIdleCpu }.sumOf { it.demand.milliCpus }
-        return reservedMilliCpus - leavingMilliCpus <= capacity.milliCpus &&
-            committedMemoryMib - leaving.sumOf { it.demand.memoryMib } <= capacity.memoryMib &&
-            committedAccelerators - leaving.sumOf { it.demand.accelerators } <=
-            capacity.accelerators
-    }
-
     fun add(placement: Placement) {
         placements[placement.task.name] = placement
         commit(placement.task.step.spec, placement.pacePercent, 1)
@@ -324,3 +315,12 @@
         const val DEPARTURE_RETENTION_MILLIS = 1_000L
     }
 }
+
+/** Whether all that runs or is expected fits once the stopped runs have ended. */
+private fun FleetWorker.hasRoomForReservations(): Boolean {
+    val leaving = placements.values.filter { it.isLeaving }.map { it.task.step.spec }
+    val leavingMilliCpus = leaving.filter { !it.usesIdleCpu }.sumOf { it.demand.milliCpus }
+    return reservedMilliCpus - leavingMilliCpus <= capacity.milliCpus &&
+        committedMemoryMib - leaving.sumOf { it.demand.memoryMib } <= capacity.memoryMib &&
+        committedAccelerators - leaving.sumOf { it.demand.accelerators } <= capacity.accelerators
+}
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
@@ -207,7 +207,9 @@
     }
 
     private fun stopUnknown(worker: FleetWorker, row: RunningRow) {
-        fleet.log("run-unknown", row.task.toString(), "run" to row.run, "worker" to worker.id)
+        if (row.task !in worker.unknownRuns) {
+            fleet.log("run-unknown", row.task.toString(), "run" to row.run, "worker" to worker.id)
+        }
         val order = StopOrder(worker.ref, fleet.epoch, row.task, row.run)
         fleet.outbox += SchedulerAction.Stop(order)
     }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerDirectory.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerDirectory.kt
@@ -35,6 +35,7 @@
             if (listing.isDraining && !known.listing.isDraining) {
                 fleet.log("worker-draining", listing.ref.id, "runs" to known.placements.size)
             }
+            if (listing.capacity != known.capacity) logCapacity(known, listing.capacity)
             known.updateListing(listing, nowMillis)
             fleet.resetWorkerIndexes()
             fleet.isPlacementDue = true
@@ -88,6 +89,17 @@
         fleet.log("worker-unlisted", worker.id, "runs" to worker.placements.size)
     }
 
+    private fun logCapacity(worker: FleetWorker, capacity: Resources) = fleet.log(
+        "worker-capacity",
+        worker.id,
+        "milliCpus" to capacity.milliCpus,
+        "memoryMib" to capacity.memoryMib,
+        "accelerators" to capacity.accelerators,
+        "before" to worker.capacity.milliCpus,
+        "firm" to worker.reservedMilliCpus,
+        "memory" to worker.committedMemoryMib
+    )
+
     /** Logs when the list of workers becomes too old for starts, or current again. */
     fun logListAge(nowMillis: Long) {
         val isCurrent = fleet.capacityReadings.isListCurrent(nowMillis)
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -86,14 +86,6 @@
     /** Records that all changes up to [asOfMillis] of the platform's list were reported. */
     fun onWorkersConfirmed(asOfMillis: Long) = fleet.capacityReadings.onConfirmed(asOfMillis)
 
-    /** Sets the services whose workers reject a start that exceeds their capacity. */
-    fun updateGuardingServices(services: Set<String>) {
-        if (services == fleet.capacityReadings.guardingServices) return
-        fleet.capacityReadings.guardingServices = services
-        fleet.isPlacementDue = true
-        fleet.log("guarding-services", "epoch-${fleet.epoch}", "services" to services.size)
-    }
-
     /** Marks the worker [id] as no longer listed by the platform. */
     fun onWorkerUnlisted(id: String) = directory.onWorkerUnlisted(id)
 
@@ -116,8 +108,17 @@
         )
     }
 
-    /** Applies the current policies by queue; a workflow of a queue without one keeps its own. */
-    fun updateQueuePolicies(queues: Map<String, QueuePolicy>) {
+    /**
+     * Applies the current policies by queue; a workflow of a queue without one keeps its own.
+     *
+     * Workers of [guardingServices] reject a start that exceeds their capacity.
+     */
+    fun updatePolicies(queues: Map<String, QueuePolicy>, guardingServices: Set<String>) {
+        if (guardingServices != fleet.capacityReadings.guardingServices) {
+            val services = guardingServices.joinToString(",")
+            fleet.log("guarding-services", "epoch-${fleet.epoch}", "services" to services)
+        }
+        fleet.capacityReadings.guardingServices = guardingServices
         for (workflow in fleet.openWorkflows) {
             workflow.queue = queues[workflow.spec.queue.name] ?: continue
             fleet.endCandidates += workflow
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/CapacityTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/CapacityTest.kt
@@ -279,7 +279,11 @@
     fun `starts nothing by an old entry on a worker that takes what exceeds its capacity`() {
         val unguarded = startUnguarded(millis = 3_000)
         expectThat(unguarded.startsWithin(500)).isEmpty()
-        unguarded.scheduler.onWorkerListed(unguarded.listing("w1"), unguarded.now)
+        // An entry that is listed again isn't news of the worker.
+        unguarded.scheduler.onWorkersListed(listOf(unguarded.listing("w1")), unguarded.now)
+        expectThat(unguarded.startsWithin(500)).isEmpty()
+        val renewed = unguarded.listing("w1").copy(revision = 1)
+        unguarded.scheduler.onWorkerListed(renewed, unguarded.now)
         expectThat(unguarded.startsWithin(200)).isEqualTo(listOf("second"))
     }
 
@@ -306,7 +310,19 @@
     @Test
     fun `starts tasks by an old entry on a worker that guards its capacity`() {
         val unguarded = startUnguarded(millis = 3_000)
-        unguarded.scheduler.updateGuardingServices(setOf("service"))
+        unguarded.scheduler.updatePolicies(emptyMap(), setOf("service"))
         expectThat(unguarded.startsWithin(200)).isEqualTo(listOf("second"))
     }
+
+    @Test
+    fun `logs a change of a worker's capacity once, with what its runs reserve`() {
+        driver.listWorkers("w1")
+        workers.submit("job", fixed(Resources(10_000, 2_000)))
+        repeat(3) { list("w1", Resources(5_000, 1_000)) }
+        val event = driver.step().filterIsInstance<SchedulerAction.Log>().map { it.event }
+            .single { it.name == "worker-capacity" }
+        expectThat(event.fields["milliCpus"]).isEqualTo(5_000L)
+        expectThat(event.fields["before"]).isEqualTo(32_000L)
+        expectThat(event.fields["firm"]).isEqualTo(10_000L)
+    }
 }
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/FaultSchedule.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/FaultSchedule.kt
@@ -42,7 +42,7 @@
     private val random = Random(seed)
     private val events = PriorityQueue<Event>(compareBy({ it.atMillis }, { it.number }))
     private val scheduler = WorkflowScheduler(1, SchedulerSettings())
-        .apply { updateGuardingServices(setOf("service")) }
+        .apply { updatePolicies(emptyMap(), setOf("service")) }
     private val workers = (1..WORKERS).map {
         ModelWorker(WorkerRef("w$it", "10.0.0.$it:1"), WORK_MILLIS, faults.clockPerMille)
     }.associateBy { it.ref.id }
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SchedulerDriver.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SchedulerDriver.kt
@@ -5,7 +5,7 @@
 /** Drives a scheduler step by step; workers answer only when a test makes them. */
 internal class SchedulerDriver(epoch: Long = 1, guardsCapacity: Boolean = true) {
     val scheduler = WorkflowScheduler(epoch, SchedulerSettings())
-        .apply { if (guardsCapacity) updateGuardingServices(setOf("service")) }
+        .apply { if (guardsCapacity) updatePolicies(emptyMap(), setOf("service")) }
     var now = 1_000L
     val actions = ArrayList<SchedulerAction>()
 
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
@@ -97,8 +97,7 @@
 
     /** Applies the policies of [table]. */
     fun updateRouting(table: RoutingTable) = enqueue {
-        scheduler.updateQueuePolicies(table.queues)
-        scheduler.updateGuardingServices(table.guardingServices)
+        scheduler.updatePolicies(table.queues, table.guardingServices)
     }
 
     /** Ends the term before anything that is enqueued later is processed. */
@@ -110,8 +109,6 @@
 
     private fun nowMillis() = clock.nowMillis()
 
-    private fun unixMillis() = System.currentTimeMillis()
-
     private fun run() {
         while (isOpen) {
             try {
@@ -234,3 +231,5 @@
         const val COUNT_INTERVAL_MILLIS = 100L
     }
 }
+
+private fun unixMillis() = System.currentTimeMillis()
--- a/emulator/src/main/kotlin/sycamoremast/emulator/Emulation.kt
+++ b/emulator/src/main/kotlin/sycamoremast/emulator/Emulation.kt
@@ -42,7 +42,7 @@
 
     /** Emulates the whole pattern and returns its outcome. */
     fun run(): Outcome {
-        scheduler.updateGuardingServices(setOf(EmulatedLoad.SERVICE))
+        scheduler.updatePolicies(emptyMap(), setOf(EmulatedLoad.SERVICE))
         scheduler.onWorkersListed(fleet.listings(), 0)
         submitServing()
         pattern.departures?.let(::scheduleDepartures)
