Add the pattern shrinking-capacity to the emulator

A third of the workers shrink to 0.6 of their capacity, below what their serving tasks reserve, for 8 s, and grow again. Entries follow with the next heartbeat of 1.5 s, a stop takes 150 ms, and a worker starts what it is told. The audit records by how much later than the shrinking a start still exceeds the capacity, and when capacity that has grown again is first used.

--- a/emulator/src/main/kotlin/sycamoremast/emulator/EmulatedFleet.kt
+++ b/emulator/src/main/kotlin/sycamoremast/emulator/EmulatedFleet.kt
@@ -2,7 +2,6 @@
 package sycamoremast.emulator
 
 import kotlin.random.Random
-import sycamoremast.coordination.Resources
 import sycamoremast.coordination.workflow.RunEnd
 import sycamoremast.coordination.workflow.StartOrder
 import sycamoremast.coordination.workflow.TaskName
@@ -23,6 +22,7 @@
         val milliCpus = (pattern.milliCpus * sizeFactor).toLong()
         EmulatedWorker("w$it", milliCpus, pattern, interference)
     }.associateBy { it.id }
+    private var lastRevision = 0L
     private var servingScore = 0.0
     private var servingSamples = 0
 
@@ -45,6 +45,20 @@
     var longestOffMillis = 0L
         private set
 
+    private val shrinkingIds =
+        first(pattern.shrinkingWorkers?.count ?: 0).mapTo(HashSet()) { it.id }
+
+    /** Checks starts against the capacity of shrinking workers, if there are any. */
+    val audit = pattern.shrinkingWorkers?.let(::CapacityAudit)
+
+    /** Records that [worker] has written its entry in the platform's list. */
+    fun onListed(worker: EmulatedWorker, nowMillis: Long) {
+        if (worker.id in shrinkingIds) audit?.onListed(nowMillis)
+    }
+
+    /** Returns the first [count] workers. */
+    fun first(count: Int): List<EmulatedWorker> = workers.values.take(count)
+
     fun worker(id: String): EmulatedWorker = workers.getValue(id)
 
     /** Returns the workers that leave, in their order. */
@@ -56,9 +70,10 @@
         WorkerRef(worker.id, worker.id),
         EmulatedLoad.SERVICE,
         "zone",
-        Resources(worker.milliCpus, pattern.memoryMib * worker.milliCpus / pattern.milliCpus),
+        worker.capacity,
         emptyList(),
-        isDraining
+        isDraining,
+        revision = ++lastRevision
     )
 
     /** Ends all that runs on [worker], which has left. */
@@ -102,6 +117,7 @@
         run.slowdown = faulty.maxOfOrNull { it.slowdown } ?: 1.0
         run.doneMillis = order.checkpoint.toDoubleOrNull()?.minus(RESTORE_MILLIS) ?: 0.0
         worker.runs[order.task] = run
+        if (worker.id in shrinkingIds) audit?.onStarted(worker, nowMillis)
     }
 
     private fun FaultyWorkers.covers(worker: Int, second: Long) =
--- a/emulator/src/main/kotlin/sycamoremast/emulator/EmulatedWorker.kt
+++ b/emulator/src/main/kotlin/sycamoremast/emulator/EmulatedWorker.kt
@@ -8,6 +8,7 @@
  */
 package sycamoremast.emulator
 
+import sycamoremast.coordination.Resources
 import sycamoremast.coordination.workflow.EndedRow
 import sycamoremast.coordination.workflow.RunEnd
 import sycamoremast.coordination.workflow.RunningRow
@@ -55,6 +56,9 @@
     val ended = ArrayList<EndedRow>()
     private var lastEnd = 0L
 
+    /** The share of its capacity that it has at present. */
+    var capacityShare = 1.0
+
     /** Whether it has left, so that no call reaches it. */
     var isGone = false
 
@@ -63,6 +67,22 @@
         return pattern.meanLoad * (1 + pattern.loadSwing * kotlin.math.sin(TWO_PI * cycles))
     }
 
+    /** Whether what runs reserves no more than [share] of the full capacity. */
+    fun fits(share: Double): Boolean {
+        val reserved = runs.values.filter { !it.kind.usesIdleCpu }.sumOf { it.milliCpus }
+        return reserved <= (milliCpus * share).toLong() &&
+            runs.values.sumOf { it.kind.memoryMib } <= (memoryMib * share).toLong()
+    }
+
+    private val memoryMib get() = pattern.memoryMib * milliCpus / pattern.milliCpus
+
+    /** Its capacity at present. */
+    val capacity: Resources
+        get() = Resources(
+            (milliCpus * capacityShare).toLong(),
+            (memoryMib * capacityShare).toLong()
+        )
+
     /** Advances all runs by [stepMillis] and returns those that ended. */
     fun step(stepMillis: Int, second: Double): List<EmulatedRun> {
         val serving = runs.values.filter { it.kind.isServing }
@@ -75,7 +95,7 @@
         ) {
             1.0
         } else {
-            ((milliCpus - used) / wanted).coerceIn(0.0, 1.0)
+            ((milliCpus * capacityShare - used) / wanted).coerceIn(0.0, 1.0)
         }
         for (run in serving) updateTail(run, idleCpu, granted, second, stepMillis)
         for (run in fixed) run.doneMillis += stepMillis / run.slowdown
--- a/emulator/src/main/kotlin/sycamoremast/emulator/Emulation.kt
+++ b/emulator/src/main/kotlin/sycamoremast/emulator/Emulation.kt
@@ -42,10 +42,13 @@
 
     /** Emulates the whole pattern and returns its outcome. */
     fun run(): Outcome {
-        scheduler.updatePolicies(emptyMap(), setOf(EmulatedLoad.SERVICE))
+        if (pattern.shrinkingWorkers == null) {
+            scheduler.updatePolicies(emptyMap(), setOf(EmulatedLoad.SERVICE))
+        }
         scheduler.onWorkersListed(fleet.listings(), 0)
         submitServing()
         pattern.departures?.let(::scheduleDepartures)
+        pattern.shrinkingWorkers?.let(::scheduleShrinking)
         while (now < (pattern.seconds + DRAIN_SECONDS) * MILLIS) {
             while (queue.isNotEmpty() && queue.peek().atMillis <= now) queue.poll().run()
             if (now % TICK_MILLIS == 0L) tick()
@@ -62,7 +65,9 @@
             polls,
             starts,
             pattern.workers,
-            scheduler.examinedWorkers
+            scheduler.examinedWorkers,
+            fleet.audit?.longestExcessMillis,
+            fleet.audit?.regainMillis
         )
     }
 
@@ -79,6 +84,21 @@
         }
     }
 
+    private fun scheduleShrinking(shrinking: ShrinkingWorkers) {
+        val workers = fleet.first(shrinking.count)
+        schedule(shrinking.fromMillis) { workers.forEach { it.capacityShare = shrinking.share } }
+        schedule(shrinking.untilMillis) { workers.forEach { it.capacityShare = 1.0 } }
+        fleet.first(pattern.workers).forEachIndexed { i, worker ->
+            schedule(i * HEARTBEAT_MILLIS / pattern.workers) { sendHeartbeat(worker) }
+        }
+    }
+
+    private fun sendHeartbeat(worker: EmulatedWorker) {
+        scheduler.onWorkerListed(fleet.listing(worker, isDraining = false), now)
+        fleet.onListed(worker, now)
+        schedule(HEARTBEAT_MILLIS) { sendHeartbeat(worker) }
+    }
+
     private fun runScheduler() {
         val startNanos = System.nanoTime()
         val actions = scheduler.step(now, now)
@@ -134,7 +154,12 @@
             is SchedulerAction.Stop -> schedule(CALL_MILLIS) {
                 stops++
                 val worker = fleet.worker(action.order.worker.id)
-                fleet.stop(worker, action.order.task, now)
+                val stopMillis = pattern.shrinkingWorkers?.stopMillis
+                if (stopMillis == null) {
+                    fleet.stop(worker, action.order.task, now)
+                } else {
+                    schedule(stopMillis) { fleet.stop(worker, action.order.task, now) }
+                }
                 val answer = if (worker.isGone) NOT_SENT else WorkerAnswer.Done(now, now)
                 schedule(CALL_MILLIS) { scheduler.onStopAnswer(action.order, answer, now) }
             }
@@ -200,6 +225,9 @@
         const val RECORD_MILLIS = 5L
         const val PACE_MILLIS = 101L
 
+        /** The users' longest interval between two entries of a worker. */
+        const val HEARTBEAT_MILLIS = 1_500L
+
         /** The time after which the platform no longer lists a worker that has left. */
         const val UNLIST_MILLIS = 50L
         const val PERCENT = 100.0
--- a/emulator/src/main/kotlin/sycamoremast/emulator/LoadPattern.kt
+++ b/emulator/src/main/kotlin/sycamoremast/emulator/LoadPattern.kt
@@ -31,7 +31,8 @@
     val seconds: Int = 34,
     val surges: List<Surge> = emptyList(),
     val faultyWorkers: List<FaultyWorkers> = emptyList(),
-    val departures: Departures? = null
+    val departures: Departures? = null,
+    val shrinkingWorkers: ShrinkingWorkers? = null
 ) {
     /** The tail latency that serving tasks must stay below. */
     val targetMillis: Double get() = targetFactor * tailMillis
@@ -95,6 +96,18 @@
             departures = Departures(15, fromSecond = 12, intervalMillis = 300, noticeMillis = 0)
         )
 
+        /** The calm day with a third of the workers shrunk below their serving tasks for a time. */
+        val shrinkingCapacity = sharedCalm.copy(
+            name = "shrinking-capacity",
+            shrinkingWorkers = ShrinkingWorkers(
+                15,
+                fromSecond = 12,
+                seconds = 8,
+                share = 0.6,
+                stopMillis = 150
+            )
+        )
+
         /** The Regie's fleet with more serving tasks than fit; short tallies compete with them. */
         val servingCrowd = LoadPattern(
             "serving-crowd", 32, 64_000, 256_000, Workloads.fishCounts,
@@ -149,6 +162,7 @@
             slowWorkers,
             rollingDepartures,
             suddenDepartures,
+            shrinkingCapacity,
             servingCrowd,
             sharedDense,
             sharedOverload,
--- a/emulator/src/main/kotlin/sycamoremast/emulator/Outcome.kt
+++ b/emulator/src/main/kotlin/sycamoremast/emulator/Outcome.kt
@@ -8,6 +8,8 @@
  * penalty for the time over it; [longestOverTargetMillis] is the longest uninterrupted time that
  * one of them was over it, and [longestOffMillis] the longest time that one was off between two runs.
  * [paceOrders], [stops], [polls] and [starts] count the scheduler's calls.
+ * [longestExcessMillis] is the longest time after a capacity shrank at which a start exceeded it, and
+ * [regainMillis] the time until the first start that needed it after it had grown again.
  * [examinedWorkers] is the number of workers that placement examined, summed over all attempts.
  */
 data class Outcome(
@@ -20,5 +22,7 @@
     val polls: Int,
     val starts: Int,
     val workers: Int,
-    val examinedWorkers: Long
+    val examinedWorkers: Long,
+    val longestExcessMillis: Long? = null,
+    val regainMillis: Long? = null
 )
--- a/emulator/src/test/kotlin/sycamoremast/emulator/EmulationTest.kt
+++ b/emulator/src/test/kotlin/sycamoremast/emulator/EmulationTest.kt
@@ -112,6 +112,18 @@
         expectThat(outcomes.maxOf { it.longestOffMillis }).isLessThan(lapsedMillis + 500)
     }
 
+    // The users' rule allows a start by the earlier capacity for contact_ms, 3 s at least, and a
+    // heartbeat after a shrinking.
+    @Test
+    fun `exceeds no capacity later than a shrinking shows and uses it once it has grown again`() {
+        val outcomes = outcomes(LoadPattern.shrinkingCapacity)
+        expectThat(outcomes.maxOf { checkNotNull(it.longestExcessMillis) }).isLessThan(4_000)
+        expectThat(outcomes.maxOf { checkNotNull(it.regainMillis) }).isLessThan(1_000)
+        expectThat(outcomes.maxOf { it.longestOverTargetMillis }).isLessThan(4_000)
+        expectThat(outcomes.minOf { it.servingShare }).isGreaterThan(0.9)
+        expectThat(share(outcomes, "cert-review")).isGreaterThan(0.8)
+    }
+
     @Test
     fun `returns the same outcome for the same seed`() {
         expectThat(Emulation(LoadPattern.sharedCalm, 7).run())
