--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
@@ -7,12 +7,16 @@
 internal data class Departure(val placement: Placement, val atMillis: Long)
 
 /** One incarnation of a worker. */
-internal class FleetWorker(listing: WorkerListing) {
+internal class FleetWorker(listing: WorkerListing, listedMillis: Long) {
     val ref: WorkerRef = listing.ref
     var listing = listing
         private set
     var isListed = true
         private set
+
+    /** When an entry was last read that the worker had written since the one before. */
+    var listedMillis = listedMillis
+        private set
     val placements = LinkedHashMap<TaskName, Placement>()
     val id: String get() = ref.id
 
@@ -77,6 +81,13 @@
     var servingCount = 0
         private set
 
+    /**
+     * The runs in the last report that belong to no task of an open workflow.
+     *
+     * They take room until they have ended, but nothing tells how much.
+     */
+    var unknownRuns: Set<TaskName> = emptySet()
+
     /** Tasks that will move here, with the times by which they have to start. */
     private val reservations = LinkedHashMap<OpenTask, Long>()
 
@@ -84,8 +95,12 @@
     val expectedTasks: Set<OpenTask> get() = reservations.keys
     val capacity: Resources get() = listing.capacity
 
-    /** Whether the platform has listed the worker since this owner began. */
-    val isCapacityKnown: Boolean get() = capacity.milliCpus > 0
+    /** The CPU that the runs share: its capacity, or the last one listed above 0. */
+    var sharedMilliCpus = listing.capacity.milliCpus
+        private set
+
+    /** Whether the platform has listed the worker with any CPU since this owner began. */
+    val isCapacityKnown: Boolean get() = sharedMilliCpus > 0
 
     /** Whether the offset of its clock is known, without which no lease can be granted. */
     val hasClockOffset: Boolean get() = clockOffsetMillis != null
@@ -99,10 +114,13 @@
     val colocation: ColocationView get() = cachedView
         ?: ColocationView.of(this).also { cachedView = it }
 
-    fun updateListing(changed: WorkerListing) {
+    fun updateListing(changed: WorkerListing, nowMillis: Long) {
+        if (changed.revision > listing.revision) listedMillis = nowMillis
         listing = changed
         isListed = true
+        if (capacity.milliCpus > 0) sharedMilliCpus = capacity.milliCpus
         cachedView = null
+        cancelUnfitReservations()
     }
 
     fun unlist() {
@@ -116,6 +134,7 @@
         isReconciled &&
         clockOffsetMillis != null &&
         contactFailures == 0 &&
+        unknownRuns.isEmpty() &&
         nowMillis >= noStartsBeforeMillis
 
     /** Returns the end of a lease granted now, on the worker's clock, or null if unknown. */
@@ -241,6 +260,13 @@
         }.keys.forEach(::cancelReservation)
     }
 
+    /** Gives up the last reservations that won't fit even when all stopped runs have ended. */
+    private fun cancelUnfitReservations() {
+        while (reservations.isNotEmpty() && !hasRoomForReservations()) {
+            cancelReservation(reservations.keys.last())
+        }
+    }
+
     fun add(placement: Placement) {
         placements[placement.task.name] = placement
         commit(placement.task.step.spec, placement.pacePercent, 1)
@@ -301,3 +327,12 @@
         const val DEPARTURE_RETENTION_MILLIS = 1_000L
     }
 }
+
+/** Whether all that runs or is expected fits once the stopped runs have ended. */
+private fun FleetWorker.hasRoomForReservations(): Boolean {
+    val leaving = placements.values.filter { it.isLeaving }.map { it.task.step.spec }
+    val leavingMilliCpus = leaving.filter { !it.usesIdleCpu }.sumOf { it.demand.milliCpus }
+    return reservedMilliCpus - leavingMilliCpus <= capacity.milliCpus &&
+        committedMemoryMib - leaving.sumOf { it.demand.memoryMib } <= capacity.memoryMib &&
+        committedAccelerators - leaving.sumOf { it.demand.accelerators } <= capacity.accelerators
+}
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placement.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placement.kt
@@ -24,6 +24,10 @@
     var phaseSinceMillis = startedMillis
         private set
 
+    /** Whether the worker has confirmed or reported the run. */
+    var wasSeen = false
+        private set
+
     /** When the run last reported progress, started or changed its pace. */
     var lastProgressMillis = startedMillis
         private set
@@ -45,6 +49,7 @@
         val next = CHART.nextOrNull(phase, event) ?: return false
         if (next != phase) phaseSinceMillis = nowMillis
         phase = next
+        if (event == PlacementEvent.SEEN) wasSeen = true
         return true
     }
 
@@ -79,6 +84,10 @@
     val needsImmediateReport: Boolean
         get() = phase == PlacementPhase.UNCONFIRMED || phase == PlacementPhase.FENCED
 
+    /** Whether the run was told to stop. */
+    val isLeaving: Boolean
+        get() = phase == PlacementPhase.STOPPING || phase == PlacementPhase.FENCED
+
     companion object {
         /** The pace, in percent, at which a run starts. */
         const val FULL_PACE = 100
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
@@ -127,6 +127,7 @@
         return worker.acceptsStarts(nowMillis) &&
             fleet.enforcesFencing(worker.ref) &&
             fleet.mayGrantLease(worker) &&
+            fleet.capacityReadings.isUsable(worker, nowMillis) &&
             worker.listing.service == task.step.workflow.queue.service &&
             (spec.requiredLabel.isEmpty() || spec.requiredLabel in worker.listing.labels) &&
             fits(worker, spec, freed) &&
@@ -161,7 +162,10 @@
         val accelerators = worker.committedAccelerators + spec.demand.accelerators
         if (accelerators > room.accelerators) return false
         if (worker.committedMemoryMib + spec.demand.memoryMib > room.memoryMib) return false
-        if (spec.usesIdleCpu) return spec.demand.milliCpus <= spareMilliCpus(worker)
+        if (spec.usesIdleCpu) {
+            return worker.reservedMilliCpus <= worker.capacity.milliCpus &&
+                spec.demand.milliCpus <= spareMilliCpus(worker)
+        }
         return worker.reservedMilliCpus + spec.demand.milliCpus <= room.milliCpus
     }
 
@@ -172,7 +176,7 @@
     /** Returns the score of [worker] for [task], or null if serving tasks lack the headroom. */
     private fun score(worker: FleetWorker, task: OpenTask, nowMillis: Long): Double? {
         val spec = task.step.spec
-        val spare = spareMilliCpus(worker).toDouble() / worker.capacity.milliCpus
+        val spare = spareMilliCpus(worker).toDouble() / worker.sharedMilliCpus.coerceAtLeast(1)
         var score = when {
             spec.isServing -> servingScore(worker, spec, spare)
             spec.usesIdleCpu ->
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
@@ -167,6 +167,10 @@
         }
         val running = report.running.associateBy { it.task }
         running.values.forEach { onRunning(worker, it, nowMillis) }
+        worker.unknownRuns = running.keys.filterTo(HashSet()) { fleet.taskOrNull(it) == null }
+        if (worker.unknownRuns.isNotEmpty()) {
+            worker.nextPollMillis = nowMillis + UNKNOWN_RUN_POLL_MILLIS
+        }
         val mayOmitEnds = report.ended.size >= MAX_ENDS_PER_REPORT
         for (placement in worker.placements.values.toList()) {
             if (mayOmitEnds || running[placement.task.name]?.run == placement.run) continue
@@ -204,7 +208,9 @@
     }
 
     private fun stopUnknown(worker: FleetWorker, row: RunningRow) {
-        fleet.log("run-unknown", row.task.toString(), "run" to row.run, "worker" to worker.id)
+        if (row.task !in worker.unknownRuns) {
+            fleet.log("run-unknown", row.task.toString(), "run" to row.run, "worker" to worker.id)
+        }
         val order = StopOrder(worker.ref, fleet.epoch, row.task, row.run)
         fleet.outbox += SchedulerAction.Stop(order)
     }
@@ -225,12 +231,22 @@
                 recorder.markChanged(placement.task.step.workflow)
             }
 
-            PlacementPhase.FENCED -> fleet.release(placement, nowMillis)
+            PlacementPhase.FENCED -> onFencedAbsent(placement, polledMillis, nowMillis)
 
             PlacementPhase.STARTING, PlacementPhase.STOPPING, PlacementPhase.RELEASED -> Unit
         }
     }
 
+    /** Releases a stopped run once no end of it can be outstanding, as it may still take room. */
+    private fun onFencedAbsent(placement: Placement, polledMillis: Long, nowMillis: Long) {
+        val stopMillis = if (placement.wasSeen) fleet.settings.stopMillis else 0
+        if (polledMillis >= placement.phaseSinceMillis + stopMillis) {
+            fleet.release(placement, nowMillis)
+        } else {
+            placement.worker.nextPollMillis = nowMillis + FENCED_POLL_MILLIS
+        }
+    }
+
     /** Removes [worker], on which nothing runs any more, and releases its placements. */
     fun markLost(worker: FleetWorker, nowMillis: Long, reason: String) {
         worker.isLost = true
@@ -262,6 +278,12 @@
         /** The platform's protocol limits a report to this number of ends. */
         const val MAX_ENDS_PER_REPORT = 500
 
+        /** How long a worker has to end a run of an unknown task before it is polled again. */
+        const val UNKNOWN_RUN_POLL_MILLIS = 100L
+
+        /** Pause before a worker is polled again that lists neither a stopped run nor its end. */
+        const val FENCED_POLL_MILLIS = 50L
+
         /** Skips run numbers that earlier orders may have used on a worker. */
         const val RUN_SKIP = 10
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerDirectory.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerDirectory.kt
@@ -17,6 +17,7 @@
      * Entries that name a new address of a worker whose earlier incarnation may still run tasks.
      */
     private val movedEntries = LinkedHashMap<String, WorkerListing>()
+    private var isListCurrent = false
 
     /** Updates the fleet from the complete list of the platform. */
     fun onWorkersListed(workers: List<WorkerListing>, nowMillis: Long) {
@@ -28,12 +29,14 @@
     /** Updates the fleet from the platform's entry of one worker. */
     fun onWorkerListed(listing: WorkerListing, nowMillis: Long) {
         val known = fleet.workers[listing.ref.id]
+        if (isOutdated(listing, known)) return
         movedEntries -= listing.ref.id
         if (known != null && known.ref == listing.ref) {
             if (listing.isDraining && !known.listing.isDraining) {
                 fleet.log("worker-draining", listing.ref.id, "runs" to known.placements.size)
             }
-            known.updateListing(listing)
+            if (listing.capacity != known.capacity) logCapacity(known, listing.capacity)
+            known.updateListing(listing, nowMillis)
             fleet.resetWorkerIndexes()
             fleet.isPlacementDue = true
             return
@@ -45,7 +48,9 @@
         }
         val rosterLapsedByMillis = known?.takeIf { !it.isReconciled }?.lapsedByMillis
         if (known != null) tracker.markLost(known, nowMillis, "moved to another address")
-        fleet.add(FleetWorker(listing).apply { rosterLapsedByMillis?.let(::recordLease) })
+        val added = FleetWorker(listing, nowMillis)
+        rosterLapsedByMillis?.let(added::recordLease)
+        fleet.add(added)
         recorder.markRosterChanged()
         fleet.log(
             "worker-listed",
@@ -56,6 +61,22 @@
         )
     }
 
+    /** Whether a later entry of the same worker than [listing] was processed. */
+    private fun isOutdated(listing: WorkerListing, known: FleetWorker?): Boolean {
+        val last = maxOf(
+            known?.listing?.revision ?: 0,
+            movedEntries[listing.ref.id]?.revision ?: 0
+        )
+        if (listing.revision >= last) return false
+        fleet.log(
+            "worker-entry-outdated",
+            listing.ref.id,
+            "revision" to listing.revision,
+            "last" to last
+        )
+        return true
+    }
+
     /** Marks the worker [id] as no longer listed by the platform. */
     fun onWorkerUnlisted(id: String) {
         movedEntries -= id
@@ -68,6 +89,25 @@
         fleet.log("worker-unlisted", worker.id, "runs" to worker.placements.size)
     }
 
+    private fun logCapacity(worker: FleetWorker, capacity: Resources) = fleet.log(
+        "worker-capacity",
+        worker.id,
+        "milliCpus" to capacity.milliCpus,
+        "memoryMib" to capacity.memoryMib,
+        "accelerators" to capacity.accelerators,
+        "before" to worker.capacity.milliCpus,
+        "firm" to worker.reservedMilliCpus,
+        "memory" to worker.committedMemoryMib
+    )
+
+    /** Logs when the list of workers becomes too old for starts, or current again. */
+    fun logListAge(nowMillis: Long) {
+        val isCurrent = fleet.capacityReadings.isListCurrent(nowMillis)
+        if (isCurrent == isListCurrent) return
+        isListCurrent = isCurrent
+        fleet.log("worker-list-age", "epoch-${fleet.epoch}", "isCurrent" to isCurrent)
+    }
+
     /** Applies the moved entries of workers whose earlier incarnations have ended meanwhile. */
     fun applyMovedEntries(nowMillis: Long) {
         if (movedEntries.isEmpty()) return
@@ -84,7 +124,7 @@
     fun addRosteredWorker(ref: WorkerRef, lapsedByMillis: Long) {
         val known = fleet.workers[ref.id]
         if (known != null) return known.recordLease(lapsedByMillis)
-        val worker = FleetWorker(placeholderListing(ref))
+        val worker = FleetWorker(placeholderListing(ref), listedMillis = Long.MIN_VALUE / 2)
         worker.unlist()
         worker.recordLease(lapsedByMillis)
         fleet.add(worker)
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -84,6 +84,9 @@
     fun onWorkerListed(listing: WorkerListing, nowMillis: Long) =
         directory.onWorkerListed(listing, nowMillis)
 
+    /** Records that all changes up to [asOfMillis] of the platform's list were reported. */
+    fun onWorkersConfirmed(asOfMillis: Long) = fleet.capacityReadings.onConfirmed(asOfMillis)
+
     /** Marks the worker [id] as no longer listed by the platform. */
     fun onWorkerUnlisted(id: String) = directory.onWorkerUnlisted(id)
 
@@ -106,8 +109,17 @@
         )
     }
 
-    /** Applies the current policies by queue; a workflow of a queue without one keeps its own. */
-    fun updateQueuePolicies(queues: Map<String, QueuePolicy>) {
+    /**
+     * Applies the current policies by queue; a workflow of a queue without one keeps its own.
+     *
+     * Workers of [guardingServices] reject a start that exceeds their capacity.
+     */
+    fun updatePolicies(queues: Map<String, QueuePolicy>, guardingServices: Set<String>) {
+        if (guardingServices != fleet.capacityReadings.guardingServices) {
+            val services = guardingServices.joinToString(",")
+            fleet.log("guarding-services", "epoch-${fleet.epoch}", "services" to services)
+        }
+        fleet.capacityReadings.guardingServices = guardingServices
         for (workflow in fleet.openWorkflows) {
             workflow.queue = queues[workflow.spec.queue.name] ?: continue
             fleet.endCandidates += workflow
@@ -182,6 +194,7 @@
             evacuation.step(nowMillis)
             consolidation.step(nowMillis)
             directory.applyMovedEntries(nowMillis)
+            directory.logListAge(nowMillis)
         }
         recoveryWait.step(nowMillis)
         endWorkflows(nowMillis, unixMillis)
