Record why a workflow failed with its progress

The scheduler logged the task and the runs of a failed workflow, but kept neither, so that no host could answer why it failed. Workers of runs that an earlier owner recorded stay unknown, as only run numbers are recorded for the next owner. Records without the new field are read as before.

The line workflow-failed names the reason and the workers as well (runs=1@w1,2@w2).

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/OpenWorkflow.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/OpenWorkflow.kt
@@ -23,6 +23,10 @@
     var durableChange = 0L
     var hasBegun = false
     var endedUnixMillis = 0L
+
+    /** Why the workflow failed, or null if it did not or that is not known. */
+    var failure: WorkflowFailure? = null
+        private set
     var queue = spec.queue
     val occurrences = ArrayList<OpenOccurrence>()
     val id: String get() = spec.id
@@ -52,8 +56,9 @@
         }
     } ?: criticalPathMillis { _, step -> step.estimateMillis }
 
-    fun end(final: WorkflowPhase, unixMillis: Long) {
+    fun end(final: WorkflowPhase, unixMillis: Long, cause: WorkflowFailure? = null) {
         phase = final
+        failure = cause
         endedUnixMillis = unixMillis
     }
 
@@ -93,7 +98,8 @@
         failures = if (isOpen) perTask(::recordedFailures) else emptyMap(),
         checkpoints = if (isOpen) perTask(::recordedCheckpoint) else emptyMap(),
         hasBegun = hasBegun,
-        endedUnixMillis = endedUnixMillis
+        endedUnixMillis = endedUnixMillis,
+        failure = failure
     )
 
     /** Restores the progress that an earlier owner recorded. */
@@ -102,6 +108,7 @@
         durablePhase = progress.phase
         hasBegun = progress.hasBegun
         endedUnixMillis = progress.endedUnixMillis
+        failure = progress.failure
         if (!isOpen) return
         addDueOccurrences(unixMillis)
         for (step in steps()) {
@@ -174,7 +181,13 @@
     val placements = ArrayList<Placement>(1)
     var isDone = false
         private set
-    val failedRuns = LinkedHashSet<Int>()
+    private val failures = LinkedHashMap<Int, String?>()
+
+    /** The numbers of the failed runs. */
+    val failedRuns: Set<Int> get() = failures.keys
+
+    /** The worker of each failed run, or null if an earlier owner recorded the failure. */
+    val failedRunWorkers: Map<Int, String?> get() = failures
     var lastRun = 0
     var checkpoint = ""
     var notBeforeMillis = Long.MIN_VALUE
@@ -185,11 +198,15 @@
     /** The worker on which the last failed run ran. */
     var lastFailedWorkerId: String? = null
 
-    /** Records the failure of run number [run]; returns whether it was not recorded before. */
-    fun recordFailure(run: Int): Boolean = failedRuns.add(run)
+    /** Records the failure of [run] on [workerId]; returns whether it was not recorded before. */
+    fun recordFailure(run: Int, workerId: String): Boolean {
+        if (run in failures) return false
+        failures[run] = workerId
+        return true
+    }
 
     fun restoreFailures(recorded: Set<Int>) {
-        failedRuns += recorded
+        recorded.forEach { failures.putIfAbsent(it, null) }
         lastRun = maxOf(lastRun, recorded.maxOrNull() ?: 0)
     }
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunEnds.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunEnds.kt
@@ -56,7 +56,7 @@
         // Failures of one run of a gang count once, for its first task. Long-running tasks always
         // restart.
         val counted = if (task.step.spec.isGang) task.step.tasks.first() else task
-        if (!task.step.spec.isLongRunning && !counted.recordFailure(run)) return
+        if (!task.step.spec.isLongRunning && !counted.recordFailure(run, worker.id)) return
         task.lastFailedWorkerId = worker.id
         worker.consecutiveFailures++
         if (worker.consecutiveFailures >= SUSPECT_FAILURES) {
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowProgress.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowProgress.kt
@@ -24,7 +24,8 @@
  * numbers of each task's failed runs. Two owners may read the same end, and an owner may read the
  * ends of a task's runs from several workers in any order; the numbers show which are counted.
  *
- * [endedUnixMillis] is 0 until the workflow has ended.
+ * [endedUnixMillis] is 0 until the workflow has ended. [failure] tells why it failed; records of
+ * earlier versions have none.
  */
 @Serializable
 data class WorkflowProgress(
@@ -33,5 +34,6 @@
     val failures: Map<String, Set<Int>> = emptyMap(),
     val checkpoints: Map<String, String> = emptyMap(),
     val hasBegun: Boolean = false,
-    val endedUnixMillis: Long = 0
+    val endedUnixMillis: Long = 0,
+    val failure: WorkflowFailure? = null
 )
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -150,6 +150,9 @@
         return if (workflow.phase.isFinal) workflow.durablePhase else workflow.phase
     }
 
+    /** Returns why the workflow [id] failed, or null if it did not or that is not known. */
+    fun failureOrNull(id: String): WorkflowFailure? = fleet.workflows[id]?.failure
+
     /** Removes workflows that ended before [unixMillis] and returns their IDs. */
     fun forgetEnded(unixMillis: Long): List<String> {
         val old = fleet.workflows.values.filter {
@@ -225,14 +228,12 @@
                 .firstOrNull { it.failedRuns.size >= maxAttempts }
             when {
                 exhausted != null -> {
-                    fleet.log(
-                        "workflow-failed",
-                        workflow.id,
-                        "task" to exhausted.name,
-                        "failedRuns" to exhausted.failedRuns.joinToString(","),
-                        "maxAttempts" to workflow.queue.maxAttempts
+                    val cause = WorkflowFailure.of(
+                        exhausted.name,
+                        FailureReason.ATTEMPTS_USED_UP,
+                        exhausted.failedRunWorkers
                     )
-                    end(workflow, WorkflowPhase.FAILED, nowMillis, unixMillis)
+                    giveUp(workflow, cause, nowMillis, unixMillis)
                 }
 
                 workflow.isDone -> end(workflow, WorkflowPhase.COMPLETED, nowMillis, unixMillis)
@@ -240,13 +241,32 @@
         }
     }
 
+    private fun giveUp(
+        workflow: OpenWorkflow,
+        cause: WorkflowFailure,
+        nowMillis: Long,
+        unixMillis: Long
+    ) {
+        fleet.log(
+            "workflow-failed",
+            workflow.id,
+            "task" to cause.task,
+            "reason" to cause.reason,
+            "runs" to cause.runs.joinToString(","),
+            "runCount" to cause.runCount,
+            "maxAttempts" to workflow.queue.maxAttempts
+        )
+        end(workflow, WorkflowPhase.FAILED, nowMillis, unixMillis, cause)
+    }
+
     private fun end(
         workflow: OpenWorkflow,
         phase: WorkflowPhase,
         nowMillis: Long,
-        unixMillis: Long
+        unixMillis: Long,
+        cause: WorkflowFailure? = null
     ) {
-        workflow.end(phase, unixMillis)
+        workflow.end(phase, unixMillis, cause)
         fleet.openWorkflows -= workflow
         colocation.removeBaselines(workflow)
         recorder.markChanged(workflow)
