Tell callers why a job failed, and count failed workflows by reason

What callers saw: a failed job was answered with its state alone, on every host.

The owner answers the reason from memory, other hosts from the recorded progress. A reason that a later version records is read as unknown: an unreadable record would end the term of an owner.

The counter sycamore_workflows_failed_total has a label reason and counts once the end is durable.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -150,8 +150,11 @@
         return if (workflow.phase.isFinal) workflow.durablePhase else workflow.phase
     }
 
-    /** Returns why the workflow [id] failed, or null if it did not or that is not known. */
-    fun failureOrNull(id: String): WorkflowFailure? = fleet.workflows[id]?.failure
+    /**
+     * Returns why the workflow [id] failed, or null if that is not known or callers may not see it.
+     */
+    fun failureOrNull(id: String): WorkflowFailure? =
+        fleet.workflows[id]?.takeIf { it.durablePhase == WorkflowPhase.FAILED }?.failure
 
     /** Removes workflows that ended before [unixMillis] and returns their IDs. */
     fun forgetEnded(unixMillis: Long): List<String> {
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/WorkflowFailureTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/WorkflowFailureTest.kt
@@ -91,6 +91,14 @@
         expectThat(progress.failure).isNull()
     }
 
+    // Guards against an owner that can't take over as a later version has recorded a new reason.
+    @Test
+    fun `reads a reason of a later version as unknown`() {
+        val text = """{"task":"job.0.0.0","reason":"NEW","runs":[],"runCount":0}"""
+        expectThat(Json.decodeFromString<WorkflowFailure>(text).reason)
+            .isEqualTo(FailureReason.UNKNOWN)
+    }
+
     private companion object {
         const val MAX_STEPS = 50
     }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Gateway.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Gateway.kt
@@ -18,7 +18,6 @@
 import sycamoremast.coordination.StoreTransaction
 import sycamoremast.coordination.TransactionalStore
 import sycamoremast.coordination.workflow.Workflow
-import sycamoremast.coordination.workflow.WorkflowPhase
 import sycamoremast.coordination.workflow.WorkflowProgress
 import sycamoremast.daemon.log.EventLog
 
@@ -185,23 +184,23 @@
         StoreTransaction(mapOf(key to expected), listOf(StorePut(key, encodeRecord(record))))
     )
 
-    /** Returns the phase of the workflow [id]. */
-    fun phase(id: String): Lookup<WorkflowPhase> {
-        owner()?.phaseOrNull(id)?.let { return Lookup.Found(it) }
+    /** Returns the status of the workflow [id]. */
+    fun status(id: String): Lookup<WorkflowStatus> {
+        owner()?.statusOrNull(id)?.let { return Lookup.Found(it) }
         if (isStoreUnavailable()) return Lookup.Unavailable("the store does not answer")
         val recorded = store.get(WorkflowKeys.progress(set, id)).map { entry ->
-            entry?.let { decodeRecordOrNull<WorkflowProgress>(it.value) }?.phase
+            entry?.let { decodeRecordOrNull<WorkflowProgress>(it.value) }?.let(WorkflowStatus::of)
         }
-        val phase = recorded.flatMap { known ->
+        val status = recorded.flatMap { known ->
             when {
                 known != null -> Either.Right(known)
-                id in acceptedIds -> Either.Right(WorkflowPhase.QUEUED)
-                else -> exists(id).map { if (it) WorkflowPhase.QUEUED else null }
+                id in acceptedIds -> Either.Right(WorkflowStatus.QUEUED)
+                else -> exists(id).map { if (it) WorkflowStatus.QUEUED else null }
             }
         }
-        return when (phase) {
-            is Either.Left -> Lookup.Unavailable(phase.value.reason)
-            is Either.Right -> phase.value?.let { Lookup.Found(it) } ?: Lookup.Absent
+        return when (status) {
+            is Either.Left -> Lookup.Unavailable(status.value.reason)
+            is Either.Right -> status.value?.let { Lookup.Found(it) } ?: Lookup.Absent
         }
     }
 
@@ -210,7 +209,7 @@
 
     /** Cancels the workflow [id]. */
     fun cancel(id: String): Lookup<Unit> {
-        val known = id in acceptedIds || owner()?.phaseOrNull(id) != null
+        val known = id in acceptedIds || owner()?.statusOrNull(id) != null
         val found = if (known) Either.Right(true) else exists(id)
         val outcome = found.flatMap { if (it) writeCancellation(id) else Either.Right(false) }
         log.add("job-cancel", "id" to id, "outcome" to outcome)
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
@@ -37,7 +37,7 @@
     private val onDeposed: (String) -> Unit
 ) : AutoCloseable {
     private val inbox = LinkedBlockingQueue<() -> Unit>()
-    private val phases = ConcurrentHashMap<String, WorkflowPhase>()
+    private val statuses = ConcurrentHashMap<String, WorkflowStatus>()
     private val records = Executors.newSingleThreadExecutor { run ->
         Thread(run, "records").apply { isDaemon = true }
     }
@@ -53,8 +53,8 @@
 
     fun start() = apply { thread.start() }
 
-    /** Returns the phase of the workflow [id], or null if the scheduler doesn't know it. */
-    fun phaseOrNull(id: String): WorkflowPhase? = phases[id]
+    /** Returns the status of the workflow [id], or null if the scheduler doesn't know it. */
+    fun statusOrNull(id: String): WorkflowStatus? = statuses[id]
 
     /**
      * Returns the number of workflows of [queue] without a started task, or null before the first
@@ -65,7 +65,8 @@
     /** Adds an accepted workflow; [isRecovered] means that it was accepted before this term. */
     fun addWorkflow(workflow: Workflow, progress: WorkflowProgress?, isRecovered: Boolean) =
         enqueue {
-            phases.putIfAbsent(workflow.id, progress?.phase ?: WorkflowPhase.QUEUED)
+            val status = progress?.let(WorkflowStatus::of) ?: WorkflowStatus.QUEUED
+            statuses.putIfAbsent(workflow.id, status)
             scheduler.onWorkflowAccepted(workflow, progress, isRecovered, nowMillis(), unixMillis())
         }
 
@@ -172,7 +173,7 @@
     private fun writeRecords(batch: RecordBatch) {
         try {
             if (writer.write(batch) { isOpen }) {
-                enqueue { scheduler.onBatchDurable().forEach { (id, phase) -> phases[id] = phase } }
+                enqueue { scheduler.onBatchDurable().forEach(::updateStatus) }
             } else {
                 endTerm("records refused")
             }
@@ -185,6 +186,14 @@
         }
     }
 
+    private fun updateStatus(id: String, phase: WorkflowPhase) {
+        val status = WorkflowStatus(phase, scheduler.failureOrNull(id))
+        val previous = statuses.put(id, status)
+        if (status.failure != null && previous?.failure == null) {
+            meters.countFailure(status.failure.reason)
+        }
+    }
+
     private fun endTerm(reason: String) {
         if (!isOpen) return
         isOpen = false
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowMeters.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowMeters.kt
@@ -8,12 +8,16 @@
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit.MILLISECONDS
 import java.util.concurrent.TimeUnit.NANOSECONDS
+import sycamoremast.coordination.workflow.FailureReason
 import sycamoremast.coordination.workflow.SchedulerEvent
 
 /** Collects the metrics of all parts of a host. */
 class WorkflowMeters {
     internal val registry = PrometheusMeterRegistry(PrometheusConfig.DEFAULT)
     private val timers = ConcurrentHashMap<String, Timer>()
+    private val failures = FailureReason.entries.associateWith {
+        registry.counter("sycamore.workflows.failed", "reason", it.name.lowercase())
+    }
 
     /** Returns all metrics in the Prometheus text format. */
     fun scrape(): String = registry.scrape()
@@ -35,6 +39,9 @@
         registry.counter("sycamore.submissions", "outcome", name).increment()
     }
 
+    /** Counts a workflow that ended as failed for [reason], once that is recorded. */
+    internal fun countFailure(reason: FailureReason) = failures.getValue(reason).increment()
+
     /** Records the duration of a call of the store. */
     internal fun recordStoreCall(call: String, isAnswered: Boolean, nanos: Long) {
         timer("sycamore.store.calls", "call", call, "answered", "$isAnswered")
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/GatewayTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/GatewayTest.kt
@@ -12,6 +12,7 @@
 import sycamoremast.coordination.StorePut
 import sycamoremast.coordination.StoreTransaction
 import sycamoremast.coordination.workflow.ClaimTimes
+import sycamoremast.coordination.workflow.FailureReason
 import sycamoremast.coordination.workflow.PaceOrder
 import sycamoremast.coordination.workflow.PollOrder
 import sycamoremast.coordination.workflow.QueuePolicy
@@ -19,8 +20,10 @@
 import sycamoremast.coordination.workflow.SchedulerSettings
 import sycamoremast.coordination.workflow.StartOrder
 import sycamoremast.coordination.workflow.StopOrder
+import sycamoremast.coordination.workflow.TaskName
 import sycamoremast.coordination.workflow.WorkerAnswer
 import sycamoremast.coordination.workflow.Workflow
+import sycamoremast.coordination.workflow.WorkflowFailure
 import sycamoremast.coordination.workflow.WorkflowPhase
 import sycamoremast.coordination.workflow.WorkflowProgress
 import sycamoremast.coordination.workflow.WorkflowScheduler
@@ -39,6 +42,9 @@
         submittedMillis = 0
     )
 
+    private val failure =
+        WorkflowFailure.of(TaskName("id", 0, 0, 0), FailureReason.WORKERS_CRASHED, mapOf(1 to "w"))
+
     private fun storedWorkflow() = store.entries[WorkflowKeys.job("id")]
         ?.let { decodeRecordOrNull<AcceptanceRecord>(it.value) }?.workflow
 
@@ -103,25 +109,51 @@
     fun `reports a refused workflow as absent to queries and cancellations`() {
         store.failCommits(Fault.DELAYED)
         gateway.accept(workflow)
-        expectThat(gateway.phase("id")).isEqualTo(Lookup.Absent)
+        expectThat(gateway.status("id")).isEqualTo(Lookup.Absent)
         expectThat(gateway.cancel("id")).isEqualTo(Lookup.Absent)
     }
 
     @Test
     fun `returns the phase recorded by the owner on any host`() {
         gateway.accept(workflow)
-        expectThat(gateway.phase("id")).isEqualTo(Lookup.Found(WorkflowPhase.QUEUED))
+        expectThat(gateway.status("id"))
+            .isEqualTo(Lookup.Found(WorkflowStatus(WorkflowPhase.QUEUED)))
         val record = encodeRecord(WorkflowProgress(WorkflowPhase.COMPLETED))
         val put = StorePut(WorkflowKeys.progress(0, "id"), record)
         store.apply(StoreTransaction(emptyMap(), listOf(put)))
-        expectThat(gateway.phase("id")).isEqualTo(Lookup.Found(WorkflowPhase.COMPLETED))
+        expectThat(gateway.status("id"))
+            .isEqualTo(Lookup.Found(WorkflowStatus(WorkflowPhase.COMPLETED)))
+    }
+
+    @Test
+    fun `returns the recorded reason of a failed workflow on any host`() {
+        val record = WorkflowProgress(WorkflowPhase.FAILED, failure = failure)
+        val put = StorePut(WorkflowKeys.progress(0, "id"), encodeRecord(record))
+        store.apply(StoreTransaction(emptyMap(), listOf(put)))
+        expectThat(gateway.status("id"))
+            .isEqualTo(Lookup.Found(WorkflowStatus(WorkflowPhase.FAILED, failure)))
+    }
+
+    @Test
+    fun `returns the reason that an earlier owner recorded from memory`() {
+        val loop = loopBeforeFirstCount()
+        val progress = WorkflowProgress(WorkflowPhase.FAILED, failure = failure)
+        loop.use {
+            it.addWorkflow(workflow, progress, isRecovered = true)
+            it.start()
+            store.isDown = true
+            val owner = Gateway(store, "host", 0, EventLog { }) { loop }
+            repeat(MAX_QUERIES) { if (owner.status("id") !is Lookup.Found) Thread.sleep(1) }
+            expectThat(owner.status("id"))
+                .isEqualTo(Lookup.Found(WorkflowStatus(WorkflowPhase.FAILED, failure)))
+        }
     }
 
     @Test
     fun `reports phase and cancellation as unavailable during an outage of the store`() {
         gateway.accept(workflow)
         store.isDown = true
-        expectThat(gateway.phase("id")).isA<Lookup.Unavailable>()
+        expectThat(gateway.status("id")).isA<Lookup.Unavailable>()
         expectThat(gateway.cancel("id")).isA<Lookup.Unavailable>()
     }
 
@@ -155,6 +187,11 @@
         WorkflowMeters(),
         { true }
     ) { }
+
+    private companion object {
+        /** At least ten seconds. */
+        const val MAX_QUERIES = 10_000
+    }
 }
 
 private object UnusedRunPort : RunPort {
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/OwnershipTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/OwnershipTest.kt
@@ -21,22 +21,28 @@
 import sycamoremast.coordination.StoreTransaction
 import sycamoremast.coordination.TransactionalStore
 import sycamoremast.coordination.workflow.ClaimTimes
+import sycamoremast.coordination.workflow.EndedRow
+import sycamoremast.coordination.workflow.FailureReason
 import sycamoremast.coordination.workflow.InterferenceRecord
 import sycamoremast.coordination.workflow.PaceOrder
 import sycamoremast.coordination.workflow.PairEffect
 import sycamoremast.coordination.workflow.PollOrder
 import sycamoremast.coordination.workflow.QueuePolicy
 import sycamoremast.coordination.workflow.RosterRecord
+import sycamoremast.coordination.workflow.RunEnd
 import sycamoremast.coordination.workflow.RunPort
 import sycamoremast.coordination.workflow.RunningRow
 import sycamoremast.coordination.workflow.SchedulerSettings
 import sycamoremast.coordination.workflow.StartOrder
 import sycamoremast.coordination.workflow.StopOrder
+import sycamoremast.coordination.workflow.TaskName
 import sycamoremast.coordination.workflow.WorkerAnswer
 import sycamoremast.coordination.workflow.WorkerListing
 import sycamoremast.coordination.workflow.WorkerRef
 import sycamoremast.coordination.workflow.WorkerReport
 import sycamoremast.coordination.workflow.Workflow
+import sycamoremast.coordination.workflow.WorkflowPhase
+import sycamoremast.coordination.workflow.WorkflowProgress
 import sycamoremast.coordination.workflow.WorkflowStep
 import sycamoremast.daemon.log.EventLog
 
@@ -49,6 +55,7 @@
     /** Whether committing a record fails for a reason that a retry does not change. */
     @Volatile
     private var isCommitBroken = false
+    private val meters = WorkflowMeters()
     private val ownership = Ownership(
         object : TransactionalStore by store {
             override fun commit(transaction: StoreTransaction) =
@@ -60,7 +67,7 @@
         SchedulerSettings(),
         clock,
         EventLog { },
-        WorkflowMeters()
+        meters
     ) { null }.apply { onDeposed = { deposed.complete(it) } }
 
     @AfterEach
@@ -176,6 +183,28 @@
         expectThat(clock.nowMillis() - began).isLessThan(SchedulerSettings.PAST_LEASE_MILLIS)
     }
 
+    @Test
+    fun `records, reports and counts why a workflow failed`() {
+        runs.isFailing = true
+        put(OneWorkerCatalog.workersPrefix + "w1", "")
+        ownership.onBegin(claim(1))
+        accept("job")
+        val loop = ownership.loop!!
+        repeat(MAX_QUERIES) { if (loop.statusOrNull("job")?.failure == null) Thread.sleep(1) }
+        val status = loop.statusOrNull("job")
+        expectThat(status?.phase).isEqualTo(WorkflowPhase.FAILED)
+        expectThat(status?.failure).isNotNull().and {
+            get { task }.isEqualTo(TaskName("job", 0, 0, 0))
+            get { reason }.isEqualTo(FailureReason.ATTEMPTS_USED_UP)
+            get { runs.map { it.worker } }.isEqualTo(List(QueuePolicy("", "").maxAttempts) { "w1" })
+        }
+        val text = store.entries.getValue(WorkflowKeys.progress(0, "job")).value
+        expectThat(decodeRecordOrNull<WorkflowProgress>(text)?.failure).isEqualTo(status?.failure)
+        expectThat(meters.scrape().lines())
+            .contains("sycamore_workflows_failed_total{reason=\"attempts_used_up\"} 1.0")
+            .contains("sycamore_workflows_failed_total{reason=\"workers_crashed\"} 0.0")
+    }
+
     // Guards against a wait that begins anew after each owner of a series that records nothing.
     @Test
     fun `does not wait anew for a lost worker if the last owner has recorded nothing`() {
@@ -196,6 +225,9 @@
 
     private companion object {
         const val WAIT_SECONDS = 30L
+
+        /** At least [WAIT_SECONDS]. */
+        const val MAX_QUERIES = 30_000
     }
 }
 
@@ -221,11 +253,15 @@
 /** The ID of a worker that never answers. */
 private const val LOST_WORKER = "gone"
 
-/** A worker that accepts every order and never ends a run by itself. */
+/** A worker that accepts every order and ends no run by itself, unless it [isFailing]. */
 private class IdleWorker(private val clock: MonotonicClock) : RunPort {
     val started = CopyOnWriteArrayList<StartOrder>()
     private val firstStart = CountDownLatch(1)
 
+    /** Whether every run has failed by the next report. */
+    @Volatile
+    var isFailing = false
+
     fun awaitStart(workflow: String) {
         check(firstStart.await(30, SECONDS)) { "no run was started" }
         check(started.first().task.workflow == workflow) {
@@ -247,7 +283,15 @@
         if (order.worker.id == LOST_WORKER) return done(WorkerAnswer.Unknown("no answer"))
         val now = clock.nowMillis()
         val running = started.map { RunningRow(it.task, it.run, "", 0, null) }
-        done(WorkerAnswer.Reported(WorkerReport(now, 1, now, running, emptyList())))
+        val ended = started.mapIndexed { i, start ->
+            EndedRow(i + 1L, start.task, start.run, RunEnd.FAILED, "")
+        }
+        val report = if (isFailing) {
+            WorkerReport(now, 1, now, emptyList(), ended)
+        } else {
+            WorkerReport(now, 1, now, running, emptyList())
+        }
+        done(WorkerAnswer.Reported(report))
     }
 
     private fun answer(): WorkerAnswer = clock.nowMillis().let { WorkerAnswer.Done(it, it) }
