Explain a failed job by the recorded decision only

What on-call engineers saw: `sycamore explain` took a line workflow-failed for the cause also where its owner was replaced before the end was recorded and a later owner completed the job.

Now such a line decides only if the job's last end is a failure.

--- a/cli/src/main/kotlin/sycamoremast/cli/ExplainCommand.kt
+++ b/cli/src/main/kotlin/sycamoremast/cli/ExplainCommand.kt
@@ -25,10 +25,17 @@
         lines.filter(idPattern::containsMatchIn).map(::parse).sortedBy { it.time }.toList()
 
     /** The line that decided the outcome, or null if no line did. */
-    val deciding: LogLine? = DECIDING_PATTERNS.firstNotNullOfOrNull { pattern ->
+    val deciding: LogLine? = failureOrNull() ?: DECIDING_PATTERNS.firstNotNullOfOrNull { pattern ->
         this.lines.lastOrNull { pattern.matches(it) }
     }
 
+    /** Returns why the workflow failed; a later owner may have ended it otherwise. */
+    private fun failureOrNull(): LogLine? {
+        val end = lines.lastOrNull { it.event == "workflow-ended" }
+        if (end != null && "phase=FAILED" !in end.text) return null
+        return lines.lastOrNull { it.event == "workflow-failed" }
+    }
+
     private fun parse(text: String) = LogLine(
         TIME.find(text)?.value.orEmpty(),
         EVENT.find(text)?.groupValues?.get(1).orEmpty(),
@@ -43,9 +50,8 @@
         val TIME = Regex("""\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d(\.\d+)?""")
         val EVENT = Regex("""event=([\w-]+)""")
 
-        /** The events that decide an outcome, in order of precedence. */
+        /** The events that decide any other outcome, in order of precedence. */
         val DECIDING_PATTERNS = listOf(
-            LinePattern("workflow-failed"),
             LinePattern("workflow-ended", "CANCELLED"),
             LinePattern("run-stop", "no progress"),
             LinePattern("run-vanished"),
