Explain no failure that a later owner found unrecorded

What on-call engineers saw: a line workflow-failed was marked as the cause of a job that runs on, where its owner was replaced before it had recorded the end.

A new owner logs workflow-known only of workflows without a recorded end, so a decision before the last such line had no effect.

--- a/cli/src/main/kotlin/sycamoremast/cli/ExplainCommand.kt
+++ b/cli/src/main/kotlin/sycamoremast/cli/ExplainCommand.kt
@@ -29,11 +29,16 @@
         this.lines.lastOrNull { pattern.matches(it) }
     }
 
-    /** Returns why the workflow failed; a later owner may have ended it otherwise. */
+    /**
+     * Returns why the workflow failed, or null if no line shows that it did.
+     *
+     * A new owner logs that it knows a workflow only if no end of it was recorded.
+     */
     private fun failureOrNull(): LogLine? {
-        val end = lines.lastOrNull { it.event == "workflow-ended" }
+        val termLines = lines.takeLastWhile { it.event != "workflow-known" }
+        val end = termLines.lastOrNull { it.event == "workflow-ended" }
         if (end != null && "phase=FAILED" !in end.text) return null
-        return lines.lastOrNull { it.event == "workflow-failed" }
+        return termLines.lastOrNull { it.event == "workflow-failed" }
     }
 
     private fun parse(text: String) = LogLine(
--- a/cli/src/test/kotlin/sycamoremast/cli/ExplainCommandTest.kt
+++ b/cli/src/test/kotlin/sycamoremast/cli/ExplainCommandTest.kt
@@ -58,6 +58,14 @@
             .contains("phase=CANCELLED")
     }
 
+    // Guards against an explanation by a decision that its owner did not record in time.
+    @Test
+    fun `a decision to give up does not decide if a later owner found the job open`() {
+        val known = "05:22:58.118 event=workflow-known id=job queue=queue recovered=true"
+        val history = historyOf(*CRASHES, GIVEN_UP, endedAs("FAILED"), known)
+        expectThat(history.deciding?.event).isEqualTo("run-vanished")
+    }
+
     private fun historyOf(vararg lines: String) = History(
         "job",
         lines.asSequence().map { it.replaceFirst(" ", " level=INFO ") }.map { "2026-12-05T$it" }
