List workflows given up for crashed workers as problems at the metrics address

What operators saw: the platform's program had no list of problems, so a job that was given up for crashes of workers was visible to its caller only.

They are read from the progress records when asked for, as a stale listing, which the store neither limits nor prices in full; so they outlast owners and cost nothing otherwise. One request reads at a time and none during a known outage, so that the metrics stay reachable.

A workflow whose tasks used up their attempts ended as its caller was promised and is no problem.

--- a/configuration/src/main/kotlin/sycamoremast/configuration/operator/OperatorApi.kt
+++ b/configuration/src/main/kotlin/sycamoremast/configuration/operator/OperatorApi.kt
@@ -113,7 +113,10 @@
 @Serializable
 data class DrainView(val host: String, val requestsInProgress: Int)
 
-/** A job or request that missed its required outcome; [kind] is late, lost, doubled or unknown. */
+/**
+ * A job or request that missed its required outcome; [kind] is late, lost, doubled, unknown or
+ * given_up.
+ */
 @Serializable
 data class ProblemView(
     val id: String,
--- a/coordination/src/main/kotlin/sycamoremast/coordination/TransactionalStore.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/TransactionalStore.kt
@@ -14,8 +14,11 @@
     /** Returns the entry at [key], or null if there is none; a [mayBeStale] read costs less. */
     fun get(key: String, mayBeStale: Boolean = false): Either<StoreError, StoreEntry?>
 
-    /** Returns all entries whose keys start with [prefix], without a consistent snapshot. */
-    fun list(prefix: String): Either<StoreError, StoreListing>
+    /**
+     * Returns all entries whose keys start with [prefix], without a consistent snapshot; a
+     * [mayBeStale] read costs less.
+     */
+    fun list(prefix: String, mayBeStale: Boolean = false): Either<StoreError, StoreListing>
 
     /** Returns the changes under [prefix] after [revision], waiting up to [wait] for one. */
     fun changes(prefix: String, revision: Long, wait: Duration): Either<StoreError, StoreChanges>
--- a/daemon/src/main/kotlin/sycamoremast/daemon/operator/OperatorRoutes.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/operator/OperatorRoutes.kt
@@ -2,6 +2,7 @@
 package sycamoremast.daemon.operator
 
 import arrow.core.Either
+import arrow.core.right
 import java.io.IOException
 import kotlinx.serialization.SerializationStrategy
 import kotlinx.serialization.builtins.ListSerializer
@@ -27,6 +28,8 @@
 import sycamoremast.configuration.operator.StatusView
 import sycamoremast.configuration.operator.SubmitView
 
+/** The path of the operators' API that lists problems. */
+const val PROBLEMS_PATH = "/v1/problems"
 private const val DEFAULT_CONFIRMATION_MILLIS = 10_000L
 private const val MAX_CONFIRMATION_MILLIS = 60_000L
 private const val DEFAULT_AUDIT_LIMIT = 100
@@ -46,12 +49,17 @@
     "/v1/jobs" bind GET to { jobs(actions, it) },
     "/v1/jobs/{team}/{job}/cancel" bind POST to { cancel(actions, it) },
     "/v1/drain" bind POST to { drain(actions, it) },
-    "/v1/problems" bind GET to {
-        reply(ListSerializer(ProblemView.serializer()), actions.problems())
-    },
+    PROBLEMS_PATH bind GET to { replyProblems(actions.problems().right()) },
     "/v1/audit" bind GET to { audit(actions, it) }
 )
 
+/** Returns the part of the operators' API that lists [problems]. */
+fun problemRoutes(problems: () -> Either<ErrorView, List<ProblemView>>): RoutingHttpHandler =
+    routes(PROBLEMS_PATH bind GET to { replyProblems(problems()) })
+
+private fun replyProblems(problems: Either<ErrorView, List<ProblemView>>): Response =
+    replyEither(ListSerializer(ProblemView.serializer()), problems)
+
 private fun document(actions: OperatorActions, request: Request): Response {
     val team = request.path("team").orEmpty()
     val document = actions.document(team) ?: return teamNotFound("read configuration", team)
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/MonitoredStore.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/MonitoredStore.kt
@@ -61,8 +61,8 @@
     override fun get(key: String, mayBeStale: Boolean): Either<StoreError, StoreEntry?> =
         monitored("get") { store.get(key, mayBeStale) }
 
-    override fun list(prefix: String): Either<StoreError, StoreListing> =
-        monitored("list") { store.list(prefix) }
+    override fun list(prefix: String, mayBeStale: Boolean): Either<StoreError, StoreListing> =
+        monitored("list") { store.list(prefix, mayBeStale) }
 
     override fun changes(
         prefix: String,
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowHost.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowHost.kt
@@ -52,6 +52,9 @@
     /** Serves callers' requests. */
     val gateway = Gateway(store, name, set, log, meters, { store.isUnavailable }) { ownership.loop }
 
+    /** Reports workflows that were given up, for operators. */
+    val problems = WorkflowProblems(store, set, log) { store.isUnavailable }
+
     /** The active routes, or null until a configuration has been read. */
     val routes: RoutingTable? get() = routing.table
 
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/MemoryStore.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/MemoryStore.kt
@@ -53,11 +53,12 @@
         if (isDown) notSent() else entries[key].right()
 
     @Synchronized
-    override fun list(prefix: String): Either<StoreError, StoreListing> = if (isDown) {
-        notSent()
-    } else {
-        StoreListing(entries.values.filter { it.key.startsWith(prefix) }, revision).right()
-    }
+    override fun list(prefix: String, mayBeStale: Boolean): Either<StoreError, StoreListing> =
+        if (isDown) {
+            notSent()
+        } else {
+            StoreListing(entries.values.filter { it.key.startsWith(prefix) }, revision).right()
+        }
 
     override fun changes(
         prefix: String,
