Return the status of workflows with each durable batch

The scheduler now returns phase and reason together once they are durable, and logs workflow-failed where it ends the workflow.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/OpenWorkflow.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/OpenWorkflow.kt
@@ -35,6 +35,13 @@
         .sumOf { it.demand.milliCpus * it.taskCount }
     val isOpen: Boolean get() = !phase.isFinal
 
+    /** What is durable of the phase, and of why the workflow failed. */
+    val durableStatus: WorkflowStatus
+        get() = WorkflowStatus(
+            durablePhase,
+            failure.takeIf { durablePhase == WorkflowPhase.FAILED }
+        )
+
     val objectiveMillis: Long =
         acceptedMillis + spec.queue.targetLatencyMillis +
             (criticalPathMillis { _, step -> step.estimateMillis } * spec.queue.stretch).toLong()
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowProgress.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowProgress.kt
@@ -36,4 +36,6 @@
     val hasBegun: Boolean = false,
     val endedUnixMillis: Long = 0,
     val failure: WorkflowFailure? = null
-)
+) {
+    val status: WorkflowStatus get() = WorkflowStatus(phase, failure)
+}
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -137,9 +137,9 @@
         }
     }
 
-    /** Marks the last batch as durable; returns the phases that callers may now see, by ID. */
-    fun onBatchDurable(): Map<String, WorkflowPhase> =
-        recorder.onBatchDurable().associate { it.id to it.durablePhase }
+    /** Marks the last batch as durable; returns the statuses that callers may now see, by ID. */
+    fun onBatchDurable(): Map<String, WorkflowStatus> =
+        recorder.onBatchDurable().associate { it.id to it.durableStatus }
 
     /** Returns the number of accepted workflows without a started task, by queue. */
     fun waitingByQueue(): Map<String, Int> = fleet.waitingByQueue()
@@ -150,12 +150,6 @@
         return if (workflow.phase.isFinal) workflow.durablePhase else workflow.phase
     }
 
-    /**
-     * Returns why the workflow [id] failed, or null if that is not known or callers may not see it.
-     */
-    fun failureOrNull(id: String): WorkflowFailure? =
-        fleet.workflows[id]?.takeIf { it.durablePhase == WorkflowPhase.FAILED }?.failure
-
     /** Removes workflows that ended before [unixMillis] and returns their IDs. */
     fun forgetEnded(unixMillis: Long): List<String> {
         val old = fleet.workflows.values.filter {
@@ -236,7 +230,7 @@
                         FailureReason.ATTEMPTS_USED_UP,
                         exhausted.failedRunWorkers
                     )
-                    giveUp(workflow, cause, nowMillis, unixMillis)
+                    end(workflow, WorkflowPhase.FAILED, nowMillis, unixMillis, cause)
                 }
 
                 workflow.isDone -> end(workflow, WorkflowPhase.COMPLETED, nowMillis, unixMillis)
@@ -244,24 +238,6 @@
         }
     }
 
-    private fun giveUp(
-        workflow: OpenWorkflow,
-        cause: WorkflowFailure,
-        nowMillis: Long,
-        unixMillis: Long
-    ) {
-        fleet.log(
-            "workflow-failed",
-            workflow.id,
-            "task" to cause.task,
-            "reason" to cause.reason,
-            "runs" to cause.runs.joinToString(","),
-            "runCount" to cause.runCount,
-            "maxAttempts" to workflow.queue.maxAttempts
-        )
-        end(workflow, WorkflowPhase.FAILED, nowMillis, unixMillis, cause)
-    }
-
     private fun end(
         workflow: OpenWorkflow,
         phase: WorkflowPhase,
@@ -269,6 +245,17 @@
         unixMillis: Long,
         cause: WorkflowFailure? = null
     ) {
+        if (cause != null) {
+            fleet.log(
+                "workflow-failed",
+                workflow.id,
+                "task" to cause.task,
+                "reason" to cause.reason,
+                "runs" to cause.runs.joinToString(","),
+                "runCount" to cause.runCount,
+                "maxAttempts" to workflow.queue.maxAttempts
+            )
+        }
         workflow.end(phase, unixMillis, cause)
         fleet.openWorkflows -= workflow
         colocation.removeBaselines(workflow)
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/WorkflowFailureTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/WorkflowFailureTest.kt
@@ -14,6 +14,7 @@
     private val scheduler = driver.scheduler
     private val task = TaskName("job", 0, 0, 0)
     private val recorded = ArrayList<WorkflowProgress>()
+    private val durable = HashMap<String, WorkflowStatus>()
 
     private fun failNextRun(number: Long): StartOrder {
         repeat(MAX_STEPS) {
@@ -30,8 +31,11 @@
     }
 
     private fun step() {
+        driver.areRecordsDurableAtOnce = false
         driver.step()
         driver.records.mapNotNullTo(recorded) { it.progress["job"] }
+        if (driver.records.isNotEmpty()) durable += scheduler.onBatchDurable()
+        driver.areRecordsDurableAtOnce = true
     }
 
     private fun failure(): WorkflowFailure? = recorded.last().failure
@@ -45,7 +49,7 @@
         val runs = starts.map { WorkflowFailure.Run(it.run, it.worker.id) }
         expectThat(failure())
             .isEqualTo(WorkflowFailure(task, FailureReason.ATTEMPTS_USED_UP, runs, 2))
-        expectThat(scheduler.failureOrNull("job")).isEqualTo(failure())
+        expectThat(durable["job"]).isEqualTo(WorkflowStatus(WorkflowPhase.FAILED, failure()))
         expectThat(recorded.dropLast(1)).all { get { failure }.isNull() }
         val logged = driver.actions.filterIsInstance<SchedulerAction.Log>()
             .single { it.event.name == "workflow-failed" }.event.fields
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Gateway.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Gateway.kt
@@ -18,7 +18,9 @@
 import sycamoremast.coordination.StoreTransaction
 import sycamoremast.coordination.TransactionalStore
 import sycamoremast.coordination.workflow.Workflow
+import sycamoremast.coordination.workflow.WorkflowPhase
 import sycamoremast.coordination.workflow.WorkflowProgress
+import sycamoremast.coordination.workflow.WorkflowStatus
 import sycamoremast.daemon.log.EventLog
 
 /** The outcome of submitting a workflow. */
@@ -189,13 +191,13 @@
         owner()?.statusOrNull(id)?.let { return Lookup.Found(it) }
         if (isStoreUnavailable()) return Lookup.Unavailable("the store does not answer")
         val recorded = store.get(WorkflowKeys.progress(set, id)).map { entry ->
-            entry?.let { decodeRecordOrNull<WorkflowProgress>(it.value) }?.let(WorkflowStatus::of)
+            entry?.let { decodeRecordOrNull<WorkflowProgress>(it.value) }?.status
         }
         val status = recorded.flatMap { known ->
             when {
                 known != null -> Either.Right(known)
-                id in acceptedIds -> Either.Right(WorkflowStatus.QUEUED)
-                else -> exists(id).map { if (it) WorkflowStatus.QUEUED else null }
+                id in acceptedIds -> Either.Right(QUEUED)
+                else -> exists(id).map { if (it) QUEUED else null }
             }
         }
         return when (status) {
@@ -250,6 +252,9 @@
     private companion object {
         const val ATTEMPT_ID_RADIX = 36
 
+        /** The status of an accepted workflow of which no progress is recorded. */
+        val QUEUED = WorkflowStatus(WorkflowPhase.QUEUED)
+
         /** Covers several minutes of one host's submissions. */
         const val MAX_REMEMBERED_IDS = 4_096
 
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
@@ -23,6 +23,7 @@
 import sycamoremast.coordination.workflow.WorkflowPhase
 import sycamoremast.coordination.workflow.WorkflowProgress
 import sycamoremast.coordination.workflow.WorkflowScheduler
+import sycamoremast.coordination.workflow.WorkflowStatus
 import sycamoremast.daemon.log.EventLog
 
 /** Runs [scheduler] for one term of ownership; [onDeposed] is called when the term has to end. */
@@ -65,8 +66,7 @@
     /** Adds an accepted workflow; [isRecovered] means that it was accepted before this term. */
     fun addWorkflow(workflow: Workflow, progress: WorkflowProgress?, isRecovered: Boolean) =
         enqueue {
-            val status = progress?.let(WorkflowStatus::of) ?: WorkflowStatus.QUEUED
-            statuses.putIfAbsent(workflow.id, status)
+            statuses.putIfAbsent(workflow.id, progress?.status ?: QUEUED)
             scheduler.onWorkflowAccepted(workflow, progress, isRecovered, nowMillis(), unixMillis())
         }
 
@@ -186,12 +186,10 @@
         }
     }
 
-    private fun updateStatus(id: String, phase: WorkflowPhase) {
-        val status = WorkflowStatus(phase, scheduler.failureOrNull(id))
+    private fun updateStatus(id: String, status: WorkflowStatus) {
         val previous = statuses.put(id, status)
-        if (status.failure != null && previous?.failure == null) {
-            meters.countFailure(status.failure.reason)
-        }
+        val failure = status.failure ?: return
+        if (previous?.failure == null) meters.countFailure(failure.reason)
     }
 
     private fun endTerm(reason: String) {
@@ -237,5 +235,6 @@
         /** Each step examines all waiting work; this interval delays no start or end noticeably. */
         const val MIN_STEP_INTERVAL_MILLIS = 4L
         const val COUNT_INTERVAL_MILLIS = 100L
+        val QUEUED = WorkflowStatus(WorkflowPhase.QUEUED)
     }
 }
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/GatewayTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/GatewayTest.kt
@@ -27,6 +27,7 @@
 import sycamoremast.coordination.workflow.WorkflowPhase
 import sycamoremast.coordination.workflow.WorkflowProgress
 import sycamoremast.coordination.workflow.WorkflowScheduler
+import sycamoremast.coordination.workflow.WorkflowStatus
 import sycamoremast.coordination.workflow.WorkflowStep
 import sycamoremast.daemon.log.EventLog
 import sycamoremast.daemon.workflow.MemoryStore.Fault
--- a/emulator/src/main/kotlin/sycamoremast/emulator/Emulation.kt
+++ b/emulator/src/main/kotlin/sycamoremast/emulator/Emulation.kt
@@ -151,7 +151,7 @@
             }
 
             is SchedulerAction.Record -> schedule(RECORD_MILLIS) {
-                scheduler.onBatchDurable().forEach { (id, phase) -> load.setPhase(id, phase, now) }
+                scheduler.onBatchDurable().forEach { (id, s) -> load.setPhase(id, s.phase, now) }
             }
 
             is SchedulerAction.Depose -> error("scheduler deposed by ${action.worker.id}")
