--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -150,9 +150,9 @@
         }
     }
 
-    /** Marks the last batch as durable; returns the phases that callers may now see, by ID. */
-    fun onBatchDurable(): Map<String, WorkflowPhase> =
-        recorder.onBatchDurable().associate { it.id to it.durablePhase }
+    /** Marks the last batch as durable; returns the statuses that callers may now see, by ID. */
+    fun onBatchDurable(): Map<String, WorkflowStatus> =
+        recorder.onBatchDurable().associate { it.id to it.durableStatus }
 
     /** Returns the number of accepted workflows without a started task, by queue. */
     fun waitingByQueue(): Map<String, Int> = fleet.waitingByQueue()
@@ -239,14 +239,12 @@
                 .firstOrNull { it.failedRuns.size >= maxAttempts }
             when {
                 exhausted != null -> {
-                    fleet.log(
-                        "workflow-failed",
-                        workflow.id,
-                        "task" to exhausted.name,
-                        "failedRuns" to exhausted.failedRuns.joinToString(","),
-                        "maxAttempts" to workflow.queue.maxAttempts
+                    val cause = WorkflowFailure.of(
+                        exhausted.name,
+                        FailureReason.ATTEMPTS_USED_UP,
+                        exhausted.failedRunWorkers
                     )
-                    end(workflow, WorkflowPhase.FAILED, nowMillis, unixMillis)
+                    end(workflow, WorkflowPhase.FAILED, nowMillis, unixMillis, cause)
                 }
 
                 workflow.isDone -> end(workflow, WorkflowPhase.COMPLETED, nowMillis, unixMillis)
@@ -258,9 +256,21 @@
         workflow: OpenWorkflow,
         phase: WorkflowPhase,
         nowMillis: Long,
-        unixMillis: Long
+        unixMillis: Long,
+        cause: WorkflowFailure? = null
     ) {
-        workflow.end(phase, unixMillis)
+        if (cause != null) {
+            fleet.log(
+                "workflow-failed",
+                workflow.id,
+                "task" to cause.task,
+                "reason" to cause.reason,
+                "runs" to cause.runs.joinToString(","),
+                "runCount" to cause.runCount,
+                "maxAttempts" to workflow.queue.maxAttempts
+            )
+        }
+        workflow.end(phase, unixMillis, cause)
         fleet.openWorkflows -= workflow
         colocation.removeBaselines(workflow)
         recorder.markChanged(workflow)
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
@@ -22,6 +22,7 @@
 import sycamoremast.coordination.workflow.WorkflowPhase
 import sycamoremast.coordination.workflow.WorkflowProgress
 import sycamoremast.coordination.workflow.WorkflowScheduler
+import sycamoremast.coordination.workflow.WorkflowStatus
 import sycamoremast.daemon.log.EventLog
 
 /** Runs [scheduler] for one term of ownership; [onDeposed] is called when the term has to end. */
@@ -36,7 +37,7 @@
     private val onDeposed: (String) -> Unit
 ) : AutoCloseable {
     private val inbox = LinkedBlockingQueue<() -> Unit>()
-    private val phases = ConcurrentHashMap<String, WorkflowPhase>()
+    private val statuses = ConcurrentHashMap<String, WorkflowStatus>()
     private val records = Executors.newSingleThreadExecutor { run ->
         Thread(run, "records").apply { isDaemon = true }
     }
@@ -52,8 +53,8 @@
 
     fun start() = apply { thread.start() }
 
-    /** Returns the phase of the workflow [id], or null if the scheduler doesn't know it. */
-    fun phaseOrNull(id: String): WorkflowPhase? = phases[id]
+    /** Returns the status of the workflow [id], or null if the scheduler doesn't know it. */
+    fun statusOrNull(id: String): WorkflowStatus? = statuses[id]
 
     /**
      * Returns the number of workflows of [queue] without a started task, or null before the first
@@ -64,7 +65,7 @@
     /** Adds an accepted workflow; [isRecovered] means that it was accepted before this term. */
     fun addWorkflow(workflow: Workflow, progress: WorkflowProgress?, isRecovered: Boolean) =
         enqueue {
-            phases.putIfAbsent(workflow.id, progress?.phase ?: WorkflowPhase.QUEUED)
+            statuses.putIfAbsent(workflow.id, progress?.status ?: QUEUED)
             scheduler.onWorkflowAccepted(workflow, progress, isRecovered, nowMillis(), unixMillis())
         }
 
@@ -177,7 +178,7 @@
     private fun writeRecords(batch: RecordBatch) {
         try {
             if (writer.write(batch) { isOpen }) {
-                enqueue { scheduler.onBatchDurable().forEach { (id, phase) -> phases[id] = phase } }
+                enqueue { scheduler.onBatchDurable().forEach(::updateStatus) }
             } else {
                 endTerm("records refused")
             }
@@ -190,6 +191,12 @@
         }
     }
 
+    private fun updateStatus(id: String, status: WorkflowStatus) {
+        val previous = statuses.put(id, status)
+        val failure = status.failure ?: return
+        if (previous?.failure == null) meters.countFailure(failure.reason)
+    }
+
     private fun endTerm(reason: String) {
         if (!isOpen) return
         isOpen = false
@@ -233,6 +240,7 @@
         /** Each step examines all waiting work; this interval delays no start or end noticeably. */
         const val MIN_STEP_INTERVAL_MILLIS = 4L
         const val COUNT_INTERVAL_MILLIS = 100L
+        val QUEUED = WorkflowStatus(WorkflowPhase.QUEUED)
     }
 }
 
