Give up tasks that crash the workers that start them

Cause: the end of a worker released its runs as if they had never begun. Nothing connected a run with the loss of its worker, and nothing of it was recorded.

A run is now exposed until its worker has shown it running for a second. If the worker is lost before, the run is recorded as crashed in the progress of its workflow, so that the next owner knows of it, and its task is a suspect. It is taken out again if the same incarnation answers, or if the run is reported. A suspect starts alone: nothing else starts beside it until it has outlived the crashed runs. Two crashes give it up if one of them was of a suspect that was alone, on a worker that had been up for a while and has certainly ended, while no others lost contact within 2 s. Otherwise it takes four crashes that the fleet's own trouble doesn't explain, or five of any kind. A repeated suspect waits until the fleet is quiet, for a bounded time.

A first suspect still restarts at once, as existing tests ask. The crash is recorded at the second failed call, as single calls fail now and then; an owner that ends between the two leaves one crash uncounted.

--- /dev/null
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/CrashHistory.kt
@@ -0,0 +1,102 @@
+/** What the owner knows of the runs of one task under which workers may have crashed. */
+package sycamoremast.coordination.workflow
+
+/**
+ * Run number [run] of a task, which had lived for [livedMillis] when [workerId] lost contact at
+ * [lostMillis].
+ *
+ * The crash [isOfSuspect] if the task had one on record by then, had lived no longer than before,
+ * and no other workflow could have caused this one.
+ */
+internal class CrashedRun(
+    val run: Int,
+    val workerId: String,
+    val lostMillis: Long,
+    val livedMillis: Long,
+    val isOfSuspect: Boolean
+) {
+    /** Whether the worker is in another incarnation, or its lease has certainly lapsed. */
+    var isConfirmed = false
+
+    /** Whether the worker has ended, rather than being out of reach. */
+    var hasEnded = false
+
+    /** Whether other workers lost contact at about the same time, or null while that is open. */
+    var isInTrouble: Boolean? = null
+    val isDecided: Boolean get() = isConfirmed && isInTrouble != null
+}
+
+internal class CrashHistory {
+    private val crashes = LinkedHashMap<Int, CrashedRun?>()
+
+    /** The runs that count as crashed; of those that an earlier owner recorded, no more is known. */
+    val runs: Set<Int> get() = crashes.keys
+    val workerIds: Set<String> get() = crashes.values.mapNotNullTo(LinkedHashSet()) { it?.workerId }
+    val isUndecided: Boolean get() = crashes.values.any { it?.isDecided == false }
+
+    /** Whether the task has crashed so many workers that its workflow fails. */
+    var isGivenUp = false
+        private set
+
+    /** Until when the task waits, at most, for the fleet to be free of trouble. */
+    var heldUntilMillis = Long.MIN_VALUE
+
+    /** Since when the next run has found no worker where it endangers little, or null. */
+    var waitingSinceMillis: Long? = null
+
+    /** Whether the next run is to start alone; the fleet's own trouble explains a single crash. */
+    val needsTrial: Boolean
+        get() = crashes.size > 1 || crashes.values.any { it?.isInTrouble != true }
+
+    /** How long a run has to live to have outlived the crashed ones. */
+    val trialMillis: Long
+        get() {
+            val longest = crashes.values.maxOf { it?.livedMillis ?: UNKNOWN_LIFE_MILLIS }
+            return (longest + TRIAL_MARGIN_MILLIS).coerceIn(MIN_TRIAL_MILLIS, MAX_TRIAL_MILLIS)
+        }
+
+    fun restore(recorded: Set<Int>) {
+        recorded.forEach { crashes[it] = null }
+        isGivenUp = isExhausted
+    }
+
+    fun add(crash: CrashedRun) {
+        crashes[crash.run] = crash
+    }
+
+    fun remove(run: Int) {
+        crashes -= run
+    }
+
+    /** Takes account of [crash], of which all is known now. */
+    fun decide(crash: CrashedRun) {
+        val isProof = crash.isOfSuspect && crash.hasEnded && crash.isInTrouble == false
+        if (isExhausted || (isProof && credibleCount >= PROVEN_CRASHES)) isGivenUp = true
+    }
+
+    private val isExhausted: Boolean
+        get() = crashes.size >= MAX_CRASHES || credibleCount >= MAX_CREDIBLE_CRASHES
+
+    /** The number of crashes that the fleet's own trouble doesn't explain. */
+    private val credibleCount: Int
+        get() = crashes.values.count { it == null || it.isInTrouble == false }
+
+    private companion object {
+        /** Assumed of runs that an earlier owner recorded. */
+        const val UNKNOWN_LIFE_MILLIS = 1_000L
+
+        /** The bounds of a trial, and how much longer it takes than the crashed runs lived. */
+        const val MIN_TRIAL_MILLIS = 300L
+        const val MAX_TRIAL_MILLIS = 3_000L
+        const val TRIAL_MARGIN_MILLIS = 200L
+
+        /** The number of credible crashes, one of them of the task alone, that prove its guilt. */
+        const val PROVEN_CRASHES = 2
+
+        /** The number of credible crashes after which a task is given up without proof. */
+        const val MAX_CREDIBLE_CRASHES = 4
+
+        /** A task may start twice after three workers have crashed under it. */
+        const val MAX_CRASHES = 5
+    }
+}
--- /dev/null
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/CrashLedger.kt
@@ -0,0 +1,297 @@
+/**
+ * Decides which tasks are to blame for crashes of workers.
+ *
+ * A run is exposed until its worker has shown it running for a while. If the worker is lost before,
+ * the run may have crashed it, and its task is a suspect. As other runs may be exposed on the same
+ * worker, and workers also crash for reasons of their own, a suspect starts alone next time: if it
+ * crashes that worker too, while no others are lost, it is given up. If it outlives the crashed
+ * runs, it is cleared.
+ */
+package sycamoremast.coordination.workflow
+
+/** A run that was exposed when its worker lost contact, [livedMillis] after its order. */
+internal class ExposedRun(placement: Placement, val livedMillis: Long) {
+    val task = placement.task
+    val run = placement.run
+    val isOfSuspect = placement.hasReachedWorker &&
+        task.crashHistory?.let { livedMillis <= it.trialMillis } ?: false
+}
+
+/**
+ * The loss of contact with worker [workerId] at [atMillis].
+ *
+ * It [isOfSuspect] if a suspect was the only one that could have caused it, as the worker had been
+ * up for a while. If it [isAbrupt], a
+ * call was broken off or refused, as when the worker has ended; calls that are lost time out.
+ */
+internal class WorkerLoss(
+    val workerId: String,
+    val atMillis: Long,
+    val exposed: MutableList<ExposedRun>,
+    val isAbrupt: Boolean,
+    wasSettled: Boolean
+) {
+    val isOfSuspect = wasSettled &&
+        exposed.isNotEmpty() &&
+        exposed.distinctBy { it.task.step.workflow }.size == 1 &&
+        exposed.any { it.isOfSuspect }
+    val crashes = LinkedHashMap<CrashedRun, OpenTask>()
+    var isCounted = false
+}
+
+/** Several times as long as a trial usually takes. */
+private const val SETTLED_MILLIS = 3_000L
+
+/** Whether the worker has been up for a while, so that it is not one that crashes by itself. */
+internal fun FleetWorker.isSettled(nowMillis: Long): Boolean =
+    upSinceMillis?.let { nowMillis - it >= SETTLED_MILLIS } ?: false
+
+internal class CrashLedger(private val fleet: Fleet, private val recorder: Recorder) {
+    private val losses = ArrayList<WorkerLoss>()
+    private val undecided = LinkedHashMap<CrashedRun, OpenTask>()
+
+    /** Processes a call to [worker] that failed after [tookMillis], unsent or unanswered. */
+    fun onCallFailed(worker: FleetWorker, tookMillis: Long, nowMillis: Long) {
+        if (worker.listing.isDraining) return
+        val isAbrupt = tookMillis < ABRUPT_MILLIS
+        val loss = worker.loss ?: loss(worker, nowMillis, isAbrupt) { true }
+        // A single call fails now and then.
+        if (worker.isSilent) count(loss)
+    }
+
+    /** Processes a report that shows [worker] in a later incarnation than the last one. */
+    fun onRestarted(worker: FleetWorker, nowMillis: Long) {
+        if (!worker.listing.isDraining) confirm(worker, hasEnded = true, nowMillis)
+        worker.loss = null
+    }
+
+    /** Processes the loss of all runs on [worker], which [hasEnded] or whose lease has lapsed. */
+    fun onLost(worker: FleetWorker, hasEnded: Boolean, nowMillis: Long) {
+        val isIdle = worker.loss == null && worker.placements.isEmpty()
+        if (!isIdle && !worker.listing.isDraining) confirm(worker, hasEnded, nowMillis)
+    }
+
+    /** Processes a report of the incarnation of [worker] that reported before. */
+    fun onAnswered(worker: FleetWorker) {
+        val loss = worker.loss ?: return
+        worker.loss = null
+        if (!loss.isCounted) losses -= loss
+        loss.crashes.forEach { (crash, task) -> takeBack(task, crash.run, "worker is back") }
+    }
+
+    /** Processes the rejection of the start of [placement], which has not run. */
+    fun onNotStarted(placement: Placement) {
+        placement.isExposed = false
+        placement.worker.loss?.exposed
+            ?.removeIf { it.task === placement.task && it.run == placement.run }
+        takeBack(placement.task, placement.run, "not started")
+    }
+
+    /** Processes the report of a run of [task] that is in progress, unknown so far, or ended. */
+    fun onReported(task: OpenTask, run: Int) = takeBack(task, run, "reported")
+
+    /** Processes the report of [placement] in progress, at [clockMillis] of its worker's clock. */
+    fun onRunning(placement: Placement, clockMillis: Long) {
+        takeBack(placement.task, placement.run, "reported")
+        val shownMillis = placement.recordSeen(clockMillis)
+        val history = placement.task.crashHistory
+        if (placement.worker.trial === placement && shownMillis >= (history?.trialMillis ?: 0)) {
+            placement.worker.trial = null
+            fleet.isPlacementDue = true
+            log("trial-ended", placement, "shownMillis" to shownMillis)
+        }
+        if (placement.isExposed && shownMillis >= exposureMillis(history)) {
+            placement.isExposed = false
+            if (history != null) clear(placement, history)
+        }
+    }
+
+    private fun clear(placement: Placement, history: CrashHistory) {
+        placement.task.crashHistory = null
+        recorder.markChanged(placement.task.step.workflow)
+        log("task-cleared", placement, "crashedRuns" to history.runs.joinToString(","))
+    }
+
+    private fun exposureMillis(history: CrashHistory?): Long =
+        maxOf(EXPOSURE_MILLIS, history?.trialMillis ?: 0)
+
+    /** Whether [task] may start now, for all that is known of its crashes. */
+    fun mayStart(task: OpenTask, nowMillis: Long): Boolean {
+        val history = task.crashHistory ?: return true
+        return when {
+            history.runs.size == 1 -> true
+            history.isGivenUp || history.isUndecided -> false
+            nowMillis >= history.heldUntilMillis -> true
+            // Single calls that fail now and then would hold it back for long.
+            else -> !isInTrouble(nowMillis - QUIET_MILLIS..nowMillis, null) { it.isCounted }
+        }
+    }
+
+    /** Decides what is known by [nowMillis]. */
+    fun step(nowMillis: Long) {
+        losses.removeAll { it.atMillis < nowMillis - LOSS_RETENTION_MILLIS }
+        undecided.entries.removeIf { (crash, task) -> decide(crash, task, nowMillis) }
+    }
+
+    /** Decides on [crash] as far as possible; returns whether nothing is left to decide. */
+    private fun decide(crash: CrashedRun, task: OpenTask, nowMillis: Long): Boolean {
+        val history = task.crashHistory
+        if (history == null || !task.step.workflow.isOpen) return true
+        if (crash.isInTrouble == null) {
+            val untilMillis = crash.lostMillis + COINCIDENCE_MILLIS
+            val around = crash.lostMillis - COINCIDENCE_MILLIS..untilMillis
+            when {
+                isInTrouble(around, crash.workerId) { true } -> crash.isInTrouble = true
+                nowMillis > untilMillis -> crash.isInTrouble = false
+            }
+        }
+        if (!crash.isDecided) return false
+        history.decide(crash)
+        history.heldUntilMillis = nowMillis + MAX_HOLD_MILLIS * (history.runs.size - 1)
+        if (history.isGivenUp) fleet.endCandidates += task.step.workflow
+        fleet.isPlacementDue = true
+        fleet.log(
+            "crash-counted",
+            task.name.toString(),
+            "run" to crash.run,
+            "worker" to crash.workerId,
+            "ofSuspect" to crash.isOfSuspect,
+            "hasEnded" to crash.hasEnded,
+            "inTrouble" to crash.isInTrouble,
+            "crashes" to history.runs.size,
+            "givenUp" to history.isGivenUp
+        )
+        return true
+    }
+
+    /**
+     * Whether workers other than [exceptId] have lost contact during [period] for reasons of their
+     * own.
+     *
+     * A few losses may be crashes by suspects, and fewer by tasks that were not suspect yet.
+     */
+    private fun isInTrouble(
+        period: LongRange,
+        exceptId: String?,
+        isLasting: (WorkerLoss) -> Boolean
+    ): Boolean {
+        val (ofSuspects, others) = losses
+            .filter { it.workerId != exceptId && it.atMillis in period && isLasting(it) }
+            .partition { it.isOfSuspect }
+        return others.any { it.exposed.isEmpty() } ||
+            others.size > fleet.workers.size / WORKERS_PER_FIRST_CRASH ||
+            ofSuspects.size > fleet.workers.size / WORKERS_PER_SUSPECT_CRASH
+    }
+
+    private fun confirm(worker: FleetWorker, hasEnded: Boolean, nowMillis: Long) {
+        // A start that is on its way may reach the new incarnation.
+        val loss = worker.loss
+            ?: loss(worker, nowMillis, hasEnded) { it.phase != PlacementPhase.STARTING }
+        count(loss)
+        for (crash in loss.crashes.keys) {
+            crash.isConfirmed = true
+            crash.hasEnded = hasEnded || loss.isAbrupt
+        }
+    }
+
+    private fun loss(
+        worker: FleetWorker,
+        nowMillis: Long,
+        isAbrupt: Boolean,
+        mayHaveRun: (Placement) -> Boolean
+    ): WorkerLoss {
+        val exposed = worker.placements.values.filter { it.mayCrash && mayHaveRun(it) }
+            .mapTo(ArrayList()) { ExposedRun(it, nowMillis - it.startedMillis) }
+        val loss = WorkerLoss(
+            worker.id,
+            nowMillis,
+            exposed,
+            isAbrupt,
+            worker.isSettled(nowMillis)
+        )
+        worker.loss = loss
+        losses += loss
+        return loss
+    }
+
+    private fun count(loss: WorkerLoss) {
+        if (loss.isCounted) return
+        loss.isCounted = true
+        for (exposed in loss.exposed) count(loss, exposed)
+    }
+
+    private fun count(loss: WorkerLoss, exposed: ExposedRun) {
+        val task = exposed.task
+        if (!task.step.workflow.isOpen || task.isDone) return
+        val crash = CrashedRun(
+            exposed.run,
+            loss.workerId,
+            loss.atMillis,
+            exposed.livedMillis,
+            loss.isOfSuspect && exposed.isOfSuspect
+        )
+        val history = task.crashHistory ?: CrashHistory().also { task.crashHistory = it }
+        history.add(crash)
+        loss.crashes[crash] = task
+        undecided[crash] = task
+        recorder.markChanged(task.step.workflow)
+        fleet.log(
+            "task-suspected",
+            task.name.toString(),
+            "run" to crash.run,
+            "worker" to crash.workerId,
+            "livedMillis" to crash.livedMillis,
+            "exposedRuns" to loss.exposed.size,
+            "crashes" to history.runs.size
+        )
+    }
+
+    private fun takeBack(task: OpenTask, run: Int, reason: String) {
+        val history = task.crashHistory ?: return
+        if (run !in history.runs) return
+        history.remove(run)
+        undecided.keys.removeIf { it.run == run && undecided[it] === task }
+        if (history.runs.isEmpty()) task.crashHistory = null
+        recorder.markChanged(task.step.workflow)
+        fleet.isPlacementDue = true
+        fleet.log(
+            "crash-not-counted",
+            task.name.toString(),
+            "run" to run,
+            "reason" to reason,
+            "crashes" to history.runs.size
+        )
+    }
+
+    private fun log(name: String, placement: Placement, field: Pair<String, Any?>) = fleet.log(
+        name,
+        placement.task.name.toString(),
+        "run" to placement.run,
+        "worker" to placement.worker.id,
+        field
+    )
+
+    private companion object {
+        /** How long a run must have been shown running to be exposed no longer. */
+        const val EXPOSURE_MILLIS = 1_000L
+
+        /** Losses of contact within this time may have one cause. */
+        const val COINCIDENCE_MILLIS = 2_000L
+
+        /** Shorter than the timeout of any call. */
+        const val ABRUPT_MILLIS = 500L
+
+        /** For how long no worker may be lost before a repeated suspect starts again. */
+        const val QUIET_MILLIS = 4_000L
+
+        /** The longest time for which that is awaited, multiplied by the repetitions. */
+        const val MAX_HOLD_MILLIS = 10_000L
+
+        /** Longer than any period that is looked back on. */
+        const val LOSS_RETENTION_MILLIS = 10_000L
+
+        /** One in so many workers may be lost to tasks that were not suspect yet, or to suspects. */
+        const val WORKERS_PER_FIRST_CRASH = 32
+        const val WORKERS_PER_SUSPECT_CRASH = 8
+    }
+}
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
@@ -31,6 +31,10 @@
     /** When the last report was processed, or null if a call has failed since. */
     private var lastReportMillis: Long? = null
 
+    /** When this incarnation first reported, or null if it has not. */
+    var upSinceMillis: Long? = null
+        private set
+
     /** The time by which the last lease granted to the worker has certainly lapsed. */
     var lapsedByMillis = Long.MIN_VALUE
         private set
@@ -45,6 +49,9 @@
     var acknowledgedEnd = 0L
 
     var isPolling = false
+
+    /** Whether a report is needed although nothing runs on the worker. */
+    var isReportDue = false
     var nextPollMillis = Long.MIN_VALUE
     var lastPollMillis = Long.MIN_VALUE / 2
 
@@ -53,6 +60,12 @@
     var contactFailures = 0
         private set
     var noStartsBeforeMillis = Long.MIN_VALUE
+
+    /** The loss of contact since the last report, or null. */
+    var loss: WorkerLoss? = null
+
+    /** The run of a suspect beside which nothing else starts, or null. */
+    var trial: Placement? = null
     var consecutiveFailures = 0
 
     /** Since when a serving task has exceeded its target beside neighbours, or null. */
@@ -116,6 +129,7 @@
         isReconciled &&
         clockOffsetMillis != null &&
         contactFailures == 0 &&
+        trial == null &&
         nowMillis >= noStartsBeforeMillis
 
     /** Returns the end of a lease granted now, on the worker's clock, or null if unknown. */
@@ -176,6 +190,7 @@
     /** Records a report that was processed at [nowMillis]. */
     fun recordReport(nowMillis: Long) {
         lastReportMillis = nowMillis
+        if (upSinceMillis == null) upSinceMillis = nowMillis
     }
 
     /**
@@ -189,6 +204,10 @@
     fun isIncarnationKnown(nowMillis: Long): Boolean =
         lastReportMillis?.let { nowMillis - it <= INCARNATION_PROOF_MILLIS } ?: false
 
+    /** Whether a report has just come, or a poll is open that would fail if the worker crashed. */
+    fun isCertainlyUp(nowMillis: Long): Boolean = contactFailures == 0 &&
+        ((isPolling && lastReportMillis != null) || isIncarnationKnown(nowMillis))
+
     /**
      * Records the start time of the reporting incarnation; returns whether the worker restarted.
      */
@@ -201,6 +220,7 @@
 
     /** Resets the end numbers, which a restarted worker counts from 1 again. */
     fun resetAfterRestart() {
+        upSinceMillis = null
         seenEnd = 0
         recordedEnd = 0
         acknowledgedEnd = 0
@@ -237,6 +257,7 @@
 
     fun remove(placement: Placement, nowMillis: Long) {
         if (placements[placement.task.name] !== placement) return
+        if (trial === placement) trial = null
         if (placement.task.step.spec.usesIdleCpu) {
             departures.removeAll { it.atMillis < nowMillis - DEPARTURE_RETENTION_MILLIS }
             departures += Departure(placement, nowMillis)
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/OpenWorkflow.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/OpenWorkflow.kt
@@ -93,7 +93,8 @@
         failures = if (isOpen) perTask(::recordedFailures) else emptyMap(),
         checkpoints = if (isOpen) perTask(::recordedCheckpoint) else emptyMap(),
         hasBegun = hasBegun,
-        endedUnixMillis = endedUnixMillis
+        endedUnixMillis = endedUnixMillis,
+        crashes = if (isOpen) perTask(::recordedCrashes) else emptyMap()
     )
 
     /** Restores the progress that an earlier owner recorded. */
@@ -109,6 +110,7 @@
                 ?.forEach { it.markDone() }
             for (task in step.tasks) {
                 progress.failures[task.key]?.let(task::restoreFailures)
+                progress.crashes[task.key]?.let(task::restoreCrashes)
                 task.checkpoint = progress.checkpoints[task.key].orEmpty()
             }
         }
@@ -120,6 +122,9 @@
     private fun recordedFailures(task: OpenTask): Set<Int>? =
         task.failedRuns.takeIf { it.isNotEmpty() }?.toSet()
 
+    private fun recordedCrashes(task: OpenTask): Set<Int>? =
+        task.crashHistory?.runs?.toSet()?.takeIf { !task.isDone }
+
     private fun recordedCheckpoint(task: OpenTask): String? =
         task.checkpoint.takeIf { it.isNotEmpty() && !task.isDone && task.placements.isEmpty() }
 
@@ -176,6 +181,9 @@
         private set
     val failedRuns = LinkedHashSet<Int>()
     var lastRun = 0
+
+    /** The crashes for which the task may be to blame, or null if there are none. */
+    var crashHistory: CrashHistory? = null
     var checkpoint = ""
     var notBeforeMillis = Long.MIN_VALUE
 
@@ -193,6 +201,11 @@
         lastRun = maxOf(lastRun, recorded.maxOrNull() ?: 0)
     }
 
+    fun restoreCrashes(recorded: Set<Int>) {
+        crashHistory = CrashHistory().apply { restore(recorded) }
+        lastRun = maxOf(lastRun, recorded.maxOrNull() ?: 0)
+    }
+
     fun markDone() {
         if (isDone) return
         isDone = true
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placement.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placement.kt
@@ -40,6 +40,20 @@
     var paceChangedMillis = Long.MIN_VALUE / 2
         private set
 
+    /** Whether the run has not been shown running for long enough to be harmless. */
+    var isExposed = true
+
+    /** Whether the worker was certainly up when the run was ordered, or has shown the run. */
+    var hasReachedWorker = worker.isCertainlyUp(startedMillis)
+        private set
+
+    /** The worker's clock when the worker first showed the run, or null. */
+    private var seenClockMillis: Long? = null
+
+    /** Whether the run could be the cause if its worker crashed now. */
+    val mayCrash: Boolean
+        get() = isExposed && phase != PlacementPhase.FENCED && phase != PlacementPhase.RELEASED
+
     /** Applies [event]; returns whether the state chart allows it in the current phase. */
     fun transition(event: PlacementEvent, nowMillis: Long): Boolean {
         val next = CHART.nextOrNull(phase, event) ?: return false
@@ -58,6 +72,16 @@
         transition(PlacementEvent.SEEN, nowMillis)
     }
 
+    /**
+     * Records that the worker showed the run at [clockMillis] of its clock; returns for how long it
+     * has shown it.
+     */
+    fun recordSeen(clockMillis: Long): Long {
+        hasReachedWorker = true
+        val first = seenClockMillis ?: clockMillis.also { seenClockMillis = it }
+        return clockMillis - first
+    }
+
     /** Records that the run was ordered to work at [percent] of full speed. */
     fun recordPace(percent: Int, nowMillis: Long) {
         worker.updatePace(this, percent)
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
@@ -99,11 +99,14 @@
         return left >= worker.capacity.milliCpus * SHORT_WORK_RESERVE
     }
 
-    private fun bestOrNull(
-        eligible: List<FleetWorker>,
-        task: OpenTask,
-        nowMillis: Long
-    ): FleetWorker? {
+    /** Returns the workers on which [task] may start now. */
+    fun eligible(task: OpenTask, nowMillis: Long): List<FleetWorker> =
+        candidates(task.step.spec).filter {
+            isEligible(it, task, nowMillis) && score(it, task, nowMillis) != null
+        }
+
+    /** Returns the best of the [eligible] workers, or null if it suits none. */
+    fun bestOrNull(eligible: List<FleetWorker>, task: OpenTask, nowMillis: Long): FleetWorker? {
         var best: FleetWorker? = null
         var bestScore = Double.NEGATIVE_INFINITY
         for (worker in eligible) {
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunEnds.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunEnds.kt
@@ -6,7 +6,11 @@
  */
 package sycamoremast.coordination.workflow
 
-internal class RunEnds(private val fleet: Fleet, private val recorder: Recorder) {
+internal class RunEnds(
+    private val fleet: Fleet,
+    private val recorder: Recorder,
+    private val crashes: CrashLedger
+) {
     /** Processes the end of a run that [worker] reports in [row]. */
     fun onEnded(worker: FleetWorker, row: EndedRow, nowMillis: Long) {
         val task = fleet.taskOrNull(row.task) ?: return
@@ -24,6 +28,7 @@
         )
         if (placement != null) fleet.release(placement, nowMillis)
         if (!workflow.isOpen) return
+        crashes.onReported(task, row.run)
         recorder.markBegun(workflow)
         when (row.how) {
             RunEnd.DONE -> onDone(task, worker, nowMillis)
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunMaintenance.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunMaintenance.kt
@@ -29,7 +29,7 @@
             if (worker.isListed) {
                 tracker.releaseLapsed(worker, nowMillis)
             } else {
-                tracker.markLost(worker, nowMillis, "lease lapsed")
+                tracker.markLost(worker, nowMillis, "lease lapsed", hasEnded = false)
             }
         }
     }
@@ -83,6 +83,7 @@
         return !worker.isReconciled ||
             worker.contactFailures > 0 ||
             worker.placements.isNotEmpty() ||
+            worker.isReportDue ||
             !worker.hasClockOffset
     }
 
@@ -103,24 +104,32 @@
             worker.seenEnd == worker.recordedEnd &&
             worker.placements.values.none { it.needsImmediateReport }
         worker.isPolling = true
+        worker.isReportDue = false
         worker.lastPollMillis = nowMillis
         val acknowledged = if (isIncarnationKnown) worker.recordedEnd else 0
         if (isIncarnationKnown) worker.acknowledgedEnd = acknowledged
         if (leaseEnd != null) {
             worker.recordLease(fleet.settings.lapsedBy(nowMillis, worker.listing.isDraining))
         }
-        val isShared = worker.servingCount > 0 && worker.opportunisticMilliCpus > 0
-        val maxWait = if (isShared) SHARED_POLL_MILLIS else fleet.settings.pollWaitMillis
-        val wait = if (mayWait) maxWait else 0
+        val wait = if (mayWait) maxWaitMillis(worker) else 0
         fleet.outbox += SchedulerAction.Poll(
             PollOrder(worker.ref, fleet.epoch, acknowledged, leaseEnd, wait, nowMillis)
         )
     }
 
+    private fun maxWaitMillis(worker: FleetWorker): Long = when {
+        worker.trial != null -> TRIAL_POLL_MILLIS
+        worker.servingCount > 0 && worker.opportunisticMilliCpus > 0 -> SHARED_POLL_MILLIS
+        else -> fleet.settings.pollWaitMillis
+    }
+
     private companion object {
         /** Shorter than the 500 ms over which readings of shared workers are averaged. */
         const val SHARED_POLL_MILLIS = 400L
 
+        /** Shorter than a trial, so that it ends soon. */
+        const val TRIAL_POLL_MILLIS = 100L
+
         /** How long a poll of an unreachable worker takes to fail. */
         const val FAILED_POLL_MILLIS = 600L
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
@@ -9,15 +9,19 @@
 internal class RunTracker(
     private val fleet: Fleet,
     private val recorder: Recorder,
-    private val colocation: ColocationController
+    private val colocation: ColocationController,
+    private val crashes: CrashLedger
 ) {
-    private val ends = RunEnds(fleet, recorder)
+    private val ends = RunEnds(fleet, recorder, crashes)
 
     fun onStartAnswer(order: StartOrder, answer: WorkerAnswer, nowMillis: Long) {
         val placement = findPlacementOrNull(order.task, order.worker, order.run) ?: return
         when (answer) {
             is WorkerAnswer.Done -> {
-                answer.clockMillis?.let { placement.worker.recordAnswer(it, answer.receivedMillis) }
+                answer.clockMillis?.let {
+                    placement.worker.recordAnswer(it, answer.receivedMillis)
+                    placement.recordSeen(it)
+                }
                 placement.transition(PlacementEvent.SEEN, nowMillis)
                 recorder.markBegun(placement.task.step.workflow)
             }
@@ -51,6 +55,7 @@
             "worker" to worker.id,
             "reason" to reason
         )
+        crashes.onNotStarted(placement)
         when (reason) {
             RejectReason.STALE_EPOCH -> fleet.outbox += SchedulerAction.Depose(worker.ref)
             RejectReason.OTHER_INCARNATION -> return markLost(
@@ -59,7 +64,11 @@
                 "other incarnation"
             )
             RejectReason.STALE_RUN -> task.lastRun += RUN_SKIP
-            RejectReason.NOT_SENT -> worker.recordContactFailure()
+            RejectReason.NOT_SENT -> {
+                worker.recordContactFailure()
+                crashes.onCallFailed(worker, tookMillis = 0, nowMillis)
+            }
+
             RejectReason.CONGESTED -> task.notBeforeMillis = nowMillis + CONGESTION_PAUSE_MILLIS
             RejectReason.LATE -> worker.nextPollMillis = nowMillis
             else -> worker.noStartsBeforeMillis = nowMillis + REJECTED_PAUSE_MILLIS
@@ -108,10 +117,14 @@
             is WorkerAnswer.Rejected -> when (answer.reason) {
                 RejectReason.STALE_EPOCH -> fleet.outbox += SchedulerAction.Depose(worker.ref)
                 RejectReason.OTHER_INCARNATION -> markLost(worker, nowMillis, "other incarnation")
-                else -> onPollFailed(worker, order, answer.reason.toString(), nowMillis)
+                else -> {
+                    val isUnanswered = answer.reason == RejectReason.NOT_SENT
+                    onPollFailed(worker, order, "${answer.reason}", isUnanswered, nowMillis)
+                }
             }
 
-            is WorkerAnswer.Unknown -> onPollFailed(worker, order, answer.reason, nowMillis)
+            is WorkerAnswer.Unknown ->
+                onPollFailed(worker, order, answer.reason, isUnanswered = true, nowMillis)
 
             is WorkerAnswer.Done -> Unit
         }
@@ -121,6 +134,7 @@
         worker: FleetWorker,
         order: PollOrder,
         reason: String,
+        isUnanswered: Boolean,
         nowMillis: Long
     ) {
         worker.failedPollMillis = order.sentMillis
@@ -134,6 +148,10 @@
             )
         }
         worker.recordContactFailure()
+        if (isUnanswered) {
+            val tookMillis = nowMillis - order.sentMillis - order.waitMillis
+            crashes.onCallFailed(worker, tookMillis, nowMillis)
+        }
         val pause = REPOLL_BACKOFF_MILLIS * minOf(worker.contactFailures, MAX_BACKOFF_STEPS)
         worker.nextPollMillis = nowMillis + pause
     }
@@ -152,6 +170,9 @@
             fleet.log("worker-restarted", worker.id, "runs" to worker.placements.size)
             recorder.dropPendingEnds(worker)
             worker.resetAfterRestart()
+            crashes.onRestarted(worker, nowMillis)
+        } else {
+            crashes.onAnswered(worker)
         }
         worker.recordAnswer(report.clockMillis, report.receivedMillis)
         worker.recordReport(nowMillis)
@@ -165,7 +186,7 @@
             recorder.trackEnd(worker, it.number, fleet.workflows[it.task.workflow])
         }
         val running = report.running.associateBy { it.task }
-        running.values.forEach { onRunning(worker, it, nowMillis) }
+        running.values.forEach { onRunning(worker, it, report.clockMillis, nowMillis) }
         val mayOmitEnds = report.ended.size >= MAX_ENDS_PER_REPORT
         for (placement in worker.placements.values.toList()) {
             if (mayOmitEnds || running[placement.task.name]?.run == placement.run) continue
@@ -174,10 +195,16 @@
         colocation.onReport(worker, nowMillis)
     }
 
-    private fun onRunning(worker: FleetWorker, row: RunningRow, nowMillis: Long) {
+    private fun onRunning(
+        worker: FleetWorker,
+        row: RunningRow,
+        clockMillis: Long,
+        nowMillis: Long
+    ) {
         val known = worker.placements[row.task]
         if (known != null && known.run == row.run) {
             known.recordProgress(row, nowMillis)
+            crashes.onRunning(known, clockMillis)
             recorder.markBegun(known.task.step.workflow)
             return
         }
@@ -188,7 +215,9 @@
             task.placements.isEmpty() &&
             known == null
         if (task == null || (known != null && known.run > row.run)) return stopUnknown(worker, row)
-        val placement = Placement(task, worker, row.run, nowMillis)
+        crashes.onReported(task, row.run)
+        // It was ordered by an earlier owner, longer ago than a takeover takes.
+        val placement = Placement(task, worker, row.run, nowMillis).apply { isExposed = false }
         if (known == null) {
             worker.add(placement)
             task.place(placement)
@@ -231,7 +260,8 @@
     }
 
     /** Removes [worker], on which nothing runs any more, and releases its placements. */
-    fun markLost(worker: FleetWorker, nowMillis: Long, reason: String) {
+    fun markLost(worker: FleetWorker, nowMillis: Long, reason: String, hasEnded: Boolean = true) {
+        crashes.onLost(worker, hasEnded, nowMillis)
         worker.isLost = true
         worker.isReconciled = true
         fleet.remove(worker)
@@ -241,8 +271,10 @@
     }
 
     /** Releases the placements on [worker], whose lease has lapsed, which ended all its runs. */
-    fun releaseLapsed(worker: FleetWorker, nowMillis: Long) =
+    fun releaseLapsed(worker: FleetWorker, nowMillis: Long) {
+        crashes.onLost(worker, hasEnded = false, nowMillis)
         releaseAll(worker, nowMillis, "lease lapsed")
+    }
 
     private fun releaseAll(worker: FleetWorker, nowMillis: Long, reason: String) {
         fleet.log("worker-lost", worker.id, "reason" to reason, "runs" to worker.placements.size)
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Starter.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Starter.kt
@@ -6,8 +6,11 @@
 internal class Starter(
     private val fleet: Fleet,
     private val placer: Placer,
-    private val neighbours: NeighbourAdmission
+    private val neighbours: NeighbourAdmission,
+    private val crashes: CrashLedger
 ) {
+    private val trials = TrialPlacer(fleet, placer)
+
     /** Begins a round of placement, in which capacity only shrinks. */
     fun beginRound() = placer.beginRound()
 
@@ -19,16 +22,34 @@
         }
         for (task in step.waiting.toList()) {
             if (nowMillis < task.notBeforeMillis || placer.isAwaitingRoom(task, nowMillis)) continue
+            val history = task.crashHistory
+            if (history != null) {
+                startSuspect(task, history, nowMillis)
+                continue
+            }
             val worker = placer.chooseOrNull(task, nowMillis) ?: return
-            val run = maxOf(task.lastRun + 1, fleet.firstRun)
-            orderStart(place(task, worker, run, nowMillis), nowMillis)
+            orderStart(place(task, worker, nextRun(task), nowMillis), nowMillis)
         }
     }
 
+    private fun nextRun(task: OpenTask) = maxOf(task.lastRun + 1, fleet.firstRun)
+
+    private fun startSuspect(task: OpenTask, history: CrashHistory, nowMillis: Long) {
+        if (!crashes.mayStart(task, nowMillis)) return
+        val worker = if (history.needsTrial) {
+            trials.chooseOrNull(task, history, nowMillis)
+        } else {
+            placer.chooseOrNull(task, nowMillis)
+        } ?: return
+        val placement = place(task, worker, nextRun(task), nowMillis)
+        if (history.needsTrial) trials.begin(placement, history)
+        orderStart(placement, nowMillis)
+    }
+
     /** Starts a gang if all of it fits, with one run number and one checkpoint for all members. */
     private fun startGang(step: OpenStep, nowMillis: Long) {
         val isComplete = step.waiting.size == step.tasks.size &&
-            step.tasks.all { nowMillis >= it.notBeforeMillis }
+            step.tasks.all { nowMillis >= it.notBeforeMillis && crashes.mayStart(it, nowMillis) }
         if (!isComplete) return
         val run = maxOf(step.tasks.maxOf { it.lastRun } + 1, fleet.firstRun)
         val checkpoint = step.tasks.firstOrNull { it.checkpoint.isNotEmpty() }?.checkpoint.orEmpty()
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowProgress.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowProgress.kt
@@ -23,6 +23,7 @@
  * Steps are keyed by `occurrence.step`, tasks by `occurrence.step.index`. [failures] contains the
  * numbers of each task's failed runs. Two owners may read the same end, and an owner may read the
  * ends of a task's runs from several workers in any order; the numbers show which are counted.
+ * [crashes] contains the numbers of the runs under which the worker may have crashed.
  *
  * [endedUnixMillis] is 0 until the workflow has ended.
  */
@@ -33,5 +34,6 @@
     val failures: Map<String, Set<Int>> = emptyMap(),
     val checkpoints: Map<String, String> = emptyMap(),
     val hasBegun: Boolean = false,
-    val endedUnixMillis: Long = 0
+    val endedUnixMillis: Long = 0,
+    val crashes: Map<String, Set<Int>> = emptyMap()
 )
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -14,10 +14,11 @@
     private val recorder = Recorder(fleet, tails)
     private val forecast = HeadroomForecast()
     private val colocation = ColocationController(fleet, tails, forecast)
-    private val tracker = RunTracker(fleet, recorder, colocation)
+    private val crashes = CrashLedger(fleet, recorder)
+    private val tracker = RunTracker(fleet, recorder, colocation, crashes)
     private val neighbours = NeighbourAdmission(tails, forecast, colocation)
     private val placer = Placer(fleet, neighbours)
-    private val starter = Starter(fleet, placer, neighbours)
+    private val starter = Starter(fleet, placer, neighbours, crashes)
     private val moves = TaskMoves(fleet)
     private val evacuation = Evacuation(fleet, placer, moves)
     private val consolidation = Consolidation(fleet, placer, moves, tails)
@@ -178,6 +179,7 @@
         if (nowMillis >= nextMaintenanceMillis) {
             nextMaintenanceMillis = nowMillis + MAINTENANCE_INTERVAL_MILLIS
             maintenance.step(nowMillis)
+            crashes.step(nowMillis)
             evacuation.step(nowMillis)
             consolidation.step(nowMillis)
             directory.applyMovedEntries(nowMillis)
@@ -220,16 +222,16 @@
         val changed = fleet.endCandidates.filter { it.isOpen }
         fleet.endCandidates.clear()
         for (workflow in changed) {
-            val maxAttempts = workflow.queue.maxAttempts
-            val exhausted = workflow.steps().flatMap { it.tasks }
-                .firstOrNull { it.failedRuns.size >= maxAttempts }
+            val failure = failureOrNull(workflow)
             when {
-                exhausted != null -> {
+                failure != null -> {
                     fleet.log(
                         "workflow-failed",
                         workflow.id,
-                        "task" to exhausted.name,
-                        "failedRuns" to exhausted.failedRuns.joinToString(","),
+                        "task" to failure.task,
+                        "reason" to failure.reason,
+                        "runs" to failure.runs.joinToString(","),
+                        "workers" to failure.workers.joinToString(","),
                         "maxAttempts" to workflow.queue.maxAttempts
                     )
                     end(workflow, WorkflowPhase.FAILED, nowMillis, unixMillis)
@@ -240,6 +242,28 @@
         }
     }
 
+    private fun failureOrNull(workflow: OpenWorkflow): WorkflowFailure? =
+        workflow.steps().flatMap { it.tasks }.firstNotNullOfOrNull { task ->
+            val history = task.crashHistory
+            when {
+                task.failedRuns.size >= workflow.queue.maxAttempts -> WorkflowFailure(
+                    task.name,
+                    FailureReason.ATTEMPTS_EXHAUSTED,
+                    task.failedRuns.toSet(),
+                    emptySet()
+                )
+
+                history?.isGivenUp == true -> WorkflowFailure(
+                    task.name,
+                    FailureReason.WORKERS_CRASHED,
+                    history.runs.toSet(),
+                    history.workerIds
+                )
+
+                else -> null
+            }
+        }
+
     private fun end(
         workflow: OpenWorkflow,
         phase: WorkflowPhase,
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/CrashingWorkers.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/CrashingWorkers.kt
@@ -16,6 +16,7 @@
         var isUp = true
         var cutUntilMillis = 0L
         var lastEnd = 0L
+        var leaseEndMillis = 0L
         val running = ArrayList<StartOrder>()
         val begunMillis = HashMap<StartOrder, Long>()
         val ended = ArrayList<EndedRow>()
@@ -29,6 +30,9 @@
     /** The workflows whose tasks crash the worker that starts them. */
     val deadly = HashSet<String>()
 
+    /** Whether a worker answers the start of a deadly task before it crashes. */
+    var answersDeadlyStarts = true
+
     /** Whether a worker that crashed is back under the ID that it had. */
     var keepsIds = false
 
@@ -56,7 +60,7 @@
 
     fun phaseOf(workflow: String): WorkflowPhase? = driver.scheduler.phaseOrNull(workflow)
 
-    /** Returns the number of the workers on which tasks of [workflow] run. */
+    /** Returns the workers on which tasks of [workflow] run, by their numbers. */
     fun nodesOf(workflow: String): List<Int> = nodes.indices.filter { i ->
         nodes[i].running.any { it.task.workflow == workflow }
     }
@@ -71,7 +75,7 @@
     private fun listing(node: Node) = driver.listing(node.id)
         .copy(ref = WorkerRef(node.id, node.address), startedUnixMillis = node.startedMillis)
 
-    fun submit(id: String, vararg steps: WorkflowStep) {
+    fun submit(id: String, vararg steps: WorkflowStep = arrayOf(driver.taskStep())) {
         if (steps.any { it.isLongRunning }) lasting += id
         val workflow = driver.workflow(id, *steps)
         workflows[id] = workflow
@@ -91,6 +95,7 @@
         }
     }
 
+    /** Crashes worker [number], counted from 0, which is back after [downMillis]. */
     fun crash(number: Int) {
         val node = nodes[number]
         if (!node.isUp) return
@@ -149,8 +154,9 @@
                 driver.now >= node.begunMillis.getValue(it) + workMillis
         }
         done.forEach { end(node, it, RunEnd.DONE) }
-        val isLapsed = driver.now >= node.cutUntilMillis - 1 && node.cutUntilMillis > driver.now
-        if (isLapsed) node.running.toList().forEach { end(node, it, RunEnd.LAPSED) }
+        if (driver.now > node.leaseEndMillis) {
+            node.running.toList().forEach { end(node, it, RunEnd.LAPSED) }
+        }
     }
 
     private fun end(node: Node, order: StartOrder, how: RunEnd) {
@@ -175,14 +181,24 @@
             else -> null
         }
         if (answer != null) return driver.scheduler.onStartAnswer(order, answer, driver.now)
+        node.leaseEndMillis = maxOf(node.leaseEndMillis, order.leaseEndMillis)
         started += order to driver.now
         node.running += order
         node.begunMillis[order] = driver.now
-        if (order.task.workflow in deadly) {
-            crash(nodes.indexOf(node))
-            driver.scheduler.onStartAnswer(order, Unknown("unexpected end of stream"), driver.now)
-        } else {
-            driver.confirmStart(order)
+        val isDeadly = order.task.workflow in deadly
+        when {
+            !isDeadly -> driver.confirmStart(order)
+
+            answersDeadlyStarts -> {
+                driver.confirmStart(order)
+                at(STEP_MILLIS) { crash(nodes.indexOf(node)) }
+            }
+
+            else -> {
+                crash(nodes.indexOf(node))
+                val answer = Unknown("unexpected end of stream")
+                driver.scheduler.onStartAnswer(order, answer, driver.now)
+            }
         }
     }
 
@@ -211,9 +227,12 @@
                 driver.answer(poll, Rejected(RejectReason.OTHER_INCARNATION))
 
             waitedMillis >= poll.waitMillis || node.ended.isNotEmpty() -> {
+                node.leaseEndMillis = maxOf(node.leaseEndMillis, poll.leaseEndMillis ?: 0)
                 node.ended.removeAll { it.number <= poll.acknowledgedEnd }
                 val rows = node.running.map {
-                    val percent = if (it.task.workflow in lasting) Placement.FULL_PACE else 1
+                    val ranMillis = driver.now - node.begunMillis.getValue(it)
+                    val isLasting = it.task.workflow in lasting
+                    val percent = if (isLasting) 100 else (100 * ranMillis / workMillis).toInt()
                     RunningRow(it.task, it.run, "", percent, null)
                 }
                 driver.report(poll, rows, node.ended.toList(), node.startedMillis)
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/DeadlyTaskTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/DeadlyTaskTest.kt
@@ -3,8 +3,12 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.hasSize
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThanOrEqualTo
+import strikt.assertions.isNotEmpty
+import strikt.assertions.isTrue
 
 /** Tests of tasks that crash the workers that start them. */
 class DeadlyTaskTest {
@@ -61,6 +65,174 @@
         expectThat(workers.phaseOf("deadly")).isEqualTo(WorkflowPhase.FAILED)
     }
 
+    @Test
+    fun `gives up a task whose workers crash before they answer its starts`() {
+        val workers = workers(6)
+        workers.deadly += "deadly"
+        workers.answersDeadlyStarts = false
+        workers.submit("deadly")
+        workers.run(60_000)
+        expectThat(workers.startsOf("deadly").size).isLessThanOrEqualTo(MOST_STARTS)
+        expectThat(workers.phaseOf("deadly")).isEqualTo(WorkflowPhase.FAILED)
+    }
+
+    // Guards against a job that fails for a crash that another task caused.
+    @Test
+    fun `completes the neighbours of a task that is given up`() {
+        val workers = workers(2)
+        workers.deadly += "deadly"
+        workers.submit("lasting", driver.taskStep(4).copy(isLongRunning = true))
+        workers.run(3_000)
+        workers.submit("deadly")
+        workers.submit("short", driver.taskStep(20))
+        workers.submit("other", driver.taskStep(20))
+        workers.run(60_000)
+        expectThat(workers.phaseOf("deadly")).isEqualTo(WorkflowPhase.FAILED)
+        expectThat(workers.phaseOf("short")).isEqualTo(WorkflowPhase.COMPLETED)
+        expectThat(workers.phaseOf("other")).isEqualTo(WorkflowPhase.COMPLETED)
+        expectThat(workers.nodesOf("lasting")).isNotEmpty()
+    }
+
+    @Test
+    fun `never counts a crash against lasting tasks that have run for long`() {
+        val workers = workers(3)
+        workers.submit("lasting", driver.taskStep(6).copy(isLongRunning = true))
+        workers.run(5_000)
+        repeat(6) { i ->
+            workers.crash(i % 3)
+            workers.run(15_000)
+        }
+        expectThat(workers.logged("task-suspected")).isEmpty()
+        expectThat(workers.phaseOf("lasting")).isEqualTo(WorkflowPhase.RUNNING)
+        expectThat(workers.startsOf("lasting").size).isGreaterThan(6)
+    }
+
+    // Guards against jobs that fail as their workers crash for reasons of their own.
+    @Test
+    fun `fails no job when all workers crash at once again and again`() {
+        val workers = workers(8)
+        repeat(6) { i ->
+            workers.submit("job$i", driver.taskStep(30))
+            workers.run(100)
+            repeat(8, workers::crash)
+            workers.run(3_500)
+        }
+        workers.run(60_000)
+        repeat(6) { i ->
+            expectThat(workers.phaseOf("job$i")).isEqualTo(WorkflowPhase.COMPLETED)
+        }
+    }
+
+    // Guards against jobs that fail as their workers crash for reasons of their own.
+    @Test
+    fun `fails no job when a rack crashes again and again`() {
+        val workers = workers(12)
+        repeat(6) { i ->
+            workers.submit("job$i", driver.taskStep(60))
+            workers.run(100)
+            repeat(4, workers::crash)
+            workers.run(5_000)
+        }
+        workers.run(60_000)
+        repeat(6) { i ->
+            expectThat(workers.phaseOf("job$i")).isEqualTo(WorkflowPhase.COMPLETED)
+        }
+    }
+
+    // Guards against jobs that fail as their workers crash for reasons of their own.
+    @Test
+    fun `fails no job when workers crash by turns`() {
+        val workers = workers(6)
+        repeat(40) { i ->
+            workers.submit("job$i", driver.taskStep(6))
+            workers.run(60)
+            workers.crash(i % 6)
+            workers.run(1_000)
+        }
+        workers.run(60_000)
+        repeat(40) { i ->
+            expectThat(workers.phaseOf("job$i")).isEqualTo(WorkflowPhase.COMPLETED)
+        }
+    }
+
+    // Guards against jobs that fail as their workers are out of reach.
+    @Test
+    fun `keeps no crash on record for runs that a worker shows again`() {
+        val workers = workers(3)
+        workers.workMillis = 9_000
+        workers.submit("job", driver.taskStep(6))
+        workers.run(100)
+        workers.cutOff(0, 3_000)
+        workers.run(2_500)
+        expectThat(workers.recorded.getValue("job").crashes).isNotEmpty()
+        workers.run(30_000)
+        expectThat(workers.recorded.getValue("job").crashes).isEmpty()
+        expectThat(workers.startsOf("job")).hasSize(6)
+        expectThat(workers.phaseOf("job")).isEqualTo(WorkflowPhase.COMPLETED)
+    }
+
+    // Guards against a count that begins anew with each owner.
+    @Test
+    fun `counts the crashes that an earlier owner has seen`() {
+        val workers = workers(6)
+        workers.deadly += "deadly"
+        workers.submit("deadly")
+        workers.run(2_900)
+        expectThat(workers.startsOf("deadly")).hasSize(1)
+        workers.takeOver(2)
+        workers.run(60_000)
+        expectThat(workers.startsOf("deadly").size).isLessThanOrEqualTo(MOST_STARTS)
+        expectThat(workers.phaseOf("deadly")).isEqualTo(WorkflowPhase.FAILED)
+    }
+
+    // Guards against a crash that is forgotten as its owner goes before the worker is back.
+    @Test
+    fun `counts a crash during which another owner takes over`() {
+        val workers = workers(6)
+        workers.deadly += "deadly"
+        workers.submit("deadly")
+        repeat(3) { i ->
+            val starts = workers.startsOf("deadly").size
+            while (workers.startsOf("deadly").size == starts) workers.run(20)
+            workers.run(600)
+            expectThat(workers.recorded.getValue("deadly").crashes["0.0.0"].orEmpty())
+                .hasSize(i + 1)
+            workers.takeOver(2L + i)
+        }
+        workers.run(60_000)
+        expectThat(workers.startsOf("deadly").size).isLessThanOrEqualTo(MOST_STARTS)
+        expectThat(workers.phaseOf("deadly")).isEqualTo(WorkflowPhase.FAILED)
+    }
+
+    // Guards against a suspect that takes others with it.
+    @Test
+    fun `starts a suspect alone while other work goes on`() {
+        val workers = workers(8)
+        workers.deadly += "deadly"
+        workers.submit("lasting", driver.taskStep(2).copy(isLongRunning = true))
+        workers.run(3_000)
+        workers.submit("deadly")
+        var isAlone = true
+        var others = 0
+        repeat(100) { i ->
+            workers.submit("job$i")
+            workers.run(100) {
+                val trials = workers.logged("trial-begun").size
+                if (trials > 0) others++
+            }
+        }
+        workers.run(20_000)
+        val trials = workers.logged("trial-begun").filter { it.id == "deadly.0.0.0" }
+        trials.forEach { if (it.fields["exposedRuns"] != 0) isAlone = false }
+        expectThat(trials).isNotEmpty()
+        expectThat(isAlone).isTrue()
+        expectThat(others).isGreaterThan(0)
+        expectThat(workers.phaseOf("deadly")).isEqualTo(WorkflowPhase.FAILED)
+        repeat(100) { i ->
+            expectThat(workers.phaseOf("job$i")).isEqualTo(WorkflowPhase.COMPLETED)
+        }
+    }
+
     private companion object {
         /** A task may start twice after three workers have crashed under it. */
         const val MOST_STARTS = 5
