--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -14,10 +14,11 @@
     private val recorder = Recorder(fleet, tails)
     private val forecast = HeadroomForecast()
     private val colocation = ColocationController(fleet, tails, forecast)
-    private val tracker = RunTracker(fleet, recorder, colocation)
+    private val crashes = CrashLedger(fleet, recorder)
+    private val tracker = RunTracker(fleet, recorder, colocation, crashes)
     private val neighbours = NeighbourAdmission(tails, forecast, colocation)
     private val placer = Placer(fleet, neighbours)
-    private val starter = Starter(fleet, placer, neighbours)
+    private val starter = Starter(fleet, placer, neighbours, crashes)
     private val moves = TaskMoves(fleet)
     private val evacuation = Evacuation(fleet, placer, moves)
     private val consolidation = Consolidation(fleet, placer, moves, tails)
@@ -191,6 +192,7 @@
         if (nowMillis >= nextMaintenanceMillis) {
             nextMaintenanceMillis = nowMillis + MAINTENANCE_INTERVAL_MILLIS
             maintenance.step(nowMillis)
+            crashes.step(nowMillis)
             evacuation.step(nowMillis)
             consolidation.step(nowMillis)
             directory.applyMovedEntries(nowMillis)
@@ -234,24 +236,36 @@
         val changed = fleet.endCandidates.filter { it.isOpen }
         fleet.endCandidates.clear()
         for (workflow in changed) {
-            val maxAttempts = workflow.queue.maxAttempts
-            val exhausted = workflow.steps().flatMap { it.tasks }
-                .firstOrNull { it.failedRuns.size >= maxAttempts }
+            val failure = failureOrNull(workflow)
             when {
-                exhausted != null -> {
-                    val cause = WorkflowFailure.of(
-                        exhausted.name,
-                        FailureReason.ATTEMPTS_USED_UP,
-                        exhausted.failedRunWorkers
-                    )
-                    end(workflow, WorkflowPhase.FAILED, nowMillis, unixMillis, cause)
-                }
+                failure != null ->
+                    end(workflow, WorkflowPhase.FAILED, nowMillis, unixMillis, failure)
 
                 workflow.isDone -> end(workflow, WorkflowPhase.COMPLETED, nowMillis, unixMillis)
             }
         }
     }
 
+    private fun failureOrNull(workflow: OpenWorkflow): WorkflowFailure? =
+        workflow.steps().flatMap { it.tasks }.firstNotNullOfOrNull { task ->
+            val history = task.crashHistory
+            when {
+                task.failedRuns.size >= workflow.queue.maxAttempts -> WorkflowFailure.of(
+                    task.name,
+                    FailureReason.ATTEMPTS_USED_UP,
+                    task.failedRunWorkers
+                )
+
+                history?.isGivenUp == true -> WorkflowFailure.of(
+                    task.name,
+                    FailureReason.WORKERS_CRASHED,
+                    history.runWorkers
+                )
+
+                else -> null
+            }
+        }
+
     private fun end(
         workflow: OpenWorkflow,
         phase: WorkflowPhase,
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
@@ -68,6 +68,7 @@
     /** One term of ownership. */
     inner class Term(val epoch: Long, val lease: Int, var renewedMillis: Long) {
         val scheduler = WorkflowScheduler(epoch, settings)
+            .apply { updatePolicies(emptyMap(), guardingServices = setOf("service")) }
         lateinit var sightings: StoreSightings
         var epochVersion = 0L
         var batchNumber = 0L
