Check the blame for crashes in virtual time, and count what that showed

FaultSchedule now plays tasks that crash each worker that starts them, which is back after 1 to 6 s under its ID or another one, alone and among crashes, cuts, lost and late orders. Causes and changes:

- A crash that was confirmed and judged in the same step as the next placement was not yet taken account of, so that a sixth run was ordered.
- A loss of contact that was noted, and ended by an answer that had been sent before, hid the runs that were ordered since.
- A crash under several runs is weak evidence.
Two crashes under the task alone are needed now, so that a first one beside others costs one more worker.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/CrashHistory.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/CrashHistory.kt
@@ -5,15 +5,15 @@
  * Run number [run] of a task, which had lived for [livedMillis] when [workerId] lost contact at
  * [lostMillis].
  *
- * The crash [isOfSuspect] if the task had one on record by then, had lived no longer than before,
- * and no other workflow could have caused this one.
+ * The run [isAlone] if no other workflow could have caused the crash, and it had lived no longer than
+ * those before.
  */
 internal class CrashedRun(
     val run: Int,
     val workerId: String,
     val lostMillis: Long,
     val livedMillis: Long,
-    val isOfSuspect: Boolean
+    val isAlone: Boolean
 ) {
     /** Whether the worker is in another incarnation, or its lease has certainly lapsed. */
     var isConfirmed = false
@@ -23,7 +23,9 @@
 
     /** Whether other workers lost contact at about the same time, or null while that is open. */
     var isInTrouble: Boolean? = null
-    val isDecided: Boolean get() = isConfirmed && isInTrouble != null
+
+    /** Whether it has been taken account of, once all is known of it. */
+    var isDecided = false
 }
 
 internal class CrashHistory {
@@ -70,8 +72,11 @@
 
     /** Takes account of [crash], of which all is known now. */
     fun decide(crash: CrashedRun) {
-        val isProof = crash.isOfSuspect && crash.hasEnded && crash.isInTrouble == false
-        if (isExhausted || (isProof && credibleCount >= PROVEN_CRASHES)) isGivenUp = true
+        crash.isDecided = true
+        val proofs = crashes.values.count {
+            it != null && it.isAlone && it.hasEnded && it.isInTrouble == false
+        }
+        if (isExhausted || proofs >= PROVEN_CRASHES) isGivenUp = true
     }
 
     private val isExhausted: Boolean
@@ -90,7 +95,7 @@
         const val MAX_TRIAL_MILLIS = 3_000L
         const val TRIAL_MARGIN_MILLIS = 200L
 
-        /** The number of credible crashes, one of them of the task alone, that prove its guilt. */
+        /** The number of credible crashes under the task alone that prove its guilt. */
         const val PROVEN_CRASHES = 2
 
         /** The number of credible crashes after which a task is given up without proof. */
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/CrashLedger.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/CrashLedger.kt
@@ -3,8 +3,8 @@
  *
  * A run is exposed until its worker has shown it running for a while. If the worker is lost before,
  * the run may have crashed it, and its task is a suspect. As other runs may be exposed on the same
- * worker, and workers also crash for reasons of their own, a suspect starts alone next time: if it
- * crashes that worker too, while no others are lost, it is given up. If it outlives the crashed
+ * worker, and workers also crash for reasons of their own, a suspect starts alone next time. If two
+ * workers crash under it alone, while no others are lost, it is given up. If it outlives the crashed
  * runs, it is cleared.
  */
 package sycamoremast.coordination.workflow
@@ -13,16 +13,19 @@
 internal class ExposedRun(placement: Placement, val livedMillis: Long) {
     val task = placement.task
     val run = placement.run
-    val isOfSuspect = placement.hasReachedWorker &&
-        task.crashHistory?.let { livedMillis <= it.trialMillis } ?: false
+
+    /** Whether it may be the cause, unless it is a suspect's that lived longer than earlier ones. */
+    val isCredible = placement.hasReachedWorker &&
+        task.crashHistory?.let { livedMillis <= it.trialMillis } ?: true
+    val isOfSuspect = isCredible && task.crashHistory != null
 }
 
 /**
  * The loss of contact with worker [workerId] at [atMillis].
  *
- * It [isOfSuspect] if a suspect was the only one that could have caused it, as the worker had been
- * up for a while. If it [isAbrupt], a
- * call was broken off or refused, as when the worker has ended; calls that are lost time out.
+ * It [isOfSuspect] if only a suspect could have caused it, as the worker had been up for a while. If
+ * it [isAbrupt], a call was broken off or refused, as when the worker has ended; calls that are lost
+ * time out.
  */
 internal class WorkerLoss(
     val workerId: String,
@@ -31,10 +34,9 @@
     val isAbrupt: Boolean,
     wasSettled: Boolean
 ) {
-    val isOfSuspect = wasSettled &&
-        exposed.isNotEmpty() &&
-        exposed.distinctBy { it.task.step.workflow }.size == 1 &&
-        exposed.any { it.isOfSuspect }
+    /** Whether only runs of one workflow could have caused it. */
+    val isAlone = exposed.distinctBy { it.task.step.workflow }.size == 1
+    val isOfSuspect = isAlone && wasSettled && exposed.any { it.isOfSuspect }
     val crashes = LinkedHashMap<CrashedRun, OpenTask>()
     var isCounted = false
 }
@@ -54,7 +56,7 @@
     fun onCallFailed(worker: FleetWorker, tookMillis: Long, nowMillis: Long) {
         if (worker.listing.isDraining) return
         val isAbrupt = tookMillis < ABRUPT_MILLIS
-        val loss = worker.loss ?: loss(worker, nowMillis, isAbrupt) { true }
+        val loss = currentLoss(worker, failures = 1) ?: loss(worker, nowMillis, isAbrupt) { true }
         // A single call fails now and then.
         if (worker.isSilent) count(loss)
     }
@@ -145,7 +147,7 @@
                 nowMillis > untilMillis -> crash.isInTrouble = false
             }
         }
-        if (!crash.isDecided) return false
+        if (!crash.isConfirmed || crash.isInTrouble == null) return false
         history.decide(crash)
         history.heldUntilMillis = nowMillis + MAX_HOLD_MILLIS * (history.runs.size - 1)
         if (history.isGivenUp) fleet.endCandidates += task.step.workflow
@@ -155,7 +157,7 @@
             task.name.toString(),
             "run" to crash.run,
             "worker" to crash.workerId,
-            "ofSuspect" to crash.isOfSuspect,
+            "alone" to crash.isAlone,
             "hasEnded" to crash.hasEnded,
             "inTrouble" to crash.isInTrouble,
             "crashes" to history.runs.size,
@@ -185,7 +187,7 @@
 
     private fun confirm(worker: FleetWorker, hasEnded: Boolean, nowMillis: Long) {
         // A start that is on its way may reach the new incarnation.
-        val loss = worker.loss
+        val loss = currentLoss(worker, failures = 0)
             ?: loss(worker, nowMillis, hasEnded) { it.phase != PlacementPhase.STARTING }
         count(loss)
         for (crash in loss.crashes.keys) {
@@ -194,6 +196,14 @@
         }
     }
 
+    /** Returns the present loss of contact, unless [worker] answered and only [failures] followed. */
+    private fun currentLoss(worker: FleetWorker, failures: Int): WorkerLoss? {
+        val loss = worker.loss ?: return null
+        if (worker.contactFailures > failures) return loss
+        if (!loss.isCounted) losses -= loss
+        return null
+    }
+
     private fun loss(
         worker: FleetWorker,
         nowMillis: Long,
@@ -209,6 +219,8 @@
             isAbrupt,
             worker.isSettled(nowMillis)
         )
+        // What answered in between may have been sent before the first loss.
+        worker.loss?.let { loss.crashes += it.crashes }
         worker.loss = loss
         losses += loss
         return loss
@@ -222,13 +234,14 @@
 
     private fun count(loss: WorkerLoss, exposed: ExposedRun) {
         val task = exposed.task
-        if (!task.step.workflow.isOpen || task.isDone) return
+        val isKnown = task.crashHistory?.runs?.contains(exposed.run) == true
+        if (isKnown || !task.step.workflow.isOpen || task.isDone) return
         val crash = CrashedRun(
             exposed.run,
             loss.workerId,
             loss.atMillis,
             exposed.livedMillis,
-            loss.isOfSuspect && exposed.isOfSuspect
+            loss.isAlone && exposed.isCredible && (task.crashHistory == null || loss.isOfSuspect)
         )
         val history = task.crashHistory ?: CrashHistory().also { task.crashHistory = it }
         history.add(crash)
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/FaultSchedule.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/FaultSchedule.kt
@@ -2,7 +2,7 @@
  * A simulation of a scheduler and its workers in virtual time, with faults drawn from a seed.
  *
  * Orders and answers take random times, so that they overtake each other. Answers get lost, orders
- * are carried out late, and workers restart or are temporarily unreachable.
+ * are carried out late, and workers restart or are temporarily unreachable. Tasks may crash them.
  */
 package sycamoremast.coordination.workflow
 
@@ -30,7 +30,13 @@
     /** How long a received answer waits until the scheduler processes it. */
     val loopLagMillis: Long = 0,
     /** The rate of workers' clocks, in thousandths of true time. */
-    val clockPerMille: Long = 1_000
+    val clockPerMille: Long = 1_000,
+    /** The number of workflows whose task crashes each worker that starts it. */
+    val deadlyWorkflows: Int = 0,
+    /** The share of workers that are back under another ID after such a crash. */
+    val newIds: Double = 0.5,
+    /** When the simulation ends, long after the last faults but those of orders. */
+    val endMillis: Long = 60_000
 )
 
 /** A start that violated a guarantee of the scheduler. */
@@ -42,9 +48,11 @@
     private val random = Random(seed)
     private val events = PriorityQueue<Event>(compareBy({ it.atMillis }, { it.number }))
     private val scheduler = WorkflowScheduler(1, SchedulerSettings())
-    private val workers = (1..WORKERS).map {
-        ModelWorker(WorkerRef("w$it", "10.0.0.$it:1"), WORK_MILLIS, faults.clockPerMille)
-    }.associateBy { it.ref.id }
+    private val workers = (1..WORKERS).map { model(WorkerRef("w$it", "10.0.0.$it:1")) }
+        .associateByTo(LinkedHashMap()) { it.ref.id }
+
+    /** The workers that have ended and whose successors have other IDs. */
+    private val replaced = ArrayList<ModelWorker>()
     private val partitionedUntil = HashMap<String, Long>()
     private val starts = ArrayList<Pair<TaskName, Long>>()
     private var lastEventNumber = 0L
@@ -53,10 +61,19 @@
         private set
 
     /** The ends as done of all incarnations of all workers. */
-    val doneEnds: List<DoneEnd> get() = workers.values.flatMap { it.doneEnds }
+    val doneEnds: List<DoneEnd> get() = (workers.values + replaced).flatMap { it.doneEnds }
     val violations = ArrayList<Violation>()
     val log = ArrayList<String>()
 
+    /** The workflows whose task crashes each worker that starts it. */
+    private val deadly = (1..faults.deadlyWorkflows).map { "deadly$it" }
+
+    /** How often workers have started the task of each deadly workflow. */
+    val deadlyStarts: Map<String, Int>
+        get() = deadly.associateWith { id -> starts.count { it.first.workflow == id } }
+
+    private fun model(ref: WorkerRef) = ModelWorker(ref, WORK_MILLIS, faults.clockPerMille)
+
     private fun at(millis: Long, action: () -> Unit) {
         events += Event(millis, ++lastEventNumber, action)
     }
@@ -66,17 +83,18 @@
         scheduler.onWorkersListed(workers.values.map { listing(it.ref) }, 0)
         val ids = (1..WORKFLOWS).map { "job$it" }
         ids.forEach { id -> at(random.nextLong(SUBMIT_MILLIS)) { submit(id) } }
-        for (worker in workers.values) {
+        deadly.forEach { id -> at(random.nextLong(SUBMIT_MILLIS)) { submitDeadly(id) } }
+        for (worker in workers.values.toList()) {
             if (faults.maxRestartIntervalMillis > 0) scheduleRestart(worker)
             if (faults.maxPartitionIntervalMillis > 0) schedulePartition(worker)
         }
         step()
-        while (events.isNotEmpty() && now < END_MILLIS) {
+        while (events.isNotEmpty() && now < faults.endMillis) {
             val event = events.remove()
             now = event.atMillis
             event.action()
         }
-        workers.values.flatMap { it.doneEnds }.filter { it.isAcknowledged }.forEach { end ->
+        doneEnds.filter { it.isAcknowledged }.forEach { end ->
             starts.filter { it.first == end.task && it.second > end.atMillis }
                 .forEach { violations += Violation("started after done", it.first, it.second) }
         }
@@ -91,15 +109,55 @@
         scheduler.onWorkflowAccepted(workflow, null, isRecovered = false, now, now)
     }
 
+    private fun submitDeadly(id: String) {
+        val queue = QueuePolicy("queue", "service")
+        val steps = listOf(WorkflowStep(1, Resources(MILLI_CPUS, 1_000)))
+        val workflow = Workflow(id, queue, "payload", steps, submittedMillis = now)
+        scheduler.onWorkflowAccepted(workflow, null, isRecovered = false, now, now)
+    }
+
+    /** Crashes [worker], on which a deadly task has started. */
+    private fun crashSoon(worker: ModelWorker) {
+        val started = worker.incarnation
+        at(now + DEADLY_MILLIS) {
+            if (worker.incarnation != started) return@at
+            log += "$now ${worker.ref.id} crashes under a task"
+            worker.crash()
+            val crashed = worker.incarnation
+            at(now + random.nextLong(MIN_DEADLY_DOWN_MILLIS, MAX_DEADLY_DOWN_MILLIS)) {
+                if (worker.incarnation == crashed && !worker.isUp) bringBack(worker)
+            }
+        }
+    }
+
+    private fun bringBack(worker: ModelWorker) {
+        if (random.nextDouble() >= faults.newIds) {
+            log += "$now ${worker.ref.id} is back"
+            worker.restart(now)
+            return
+        }
+        val successor = model(worker.ref.copy(id = worker.ref.id + "'"))
+        log += "$now ${worker.ref.id} is back as ${successor.ref.id}"
+        workers -= worker.ref.id
+        replaced += worker
+        workers[successor.ref.id] = successor
+        successor.restart(now)
+        scheduler.onWorkerListed(listing(successor.ref), now)
+        at(now + UNLIST_MILLIS) { scheduler.onWorkerUnlisted(worker.ref.id) }
+        if (faults.maxRestartIntervalMillis > 0) scheduleRestart(successor)
+        if (faults.maxPartitionIntervalMillis > 0) schedulePartition(successor)
+    }
+
     private fun listing(ref: WorkerRef) =
         WorkerListing(ref, "service", "zone", Resources(4_000, 64_000), emptyList(), false)
 
     private fun scheduleRestart(worker: ModelWorker) {
         at(now + random.nextLong(faults.maxRestartIntervalMillis)) {
-            if (now > FAULTS_END_MILLIS) return@at
+            if (now > FAULTS_END_MILLIS || worker in replaced) return@at
             log += "$now ${worker.ref.id} crashes"
             worker.crash()
             at(now + random.nextLong(faults.minDownMillis, MAX_DOWN_MILLIS)) {
+                if (worker in replaced) return@at
                 log += "$now ${worker.ref.id} is back"
                 worker.restart(now)
                 scheduleRestart(worker)
@@ -109,7 +167,7 @@
 
     private fun schedulePartition(worker: ModelWorker) {
         at(now + random.nextLong(faults.maxPartitionIntervalMillis)) {
-            if (now > FAULTS_END_MILLIS) return@at
+            if (now > FAULTS_END_MILLIS || worker in replaced) return@at
             val until = now + random.nextLong(MAX_PARTITION_MILLIS)
             log += "$now ${worker.ref.id} is cut off until $until"
             partitionedUntil[worker.ref.id] = until
@@ -144,11 +202,11 @@
                 is SchedulerAction.Depose -> error("deposed by ${action.worker}")
             }
         }
-        if (now < END_MILLIS) at(now + STEP_MILLIS) { step() }
+        if (now < faults.endMillis) at(now + STEP_MILLIS) { step() }
     }
 
     private fun send(order: WorkerOrder, done: (WorkerAnswer) -> Unit) {
-        val worker = workers.getValue(order.worker.id)
+        val worker = workers[order.worker.id] ?: replaced.first { it.ref == order.worker }
         val sent = now
         if (order is PollOrder) pollCount++
         val deadline = sent + TIMEOUT_MILLIS + if (order is PollOrder) order.waitMillis else 0
@@ -169,7 +227,9 @@
         at(sent + delay) {
             val maySurviveRestart = isLate && faults.lateAcrossIncarnations
             val isReceiver = worker.incarnation == incarnation || maySurviveRestart
-            if (!worker.isUp || !isReceiver) {
+            if (worker in replaced) {
+                at(now + 1) { answer(WorkerAnswer.Rejected(RejectReason.OTHER_INCARNATION)) }
+            } else if (!worker.isUp || !isReceiver) {
                 at(now + 1) { answer(WorkerAnswer.Unknown("connection reset")) }
             } else if (!isPartitioned(worker)) {
                 arrive(worker, order, deadline, !isLost, ::answer)
@@ -237,6 +297,7 @@
     private fun onRunBegun(worker: ModelWorker, task: TaskName) {
         log += "$now begins $task on ${worker.ref.id}"
         starts += task to now
+        if (task.workflow in deadly) crashSoon(worker)
         workers.values.forEach { it.advance(now) }
         val otherWorkers = workers.values.filter { it !== worker && it.isUp && task in it.running }
         if (otherWorkers.isNotEmpty()) violations += Violation("runs twice at once", task, now)
@@ -250,7 +311,6 @@
         const val WORK_MILLIS = 400L
         const val SUBMIT_MILLIS = 20_000L
         const val FAULTS_END_MILLIS = 25_000L
-        const val END_MILLIS = 60_000L
         const val STEP_MILLIS = 5L
         const val WAIT_STEP_MILLIS = 20L
 
@@ -262,5 +322,13 @@
         const val MAX_SLOW_DELAY_MILLIS = 1_200L
         const val MAX_DOWN_MILLIS = 1_500L
         const val MAX_PARTITION_MILLIS = 9_000L
+
+        /** How long a worker lives after the start of a deadly task. */
+        const val DEADLY_MILLIS = 16L
+        const val MIN_DEADLY_DOWN_MILLIS = 1_000L
+        const val MAX_DEADLY_DOWN_MILLIS = 6_000L
+
+        /** The time after which the platform no longer lists a worker that has ended. */
+        const val UNLIST_MILLIS = 1_500L
     }
 }
