--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/FaultSchedule.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/FaultSchedule.kt
@@ -227,16 +227,21 @@
         at(sent + delay) {
             val maySurviveRestart = isLate && faults.lateAcrossIncarnations
             val isReceiver = worker.incarnation == incarnation || maySurviveRestart
-            if (worker in replaced) {
-                at(now + 1) { answer(WorkerAnswer.Rejected(RejectReason.OTHER_INCARNATION)) }
-            } else if (!worker.isUp || !isReceiver) {
-                at(now + 1) { answer(WorkerAnswer.Unknown("connection reset")) }
+            val refusal = refusalOrNull(worker, isReceiver)
+            if (refusal != null) {
+                at(now + 1) { answer(refusal) }
             } else if (!isPartitioned(worker)) {
                 arrive(worker, order, deadline, !isLost, ::answer)
             }
         }
     }
 
+    private fun refusalOrNull(worker: ModelWorker, isReceiver: Boolean): WorkerAnswer? = when {
+        worker in replaced -> WorkerAnswer.Rejected(RejectReason.OTHER_INCARNATION)
+        !worker.isUp || !isReceiver -> WorkerAnswer.Unknown("connection reset")
+        else -> null
+    }
+
     private fun delayMillis(isLate: Boolean) = if (isLate) {
         random.nextLong(
             MIN_LATE_MILLIS,
