--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/RunMonitor.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/RunMonitor.kt
@@ -5,7 +5,8 @@
 internal data class Violation(val kind: String, val task: TaskName, val atMillis: Long)
 
 internal class RunMonitor(private val workers: () -> Collection<ModelWorker>) {
-    private val starts = ArrayList<Pair<TaskName, Long>>()
+    /** The starts of tasks, with their times. */
+    val starts = ArrayList<Pair<TaskName, Long>>()
     val violations = ArrayList<Violation>()
 
     /** Checks that no other worker runs [task], which begins on [worker]. */
