--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
@@ -173,7 +173,11 @@
     private fun writeRecords(batch: RecordBatch) {
         try {
             if (writer.write(batch) { isOpen }) {
-                enqueue { scheduler.onBatchDurable().forEach(::updateStatus) }
+                enqueue {
+                    for ((id, status) in scheduler.onBatchDurable()) {
+                        meters.countFailure(statuses.put(id, status), status)
+                    }
+                }
             } else {
                 endTerm("records refused")
             }
@@ -186,12 +190,6 @@
         }
     }
 
-    private fun updateStatus(id: String, status: WorkflowStatus) {
-        val previous = statuses.put(id, status)
-        val failure = status.failure ?: return
-        if (previous?.failure == null) meters.countFailure(failure.reason)
-    }
-
     private fun endTerm(reason: String) {
         if (!isOpen) return
         isOpen = false
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowMeters.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowMeters.kt
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit.NANOSECONDS
 import sycamoremast.coordination.workflow.FailureReason
 import sycamoremast.coordination.workflow.SchedulerEvent
+import sycamoremast.coordination.workflow.WorkflowStatus
 
 /** Collects the metrics of all parts of a host. */
 class WorkflowMeters {
@@ -39,8 +40,11 @@
         registry.counter("sycamore.submissions", "outcome", name).increment()
     }
 
-    /** Counts a workflow that ended as failed for [reason], once that is recorded. */
-    internal fun countFailure(reason: FailureReason) = failures.getValue(reason).increment()
+    /** Counts a workflow whose recorded status changes from [previous] to a failure. */
+    internal fun countFailure(previous: WorkflowStatus?, status: WorkflowStatus) {
+        val failure = status.failure ?: return
+        if (previous?.failure == null) failures.getValue(failure.reason).increment()
+    }
 
     /** Records the duration of a call of the store. */
     internal fun recordStoreCall(call: String, isAnswered: Boolean, nanos: Long) {
