--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
@@ -170,30 +170,12 @@
         lapsedByMillis = minOf(lapsedByMillis, lapsedBy)
     }
 
-    /** Returns the longest time that the last lease may still be valid. */
-    fun remainingLeaseMillis(nowMillis: Long): Long = maxOf(lapsedByMillis, nowMillis) - nowMillis
-
     fun recordAnswer(clockMillis: Long, receivedMillis: Long) {
         clockOffsetMillis = clockMillis - receivedMillis
         clockReadMillis = receivedMillis
         contactFailures = 0
     }
 
-    /**
-     * Whether the lease of an unreachable worker has lapsed and a poll sent after that has failed.
-     *
-     * A worker that becomes reachable just then can report ends of runs, whose tasks would
-     * otherwise run again.
-     */
-    fun hasCertainlyLapsed(nowMillis: Long): Boolean = contactFailures > 0 &&
-        nowMillis > lapsedByMillis &&
-        failedPollMillis > lapsedByMillis
-
-    /** Whether the poll that [hasCertainlyLapsed] requires has not been sent yet. */
-    fun isFinalPollDue(nowMillis: Long): Boolean = contactFailures > 0 &&
-        nowMillis > lapsedByMillis &&
-        lastPollMillis <= lapsedByMillis
-
     /** Whether repeated calls have failed, so that no lease is granted for the present. */
     val isSilent: Boolean get() = contactFailures >= SILENT_FAILURES
 
@@ -357,3 +339,22 @@
         committedMemoryMib - leaving.sumOf { it.demand.memoryMib } <= capacity.memoryMib &&
         committedAccelerators - leaving.sumOf { it.demand.accelerators } <= capacity.accelerators
 }
+
+/** Returns the longest time that the last lease may still be valid. */
+internal fun FleetWorker.remainingLeaseMillis(nowMillis: Long): Long =
+    maxOf(lapsedByMillis, nowMillis) - nowMillis
+
+/**
+ * Whether the lease of an unreachable worker has lapsed and a poll sent after that has failed.
+ *
+ * A worker that becomes reachable just then can report ends of runs, whose tasks would
+ * otherwise run again.
+ */
+internal fun FleetWorker.hasCertainlyLapsed(nowMillis: Long): Boolean = contactFailures > 0 &&
+    nowMillis > lapsedByMillis &&
+    failedPollMillis > lapsedByMillis
+
+/** Whether the poll that [hasCertainlyLapsed] requires has not been sent yet. */
+internal fun FleetWorker.isFinalPollDue(nowMillis: Long): Boolean = contactFailures > 0 &&
+    nowMillis > lapsedByMillis &&
+    lastPollMillis <= lapsedByMillis
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/OpenWorkflow.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/OpenWorkflow.kt
@@ -95,6 +95,20 @@
 
     fun steps(): Sequence<OpenStep> = occurrences.asSequence().flatMap { it.steps }
 
+    /** Returns why the workflow has to be given up, or null if no task gives a reason. */
+    fun findFailureOrNull(): WorkflowFailure? = steps().flatMap { it.tasks }.firstNotNullOfOrNull {
+        val history = it.crashHistory
+        when {
+            it.failedRuns.size >= queue.maxAttempts ->
+                WorkflowFailure.of(it.name, FailureReason.ATTEMPTS_USED_UP, it.failedRunWorkers)
+
+            history?.isGivenUp == true ->
+                WorkflowFailure.of(it.name, FailureReason.WORKERS_CRASHED, history.runWorkers)
+
+            else -> null
+        }
+    }
+
     fun taskOrNull(name: TaskName): OpenTask? =
         occurrences.getOrNull(name.occurrence)?.steps?.getOrNull(name.step)
             ?.tasks?.getOrNull(name.index)
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -236,7 +236,7 @@
         val changed = fleet.endCandidates.filter { it.isOpen }
         fleet.endCandidates.clear()
         for (workflow in changed) {
-            val failure = failureOrNull(workflow)
+            val failure = workflow.findFailureOrNull()
             when {
                 failure != null ->
                     end(workflow, WorkflowPhase.FAILED, nowMillis, unixMillis, failure)
@@ -246,26 +246,6 @@
         }
     }
 
-    private fun failureOrNull(workflow: OpenWorkflow): WorkflowFailure? =
-        workflow.steps().flatMap { it.tasks }.firstNotNullOfOrNull { task ->
-            val history = task.crashHistory
-            when {
-                task.failedRuns.size >= workflow.queue.maxAttempts -> WorkflowFailure.of(
-                    task.name,
-                    FailureReason.ATTEMPTS_USED_UP,
-                    task.failedRunWorkers
-                )
-
-                history?.isGivenUp == true -> WorkflowFailure.of(
-                    task.name,
-                    FailureReason.WORKERS_CRASHED,
-                    history.runWorkers
-                )
-
-                else -> null
-            }
-        }
-
     private fun end(
         workflow: OpenWorkflow,
         phase: WorkflowPhase,
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionSchedule.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionSchedule.kt
@@ -146,7 +146,7 @@
                 restartLater(host)
             }
 
-            SuccessionFault.STOP_HOST -> if (host.isUp) host.stop { restartLater(host) }
+            SuccessionFault.STOP_HOST -> stop(host)
 
             SuccessionFault.FREEZE_HOST ->
                 host.freeze(random.nextLong(MAX_FREEZE_MILLIS), isClockCounting = true)
@@ -164,14 +164,10 @@
                 time.at(now + random.nextLong(MAX_CUT_MILLIS)) { store.comeUp() }
             }
 
-            SuccessionFault.SPLIT -> split()
-
             SuccessionFault.REVOKE_KEY -> revokeKey()
 
-            SuccessionFault.REVOKE_KEY_AND_SPLIT -> {
-                split()
-                revokeKey()
-            }
+            SuccessionFault.SPLIT, SuccessionFault.REVOKE_KEY_AND_SPLIT ->
+                split(isKeyRevoked = kind == SuccessionFault.REVOKE_KEY_AND_SPLIT)
 
             else -> if (current != null) occur(kind, current)
         }
@@ -193,11 +189,20 @@
         else -> error("not a fault of a worker: $kind")
     }
 
+    private fun stop(host: ModelHost) {
+        if (host.isUp) host.stop { restartLater(host) }
+    }
+
     private fun revokeKey() {
         store.owner?.let { store.endLease(it.lease) }
     }
 
-    private fun split() {
+    private fun split(isKeyRevoked: Boolean) {
+        cutOffOwner()
+        if (isKeyRevoked) revokeKey()
+    }
+
+    private fun cutOffOwner() {
         val owner = hosts.firstOrNull { it.term != null } ?: return
         cut(owner.name, HostWorld.STORE, LONGEST_CUT_MILLIS)
         for (id in entries.keys.filter { random.nextInt(3) == 0 }) {
@@ -270,14 +275,13 @@
 
     override fun send(host: String, order: WorkerOrder, answer: (WorkerAnswer) -> Unit) {
         val worker = workers.getValue(order.worker)
-        val mayGrant = order is StartOrder || (order is PollOrder && order.leaseEndMillis != null)
-        if (mayGrant) lastOrderMillis[order.worker] = now
+        if (order.mayGrantLease) lastOrderMillis[order.worker] = now
         var isAnswered = false
         fun answerOnce(result: WorkerAnswer) {
             if (!isAnswered) answer(result)
             isAnswered = true
         }
-        val wait = if (order is PollOrder) minOf(order.waitMillis, MAX_WAIT_MILLIS) else 0
+        val wait = waitMillis(order)
         time.at(now + ORDER_TIMEOUT_MILLIS + wait) { answerOnce(WorkerAnswer.Unknown("timeout")) }
         val late = lateMillisOrNull()
         val incarnation = worker.incarnation
@@ -299,6 +303,9 @@
         if (wait > 0) time.at(arrivalMillis + wait) { carryOut(isLast = true) }
     }
 
+    private fun waitMillis(order: WorkerOrder): Long =
+        if (order is PollOrder) minOf(order.waitMillis, MAX_WAIT_MILLIS) else 0
+
     private fun carryOut(host: String, order: WorkerOrder, worker: ModelWorker): WorkerAnswer {
         lastOrderMillis[order.worker] = now
         return worker.carryOut(order, now) {
@@ -410,3 +417,6 @@
         val QUEUE = QueuePolicy("queue", "service")
     }
 }
+
+private val WorkerOrder.mayGrantLease: Boolean
+    get() = this is StartOrder || (this is PollOrder && leaseEndMillis != null)
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionTest.kt
@@ -89,6 +89,11 @@
     fun `starts each lasting task once while owners are suspended within their leases`() =
         expectNoViolations(8L..8, SUSPEND_HOST, CUT_WORKER, KILL_HOST, STOP_HOST)
 
+    // Guards against a limit passed on for a worker that answered after its lease had lapsed.
+    @Test
+    fun `starts each lasting task once while workers return after their leases`() =
+        expectNoViolations(11L..11, STOP_HOST, CUT_WORKER, CRASH_WORKER)
+
     // Guards against an owner that acts after a freeze before it notices that its time is over.
     @Test
     fun `starts each lasting task once while old owners freeze behind cuts`() =
@@ -99,6 +104,14 @@
     fun `starts each lasting task once while old owners with slow clocks live on behind cuts`() =
         expectNoViolations(38L..38, SPLIT, clockError = 20)
 
+    // Guards against tasks that wait after a series of owners, each of which was cut off.
+    @Test
+    fun `starts lasting tasks in time while old owners behind cuts freeze or have slow clocks`() {
+        expectNoViolations(62L..62, SPLIT, FREEZE_HOST)
+        expectNoViolations(232L..232, SPLIT, FREEZE_HOST)
+        expectNoViolations(238L..238, SPLIT, clockError = 20)
+    }
+
     // Guards against an owner that can't tell how long it was suspended.
     @Test
     fun `starts each lasting task once while old owners are suspended behind cuts`() =
@@ -109,5 +122,6 @@
     fun `starts each lasting task once while the keys of owners behind cuts are deleted`() {
         expectNoViolations(35L..35, REVOKE_KEY_AND_SPLIT)
         expectNoViolations(156L..156, REVOKE_KEY_AND_SPLIT)
+        expectNoViolations(213L..213, REVOKE_KEY_AND_SPLIT)
     }
 }
