Tell the age of recorded leases by revisions of the store, not by the owner's clock

Cause: a roster said how long after its owner's claim it was formed, by the owner's steady clock. A suspended host doesn't count that time, so limits of leases looked older than they were, by all suspensions of the term together.

Now a host notes when it saw that the store had reached a revision: with each answer to the watch of the owner's key, which comes once a second at least. A limit counts from the first time by which the store had the roster's revision.

Why it is safe: the store had the roster by the time noted, the roster was formed before that, and a limited worker gets no lease from when the roster is formed until a roster without the limit is durable. No clock but the host's own is read.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
@@ -108,6 +108,11 @@
         else -> true
     }
 
+    /** Returns the limits that were passed on for workers without an answer to this owner. */
+    fun inheritedLeases(): Map<String, InheritedLease> = buildMap {
+        workers.values.forEach { worker -> worker.inheritedLease?.let { put(worker.id, it) } }
+    }
+
     fun taskOrNull(name: TaskName): OpenTask? = workflows[name.workflow]?.taskOrNull(name)
 
     /** Whether every worker that may run recovered work has reported it or certainly ended it. */
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
@@ -35,6 +35,9 @@
     var lapsedByMillis = Long.MIN_VALUE
         private set
 
+    /** The limit of leases of earlier owners, until the first report to this owner. */
+    var inheritedLease: InheritedLease? = null
+
     /** The number of the last end of a run that the worker reported. */
     var seenEnd = 0L
 
@@ -184,6 +187,7 @@
     /** Records a report that was processed at [nowMillis]. */
     fun recordReport(nowMillis: Long) {
         lastReportMillis = nowMillis
+        inheritedLease = null
     }
 
     /**
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/LeaseLimiter.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/LeaseLimiter.kt
@@ -44,7 +44,8 @@
         val shortest = fleet.settings.drainingLimitMillis()
         return LeasesLeft(
             silent.associate { it.id to it.remainingLeaseMillis(nowMillis) },
-            draining.associate { it.id to maxOf(it.remainingLeaseMillis(nowMillis), shortest) }
+            draining.associate { it.id to maxOf(it.remainingLeaseMillis(nowMillis), shortest) },
+            fleet.inheritedLeases()
         )
     }
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
@@ -132,7 +132,6 @@
             roster,
             newWaiting,
             leasesLeft,
-            nowMillis,
             interference = newInterference
         )
         fleet.outbox += SchedulerAction.Record(records)
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerAction.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerAction.kt
@@ -30,14 +30,13 @@
  * changed.
  *
  * [waiting] is the number of workflows without a started task, by queue. [leasesLeft] goes with the
- * roster, and [formedMillis] is when the batch was formed.
+ * roster and counts from when the batch is formed.
  */
 data class RecordBatch(
     val progress: Map<String, WorkflowProgress>,
     val roster: List<WorkerRef>?,
     val waiting: Map<String, Int>?,
     val leasesLeft: LeasesLeft = LeasesLeft.NONE,
-    val formedMillis: Long = 0,
     val interference: InterferenceRecord? = null
 )
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerDirectory.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerDirectory.kt
@@ -81,13 +81,14 @@
      *
      * If it is listed at another address, tasks may run at either address.
      */
-    fun addRosteredWorker(ref: WorkerRef, lapsedByMillis: Long) {
-        val known = fleet.workers[ref.id]
-        if (known != null) return known.recordLease(lapsedByMillis)
-        val worker = FleetWorker(placeholderListing(ref))
-        worker.unlist()
+    fun addRosteredWorker(ref: WorkerRef, lapsedByMillis: Long, inherited: InheritedLease?) {
+        val worker = fleet.workers[ref.id]
+            ?: FleetWorker(placeholderListing(ref)).also {
+                it.unlist()
+                fleet.add(it)
+            }
         worker.recordLease(lapsedByMillis)
-        fleet.add(worker)
+        worker.inheritedLease = inherited
     }
 }
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -89,10 +89,11 @@
     /**
      * Adds a worker of the last owner's roster, whose lease has lapsed by [lapsedByMillis].
      *
+     * The limit [inherited] of this lease is passed on to the next owner, unless the worker answers.
      * If it is listed at another address, tasks may run at either address.
      */
-    fun addRosteredWorker(ref: WorkerRef, lapsedByMillis: Long) =
-        directory.addRosteredWorker(ref, lapsedByMillis)
+    fun addRosteredWorker(ref: WorkerRef, lapsedByMillis: Long, inherited: InheritedLease? = null) =
+        directory.addRosteredWorker(ref, lapsedByMillis, inherited)
 
     /** Adds what an earlier owner has learned about interference between tasks. */
     fun restoreInterference(record: InterferenceRecord, unixMillis: Long) {
@@ -202,9 +203,10 @@
             progress = emptyMap(),
             roster = workers.map { it.ref },
             waiting = null,
-            leasesLeft =
-            LeasesLeft(workers.associate { it.id to it.remainingLeaseMillis(nowMillis) }),
-            formedMillis = nowMillis,
+            leasesLeft = LeasesLeft(
+                workers.associate { it.id to it.remainingLeaseMillis(nowMillis) },
+                inherited = fleet.inheritedLeases()
+            ),
             interference = tails.record(unixMillis)
         )
     }
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
@@ -47,6 +47,8 @@
     private var freezeMillis = 0L
     private var uncountedMillis = 0L
     private var claimsSeen = HashMap<Long, Long>()
+    private var reached = HashMap<Long, Long>()
+    private var nextRevisionMillis = 0L
     private var isClaiming = false
     private var isRenewing = false
 
@@ -68,6 +70,7 @@
     inner class Term(val epoch: Long, val lease: Int, var renewedMillis: Long) {
         val scheduler = WorkflowScheduler(epoch, settings)
         lateinit var claims: ClaimTimes
+        var claimVersion = 0L
         var epochVersion = 0L
         var batchNumber = 0L
         var isOpen = true
@@ -97,6 +100,7 @@
         isClaiming = false
         isRenewing = false
         claimsSeen = HashMap()
+        reached = HashMap()
     }
 
     /** Stops for [millis] between a reading of the clock and the actions that depend on it. */
@@ -161,6 +165,10 @@
         store.expire()
         val owner = store.owner
         if (owner != null) claimsSeen.putIfAbsent(owner.epoch, clock())
+        if (seenOwnerVersion != store.ownerVersion || time.now >= nextRevisionMillis) {
+            nextRevisionMillis = time.now + WATCH_MILLIS
+            reached.putIfAbsent(store.version, clock())
+        }
         seenOwner = owner
         seenOwnerVersion = store.ownerVersion
         val held = term ?: return claimIfFree()
@@ -209,7 +217,9 @@
 
     private fun beginTerm(epoch: Long, version: Long, lease: Int, startedMillis: Long) {
         val next = Term(epoch, lease, startedMillis)
-        next.claims = ClaimTimes(startedMillis, claimsSeen.toMap())
+        reached.putIfAbsent(version, clock())
+        next.claims = ClaimTimes(startedMillis, claimsSeen.toMap(), reached.toMap())
+        next.claimVersion = version
         next.epochVersion = version
         term = next
         world.log("$name claims epoch $epoch")
@@ -232,11 +242,14 @@
     private fun recover(next: Term, state: RecoveredState) {
         next.knownListings = state.listings
         next.scheduler.onWorkersListed(state.listings.values.toList(), clock())
-        state.roster?.record?.let { roster ->
-            for (worker in roster.workers) {
-                val lapsedBy = roster.lapsedByMillis(worker, next.claims, settings)
+        state.roster?.let { stored ->
+            for (worker in stored.record.workers) {
+                val lapsedBy = stored.record
+                    .lapsedByMillis(worker, stored.version, next.claims, settings)
                 world.log("  roster ${worker.id} lapsed by ${lapsedBy - clock()} ms from now")
-                next.scheduler.addRosteredWorker(worker, lapsedBy)
+                val inherited = stored.record
+                    .inheritedLease(worker, stored.version, next.claimVersion, settings)
+                next.scheduler.addRosteredWorker(worker, lapsedBy, inherited)
             }
         }
         state.jobs.forEach {
@@ -307,13 +320,8 @@
     }
 
     private fun rosterRecord(held: Term, batch: RecordBatch) = batch.roster?.let {
-        RosterRecord(
-            it,
-            held.epoch,
-            batch.leasesLeft.fixed,
-            batch.leasesLeft.draining,
-            batch.formedMillis - held.claims.claimedMillis
-        )
+        val left = batch.leasesLeft
+        RosterRecord(it, held.epoch, left.fixed, left.draining, left.inherited)
     }
 
     private fun write(held: Term, batch: RecordBatch) {
@@ -402,6 +410,9 @@
         const val RENEWAL_INTERVAL_MILLIS = 400L
         const val LEASE_MARGIN_MILLIS = 200L
         const val HANDOVER_MILLIS = 300L
+
+        /** How long a watch waits for a change of the owner's key. */
+        const val WATCH_MILLIS = 1_000L
         val LONGEST_TERM_MILLIS = SchedulerSettings.actingMillis(ModelStore.LEASE_TTL_MILLIS) -
             LEASE_MARGIN_MILLIS
     }
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/OwnerSeriesTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/OwnerSeriesTest.kt
@@ -13,19 +13,25 @@
  */
 class OwnerSeriesTest {
     private val settings = SchedulerSettings()
-    private var roster: RosterRecord? = null
+    private var roster: StoredRoster? = null
     private val claims = HashMap<Long, Long>()
 
+    /** When each revision of the store was seen: claims at once, others within a second. */
+    private val reached = HashMap<Long, Long>()
+    private var revision = 1L
+
     /** The owner of [epoch], which begins at [nowMillis] with what the store holds. */
     private fun owner(epoch: Long, nowMillis: Long): SchedulerDriver {
         claims[epoch] = nowMillis
+        reached[++revision] = nowMillis
         val driver = SchedulerDriver(epoch).apply { now = nowMillis }
         driver.scheduler.onWorkersListed(listOf(driver.listing("w1")), nowMillis)
         val inherited = roster
-        inherited?.workers?.forEach {
-            val times = ClaimTimes(nowMillis, claims.toMap())
-            val lapsedBy = inherited.lapsedByMillis(it, times, settings)
-            driver.scheduler.addRosteredWorker(it, lapsedBy)
+        inherited?.record?.workers?.forEach {
+            val times = ClaimTimes(nowMillis, claims.toMap(), reached.toMap())
+            val lapsedBy = inherited.record.lapsedByMillis(it, inherited.version, times, settings)
+            val limit = inherited.record.inheritedLease(it, inherited.version, revision, settings)
+            driver.scheduler.addRosteredWorker(it, lapsedBy, limit)
         }
         driver.submit(driver.workflow("job", driver.taskStep()), isRecovered = epoch > 1)
         return driver
@@ -41,9 +47,11 @@
             step()
             records.forEach { batch ->
                 batch.roster?.let { workers ->
-                    val after = batch.formedMillis - claims.getValue(epoch)
                     val left = batch.leasesLeft
-                    roster = RosterRecord(workers, epoch, left.fixed, left.draining, after)
+                    val record =
+                        RosterRecord(workers, epoch, left.fixed, left.draining, left.inherited)
+                    roster = StoredRoster(record, ++revision)
+                    reached[revision] = now + WATCH_MILLIS
                 }
             }
             if (starts.isNotEmpty()) return now
@@ -61,8 +69,8 @@
 
     /** Returns when the task starts after [count] owners that each go on for [millis]. */
     private fun startAfterOwners(count: Int, millis: Long): Long {
-        roster =
-            RosterRecord(listOf(WorkerRef("gone", "address"), WorkerRef("w1", "10.0.0.1:w1")), 1)
+        val workers = listOf(WorkerRef("gone", "address"), WorkerRef("w1", "10.0.0.1:w1"))
+        roster = StoredRoster(RosterRecord(workers, 1), revision)
         var now = 0L
         for (epoch in 2L until 2L + count) {
             owner(epoch, now).ownFor(millis, epoch)?.let { return it }
@@ -108,6 +116,9 @@
 
         /** How long the store keeps the key of an owner that has ended. */
         const val TAKEOVER_MILLIS = 2_000L
+
+        /** How long a watch of the store waits for a change. */
+        const val WATCH_MILLIS = 1_000L
         const val LONGEST_MILLIS = 60_000L
 
         /** A takeover and one more poll. */
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionSchedule.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionSchedule.kt
@@ -146,7 +146,7 @@
                 restartLater(host)
             }
 
-            SuccessionFault.STOP_HOST -> if (host.isUp) host.stop { restartLater(host) }
+            SuccessionFault.STOP_HOST -> stop(host)
 
             SuccessionFault.FREEZE_HOST ->
                 host.freeze(random.nextLong(MAX_FREEZE_MILLIS), isClockCounting = true)
@@ -193,6 +193,10 @@
         else -> error("not a fault of a worker: $kind")
     }
 
+    private fun stop(host: ModelHost) {
+        if (host.isUp) host.stop { restartLater(host) }
+    }
+
     private fun revokeKey() {
         store.owner?.let { store.endLease(it.lease) }
     }
@@ -270,8 +274,7 @@
 
     override fun send(host: String, order: WorkerOrder, answer: (WorkerAnswer) -> Unit) {
         val worker = workers.getValue(order.worker)
-        val mayGrant = order is StartOrder || (order is PollOrder && order.leaseEndMillis != null)
-        if (mayGrant) lastOrderMillis[order.worker] = now
+        if (order.mayGrantLease) lastOrderMillis[order.worker] = now
         var isAnswered = false
         fun answerOnce(result: WorkerAnswer) {
             if (!isAnswered) answer(result)
@@ -410,3 +413,6 @@
         val QUEUE = QueuePolicy("queue", "service")
     }
 }
+
+private val WorkerOrder.mayGrantLease: Boolean
+    get() = this is StartOrder || (this is PollOrder && leaseEndMillis != null)
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionTest.kt
@@ -89,6 +89,11 @@
     fun `starts each lasting task once while owners are suspended within their leases`() =
         expectNoViolations(8L..8, SUSPEND_HOST, CUT_WORKER, KILL_HOST, STOP_HOST)
 
+    // Guards against a limit passed on for a worker that answered after its lease had lapsed.
+    @Test
+    fun `starts each lasting task once while workers return after their leases`() =
+        expectNoViolations(11L..11, STOP_HOST, CUT_WORKER, CRASH_WORKER)
+
     // Guards against an owner that acts after a freeze before it notices that its time is over.
     @Test
     fun `starts each lasting task once while old owners freeze behind cuts`() =
@@ -109,5 +114,6 @@
     fun `starts each lasting task once while the keys of owners behind cuts are deleted`() {
         expectNoViolations(35L..35, REVOKE_KEY_AND_SPLIT)
         expectNoViolations(156L..156, REVOKE_KEY_AND_SPLIT)
+        expectNoViolations(213L..213, REVOKE_KEY_AND_SPLIT)
     }
 }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Election.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Election.kt
@@ -79,6 +79,9 @@
     /** When the claims of the latest epochs were first seen. */
     private val claimsSeen = ConcurrentSkipListMap<Long, Long>()
 
+    /** When the store had certainly reached the latest revisions that were seen. */
+    private val reached = ConcurrentSkipListMap<Long, Long>()
+
     /** The last seen content of the owner's key, or null before the first listing. */
     @Volatile
     private var ownerKey: OwnerKeyState? = null
@@ -100,6 +103,11 @@
         if (change.key == WorkflowKeys.owner(set)) updateOwnerKey(change.value, change.revision)
     }
 
+    override fun onRevision(revision: Long) {
+        reached.putIfAbsent(revision, clock.nowMillis())
+        if (reached.size > MAX_REVISIONS) reached.pollFirstEntry()
+    }
+
     private fun updateOwnerKey(value: String?, version: Long?) {
         val record = value?.let { decodeRecordOrNull<OwnerRecord>(it) }
         if (record != null) claimsSeen.putIfAbsent(record.epoch, clock.nowMillis())
@@ -232,12 +240,11 @@
         )
         return store.commit(transaction).map { result ->
             when (result) {
-                is CommitResult.Applied ->
-                    HeldTerm(
-                        lease,
-                        Term(epoch, result.revision, ClaimTimes(startedMillis, claimsSeen.toMap())),
-                        startedMillis
-                    )
+                is CommitResult.Applied -> {
+                    onRevision(result.revision)
+                    val claims = ClaimTimes(startedMillis, claimsSeen.toMap(), reached.toMap())
+                    HeldTerm(lease, Term(epoch, result.revision, claims), startedMillis)
+                }
 
                 is CommitResult.Conflict, CommitResult.LeaseGone -> {
                     store.revokeLease(lease)
@@ -276,5 +283,8 @@
 
         /** Far more than there are owners within the longest lease. */
         const val MAX_CLAIMS_SEEN = 64
+
+        /** The follower adds one a second; more than there are within the longest lease. */
+        const val MAX_REVISIONS = 64
     }
 }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
@@ -100,26 +100,37 @@
         val interference = store.get(WorkflowKeys.interference(set)).bind()
         val work = store.list(WorkflowKeys.WORK).bind()
         workers.onListing(listed)
-        roster?.let { decodeRecordOrNull<RosterRecord>(it.value) }?.let { next.addRoster(it, term) }
+        if (roster != null) {
+            decodeRecordOrNull<RosterRecord>(roster.value)
+                ?.let { next.addRoster(it, roster.version, term) }
+        }
         interference?.let { restoreInterference(next, it) }
         val feed = WorkflowFeed(next, set, term, log, progress)
         feed.onListing(work)
         progress.size
     }
 
-    /** Adds the workers of the last [roster], with the time by which their leases expire. */
-    private fun SchedulerLoop.addRoster(roster: RosterRecord, term: Term) {
+    /**
+     * Adds the workers of the last [roster], which the store holds since [revision], with the time
+     * by which their leases expire.
+     */
+    private fun SchedulerLoop.addRoster(roster: RosterRecord, revision: Long, term: Term) {
+        val recordedMillis = term.claims.reachedByMillisOrNull(revision)
         log.add(
             "roster",
             "workers" to roster.workers.size,
             "epoch" to roster.epoch,
             "succeededMillisAgo" to
                 clock.nowMillis() - term.claims.seenByMillis(roster.epoch + 1),
+            "recordedMillisAgo" to recordedMillis?.let { clock.nowMillis() - it },
             "knownLeases" to (roster.leasesLeft?.size ?: 0),
             "drainingLeases" to (roster.drainingLeasesLeft?.size ?: 0)
         )
         for (worker in roster.workers) {
-            addRosterWorker(worker, roster.lapsedByMillis(worker, term.claims, settings))
+            val lapsedBy = roster.lapsedByMillis(worker, revision, term.claims, settings)
+            val inherited =
+                roster.inheritedLease(worker, revision, term.epochRevision, settings)
+            addRosterWorker(worker, lapsedBy, inherited)
         }
     }
 
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/PrefixFollower.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/PrefixFollower.kt
@@ -23,6 +23,9 @@
 
     /** Called for each change after the listing. */
     fun onChange(change: StoreChange)
+
+    /** Called after each answer of the store, which had reached [revision] by then. */
+    fun onRevision(revision: Long) = Unit
 }
 
 /** Lists and watches [prefix], and passes the results to [listener] from a thread of its own. */
@@ -75,6 +78,7 @@
         is Either.Right -> {
             recordSuccess()
             if (isOpen) listener.onListing(listing.value)
+            listener.onRevision(listing.value.revision)
             revision = listing.value.revision
             true
         }
@@ -94,6 +98,7 @@
     private fun applyChanges(changes: StoreChanges) = when (changes) {
         is StoreChanges.Seen -> {
             if (isOpen) changes.changes.forEach(listener::onChange)
+            listener.onRevision(changes.revision)
             revision = changes.revision
         }
 
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/RecordWriter.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/RecordWriter.kt
@@ -21,7 +21,7 @@
 internal class RecordWriter(
     private val store: TransactionalStore,
     private val set: Int,
-    private val term: Term,
+    term: Term,
     private val log: EventLog
 ) {
     private val epoch = term.epoch
@@ -58,13 +58,8 @@
             StorePut(WorkflowKeys.progress(set, id), encodeRecord(progress))
         }
         batch.roster?.let {
-            val record = RosterRecord(
-                it,
-                epoch,
-                batch.leasesLeft.fixed,
-                batch.leasesLeft.draining,
-                batch.formedMillis - term.claims.claimedMillis
-            )
+            val left = batch.leasesLeft
+            val record = RosterRecord(it, epoch, left.fixed, left.draining, left.inherited)
             puts += StorePut(WorkflowKeys.roster(set), encodeRecord(record))
         }
         batch.waiting?.let {
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
@@ -12,6 +12,7 @@
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit.MILLISECONDS
 import sycamoremast.coordination.MonotonicClock
+import sycamoremast.coordination.workflow.InheritedLease
 import sycamoremast.coordination.workflow.InterferenceRecord
 import sycamoremast.coordination.workflow.QueuePolicy
 import sycamoremast.coordination.workflow.RecordBatch
@@ -83,10 +84,12 @@
 
     fun removeWorker(id: String) = enqueue { scheduler.onWorkerUnlisted(id) }
 
-    /** Adds a worker of the previous owner's roster, whose lease ends by [lapsedByMillis]. */
-    fun addRosterWorker(worker: WorkerRef, lapsedByMillis: Long) = enqueue {
-        scheduler.addRosteredWorker(worker, lapsedByMillis)
-    }
+    /**
+     * Adds a worker of the previous owner's roster, whose lease ends by [lapsedByMillis], a limit
+     * that is passed on as [inherited].
+     */
+    fun addRosterWorker(worker: WorkerRef, lapsedByMillis: Long, inherited: InheritedLease) =
+        enqueue { scheduler.addRosteredWorker(worker, lapsedByMillis, inherited) }
 
     /** Adds what an earlier owner has learned about interference between tasks. */
     fun restoreInterference(record: InterferenceRecord) = enqueue {
