--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/OwnerSeriesTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/OwnerSeriesTest.kt
@@ -100,6 +100,12 @@
         }
     }
 
+    // Guards against a wait for an old owner that has died, where a worker goes at the same time.
+    @Test
+    fun `starts a task of a worker that went with its owner within nine seconds`() {
+        expectThat(startAfterOwners(0, 0)).isLessThan(RESTART_MILLIS)
+    }
+
     // The time of the first owner's death is not known, so that it may have granted a lease since.
     @Test
     fun `starts a lost task no earlier than a lease that the first owner may have granted`() {
@@ -114,6 +120,9 @@
     private companion object {
         const val POLL_TIMEOUT_MILLIS = 600L
 
+        /** The users' limit on how long a lasting task may be off. */
+        const val RESTART_MILLIS = 9_000L
+
         /** How long the store keeps the key of an owner that has ended. */
         const val TAKEOVER_MILLIS = 2_000L
 
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionSchedule.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionSchedule.kt
@@ -164,14 +164,10 @@
                 time.at(now + random.nextLong(MAX_CUT_MILLIS)) { store.comeUp() }
             }
 
-            SuccessionFault.SPLIT -> split()
-
             SuccessionFault.REVOKE_KEY -> revokeKey()
 
-            SuccessionFault.REVOKE_KEY_AND_SPLIT -> {
-                split()
-                revokeKey()
-            }
+            SuccessionFault.SPLIT, SuccessionFault.REVOKE_KEY_AND_SPLIT ->
+                split(isKeyRevoked = kind == SuccessionFault.REVOKE_KEY_AND_SPLIT)
 
             else -> if (current != null) occur(kind, current)
         }
@@ -201,7 +197,12 @@
         store.owner?.let { store.endLease(it.lease) }
     }
 
-    private fun split() {
+    private fun split(isKeyRevoked: Boolean) {
+        cutOffOwner()
+        if (isKeyRevoked) revokeKey()
+    }
+
+    private fun cutOffOwner() {
         val owner = hosts.firstOrNull { it.term != null } ?: return
         cut(owner.name, HostWorld.STORE, LONGEST_CUT_MILLIS)
         for (id in entries.keys.filter { random.nextInt(3) == 0 }) {
@@ -280,7 +281,7 @@
             if (!isAnswered) answer(result)
             isAnswered = true
         }
-        val wait = if (order is PollOrder) minOf(order.waitMillis, MAX_WAIT_MILLIS) else 0
+        val wait = waitMillis(order)
         time.at(now + ORDER_TIMEOUT_MILLIS + wait) { answerOnce(WorkerAnswer.Unknown("timeout")) }
         val late = lateMillisOrNull()
         val incarnation = worker.incarnation
@@ -302,6 +303,9 @@
         if (wait > 0) time.at(arrivalMillis + wait) { carryOut(isLast = true) }
     }
 
+    private fun waitMillis(order: WorkerOrder): Long =
+        if (order is PollOrder) minOf(order.waitMillis, MAX_WAIT_MILLIS) else 0
+
     private fun carryOut(host: String, order: WorkerOrder, worker: ModelWorker): WorkerAnswer {
         lastOrderMillis[order.worker] = now
         return worker.carryOut(order, now) {
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionTest.kt
@@ -104,6 +104,14 @@
     fun `starts each lasting task once while old owners with slow clocks live on behind cuts`() =
         expectNoViolations(38L..38, SPLIT, clockError = 20)
 
+    // Guards against tasks that wait after a series of owners, each of which was cut off.
+    @Test
+    fun `starts each lasting task in time while old owners behind cuts freeze or have slow clocks`() {
+        expectNoViolations(62L..62, SPLIT, FREEZE_HOST)
+        expectNoViolations(232L..232, SPLIT, FREEZE_HOST)
+        expectNoViolations(238L..238, SPLIT, clockError = 20)
+    }
+
     // Guards against an owner that can't tell how long it was suspended.
     @Test
     fun `starts each lasting task once while old owners are suspended behind cuts`() =
