--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionTest.kt
@@ -106,7 +106,7 @@
 
     // Guards against tasks that wait after a series of owners, each of which was cut off.
     @Test
-    fun `starts each lasting task in time while old owners behind cuts freeze or have slow clocks`() {
+    fun `starts lasting tasks in time while old owners behind cuts freeze or have slow clocks`() {
         expectNoViolations(62L..62, SPLIT, FREEZE_HOST)
         expectNoViolations(232L..232, SPLIT, FREEZE_HOST)
         expectNoViolations(238L..238, SPLIT, clockError = 20)
