Emulate tasks that crash their workers

The pattern deadly-tasks: a third of the field checks of ten seconds crash each worker that starts them; it is back after 3.3 s in another incarnation. The test asks for five starts at most, serving tasks off for less than a lease, and 80% of the reviews in time.

--- a/emulator/src/main/kotlin/sycamoremast/emulator/EmulatedLoad.kt
+++ b/emulator/src/main/kotlin/sycamoremast/emulator/EmulatedLoad.kt
@@ -36,6 +36,11 @@
 
     private val submissions = LinkedHashMap<String, Submission>()
     private val traits = HashMap<String, StepTraits>()
+    private val deadlyWorkflows = HashSet<String>()
+
+    /** Whether [task] crashes each worker that starts it. */
+    fun isDeadly(task: TaskName): Boolean =
+        task.workflow in deadlyWorkflows && task.step == 0 && task.index == 0
 
     fun traitsOf(task: TaskName): StepTraits = traits.getValue(key(task.workflow, task.step))
 
@@ -46,6 +51,13 @@
         val steps = (0 until stepCount).map { step(id, it, kind) }
         val ideal = (0 until stepCount).sumOf { traits.getValue(key(id, it)).workMillis.max() }
         submissions[id] = Submission(kind, nowMillis, ideal)
+        val deadly = pattern.deadlyTasks
+        if (deadly != null &&
+            deadly.covers(kind, nowMillis) &&
+            random.nextDouble() < deadly.share
+        ) {
+            deadlyWorkflows += id
+        }
         val policy = QueuePolicy(
             kind.queue,
             SERVICE,
@@ -57,6 +69,9 @@
         return Workflow(id, policy, "", steps, null, nowMillis)
     }
 
+    private fun DeadlyTasks.covers(kind: WorkflowKind, nowMillis: Long) =
+        queue == kind.queue && nowMillis / MILLIS in fromSecond until untilSecond
+
     private fun step(id: String, index: Int, kind: WorkflowKind): WorkflowStep {
         val count = drawCount(kind.width).coerceIn(1, kind.maxWidth)
         val milliCpus = (kind.milliCpus * drawFactor(CPU_SPREAD)).toLong()
@@ -124,6 +139,7 @@
 
         /** The share of reviews that write checkpoints, from the users' deployment sheets. */
         private const val CHECKPOINT_SHARE = 0.85
+        private const val MILLIS = 1_000L
         private const val MAX_STEPS = 5
         private const val CPU_SPREAD = 0.3
         private const val TASK_SPREAD = 0.3
--- a/emulator/src/main/kotlin/sycamoremast/emulator/EmulatedWorker.kt
+++ b/emulator/src/main/kotlin/sycamoremast/emulator/EmulatedWorker.kt
@@ -59,9 +59,21 @@
     /** The share of its capacity that it has at present. */
     var capacityShare = 1.0
 
-    /** Whether it has left, so that no call reaches it. */
+    /** Whether it has left or is down, so that no call reaches it. */
     var isGone = false
 
+    /** The number of its incarnation, from 1. */
+    var incarnation = 1L
+        private set
+
+    /** Begins another incarnation, which knows nothing of the one before. */
+    fun restart() {
+        incarnation++
+        ended.clear()
+        lastEnd = 0
+        isGone = false
+    }
+
     fun load(run: EmulatedRun, second: Double): Double {
         val cycles = second / pattern.periodSeconds + run.phase
         return pattern.meanLoad * (1 + pattern.loadSwing * kotlin.math.sin(TWO_PI * cycles))
@@ -143,7 +155,7 @@
                 if (run.kind.isServing) FULL else (FULL * run.doneMillis / run.workMillis).toInt()
             RunningRow(run.task, run.run, "", percent, gauge)
         }
-        return WorkerReport(nowMillis, 1, nowMillis, rows, ended.toList())
+        return WorkerReport(nowMillis, incarnation, nowMillis, rows, ended.toList())
     }
 
     private companion object {
--- a/emulator/src/main/kotlin/sycamoremast/emulator/Emulation.kt
+++ b/emulator/src/main/kotlin/sycamoremast/emulator/Emulation.kt
@@ -12,6 +12,7 @@
 import sycamoremast.coordination.workflow.RejectReason
 import sycamoremast.coordination.workflow.SchedulerAction
 import sycamoremast.coordination.workflow.SchedulerSettings
+import sycamoremast.coordination.workflow.TaskName
 import sycamoremast.coordination.workflow.WorkerAnswer
 import sycamoremast.coordination.workflow.WorkflowScheduler
 
@@ -27,6 +28,7 @@
     private var now = 0L
     private val fleet = EmulatedFleet(pattern, random)
     private val load = EmulatedLoad(pattern, random)
+    private val deadlyStarts = HashMap<TaskName, Int>()
     private var paceOrders = 0
     private var polls = 0
     private var stops = 0
@@ -67,7 +69,8 @@
             pattern.workers,
             scheduler.examinedWorkers,
             fleet.audit?.longestExcessMillis,
-            fleet.audit?.regainMillis
+            fleet.audit?.regainMillis,
+            deadlyStarts.values.maxOrNull()
         )
     }
 
@@ -146,7 +149,7 @@
             is SchedulerAction.Start -> schedule(CALL_MILLIS) {
                 starts++
                 val isGone = fleet.worker(action.order.worker.id).isGone
-                if (!isGone) fleet.start(action.order, load.traitsOf(action.order.task), now)
+                if (!isGone) start(action)
                 val answer = if (isGone) NOT_SENT else WorkerAnswer.Done(now, now + CALL_MILLIS)
                 schedule(CALL_MILLIS) { scheduler.onStartAnswer(action.order, answer, now) }
             }
@@ -186,6 +189,20 @@
         }
     }
 
+    private fun start(action: SchedulerAction.Start) {
+        val task = action.order.task
+        fleet.start(action.order, load.traitsOf(task), now)
+        val deadly = pattern.deadlyTasks
+        if (deadly == null || !load.isDeadly(task)) return
+        deadlyStarts.merge(task, 1, Int::plus)
+        val worker = fleet.worker(action.order.worker.id)
+        schedule(CRASH_MILLIS) {
+            if (worker.isGone) return@schedule
+            fleet.remove(worker, now)
+            schedule(deadly.downMillis) { worker.restart() }
+        }
+    }
+
     private fun poll(action: SchedulerAction.Poll, untilMillis: Long) {
         val worker = fleet.worker(action.order.worker.id)
         if (worker.isGone) {
@@ -225,6 +242,9 @@
         const val RECORD_MILLIS = 5L
         const val PACE_MILLIS = 101L
 
+        /** How long after its start a deadly task crashes its worker. */
+        const val CRASH_MILLIS = 16L
+
         /** The users' longest interval between two entries of a worker. */
         const val HEARTBEAT_MILLIS = 1_500L
 
--- a/emulator/src/main/kotlin/sycamoremast/emulator/LoadPattern.kt
+++ b/emulator/src/main/kotlin/sycamoremast/emulator/LoadPattern.kt
@@ -32,7 +32,8 @@
     val surges: List<Surge> = emptyList(),
     val faultyWorkers: List<FaultyWorkers> = emptyList(),
     val departures: Departures? = null,
-    val shrinkingWorkers: ShrinkingWorkers? = null
+    val shrinkingWorkers: ShrinkingWorkers? = null,
+    val deadlyTasks: DeadlyTasks? = null
 ) {
     /** The tail latency that serving tasks must stay below. */
     val targetMillis: Double get() = targetFactor * tailMillis
@@ -108,6 +109,19 @@
             )
         )
 
+        /** The calm day with a third of the field checks crashing each worker that starts them. */
+        val deadlyChecks = sharedCalm.copy(
+            name = "deadly-tasks",
+            servingReserve = 0.6,
+            deadlyTasks = DeadlyTasks(
+                "field-check",
+                share = 0.33,
+                fromSecond = 5,
+                untilSecond = 15,
+                downMillis = 3_300
+            )
+        )
+
         /** The Regie's fleet with more serving tasks than fit; short tallies compete with them. */
         val servingCrowd = LoadPattern(
             "serving-crowd", 32, 64_000, 256_000, Workloads.fishCounts,
@@ -163,6 +177,7 @@
             rollingDepartures,
             suddenDepartures,
             shrinkingCapacity,
+            deadlyChecks,
             servingCrowd,
             sharedDense,
             sharedOverload,
--- a/emulator/src/main/kotlin/sycamoremast/emulator/Outcome.kt
+++ b/emulator/src/main/kotlin/sycamoremast/emulator/Outcome.kt
@@ -10,6 +10,7 @@
  * [paceOrders], [stops], [polls] and [starts] count the scheduler's calls.
  * [longestExcessMillis] is the longest time after a capacity shrank at which a start exceeded it, and
  * [regainMillis] the time until the first start that needed it after it had grown again.
+ * [mostDeadlyStarts] is how often the task that crashed the most workers was started.
  * [examinedWorkers] is the number of workers that placement examined, summed over all attempts.
  */
 data class Outcome(
@@ -24,5 +25,6 @@
     val workers: Int,
     val examinedWorkers: Long,
     val longestExcessMillis: Long? = null,
-    val regainMillis: Long? = null
+    val regainMillis: Long? = null,
+    val mostDeadlyStarts: Int? = null
 )
--- a/emulator/src/test/kotlin/sycamoremast/emulator/EmulationTest.kt
+++ b/emulator/src/test/kotlin/sycamoremast/emulator/EmulationTest.kt
@@ -124,9 +124,25 @@
         expectThat(share(outcomes, "cert-review")).isGreaterThan(0.8)
     }
 
+    // Guards against a task that is started on one worker after the other, each of which it crashes.
+    @Test
+    fun `gives up tasks that crash their workers, and completes other work, in deadly tasks`() {
+        val outcomes = outcomes(LoadPattern.deadlyChecks)
+        val lapsedMillis = SchedulerSettings().lapsedBy(sentMillis = 0)
+        expectThat(outcomes.minOf { it.mostDeadlyStarts ?: 0 }).isGreaterThan(1)
+        expectThat(outcomes.maxOf { it.mostDeadlyStarts ?: 0 }).isLessThan(MOST_DEADLY_STARTS + 1)
+        expectThat(outcomes.maxOf { it.longestOffMillis }).isLessThan(lapsedMillis)
+        expectThat(share(outcomes, "cert-review")).isGreaterThan(0.8)
+    }
+
     @Test
     fun `returns the same outcome for the same seed`() {
         expectThat(Emulation(LoadPattern.sharedCalm, 7).run())
             .isEqualTo(Emulation(LoadPattern.sharedCalm, 7).run())
     }
+
+    private companion object {
+        /** Two more starts are allowed after three workers have crashed. */
+        const val MOST_DEADLY_STARTS = 5
+    }
 }
