--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowKeys.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowKeys.kt
@@ -18,9 +18,8 @@
 
     fun cancel(id: String) = CANCELS + id
 
-    fun progress(set: Int) = "${ROOT}progress/$set/"
-
-    fun progress(set: Int, id: String) = progress(set) + id
+    /** Contains all progress of the set if [id] is empty. */
+    fun progress(set: Int, id: String = "") = "${ROOT}progress/$set/$id"
 
     fun owner(set: Int) = "${WORK}owner/$set"
 
