--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
@@ -117,7 +117,9 @@
      *
      * A worker that no earlier owner has recorded has got none.
      */
-    fun isFleetReconciled(): Boolean = workers.values.all { it.isReconciled || !it.isInherited }
+    fun isFleetReconciled(): Boolean = workers.values.all {
+        it.isReconciled || !it.lease.isInherited
+    }
 
     /** Returns the CPU that all long-running tasks reserve, whether they run or wait. */
     fun longRunningMilliCpus(): Long = openWorkflows.sumOf { it.longRunningMilliCpus }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
@@ -28,8 +28,6 @@
 
     /** Whether another incarnation answers at its address or its lease has certainly lapsed. */
     var isLost = false
-    private var clockOffsetMillis: Long? = null
-    private var clockReadMillis = 0L
     private var startedUnixMillis: Long? = null
 
     /** When the last report was processed, or null if a call has failed since. */
@@ -38,10 +36,7 @@
     /** When this incarnation first reported, or null if it has not. */
     var upSinceMillis: Long? = null
         private set
-
-    /** The time by which the last lease granted to the worker has certainly lapsed. */
-    var lapsedByMillis = Long.MIN_VALUE
-        private set
+    val lease = WorkerLease()
 
     /** The number of the last end of a run that the worker reported. */
     var seenEnd = 0L
@@ -78,17 +73,7 @@
     /** Before this time, its serving tasks get no new neighbours that would slow them notably. */
     var noSharingBeforeMillis = Long.MIN_VALUE
 
-    /** CPU demand of the runs that count against the capacity. */
-    var reservedMilliCpus = 0L
-        private set
-
-    /** CPU demand, scaled by pace, of the runs that use idle CPU and don't count against it. */
-    var opportunisticMilliCpus = 0L
-        private set
-    var committedMemoryMib = 0L
-        private set
-    var committedAccelerators = 0L
-        private set
+    val commitments = Commitments()
     var servingMilliCpus = 0L
         private set
     var servingCount = 0
@@ -115,9 +100,6 @@
     /** Whether the platform has listed the worker with any CPU since this owner began. */
     val isCapacityKnown: Boolean get() = sharedMilliCpus > 0
 
-    /** Whether the offset of its clock is known, without which no lease can be granted. */
-    val hasClockOffset: Boolean get() = clockOffsetMillis != null
-
     /** Recently removed runs on idle CPU, which readings of tail latency may still cover. */
     val departures = ArrayList<Departure>()
 
@@ -145,49 +127,37 @@
         isInRoster &&
         !isLost &&
         isReconciled &&
-        clockOffsetMillis != null &&
+        lease.isClockKnown &&
         contactFailures == 0 &&
         unknownRuns.isEmpty() &&
         trial == null &&
         nowMillis >= noStartsBeforeMillis
 
-    /** Returns the end of a lease granted now, on the worker's clock, or null if unknown. */
-    fun leaseEndOrNull(nowMillis: Long, settings: SchedulerSettings): Long? =
-        clockOffsetMillis?.let {
-            val lease = settings.leaseMillis(listing.isDraining)
-            nowMillis + it + lease - settings.maxDrift(nowMillis - clockReadMillis)
-        }
-
-    fun recordLease(lapsedBy: Long) {
-        lapsedByMillis = maxOf(lapsedByMillis, lapsedBy)
+    fun recordAnswer(clockMillis: Long, receivedMillis: Long) {
+        lease.recordClock(clockMillis, receivedMillis)
+        contactFailures = 0
     }
 
     /**
-     * Records the first answer to this owner, from which on the worker rejects orders of earlier
-     * ones: their leases have lapsed by [lapsedBy].
+     * Whether the lease of an unreachable worker has lapsed and a poll sent after that has failed.
+     *
+     * A worker that becomes reachable just then can report ends of runs, whose tasks would
+     * otherwise run again.
      */
-    fun recordFenced(lapsedBy: Long) {
-        lapsedByMillis = minOf(lapsedByMillis, lapsedBy)
-    }
+    fun hasCertainlyLapsed(nowMillis: Long): Boolean = contactFailures > 0 &&
+        nowMillis > lease.lapsedByMillis &&
+        failedPollMillis > lease.lapsedByMillis
 
-    fun recordAnswer(clockMillis: Long, receivedMillis: Long) {
-        clockOffsetMillis = clockMillis - receivedMillis
-        clockReadMillis = receivedMillis
-        contactFailures = 0
-    }
+    /** Whether the poll that [hasCertainlyLapsed] requires has not been sent yet. */
+    fun isFinalPollDue(nowMillis: Long): Boolean = contactFailures > 0 &&
+        nowMillis > lease.lapsedByMillis &&
+        lastPollMillis <= lease.lapsedByMillis
 
     /** Whether repeated calls have failed, so that no lease is granted for the present. */
     val isSilent: Boolean get() = contactFailures >= SILENT_FAILURES
 
-    /**
-     * Whether an earlier owner may have granted it a lease, and it has never answered this one.
-     *
-     * It stays so when that lease has lapsed: the next owner must not wait for it again.
-     */
-    val isInherited: Boolean get() = clockOffsetMillis == null && lapsedByMillis > Long.MIN_VALUE
-
     /** Whether no lease is granted for the present, as it has not answered yet or stopped to. */
-    val isWithoutContact: Boolean get() = isSilent || isInherited
+    val isWithoutContact: Boolean get() = isSilent || lease.isInherited
 
     fun recordContactFailure() {
         contactFailures++
@@ -244,14 +214,16 @@
     fun reserve(task: OpenTask, nowMillis: Long) {
         reservations[task] = nowMillis + RESERVATION_MILLIS
         task.destination = this
-        commit(task.step.spec, Placement.FULL_PACE, 1)
+        cachedView = null
+        commitments.add(task.step.spec)
     }
 
     /** Gives up the room reserved for [task]. */
     fun cancelReservation(task: OpenTask) {
         if (reservations.remove(task) == null) return
         task.destination = null
-        commit(task.step.spec, Placement.FULL_PACE, -1)
+        cachedView = null
+        commitments.remove(task.step.spec)
     }
 
     /** Gives up the reservations whose tasks have ended or did not start in time. */
@@ -269,9 +241,20 @@
         }
     }
 
+    /** Whether all that runs or is expected fits once the stopped runs have ended. */
+    private fun hasRoomForReservations(): Boolean {
+        val leaving = placements.values.filter { it.isLeaving }.map { it.task.step.spec }
+        val leavingMilliCpus = leaving.filter { !it.usesIdleCpu }.sumOf { it.demand.milliCpus }
+        return commitments.reservedMilliCpus - leavingMilliCpus <= capacity.milliCpus &&
+            commitments.memoryMib - leaving.sumOf { it.demand.memoryMib } <= capacity.memoryMib &&
+            commitments.accelerators - leaving.sumOf { it.demand.accelerators } <=
+            capacity.accelerators
+    }
+
     fun add(placement: Placement) {
         placements[placement.task.name] = placement
-        commit(placement.task.step.spec, placement.pacePercent, 1)
+        cachedView = null
+        commitments.add(placement.task.step.spec, placement.pacePercent)
         countServing(placement.task.step.spec, 1)
     }
 
@@ -283,29 +266,18 @@
             departures += Departure(placement, nowMillis)
         }
         placements -= placement.task.name
-        commit(placement.task.step.spec, placement.pacePercent, -1)
+        cachedView = null
+        commitments.remove(placement.task.step.spec, placement.pacePercent)
         countServing(placement.task.step.spec, -1)
     }
 
     /** Accounts for a change of the pace of [placement] to [percent]. */
     fun updatePace(placement: Placement, percent: Int) {
         if (placements[placement.task.name] !== placement) return
-        val spec = placement.task.step.spec
-        if (!spec.usesIdleCpu) return
+        if (!placement.task.step.spec.usesIdleCpu) return
         cachedView = null
-        opportunisticMilliCpus += spec.demand.milliCpus * percent / FULL_PERCENT -
-            spec.demand.milliCpus * placement.pacePercent / FULL_PERCENT
-    }
-
-    private fun commit(spec: WorkflowStep, pacePercent: Int, sign: Int) {
-        cachedView = null
-        if (spec.usesIdleCpu) {
-            opportunisticMilliCpus += sign * spec.demand.milliCpus * pacePercent / FULL_PERCENT
-        } else {
-            reservedMilliCpus += sign * spec.demand.milliCpus
-        }
-        committedMemoryMib += sign * spec.demand.memoryMib
-        committedAccelerators += sign * spec.demand.accelerators
+        commitments.remove(placement.task.step.spec, placement.pacePercent)
+        commitments.add(placement.task.step.spec, percent)
     }
 
     private fun countServing(spec: WorkflowStep, sign: Int) {
@@ -315,8 +287,6 @@
     }
 
     private companion object {
-        const val FULL_PERCENT = Placement.FULL_PACE
-
         /** Assumed to be too short for a restart followed by a complete run. */
         const val INCARNATION_PROOF_MILLIS = 200L
 
@@ -330,31 +300,3 @@
         const val DEPARTURE_RETENTION_MILLIS = 1_000L
     }
 }
-
-/** Whether all that runs or is expected fits once the stopped runs have ended. */
-private fun FleetWorker.hasRoomForReservations(): Boolean {
-    val leaving = placements.values.filter { it.isLeaving }.map { it.task.step.spec }
-    val leavingMilliCpus = leaving.filter { !it.usesIdleCpu }.sumOf { it.demand.milliCpus }
-    return reservedMilliCpus - leavingMilliCpus <= capacity.milliCpus &&
-        committedMemoryMib - leaving.sumOf { it.demand.memoryMib } <= capacity.memoryMib &&
-        committedAccelerators - leaving.sumOf { it.demand.accelerators } <= capacity.accelerators
-}
-
-/** Returns the longest time that the last lease may still be valid. */
-internal fun FleetWorker.remainingLeaseMillis(nowMillis: Long): Long =
-    maxOf(lapsedByMillis, nowMillis) - nowMillis
-
-/**
- * Whether the lease of an unreachable worker has lapsed and a poll sent after that has failed.
- *
- * A worker that becomes reachable just then can report ends of runs, whose tasks would
- * otherwise run again.
- */
-internal fun FleetWorker.hasCertainlyLapsed(nowMillis: Long): Boolean = contactFailures > 0 &&
-    nowMillis > lapsedByMillis &&
-    failedPollMillis > lapsedByMillis
-
-/** Whether the poll that [hasCertainlyLapsed] requires has not been sent yet. */
-internal fun FleetWorker.isFinalPollDue(nowMillis: Long): Boolean = contactFailures > 0 &&
-    nowMillis > lapsedByMillis &&
-    lastPollMillis <= lapsedByMillis
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/LeaseLimiter.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/LeaseLimiter.kt
@@ -25,7 +25,7 @@
 
     private fun isRunningOut(nowMillis: Long): Boolean = fleet.workers.values.any {
         val isRecorded = it.id in fleet.leaseLimits.ended
-        val isOver = nowMillis > it.lapsedByMillis + INTERVAL_MILLIS
+        val isOver = nowMillis > it.lease.lapsedByMillis + INTERVAL_MILLIS
         (it.isWithoutContact && !(isRecorded && isOver)) || (it.listing.isDraining && !isOver)
     }
 
@@ -43,8 +43,8 @@
         fleet.leaseLimits += formed
         val shortest = fleet.settings.drainingLimitMillis()
         return LeasesLeft(
-            silent.associate { it.id to it.remainingLeaseMillis(nowMillis) },
-            draining.associate { it.id to maxOf(it.remainingLeaseMillis(nowMillis), shortest) }
+            silent.associate { it.id to it.lease.remainingMillis(nowMillis) },
+            draining.associate { it.id to maxOf(it.lease.remainingMillis(nowMillis), shortest) }
         )
     }
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
@@ -95,7 +95,8 @@
     }
 
     private fun leavesReserve(worker: FleetWorker, spec: WorkflowStep): Boolean {
-        val left = worker.capacity.milliCpus - worker.reservedMilliCpus - spec.demand.milliCpus
+        val left =
+            worker.capacity.milliCpus - worker.commitments.reservedMilliCpus - spec.demand.milliCpus
         return left >= worker.capacity.milliCpus * SHORT_WORK_RESERVE
     }
 
@@ -162,18 +163,19 @@
     /** Whether a task of [spec] fits on [worker] once the room [freed] has become free. */
     private fun fits(worker: FleetWorker, spec: WorkflowStep, freed: Resources): Boolean {
         val room = worker.capacity + freed
-        val accelerators = worker.committedAccelerators + spec.demand.accelerators
+        val accelerators = worker.commitments.accelerators + spec.demand.accelerators
         if (accelerators > room.accelerators) return false
-        if (worker.committedMemoryMib + spec.demand.memoryMib > room.memoryMib) return false
+        if (worker.commitments.memoryMib + spec.demand.memoryMib > room.memoryMib) return false
         if (spec.usesIdleCpu) {
-            return worker.reservedMilliCpus <= worker.capacity.milliCpus &&
+            return worker.commitments.reservedMilliCpus <= worker.capacity.milliCpus &&
                 spec.demand.milliCpus <= spareMilliCpus(worker)
         }
-        return worker.reservedMilliCpus + spec.demand.milliCpus <= room.milliCpus
+        return worker.commitments.reservedMilliCpus + spec.demand.milliCpus <= room.milliCpus
     }
 
     private fun spareMilliCpus(worker: FleetWorker) =
-        worker.capacity.milliCpus - worker.reservedMilliCpus - worker.opportunisticMilliCpus +
+        worker.capacity.milliCpus - worker.commitments.reservedMilliCpus -
+            worker.commitments.opportunisticMilliCpus +
             worker.servingMilliCpus / SERVING_UTILIZATION_DIVISOR
 
     /** Returns the score of [worker] for [task], or null if serving tasks lack the headroom. */
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
@@ -91,7 +91,7 @@
         if (fleet.isRosterDurable) return false
         val first = firstStepMillis ?: nowMillis.also { firstStepMillis = it }
         return nowMillis < first + FIRST_ROSTER_DELAY_MILLIS &&
-            fleet.workers.values.any { it.isInherited && !it.isSilent }
+            fleet.workers.values.any { it.lease.isInherited && !it.isSilent }
     }
 
     private fun updateWaitingCounts(nowMillis: Long) {
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RecoveryWait.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RecoveryWait.kt
@@ -20,11 +20,11 @@
             log("recovery-complete", "waitedMillis" to nowMillis - began)
         } else if (!isLogged && nowMillis >= began + LONG_WAIT_MILLIS) {
             isLogged = true
-            val missing = fleet.workers.values.filter { !it.isReconciled && it.isInherited }
+            val missing = fleet.workers.values.filter { !it.isReconciled && it.lease.isInherited }
             log(
                 "recovery-waits",
                 "workers" to missing.size,
-                "leaseLeftMillis" to missing.maxOf { it.remainingLeaseMillis(nowMillis) },
+                "leaseLeftMillis" to missing.maxOf { it.lease.remainingMillis(nowMillis) },
                 "first" to missing.take(MAX_NAMED).joinToString(",") { it.id }
             )
         }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunMaintenance.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunMaintenance.kt
@@ -20,7 +20,7 @@
     private fun isRemovable(worker: FleetWorker, nowMillis: Long) = !worker.isListed &&
         worker.isReconciled &&
         worker.placements.isEmpty() &&
-        nowMillis > worker.lapsedByMillis
+        nowMillis > worker.lease.lapsedByMillis
 
     private fun onLapsed(worker: FleetWorker, nowMillis: Long) {
         if (!worker.isReconciled) fleet.isPlacementDue = true
@@ -72,7 +72,8 @@
      */
     private fun isLapseNear(worker: FleetWorker, nowMillis: Long): Boolean =
         worker.contactFailures > 0 &&
-            nowMillis in worker.lapsedByMillis - FAILED_POLL_MILLIS..worker.lapsedByMillis
+            nowMillis in
+            worker.lease.lapsedByMillis - FAILED_POLL_MILLIS..worker.lease.lapsedByMillis
 
     private fun isPollDue(worker: FleetWorker, nowMillis: Long): Boolean {
         if (worker.recordedEnd > worker.acknowledgedEnd) return true
@@ -85,13 +86,13 @@
             worker.placements.isNotEmpty() ||
             worker.unknownRuns.isNotEmpty() ||
             worker.isReportDue ||
-            !worker.hasClockOffset
+            !worker.lease.isClockKnown
     }
 
     private fun poll(worker: FleetWorker, nowMillis: Long) {
         // The lease of an unreachable worker is not extended, so that its tasks can restart
         // elsewhere.
-        val leaseEnd = worker.leaseEndOrNull(nowMillis, fleet.settings)
+        val leaseEnd = worker.lease.endOrNull(nowMillis, worker.listing.isDraining, fleet.settings)
             ?.takeIf {
                 worker.placements.isNotEmpty() &&
                     worker.contactFailures == 0 &&
@@ -110,7 +111,7 @@
         val acknowledged = if (isIncarnationKnown) worker.recordedEnd else 0
         if (isIncarnationKnown) worker.acknowledgedEnd = acknowledged
         if (leaseEnd != null) {
-            worker.recordLease(fleet.settings.lapsedBy(nowMillis, worker.listing.isDraining))
+            worker.lease.record(fleet.settings.lapsedBy(nowMillis, worker.listing.isDraining))
         }
         val wait = when {
             !mayWait -> 0
@@ -124,7 +125,9 @@
 
     private fun maxWaitMillis(worker: FleetWorker): Long = when {
         worker.trial != null -> TRIAL_POLL_MILLIS
-        worker.servingCount > 0 && worker.opportunisticMilliCpus > 0 -> SHARED_POLL_MILLIS
+        worker.servingCount > 0 && worker.commitments.opportunisticMilliCpus > 0 ->
+            SHARED_POLL_MILLIS
+
         else -> fleet.settings.pollWaitMillis
     }
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
@@ -144,7 +144,7 @@
                 worker.id,
                 "reason" to reason,
                 "runs" to worker.placements.size,
-                "lapsedBy" to worker.lapsedByMillis
+                "lapsedBy" to worker.lease.lapsedByMillis
             )
         }
         worker.recordContactFailure()
@@ -177,7 +177,7 @@
         worker.recordAnswer(report.clockMillis, report.receivedMillis)
         worker.recordReport(nowMillis)
         if (!worker.isReconciled || worker.contactFailures == 0) fleet.isPlacementDue = true
-        if (!worker.isReconciled) worker.recordFenced(fleet.settings.lapsedBy(nowMillis))
+        if (!worker.isReconciled) worker.lease.recordFenced(fleet.settings.lapsedBy(nowMillis))
         worker.isReconciled = true
         worker.nextPollMillis = nowMillis
         val previousEnd = worker.seenEnd
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Starter.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Starter.kt
@@ -79,18 +79,21 @@
         val task = placement.task
         val worker = placement.worker
         val workflow = task.step.workflow
-        val leaseEnd = checkNotNull(worker.leaseEndOrNull(nowMillis, fleet.settings)) {
-            "no clock offset is known for a worker with a placement: ${worker.id}"
-        }
-        worker.recordLease(fleet.settings.lapsedBy(nowMillis))
+        val leaseEnd =
+            checkNotNull(
+                worker.lease.endOrNull(nowMillis, worker.listing.isDraining, fleet.settings)
+            ) {
+                "no clock offset is known for a worker with a placement: ${worker.id}"
+            }
+        worker.lease.record(fleet.settings.lapsedBy(nowMillis))
         fleet.log(
             "run-ordered",
             task.name.toString(),
             "run" to placement.run,
             "worker" to worker.id,
             "waitedMillis" to nowMillis - workflow.acceptedMillis,
-            "firm" to worker.reservedMilliCpus,
-            "idle" to worker.opportunisticMilliCpus
+            "firm" to worker.commitments.reservedMilliCpus,
+            "idle" to worker.commitments.opportunisticMilliCpus
         )
         fleet.outbox += SchedulerAction.Start(
             StartOrder(
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerDirectory.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerDirectory.kt
@@ -46,10 +46,10 @@
             unlist(known)
             return
         }
-        val rosterLapsedByMillis = known?.takeIf { !it.isReconciled }?.lapsedByMillis
+        val rosterLapsedByMillis = known?.takeIf { !it.isReconciled }?.lease?.lapsedByMillis
         if (known != null) tracker.markLost(known, nowMillis, "moved to another address")
         val added = FleetWorker(listing, nowMillis)
-        rosterLapsedByMillis?.let(added::recordLease)
+        rosterLapsedByMillis?.let(added.lease::record)
         fleet.add(added)
         recorder.markRosterChanged()
         fleet.log(
@@ -96,8 +96,8 @@
         "memoryMib" to capacity.memoryMib,
         "accelerators" to capacity.accelerators,
         "before" to worker.capacity.milliCpus,
-        "firm" to worker.reservedMilliCpus,
-        "memory" to worker.committedMemoryMib
+        "firm" to worker.commitments.reservedMilliCpus,
+        "memory" to worker.commitments.memoryMib
     )
 
     /** Logs when the list of workers becomes too old for starts, or current again. */
@@ -123,10 +123,10 @@
      */
     fun addRosteredWorker(ref: WorkerRef, lapsedByMillis: Long) {
         val known = fleet.workers[ref.id]
-        if (known != null) return known.recordLease(lapsedByMillis)
+        if (known != null) return known.lease.record(lapsedByMillis)
         val worker = FleetWorker(placeholderListing(ref), listedMillis = Long.MIN_VALUE / 2)
         worker.unlist()
-        worker.recordLease(lapsedByMillis)
+        worker.lease.record(lapsedByMillis)
         fleet.add(worker)
     }
 }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -220,7 +220,7 @@
             roster = workers.map { it.ref },
             waiting = null,
             leasesLeft =
-            LeasesLeft(workers.associate { it.id to it.remainingLeaseMillis(nowMillis) }),
+            LeasesLeft(workers.associate { it.id to it.lease.remainingMillis(nowMillis) }),
             interference = tails.record(unixMillis)
         )
     }
