Move losses of workers, and what they say of the fleet, out of CrashLedger

WorkerLoss holds a loss and the runs exposed in it, LossHistory the latest ones and whether they show trouble of the fleet's own.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/CrashLedger.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/CrashLedger.kt
@@ -9,47 +9,8 @@
  */
 package sycamoremast.coordination.workflow
 
-/** A run that was exposed when its worker lost contact, [livedMillis] after its order. */
-internal class ExposedRun(placement: Placement, val livedMillis: Long) {
-    val task = placement.task
-    val run = placement.run
-
-    /** Whether it may be the cause, unless it is a suspect's that lived longer than earlier ones. */
-    val isCredible = placement.hasReachedWorker &&
-        task.crashHistory?.let { livedMillis <= it.trialMillis } ?: true
-    val isOfSuspect = isCredible && task.crashHistory != null
-}
-
-/**
- * The loss of contact with worker [workerId] at [atMillis].
- *
- * It [isOfSuspect] if only a suspect could have caused it, as the worker had been up for a while. If
- * it [isAbrupt], a call was broken off or refused, as when the worker has ended; calls that are lost
- * time out.
- */
-internal class WorkerLoss(
-    val workerId: String,
-    val atMillis: Long,
-    val exposed: MutableList<ExposedRun>,
-    val isAbrupt: Boolean,
-    wasSettled: Boolean
-) {
-    /** Whether only runs of one workflow could have caused it. */
-    val isAlone = exposed.distinctBy { it.task.step.workflow }.size == 1
-    val isOfSuspect = isAlone && wasSettled && exposed.any { it.isOfSuspect }
-    val crashes = LinkedHashMap<CrashedRun, OpenTask>()
-    var isCounted = false
-}
-
-/** Several times as long as a trial usually takes. */
-private const val SETTLED_MILLIS = 3_000L
-
-/** Whether the worker has been up for a while, so that it is not one that crashes by itself. */
-internal fun FleetWorker.isSettled(nowMillis: Long): Boolean =
-    upSinceMillis?.let { nowMillis - it >= SETTLED_MILLIS } ?: false
-
 internal class CrashLedger(private val fleet: Fleet, private val recorder: Recorder) {
-    private val losses = ArrayList<WorkerLoss>()
+    private val losses = LossHistory(fleet)
     private val undecided = LinkedHashMap<CrashedRun, OpenTask>()
 
     /** Processes a call to [worker] that failed after [tookMillis], unsent or unanswered. */
@@ -77,7 +38,7 @@
     fun onAnswered(worker: FleetWorker) {
         val loss = worker.loss ?: return
         worker.loss = null
-        if (!loss.isCounted) losses -= loss
+        if (!loss.isCounted) losses.remove(loss)
         loss.crashes.forEach { (crash, task) -> takeBack(task, crash.run, "worker is back") }
     }
 
@@ -125,13 +86,13 @@
             history.isGivenUp || history.isUndecided -> false
             nowMillis >= history.heldUntilMillis -> true
             // Single calls that fail now and then would hold it back for long.
-            else -> !isInTrouble(nowMillis - QUIET_MILLIS..nowMillis, null) { it.isCounted }
+            else -> !losses.showsTrouble(nowMillis - QUIET_MILLIS..nowMillis) { it.isCounted }
         }
     }
 
     /** Decides what is known by [nowMillis]. */
     fun step(nowMillis: Long) {
-        losses.removeAll { it.atMillis < nowMillis - LOSS_RETENTION_MILLIS }
+        losses.expire(nowMillis)
         undecided.entries.removeIf { (crash, task) -> decide(crash, task, nowMillis) }
     }
 
@@ -143,7 +104,7 @@
             val untilMillis = crash.lostMillis + COINCIDENCE_MILLIS
             val around = crash.lostMillis - COINCIDENCE_MILLIS..untilMillis
             when {
-                isInTrouble(around, crash.workerId) { true } -> crash.isInTrouble = true
+                losses.showsTrouble(around, crash.workerId) -> crash.isInTrouble = true
                 nowMillis > untilMillis -> crash.isInTrouble = false
             }
         }
@@ -166,25 +127,6 @@
         return true
     }
 
-    /**
-     * Whether workers other than [exceptId] have lost contact during [period] for reasons of their
-     * own.
-     *
-     * A few losses may be crashes by suspects, and fewer by tasks that were not suspect yet.
-     */
-    private fun isInTrouble(
-        period: LongRange,
-        exceptId: String?,
-        isLasting: (WorkerLoss) -> Boolean
-    ): Boolean {
-        val (ofSuspects, others) = losses
-            .filter { it.workerId != exceptId && it.atMillis in period && isLasting(it) }
-            .partition { it.isOfSuspect }
-        return others.any { it.exposed.isEmpty() } ||
-            others.size > fleet.workers.size / WORKERS_PER_FIRST_CRASH ||
-            ofSuspects.size > fleet.workers.size / WORKERS_PER_SUSPECT_CRASH
-    }
-
     private fun confirm(worker: FleetWorker, hasEnded: Boolean, nowMillis: Long) {
         // A start that is on its way may reach the new incarnation.
         val loss = currentLoss(worker, failures = 0)
@@ -200,7 +142,7 @@
     private fun currentLoss(worker: FleetWorker, failures: Int): WorkerLoss? {
         val loss = worker.loss ?: return null
         if (worker.contactFailures > failures) return loss
-        if (!loss.isCounted) losses -= loss
+        if (!loss.isCounted) losses.remove(loss)
         return null
     }
 
@@ -222,7 +164,7 @@
         // What answered in between may have been sent before the first loss.
         worker.loss?.let { loss.crashes += it.crashes }
         worker.loss = loss
-        losses += loss
+        losses.add(loss)
         return loss
     }
 
@@ -299,12 +241,5 @@
 
         /** The longest time for which that is awaited, multiplied by the repetitions. */
         const val MAX_HOLD_MILLIS = 10_000L
-
-        /** Longer than any period that is looked back on. */
-        const val LOSS_RETENTION_MILLIS = 10_000L
-
-        /** One in so many workers may be lost to tasks that were not suspect yet, or to suspects. */
-        const val WORKERS_PER_FIRST_CRASH = 32
-        const val WORKERS_PER_SUSPECT_CRASH = 8
     }
 }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
@@ -187,6 +187,10 @@
     fun isIncarnationKnown(nowMillis: Long): Boolean =
         lastReportMillis?.let { nowMillis - it <= INCARNATION_PROOF_MILLIS } ?: false
 
+    /** Whether it has been up for a while, so that it is not one that crashes by itself. */
+    fun isSettled(nowMillis: Long): Boolean =
+        upSinceMillis?.let { nowMillis - it >= SETTLED_MILLIS } ?: false
+
     /** Whether a report has just come, or a poll is open that would fail if the worker crashed. */
     fun isCertainlyUp(nowMillis: Long): Boolean = contactFailures == 0 &&
         ((isPolling && lastReportMillis != null) || isIncarnationKnown(nowMillis))
@@ -290,6 +294,9 @@
         /** Assumed to be too short for a restart followed by a complete run. */
         const val INCARNATION_PROOF_MILLIS = 200L
 
+        /** Several times as long as a trial usually takes. */
+        const val SETTLED_MILLIS = 3_000L
+
         /** A single call fails now and then. */
         const val SILENT_FAILURES = 2
 
