--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/CapacityTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/CapacityTest.kt
@@ -77,8 +77,8 @@
         expectThat(driver.starts).isEmpty()
     }
 
-    @Test
-    fun `counts a stopped run against the capacity until a later report lacks it`() {
+    /** Stops the only run that fits on w1, for which another task waits; returns its row. */
+    private fun stopRunOnFullWorker(): RunningRow {
         driver.listWorkers("w1")
         list("w1", Resources(1_000, 128_000))
         driver.submit(driver.workflow("first"))
@@ -91,6 +91,12 @@
         driver.step()
         val stop = driver.stops.single()
         scheduler.onStopAnswer(stop, WorkerAnswer.Done(driver.now, driver.now), driver.now)
+        return row
+    }
+
+    @Test
+    fun `counts a stopped run against the capacity until a later report lacks it`() {
+        val row = stopRunOnFullWorker()
         repeat(10) {
             driver.step()
             expectThat(driver.starts).isEmpty()
@@ -206,18 +212,7 @@
     // Guards against counting room as free between a stop and the end that the worker lists.
     @Test
     fun `counts a stopped run for the longest stop although reports lack it meanwhile`() {
-        driver.listWorkers("w1")
-        list("w1", Resources(1_000, 128_000))
-        driver.submit(driver.workflow("first"))
-        driver.step()
-        val first = driver.starts.single().also(driver::confirmStart)
-        val row = RunningRow(first.task, first.run, "", 10, null)
-        driver.polls.forEach { driver.report(it, listOf(row)) }
-        driver.submit(driver.workflow("second"))
-        scheduler.onWorkflowCancelled("first", driver.now, driver.now)
-        driver.step()
-        val stop = driver.stops.single()
-        scheduler.onStopAnswer(stop, WorkerAnswer.Done(driver.now, driver.now), driver.now)
+        stopRunOnFullWorker()
         val fencedMillis = driver.now
         do {
             driver.step(10)
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/DeadlyTaskTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/DeadlyTaskTest.kt
@@ -107,15 +107,14 @@
         expectThat(workers.startsOf("lasting").size).isGreaterThan(6)
     }
 
-    // Guards against jobs that fail as their workers crash for reasons of their own.
-    @Test
-    fun `fails no job when all workers crash at once again and again`() {
-        val workers = workers(8)
+    /** Crashes the first [crashed] of [count] workers six times, each with a job of [tasks] on them. */
+    private fun expectNoJobFails(count: Int, crashed: Int, tasks: Int, pauseMillis: Long) {
+        val workers = workers(count)
         repeat(6) { i ->
-            workers.submit("job$i", driver.taskStep(30))
+            workers.submit("job$i", driver.taskStep(tasks))
             workers.run(100)
-            repeat(8, workers::crash)
-            workers.run(3_500)
+            repeat(crashed, workers::crash)
+            workers.run(pauseMillis)
         }
         workers.run(60_000)
         repeat(6) { i ->
@@ -125,19 +124,13 @@
 
     // Guards against jobs that fail as their workers crash for reasons of their own.
     @Test
-    fun `fails no job when a rack crashes again and again`() {
-        val workers = workers(12)
-        repeat(6) { i ->
-            workers.submit("job$i", driver.taskStep(60))
-            workers.run(100)
-            repeat(4, workers::crash)
-            workers.run(5_000)
-        }
-        workers.run(60_000)
-        repeat(6) { i ->
-            expectThat(workers.phaseOf("job$i")).isEqualTo(WorkflowPhase.COMPLETED)
-        }
-    }
+    fun `fails no job when all workers crash at once again and again`() =
+        expectNoJobFails(count = 8, crashed = 8, tasks = 30, pauseMillis = 3_500)
+
+    // Guards against jobs that fail as their workers crash for reasons of their own.
+    @Test
+    fun `fails no job when a rack crashes again and again`() =
+        expectNoJobFails(count = 12, crashed = 4, tasks = 60, pauseMillis = 5_000)
 
     // Guards against jobs that fail as their workers crash for reasons of their own.
     @Test
