Record a cancellation before answering it, and make submissions conditional on it

Cause: Gateway.cancel derived "no such job" from one read. A create of the job whose answer was lost could still be carried out by the store, as its condition (the key is absent) held. The log of a case shows the order: create without an answer, 410 by another host 10 ms later, the late write applied 1 to 6 s after it, run-ordered. Ruled out: the scheduler, which keeps a cancellation that comes before its job.

Now the cancellation is written before the job is read, and a create expects both the job's key and the cancellation's to be absent. So a create that is carried out late fails in the store, on whichever host and attempt, and 410 stays true. Without an answer to the write of the cancellation the caller gets 503. A submission after the cancellation is refused without a time to come back.

Cost: a cancellation of a job that isn't there writes once.

--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Gateway.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Gateway.kt
@@ -4,6 +4,9 @@
  * A workflow is accepted once its record is in the store. A submission is refused only if it is
  * certain that the record is not in the store and can no longer appear there. If neither is
  * certain, the outcome is unknown and the caller has to retry.
+ *
+ * A cancellation is recorded before it is answered, also for an unknown workflow. Submissions are
+ * conditional on that record being absent, so none takes effect after the answer.
  */
 package sycamoremast.daemon.workflow
 
@@ -31,11 +34,12 @@
     /**
      * The workflow is not stored, and this submission will never run it.
      *
-     * If [isRuledOut], a refusal marker in the store guarantees this for earlier attempts as well.
+     * If [isRuledOut], a record in the store guarantees this for earlier attempts as well. If
+     * [retryAfterSeconds] is null, a later submission would be refused, too.
      */
     data class Refused(
         val reason: String,
-        val retryAfterSeconds: Int,
+        val retryAfterSeconds: Int?,
         val isRuledOut: Boolean = false
     ) : Acceptance
 
@@ -114,8 +118,11 @@
     private fun attemptId() = "$host-${Random.nextLong().toULong().toString(ATTEMPT_ID_RADIX)}"
 
     private fun create(id: String, record: AcceptanceRecord, expected: Long): Acceptance {
-        val key = WorkflowKeys.job(id)
-        return when (val result = put(key, record, expected)) {
+        val conditions = mapOf(
+            WorkflowKeys.job(id) to expected,
+            WorkflowKeys.cancel(id) to StoreEntry.ABSENT
+        )
+        return when (val result = put(id, record, conditions)) {
             is Either.Left -> when (val error = result.value) {
                 is StoreError.NotSent -> Acceptance.Refused(error.reason, RETRY_AFTER_SECONDS)
                 is StoreError.AnswerLost -> resolveLostAnswer(id, error)
@@ -123,23 +130,35 @@
 
             is Either.Right -> when (val commit = result.value) {
                 is CommitResult.Applied -> Acceptance.Accepted
-                is CommitResult.Conflict -> resolveConflict(id, record, commit.current[key])
+                is CommitResult.Conflict -> resolveConflict(id, record, commit.current)
                 CommitResult.LeaseGone -> Acceptance.Unknown("the store named a lease")
             }
         }
     }
 
-    /** Overwrites a refusal marker; any other readable record is the workflow itself. */
+    /**
+     * Accepts a workflow that is stored, refuses one that was cancelled before it was stored, and
+     * overwrites a refusal marker.
+     */
     private fun resolveConflict(
         id: String,
         record: AcceptanceRecord,
-        current: StoreEntry?
+        current: Map<String, StoreEntry>
     ): Acceptance {
-        if (current == null) return Acceptance.Unknown("the key changed twice")
-        val stored = decodeRecordOrNull<AcceptanceRecord>(current.value)
-            ?: return Acceptance.Unknown("the record is unreadable")
-        if (stored.workflow != null) return Acceptance.Accepted
-        return create(id, record, current.version)
+        val entry = current[WorkflowKeys.job(id)]
+        val stored = entry?.let { decodeRecordOrNull<AcceptanceRecord>(it.value) }
+        return when {
+            stored?.workflow != null -> Acceptance.Accepted
+
+            entry != null && stored == null -> Acceptance.Unknown("the record is unreadable")
+
+            WorkflowKeys.cancel(id) in current ->
+                Acceptance.Refused("the job was cancelled", null, isRuledOut = true)
+
+            entry == null -> Acceptance.Unknown("the key changed twice")
+
+            else -> create(id, record, entry.version)
+        }
     }
 
     /**
@@ -155,15 +174,16 @@
             is Either.Right -> if (holdsWorkflow(current.value)) {
                 Acceptance.Accepted
             } else {
-                ruleOut(key, current.value, lost)
+                ruleOut(id, current.value, lost)
             }
         }
     }
 
     /** Writes a refusal marker, which makes any outstanding write of the same key fail. */
-    private fun ruleOut(key: String, current: StoreEntry?, lost: StoreError): Acceptance {
-        val marker = AcceptanceRecord(attemptId())
-        val result = put(key, marker, current?.version ?: StoreEntry.ABSENT).getOrNull()
+    private fun ruleOut(id: String, current: StoreEntry?, lost: StoreError): Acceptance {
+        val key = WorkflowKeys.job(id)
+        val conditions = mapOf(key to (current?.version ?: StoreEntry.ABSENT))
+        val result = put(id, AcceptanceRecord(attemptId()), conditions).getOrNull()
         val stored = (result as? CommitResult.Conflict)?.current?.get(key)
         return when {
             result is CommitResult.Applied ->
@@ -182,9 +202,13 @@
     private fun holdsWorkflow(entry: StoreEntry?) =
         entry?.let { decodeRecordOrNull<AcceptanceRecord>(it.value) }?.workflow != null
 
-    private fun put(key: String, record: AcceptanceRecord, expected: Long) = store.commit(
-        StoreTransaction(mapOf(key to expected), listOf(StorePut(key, encodeRecord(record))))
-    )
+    private fun put(id: String, record: AcceptanceRecord, conditions: Map<String, Long>) =
+        store.commit(
+            StoreTransaction(
+                conditions,
+                listOf(StorePut(WorkflowKeys.job(id), encodeRecord(record)))
+            )
+        )
 
     /** Returns the status of the workflow [id]. */
     fun status(id: String): Lookup<WorkflowStatus> {
@@ -209,21 +233,26 @@
     private fun exists(id: String): Either<StoreError, Boolean> =
         store.get(WorkflowKeys.job(id)).map(::holdsWorkflow)
 
-    /** Cancels the workflow [id]. */
+    /**
+     * Cancels the workflow [id], also one whose submission has not taken effect yet.
+     *
+     * The cancellation is written before the workflow is read: whatever is not stored by then can
+     * no longer be.
+     */
     fun cancel(id: String): Lookup<Unit> {
-        val known = id in acceptedIds || owner()?.statusOrNull(id) != null
-        val found = if (known) Either.Right(true) else exists(id)
-        val outcome = found.flatMap { if (it) writeCancellation(id) else Either.Right(false) }
-        log.add("job-cancel", "id" to id, "outcome" to outcome)
+        val isKnown = id in acceptedIds || owner()?.statusOrNull(id) != null
+        val outcome = writeCancellation(id)
+            .flatMap { if (isKnown) Either.Right(true) else exists(id) }
+        log.add("job-cancel", "id" to id, "isKnown" to isKnown, "outcome" to outcome)
         return when (outcome) {
             is Either.Left -> Lookup.Unavailable(outcome.value.reason)
             is Either.Right -> if (outcome.value) Lookup.Found(Unit) else Lookup.Absent
         }
     }
 
-    private fun writeCancellation(id: String): Either<StoreError, Boolean> {
+    private fun writeCancellation(id: String): Either<StoreError, CommitResult> {
         val put = StorePut(WorkflowKeys.cancel(id), host)
-        return store.commit(StoreTransaction(emptyMap(), listOf(put))).map { true }
+        return store.commit(StoreTransaction(emptyMap(), listOf(put)))
             .onRight { owner()?.cancelWorkflow(id) }
     }
 
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/GatewayTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/GatewayTest.kt
@@ -114,6 +114,21 @@
         expectThat(gateway.cancel("id")).isEqualTo(Lookup.Absent)
     }
 
+    @Test
+    fun `refuses a workflow for good that was cancelled before it was submitted`() {
+        expectThat(gateway.cancel("id")).isEqualTo(Lookup.Absent)
+        expectThat(gateway.accept(workflow))
+            .isEqualTo(Acceptance.Refused("the job was cancelled", null, isRuledOut = true))
+        expectThat(gateway.status("id")).isEqualTo(Lookup.Absent)
+    }
+
+    @Test
+    fun `answers no cancellation whose record may be missing`() {
+        store.failCommits(Fault.DELAYED)
+        expectThat(gateway.cancel("id")).isA<Lookup.Unavailable>()
+        expectThat(gateway.cancel("id")).isEqualTo(Lookup.Absent)
+    }
+
     @Test
     fun `returns the phase recorded by the owner on any host`() {
         gateway.accept(workflow)
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/MemoryStore.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/MemoryStore.kt
@@ -39,7 +39,7 @@
     private val leases = HashSet<LeaseId>()
     private var revision = 10L
     private var compactedRevision = 0L
-    private val commitFaults = ArrayDeque<Fault>()
+    private val commitFaults = ArrayDeque<Fault?>()
     var isDown = false
 
     /** The most entries of a transaction; one with more is never applied. */
@@ -47,7 +47,11 @@
 
     /** Injects [faults] into the next commits, one each. */
     @Synchronized
-    fun failCommits(vararg faults: Fault) {
+    fun failCommits(vararg faults: Fault) = failCommits(faults.asList())
+
+    /** Injects [faults] into the next commits; null stands for a commit without a fault. */
+    @Synchronized
+    fun failCommits(faults: List<Fault?>) {
         commitFaults += faults
     }
 
