Bound leases by heartbeats of the owner that every host sees

Cause: a successor had to assume that an owner which it can't ask goes on for 7 s past its lease and grants a full lease (6.4 s) at the end of that, counted from the successor's own claim. Evidence: `recovery-waits workers=1 leaseLeftMillis=13000` 0.3 s after the claim, the other seven workers having answered; the tasks start with `recovery-complete`. Ruled out: holding back all recovered workflows for one worker, as the lost worker's own tasks are the late ones.

An owner now writes a heartbeat each 0.6 s with its records, under its key, and grants no lease that ends more than 7.4 s after the last durable one was formed. Every host notes when it first saw each heartbeat. A successor counts 8.0 s from that for workers that don't answer, whenever it claims; so neither the key's life in the store nor a claim that an outage delayed matters. A host whose earlier process was the owner counts a lease from its own start. The limit is converted to a worker's clock by the offset at the heartbeat, as a suspended owner's clock stands still.

Cost: in an outage of the store for all of more than about 6 s, runs lapse; 13 s before.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Consolidation.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Consolidation.kt
@@ -44,7 +44,7 @@
             cursor = (cursor + 1) % workers.size
             val worker = workers[cursor]
             val isMixed = imagesOf(worker).toSet().size > 1
-            if (isMixed && worker.acceptsStarts(nowMillis)) sources += worker
+            if (isMixed && fleet.acceptsStarts(worker, nowMillis)) sources += worker
         }
         return sources
     }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
@@ -46,6 +46,14 @@
      */
     var isRosterDurable = false
 
+    /**
+     * The time by which all leases end, which each durable heartbeat of this owner moves on.
+     *
+     * The next owner counts from the last heartbeat, however long this owner goes on.
+     */
+    var leasesEndByMillis = Long.MIN_VALUE / 2
+        private set
+
     /** What the store may tell the next owner about leases of workers. */
     var leaseLimits = LeaseLimits.NONE
 
@@ -102,6 +110,29 @@
         outbox += SchedulerAction.Log(SchedulerEvent(name, id, mapOf(*fields)))
     }
 
+    /** Records that a heartbeat is formed now. */
+    fun onHeartbeatFormed() = byId.values.forEach { it.lease.onHeartbeatFormed() }
+
+    /** Records that a heartbeat is durable which was formed at [formedMillis]. */
+    fun onHeartbeatDurable(formedMillis: Long) {
+        leasesEndByMillis = formedMillis + settings.leaseHorizonMillis
+        byId.values.forEach { it.lease.onHeartbeatDurable() }
+        isPlacementDue = true
+    }
+
+    /** Whether [worker] takes a start now, with a lease that is worth it. */
+    fun acceptsStarts(worker: FleetWorker, nowMillis: Long): Boolean =
+        worker.acceptsStarts(nowMillis) &&
+            worker.lease.longestMillis(nowMillis, leasesEndByMillis) >= SHORTEST_FIRST_LEASE_MILLIS
+
+    /** Returns the end of a lease granted now, on the clock of [worker], or null if there is none. */
+    fun leaseEndOrNull(worker: FleetWorker, nowMillis: Long): Long? = worker.lease.endOrNull(
+        nowMillis,
+        leasesEndByMillis,
+        worker.listing.isDraining,
+        settings
+    )
+
     /** Whether [worker] may get a lease, so that what the store may tell of its lease stays true. */
     fun mayGrantLease(worker: FleetWorker): Boolean = when {
         !isRosterDurable -> false
@@ -159,5 +190,8 @@
     private companion object {
         /** The size of the range of run numbers that each epoch has for a task. */
         const val RUNS_PER_EPOCH = 1_000L
+
+        /** A shorter lease would lapse before the poll that extends it. */
+        const val SHORTEST_FIRST_LEASE_MILLIS = 1_000L
     }
 }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
@@ -207,6 +207,7 @@
 
     /** Resets the end numbers, which a restarted worker counts from 1 again. */
     fun resetAfterRestart() {
+        lease.forgetClock()
         upSinceMillis = null
         seenEnd = 0
         recordedEnd = 0
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
@@ -128,7 +128,7 @@
     ): Boolean {
         val spec = task.step.spec
         fleet.examinedWorkers++
-        return worker.acceptsStarts(nowMillis) &&
+        return fleet.acceptsStarts(worker, nowMillis) &&
             fleet.enforcesFencing(worker.ref) &&
             fleet.mayGrantLease(worker) &&
             fleet.capacityReadings.isUsable(worker, nowMillis) &&
@@ -154,7 +154,7 @@
     fun isAwaitingRoom(task: OpenTask, nowMillis: Long): Boolean {
         val reserved = task.destination ?: return false
         val spec = task.step.spec
-        return reserved.acceptsStarts(nowMillis) && !fits(reserved, spec, freed = spec.demand)
+        return fleet.acceptsStarts(reserved, nowMillis) && !fits(reserved, spec, freed = spec.demand)
     }
 
     private fun taskCountOfStep(worker: FleetWorker, step: OpenStep) =
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
@@ -21,6 +21,7 @@
     private var lastInterferenceMillis = Long.MIN_VALUE / 2
     private var recordedReadings = 0L
     private var newInterference: InterferenceRecord? = null
+    private var lastHeartbeatMillis = Long.MIN_VALUE / 2
 
     /** The state of a workflow that a batch contains. */
     private class RecordedWorkflow(val workflow: OpenWorkflow) {
@@ -28,7 +29,12 @@
         val change = workflow.lastChange
     }
 
-    private class BatchInFlight(val workflows: List<RecordedWorkflow>, val roster: Set<WorkerRef>?)
+    /** A batch with the time at which it was formed if it is a heartbeat, [heartbeatMillis]. */
+    private class BatchInFlight(
+        val workflows: List<RecordedWorkflow>,
+        val roster: Set<WorkerRef>?,
+        val heartbeatMillis: Long?
+    )
 
     /** End [number] of a worker, to be acknowledged once [change] of [workflow] is durable. */
     private class PendingEnd(val number: Long, val workflow: OpenWorkflow, val change: Long) {
@@ -75,7 +81,7 @@
         updateInterference(nowMillis, unixMillis)
         if (leases.isRecordDue(nowMillis)) hasRosterChanged = true
         val isUnchanged = changed.isEmpty() && !hasRosterChanged && newWaiting == null
-        if (isUnchanged && newInterference == null) return
+        if (isUnchanged && newInterference == null && !isHeartbeatDue(nowMillis)) return
         if (nowMillis < dueMillis()) return
         lastBatchMillis = nowMillis
         sendBatch(nowMillis)
@@ -94,6 +100,11 @@
             fleet.workers.values.any { it.lease.isInherited && !it.isSilent }
     }
 
+    /** The first heartbeat comes with the first roster, before which no lease is granted. */
+    private fun isHeartbeatDue(nowMillis: Long): Boolean =
+        (hasRosterChanged || fleet.isRosterDurable) &&
+            nowMillis >= lastHeartbeatMillis + SchedulerSettings.HEARTBEAT_INTERVAL_MILLIS
+
     private fun updateWaitingCounts(nowMillis: Long) {
         if (nowMillis < lastCountMillis + COUNT_INTERVAL_MILLIS) return
         lastCountMillis = nowMillis
@@ -119,12 +130,21 @@
     }
 
     private fun sendBatch(nowMillis: Long) {
+        val isHeartbeat = isHeartbeatDue(nowMillis)
+        if (isHeartbeat) {
+            lastHeartbeatMillis = nowMillis
+            fleet.onHeartbeatFormed()
+        }
         val batch = changed.take(RecordBatch.MAX_WORKFLOWS)
         changed -= batch.toSet()
         val roster = if (hasRosterChanged) fleet.workers.values.map { it.ref } else null
         hasRosterChanged = false
         val leasesLeft = if (roster != null) leases.limit(nowMillis) else LeasesLeft.NONE
-        inFlight = BatchInFlight(batch.map(::RecordedWorkflow), roster?.toSet())
+        inFlight = BatchInFlight(
+            batch.map(::RecordedWorkflow),
+            roster?.toSet(),
+            nowMillis.takeIf { isHeartbeat }
+        )
         val progress = batch.associate { it.id to it.progress() }
         newWaiting?.let { recordedWaiting = it }
         val records = RecordBatch(
@@ -132,7 +152,8 @@
             roster,
             newWaiting,
             leasesLeft,
-            interference = newInterference
+            interference = newInterference,
+            isHeartbeat = isHeartbeat
         )
         fleet.outbox += SchedulerAction.Record(records)
         newWaiting = null
@@ -147,6 +168,7 @@
             record.workflow.durablePhase = record.phase
             record.workflow.durableChange = record.change
         }
+        done.heartbeatMillis?.let(fleet::onHeartbeatDurable)
         pendingEnds.entries.removeIf { (worker, ends) -> releaseDurableEnds(worker, ends) }
         if (done.roster != null) {
             fleet.workers.values.forEach { if (it.ref in done.roster) it.isInRoster = true }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RosterRecord.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RosterRecord.kt
@@ -19,18 +19,20 @@
     val drainingLeasesLeft: Map<String, Long>? = null,
     val batch: Long = 0
 ) {
-    val version: RosterVersion get() = RosterVersion(epoch, batch)
+    val version: RecordVersion get() = RecordVersion(epoch, batch)
 
     /**
      * Returns the time by which the last lease of [worker] has certainly lapsed, on the clock of
      * [sightings].
      *
-     * Owners that came later and recorded no roster have granted no lease.
+     * Owners that came later and recorded no roster have granted no lease, nor written a heartbeat
+     * after [lastHeartbeat], the last one in the store.
      */
     fun lapsedByMillis(
         worker: WorkerRef,
         sightings: StoreSightings,
-        settings: SchedulerSettings
+        settings: SchedulerSettings,
+        lastHeartbeat: RecordVersion?
     ): Long {
         val succeededMillis = sightings.claimedByMillis(epoch + 1)
         leasesLeft?.get(worker.id)?.let {
@@ -41,6 +43,12 @@
                 it
         }
         drainingLeasesLeft?.get(worker.id)?.let { return succeededMillis + it }
-        return settings.lapsedBy(succeededMillis + SchedulerSettings.PAST_LEASE_MILLIS)
+        // An owner that recorded a roster and no heartbeat is of a version that writes none.
+        val heartbeat = lastHeartbeat?.takeIf { it.epoch >= epoch }
+        return listOfNotNull(
+            settings.lapsedBy(succeededMillis + SchedulerSettings.PAST_LEASE_MILLIS),
+            heartbeat?.let { settings.lapsedAfterHeartbeat(sightings.heartbeatMillis(it)) },
+            sightings.ends[epoch]?.let { settings.lapsedBy(it) }
+        ).min()
     }
 }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunMaintenance.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunMaintenance.kt
@@ -92,7 +92,7 @@
     private fun poll(worker: FleetWorker, nowMillis: Long) {
         // The lease of an unreachable worker is not extended, so that its tasks can restart
         // elsewhere.
-        val leaseEnd = worker.lease.endOrNull(nowMillis, worker.listing.isDraining, fleet.settings)
+        val leaseEnd = fleet.leaseEndOrNull(worker, nowMillis)
             ?.takeIf {
                 worker.placements.isNotEmpty() &&
                     worker.contactFailures == 0 &&
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerAction.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerAction.kt
@@ -30,21 +30,25 @@
  * changed.
  *
  * [waiting] is the number of workflows without a started task, by queue. [leasesLeft] goes with the
- * roster.
+ * roster. If [isHeartbeat], the transaction also shows other hosts that the owner is at work.
  */
 data class RecordBatch(
     val progress: Map<String, WorkflowProgress>,
     val roster: List<WorkerRef>?,
     val waiting: Map<String, Int>?,
     val leasesLeft: LeasesLeft = LeasesLeft.NONE,
-    val interference: InterferenceRecord? = null
+    val interference: InterferenceRecord? = null,
+    val isHeartbeat: Boolean = false
 ) {
     companion object {
         /** The most entries of a transaction, conditions included, that the platform's store takes. */
         const val MAX_TRANSACTION_ENTRIES = 32
 
-        /** The condition, and the owner's own records: epoch, roster twice, waiting, interference. */
-        private const val OWN_ENTRIES = 6
+        /**
+         * The condition, and the owner's own records: epoch, heartbeat, roster twice, waiting,
+         * interference.
+         */
+        private const val OWN_ENTRIES = 7
 
         /** The most workflows of one batch. */
         const val MAX_WORKFLOWS = MAX_TRANSACTION_ENTRIES - OWN_ENTRIES
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerSettings.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerSettings.kt
@@ -31,6 +31,20 @@
      */
     fun drainingLimitMillis(): Long = OWNER_OVERRUN_MILLIS + lapsedBy(0, isDraining = true)
 
+    /** How long after the owner's last durable heartbeat any lease may end, on the owner's clock. */
+    val leaseHorizonMillis: Long
+        get() = minOf(leaseMillis + LEASE_HORIZON_SLACK_MILLIS, LONGEST_LEASE_HORIZON_MILLIS)
+
+    /**
+     * Returns when all leases of an owner have certainly lapsed whose last heartbeat was seen at
+     * [seenMillis].
+     */
+    fun lapsedAfterHeartbeat(seenMillis: Long): Long {
+        val horizon = leaseHorizonMillis
+        val clockErrors = 2 * maxClockError(horizon)
+        return seenMillis + horizon + clockErrors + LAPSE_MARGIN_MILLIS
+    }
+
     /** Returns how far a worker's clock may lag after [elapsedMillis], at most half a lease. */
     fun maxDrift(elapsedMillis: Long): Long =
         (elapsedMillis / SLOWEST_CLOCK_DIVISOR).coerceIn(0, leaseMillis / 2)
@@ -86,6 +100,15 @@
         /** How late an owner may notice that its lease in the store has ended. */
         private const val OWNER_OVERRUN_MILLIS = 2_000L
 
+        /** How often an owner writes a heartbeat, which allows it to grant leases for a while. */
+        const val HEARTBEAT_INTERVAL_MILLIS = 600L
+
+        /** Leases have their full length while heartbeats come at twice their interval or faster. */
+        private const val LEASE_HORIZON_SLACK_MILLIS = 1_400L
+
+        /** Lets the tasks of a worker that is lost together with the owner restart within 9 s. */
+        private const val LONGEST_LEASE_HORIZON_MILLIS = 7_400L
+
         /** How long an owner may go on without a valid lease in the store, relying on fencing. */
         const val PAST_LEASE_MILLIS = 7_000L
     }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Starter.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Starter.kt
@@ -79,12 +79,9 @@
         val task = placement.task
         val worker = placement.worker
         val workflow = task.step.workflow
-        val leaseEnd =
-            checkNotNull(
-                worker.lease.endOrNull(nowMillis, worker.listing.isDraining, fleet.settings)
-            ) {
-                "no clock offset is known for a worker with a placement: ${worker.id}"
-            }
+        val leaseEnd = checkNotNull(fleet.leaseEndOrNull(worker, nowMillis)) {
+            "no lease can be granted to a worker with a placement: ${worker.id}"
+        }
         worker.lease.record(fleet.settings.lapsedBy(nowMillis))
         fleet.log(
             "run-ordered",
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/StoreSightings.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/StoreSightings.kt
@@ -1,23 +1,30 @@
 /**
- * When a host saw the claims and rosters of owners in the store.
+ * When a host saw the claims, rosters and heartbeats of owners in the store.
  *
  * By that a host tells how old they are at least, on its own clock alone.
  */
 package sycamoremast.coordination.workflow
 
 /**
- * The times at which this host first saw the claims of epochs, [claims], and the [rosters], and the
- * time before which its own claim was made, [claimedMillis].
+ * The times at which this host first saw the claims of epochs, [claims], the [rosters] and the
+ * [heartbeats], and a time before its own claim and after all records of earlier owners,
+ * [claimedMillis]. By the times in [ends], the owners of these epochs had certainly ended, as they
+ * were on this host.
  */
 data class StoreSightings(
     val claimedMillis: Long,
     val claims: Map<Long, Long> = emptyMap(),
-    val rosters: Map<RosterVersion, Long> = emptyMap()
+    val rosters: Map<RecordVersion, Long> = emptyMap(),
+    val heartbeats: Map<RecordVersion, Long> = emptyMap(),
+    val ends: Map<Long, Long> = emptyMap()
 ) {
     /** Returns a time not before the claim of [epoch], which may be this host's own. */
     fun claimedByMillis(epoch: Long): Long =
         claims.filterKeys { it >= epoch }.values.fold(claimedMillis, ::minOf)
 
     /** Returns a time not before the roster [version] was written, or null if it was not seen. */
-    fun rosterMillisOrNull(version: RosterVersion): Long? = rosters[version]
+    fun rosterMillisOrNull(version: RecordVersion): Long? = rosters[version]
+
+    /** Returns a time not before the heartbeat [version] was written. */
+    fun heartbeatMillis(version: RecordVersion): Long = heartbeats[version] ?: claimedMillis
 }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerLease.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerLease.kt
@@ -5,6 +5,13 @@
     private var clockOffsetMillis: Long? = null
     private var clockReadMillis = 0L
 
+    /**
+     * The offset known when the last heartbeat was formed, and when the last durable one was; for a
+     * worker that answered only later, its first offset.
+     */
+    private var formedOffsetMillis: Long? = null
+    private var heartbeatOffsetMillis: Long? = null
+
     /** The time by which the last lease granted to the worker has certainly lapsed. */
     var lapsedByMillis = Long.MIN_VALUE
         private set
@@ -23,14 +30,56 @@
     fun recordClock(clockMillis: Long, receivedMillis: Long) {
         clockOffsetMillis = clockMillis - receivedMillis
         clockReadMillis = receivedMillis
+        if (formedOffsetMillis == null) formedOffsetMillis = clockOffsetMillis
+        if (heartbeatOffsetMillis == null) heartbeatOffsetMillis = clockOffsetMillis
+    }
+
+    /** Records that a heartbeat is formed. */
+    fun onHeartbeatFormed() {
+        formedOffsetMillis = clockOffsetMillis
+    }
+
+    /** Records that the last heartbeat formed is durable. */
+    fun onHeartbeatDurable() {
+        heartbeatOffsetMillis = formedOffsetMillis
+    }
+
+    /** Forgets the clock of an earlier incarnation. */
+    fun forgetClock() {
+        clockOffsetMillis = null
+        formedOffsetMillis = null
+        heartbeatOffsetMillis = null
     }
 
-    /** Returns the end of a lease granted now, on the worker's clock, or null if unknown. */
-    fun endOrNull(nowMillis: Long, isDraining: Boolean, settings: SchedulerSettings): Long? =
-        clockOffsetMillis?.let {
-            val lease = settings.leaseMillis(isDraining)
-            nowMillis + it + lease - settings.maxDrift(nowMillis - clockReadMillis)
-        }
+    /**
+     * Returns how long a lease granted now may last that ends by [latestMillis], which counts from
+     * the last durable heartbeat; this is negative if the time has passed or no clock is known.
+     *
+     * The time is converted by the offset known at the heartbeat: this owner's clock doesn't count
+     * the time for which the owner was suspended since.
+     */
+    fun longestMillis(nowMillis: Long, latestMillis: Long): Long {
+        val offset = clockOffsetMillis ?: return -1
+        val heartbeatOffset = heartbeatOffsetMillis ?: return -1
+        return latestMillis + heartbeatOffset - nowMillis - offset
+    }
+
+    /**
+     * Returns the end of a lease granted now, on the worker's clock, or null if there is none.
+     *
+     * The lease ends by [latestMillis], as in [longestMillis].
+     */
+    fun endOrNull(
+        nowMillis: Long,
+        latestMillis: Long,
+        isDraining: Boolean,
+        settings: SchedulerSettings
+    ): Long? {
+        val offset = clockOffsetMillis ?: return null
+        val usual = settings.leaseMillis(isDraining) - settings.maxDrift(nowMillis - clockReadMillis)
+        val length = minOf(usual, longestMillis(nowMillis, latestMillis))
+        return if (length > 0) nowMillis + offset + length else null
+    }
 
     /** Records a lease that has lapsed by [lapsedBy]. */
     fun record(lapsedBy: Long) {
--- /dev/null
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/WorkerLeaseTest.kt
@@ -0,0 +1,47 @@
+package sycamoremast.coordination.workflow
+
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNull
+
+class WorkerLeaseTest {
+    private val settings = SchedulerSettings()
+    private val lease = WorkerLease()
+
+    private fun endOrNull(nowMillis: Long, latestMillis: Long) =
+        lease.endOrNull(nowMillis, latestMillis, isDraining = false, settings)
+
+    @Test
+    fun `ends a lease by the time that the last heartbeat allows`() {
+        lease.recordClock(clockMillis = 500, receivedMillis = 1_000)
+        expectThat(endOrNull(1_000, latestMillis = 20_000)).isEqualTo(500 + settings.leaseMillis)
+        expectThat(endOrNull(1_000, latestMillis = 4_000)).isEqualTo(3_500)
+        expectThat(endOrNull(1_000, latestMillis = 1_000)).isNull()
+    }
+
+    // Guards against leases that outlast what a successor assumes of an owner that was suspended.
+    @Test
+    fun `grants a suspended owner no longer leases than the heartbeat before allows`() {
+        lease.recordClock(clockMillis = 1_000, receivedMillis = 1_000)
+        lease.onHeartbeatFormed()
+        lease.onHeartbeatDurable()
+        val latest = 1_000 + settings.leaseHorizonMillis
+        val suspendedMillis = 3_000
+        lease.recordClock(clockMillis = 2_000L + suspendedMillis, receivedMillis = 2_000)
+        expectThat(endOrNull(2_000, latest)).isEqualTo(latest)
+        expectThat(endOrNull(latest - suspendedMillis, latest)).isNull()
+    }
+
+    @Test
+    fun `grants full leases again from the next heartbeat on`() {
+        lease.recordClock(clockMillis = 1_000, receivedMillis = 1_000)
+        lease.onHeartbeatFormed()
+        lease.onHeartbeatDurable()
+        lease.recordClock(clockMillis = 5_000, receivedMillis = 2_000)
+        lease.onHeartbeatFormed()
+        lease.onHeartbeatDurable()
+        val latest = 2_000 + settings.leaseHorizonMillis
+        expectThat(endOrNull(2_000, latest)).isEqualTo(5_000 + settings.leaseMillis)
+    }
+}
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Election.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Election.kt
@@ -25,7 +25,7 @@
 import sycamoremast.coordination.StorePut
 import sycamoremast.coordination.StoreTransaction
 import sycamoremast.coordination.TransactionalStore
-import sycamoremast.coordination.workflow.RosterVersion
+import sycamoremast.coordination.workflow.RecordVersion
 import sycamoremast.coordination.workflow.SchedulerSettings
 import sycamoremast.coordination.workflow.StoreSightings
 import sycamoremast.daemon.log.EventLog
@@ -77,10 +77,13 @@
     val leaseState: LeaseState
         get() = heldTerm?.let(::leaseState) ?: LeaseState.LAPSED
 
-    /** When the claims of the latest epochs, and the latest rosters, were first seen. */
+    /** When the claims of the latest epochs, and their latest records, were first seen. */
     private val claimsSeen = ConcurrentSkipListMap<Long, Long>()
-    private val rostersSeen =
-        ConcurrentSkipListMap<RosterVersion, Long>(compareBy({ it.epoch }, { it.batch }))
+    private val rostersSeen = recordsSeen()
+    private val heartbeatsSeen = recordsSeen()
+
+    /** When the last term of this host had ended, in this process or in an earlier one. */
+    private var lastEndMillis = clock.nowMillis()
 
     /** The last seen content of the owner's key, or null before the first listing. */
     @Volatile
@@ -96,7 +99,9 @@
 
     override fun onListing(listing: StoreListing) {
         listing.entries.find { it.key == WorkflowKeys.rosterVersion(set) }
-            ?.let { recordRoster(it.value) }
+            ?.let { recordSighting(rostersSeen, it.key, it.value) }
+        listing.entries.find { it.key == WorkflowKeys.heartbeat(set) }
+            ?.let { recordSighting(heartbeatsSeen, it.key, it.value) }
         val entry = listing.entries.find { it.key == WorkflowKeys.owner(set) }
         updateOwnerKey(entry?.value, entry?.version)
     }
@@ -104,18 +109,30 @@
     override fun onChange(change: StoreChange) {
         when (change.key) {
             WorkflowKeys.owner(set) -> updateOwnerKey(change.value, change.revision)
-            WorkflowKeys.rosterVersion(set) -> change.value?.let(::recordRoster)
+
+            WorkflowKeys.rosterVersion(set) ->
+                change.value?.let { recordSighting(rostersSeen, change.key, it) }
+
+            WorkflowKeys.heartbeat(set) ->
+                change.value?.let { recordSighting(heartbeatsSeen, change.key, it) }
         }
     }
 
-    private fun recordRoster(text: String) {
-        val roster = decodeRecordOrNull<RosterVersion>(text)
-        if (roster == null) {
-            log.add("roster-version-unreadable", "set" to set)
+    private fun recordsSeen() =
+        ConcurrentSkipListMap<RecordVersion, Long>(compareBy({ it.epoch }, { it.batch }))
+
+    private fun recordSighting(
+        seen: ConcurrentSkipListMap<RecordVersion, Long>,
+        key: String,
+        text: String
+    ) {
+        val version = decodeRecordOrNull<RecordVersion>(text)
+        if (version == null) {
+            log.add("record-version-unreadable", "key" to key)
             return
         }
-        rostersSeen.putIfAbsent(roster, clock.nowMillis())
-        if (rostersSeen.size > MAX_SIGHTINGS) rostersSeen.pollFirstEntry()
+        seen.putIfAbsent(version, clock.nowMillis())
+        if (seen.size > MAX_SIGHTINGS) seen.pollFirstEntry()
     }
 
     private fun updateOwnerKey(value: String?, version: Long?) {
@@ -153,13 +170,13 @@
     }
 
     /**
-     * Returns the version of the owner's key if this host may claim it, or null.
+     * Returns the owner's key if this host may claim it, or null.
      *
      * Only one process runs per host: if the key names this host, the process that wrote it has
      * ended.
      */
-    private fun claimableVersionOrNull(): Long? = ownerKey
-        ?.takeIf { it.record == null || it.record.host == host }?.version
+    private fun claimableKeyOrNull(): OwnerKeyState? =
+        ownerKey?.takeIf { it.record == null || it.record.host == host }
 
     private fun leaseState(held: HeldTerm): LeaseState {
         val elapsedMillis = clock.nowMillis() - held.renewedMillis
@@ -193,23 +210,24 @@
         heldTerm = null
         log.add("owner-ended", "set" to set, "epoch" to held.term.epoch, "reason" to reason)
         listener.onEnd(reason)
+        lastEndMillis = clock.nowMillis()
         store.revokeLease(held.lease).onLeft {
             log.add("lease-not-ended", "step" to it.step, "peer" to it.peer, "reason" to it.reason)
         }
     }
 
     private fun claimIfFree() {
-        if (claimableVersionOrNull() == null) return
+        if (claimableKeyOrNull() == null) return
         val shouldDefer = hasStrongerHost()
         Thread.sleep(
             Random.nextLong(MAX_CLAIM_JITTER_MILLIS) +
                 if (shouldDefer) WEAK_HOST_CLAIM_DELAY_MILLIS else 0
         )
-        val version = claimableVersionOrNull()
-        if (version == null || !isOpen) return
+        val key = claimableKeyOrNull()
+        if (key == null || !isOpen) return
         val startedMillis = clock.nowMillis()
         val claimed = store.grantLease(LEASE_TTL_MILLIS.milliseconds).flatMap { lease ->
-            store.get(WorkflowKeys.epoch(set)).flatMap { claim(lease, version, it, startedMillis) }
+            store.get(WorkflowKeys.epoch(set)).flatMap { claim(lease, key, it, startedMillis) }
         }
         when (claimed) {
             is Either.Left -> log.add(
@@ -232,7 +250,7 @@
     /** Returns the claimed term, or null if another host claimed it first. */
     private fun claim(
         lease: LeaseId,
-        ownerVersion: Long,
+        ownerKey: OwnerKeyState,
         lastEpoch: StoreEntry?,
         startedMillis: Long
     ): Either<StoreError, HeldTerm?> {
@@ -242,7 +260,7 @@
         val ownerText = encodeRecord(OwnerRecord(host, epoch))
         val transaction = StoreTransaction(
             expected = mapOf(
-                WorkflowKeys.owner(set) to ownerVersion,
+                WorkflowKeys.owner(set) to ownerKey.version,
                 WorkflowKeys.epoch(set) to (lastEpoch?.version ?: StoreEntry.ABSENT)
             ),
             puts = listOf(
@@ -258,7 +276,15 @@
                         Term(
                             epoch,
                             result.revision,
-                            StoreSightings(readMillis, claimsSeen.toMap(), rostersSeen.toMap())
+                            StoreSightings(
+                                readMillis,
+                                claimsSeen.toMap(),
+                                rostersSeen.toMap(),
+                                heartbeatsSeen.toMap(),
+                                listOfNotNull(ownerKey.record).associate {
+                                    it.epoch to lastEndMillis
+                                }
+                            )
                         ),
                         startedMillis
                     )
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
@@ -15,6 +15,7 @@
 import sycamoremast.coordination.StoreListing
 import sycamoremast.coordination.TransactionalStore
 import sycamoremast.coordination.workflow.InterferenceRecord
+import sycamoremast.coordination.workflow.RecordVersion
 import sycamoremast.coordination.workflow.RosterRecord
 import sycamoremast.coordination.workflow.RunPort
 import sycamoremast.coordination.workflow.SchedulerSettings
@@ -100,7 +101,10 @@
         val interference = store.get(WorkflowKeys.interference(set)).bind()
         val work = store.list(WorkflowKeys.WORK).bind()
         workers.onListing(listed)
-        roster?.let { decodeRecordOrNull<RosterRecord>(it.value) }?.let { next.addRoster(it, term) }
+        val heartbeat = work.entries.find { it.key == WorkflowKeys.heartbeat(set) }
+            ?.let { decodeRecordOrNull<RecordVersion>(it.value) }
+        roster?.let { decodeRecordOrNull<RosterRecord>(it.value) }
+            ?.let { next.addRoster(it, heartbeat, term) }
         interference?.let { restoreInterference(next, it) }
         val feed = WorkflowFeed(next, set, term, log, progress)
         feed.onListing(work)
@@ -108,7 +112,11 @@
     }
 
     /** Adds the workers of the last [roster], with the time by which their leases expire. */
-    private fun SchedulerLoop.addRoster(roster: RosterRecord, term: Term) {
+    private fun SchedulerLoop.addRoster(
+        roster: RosterRecord,
+        heartbeat: RecordVersion?,
+        term: Term
+    ) {
         log.add(
             "roster",
             "workers" to roster.workers.size,
@@ -117,11 +125,16 @@
                 clock.nowMillis() - term.sightings.claimedByMillis(roster.epoch + 1),
             "writtenMillisAgo" to
                 term.sightings.rosterMillisOrNull(roster.version)?.let { clock.nowMillis() - it },
+            "heartbeatEpoch" to heartbeat?.epoch,
+            "heartbeatMillisAgo" to
+                heartbeat?.let { clock.nowMillis() - term.sightings.heartbeatMillis(it) },
+            "endedMillisAgo" to term.sightings.ends[roster.epoch]?.let { clock.nowMillis() - it },
             "knownLeases" to (roster.leasesLeft?.size ?: 0),
             "drainingLeases" to (roster.drainingLeasesLeft?.size ?: 0)
         )
         for (worker in roster.workers) {
-            addRosterWorker(worker, roster.lapsedByMillis(worker, term.sightings, settings))
+            val lapsedBy = roster.lapsedByMillis(worker, term.sightings, settings, heartbeat)
+            addRosterWorker(worker, lapsedBy)
         }
     }
 
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/RecordWriter.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/RecordWriter.kt
@@ -14,6 +14,7 @@
 import sycamoremast.coordination.StoreTransaction
 import sycamoremast.coordination.TransactionalStore
 import sycamoremast.coordination.workflow.RecordBatch
+import sycamoremast.coordination.workflow.RecordVersion
 import sycamoremast.coordination.workflow.RosterRecord
 import sycamoremast.daemon.log.EventLog
 
@@ -70,6 +71,10 @@
             puts += StorePut(WorkflowKeys.roster(set), encodeRecord(record))
             puts += StorePut(WorkflowKeys.rosterVersion(set), encodeRecord(record.version))
         }
+        if (batch.isHeartbeat) {
+            val version = RecordVersion(epoch, next.batch)
+            puts += StorePut(WorkflowKeys.heartbeat(set), encodeRecord(version))
+        }
         batch.waiting?.let {
             puts += StorePut(WorkflowKeys.waiting(set), encodeRecord(WaitingRecord(it)))
         }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowKeys.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowKeys.kt
@@ -26,6 +26,9 @@
     /** Names the newest roster, under the owner's key so that the same watch reports both. */
     fun rosterVersion(set: Int) = "${owner(set)}/roster"
 
+    /** Shows the owner's last heartbeat, under its key so that the same watch reports both. */
+    fun heartbeat(set: Int) = "${owner(set)}/heartbeat"
+
     fun epoch(set: Int) = "${ROOT}epoch/$set"
 
     fun roster(set: Int) = "${ROOT}roster/$set"
