--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
@@ -154,7 +154,8 @@
     fun isAwaitingRoom(task: OpenTask, nowMillis: Long): Boolean {
         val reserved = task.destination ?: return false
         val spec = task.step.spec
-        return fleet.acceptsStarts(reserved, nowMillis) && !fits(reserved, spec, freed = spec.demand)
+        return fleet.acceptsStarts(reserved, nowMillis) &&
+            !fits(reserved, spec, freed = spec.demand)
     }
 
     private fun taskCountOfStep(worker: FleetWorker, step: OpenStep) =
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerLease.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerLease.kt
@@ -76,8 +76,9 @@
         settings: SchedulerSettings
     ): Long? {
         val offset = clockOffsetMillis ?: return null
-        val usual = settings.leaseMillis(isDraining) - settings.maxDrift(nowMillis - clockReadMillis)
-        val length = minOf(usual, longestMillis(nowMillis, latestMillis))
+        val drift = settings.maxDrift(nowMillis - clockReadMillis)
+        val full = settings.leaseMillis(isDraining) - drift
+        val length = minOf(full, longestMillis(nowMillis, latestMillis))
         return if (length > 0) nowMillis + offset + length else null
     }
 
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/CancellationOrderTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/CancellationOrderTest.kt
@@ -112,21 +112,19 @@
         }
     }
 
-    private fun faultSequences(length: Int): List<List<Fault?>> =
-        if (length == 0) {
-            listOf(emptyList())
-        } else {
-            faultSequences(length - 1).flatMap { head ->
-                (Fault.entries + null).map { head + it }
-            }
+    private fun faultSequences(length: Int): List<List<Fault?>> = if (length == 0) {
+        listOf(emptyList())
+    } else {
+        faultSequences(length - 1).flatMap { head ->
+            (Fault.entries + null).map { head + it }
         }
+    }
 
-    private fun permutations(steps: List<Step>): List<List<Step>> =
-        if (steps.isEmpty()) {
-            listOf(emptyList())
-        } else {
-            steps.flatMap { first -> permutations(steps - first).map { listOf(first) + it } }
-        }
+    private fun permutations(steps: List<Step>): List<List<Step>> = if (steps.isEmpty()) {
+        listOf(emptyList())
+    } else {
+        steps.flatMap { first -> permutations(steps - first).map { listOf(first) + it } }
+    }
 
     private companion object {
         /** Two of each submission: the workflow and its refusal marker. */
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/RecordWriterTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/RecordWriterTest.kt
@@ -13,8 +13,8 @@
 import sycamoremast.coordination.StoreTransaction
 import sycamoremast.coordination.workflow.InterferenceRecord
 import sycamoremast.coordination.workflow.RecordBatch
-import sycamoremast.coordination.workflow.RosterRecord
 import sycamoremast.coordination.workflow.RecordVersion
+import sycamoremast.coordination.workflow.RosterRecord
 import sycamoremast.coordination.workflow.StoreSightings
 import sycamoremast.coordination.workflow.WorkflowPhase
 import sycamoremast.coordination.workflow.WorkflowProgress
