Bound the tasks of a job and of an owner's memory, and end processes that lose a thread

Cause: the owner creates an object for each task that exists, in 160 MB; nothing bounds them; and an error that ends a thread is neither logged nor noticed, so that the process goes on as host and owner. Evidence, from the hosts' logs of the case: six terms in turn on three hosts, each `owner-ended reason="lease ended"`, and OutOfMemoryError on standard error in the threads scheduler (five), host-registry and a follower. Ruled out: the store and recovery.

Three changes, each with its test. A job of more than max-tasks-per-job tasks (10,000), all occurrences counted, is refused before anything is stored, without a time to come back. The owner opens tasks while max-open-tasks (200,000) allow it, jobs with over 100 tasks in half of that, and discards them when a job and its runs have ended; what an earlier owner started is opened at once, as it would run again otherwise. An error ends the owner's term, and one that ends any thread halts the process, which then is neither owner nor ready.

OpenTasksTest, FatalErrorHandlerTest and the new cases of GatewayTest, OwnershipTest and WorkflowSettingsTest need the limits and the handler, which did not exist before.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
@@ -15,6 +15,7 @@
         }
         private set
     val workflows = LinkedHashMap<String, OpenWorkflow>()
+    val openTasks = OpenTasks(this)
 
     /** The workflows that have not ended. */
     val openWorkflows = LinkedHashSet<OpenWorkflow>()
@@ -141,7 +142,12 @@
         else -> true
     }
 
-    fun taskOrNull(name: TaskName): OpenTask? = workflows[name.workflow]?.taskOrNull(name)
+    /** Returns the task [name], of which a run was ordered, if its workflow is known. */
+    fun taskOrNull(name: TaskName): OpenTask? {
+        val workflow = workflows[name.workflow] ?: return null
+        openTasks.openStarted(workflow, name.occurrence + 1)
+        return workflow.taskOrNull(name)
+    }
 
     /**
      * Whether every worker that may run recovered work has reported it or certainly ended it.
@@ -184,6 +190,7 @@
         placement.transition(PlacementEvent.GONE, nowMillis)
         placement.worker.remove(placement, nowMillis)
         placement.task.release(placement)
+        openTasks.discardIfEnded(placement.task.step.workflow)
         isPlacementDue = true
     }
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/OpenWorkflow.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/OpenWorkflow.kt
@@ -29,6 +29,13 @@
         private set
     var queue = spec.queue
     val occurrences = ArrayList<OpenOccurrence>()
+
+    /** The number of runs of its tasks that may take room on workers. */
+    var placedCount = 0
+        private set
+
+    /** Whether its tasks wait for tasks of other workflows to end, as too many are open. */
+    var isHeldBack = false
     val id: String get() = spec.id
     val isLongRunning = spec.steps.any { it.isLongRunning }
     val longRunningMilliCpus = spec.steps.filter { it.isLongRunning && !it.usesIdleCpu }
@@ -69,23 +76,33 @@
         endedUnixMillis = unixMillis
     }
 
+    fun onPlaced() {
+        placedCount++
+    }
+
+    fun onReleased() {
+        placedCount--
+    }
+
+    /** Discards the tasks, which are not needed once the workflow and all its runs have ended. */
+    fun discardTasks() = occurrences.clear()
+
     fun begin() {
         hasBegun = true
         if (phase == WorkflowPhase.QUEUED) phase = WorkflowPhase.RUNNING
     }
 
-    /** Adds the occurrences that are due at [unixMillis]; returns whether any was added. */
-    fun addDueOccurrences(unixMillis: Long): Boolean {
+    /** Whether an occurrence is due at [unixMillis] whose tasks are not open yet. */
+    fun hasDueOccurrence(unixMillis: Long): Boolean {
         val recurrence = spec.recurrence
-        val occurrenceCount = recurrence?.count ?: 1
-        var added = false
-        while (occurrences.size < occurrenceCount) {
-            val number = occurrences.size
-            if (recurrence != null && recurrence.dueUnixMillis(number) > unixMillis) break
-            occurrences += OpenOccurrence(this, number)
-            added = true
-        }
-        return added
+        val number = occurrences.size
+        if (number >= (recurrence?.count ?: 1)) return false
+        return recurrence == null || recurrence.dueUnixMillis(number) <= unixMillis
+    }
+
+    /** Opens the tasks of the next occurrence. */
+    fun addOccurrence() {
+        occurrences += OpenOccurrence(this, occurrences.size)
     }
 
     val isDone: Boolean
@@ -125,14 +142,16 @@
     )
 
     /** Restores the progress that an earlier owner recorded. */
-    fun restore(progress: WorkflowProgress, unixMillis: Long) {
+    fun restore(progress: WorkflowProgress) {
         phase = progress.phase
         durablePhase = progress.phase
         hasBegun = progress.hasBegun
         endedUnixMillis = progress.endedUnixMillis
         failure = progress.failure
-        if (!isOpen) return
-        addDueOccurrences(unixMillis)
+    }
+
+    /** Restores what [progress] tells of the tasks that are open. */
+    fun restoreTasks(progress: WorkflowProgress) {
         for (step in steps()) {
             progress.doneTasks[step.key]?.toList()?.mapNotNull(step.tasks::getOrNull)
                 ?.forEach { it.markDone() }
@@ -253,13 +272,14 @@
 
     fun place(placement: Placement) {
         placements += placement
+        step.workflow.onPlaced()
         lastRun = maxOf(lastRun, placement.run)
         step.waiting -= this
     }
 
     /** Removes [placement]; the task waits again if it is not done and has no other placement. */
     fun release(placement: Placement) {
-        placements -= placement
+        if (placements.remove(placement)) step.workflow.onReleased()
         if (!isDone && placements.isEmpty()) step.waiting += this
     }
 }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerSettings.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerSettings.kt
@@ -6,13 +6,15 @@
  *
  * [leaseMillis] is the lease that orders grant to a worker, and [drainingLeaseMillis] the one that
  * they grant to a worker that is about to leave. [stopMillis] is how long a stop may take.
+ * [maxOpenTasks] is how many tasks the owner keeps in memory, those that run included.
  */
 data class SchedulerSettings(
     val leaseMillis: Long = DEFAULT_LEASE_MILLIS,
     val stopMillis: Long = DEFAULT_STOP_MILLIS,
     val recordIntervalMillis: Long = DEFAULT_RECORD_INTERVAL_MILLIS,
     val pollWaitMillis: Long = DEFAULT_POLL_WAIT_MILLIS,
-    val drainingLeaseMillis: Long = DRAINING_LEASE_MILLIS
+    val drainingLeaseMillis: Long = DRAINING_LEASE_MILLIS,
+    val maxOpenTasks: Long = DEFAULT_MAX_OPEN_TASKS
 ) {
     /** Returns the length of the lease that an order grants to a worker. */
     fun leaseMillis(isDraining: Boolean): Long =
@@ -65,9 +67,14 @@
         }
 
         /** Returns the settings for workers that accept leases of at most [maxLeaseMillis]. */
-        fun within(maxLeaseMillis: Long, stopMillis: Long) = SchedulerSettings(
+        fun within(
+            maxLeaseMillis: Long,
+            stopMillis: Long,
+            maxOpenTasks: Long = DEFAULT_MAX_OPEN_TASKS
+        ) = SchedulerSettings(
             leaseMillis = minOf(maxLeaseMillis, LONGEST_LEASE_MILLIS),
-            stopMillis = stopMillis
+            stopMillis = stopMillis,
+            maxOpenTasks = maxOpenTasks
         )
 
         /**
@@ -79,6 +86,9 @@
         /** Several times the interval of polls; a worker that drains will soon be lost. */
         const val DRAINING_LEASE_MILLIS = 3_000L
 
+        /** Takes some 60 MB, well within the smallest host's memory. */
+        const val DEFAULT_MAX_OPEN_TASKS = 200_000L
+
         /** The platform's limit on a worker's lease. */
         const val DEFAULT_LEASE_MILLIS = 6_000L
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Workflow.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Workflow.kt
@@ -22,6 +22,17 @@
     init {
         require(steps.isNotEmpty()) { "a workflow needs a step: $id" }
     }
+
+    /** The number of tasks of one occurrence. */
+    val tasksPerOccurrence: Long get() = steps.sumOf { it.taskCount.toLong() }
+
+    /** The number of tasks of all occurrences, at most [Long.MAX_VALUE]. */
+    val totalTasks: Long
+        get() {
+            val occurrences = (recurrence?.count ?: 1).toLong()
+            val each = tasksPerOccurrence
+            return if (each > Long.MAX_VALUE / occurrences) Long.MAX_VALUE else each * occurrences
+        }
 }
 
 /**
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowProgress.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowProgress.kt
@@ -39,5 +39,10 @@
     val failure: WorkflowFailure? = null,
     val crashes: Map<String, Set<Int>> = emptyMap()
 ) {
+    /** The number of the first occurrences that include all tasks of which anything is recorded. */
+    val startedOccurrences: Int
+        get() = listOf(doneTasks, failures, checkpoints, crashes).flatMap { it.keys }
+            .maxOfOrNull { it.substringBefore('.').toInt() + 1 } ?: 0
+
     val status: WorkflowStatus get() = WorkflowStatus(phase, failure)
 }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -48,11 +48,15 @@
         val age = (unixMillis - workflow.submittedMillis).coerceIn(0, MAX_AGE_MILLIS)
         val open = OpenWorkflow(workflow, isRecovered, nowMillis - age)
         fleet.workflows[workflow.id] = open
-        if (progress != null) open.restore(progress, unixMillis)
+        if (progress != null) open.restore(progress)
         if (!open.isOpen) return
         fleet.openWorkflows += open
         fleet.endCandidates += open
-        open.addDueOccurrences(unixMillis)
+        if (progress != null) {
+            fleet.openTasks.openStarted(open, progress.startedOccurrences)
+            open.restoreTasks(progress)
+        }
+        fleet.openTasks.openDue(open, unixMillis)
         fleet.isPlacementDue = true
         fleet.log(
             "workflow-known",
@@ -277,13 +281,14 @@
         )
         workflow.steps().flatMap { it.tasks }.flatMap { it.placements.toList() }
             .toList().forEach { fleet.stop(it, nowMillis, "workflow ended") }
+        fleet.openTasks.discardIfEnded(workflow)
     }
 
     private fun placeWaiting(nowMillis: Long, unixMillis: Long) {
         fleet.isPlacementDue = false
         nextPlacementMillis = nowMillis + PLACEMENT_RETRY_MILLIS
         val isReconciled = fleet.isFleetReconciled()
-        fleet.openWorkflows.forEach { it.addDueOccurrences(unixMillis) }
+        fleet.openWorkflows.forEach { fleet.openTasks.openDue(it, unixMillis) }
         val order = PlacementOrder(nowMillis)
             .sorted(fleet.openWorkflows.filter { it.hasReadyTasks })
         starter.beginRound()
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/HeadroomForecastTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/HeadroomForecastTest.kt
@@ -21,7 +21,7 @@
         val queue = QueuePolicy("queue", "service")
         val workflow = Workflow(id, queue, "", listOf(spec), submittedMillis = 0)
         return OpenWorkflow(workflow, isRecovered = false, acceptedMillis = 0).run {
-            addDueOccurrences(0)
+            addOccurrence()
             steps().single()
         }
     }
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/PlacementOrderTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/PlacementOrderTest.kt
@@ -45,7 +45,7 @@
         val queue = QueuePolicy("queue$priority", "service", priority, targetLatencyMillis = 1_000)
         val spec = Workflow(id, queue, "", listOf(step), submittedMillis = acceptedMillis)
         return OpenWorkflow(spec, isRecovered = false, acceptedMillis)
-            .apply { addDueOccurrences(acceptedMillis) }
+            .apply { addOccurrence() }
     }
 
     private fun order(vararg workflows: OpenWorkflow) =
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SchedulerDriver.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SchedulerDriver.kt
@@ -3,8 +3,12 @@
 import sycamoremast.coordination.Resources
 
 /** Drives a scheduler step by step; workers answer only when a test makes them. */
-internal class SchedulerDriver(epoch: Long = 1, guardsCapacity: Boolean = true) {
-    val scheduler = WorkflowScheduler(epoch, SchedulerSettings())
+internal class SchedulerDriver(
+    epoch: Long = 1,
+    guardsCapacity: Boolean = true,
+    settings: SchedulerSettings = SchedulerSettings()
+) {
+    val scheduler = WorkflowScheduler(epoch, settings)
         .apply { if (guardsCapacity) updatePolicies(emptyMap(), setOf("service")) }
     var now = 1_000L
     val actions = ArrayList<SchedulerAction>()
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/WorkflowFailureTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/WorkflowFailureTest.kt
@@ -76,7 +76,7 @@
             WorkflowFailure.of(task, FailureReason.WORKERS_CRASHED, mapOf(1 to "w1", 2 to "w2"))
         val progress = WorkflowProgress(WorkflowPhase.FAILED, failure = failure)
         val open = OpenWorkflow(driver.workflow(), isRecovered = true, acceptedMillis = 0)
-        open.restore(progress, driver.now)
+        open.restore(progress)
         expectThat(open.progress()).isEqualTo(progress)
     }
 
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Election.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Election.kt
@@ -98,9 +98,9 @@
     }
 
     override fun onListing(listing: StoreListing) {
-        listing.entries.find { it.key == WorkflowKeys.rosterVersion(set) }
+        listing.entries.find { it.key == WorkflowKeys.owner(set, OwnerDetail.ROSTER) }
             ?.let { recordSighting(rostersSeen, it.key, it.value) }
-        listing.entries.find { it.key == WorkflowKeys.heartbeat(set) }
+        listing.entries.find { it.key == WorkflowKeys.owner(set, OwnerDetail.HEARTBEAT) }
             ?.let { recordSighting(heartbeatsSeen, it.key, it.value) }
         val entry = listing.entries.find { it.key == WorkflowKeys.owner(set) }
         updateOwnerKey(entry?.value, entry?.version)
@@ -110,10 +110,10 @@
         when (change.key) {
             WorkflowKeys.owner(set) -> updateOwnerKey(change.value, change.revision)
 
-            WorkflowKeys.rosterVersion(set) ->
+            WorkflowKeys.owner(set, OwnerDetail.ROSTER) ->
                 change.value?.let { recordSighting(rostersSeen, change.key, it) }
 
-            WorkflowKeys.heartbeat(set) ->
+            WorkflowKeys.owner(set, OwnerDetail.HEARTBEAT) ->
                 change.value?.let { recordSighting(heartbeatsSeen, change.key, it) }
         }
     }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Gateway.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Gateway.kt
@@ -61,7 +61,8 @@
 /**
  * Serves callers on [host], for worker set [set].
  *
- * [isStoreUnavailable] returns whether calls of the store are expected to fail, and [owner] returns
+ * A workflow of more than [maxTasksPerWorkflow] tasks is refused, as its progress doesn't fit into one
+ * record. [isStoreUnavailable] returns whether calls of the store are expected to fail, and [owner] returns
  * the scheduler if this host owns the set.
  */
 class Gateway internal constructor(
@@ -70,6 +71,7 @@
     private val set: Int,
     private val log: EventLog,
     private val meters: WorkflowMeters = WorkflowMeters(),
+    private val maxTasksPerWorkflow: Long = WorkflowSettings.DEFAULT_MAX_TASKS_PER_WORKFLOW,
     private val isStoreUnavailable: () -> Boolean = { false },
     private val owner: () -> SchedulerLoop?
 ) {
@@ -82,10 +84,13 @@
     /** Submits [workflow] and returns the outcome. */
     fun accept(workflow: Workflow): Acceptance {
         val record = AcceptanceRecord(attemptId(), workflow)
-        val attempted = if (isStoreUnavailable()) {
-            Acceptance.Refused("the store does not answer", RETRY_AFTER_SECONDS)
-        } else {
-            create(workflow.id, record, StoreEntry.ABSENT)
+        val attempted = when {
+            workflow.totalTasks > maxTasksPerWorkflow -> refuseTooLarge(workflow)
+
+            isStoreUnavailable() ->
+                Acceptance.Refused("the store does not answer", RETRY_AFTER_SECONDS)
+
+            else -> create(workflow.id, record, StoreEntry.ABSENT)
         }
         val outcome = consideringEarlierAttempts(workflow.id, attempted)
         log.add(
@@ -93,7 +98,7 @@
             "id" to workflow.id,
             "queue" to workflow.queue.name,
             "steps" to workflow.steps.size,
-            "tasks" to workflow.steps.sumOf { it.taskCount },
+            "tasks" to workflow.totalTasks,
             "outcome" to outcome
         )
         meters.countSubmission(outcome)
@@ -115,6 +120,21 @@
         return Acceptance.Unknown("an earlier attempt is undecided; ${attempted.reason}")
     }
 
+    /** Refuses [workflow], unless it was accepted before, when the limit was higher. */
+    private fun refuseTooLarge(workflow: Workflow): Acceptance =
+        when (val stored = exists(workflow.id)) {
+            is Either.Left -> Acceptance.Unknown(stored.value.reason)
+
+            is Either.Right -> if (stored.value) {
+                Acceptance.Accepted
+            } else {
+                Acceptance.Refused(
+                    "${workflow.totalTasks} tasks, at most $maxTasksPerWorkflow are allowed",
+                    retryAfterSeconds = null
+                )
+            }
+        }
+
     private fun attemptId() = "$host-${Random.nextLong().toULong().toString(ATTEMPT_ID_RADIX)}"
 
     private fun create(id: String, record: AcceptanceRecord, expected: Long): Acceptance {
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
@@ -101,7 +101,9 @@
         val interference = store.get(WorkflowKeys.interference(set)).bind()
         val work = store.list(WorkflowKeys.WORK).bind()
         workers.onListing(listed)
-        val heartbeat = work.entries.find { it.key == WorkflowKeys.heartbeat(set) }
+        val heartbeat = work.entries.find {
+            it.key == WorkflowKeys.owner(set, OwnerDetail.HEARTBEAT)
+        }
             ?.let { decodeRecordOrNull<RecordVersion>(it.value) }
         roster?.let { decodeRecordOrNull<RosterRecord>(it.value) }
             ?.let { next.addRoster(it, heartbeat, term) }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/RecordWriter.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/RecordWriter.kt
@@ -69,11 +69,12 @@
                 next.batch
             )
             puts += StorePut(WorkflowKeys.roster(set), encodeRecord(record))
-            puts += StorePut(WorkflowKeys.rosterVersion(set), encodeRecord(record.version))
+            puts +=
+                StorePut(WorkflowKeys.owner(set, OwnerDetail.ROSTER), encodeRecord(record.version))
         }
         if (batch.isHeartbeat) {
             val version = RecordVersion(epoch, next.batch)
-            puts += StorePut(WorkflowKeys.heartbeat(set), encodeRecord(version))
+            puts += StorePut(WorkflowKeys.owner(set, OwnerDetail.HEARTBEAT), encodeRecord(version))
         }
         batch.waiting?.let {
             puts += StorePut(WorkflowKeys.waiting(set), encodeRecord(WaitingRecord(it)))
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
@@ -123,6 +123,9 @@
             } catch (e: RuntimeException) {
                 log.add("scheduler-error", "error" to e, "at" to e.stackTrace.firstOrNull())
                 endTerm("scheduler error")
+            } catch (e: Error) {
+                endTerm("scheduler error")
+                throw e
             }
         }
     }
@@ -192,6 +195,9 @@
             // Without the answer to this batch no other is formed, so another owner has to go on.
             log.add("records-error", "error" to e, "at" to e.stackTrace.firstOrNull())
             endTerm("records error")
+        } catch (e: Error) {
+            endTerm("records error")
+            throw e
         }
     }
 
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowHost.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowHost.kt
@@ -28,6 +28,7 @@
     private val meters: WorkflowMeters,
     peers: WorkflowPeers? = null,
     set: Int = 0,
+    maxTasksPerWorkflow: Long = WorkflowSettings.DEFAULT_MAX_TASKS_PER_WORKFLOW,
     clock: MonotonicClock = MonotonicClock.system()
 ) {
     private val store = MonitoredStore(ports.store, clock, meters)
@@ -50,7 +51,10 @@
     private val routingFollower = PrefixFollower(store, ports.catalog.routingKey, log, routing)
 
     /** Serves callers' requests. */
-    val gateway = Gateway(store, name, set, log, meters, { store.isUnavailable }) { ownership.loop }
+    val gateway =
+        Gateway(store, name, set, log, meters, maxTasksPerWorkflow, { store.isUnavailable }) {
+            ownership.loop
+        }
 
     /** Reports workflows that were given up, for operators. */
     val problems = WorkflowProblems(store, set, log) { store.isUnavailable }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowKeys.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowKeys.kt
@@ -23,11 +23,8 @@
 
     fun owner(set: Int) = "${WORK}owner/$set"
 
-    /** Names the newest roster, under the owner's key so that the same watch reports both. */
-    fun rosterVersion(set: Int) = "${owner(set)}/roster"
-
-    /** Shows the owner's last heartbeat, under its key so that the same watch reports both. */
-    fun heartbeat(set: Int) = "${owner(set)}/heartbeat"
+    /** Shows [detail] of the owner, under the owner's key so that the same watch reports both. */
+    fun owner(set: Int, detail: OwnerDetail) = "${owner(set)}/${detail.segment}"
 
     fun epoch(set: Int) = "${ROOT}epoch/$set"
 
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowSettings.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowSettings.kt
@@ -32,11 +32,17 @@
     val leaseMillis: Long = SchedulerSettings.DEFAULT_LEASE_MILLIS,
     val stopMillis: Long = SchedulerSettings.DEFAULT_STOP_MILLIS,
     val drainMillis: Long = DEFAULT_DRAIN_MILLIS,
-    val cores: Double = 1.0
+    val cores: Double = 1.0,
+    val limits: WorkflowLimits = WorkflowLimits()
 ) {
     companion object {
         /** Two failed readiness checks a second apart, plus a second for requests in flight. */
         const val DEFAULT_DRAIN_MILLIS = 3_000L
+
+        /** The progress of so many tasks, about 50 bytes each, fits into one record of 1 MB. */
+        const val DEFAULT_MAX_TASKS_PER_WORKFLOW = 10_000L
+        private val TASKS_PER_WORKFLOW_RANGE = 1L..20_000L
+        private val OPEN_TASKS_RANGE = 1_000L..10_000_000L
         private val LEASE_RANGE = 500L..600_000L
         private val STOP_RANGE = 0L..60_000L
         private val DRAIN_RANGE = 0L..60_000L
@@ -78,6 +84,11 @@
                         long("drain-millis", DRAIN_RANGE, DEFAULT_DRAIN_MILLIS)
                     )
                 }
+                val limits = if (document.section("limits") == null) {
+                    WorkflowLimits()
+                } else {
+                    section("limits") { limits() }
+                }
                 document.sections.filter { it.name !in SECTIONS }.forEach {
                     errors += IniError(document.file, it.line, it.name, "", "unknown section")
                 }
@@ -93,7 +104,8 @@
                         times.bind().first.bind(),
                         times.bind().second.bind(),
                         times.bind().third.bind(),
-                        cores.bind()
+                        cores.bind(),
+                        limits.bind()
                     )
                 }
             }
@@ -104,6 +116,24 @@
                 return if (share == null || speed == null) null else share * speed
             }
 
+            private fun SectionReader.limits(): WorkflowLimits? {
+                val perWorkflow = long(
+                    "max-tasks-per-job",
+                    TASKS_PER_WORKFLOW_RANGE,
+                    DEFAULT_MAX_TASKS_PER_WORKFLOW
+                )
+                val open = long(
+                    "max-open-tasks",
+                    OPEN_TASKS_RANGE,
+                    SchedulerSettings.DEFAULT_MAX_OPEN_TASKS
+                )
+                return if (perWorkflow == null || open == null) {
+                    null
+                } else {
+                    WorkflowLimits(perWorkflow, open)
+                }
+            }
+
             private fun SectionReader.positiveNumber(key: String): Double? =
                 convert(key, null, "must be a number above 0") { text ->
                     text.toDoubleOrNull()?.takeIf { it > 0 && it.isFinite() }
@@ -121,7 +151,7 @@
             }
         }
 
-        private val SECTIONS = setOf("host", "listen", "store", "times", "capacity")
+        private val SECTIONS = setOf("host", "listen", "store", "times", "capacity", "limits")
 
         /** Means that the host has no peers; no port is opened for them. */
         val NO_PEERS = Endpoint("0.0.0.0", 0)
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/GatewayTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/GatewayTest.kt
@@ -15,6 +15,7 @@
 import sycamoremast.coordination.workflow.PaceOrder
 import sycamoremast.coordination.workflow.PollOrder
 import sycamoremast.coordination.workflow.QueuePolicy
+import sycamoremast.coordination.workflow.Recurrence
 import sycamoremast.coordination.workflow.RunPort
 import sycamoremast.coordination.workflow.SchedulerSettings
 import sycamoremast.coordination.workflow.StartOrder
@@ -122,6 +123,31 @@
         expectThat(gateway.status("id")).isEqualTo(Lookup.Absent)
     }
 
+    // Guards against workflows whose tasks take more memory than an owner has.
+    @Test
+    fun `refuses a workflow with too many tasks for good and stores nothing`() {
+        val small = Gateway(store, "host", 0, EventLog { }, maxTasksPerWorkflow = 5) { null }
+        val step = WorkflowStep(3, Resources(1, 1))
+        val wide = workflow.copy(steps = listOf(step, step))
+        val repeated =
+            workflow.copy(steps = listOf(step), recurrence = Recurrence(0, 1_000, Int.MAX_VALUE))
+        for (large in listOf(wide, repeated)) {
+            expectThat(small.accept(large)).isA<Acceptance.Refused>()
+                .get { retryAfterSeconds }.isEqualTo(null)
+        }
+        expectThat(store.commits).isEqualTo(0)
+        expectThat(small.accept(workflow.copy(steps = listOf(step)))).isEqualTo(Acceptance.Accepted)
+    }
+
+    @Test
+    fun `accepts a workflow with too many tasks again that was accepted under a higher limit`() {
+        gateway.accept(workflow)
+        val small = Gateway(store, "host", 0, EventLog { }, maxTasksPerWorkflow = 0) { null }
+        expectThat(small.accept(workflow)).isEqualTo(Acceptance.Accepted)
+        store.isDown = true
+        expectThat(small.accept(workflow)).isA<Acceptance.Unknown>()
+    }
+
     @Test
     fun `answers no cancellation whose record may be missing`() {
         store.failCommits(Fault.DELAYED)
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/OwnershipTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/OwnershipTest.kt
@@ -56,11 +56,18 @@
     /** Whether committing a record fails for a reason that a retry does not change. */
     @Volatile
     private var isCommitBroken = false
+
+    /** Whether committing a record ends the thread that does it, as a lack of memory would. */
+    @Volatile
+    private var isMemoryLacking = false
     private val meters = WorkflowMeters()
     private val ownership = Ownership(
         object : TransactionalStore by store {
-            override fun commit(transaction: StoreTransaction) =
-                if (isCommitBroken) error("record of NaN") else store.commit(transaction)
+            override fun commit(transaction: StoreTransaction) = when {
+                isCommitBroken -> error("record of NaN")
+                isMemoryLacking -> throw OutOfMemoryError("planned by the test")
+                else -> store.commit(transaction)
+            }
         },
         OneWorkerCatalog,
         runs,
@@ -128,6 +135,24 @@
         expectThat(deposed.get(WAIT_SECONDS, SECONDS)).isEqualTo("records error")
     }
 
+    // Guards against an owner that renews its lease although one of its threads has ended.
+    @Test
+    fun `ends the term if the thread that writes records ends by an error`() {
+        put(OneWorkerCatalog.workersPrefix + "w1", "")
+        ownership.onBegin(claim(1))
+        isMemoryLacking = true
+        accept("job")
+        expectThat(deposed.get(WAIT_SECONDS, SECONDS)).isEqualTo("records error")
+    }
+
+    @Test
+    fun `ends the term if the scheduler's thread ends by an error`() {
+        put(OneWorkerCatalog.workersPrefix + "w1", "")
+        ownership.leaseState = { throw OutOfMemoryError("planned by the test") }
+        ownership.onBegin(claim(1))
+        expectThat(deposed.get(WAIT_SECONDS, SECONDS)).isEqualTo("scheduler error")
+    }
+
     @Test
     fun `records the remaining leases of its workers at a planned stop`() {
         put(OneWorkerCatalog.workersPrefix + "w1", "")
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/RecordWriterTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/RecordWriterTest.kt
@@ -96,7 +96,7 @@
         write(WorkflowPhase.RUNNING)
         writer.write(RecordBatch(emptyMap(), emptyList(), null)) { true }
         val roster = store.entries.getValue(WorkflowKeys.roster(0)).value
-        val version = store.entries.getValue(WorkflowKeys.rosterVersion(0)).value
+        val version = store.entries.getValue(WorkflowKeys.owner(0, OwnerDetail.ROSTER)).value
         expectThat(decodeRecordOrNull<RosterRecord>(roster)).isNotNull()
             .get { this.version }.isEqualTo(RecordVersion(1, 2))
         expectThat(decodeRecordOrNull<RecordVersion>(version)).isEqualTo(RecordVersion(1, 2))
@@ -106,7 +106,7 @@
     fun `names the last heartbeat where other hosts see it`() {
         writer.write(RecordBatch(emptyMap(), null, null, isHeartbeat = true)) { true }
         write(WorkflowPhase.RUNNING)
-        val version = store.entries.getValue(WorkflowKeys.heartbeat(0)).value
+        val version = store.entries.getValue(WorkflowKeys.owner(0, OwnerDetail.HEARTBEAT)).value
         expectThat(decodeRecordOrNull<RecordVersion>(version)).isEqualTo(RecordVersion(1, 1))
     }
 
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/WorkflowSettingsTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/WorkflowSettingsTest.kt
@@ -35,6 +35,14 @@
         }
     }
 
+    @Test
+    fun `parses limits`() {
+        val limits = "\n[limits]\nmax-tasks-per-job = 500\nmax-open-tasks = 9000"
+        expectThat(WorkflowSettings.parseOrNull(text + limits)).isNotNull()
+            .get { this.limits }.isEqualTo(WorkflowLimits(500, 9_000))
+        expectThat(WorkflowSettings.parseOrNull(text + limits.replace("500", "0"))).isNull()
+    }
+
     @Test
     fun `reports every error`() {
         val broken = text.replace("6000", "soon").replace("[store]", "[shop]")
