Keep the last claim when the owner's key lapses, and let informed hosts claim first

Callers saw (users' record, real processes; suspected): long-running tasks were off after an outage of the store in which their worker and the owner's host had gone (LOST).

Cause: the host of the old owner, started again, is the first to see the store. It has seen no heartbeat written and counts 8 s from its own listing; that its earlier process was the owner it can't know, as the owner's key has lapsed. Evidence: `roster ... heartbeatMillisAgo` is the age of the new process. Ruled out: a late notice of the store's return.

A claim now also writes its host and epoch to a key without a lease, so a host knows that an owner of its own ended before its process began. A host that has seen no heartbeat being written leaves a free key to others for 0.3 s.

ElectionTest: the end of an owner on this host, none for one on another host, and the delay; the first and the third fail before. Cost: 0.3 s more where all hosts start at once.

--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Election.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Election.kt
@@ -85,6 +85,14 @@
     /** When the last term of this host had ended, in this process or in an earlier one. */
     private var lastEndMillis = clock.nowMillis()
 
+    /** The last claim, which is known also after the owner's key has been deleted. */
+    @Volatile
+    private var lastClaim: OwnerRecord? = null
+
+    /** Whether this host has seen a heartbeat when it was written. */
+    @Volatile
+    private var hasSeenHeartbeat = false
+
     /** The last seen content of the owner's key, or null before the first listing. */
     @Volatile
     private var ownerKey: OwnerKeyState? = null
@@ -102,6 +110,8 @@
             ?.let { recordSighting(rostersSeen, it.key, it.value) }
         listing.entries.find { it.key == WorkflowKeys.owner(set, OwnerDetail.HEARTBEAT) }
             ?.let { recordSighting(heartbeatsSeen, it.key, it.value) }
+        listing.entries.find { it.key == WorkflowKeys.owner(set, OwnerDetail.LAST_CLAIM) }
+            ?.let { recordClaim(it.value) }
         val entry = listing.entries.find { it.key == WorkflowKeys.owner(set) }
         updateOwnerKey(entry?.value, entry?.version)
     }
@@ -113,8 +123,12 @@
             WorkflowKeys.owner(set, OwnerDetail.ROSTER) ->
                 change.value?.let { recordSighting(rostersSeen, change.key, it) }
 
-            WorkflowKeys.owner(set, OwnerDetail.HEARTBEAT) ->
-                change.value?.let { recordSighting(heartbeatsSeen, change.key, it) }
+            WorkflowKeys.owner(set, OwnerDetail.HEARTBEAT) -> change.value?.let {
+                recordSighting(heartbeatsSeen, change.key, it)
+                hasSeenHeartbeat = true
+            }
+
+            WorkflowKeys.owner(set, OwnerDetail.LAST_CLAIM) -> change.value?.let(::recordClaim)
         }
     }
 
@@ -135,6 +149,11 @@
         if (seen.size > MAX_SIGHTINGS) seen.pollFirstEntry()
     }
 
+    private fun recordClaim(text: String) {
+        val claim = decodeRecordOrNull<OwnerRecord>(text)
+        if (claim == null) log.add("claim-unreadable", "set" to set) else lastClaim = claim
+    }
+
     private fun updateOwnerKey(value: String?, version: Long?) {
         val record = value?.let { decodeRecordOrNull<OwnerRecord>(it) }
         if (record != null) claimsSeen.putIfAbsent(record.epoch, clock.nowMillis())
@@ -217,12 +236,8 @@
     }
 
     private fun claimIfFree() {
-        if (claimableKeyOrNull() == null) return
-        val shouldDefer = hasStrongerHost()
-        Thread.sleep(
-            Random.nextLong(MAX_CLAIM_JITTER_MILLIS) +
-                if (shouldDefer) WEAK_HOST_CLAIM_DELAY_MILLIS else 0
-        )
+        val free = claimableKeyOrNull() ?: return
+        Thread.sleep(Random.nextLong(MAX_CLAIM_JITTER_MILLIS) + claimDelayMillis(free))
         val key = claimableKeyOrNull()
         if (key == null || !isOpen) return
         val startedMillis = clock.nowMillis()
@@ -241,6 +256,18 @@
         }
     }
 
+    /**
+     * Returns how long this host leaves the claim of [free] to others.
+     *
+     * A host that has not seen when the owner wrote its last heartbeat would have to wait longer for
+     * workers that don't answer.
+     */
+    private fun claimDelayMillis(free: OwnerKeyState): Long {
+        val isUninformed = free.record == null && lastClaim != null && !hasSeenHeartbeat
+        return (if (hasStrongerHost()) WEAK_HOST_CLAIM_DELAY_MILLIS else 0) +
+            if (isUninformed) UNINFORMED_CLAIM_DELAY_MILLIS else 0
+    }
+
     private fun beginTerm(held: HeldTerm) {
         heldTerm = held
         log.add("owner-began", "set" to set, "epoch" to held.term.epoch)
@@ -258,6 +285,7 @@
         val readMillis = clock.nowMillis()
         val epoch = (lastEpoch?.let { decodeRecordOrNull<EpochRecord>(it.value) }?.epoch ?: 0) + 1
         val ownerText = encodeRecord(OwnerRecord(host, epoch))
+        val earlier = listOfNotNull(ownerKey.record, lastClaim).filter { it.host == host }
         val transaction = StoreTransaction(
             expected = mapOf(
                 WorkflowKeys.owner(set) to ownerKey.version,
@@ -265,6 +293,7 @@
             ),
             puts = listOf(
                 StorePut(WorkflowKeys.owner(set), ownerText, lease),
+                StorePut(WorkflowKeys.owner(set, OwnerDetail.LAST_CLAIM), ownerText),
                 StorePut(WorkflowKeys.epoch(set), encodeRecord(EpochRecord(epoch, 0)))
             )
         )
@@ -281,9 +310,7 @@
                                 claimsSeen.toMap(),
                                 rostersSeen.toMap(),
                                 heartbeatsSeen.toMap(),
-                                listOfNotNull(ownerKey.record).associate {
-                                    it.epoch to lastEndMillis
-                                }
+                                earlier.associate { it.epoch to lastEndMillis }
                             )
                         ),
                         startedMillis
@@ -322,6 +349,9 @@
 
         /** Lets stronger hosts claim first; costs less time than a weak owner would lose. */
         const val WEAK_HOST_CLAIM_DELAY_MILLIS = 600L
+
+        /** Several times as long as a host takes to learn that the owner's key was deleted. */
+        const val UNINFORMED_CLAIM_DELAY_MILLIS = 300L
         const val JOIN_TIMEOUT_MILLIS = 500L
 
         /** Far more than there are owners or rosters within the longest lease. */
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/OwnerDetail.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/OwnerDetail.kt
@@ -7,5 +7,8 @@
     ROSTER("roster"),
 
     /** The version of the last heartbeat. */
-    HEARTBEAT("heartbeat")
+    HEARTBEAT("heartbeat"),
+
+    /** The host and epoch of the last claim. */
+    LAST_CLAIM("last-claim")
 }
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/ElectionTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/ElectionTest.kt
@@ -5,7 +5,10 @@
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
 import strikt.assertions.isNotNull
 import sycamoremast.coordination.MonotonicClock
 import sycamoremast.coordination.StorePut
@@ -54,6 +57,46 @@
         expectThat(owner()).isEqualTo(OwnerRecord("host", 4))
     }
 
+    private fun writeLastClaim(host: String, epoch: Long) = store.apply(
+        StoreTransaction(
+            emptyMap(),
+            listOf(
+                StorePut(
+                    WorkflowKeys.owner(0, OwnerDetail.LAST_CLAIM),
+                    encodeRecord(OwnerRecord(host, epoch))
+                ),
+                StorePut(WorkflowKeys.epoch(0), encodeRecord(EpochRecord(epoch, 0)))
+            )
+        )
+    )
+
+    // Guards against a wait for an owner that was this host's earlier process, after an outage.
+    @Test
+    fun `knows that an owner on this host has ended whose key was deleted`() {
+        writeLastClaim("host", 3)
+        startElection("host")
+        expectThat(terms.poll(WAIT_SECONDS, SECONDS)).isNotNull().get { sightings.ends.keys }
+            .containsExactly(3L)
+    }
+
+    @Test
+    fun `does not know whether an owner on another host has ended`() {
+        writeLastClaim("other", 3)
+        startElection("host")
+        expectThat(terms.poll(WAIT_SECONDS, SECONDS)).isNotNull().get { sightings.ends.keys }
+            .isEmpty()
+    }
+
+    // Guards against a claim by a host that has to wait longest for workers that don't answer.
+    @Test
+    fun `leaves a claim to hosts that have seen heartbeats`() {
+        writeLastClaim("other", 3)
+        val startNanos = System.nanoTime()
+        startElection("host")
+        expectThat(terms.poll(WAIT_SECONDS, SECONDS)).isNotNull()
+        expectThat((System.nanoTime() - startNanos) / NANOS_PER_MILLI).isGreaterThan(300L)
+    }
+
     @Test
     fun `leaves the key to another host that claims it first`() {
         val overtaken = LinkedBlockingQueue<Boolean>()
@@ -75,6 +118,7 @@
 
     private companion object {
         const val WAIT_SECONDS = 30L
+        const val NANOS_PER_MILLI = 1_000_000L
         const val PROPAGATION_MILLIS = 200L
     }
 }
