Move what a host has seen of owners out of Election

OwnerHistory reads the records beside the owner's key and notes when they were seen; nothing else changes. ElectionTest, OwnershipTest and RecordWriterTest pass.

--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Election.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Election.kt
@@ -10,7 +10,6 @@
 
 import arrow.core.Either
 import arrow.core.flatMap
-import java.util.concurrent.ConcurrentSkipListMap
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit.MILLISECONDS
 import kotlin.random.Random
@@ -25,7 +24,6 @@
 import sycamoremast.coordination.StorePut
 import sycamoremast.coordination.StoreTransaction
 import sycamoremast.coordination.TransactionalStore
-import sycamoremast.coordination.workflow.RecordVersion
 import sycamoremast.coordination.workflow.SchedulerSettings
 import sycamoremast.coordination.workflow.StoreSightings
 import sycamoremast.daemon.log.EventLog
@@ -77,22 +75,11 @@
     val leaseState: LeaseState
         get() = heldTerm?.let(::leaseState) ?: LeaseState.LAPSED
 
-    /** When the claims of the latest epochs, and their latest records, were first seen. */
-    private val claimsSeen = ConcurrentSkipListMap<Long, Long>()
-    private val rostersSeen = recordsSeen()
-    private val heartbeatsSeen = recordsSeen()
+    private val history = OwnerHistory(set, clock, log)
 
     /** When the last term of this host had ended, in this process or in an earlier one. */
     private var lastEndMillis = clock.nowMillis()
 
-    /** The last claim, which is known also after the owner's key has been deleted. */
-    @Volatile
-    private var lastClaim: OwnerRecord? = null
-
-    /** Whether this host has seen a heartbeat when it was written. */
-    @Volatile
-    private var hasSeenHeartbeat = false
-
     /** The last seen content of the owner's key, or null before the first listing. */
     @Volatile
     private var ownerKey: OwnerKeyState? = null
@@ -106,58 +93,22 @@
     }
 
     override fun onListing(listing: StoreListing) {
-        listing.entries.find { it.key == WorkflowKeys.owner(set, OwnerDetail.ROSTER) }
-            ?.let { recordSighting(rostersSeen, it.key, it.value) }
-        listing.entries.find { it.key == WorkflowKeys.owner(set, OwnerDetail.HEARTBEAT) }
-            ?.let { recordSighting(heartbeatsSeen, it.key, it.value) }
-        listing.entries.find { it.key == WorkflowKeys.owner(set, OwnerDetail.LAST_CLAIM) }
-            ?.let { recordClaim(it.value) }
+        listing.entries.forEach { history.record(it.key, it.value) }
         val entry = listing.entries.find { it.key == WorkflowKeys.owner(set) }
         updateOwnerKey(entry?.value, entry?.version)
     }
 
     override fun onChange(change: StoreChange) {
-        when (change.key) {
-            WorkflowKeys.owner(set) -> updateOwnerKey(change.value, change.revision)
-
-            WorkflowKeys.owner(set, OwnerDetail.ROSTER) ->
-                change.value?.let { recordSighting(rostersSeen, change.key, it) }
-
-            WorkflowKeys.owner(set, OwnerDetail.HEARTBEAT) -> change.value?.let {
-                recordSighting(heartbeatsSeen, change.key, it)
-                hasSeenHeartbeat = true
-            }
-
-            WorkflowKeys.owner(set, OwnerDetail.LAST_CLAIM) -> change.value?.let(::recordClaim)
-        }
-    }
-
-    private fun recordsSeen() =
-        ConcurrentSkipListMap<RecordVersion, Long>(compareBy({ it.epoch }, { it.batch }))
-
-    private fun recordSighting(
-        seen: ConcurrentSkipListMap<RecordVersion, Long>,
-        key: String,
-        text: String
-    ) {
-        val version = decodeRecordOrNull<RecordVersion>(text)
-        if (version == null) {
-            log.add("record-version-unreadable", "key" to key)
-            return
+        val value = change.value
+        when {
+            change.key == WorkflowKeys.owner(set) -> updateOwnerKey(value, change.revision)
+            value != null -> history.recordChange(change.key, value)
         }
-        seen.putIfAbsent(version, clock.nowMillis())
-        if (seen.size > MAX_SIGHTINGS) seen.pollFirstEntry()
-    }
-
-    private fun recordClaim(text: String) {
-        val claim = decodeRecordOrNull<OwnerRecord>(text)
-        if (claim == null) log.add("claim-unreadable", "set" to set) else lastClaim = claim
     }
 
     private fun updateOwnerKey(value: String?, version: Long?) {
         val record = value?.let { decodeRecordOrNull<OwnerRecord>(it) }
-        if (record != null) claimsSeen.putIfAbsent(record.epoch, clock.nowMillis())
-        if (claimsSeen.size > MAX_SIGHTINGS) claimsSeen.pollFirstEntry()
+        if (record != null) history.recordClaim(record.epoch)
         ownerKey = OwnerKeyState(record, version?.takeIf { value != null } ?: StoreEntry.ABSENT)
         wakeUps += ""
     }
@@ -263,7 +214,7 @@
      * workers that don't answer.
      */
     private fun claimDelayMillis(free: OwnerKeyState): Long {
-        val isUninformed = free.record == null && lastClaim != null && !hasSeenHeartbeat
+        val isUninformed = free.record == null && history.isUninformed
         return (if (hasStrongerHost()) WEAK_HOST_CLAIM_DELAY_MILLIS else 0) +
             if (isUninformed) UNINFORMED_CLAIM_DELAY_MILLIS else 0
     }
@@ -285,7 +236,7 @@
         val readMillis = clock.nowMillis()
         val epoch = (lastEpoch?.let { decodeRecordOrNull<EpochRecord>(it.value) }?.epoch ?: 0) + 1
         val ownerText = encodeRecord(OwnerRecord(host, epoch))
-        val earlier = listOfNotNull(ownerKey.record, lastClaim).filter { it.host == host }
+        val earlier = listOfNotNull(ownerKey.record, history.lastClaim).filter { it.host == host }
         val transaction = StoreTransaction(
             expected = mapOf(
                 WorkflowKeys.owner(set) to ownerKey.version,
@@ -305,12 +256,9 @@
                         Term(
                             epoch,
                             result.revision,
-                            StoreSightings(
+                            history.sightings(
                                 readMillis,
-                                claimsSeen.toMap(),
-                                rostersSeen.toMap(),
-                                heartbeatsSeen.toMap(),
-                                earlier.associate { it.epoch to lastEndMillis }
+                                ends = earlier.associate { it.epoch to lastEndMillis }
                             )
                         ),
                         startedMillis
@@ -353,8 +301,5 @@
         /** Several times as long as a host takes to learn that the owner's key was deleted. */
         const val UNINFORMED_CLAIM_DELAY_MILLIS = 300L
         const val JOIN_TIMEOUT_MILLIS = 500L
-
-        /** Far more than there are owners or rosters within the longest lease. */
-        const val MAX_SIGHTINGS = 64
     }
 }
