Log why a long-running task still waits for a worker

The tests of eligibility and room return the obstacle that they found, null for none, in the order as before; no decision changes.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
@@ -63,6 +63,9 @@
     /** How many times placement has examined a worker, as a measure of its cost. */
     var examinedWorkers = 0L
 
+    /** How many starts were ordered. */
+    var orderedStarts = 0L
+
     fun add(worker: FleetWorker) {
         byId[worker.id] = worker
         resetWorkerIndexes()
@@ -189,7 +192,7 @@
     fun release(placement: Placement, nowMillis: Long) {
         placement.transition(PlacementEvent.GONE, nowMillis)
         placement.worker.remove(placement, nowMillis)
-        placement.task.release(placement)
+        placement.task.release(placement, nowMillis)
         openTasks.discardIfEnded(placement.task.step.workflow)
         isPlacementDue = true
     }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/OpenWorkflow.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/OpenWorkflow.kt
@@ -240,6 +240,13 @@
     var checkpoint = ""
     var notBeforeMillis = Long.MIN_VALUE
 
+    /** Since when the task has had no placement, or since its workflow was accepted. */
+    var waitingSinceMillis = step.workflow.acceptedMillis
+        private set
+
+    /** Whether a run of the task has been placed, as far as this owner knows. */
+    val hasRun: Boolean get() = lastRun > 0
+
     /** The worker that has room reserved for the next run, or null. */
     var destination: FleetWorker? = null
 
@@ -278,8 +285,9 @@
     }
 
     /** Removes [placement]; the task waits again if it is not done and has no other placement. */
-    fun release(placement: Placement) {
+    fun release(placement: Placement, nowMillis: Long) {
         if (placements.remove(placement)) step.workflow.onReleased()
+        waitingSinceMillis = nowMillis
         if (!isDone && placements.isEmpty()) step.waiting += this
     }
 }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
@@ -125,20 +125,48 @@
         task: OpenTask,
         nowMillis: Long,
         freed: Resources = Resources.NONE
-    ): Boolean {
+    ): Boolean = obstacleOrNull(worker, task, nowMillis, freed) == null
+
+    /** Returns why [task] may not start on [worker] once the room [freed] is free, or null. */
+    private fun obstacleOrNull(
+        worker: FleetWorker,
+        task: OpenTask,
+        nowMillis: Long,
+        freed: Resources = Resources.NONE
+    ): PlacementObstacle? {
         val spec = task.step.spec
         fleet.examinedWorkers++
-        return fleet.acceptsStarts(worker, nowMillis) &&
-            fleet.enforcesFencing(worker.ref) &&
-            fleet.mayGrantLease(worker) &&
-            fleet.capacityReadings.isUsable(worker, nowMillis) &&
-            worker.listing.service == task.step.workflow.queue.service &&
-            (spec.requiredLabel.isEmpty() || spec.requiredLabel in worker.listing.labels) &&
-            fits(worker, spec, freed) &&
-            (spec.maxPerWorker == 0 || taskCountOfStep(worker, task.step) < spec.maxPerWorker) &&
-            task.name !in worker.placements
+        return when {
+            !fleet.acceptsStarts(worker, nowMillis) -> PlacementObstacle.ACCEPTS_NO_STARTS
+
+            !fleet.enforcesFencing(worker.ref) -> PlacementObstacle.NOT_FENCED
+
+            !fleet.mayGrantLease(worker) -> PlacementObstacle.NO_LEASE
+
+            !fleet.capacityReadings.isUsable(worker, nowMillis) ->
+                PlacementObstacle.CAPACITY_OUTDATED
+
+            worker.listing.service != task.step.workflow.queue.service ->
+                PlacementObstacle.OTHER_SERVICE
+
+            spec.requiredLabel.isNotEmpty() && spec.requiredLabel !in worker.listing.labels ->
+                PlacementObstacle.LABEL_MISSING
+
+            else -> missingRoomOrNull(worker, spec, freed) ?: when {
+                spec.maxPerWorker > 0 && taskCountOfStep(worker, task.step) >= spec.maxPerWorker ->
+                    PlacementObstacle.STEP_NOT_SPREAD
+
+                task.name in worker.placements -> PlacementObstacle.TASK_PRESENT
+
+                else -> null
+            }
+        }
     }
 
+    /** Returns how many workers each obstacle keeps [task] off, and how many none does. */
+    fun obstacles(task: OpenTask, nowMillis: Long): Map<PlacementObstacle?, Int> =
+        candidates(task.step.spec).groupingBy { obstacleOrNull(it, task, nowMillis) }.eachCount()
+
     /** Whether [task] may start on [worker] once [replaced] has left that, unless it is null. */
     fun canMove(
         task: OpenTask,
@@ -162,16 +190,34 @@
         worker.placements.values.count { it.task.step === step }
 
     /** Whether a task of [spec] fits on [worker] once the room [freed] has become free. */
-    private fun fits(worker: FleetWorker, spec: WorkflowStep, freed: Resources): Boolean {
+    private fun fits(worker: FleetWorker, spec: WorkflowStep, freed: Resources): Boolean =
+        missingRoomOrNull(worker, spec, freed) == null
+
+    /** Returns what [worker] lacks for a task of [spec] once the room [freed] is free, or null. */
+    private fun missingRoomOrNull(
+        worker: FleetWorker,
+        spec: WorkflowStep,
+        freed: Resources
+    ): PlacementObstacle? {
         val room = worker.capacity + freed
-        val accelerators = worker.commitments.accelerators + spec.demand.accelerators
-        if (accelerators > room.accelerators) return false
-        if (worker.commitments.memoryMib + spec.demand.memoryMib > room.memoryMib) return false
-        if (spec.usesIdleCpu) {
-            return worker.commitments.reservedMilliCpus <= worker.capacity.milliCpus &&
+        val used = worker.commitments
+        val hasCpu = if (spec.usesIdleCpu) {
+            used.reservedMilliCpus <= worker.capacity.milliCpus &&
                 spec.demand.milliCpus <= spareMilliCpus(worker)
+        } else {
+            used.reservedMilliCpus + spec.demand.milliCpus <= room.milliCpus
+        }
+        return when {
+            used.accelerators + spec.demand.accelerators > room.accelerators ->
+                PlacementObstacle.ACCELERATORS_TAKEN
+
+            used.memoryMib + spec.demand.memoryMib > room.memoryMib ->
+                PlacementObstacle.MEMORY_TAKEN
+
+            !hasCpu -> PlacementObstacle.CPU_TAKEN
+
+            else -> null
         }
-        return worker.commitments.reservedMilliCpus + spec.demand.milliCpus <= room.milliCpus
     }
 
     private fun spareMilliCpus(worker: FleetWorker) =
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Starter.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Starter.kt
@@ -83,6 +83,7 @@
             "no lease can be granted to a worker with a placement: ${worker.id}"
         }
         worker.lease.record(fleet.settings.lapsedBy(nowMillis))
+        fleet.orderedStarts++
         fleet.log(
             "run-ordered",
             task.name.toString(),
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -25,6 +25,7 @@
     private val maintenance = RunMaintenance(fleet, tracker)
     private val directory = WorkerDirectory(fleet, tracker, recorder)
     private val recoveryWait = RecoveryWait(fleet)
+    private val waitingTasks = WaitingTasks(fleet, placer)
     private val pendingCancels = HashSet<String>()
 
     /** How many times placement has examined a worker, as a measure of its cost. */
@@ -209,6 +210,7 @@
         ) {
             placeWaiting(nowMillis, unixMillis)
         }
+        waitingTasks.step(nowMillis)
         recorder.step(nowMillis, unixMillis)
         maintenance.poll(nowMillis)
         val actions = fleet.outbox.toList()
