--- a/emulator/src/main/kotlin/sycamoremast/emulator/Emulation.kt
+++ b/emulator/src/main/kotlin/sycamoremast/emulator/Emulation.kt
@@ -61,7 +61,7 @@
             load.outcomes(),
             fleet.servingShare,
             fleet.longestOverTargetMillis,
-            fleet.longestOffMillis,
+            fleet.longestOffMillis(now),
             paceOrders,
             stops,
             polls,
--- a/emulator/src/main/kotlin/sycamoremast/emulator/LoadPattern.kt
+++ b/emulator/src/main/kotlin/sycamoremast/emulator/LoadPattern.kt
@@ -50,6 +50,9 @@
         /** The ratio of the batch work in an overload to that of a dense fleet's usual day. */
         private const val OVERLOAD = 1.85
 
+        /** The ratio of short work in a backlog to that of a calm day. */
+        private const val BACKLOG = 12.0
+
         /** A calm day at BKTIB: serving tasks reserve most processors, reviews use idle ones. */
         val sharedCalm = LoadPattern(
             "shared-calm", 45, 32_000, 128_000, Workloads.inspections,
@@ -97,6 +100,16 @@
             departures = Departures(15, fromSecond = 12, intervalMillis = 300, noticeMillis = 0)
         )
 
+        /**
+         * A third of the workers leave without notice while more short work arrives than the others
+         * can do.
+         */
+        val shrunkenFleet = suddenDepartures.copy(
+            name = "shrunken-fleet",
+            servingReserve = 0.4,
+            surges = listOf(Surge("field-check", 8, 26, BACKLOG))
+        )
+
         /** The calm day with a third of the workers shrunk below their serving tasks for a time. */
         val shrinkingCapacity = sharedCalm.copy(
             name = "shrinking-capacity",
@@ -176,6 +189,7 @@
             slowWorkers,
             rollingDepartures,
             suddenDepartures,
+            shrunkenFleet,
             shrinkingCapacity,
             deadlyChecks,
             servingCrowd,
--- a/emulator/src/main/kotlin/sycamoremast/emulator/Outcome.kt
+++ b/emulator/src/main/kotlin/sycamoremast/emulator/Outcome.kt
@@ -6,7 +6,7 @@
  *
  * [servingShare] is the share of the serving tasks' time under the target tail latency, less a
  * penalty for the time over it; [longestOverTargetMillis] is the longest uninterrupted time that
- * one of them was over it, and [longestOffMillis] the longest time that one was off between two runs.
+ * one of them was over it, and [longestOffMillis] the longest time that one was off after a run.
  * [paceOrders], [stops], [polls] and [starts] count the scheduler's calls.
  * [longestExcessMillis] is the longest time after a capacity shrank at which a start exceeded it, and
  * [regainMillis] the time until the first start that needed it after it had grown again.
--- a/emulator/src/test/kotlin/sycamoremast/emulator/EmulationTest.kt
+++ b/emulator/src/test/kotlin/sycamoremast/emulator/EmulationTest.kt
@@ -112,6 +112,14 @@
         expectThat(outcomes.maxOf { it.longestOffMillis }).isLessThan(lapsedMillis + 500)
     }
 
+    // Guards against lost serving tasks that wait while short tasks take each core that comes free.
+    @Test
+    fun `restarts serving tasks within a second after their lease in a shrunken fleet`() {
+        val outcomes = outcomes(LoadPattern.shrunkenFleet)
+        val lapsedMillis = SchedulerSettings().lapsedBy(sentMillis = 0)
+        expectThat(outcomes.maxOf { it.longestOffMillis }).isLessThan(lapsedMillis + 1_000)
+    }
+
     // The users' rule allows a start by the earlier capacity for contact_ms, 3 s at least, and a
     // heartbeat after a shrinking.
     @Test
