Record where long-running tasks may run before they start

What callers saw: where a worker went together with the owner, each long-running task that was off stayed off until that worker's lease had certainly lapsed, also one that had never run there. With a series of owners, each of which took another worker along, the time off grew with each owner.

Cause: nothing durable told which task may run on which worker, so a successor held all recovered workflows back until every worker that it inherited had answered or its lease had lapsed.

Change: the record of a workflow names the worker on which each long-running task may run (not gangs, nor short tasks). A start is ordered only once that is durable; until then room is reserved on the worker. A successor frees a waiting task as soon as its place has answered or that worker's lease has certainly lapsed, or if it has no place. All others wait as before.

Why no task runs twice: - An owner orders a start of a task only at the place that is durable, and changes it only while the task waits, that is when no run nor order of it can take effect at the last place. Each change counts, also one back to an earlier place, as a record whose answer was lost may be in the store. - An owner behind a cut can't write, as its records are conditional on its epoch. It can only start the task at the place that its successor has read and waits for. - A late order, or one of an owner that was suspended, goes to that place: the worker has answered the successor and rejects the epoch, or the order's lease has ended. - A worker that moves keeps its id, under which the roster's lease is waited for. A place that is no longer known was not in the roster when its successor claimed: no order was given since it was there, and its runs had ended when it was removed. - A worker that restarts forgets the highest epoch.

Tests: SchedulerDriver takes a second step at the same time when records of workflows become durable at once. Tests that expect the start of a long-running task in the step that places it thus stay as strict in time: the start comes one record later.

Cost: a record before each start of a long-running task at another place. An owner that has lost the store starts no long-running task at a new place.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
@@ -37,6 +37,12 @@
     /** Whether something has changed since the last placement that may let a task start. */
     var isPlacementDue = true
 
+    /** Whether the places of all long-running tasks that earlier owners have started are recorded. */
+    var arePlacesRecorded = false
+
+    /** Recovered workflows with long-running tasks whose records don't tell their places. */
+    val workflowsWithoutPlaces = ArrayList<OpenWorkflow>()
+
     /** Workflows that may have ended since they were last checked. */
     val endCandidates = LinkedHashSet<OpenWorkflow>()
 
@@ -157,9 +163,7 @@
      *
      * A worker that no earlier owner has recorded has got none.
      */
-    fun isFleetReconciled(): Boolean = workers.values.all {
-        it.isReconciled || !it.lease.isInherited
-    }
+    fun isFleetReconciled(): Boolean = workers.values.all { it.isAccountedFor }
 
     /** Returns the CPU that all long-running tasks reserve, whether they run or wait. */
     fun longRunningMilliCpus(): Long = openWorkflows.sumOf { it.longRunningMilliCpus }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
@@ -26,6 +26,9 @@
     /** Whether this owner knows all runs on the worker, or knows that none is left. */
     var isReconciled = false
 
+    /** Whether no run that an earlier owner has ordered here can be unknown. */
+    val isAccountedFor: Boolean get() = isReconciled || !lease.isInherited
+
     /** Whether another incarnation answers at its address or its lease has certainly lapsed. */
     var isLost = false
     private var startedUnixMillis: Long? = null
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/OpenWorkflow.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/OpenWorkflow.kt
@@ -22,6 +22,12 @@
     var lastChange = 0L
     var durableChange = 0L
     var hasBegun = false
+
+    /** Whether the place of each long-running task is known that has been started. */
+    var arePlacesKnown = !isRecovered
+
+    /** Whether the records of earlier owners, if any, tell which of these tasks have run. */
+    var areRunsKnown = !isRecovered
     var endedUnixMillis = 0L
 
     /** Why the workflow failed, or null if it did not or that is not known. */
@@ -138,7 +144,8 @@
         hasBegun = hasBegun,
         endedUnixMillis = endedUnixMillis,
         failure = failure,
-        crashes = if (isOpen) perTask(::recordedCrashes) else emptyMap()
+        crashes = if (isOpen) perTask(::recordedCrashes) else emptyMap(),
+        places = if (isOpen && isLongRunning && arePlacesKnown) perTask { it.place } else null
     )
 
     /** Restores the progress that an earlier owner recorded. */
@@ -158,6 +165,7 @@
             for (task in step.tasks) {
                 progress.failures[task.key]?.let(task::restoreFailures)
                 progress.crashes[task.key]?.let(task::restoreCrashes)
+                if (arePlacesKnown) progress.places?.get(task.key)?.let(task::restorePlace)
                 task.checkpoint = progress.checkpoints[task.key].orEmpty()
             }
         }
@@ -244,8 +252,21 @@
     var waitingSinceMillis = step.workflow.acceptedMillis
         private set
 
-    /** Whether a run of the task has been placed, as far as this owner knows. */
-    val hasRun: Boolean get() = lastRun > 0
+    /** Whether the worker on which the task may run is recorded before it starts. */
+    val hasRecordedPlace: Boolean get() = step.spec.isLongRunning && !step.spec.isGang
+
+    /** The worker on which the task may run, or null if it has had none. */
+    var place: String? = null
+        private set
+
+    /** The change of the workflow by which [place] is durable. */
+    var placeChange = 0L
+        private set
+    private var wasPlaced = false
+
+    /** Whether a run of the task has been placed, by an earlier owner perhaps. */
+    val hasRun: Boolean
+        get() = lastRun > 0 || wasPlaced || (!step.workflow.areRunsKnown && step.workflow.hasBegun)
 
     /** The worker that has room reserved for the next run, or null. */
     var destination: FleetWorker? = null
@@ -270,6 +291,17 @@
         lastRun = maxOf(lastRun, recorded.maxOrNull() ?: 0)
     }
 
+    /** Sets the [place] by a [change] of the workflow. */
+    fun setPlace(workerId: String, change: Long) {
+        place = workerId
+        placeChange = change
+    }
+
+    fun restorePlace(workerId: String) {
+        place = workerId
+        wasPlaced = true
+    }
+
     fun markDone() {
         if (isDone) return
         isDone = true
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
@@ -53,6 +53,13 @@
         markChanged(workflow)
     }
 
+    /** Sets the worker on which [task] may run, which counts once it is durable. */
+    fun setPlace(task: OpenTask, worker: FleetWorker) {
+        if (!task.hasRecordedPlace || task.place == worker.id) return
+        markChanged(task.step.workflow)
+        task.setPlace(worker.id, task.step.workflow.lastChange)
+    }
+
     fun markRosterChanged() {
         hasRosterChanged = true
     }
@@ -153,7 +160,8 @@
             newWaiting,
             leasesLeft,
             interference = newInterference,
-            isHeartbeat = isHeartbeat
+            isHeartbeat = isHeartbeat,
+            recordsPlaces = fleet.arePlacesRecorded
         )
         fleet.outbox += SchedulerAction.Record(records)
         newWaiting = null
@@ -169,6 +177,7 @@
             record.workflow.durableChange = record.change
         }
         done.heartbeatMillis?.let(fleet::onHeartbeatDurable)
+        if (done.workflows.any { it.workflow.isLongRunning }) fleet.isPlacementDue = true
         pendingEnds.entries.removeIf { (worker, ends) -> releaseDurableEnds(worker, ends) }
         if (done.roster != null) {
             fleet.workers.values.forEach { if (it.ref in done.roster) it.isInRoster = true }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RecoveryWait.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RecoveryWait.kt
@@ -2,11 +2,11 @@
  * Logs what holds back the tasks of recovered workflows at the beginning of a term.
  *
  * They start only once every worker on which an earlier owner may have started them has answered or
- * its lease has certainly lapsed.
+ * its lease has certainly lapsed. For a long-running task with a recorded place, that is one worker.
  */
 package sycamoremast.coordination.workflow
 
-internal class RecoveryWait(private val fleet: Fleet) {
+internal class RecoveryWait(private val fleet: Fleet, private val places: TaskPlaces) {
     private var beganMillis: Long? = null
     private var isLogged = false
     private var isOver = false
@@ -20,16 +20,22 @@
             log("recovery-complete", "waitedMillis" to nowMillis - began)
         } else if (!isLogged && nowMillis >= began + LONG_WAIT_MILLIS) {
             isLogged = true
-            val missing = fleet.workers.values.filter { !it.isReconciled && it.lease.isInherited }
+            val missing = fleet.workers.values.filter { !it.isAccountedFor }
             log(
                 "recovery-waits",
                 "workers" to missing.size,
                 "leaseLeftMillis" to missing.maxOf { it.lease.remainingMillis(nowMillis) },
-                "first" to missing.take(MAX_NAMED).joinToString(",") { it.id }
+                "first" to missing.take(MAX_NAMED).joinToString(",") { it.id },
+                "longRunningTasks" to heldTasks()
             )
         }
     }
 
+    /** Returns the number of long-running tasks that wait for these workers. */
+    private fun heldTasks(): Int = fleet.openWorkflows.filter { it.isLongRunning }
+        .flatMap { it.steps() }.filter { it.spec.isLongRunning }
+        .sumOf { step -> step.waiting.count { !places.isFree(it) } }
+
     private fun log(event: String, vararg fields: Pair<String, Any?>) {
         val held = fleet.openWorkflows.count { it.isRecovered }
         fleet.log(event, "epoch-${fleet.epoch}", *fields, "recoveredWorkflows" to held)
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/ReportedRuns.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/ReportedRuns.kt
@@ -56,6 +56,7 @@
         placement.recordProgress(row, nowMillis)
         if (isWanted) {
             fleet.log("run-adopted", row.task.toString(), "run" to row.run, "worker" to worker.id)
+            recorder.setPlace(task, worker)
             recorder.markBegun(task.step.workflow)
         } else {
             fleet.stop(placement, nowMillis, "not wanted")
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RosterRecord.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RosterRecord.kt
@@ -10,6 +10,9 @@
  * record on: an owner that hands over as planned names all workers, others name those that don't
  * answer. [drainingLeasesLeft] gives the time for which leases of draining workers, which the owner
  * goes on to extend, may last after the next owner's claim.
+ *
+ * If [recordsPlaces], the owners so far have recorded the places of all long-running tasks before
+ * their starts, or found all runs of such tasks.
  */
 @Serializable
 data class RosterRecord(
@@ -17,7 +20,8 @@
     val epoch: Long = 0,
     val leasesLeft: Map<String, Long>? = null,
     val drainingLeasesLeft: Map<String, Long>? = null,
-    val batch: Long = 0
+    val batch: Long = 0,
+    val recordsPlaces: Boolean = false
 ) {
     val version: RecordVersion get() = RecordVersion(epoch, batch)
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerAction.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerAction.kt
@@ -29,8 +29,9 @@
  * The records to write in one transaction; a null [roster], [waiting] or [interference] has not
  * changed.
  *
- * [waiting] is the number of workflows without a started task, by queue. [leasesLeft] goes with the
- * roster. If [isHeartbeat], the transaction also shows other hosts that the owner is at work.
+ * [waiting] is the number of workflows without a started task, by queue. [leasesLeft] and
+ * [recordsPlaces] go with the roster. If [isHeartbeat], the transaction also shows other hosts that
+ * the owner is at work.
  */
 data class RecordBatch(
     val progress: Map<String, WorkflowProgress>,
@@ -38,7 +39,8 @@
     val waiting: Map<String, Int>?,
     val leasesLeft: LeasesLeft = LeasesLeft.NONE,
     val interference: InterferenceRecord? = null,
-    val isHeartbeat: Boolean = false
+    val isHeartbeat: Boolean = false,
+    val recordsPlaces: Boolean = false
 ) {
     companion object {
         /** The most entries of a transaction, conditions included, that the platform's store takes. */
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Starter.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Starter.kt
@@ -7,7 +7,8 @@
     private val fleet: Fleet,
     private val placer: Placer,
     private val neighbours: NeighbourAdmission,
-    private val crashes: CrashLedger
+    private val crashes: CrashLedger,
+    private val places: TaskPlaces
 ) {
     private val trials = TrialPlacer(fleet, placer)
 
@@ -22,12 +23,14 @@
         }
         for (task in step.waiting.toList()) {
             if (nowMillis < task.notBeforeMillis || placer.isAwaitingRoom(task, nowMillis)) continue
+            if (!places.isFree(task)) continue
             val history = task.crashHistory
             if (history != null) {
                 startSuspect(task, history, nowMillis)
                 continue
             }
             val worker = placer.chooseOrNull(task, nowMillis) ?: return
+            if (!places.isReadyOn(worker, task, nowMillis)) continue
             orderStart(place(task, worker, nextRun(task), nowMillis), nowMillis)
         }
     }
@@ -41,6 +44,7 @@
         } else {
             placer.chooseOrNull(task, nowMillis)
         } ?: return
+        if (!places.isReadyOn(worker, task, nowMillis)) return
         val placement = place(task, worker, nextRun(task), nowMillis)
         if (history.needsTrial) trials.begin(placement, history)
         orderStart(placement, nowMillis)
@@ -48,6 +52,7 @@
 
     /** Starts a gang if all of it fits, with one run number and one checkpoint for all members. */
     private fun startGang(step: OpenStep, nowMillis: Long) {
+        if (!places.isFree(step.tasks.first())) return
         val isComplete = step.waiting.size == step.tasks.size &&
             step.tasks.all { nowMillis >= it.notBeforeMillis && crashes.mayStart(it, nowMillis) }
         if (!isComplete) return
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/TrialPlacer.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/TrialPlacer.kt
@@ -12,23 +12,24 @@
      * If no worker without serving tasks and exposed runs has room for a while, it is one with few.
      */
     fun chooseOrNull(task: OpenTask, history: CrashHistory, nowMillis: Long): FleetWorker? {
-        task.destination?.cancelReservation(task)
+        val reserved = task.destination
+        reserved?.cancelReservation(task)
         val eligible = placer.eligible(task, nowMillis)
         if (eligible.isEmpty()) return null
         if (mayBegin()) {
             val safe = eligible.filter { it.servingCount == 0 && exposedCount(it) == 0 }
             val settled = safe.filter { it.isSettled(nowMillis) }.ifEmpty { safe }
-            placer.bestOrNull(settled, task, nowMillis)?.let {
-                return it.takeIfUp(history, nowMillis)
-            }
+            val best = settled.find { it === reserved }
+                ?: placer.bestOrNull(settled, task, nowMillis)
+            if (best != null) return best.takeIfUp(history, nowMillis)
         }
         val waitingSince = history.waitingSinceMillis
             ?: nowMillis.also { history.waitingSinceMillis = it }
         if (nowMillis < waitingSince + MAX_WAIT_MILLIS) return null
         // A crash beside other exposed runs proves nothing, so that more would follow.
-        return eligible
+        val next = eligible.find { it === reserved } ?: eligible
             .minWith(compareBy({ exposedCount(it) > 0 }, { it.servingCount }, ::exposedCount))
-            .takeIfUp(history, nowMillis)
+        return next.takeIfUp(history, nowMillis)
     }
 
     /**
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowProgress.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowProgress.kt
@@ -27,6 +27,10 @@
  *
  * [endedUnixMillis] is 0 until the workflow has ended. [failure] tells why it failed; records of
  * earlier versions have none.
+ *
+ * [places] contains the worker on which each long-running task may run, by its ID: a task that it
+ * doesn't contain runs nowhere. It is null in records that don't tell, as those of earlier versions,
+ * and holds only if the roster says that all owners record places.
  */
 @Serializable
 data class WorkflowProgress(
@@ -37,11 +41,13 @@
     val hasBegun: Boolean = false,
     val endedUnixMillis: Long = 0,
     val failure: WorkflowFailure? = null,
-    val crashes: Map<String, Set<Int>> = emptyMap()
+    val crashes: Map<String, Set<Int>> = emptyMap(),
+    val places: Map<String, String>? = null
 ) {
     /** The number of the first occurrences that include all tasks of which anything is recorded. */
     val startedOccurrences: Int
-        get() = listOf(doneTasks, failures, checkpoints, crashes).flatMap { it.keys }
+        get() = listOf(doneTasks, failures, checkpoints, crashes, places.orEmpty())
+            .flatMap { it.keys }
             .maxOfOrNull { it.substringBefore('.').toInt() + 1 } ?: 0
 
     val status: WorkflowStatus get() = WorkflowStatus(phase, failure)
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -18,13 +18,14 @@
     private val tracker = RunTracker(fleet, recorder, colocation, crashes)
     private val neighbours = NeighbourAdmission(tails, forecast, colocation)
     private val placer = Placer(fleet, neighbours)
-    private val starter = Starter(fleet, placer, neighbours, crashes)
+    private val places = TaskPlaces(fleet, recorder)
+    private val starter = Starter(fleet, placer, neighbours, crashes, places)
     private val moves = TaskMoves(fleet)
     private val evacuation = Evacuation(fleet, placer, moves)
     private val consolidation = Consolidation(fleet, placer, moves, tails)
     private val maintenance = RunMaintenance(fleet, tracker)
     private val directory = WorkerDirectory(fleet, tracker, recorder)
-    private val recoveryWait = RecoveryWait(fleet)
+    private val recoveryWait = RecoveryWait(fleet, places)
     private val waitingTasks = WaitingTasks(fleet, placer)
     private val pendingCancels = HashSet<String>()
 
@@ -51,6 +52,13 @@
         fleet.workflows[workflow.id] = open
         if (progress != null) open.restore(progress)
         if (!open.isOpen) return
+        if (isRecovered && open.isLongRunning) {
+            open.arePlacesKnown =
+                fleet.arePlacesRecorded &&
+                (progress == null || progress.places != null)
+            open.areRunsKnown = open.arePlacesKnown
+            if (!open.arePlacesKnown) fleet.workflowsWithoutPlaces += open
+        }
         fleet.openWorkflows += open
         fleet.endCandidates += open
         if (progress != null) {
@@ -104,6 +112,14 @@
     fun addRosteredWorker(ref: WorkerRef, lapsedByMillis: Long) =
         directory.addRosteredWorker(ref, lapsedByMillis)
 
+    /**
+     * Records that earlier owners have recorded the places of all long-running tasks, as their last
+     * roster says. Recovered workflows are to be added after that.
+     */
+    fun onPlacesRecorded() {
+        fleet.arePlacesRecorded = true
+    }
+
     /** Adds what an earlier owner has learned about interference between tasks. */
     fun restoreInterference(record: InterferenceRecord, unixMillis: Long) {
         val restored = tails.restore(record, unixMillis)
@@ -227,7 +243,8 @@
             waiting = null,
             leasesLeft =
             LeasesLeft(workers.associate { it.id to it.lease.remainingMillis(nowMillis) }),
-            interference = tails.record(unixMillis)
+            interference = tails.record(unixMillis),
+            recordsPlaces = fleet.arePlacesRecorded
         )
     }
 
@@ -289,13 +306,13 @@
     private fun placeWaiting(nowMillis: Long, unixMillis: Long) {
         fleet.isPlacementDue = false
         nextPlacementMillis = nowMillis + PLACEMENT_RETRY_MILLIS
-        val isReconciled = fleet.isFleetReconciled()
+        places.step()
         fleet.openWorkflows.forEach { fleet.openTasks.openDue(it, unixMillis) }
         val order = PlacementOrder(nowMillis)
             .sorted(fleet.openWorkflows.filter { it.hasReadyTasks })
         starter.beginRound()
         for (workflow in order) {
-            if (workflow.isRecovered && !isReconciled) continue
+            if (!places.mayBeFree(workflow)) continue
             if (workflow.isLongRunning && isSettling(workflow, nowMillis)) continue
             for (step in workflow.steps()) {
                 if (step.hasReadyTasks) starter.startWaiting(step, nowMillis)
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
@@ -262,6 +262,7 @@
         next.knownListings = state.listings
         next.scheduler.onWorkersListed(state.listings.values.toList(), clock())
         state.roster?.record?.let { roster ->
+            if (roster.recordsPlaces) next.scheduler.onPlacesRecorded()
             for (worker in roster.workers) {
                 val lapsedBy =
                     roster.lapsedByMillis(worker, next.sightings, settings, state.heartbeat)
@@ -342,7 +343,8 @@
             held.epoch,
             batch.leasesLeft.fixed,
             batch.leasesLeft.draining,
-            number
+            number,
+            batch.recordsPlaces
         )
     }
 
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/OwnerSeriesTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/OwnerSeriesTest.kt
@@ -5,6 +5,7 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThan
+import strikt.assertions.isNull
 import strikt.assertions.isTrue
 
 /**
@@ -21,26 +22,52 @@
     private val heartbeats = HashMap<RecordVersion, Long>()
     private var lastHeartbeat: RecordVersion? = null
     private var lastBatch = 0L
+    private val progress = HashMap<String, WorkflowProgress>()
+
+    /** The runs of the lasting task that are in progress, by worker. */
+    private val runs = HashMap<String, RunningRow>()
 
     /** The workers that the platform lists. */
     private var listed = listOf("w1")
 
     /** The owner of [epoch], which begins at [nowMillis] with what the store holds. */
     private fun owner(epoch: Long, nowMillis: Long): SchedulerDriver {
+        val driver = successor(epoch, nowMillis)
+        driver.submit(driver.workflow("job", driver.taskStep()), isRecovered = epoch > 1)
+        return driver
+    }
+
+    /** Like [owner], with a workflow of one task that is to last. */
+    private fun ownerOfLasting(epoch: Long, nowMillis: Long): SchedulerDriver {
+        val driver = successor(epoch, nowMillis)
+        val step = driver.taskStep().copy(isLongRunning = true, requiredLabel = LABEL)
+        driver.submit(driver.workflow("job", step), isRecovered = epoch > 1, progress["job"])
+        return driver
+    }
+
+    private fun successor(epoch: Long, nowMillis: Long): SchedulerDriver {
         claims[epoch] = nowMillis
         val driver = SchedulerDriver(epoch).apply { now = nowMillis }
-        driver.scheduler.onWorkersListed(listed.map(driver::listing), nowMillis)
+        driver.list()
         val inherited = roster
+        if (inherited?.recordsPlaces == true) driver.scheduler.onPlacesRecorded()
         inherited?.workers?.forEach {
             val sightings =
                 StoreSightings(nowMillis, claims.toMap(), rosters.toMap(), heartbeats.toMap())
             val lapsedBy = inherited.lapsedByMillis(it, sightings, settings, lastHeartbeat)
             driver.scheduler.addRosteredWorker(it, lapsedBy)
         }
-        driver.submit(driver.workflow("job", driver.taskStep()), isRecovered = epoch > 1)
         return driver
     }
 
+    /** Lists the [listed] workers, of which those named "other" can't run the lasting task. */
+    private fun SchedulerDriver.list() {
+        val listings = listed.map {
+            listing(it).copy(labels = if (it.startsWith("other")) emptyList() else listOf(LABEL))
+        }
+        scheduler.onWorkersListed(listings, now)
+    }
+
     /**
      * Lets [driver] own the workers for [millis], "gone" answering none of its calls; returns the
      * time of the first start, or null if there is none.
@@ -63,12 +90,47 @@
         return null
     }
 
+    /**
+     * Lets the owner own the workers for [millis], of which only those in [up] answer; returns the
+     * time of the last start of the lasting task, or null if there is none.
+     */
+    private fun SchedulerDriver.serveFor(millis: Long, epoch: Long, vararg up: String): Long? {
+        var started: Long? = null
+        val until = now + millis
+        while (now < until) {
+            step()
+            records.forEach { record(it, epoch) }
+            for (order in starts.filter { it.worker.id in up }) {
+                runs[order.worker.id] = RunningRow(order.task, order.run, "", percent = 100, null)
+                confirmStart(order)
+                started = now
+            }
+            polls.forEach { poll ->
+                when {
+                    poll.worker.id in up -> report(poll, listOfNotNull(runs[poll.worker.id]))
+
+                    now - poll.sentMillis >= POLL_TIMEOUT_MILLIS ->
+                        answer(poll, WorkerAnswer.Unknown("timeout"))
+                }
+            }
+        }
+        return started
+    }
+
     private fun SchedulerDriver.record(batch: RecordBatch, epoch: Long) {
+        progress += batch.progress
         val version = RecordVersion(epoch, ++lastBatch)
         batch.roster?.let { workers ->
             val left = batch.leasesLeft
             rosters[version] = now + SIGHTING_MILLIS
-            roster = RosterRecord(workers, epoch, left.fixed, left.draining, version.batch)
+            roster = RosterRecord(
+                workers,
+                epoch,
+                left.fixed,
+                left.draining,
+                version.batch,
+                batch.recordsPlaces
+            )
         }
         if (batch.isHeartbeat) {
             heartbeats[version] = now + SIGHTING_MILLIS
@@ -196,6 +258,65 @@
         expectThat(started).isTrue()
     }
 
+    /**
+     * Returns when the lasting task starts again after the first owner and [count] more, each of
+     * which goes on for [millis], have ended, each together with a worker; the first one, on whose
+     * worker the task ran, ends at 0.
+     */
+    private fun startAfterOwnersWithWorkers(count: Int, millis: Long): Long {
+        listed = listOf("x1")
+        val first = ownerOfLasting(1, -FIRST_TERM_MILLIS)
+        checkNotNull(first.serveFor(FIRST_TERM_MILLIS / 2, 1, "x1")) { "the task never ran" }
+        listed = listOf("x1", "w1")
+        first.list()
+        first.serveFor(-first.now, 1, "x1", "w1")
+        var claim = TAKEOVER_MILLIS
+        for (epoch in 2L until 2L + count) {
+            listed = listOf("w1", "x$epoch")
+            ownerOfLasting(epoch, claim).serveFor(millis, epoch, "w1", "x$epoch")
+                ?.let { return it }
+            claim += millis + TAKEOVER_MILLIS
+        }
+        listed = listOf("w1")
+        val last = 2L + count
+        return checkNotNull(ownerOfLasting(last, claim).serveFor(LONGEST_MILLIS, last, "w1")) {
+            "the task never starts"
+        }
+    }
+
+    // Guards against a wait for each worker that goes with a later owner, on which the task never ran.
+    @Test
+    fun `starts a lost task by a bound that does not grow with owners that take other workers`() {
+        for (millis in listOf(2_000L, 3_000L, 4_500L, 6_000L)) {
+            for (count in 0..5) {
+                OwnerSeriesTest().run {
+                    val started = startAfterOwnersWithWorkers(count, millis)
+                    val disruptions = (0..count).map { it * (millis + TAKEOVER_MILLIS) }
+                    // Later ones come once the task has had an owner that knew it to have ended.
+                    val disruption = disruptions.firstOrNull {
+                        it + TAKEOVER_MILLIS + millis >= LEASE_LAPSED_MILLIS + 1_000
+                    } ?: disruptions.last()
+                    expectThat(started).describedAs("$count owners for $millis ms")
+                        .isLessThan(maxOf(RESTART_MILLIS, disruption + CALM_MILLIS))
+                }
+            }
+        }
+    }
+
+    // Guards against a wait for a worker that went with the owner when the task was off already.
+    @Test
+    fun `starts a task within two seconds that was off before another worker went`() {
+        listed = listOf("x1")
+        val first = ownerOfLasting(1, -2 * WAIT_MILLIS)
+        checkNotNull(first.serveFor(FIRST_TERM_MILLIS, 1, "x1")) { "the task never ran" }
+        listed = listOf("other")
+        first.list()
+        expectThat(first.serveFor(-first.now, 1, "other")).isNull()
+        listed = listOf("w1")
+        val started = ownerOfLasting(2, TAKEOVER_MILLIS).serveFor(LONGEST_MILLIS, 2, "w1")
+        expectThat(checkNotNull(started) - TAKEOVER_MILLIS).isLessThan(2_000)
+    }
+
     @Test
     fun `logs for which workers recovered tasks wait, and when the wait is over`() {
         roster = RosterRecord(listOf(WorkerRef("gone", "address")), 1)
@@ -226,6 +347,14 @@
         /** The users' limit on how long a lasting task may be off. */
         const val RESTART_MILLIS = 9_000L
 
+        /** The users' limit on how long it may be off after the last disruption. */
+        const val CALM_MILLIS = 7_000L
+
+        /** When all leases of an owner have lapsed that ended at 0. */
+        const val LEASE_LAPSED_MILLIS = 8_000L
+        const val FIRST_TERM_MILLIS = 4_000L
+        const val LABEL = "label"
+
         /** How long a host takes to see what another one has written. */
         const val SIGHTING_MILLIS = 20L
 
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SchedulerDriver.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SchedulerDriver.kt
@@ -27,13 +27,20 @@
     private val pendingPolls = ArrayList<PollOrder>()
     val records get() = actions.filterIsInstance<SchedulerAction.Record>().map { it.batch }
 
-    /** Advances time by [millis] and returns the actions due then, which replace earlier ones. */
+    /**
+     * Advances time by [millis] and returns the actions due then, which replace earlier ones, with
+     * those that records of workflows allow which become durable at once.
+     */
     fun step(millis: Long = 50): List<SchedulerAction> {
         now += millis
         actions.clear()
         actions += scheduler.step(now, now, isSoleOwner)
+        if (areRecordsDurableAtOnce && records.isNotEmpty()) {
+            val hasProgress = records.any { it.progress.isNotEmpty() }
+            scheduler.onBatchDurable()
+            if (hasProgress) actions += scheduler.step(now, now, isSoleOwner)
+        }
         pendingPolls += actions.filterIsInstance<SchedulerAction.Poll>().map { it.order }
-        if (areRecordsDurableAtOnce) records.forEach { _ -> scheduler.onBatchDurable() }
         return actions
     }
 
@@ -100,8 +107,11 @@
     fun confirmStart(order: StartOrder) =
         scheduler.onStartAnswer(order, WorkerAnswer.Done(now, now), now)
 
-    fun submit(workflow: Workflow, isRecovered: Boolean = false) =
-        scheduler.onWorkflowAccepted(workflow, null, isRecovered, now, now)
+    fun submit(
+        workflow: Workflow,
+        isRecovered: Boolean = false,
+        progress: WorkflowProgress? = null
+    ) = scheduler.onWorkflowAccepted(workflow, progress, isRecovered, now, now)
 
     fun workflow(
         id: String = "job",
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
@@ -132,8 +132,10 @@
                 heartbeat?.let { clock.nowMillis() - term.sightings.heartbeatMillis(it) },
             "endedMillisAgo" to term.sightings.ends[roster.epoch]?.let { clock.nowMillis() - it },
             "knownLeases" to (roster.leasesLeft?.size ?: 0),
-            "drainingLeases" to (roster.drainingLeasesLeft?.size ?: 0)
+            "drainingLeases" to (roster.drainingLeasesLeft?.size ?: 0),
+            "recordsPlaces" to roster.recordsPlaces
         )
+        if (roster.recordsPlaces) confirmPlaces()
         for (worker in roster.workers) {
             val lapsedBy = roster.lapsedByMillis(worker, term.sightings, settings, heartbeat)
             addRosterWorker(worker, lapsedBy)
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/RecordWriter.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/RecordWriter.kt
@@ -66,7 +66,8 @@
                 epoch,
                 batch.leasesLeft.fixed,
                 batch.leasesLeft.draining,
-                next.batch
+                next.batch,
+                batch.recordsPlaces
             )
             puts += StorePut(WorkflowKeys.roster(set), encodeRecord(record))
             puts +=
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
@@ -91,6 +91,9 @@
         scheduler.addRosteredWorker(worker, lapsedByMillis)
     }
 
+    /** Confirms that earlier owners have recorded the places of all long-running tasks. */
+    fun confirmPlaces() = enqueue { scheduler.onPlacesRecorded() }
+
     /** Adds what an earlier owner has learned about interference between tasks. */
     fun restoreInterference(record: InterferenceRecord) = enqueue {
         scheduler.restoreInterference(record, unixMillis())
