--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
@@ -6,6 +6,13 @@
 /** A [placement] that was removed from its worker at [atMillis]. */
 internal data class Departure(val placement: Placement, val atMillis: Long)
 
+/**
+ * Room for a task that has to start by [untilMillis].
+ *
+ * If it [isFuture], short tasks may still take it, which end by themselves.
+ */
+private class Reservation(val untilMillis: Long, val isFuture: Boolean)
+
 /** One incarnation of a worker. */
 internal class FleetWorker(listing: WorkerListing, listedMillis: Long) {
     val ref: WorkerRef = listing.ref
@@ -86,8 +93,8 @@
      */
     var unknownRuns: Set<TaskName> = emptySet()
 
-    /** Tasks that will move here, with the times by which they have to start. */
-    private val reservations = LinkedHashMap<OpenTask, Long>()
+    /** The room that is reserved for tasks that will start here. */
+    private val reservations = LinkedHashMap<OpenTask, Reservation>()
 
     /** The tasks that have room reserved here for their next run. */
     val expectedTasks: Set<OpenTask> get() = reservations.keys
@@ -216,8 +223,14 @@
     }
 
     /** Reserves room for the next run of [task], which has to start within a few seconds. */
-    fun reserve(task: OpenTask, nowMillis: Long) {
-        reservations[task] = nowMillis + RESERVATION_MILLIS
+    fun reserve(task: OpenTask, nowMillis: Long) = reserve(task, nowMillis, isFuture = false)
+
+    /** Reserves room for the next run of [task] that short tasks will leave when they end. */
+    fun reserveFutureRoom(task: OpenTask, nowMillis: Long) =
+        reserve(task, nowMillis, isFuture = true)
+
+    private fun reserve(task: OpenTask, nowMillis: Long, isFuture: Boolean) {
+        reservations[task] = Reservation(nowMillis + RESERVATION_MILLIS, isFuture)
         task.destination = this
         cachedView = null
         commitments.add(task.step.spec)
@@ -234,8 +247,8 @@
     /** Gives up the reservations whose tasks have ended or did not start in time. */
     fun expireReservations(nowMillis: Long) {
         if (reservations.isEmpty()) return
-        reservations.filter { (task, untilMillis) ->
-            nowMillis > untilMillis || !task.step.workflow.isOpen
+        reservations.filter { (task, reservation) ->
+            nowMillis > reservation.untilMillis || !task.step.workflow.isOpen
         }.keys.forEach(::cancelReservation)
     }
 
@@ -246,16 +259,27 @@
         }
     }
 
-    /** Whether all that runs or is expected fits once the stopped runs have ended. */
+    /** Whether all that runs or is expected fits once the tasks that make room have ended. */
     private fun hasRoomForReservations(): Boolean {
-        val leaving = placements.values.filter { it.isLeaving }.map { it.task.step.spec }
-        val leavingMilliCpus = leaving.filter { !it.usesIdleCpu }.sumOf { it.demand.milliCpus }
-        return commitments.reservedMilliCpus - leavingMilliCpus <= capacity.milliCpus &&
-            commitments.memoryMib - leaving.sumOf { it.demand.memoryMib } <= capacity.memoryMib &&
-            commitments.accelerators - leaving.sumOf { it.demand.accelerators } <=
-            capacity.accelerators
+        val awaitsShortTasks = reservations.values.any { it.isFuture }
+        val leaving = demand {
+            it.isLeaving || (awaitsShortTasks && !it.task.step.spec.isLongRunning)
+        }
+        return commitments.reservedMilliCpus - leaving.milliCpus <= capacity.milliCpus &&
+            commitments.memoryMib - leaving.memoryMib <= capacity.memoryMib &&
+            commitments.accelerators - leaving.accelerators <= capacity.accelerators
     }
 
+    /** Returns the room that short tasks take. */
+    fun shortTaskDemand(): Resources = demand { !it.task.step.spec.isLongRunning }
+
+    /** Returns the room that the runs take which match [predicate]. */
+    private fun demand(predicate: (Placement) -> Boolean): Resources =
+        placements.values.filter(predicate).fold(Resources.NONE) { sum, placement ->
+            val spec = placement.task.step.spec
+            sum + if (spec.usesIdleCpu) spec.demand.copy(milliCpus = 0) else spec.demand
+        }
+
     fun add(placement: Placement) {
         placements[placement.task.name] = placement
         cachedView = null
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/OpenWorkflow.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/OpenWorkflow.kt
@@ -244,8 +244,9 @@
     var waitingSinceMillis = step.workflow.acceptedMillis
         private set
 
-    /** Whether a run of the task has been placed, as far as this owner knows. */
-    val hasRun: Boolean get() = lastRun > 0
+    /** Whether a run of the task has been placed, by an earlier owner perhaps. */
+    val hasRun: Boolean
+        get() = lastRun > 0 || (step.workflow.isRecovered && step.workflow.hasBegun)
 
     /** The worker that has room reserved for the next run, or null. */
     var destination: FleetWorker? = null
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
@@ -94,9 +94,13 @@
         return fleet.longRunningMilliCpus() > capacity * CROWDED_SHARE
     }
 
-    private fun leavesReserve(worker: FleetWorker, spec: WorkflowStep): Boolean {
-        val left =
-            worker.capacity.milliCpus - worker.commitments.reservedMilliCpus - spec.demand.milliCpus
+    private fun leavesReserve(
+        worker: FleetWorker,
+        spec: WorkflowStep,
+        freedMilliCpus: Long = 0
+    ): Boolean {
+        val left = worker.capacity.milliCpus + freedMilliCpus -
+            worker.commitments.reservedMilliCpus - spec.demand.milliCpus
         return left >= worker.capacity.milliCpus * SHORT_WORK_RESERVE
     }
 
@@ -153,7 +157,7 @@
                 PlacementObstacle.LABEL_MISSING
 
             else -> missingRoomOrNull(worker, spec, freed) ?: when {
-                spec.maxPerWorker > 0 && taskCountOfStep(worker, task.step) >= spec.maxPerWorker ->
+                spec.maxPerWorker > 0 && othersOfStep(worker, task) >= spec.maxPerWorker ->
                     PlacementObstacle.STEP_NOT_SPREAD
 
                 task.name in worker.placements -> PlacementObstacle.TASK_PRESENT
@@ -178,7 +182,33 @@
         return isEligible(worker, task, nowMillis, freed)
     }
 
-    /** Whether the room that is reserved for [task] is still taken by a task that leaves. */
+    /**
+     * Returns the worker that lacks least room for [task] of those that have enough once their short
+     * tasks have ended, or null if there is none.
+     */
+    fun nextWithRoomOrNull(task: OpenTask, nowMillis: Long): FleetWorker? {
+        val spec = task.step.spec
+        // Whether idle CPU suffices depends on the neighbours by then.
+        if (spec.usesIdleCpu) return null
+        val isCrowded = isCrowded()
+        return candidates(spec).filter {
+            val freed = it.shortTaskDemand()
+            isEligible(it, task, nowMillis, freed) &&
+                (!isCrowded || leavesReserve(it, spec, freed.milliCpus))
+        }.minByOrNull { it.missingShare(spec) }
+    }
+
+    /** Returns the share of its capacity that the worker lacks for a task of [spec]. */
+    private fun FleetWorker.missingShare(spec: WorkflowStep): Double {
+        val milliCpus = commitments.reservedMilliCpus + spec.demand.milliCpus - capacity.milliCpus
+        val memoryMib = commitments.memoryMib + spec.demand.memoryMib - capacity.memoryMib
+        return maxOf(
+            milliCpus.toDouble() / capacity.milliCpus.coerceAtLeast(1),
+            memoryMib.toDouble() / capacity.memoryMib.coerceAtLeast(1)
+        )
+    }
+
+    /** Whether the room that is reserved for [task] is still taken by others. */
     fun isAwaitingRoom(task: OpenTask, nowMillis: Long): Boolean {
         val reserved = task.destination ?: return false
         val spec = task.step.spec
@@ -186,8 +216,10 @@
             !fits(reserved, spec, freed = spec.demand)
     }
 
-    private fun taskCountOfStep(worker: FleetWorker, step: OpenStep) =
-        worker.placements.values.count { it.task.step === step }
+    /** Returns how many other tasks of the step of [task] run or are expected on [worker]. */
+    private fun othersOfStep(worker: FleetWorker, task: OpenTask): Int =
+        worker.placements.values.count { it.task.step === task.step } +
+            worker.expectedTasks.count { it !== task && it.step === task.step }
 
     /** Whether a task of [spec] fits on [worker] once the room [freed] has become free. */
     private fun fits(worker: FleetWorker, spec: WorkflowStep, freed: Resources): Boolean =
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Starter.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Starter.kt
@@ -20,30 +20,32 @@
             startGang(step, nowMillis)
             return
         }
-        for (task in step.waiting.toList()) {
-            if (nowMillis < task.notBeforeMillis || placer.isAwaitingRoom(task, nowMillis)) continue
-            val history = task.crashHistory
-            if (history != null) {
-                startSuspect(task, history, nowMillis)
-                continue
-            }
-            val worker = placer.chooseOrNull(task, nowMillis) ?: return
-            orderStart(place(task, worker, nextRun(task), nowMillis), nowMillis)
-        }
+        for (task in step.waiting.toList()) if (!startIfDue(task, nowMillis)) return
+    }
+
+    /** Starts [task] unless it has to wait; returns false if it may start but fits nowhere. */
+    fun startIfDue(task: OpenTask, nowMillis: Long): Boolean {
+        if (nowMillis < task.notBeforeMillis || placer.isAwaitingRoom(task, nowMillis)) return true
+        val history = task.crashHistory
+        if (history != null) return startSuspectIfDue(task, history, nowMillis)
+        val worker = placer.chooseOrNull(task, nowMillis) ?: return false
+        orderStart(place(task, worker, nextRun(task), nowMillis), nowMillis)
+        return true
     }
 
     private fun nextRun(task: OpenTask) = maxOf(task.lastRun + 1, fleet.firstRun)
 
-    private fun startSuspect(task: OpenTask, history: CrashHistory, nowMillis: Long) {
-        if (!crashes.mayStart(task, nowMillis)) return
+    private fun startSuspectIfDue(task: OpenTask, history: CrashHistory, nowMillis: Long): Boolean {
+        if (!crashes.mayStart(task, nowMillis)) return true
         val worker = if (history.needsTrial) {
             trials.chooseOrNull(task, history, nowMillis)
         } else {
             placer.chooseOrNull(task, nowMillis)
-        } ?: return
+        } ?: return placer.eligible(task, nowMillis).isNotEmpty()
         val placement = place(task, worker, nextRun(task), nowMillis)
         if (history.needsTrial) trials.begin(placement, history)
         orderStart(placement, nowMillis)
+        return true
     }
 
     /** Starts a gang if all of it fits, with one run number and one checkpoint for all members. */
--- /dev/null
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/TaskRestarts.kt
@@ -0,0 +1,45 @@
+/**
+ * Restarts long-running tasks that have lost their run, before any other task starts.
+ *
+ * The users of such a task are cut off until it runs again, whereas a short task is only late. A
+ * long-running task also needs more room than a short one leaves when it ends. So if no worker has
+ * room, it is reserved on one on which short tasks will free enough.
+ */
+package sycamoremast.coordination.workflow
+
+internal class TaskRestarts(
+    private val fleet: Fleet,
+    private val placer: Placer,
+    private val starter: Starter
+) {
+    /** Restarts the lost tasks of [workflows] in their order, or reserves room for them. */
+    fun step(workflows: List<OpenWorkflow>, nowMillis: Long) {
+        val lost = workflows.filter { it.isLongRunning }.flatMap { it.steps() }
+            .filter { it.spec.isLongRunning && !it.spec.isGang && it.hasReadyTasks }
+            .flatMap { step -> step.waiting.filter { it.hasRun } }
+        var searches = 0
+        for (task in lost) {
+            val isWorkerMissing = !starter.startIfDue(task, nowMillis)
+            if (isWorkerMissing && searches++ < MAX_SEARCHES) reserveRoom(task, nowMillis)
+        }
+    }
+
+    private fun reserveRoom(task: OpenTask, nowMillis: Long) {
+        val worker = placer.nextWithRoomOrNull(task, nowMillis) ?: return
+        worker.reserveFutureRoom(task, nowMillis)
+        fleet.log(
+            "room-reserved",
+            task.name.toString(),
+            "worker" to worker.id,
+            "waitedMillis" to nowMillis - task.waitingSinceMillis,
+            "firm" to worker.commitments.reservedMilliCpus,
+            "milliCpus" to worker.capacity.milliCpus,
+            "memory" to worker.commitments.memoryMib
+        )
+    }
+
+    private companion object {
+        /** Bounds the cost of a round, as each search compares all workers. */
+        const val MAX_SEARCHES = 4
+    }
+}
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -19,6 +19,7 @@
     private val neighbours = NeighbourAdmission(tails, forecast, colocation)
     private val placer = Placer(fleet, neighbours)
     private val starter = Starter(fleet, placer, neighbours, crashes)
+    private val restarts = TaskRestarts(fleet, placer, starter)
     private val moves = TaskMoves(fleet)
     private val evacuation = Evacuation(fleet, placer, moves)
     private val consolidation = Consolidation(fleet, placer, moves, tails)
@@ -291,11 +292,12 @@
         nextPlacementMillis = nowMillis + PLACEMENT_RETRY_MILLIS
         val isReconciled = fleet.isFleetReconciled()
         fleet.openWorkflows.forEach { fleet.openTasks.openDue(it, unixMillis) }
-        val order = PlacementOrder(nowMillis)
-            .sorted(fleet.openWorkflows.filter { it.hasReadyTasks })
+        val placeable = fleet.openWorkflows
+            .filter { it.hasReadyTasks && (isReconciled || !it.isRecovered) }
+        val order = PlacementOrder(nowMillis).sorted(placeable)
         starter.beginRound()
+        restarts.step(order, nowMillis)
         for (workflow in order) {
-            if (workflow.isRecovered && !isReconciled) continue
             if (workflow.isLongRunning && isSettling(workflow, nowMillis)) continue
             for (step in workflow.steps()) {
                 if (step.hasReadyTasks) starter.startWaiting(step, nowMillis)
--- a/emulator/src/main/kotlin/sycamoremast/emulator/EmulatedFleet.kt
+++ b/emulator/src/main/kotlin/sycamoremast/emulator/EmulatedFleet.kt
@@ -42,11 +42,11 @@
     private val offSinceMillis = HashMap<TaskName, Long>()
 
     /** The longest time that a serving task was off before it started again. */
-    private var longestEndedOffMillis = 0L
+    var longestOffMillis = 0L
+        private set
 
-    /** Returns the longest time that a serving task was off, or has been until [nowMillis]. */
-    fun longestOffMillis(nowMillis: Long): Long =
-        maxOf(longestEndedOffMillis, offSinceMillis.values.maxOfOrNull { nowMillis - it } ?: 0)
+    /** The number of serving tasks that have run and are off now. */
+    val tasksOff: Int get() = offSinceMillis.size
 
     private val shrinkingIds =
         first(pattern.shrinkingWorkers?.count ?: 0).mapTo(HashSet()) { it.id }
@@ -102,7 +102,7 @@
         val worker = worker(order.worker.id)
         val second = nowMillis / MILLIS
         offSinceMillis.remove(order.task)?.let {
-            longestEndedOffMillis = maxOf(longestEndedOffMillis, nowMillis - it)
+            longestOffMillis = maxOf(longestOffMillis, nowMillis - it)
         }
         val faulty = pattern.faultyWorkers.filter { it.covers(worker.id.drop(1).toInt(), second) }
         val willFail = faulty.any { random.nextDouble() < it.failureRate }
--- a/emulator/src/main/kotlin/sycamoremast/emulator/LoadPattern.kt
+++ b/emulator/src/main/kotlin/sycamoremast/emulator/LoadPattern.kt
@@ -102,10 +102,11 @@
 
         /**
          * A third of the workers leave without notice while more short work arrives than the others
-         * can do.
+         * can do. No step has to run on more workers than are left.
          */
         val shrunkenFleet = suddenDepartures.copy(
             name = "shrunken-fleet",
+            kinds = Workloads.inspections.map { it.copy(maxWidth = 24) },
             servingReserve = 0.4,
             surges = listOf(Surge("field-check", 8, 26, BACKLOG))
         )
--- a/emulator/src/main/kotlin/sycamoremast/emulator/Outcome.kt
+++ b/emulator/src/main/kotlin/sycamoremast/emulator/Outcome.kt
@@ -6,7 +6,8 @@
  *
  * [servingShare] is the share of the serving tasks' time under the target tail latency, less a
  * penalty for the time over it; [longestOverTargetMillis] is the longest uninterrupted time that
- * one of them was over it, and [longestOffMillis] the longest time that one was off after a run.
+ * one of them was over it, and [longestOffMillis] the longest time that one was off between two runs.
+ * [tasksOffAtEnd] counts those that had run and were off at the end.
  * [paceOrders], [stops], [polls] and [starts] count the scheduler's calls.
  * [longestExcessMillis] is the longest time after a capacity shrank at which a start exceeded it, and
  * [regainMillis] the time until the first start that needed it after it had grown again.
@@ -18,6 +19,7 @@
     val servingShare: Double,
     val longestOverTargetMillis: Long,
     val longestOffMillis: Long,
+    val tasksOffAtEnd: Int,
     val paceOrders: Int,
     val stops: Int,
     val polls: Int,
