--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -20,6 +20,7 @@
     private val placer = Placer(fleet, neighbours)
     private val places = TaskPlaces(fleet, recorder)
     private val starter = Starter(fleet, placer, neighbours, crashes, places)
+    private val restarts = TaskRestarts(fleet, placer, starter)
     private val moves = TaskMoves(fleet)
     private val evacuation = Evacuation(fleet, placer, moves)
     private val consolidation = Consolidation(fleet, placer, moves, tails)
@@ -308,11 +309,11 @@
         nextPlacementMillis = nowMillis + PLACEMENT_RETRY_MILLIS
         places.step()
         fleet.openWorkflows.forEach { fleet.openTasks.openDue(it, unixMillis) }
-        val order = PlacementOrder(nowMillis)
-            .sorted(fleet.openWorkflows.filter { it.hasReadyTasks })
+        val placeable = fleet.openWorkflows.filter { it.hasReadyTasks && places.mayBeFree(it) }
+        val order = PlacementOrder(nowMillis).sorted(placeable)
         starter.beginRound()
+        restarts.step(order, nowMillis)
         for (workflow in order) {
-            if (!places.mayBeFree(workflow)) continue
             if (workflow.isLongRunning && isSettling(workflow, nowMillis)) continue
             for (step in workflow.steps()) {
                 if (step.hasReadyTasks) starter.startWaiting(step, nowMillis)
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/TaskPlacesTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/TaskPlacesTest.kt
@@ -155,6 +155,17 @@
         expectThat(owner.scheduler.handoverBatch(owner.now, owner.now).recordsPlaces).isTrue()
     }
 
+    // Guards against a record for each task of a step whose tasks have to be spread.
+    @Test
+    fun `spreads the tasks of a step over workers with one record`() {
+        driver.listWorkers("w1", "w2", "w3")
+        driver.areRecordsDurableAtOnce = false
+        val step = driver.taskStep(3).copy(isLongRunning = true, maxPerWorker = 1)
+        driver.submit(driver.workflow("job", step))
+        expectThat(driver.stepUntilRecorded()?.values?.sorted())
+            .isEqualTo(listOf("w1", "w2", "w3"))
+    }
+
     @Test
     fun `records no places of short tasks`() {
         driver.listWorkers("w1")
