--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Starter.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Starter.kt
@@ -26,16 +26,21 @@
 
     /** Starts [task] unless it has to wait; returns false if it may start but fits nowhere. */
     fun startIfDue(task: OpenTask, nowMillis: Long): Boolean {
-        if (nowMillis < task.notBeforeMillis || placer.isAwaitingRoom(task, nowMillis)) return true
-        if (!places.isFree(task)) return true
+        if (!isDue(task, nowMillis)) return true
         val history = task.crashHistory
         if (history != null) return startSuspectIfDue(task, history, nowMillis)
         val worker = placer.chooseOrNull(task, nowMillis) ?: return false
-        if (!places.isReadyOn(worker, task, nowMillis)) return true
-        orderStart(place(task, worker, nextRun(task), nowMillis), nowMillis)
+        if (places.isReadyOn(worker, task, nowMillis)) {
+            orderStart(place(task, worker, nextRun(task), nowMillis), nowMillis)
+        }
         return true
     }
 
+    private fun isDue(task: OpenTask, nowMillis: Long): Boolean =
+        nowMillis >= task.notBeforeMillis &&
+            !placer.isAwaitingRoom(task, nowMillis) &&
+            places.isFree(task)
+
     private fun nextRun(task: OpenTask) = maxOf(task.lastRun + 1, fleet.firstRun)
 
     private fun startSuspectIfDue(task: OpenTask, history: CrashHistory, nowMillis: Long): Boolean {
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -30,6 +30,12 @@
     private val waitingTasks = WaitingTasks(fleet, placer)
     private val pendingCancels = HashSet<String>()
 
+    /**
+     * Whether earlier owners have recorded the places of all long-running tasks, as the last roster
+     * says; to be set before recovered workflows are added.
+     */
+    var arePlacesRecorded: Boolean by fleet::arePlacesRecorded
+
     /** How many times placement has examined a worker, as a measure of its cost. */
     val examinedWorkers: Long get() = fleet.examinedWorkers
     private var nextPlacementMillis = Long.MIN_VALUE
@@ -113,14 +119,6 @@
     fun addRosteredWorker(ref: WorkerRef, lapsedByMillis: Long) =
         directory.addRosteredWorker(ref, lapsedByMillis)
 
-    /**
-     * Records that earlier owners have recorded the places of all long-running tasks, as their last
-     * roster says. Recovered workflows are to be added after that.
-     */
-    fun onPlacesRecorded() {
-        fleet.arePlacesRecorded = true
-    }
-
     /** Adds what an earlier owner has learned about interference between tasks. */
     fun restoreInterference(record: InterferenceRecord, unixMillis: Long) {
         val restored = tails.restore(record, unixMillis)
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
@@ -262,7 +262,7 @@
         next.knownListings = state.listings
         next.scheduler.onWorkersListed(state.listings.values.toList(), clock())
         state.roster?.record?.let { roster ->
-            if (roster.recordsPlaces) next.scheduler.onPlacesRecorded()
+            if (roster.recordsPlaces) next.scheduler.arePlacesRecorded = true
             for (worker in roster.workers) {
                 val lapsedBy =
                     roster.lapsedByMillis(worker, next.sightings, settings, state.heartbeat)
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/OwnerSeriesTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/OwnerSeriesTest.kt
@@ -50,7 +50,7 @@
         val driver = SchedulerDriver(epoch).apply { now = nowMillis }
         driver.list()
         val inherited = roster
-        if (inherited?.recordsPlaces == true) driver.scheduler.onPlacesRecorded()
+        if (inherited?.recordsPlaces == true) driver.scheduler.arePlacesRecorded = true
         inherited?.workers?.forEach {
             val sightings =
                 StoreSightings(nowMillis, claims.toMap(), rosters.toMap(), heartbeats.toMap())
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/TaskPlacesTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/TaskPlacesTest.kt
@@ -70,7 +70,7 @@
     /** The owner of epoch 2 with a recovered task whose last recorded place is "w1". */
     private fun successor(arePlacesRecorded: Boolean, progress: WorkflowProgress?) =
         SchedulerDriver(epoch = 2).apply {
-            if (arePlacesRecorded) scheduler.onPlacesRecorded()
+            if (arePlacesRecorded) scheduler.arePlacesRecorded = true
             scheduler.onWorkersListed(listOf(listing("w1")), now)
             listOf("w1", "gone").forEach { scheduler.addRosteredWorker(ref(it), now + LEASE) }
             submit(lasting(this), isRecovered = true, progress)
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
@@ -92,7 +92,7 @@
     }
 
     /** Confirms that earlier owners have recorded the places of all long-running tasks. */
-    fun confirmPlaces() = enqueue { scheduler.onPlacesRecorded() }
+    fun confirmPlaces() = enqueue { scheduler.arePlacesRecorded = true }
 
     /** Adds what an earlier owner has learned about interference between tasks. */
     fun restoreInterference(record: InterferenceRecord) = enqueue {
