--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
@@ -135,11 +135,10 @@
             "drainingLeases" to (roster.drainingLeasesLeft?.size ?: 0),
             "recordsPlaces" to roster.recordsPlaces
         )
-        if (roster.recordsPlaces) confirmPlaces()
-        for (worker in roster.workers) {
-            val lapsedBy = roster.lapsedByMillis(worker, term.sightings, settings, heartbeat)
-            addRosterWorker(worker, lapsedBy)
+        val lapsedBy = roster.workers.associateWith {
+            roster.lapsedByMillis(it, term.sightings, settings, heartbeat)
         }
+        addRoster(lapsedBy, roster.recordsPlaces)
     }
 
     /** Passes on what [entry] holds; a scheduler without it learns anew. */
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
@@ -86,14 +86,16 @@
 
     fun removeWorker(id: String) = enqueue { scheduler.onWorkerUnlisted(id) }
 
-    /** Adds a worker of the previous owner's roster, whose lease ends by [lapsedByMillis]. */
-    fun addRosterWorker(worker: WorkerRef, lapsedByMillis: Long) = enqueue {
-        scheduler.addRosteredWorker(worker, lapsedByMillis)
+    /**
+     * Adds the workers of the previous owner's roster, with the times by which their leases end.
+     *
+     * If it [recordsPlaces], earlier owners have recorded the places of all long-running tasks.
+     */
+    fun addRoster(lapsedByMillis: Map<WorkerRef, Long>, recordsPlaces: Boolean) = enqueue {
+        if (recordsPlaces) scheduler.arePlacesRecorded = true
+        for ((worker, lapsedBy) in lapsedByMillis) scheduler.addRosteredWorker(worker, lapsedBy)
     }
 
-    /** Confirms that earlier owners have recorded the places of all long-running tasks. */
-    fun confirmPlaces() = enqueue { scheduler.arePlacesRecorded = true }
-
     /** Adds what an earlier owner has learned about interference between tasks. */
     fun restoreInterference(record: InterferenceRecord) = enqueue {
         scheduler.restoreInterference(record, unixMillis())
