--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelWorker.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelWorker.kt
@@ -39,6 +39,10 @@
         private set
     val running: Set<TaskName> get() = runs.keys
 
+    /** How many runs have ended as the lease lapsed, in all incarnations. */
+    var lapsedRuns = 0
+        private set
+
     fun crash() {
         isUp = false
         incarnation++
@@ -71,6 +75,7 @@
         val run = runs.remove(task) ?: return
         ends += EndedRow(++lastEnd, task, run.number, how, "")
         highestFencedRuns.merge(task, run.number, ::maxOf)
+        if (how == RunEnd.LAPSED) lapsedRuns++
         if (how != RunEnd.DONE) return
         val end = DoneEnd(task, lastEnd, nowMillis)
         doneEnds += end
--- /dev/null
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/StoreOutageTest.kt
@@ -0,0 +1,28 @@
+package sycamoremast.coordination.workflow
+
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+
+/** Tests of outages of the store in which the owner stays in touch with hosts and workers. */
+class StoreOutageTest {
+    // Guards against leases that all lapse since no heartbeat can be written (LOST, issue 46).
+    @Test
+    fun `no run lapses while the store is down for all hosts`() {
+        for (seed in 1L..4) {
+            for (outageMillis in 6_000L..20_000L step 2_000) {
+                val schedule = SuccessionSchedule(seed, SuccessionFaults(emptySet()))
+                schedule.playOutage(OUTAGE_MILLIS, outageMillis)
+                val case = "seed $seed, outage of $outageMillis ms"
+                expectThat(schedule.lapsedRuns).describedAs(case).isEqualTo(0)
+                expectThat(schedule.violations).describedAs(case).isEmpty()
+            }
+        }
+    }
+
+    private companion object {
+        /** When the outage begins, long after all tasks have started. */
+        const val OUTAGE_MILLIS = 15_000L
+    }
+}
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionSchedule.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionSchedule.kt
@@ -78,12 +78,12 @@
     /** The number of terms of ownership. */
     val terms: Long get() = store.epoch.epoch
 
+    /** How many runs have ended as their leases lapsed. */
+    val lapsedRuns: Int get() = workers.values.sumOf { it.lapsedRuns }
+
     /** Plays the faults and a calm time after them. */
     fun play() {
-        repeat(WORKERS) { addWorker("w${it + 1}") }
-        store.onOwnerChanged = { hosts.forEach { it.onOwnerKey() } }
-        store.accept(lasting())
-        hosts.forEach { host -> time.at(random.nextLong(MAX_START_MILLIS)) { host.start() } }
+        begin()
         for (kind in SuccessionFault.entries.filter { it in faults.kinds }) schedule(kind)
         for (i in 0 until SHORT_JOBS) {
             time.at(random.nextLong(FAULTS_END_MILLIS)) { store.accept(short("job$i")) }
@@ -93,6 +93,22 @@
         monitor.checkEnds()
     }
 
+    /** Plays an outage of the store for all, from [fromMillis] for [millis], and no other fault. */
+    fun playOutage(fromMillis: Long, millis: Long) {
+        begin()
+        time.at(fromMillis) { store.goDown() }
+        time.at(fromMillis + millis) { store.comeUp() }
+        observe()
+        time.playUntil(END_MILLIS)
+    }
+
+    private fun begin() {
+        repeat(WORKERS) { addWorker("w${it + 1}") }
+        store.onOwnerChanged = { hosts.forEach { it.onOwnerKey() } }
+        store.accept(lasting())
+        hosts.forEach { host -> time.at(random.nextLong(MAX_START_MILLIS)) { host.start() } }
+    }
+
     private fun lasting(): Workflow {
         val step = WorkflowStep(LASTING_TASKS, Resources(MILLI_CPUS, 1_000), isLongRunning = true)
         return Workflow(LASTING, QUEUE, "payload", listOf(step), submittedMillis = now)
