Log for which workers no lease is extended, and why

The line leases-not-extended gives the number of workers by obstacle (unreachable, clock unknown, no durable roster, limited in the roster, heartbeat too old), the first of them, their runs and how long leases may still last. It comes at most once a second, and only if the numbers have changed, so its volume is bounded. LeaseGrantsTest: none while leases are extended, one at the beginning and one at the end of an outage.

--- /dev/null
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/LeaseObstacle.kt
@@ -0,0 +1,14 @@
+package sycamoremast.coordination.workflow
+
+/** Why the owner doesn't extend the lease of a worker on which tasks run. */
+internal enum class LeaseObstacle {
+    CLOCK_UNKNOWN,
+    UNREACHABLE,
+    NO_DURABLE_ROSTER,
+
+    /** The roster says that the worker gets no lease, or only short ones from a sole owner. */
+    LIMITED_IN_ROSTER,
+
+    /** The last heartbeat that a successor is sure to know of was too long ago. */
+    HEARTBEAT_TOO_OLD
+}
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunMaintenance.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunMaintenance.kt
@@ -4,6 +4,8 @@
 package sycamoremast.coordination.workflow
 
 internal class RunMaintenance(private val fleet: Fleet, private val tracker: RunTracker) {
+    private val leases = LeaseGrants(fleet)
+
     fun step(nowMillis: Long) {
         for (worker in fleet.workers.values.toList()) {
             if (worker.hasCertainlyLapsed(nowMillis)) {
@@ -65,6 +67,7 @@
             if (nowMillis < worker.nextPollMillis && !worker.isFinalPollDue(nowMillis)) continue
             if (isPollDue(worker, nowMillis)) poll(worker, nowMillis)
         }
+        leases.step(nowMillis)
     }
 
     /**
@@ -90,14 +93,7 @@
     }
 
     private fun poll(worker: FleetWorker, nowMillis: Long) {
-        // The lease of an unreachable worker is not extended, so that its tasks can restart
-        // elsewhere.
-        val leaseEnd = fleet.leaseEndOrNull(worker, nowMillis)
-            ?.takeIf {
-                worker.placements.isNotEmpty() &&
-                    worker.contactFailures == 0 &&
-                    fleet.mayGrantLease(worker)
-            }
+        val leaseEnd = leases.endOrNull(worker, nowMillis)
         val isIncarnationKnown = worker.isIncarnationKnown(nowMillis)
         val mayWait = worker.isReconciled &&
             isIncarnationKnown &&
