--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
@@ -54,7 +54,8 @@
     var isRosterDurable = false
 
     /**
-     * The time by which all leases end, which each durable heartbeat of this owner moves on.
+     * The time by which all leases end, which each heartbeat of this owner moves on that all
+     * standbys know of.
      *
      * The next owner counts from the last heartbeat, however long this owner goes on.
      */
@@ -120,13 +121,19 @@
         outbox += SchedulerAction.Log(SchedulerEvent(name, id, mapOf(*fields)))
     }
 
-    /** Records that a heartbeat is formed now. */
-    fun onHeartbeatFormed() = byId.values.forEach { it.lease.onHeartbeatFormed() }
+    /** Records that a heartbeat is formed at [formedMillis]. */
+    fun onHeartbeatFormed(formedMillis: Long) =
+        byId.values.forEach { it.lease.onHeartbeatFormed(formedMillis) }
 
-    /** Records that a heartbeat is durable which was formed at [formedMillis]. */
-    fun onHeartbeatDurable(formedMillis: Long) {
-        leasesEndByMillis = formedMillis + settings.leaseHorizonMillis
-        byId.values.forEach { it.lease.onHeartbeatDurable() }
+    /**
+     * Records that all standbys know of the heartbeat formed at [formedMillis]: it is durable, or
+     * they have acknowledged it.
+     */
+    fun onHeartbeatKnown(formedMillis: Long) {
+        val endByMillis = formedMillis + settings.leaseHorizonMillis
+        if (endByMillis <= leasesEndByMillis) return
+        leasesEndByMillis = endByMillis
+        byId.values.forEach { it.lease.onHeartbeatKnown(formedMillis) }
         isPlacementDue = true
     }
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
@@ -6,7 +6,11 @@
  */
 package sycamoremast.coordination.workflow
 
-internal class Recorder(private val fleet: Fleet, private val tails: TailModel) {
+internal class Recorder(
+    private val fleet: Fleet,
+    private val tails: TailModel,
+    private val standbys: Standbys
+) {
     private val leases = LeaseLimiter(fleet)
     private val changed = LinkedHashSet<OpenWorkflow>()
     private val pendingEnds = LinkedHashMap<FleetWorker, ArrayDeque<PendingEnd>>()
@@ -86,7 +90,7 @@
         if (inFlight != null || isAwaitingAnswers(nowMillis)) return
         updateWaitingCounts(nowMillis)
         updateInterference(nowMillis, unixMillis)
-        if (leases.isRecordDue(nowMillis)) hasRosterChanged = true
+        if (leases.isRecordDue(nowMillis) || standbys.isRecordDue) hasRosterChanged = true
         val isUnchanged = changed.isEmpty() && !hasRosterChanged && newWaiting == null
         if (isUnchanged && newInterference == null && !isHeartbeatDue(nowMillis)) return
         if (nowMillis < dueMillis()) return
@@ -140,13 +144,14 @@
         val isHeartbeat = isHeartbeatDue(nowMillis)
         if (isHeartbeat) {
             lastHeartbeatMillis = nowMillis
-            fleet.onHeartbeatFormed()
+            fleet.onHeartbeatFormed(nowMillis)
         }
         val batch = changed.take(RecordBatch.MAX_WORKFLOWS)
         changed -= batch.toSet()
         val roster = if (hasRosterChanged) fleet.workers.values.map { it.ref } else null
         hasRosterChanged = false
         val leasesLeft = if (roster != null) leases.limit(nowMillis) else LeasesLeft.NONE
+        val namedStandbys = if (roster != null) standbys.onRosterFormed() else emptySet()
         inFlight = BatchInFlight(
             batch.map(::RecordedWorkflow),
             roster?.toSet(),
@@ -161,7 +166,8 @@
             leasesLeft,
             interference = newInterference,
             isHeartbeat = isHeartbeat,
-            recordsPlaces = fleet.arePlacesRecorded
+            recordsPlaces = fleet.arePlacesRecorded,
+            standbys = namedStandbys
         )
         fleet.outbox += SchedulerAction.Record(records)
         newWaiting = null
@@ -176,12 +182,16 @@
             record.workflow.durablePhase = record.phase
             record.workflow.durableChange = record.change
         }
-        done.heartbeatMillis?.let(fleet::onHeartbeatDurable)
+        done.heartbeatMillis?.let {
+            standbys.onHeartbeatDurable(it)
+            fleet.onHeartbeatKnown(it)
+        }
         if (done.workflows.any { it.workflow.isLongRunning }) fleet.isPlacementDue = true
         pendingEnds.entries.removeIf { (worker, ends) -> releaseDurableEnds(worker, ends) }
         if (done.roster != null) {
             fleet.workers.values.forEach { if (it.ref in done.roster) it.isInRoster = true }
             leases.onRecorded()
+            standbys.onRosterDurable()
             fleet.isPlacementDue = true
         }
         return done.workflows.map { it.workflow }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RosterRecord.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RosterRecord.kt
@@ -13,6 +13,9 @@
  *
  * If [recordsPlaces], the owners so far have recorded the places of all long-running tasks before
  * their starts, or found all runs of such tasks.
+ *
+ * While no heartbeat of the owner is durable, one counts that all [standbys] have acknowledged. If
+ * there are none, only durable ones count.
  */
 @Serializable
 data class RosterRecord(
@@ -21,7 +24,8 @@
     val leasesLeft: Map<String, Long>? = null,
     val drainingLeasesLeft: Map<String, Long>? = null,
     val batch: Long = 0,
-    val recordsPlaces: Boolean = false
+    val recordsPlaces: Boolean = false,
+    val standbys: Set<String> = emptySet()
 ) {
     val version: RecordVersion get() = RecordVersion(epoch, batch)
 
@@ -49,10 +53,30 @@
         drainingLeasesLeft?.get(worker.id)?.let { return succeededMillis + it }
         // An owner that recorded a roster and no heartbeat is of a version that writes none.
         val heartbeat = lastHeartbeat?.takeIf { it.epoch >= epoch }
-        return listOfNotNull(
+        val recordedBy = listOfNotNull(
             settings.lapsedBy(succeededMillis + SchedulerSettings.PAST_LEASE_MILLIS),
-            heartbeat?.let { settings.lapsedAfterHeartbeat(sightings.heartbeatMillis(it)) },
+            heartbeat?.let { settings.lapsedAfterHeartbeat(sightings.heartbeatMillis(it)) }
+        ).min()
+        return listOfNotNull(
+            maxOf(recordedBy, announcedByMillis(recordedBy, sightings, settings)),
             sightings.ends[epoch]?.let { settings.lapsedBy(it) }
         ).min()
     }
+
+    /**
+     * Returns the time by which leases have lapsed that rely on heartbeats announced to standbys,
+     * where those that rely on durable ones have lapsed by [recordedByMillis].
+     */
+    private fun announcedByMillis(
+        recordedByMillis: Long,
+        sightings: StoreSightings,
+        settings: SchedulerSettings
+    ): Long = when {
+        standbys.isEmpty() -> recordedByMillis
+
+        sightings.host in standbys -> sightings.acknowledgedMillisOrNull(epoch)
+            ?.let { settings.lapsedAfterHeartbeat(it) } ?: recordedByMillis
+
+        else -> recordedByMillis + SchedulerSettings.longestAnnouncedMillis()
+    }
 }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerAction.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerAction.kt
@@ -18,6 +18,12 @@
     /** Make [batch] durable; the outcome goes to [WorkflowScheduler.onBatchDurable]. */
     data class Record(val batch: RecordBatch) : SchedulerAction
 
+    /**
+     * Announce the heartbeat [number] of the owner of [epoch] to [hosts]; each acknowledgement goes
+     * to [WorkflowScheduler.onHeartbeatAcknowledged].
+     */
+    data class Announce(val epoch: Long, val number: Long, val hosts: Set<String>) : SchedulerAction
+
     /** Give up ownership, as [worker] has seen a higher epoch. */
     data class Depose(val worker: WorkerRef) : SchedulerAction
 
@@ -29,8 +35,8 @@
  * The records to write in one transaction; a null [roster], [waiting] or [interference] has not
  * changed.
  *
- * [waiting] is the number of workflows without a started task, by queue. [leasesLeft] and
- * [recordsPlaces] go with the roster. If [isHeartbeat], the transaction also shows other hosts that
+ * [waiting] is the number of workflows without a started task, by queue. [leasesLeft],
+ * [recordsPlaces] and [standbys] go with the roster. If [isHeartbeat], the transaction also shows other hosts that
  * the owner is at work.
  */
 data class RecordBatch(
@@ -40,7 +46,8 @@
     val leasesLeft: LeasesLeft = LeasesLeft.NONE,
     val interference: InterferenceRecord? = null,
     val isHeartbeat: Boolean = false,
-    val recordsPlaces: Boolean = false
+    val recordsPlaces: Boolean = false,
+    val standbys: Set<String> = emptySet()
 ) {
     companion object {
         /** The most entries of a transaction, conditions included, that the platform's store takes. */
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerSettings.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerSettings.kt
@@ -33,7 +33,10 @@
      */
     fun drainingLimitMillis(): Long = OWNER_OVERRUN_MILLIS + lapsedBy(0, isDraining = true)
 
-    /** How long after the owner's last durable heartbeat any lease may end, on the owner's clock. */
+    /**
+     * How long after the owner's last heartbeat that standbys know of any lease may end, on the
+     * owner's clock.
+     */
     val leaseHorizonMillis: Long
         get() = minOf(leaseMillis + LEASE_HORIZON_SLACK_MILLIS, LONGEST_LEASE_HORIZON_MILLIS)
 
@@ -52,6 +55,12 @@
         (elapsedMillis / SLOWEST_CLOCK_DIVISOR).coerceIn(0, leaseMillis / 2)
 
     companion object {
+        /**
+         * Returns how long after a durable heartbeat an owner may announce heartbeats, by any clock.
+         */
+        fun longestAnnouncedMillis(): Long =
+            LONGEST_ANNOUNCED_MILLIS + 2 * maxClockError(LONGEST_ANNOUNCED_MILLIS)
+
         /** Returns how far two clocks may drift apart within [elapsedMillis]. */
         fun maxClockError(elapsedMillis: Long): Long = elapsedMillis / SLOWEST_CLOCK_DIVISOR
 
@@ -119,6 +128,13 @@
         /** Lets the tasks of a worker that is lost together with the owner restart within 9 s. */
         private const val LONGEST_LEASE_HORIZON_MILLIS = 7_400L
 
+        /**
+         * How long after a durable heartbeat an owner may announce heartbeats to standbys instead.
+         *
+         * A host that is no standby waits so much longer for workers that it doesn't reach.
+         */
+        const val LONGEST_ANNOUNCED_MILLIS = 30_000L
+
         /** How long an owner may go on without a valid lease in the store, relying on fencing. */
         const val PAST_LEASE_MILLIS = 7_000L
     }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/StoreSightings.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/StoreSightings.kt
@@ -9,14 +9,17 @@
  * The times at which this host first saw the claims of epochs, [claims], the [rosters] and the
  * [heartbeats], and a time before its own claim and after all records of earlier owners,
  * [claimedMillis]. By the times in [ends], the owners of these epochs had certainly ended, as they
- * were on this host.
+ * were on this [host]. In [acknowledged] are the times at which it last acknowledged a heartbeat
+ * that the owner of an epoch announced to it.
  */
 data class StoreSightings(
     val claimedMillis: Long,
     val claims: Map<Long, Long> = emptyMap(),
     val rosters: Map<RecordVersion, Long> = emptyMap(),
     val heartbeats: Map<RecordVersion, Long> = emptyMap(),
-    val ends: Map<Long, Long> = emptyMap()
+    val ends: Map<Long, Long> = emptyMap(),
+    val host: String = "",
+    val acknowledged: Map<Long, Long> = emptyMap()
 ) {
     /** Returns a time not before the claim of [epoch], which may be this host's own. */
     fun claimedByMillis(epoch: Long): Long =
@@ -25,6 +28,12 @@
     /** Returns a time not before the roster [version] was written, or null if it was not seen. */
     fun rosterMillisOrNull(version: RecordVersion): Long? = rosters[version]
 
+    /**
+     * Returns a time not before the last heartbeat was formed that the owner of [epoch] announced to
+     * this host and that this host acknowledged, or null if there is none.
+     */
+    fun acknowledgedMillisOrNull(epoch: Long): Long? = acknowledged[epoch]
+
     /** Returns a time not before the heartbeat [version] was written. */
     fun heartbeatMillis(version: RecordVersion): Long = heartbeats[version] ?: claimedMillis
 }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerLease.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerLease.kt
@@ -5,11 +5,13 @@
     private var clockOffsetMillis: Long? = null
     private var clockReadMillis = 0L
 
+    /** The offsets known when heartbeats were formed which standbys may not know of yet. */
+    private val formedOffsets = LinkedHashMap<Long, Long>()
+
     /**
-     * The offset known when the last heartbeat was formed, and when the last durable one was; for a
-     * worker that answered only later, its first offset.
+     * The offset known when the last heartbeat was formed that standbys know of; for a worker that
+     * answered only later, its first offset.
      */
-    private var formedOffsetMillis: Long? = null
     private var heartbeatOffsetMillis: Long? = null
 
     /** The time by which the last lease granted to the worker has certainly lapsed. */
@@ -30,30 +32,30 @@
     fun recordClock(clockMillis: Long, receivedMillis: Long) {
         clockOffsetMillis = clockMillis - receivedMillis
         clockReadMillis = receivedMillis
-        if (formedOffsetMillis == null) formedOffsetMillis = clockOffsetMillis
         if (heartbeatOffsetMillis == null) heartbeatOffsetMillis = clockOffsetMillis
     }
 
-    /** Records that a heartbeat is formed. */
-    fun onHeartbeatFormed() {
-        formedOffsetMillis = clockOffsetMillis
+    /** Records that a heartbeat is formed at [formedMillis]. */
+    fun onHeartbeatFormed(formedMillis: Long) {
+        clockOffsetMillis?.let { formedOffsets[formedMillis] = it }
     }
 
-    /** Records that the last heartbeat formed is durable. */
-    fun onHeartbeatDurable() {
-        heartbeatOffsetMillis = formedOffsetMillis
+    /** Records that all standbys know of the heartbeat that was formed at [formedMillis]. */
+    fun onHeartbeatKnown(formedMillis: Long) {
+        formedOffsets[formedMillis]?.let { heartbeatOffsetMillis = it }
+        formedOffsets.keys.removeAll { it <= formedMillis }
     }
 
     /** Forgets the clock of an earlier incarnation. */
     fun forgetClock() {
         clockOffsetMillis = null
-        formedOffsetMillis = null
+        formedOffsets.clear()
         heartbeatOffsetMillis = null
     }
 
     /**
      * Returns how long a lease granted now may last that ends by [latestMillis], which counts from
-     * the last durable heartbeat; this is negative if the time has passed or no clock is known.
+     * the last heartbeat that standbys know of; this is negative if the time has passed or no clock is known.
      *
      * The time is converted by the offset known at the heartbeat: this owner's clock doesn't count
      * the time for which the owner was suspended since.
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -8,10 +8,11 @@
 package sycamoremast.coordination.workflow
 
 /** Schedules workflows on the workers of one set, as the owner with [epoch]. */
-class WorkflowScheduler(epoch: Long, settings: SchedulerSettings) {
+class WorkflowScheduler(val epoch: Long, settings: SchedulerSettings) {
     private val fleet = Fleet(epoch, settings)
     private val tails = TailModel()
-    private val recorder = Recorder(fleet, tails)
+    private val standbys = Standbys(fleet)
+    private val recorder = Recorder(fleet, tails, standbys)
     private val forecast = HeadroomForecast()
     private val colocation = ColocationController(fleet, tails, forecast)
     private val crashes = CrashLedger(fleet, recorder)
@@ -36,6 +37,13 @@
      */
     var arePlacesRecorded: Boolean by fleet::arePlacesRecorded
 
+    /**
+     * When the last heartbeat was formed that all standbys have acknowledged, or null.
+     *
+     * It allows the owner to act for as long as a renewal of its lease in the store does.
+     */
+    val confirmedMillis: Long? get() = standbys.confirmedMillis
+
     /** How many times placement has examined a worker, as a measure of its cost. */
     val examinedWorkers: Long get() = fleet.examinedWorkers
     private var nextPlacementMillis = Long.MIN_VALUE
@@ -119,6 +127,18 @@
     fun addRosteredWorker(ref: WorkerRef, lapsedByMillis: Long) =
         directory.addRosteredWorker(ref, lapsedByMillis)
 
+    /** Adds the [hosts] that the last owner named as standbys, which may not be registered now. */
+    fun addInheritedStandbys(hosts: Set<String>, nowMillis: Long) =
+        standbys.onInherited(hosts, nowMillis)
+
+    /** Updates the registered [hosts], of which [own] is the one of this owner. */
+    fun onHostsRegistered(own: String, hosts: Set<String>, nowMillis: Long) =
+        standbys.onRegistered(own, hosts, nowMillis)
+
+    /** Records that [host] has acknowledged the heartbeat [number] that was announced to it. */
+    fun onHeartbeatAcknowledged(host: String, number: Long, nowMillis: Long) =
+        standbys.onAcknowledged(host, number, nowMillis)
+
     /** Adds what an earlier owner has learned about interference between tasks. */
     fun restoreInterference(record: InterferenceRecord, unixMillis: Long) {
         val restored = tails.restore(record, unixMillis)
@@ -227,6 +247,7 @@
         }
         waitingTasks.step(nowMillis)
         recorder.step(nowMillis, unixMillis)
+        standbys.step(nowMillis)
         maintenance.poll(nowMillis)
         val actions = fleet.outbox.toList()
         fleet.outbox.clear()
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/FaultSchedule.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/FaultSchedule.kt
@@ -184,6 +184,8 @@
                 is SchedulerAction.Log ->
                     log += "$now ${action.event.name} ${action.event.id} ${action.event.fields}"
 
+                is SchedulerAction.Announce -> Unit
+
                 is SchedulerAction.Depose -> error("deposed by ${action.worker}")
             }
         }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Election.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Election.kt
@@ -75,6 +75,9 @@
     val leaseState: LeaseState
         get() = heldTerm?.let(::leaseState) ?: LeaseState.LAPSED
 
+    /** When all standbys last confirmed the present term, or null. */
+    var confirmedMillis: () -> Long? = { null }
+
     private val history = OwnerHistory(set, clock, log)
 
     /** When the last term of this host had ended, in this process or in an earlier one. */
@@ -113,6 +116,9 @@
         wakeUps += ""
     }
 
+    /** Acknowledges a heartbeat of the owner of [epoch] if it is the last one known. */
+    fun acknowledgeHeartbeat(epoch: Long): Boolean = history.acknowledge(epoch)
+
     /** Ends the current term, if any, for [reason]; returns at once. */
     fun depose(reason: String) {
         wakeUps += reason
@@ -149,10 +155,11 @@
         ownerKey?.takeIf { it.record == null || it.record.host == host }
 
     private fun leaseState(held: HeldTerm): LeaseState {
-        val elapsedMillis = clock.nowMillis() - held.renewedMillis
+        val now = clock.nowMillis()
+        val actsFromMillis = maxOf(held.renewedMillis, confirmedMillis() ?: held.renewedMillis)
         return when {
-            elapsedMillis < LEASE_TTL_MILLIS - LEASE_MARGIN_MILLIS -> LeaseState.VALID
-            elapsedMillis < ACTING_MILLIS -> LeaseState.LAPSED
+            now < held.renewedMillis + LEASE_TTL_MILLIS - LEASE_MARGIN_MILLIS -> LeaseState.VALID
+            now < actsFromMillis + ACTING_MILLIS -> LeaseState.LAPSED
             else -> LeaseState.OVER
         }
     }
@@ -257,8 +264,10 @@
                             epoch,
                             result.revision,
                             history.sightings(
+                                epoch,
                                 readMillis,
-                                ends = earlier.associate { it.epoch to lastEndMillis }
+                                ends = earlier.associate { it.epoch to lastEndMillis },
+                                host
                             )
                         ),
                         startedMillis
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
@@ -34,6 +34,7 @@
     private val log: EventLog,
     private val meters: WorkflowMeters,
     private val relays: Relays = Relays.None,
+    private val standbys: StandbyLinks = StandbyLinks.None,
     private val routing: () -> RoutingTable?
 ) : TermListener {
     /** Called with the reason when a term can't continue. */
@@ -58,9 +59,10 @@
         val scheduler = WorkflowScheduler(term.epoch, settings)
         val sender = OrderDispatch(term.epoch, runs, relays, clock, log).start()
         dispatch = sender
-        val next = SchedulerLoop(scheduler, sender, writer, clock, log, meters, leaseState) {
-            onDeposed(it)
-        }
+        val next =
+            SchedulerLoop(scheduler, sender, writer, clock, log, meters, leaseState, standbys) {
+                onDeposed(it)
+            }
         val workers = WorkerFeed(catalog, next, sender, log)
         when (val recovered = recover(next, workers, term)) {
             is Either.Left -> {
@@ -133,12 +135,18 @@
             "endedMillisAgo" to term.sightings.ends[roster.epoch]?.let { clock.nowMillis() - it },
             "knownLeases" to (roster.leasesLeft?.size ?: 0),
             "drainingLeases" to (roster.drainingLeasesLeft?.size ?: 0),
-            "recordsPlaces" to roster.recordsPlaces
+            "recordsPlaces" to roster.recordsPlaces,
+            "standbys" to roster.standbys.size,
+            "isStandby" to (term.sightings.host in roster.standbys),
+            "acknowledgedMillisAgo" to
+                term.sightings.acknowledgedMillisOrNull(roster.epoch)
+                    ?.let { clock.nowMillis() - it }
         )
         val lapsedBy = roster.workers.associateWith {
             roster.lapsedByMillis(it, term.sightings, settings, heartbeat)
         }
         addRoster(lapsedBy, roster.recordsPlaces)
+        addInheritedStandbys(roster.standbys)
     }
 
     /** Passes on what [entry] holds; a scheduler without it learns anew. */
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/PeerRelays.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/PeerRelays.kt
@@ -8,14 +8,17 @@
 import sycamoremast.daemon.peer.RelayedOrders
 
 /** Offers the hosts of [registry] that are connected over [network] as relays. */
-internal class PeerRelays<N>(private val network: N, private val registry: HostRegistry) :
-    Relays where N : PeerNetwork, N : PeerConnections {
+internal class PeerRelays<N>(
+    private val network: N,
+    private val targets: PeerTargets,
+    private val registry: HostRegistry
+) : Relays where N : PeerNetwork, N : PeerConnections {
     private val knownHosts = ConcurrentHashMap<String, HostRecord>()
 
     override fun connect() {
         val hosts = registry.hosts
         val eligible = RelayChoice.eligible(hosts.map { (name, host) -> host.toRelayHost(name) })
-        network.dial(eligible.mapNotNullTo(HashSet()) { hosts[it.name]?.peerAddress })
+        targets.relays = eligible.mapNotNullTo(HashSet()) { hosts[it.name]?.peerAddress }
     }
 
     override fun connected(): List<RelayHost> {
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Peering.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Peering.kt
@@ -1,8 +1,9 @@
-/** Connects an entry host with its peers: host registry, peer connections and order relay. */
+/** Connects an entry host with its peers: registry, connections, order relay and heartbeats. */
 package sycamoremast.daemon.workflow
 
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
+import sycamoremast.coordination.MonotonicClock
 import sycamoremast.coordination.TransactionalStore
 import sycamoremast.coordination.membership.IncarnationClaim
 import sycamoremast.coordination.store.Backoff
@@ -20,7 +21,8 @@
     store: TransactionalStore,
     runs: RunPort,
     private val log: EventLog,
-    meters: WorkflowMeters
+    meters: WorkflowMeters,
+    clock: MonotonicClock = MonotonicClock.system()
 ) : AutoCloseable {
     private val network = KtorPeerNetwork.create(
         LocalPeer(name, peers.availabilityZone, peers.address.ip, peers.address.port),
@@ -36,8 +38,12 @@
         ::onRenewalAttempt
     )
     private val relay = OrderRelay(runs, network, log)
-    private val peerRelays = PeerRelays(network, registry)
+    private val targets = PeerTargets(network)
+    private val peerRelays = PeerRelays(network, targets, registry)
     val relays: Relays get() = peerRelays
+
+    /** The exchange of heartbeats with other hosts. */
+    val standbys = StandbyPeers(name, network, targets, registry, clock, log)
     val hasStrongerHost: Boolean get() = registry.hasStrongerHost
 
     /** Returns the dispatch of this host's scheduler, or null while another host is the owner. */
@@ -52,6 +58,7 @@
             null
         }
         relay.start()
+        standbys.start()
         network.start()
         registry.start()
     }
@@ -62,6 +69,7 @@
         val mayOwnLargeFleet =
             registry.hosts.size >= MIN_HOSTS_FOR_RELAYS && !registry.hasStrongerHost
         if (isLargeFleet || mayOwnLargeFleet) peerRelays.connect()
+        standbys.releaseIdle()
         if (!isLargeFleet || !registry.hasStrongerHost) return
         log.add("stronger-host-known", "hosts" to registry.hosts.size)
         onStrongerHost()
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/RecordWriter.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/RecordWriter.kt
@@ -67,7 +67,8 @@
                 batch.leasesLeft.fixed,
                 batch.leasesLeft.draining,
                 next.batch,
-                batch.recordsPlaces
+                batch.recordsPlaces,
+                batch.standbys
             )
             puts += StorePut(WorkflowKeys.roster(set), encodeRecord(record))
             puts +=
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
@@ -34,6 +34,7 @@
     private val log: EventLog,
     private val meters: WorkflowMeters,
     private val leaseState: () -> LeaseState,
+    private val standbys: StandbyLinks = StandbyLinks.None,
     private val onDeposed: (String) -> Unit
 ) : AutoCloseable {
     private val inbox = LinkedBlockingQueue<() -> Unit>()
@@ -48,6 +49,11 @@
     @Volatile
     private var waitingCounts: Map<String, Int>? = null
     private var nextCountMillis = Long.MIN_VALUE
+
+    /** When the last heartbeat was formed that all standbys have acknowledged, or null. */
+    @Volatile
+    var confirmedMillis: Long? = null
+        private set
     private var lastStepMillis = Long.MIN_VALUE / 2
     private val thread = Thread(::run, "scheduler").apply { isDaemon = true }
 
@@ -101,6 +107,16 @@
         scheduler.restoreInterference(record, unixMillis())
     }
 
+    /** Adds the [hosts] that the last owner named as standbys. */
+    fun addInheritedStandbys(hosts: Set<String>) = enqueue {
+        scheduler.addInheritedStandbys(hosts, nowMillis())
+    }
+
+    /** Records that [host] has acknowledged the heartbeat [number] of this term's [epoch]. */
+    fun acknowledgeHeartbeat(host: String, epoch: Long, number: Long) = enqueue {
+        if (epoch == scheduler.epoch) scheduler.onHeartbeatAcknowledged(host, number, nowMillis())
+    }
+
     /** Applies the policies of [table]. */
     fun updateRouting(table: RoutingTable) = enqueue {
         scheduler.updatePolicies(table.queues, table.guardingServices)
@@ -147,12 +163,20 @@
         val lease = leaseState()
         if (lease == LeaseState.OVER) return endTerm("lease ended long ago")
         val isSoleOwner = lease == LeaseState.VALID
+        val isCountDue = lastStepMillis >= nextCountMillis
+        if (isCountDue) updateHosts()
         scheduler.step(lastStepMillis, unixMillis(), isSoleOwner).forEach(::execute)
-        if (lastStepMillis < nextCountMillis) return
+        confirmedMillis = scheduler.confirmedMillis
+        if (!isCountDue) return
         nextCountMillis = lastStepMillis + COUNT_INTERVAL_MILLIS
         waitingCounts = scheduler.waitingByQueue()
     }
 
+    private fun updateHosts() {
+        val hosts = standbys.registeredHosts
+        if (hosts.isNotEmpty()) scheduler.onHostsRegistered(standbys.ownName, hosts, nowMillis())
+    }
+
     private fun execute(action: SchedulerAction) {
         when (action) {
             is SchedulerAction.Start -> runs.start(action.order) {
@@ -173,6 +197,9 @@
 
             is SchedulerAction.Record -> records.execute { writeRecords(action.batch) }
 
+            is SchedulerAction.Announce ->
+                standbys.announce(action.epoch, action.number, action.hosts)
+
             is SchedulerAction.Depose -> endTerm("worker ${action.worker.id} has a higher epoch")
 
             is SchedulerAction.Log -> {
--- /dev/null
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/StandbyPeers.kt
@@ -0,0 +1,118 @@
+/**
+ * Announces the owner's heartbeats to standbys over the peer network, and acknowledges those of
+ * other owners.
+ *
+ * A host that has the store doesn't acknowledge any, so that an owner which alone has lost it gives
+ * way. Connections to standbys are opened for the first announcement, and given up some time after
+ * the last.
+ */
+package sycamoremast.daemon.workflow
+
+import java.util.concurrent.ConcurrentHashMap
+import sycamoremast.coordination.MonotonicClock
+import sycamoremast.daemon.log.EventLog
+import sycamoremast.daemon.peer.HeartbeatAcknowledgement
+import sycamoremast.daemon.peer.OwnerHeartbeat
+import sycamoremast.daemon.peer.PeerMessage
+import sycamoremast.daemon.peer.PeerNetwork
+
+/** The decision of a host whether it acknowledges an owner's heartbeat. */
+internal enum class HeartbeatDecision {
+    ACKNOWLEDGED,
+    STORE_AVAILABLE,
+
+    /** The owner isn't the last one that this host knows of, or its last heartbeat is too old. */
+    OWNER_OUTDATED
+}
+
+/** Exchanges heartbeats with the hosts of [registry] over [network], for the host [ownName]. */
+internal class StandbyPeers(
+    override val ownName: String,
+    private val network: PeerNetwork,
+    private val targets: PeerTargets,
+    private val registry: HostRegistry,
+    private val clock: MonotonicClock,
+    private val log: EventLog
+) : StandbyLinks {
+    /** Records for a later claim that the owner of an epoch goes on, if that is the last epoch. */
+    @Volatile
+    var acknowledge: (epoch: Long) -> Boolean = { false }
+
+    /** Whether this host has the store. */
+    @Volatile
+    var hasStore: () -> Boolean = { true }
+
+    /** Called with the host and the number of a heartbeat that it has acknowledged. */
+    @Volatile
+    var onAcknowledged: (host: String, epoch: Long, number: Long) -> Unit = { _, _, _ -> }
+
+    /** The addresses of hosts, also of those whose entries have expired in an outage. */
+    private val addresses = ConcurrentHashMap<String, String>()
+
+    /** The last decision on the heartbeats of each host. */
+    private val decisions = ConcurrentHashMap<String, HeartbeatDecision>()
+
+    @Volatile
+    private var lastAnnouncedMillis: Long? = null
+
+    override val registeredHosts: Set<String>
+        get() {
+            val hosts = registry.hosts
+            hosts.forEach { (name, record) -> addresses[name] = record.peerAddress }
+            return hosts.keys
+        }
+
+    fun start() {
+        network.handle(OwnerHeartbeat::class) { from, heartbeat ->
+            if (decide(from, heartbeat.epoch) == HeartbeatDecision.ACKNOWLEDGED) {
+                send(from, HeartbeatAcknowledgement(heartbeat.epoch, heartbeat.number))
+            }
+            null
+        }
+        network.handle(HeartbeatAcknowledgement::class) { from, acknowledgement ->
+            onAcknowledged(from, acknowledgement.epoch, acknowledgement.number)
+            null
+        }
+    }
+
+    private fun decide(from: String, epoch: Long): HeartbeatDecision {
+        val decision = when {
+            hasStore() -> HeartbeatDecision.STORE_AVAILABLE
+            acknowledge(epoch) -> HeartbeatDecision.ACKNOWLEDGED
+            else -> HeartbeatDecision.OWNER_OUTDATED
+        }
+        if (decisions.put(from, decision) != decision) {
+            log.add("heartbeat-announced", "peer" to from, "epoch" to epoch, "decision" to decision)
+        }
+        return decision
+    }
+
+    override fun announce(epoch: Long, number: Long, hosts: Set<String>) {
+        // This host may succeed itself, with a new term.
+        if (!acknowledge(epoch)) return
+        if (lastAnnouncedMillis == null) {
+            log.add("heartbeats-announced", "epoch" to epoch, "hosts" to hosts.size)
+        }
+        lastAnnouncedMillis = clock.nowMillis()
+        targets.standbys = hosts.mapNotNullTo(HashSet()) { addresses[it] }
+        hosts.forEach { send(it, OwnerHeartbeat(epoch, number)) }
+    }
+
+    /** Sends [message], which the next one replaces if [host] isn't connected yet. */
+    private fun send(host: String, message: PeerMessage) {
+        network.send(host, message)
+    }
+
+    /** Gives up connections to standbys that are no longer needed. */
+    fun releaseIdle() {
+        val announcedMillis = lastAnnouncedMillis ?: return
+        if (clock.nowMillis() < announcedMillis + IDLE_MILLIS) return
+        lastAnnouncedMillis = null
+        targets.standbys = emptySet()
+    }
+
+    private companion object {
+        /** Outages often come in series. */
+        const val IDLE_MILLIS = 10_000L
+    }
+}
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowHost.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowHost.kt
@@ -33,7 +33,7 @@
 ) {
     private val store = MonitoredStore(ports.store, clock, meters)
     private val routing = RoutingReplica(ports.catalog, log, ::onNewRouting)
-    private val peering = peers?.let { Peering(name, it, store, ports.runs, log, meters) }
+    private val peering = peers?.let { Peering(name, it, store, ports.runs, log, meters, clock) }
     private val ownership = Ownership(
         store,
         ports.catalog,
@@ -43,7 +43,8 @@
         clock,
         log,
         meters,
-        peering?.relays ?: Relays.None
+        peering?.relays ?: Relays.None,
+        peering?.standbys ?: StandbyLinks.None
     ) { routing.table }
     private val election = Election(store, name, set, clock, log, ownership) {
         peering?.hasStrongerHost == true
@@ -69,6 +70,8 @@
     init {
         ownership.onDeposed = election::depose
         ownership.leaseState = { election.leaseState }
+        election.confirmedMillis = { ownership.loop?.confirmedMillis }
+        peering?.standbys?.let(::connectStandbys)
         peering?.dispatch = { ownership.dispatch }
         peering?.onStrongerHost = { election.depose(Ownership.STRONGER_HOST) }
         meters.registerGauge("sycamore.owner") { if (ownership.loop == null) 0 else 1 }
@@ -97,6 +100,14 @@
         log.add("host-stop", "host" to name)
     }
 
+    private fun connectStandbys(standbys: StandbyPeers) {
+        standbys.hasStore = { !store.isUnavailable }
+        standbys.acknowledge = election::acknowledgeHeartbeat
+        standbys.onAcknowledged = { host, epoch, number ->
+            ownership.loop?.acknowledgeHeartbeat(host, epoch, number)
+        }
+    }
+
     private fun onNewRouting(table: RoutingTable) {
         ownership.loop?.updateRouting(table)
     }
