Ask the last owner's standbys how long it went on

It now asks the standbys when they last acknowledged a heartbeat of that owner, and lowers the bound with the first answer. One answer is enough, as a heartbeat counted only if all had acknowledged it, and who has answered acknowledges none any more. A restarted standby answers with the age of its process.

Recovery from a roster moves into the core (InheritedLeases), where the daemon and the model of owners had it twice.

SuccessionTest has four more cases.

--- /dev/null
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/InheritedLeases.kt
@@ -0,0 +1,85 @@
+/**
+ * The leases that earlier owners may have granted to workers which this owner doesn't reach.
+ *
+ * A host that the last roster doesn't name as a standby can't tell how long the last owner went on
+ * with its standbys' acknowledgements. It asks them when they last gave one. A single answer is
+ * enough, as a heartbeat counted only if all of them had acknowledged it.
+ */
+package sycamoremast.coordination.workflow
+
+internal class InheritedLeases(private val fleet: Fleet) {
+    private class Inheritance(
+        val roster: RosterRecord,
+        val sightings: StoreSightings,
+        val lastHeartbeat: RecordVersion?
+    )
+
+    /** What a standby's answer would tell more about, or null. */
+    private var unanswered: Inheritance? = null
+    private var nextAskMillis = Long.MIN_VALUE
+
+    /** Adds the workers that [roster] names, of which this host knows by [sightings]. */
+    fun add(
+        roster: RosterRecord,
+        sightings: StoreSightings,
+        lastHeartbeat: RecordVersion?,
+        directory: WorkerDirectory
+    ) {
+        for (worker in roster.workers) {
+            val lapsedBy =
+                roster.lapsedByMillis(worker, sightings, fleet.settings, lastHeartbeat)
+            directory.addRosteredWorker(worker, lapsedBy)
+        }
+        val isInformed = roster.standbys.isEmpty() || sightings.host in roster.standbys
+        if (!isInformed) unanswered = Inheritance(roster, sightings, lastHeartbeat)
+    }
+
+    /** Asks the standbys until one has answered or no worker is missing. */
+    fun step(nowMillis: Long) {
+        val inherited = unanswered ?: return
+        if (nowMillis < nextAskMillis) return
+        if (fleet.isFleetReconciled()) {
+            unanswered = null
+            return
+        }
+        nextAskMillis = nowMillis + ASK_INTERVAL_MILLIS
+        val roster = inherited.roster
+        fleet.outbox += SchedulerAction.AskStandbys(fleet.epoch, roster.epoch, roster.standbys)
+    }
+
+    /**
+     * Records the answer of [host], which last acknowledged a heartbeat of the owner of [epoch]
+     * [millisAgo] by its own clock, and acknowledges none any more.
+     */
+    fun onAnswered(host: String, epoch: Long, millisAgo: Long, nowMillis: Long) {
+        val inherited = unanswered?.takeIf { it.roster.epoch == epoch } ?: return
+        if (host !in inherited.roster.standbys) return
+        unanswered = null
+        val sureMillisAgo = millisAgo - 2 * SchedulerSettings.maxClockError(millisAgo)
+        val seenByHost = inherited.sightings.copy(
+            host = host,
+            acknowledged = mapOf(epoch to nowMillis - sureMillisAgo)
+        )
+        for (ref in inherited.roster.workers) {
+            val worker = fleet.workers[ref.id]?.takeIf { it.ref == ref } ?: continue
+            if (!worker.lease.isInherited) continue
+            val lapsedBy = inherited.roster.lapsedByMillis(
+                ref,
+                seenByHost,
+                fleet.settings,
+                inherited.lastHeartbeat
+            )
+            worker.lease.limitInherited(lapsedBy)
+        }
+        fleet.log(
+            "standby-answered",
+            "epoch-${fleet.epoch}",
+            "host" to host,
+            "acknowledgedMillisAgo" to millisAgo
+        )
+    }
+
+    private companion object {
+        const val ASK_INTERVAL_MILLIS = 600L
+    }
+}
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerAction.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerAction.kt
@@ -24,6 +24,13 @@
      */
     data class Announce(val epoch: Long, val number: Long, val hosts: Set<String>) : SchedulerAction
 
+    /**
+     * Ask [hosts] when they last acknowledged a heartbeat of the owner of [lastEpoch], which the
+     * owner of [epoch] succeeds; each answer goes to [WorkflowScheduler.onStandbyAnswered].
+     */
+    data class AskStandbys(val epoch: Long, val lastEpoch: Long, val hosts: Set<String>) :
+        SchedulerAction
+
     /** Give up ownership, as [worker] has seen a higher epoch. */
     data class Depose(val worker: WorkerRef) : SchedulerAction
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Standbys.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Standbys.kt
@@ -5,8 +5,8 @@
  * standbys itself. One that all of them have acknowledged allows the owner to go on granting leases:
  * whichever of them takes over counts from the last heartbeat that it acknowledged.
  *
- * A host that isn't named in the last roster has acknowledged none, so it waits longer, by
- * [SchedulerSettings.LONGEST_ANNOUNCED_MILLIS]. That bounds how long the owner goes on.
+ * A host that isn't named in the last roster asks the standbys ([InheritedLeases]). If none answers
+ * it waits longer, by [SchedulerSettings.LONGEST_ANNOUNCED_MILLIS], for which the owner may go on.
  */
 package sycamoremast.coordination.workflow
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerLease.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerLease.kt
@@ -97,6 +97,11 @@
         lapsedByMillis = minOf(lapsedByMillis, lapsedBy)
     }
 
+    /** Records that an inherited lease has lapsed by [lapsedBy], if that is sooner than known. */
+    fun limitInherited(lapsedBy: Long) {
+        lapsedByMillis = minOf(lapsedByMillis, lapsedBy)
+    }
+
     /** Returns the longest time that the last lease may still be valid. */
     fun remainingMillis(nowMillis: Long): Long = maxOf(lapsedByMillis, nowMillis) - nowMillis
 }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -27,6 +27,7 @@
     private val consolidation = Consolidation(fleet, placer, moves, tails)
     private val maintenance = RunMaintenance(fleet, tracker)
     private val directory = WorkerDirectory(fleet, tracker, recorder)
+    private val inheritedLeases = InheritedLeases(fleet)
     private val recoveryWait = RecoveryWait(fleet, places)
     private val waitingTasks = WaitingTasks(fleet, placer)
     private val pendingCancels = HashSet<String>()
@@ -127,9 +128,28 @@
     fun addRosteredWorker(ref: WorkerRef, lapsedByMillis: Long) =
         directory.addRosteredWorker(ref, lapsedByMillis)
 
-    /** Adds the [hosts] that the last owner named as standbys, which may not be registered now. */
-    fun addInheritedStandbys(hosts: Set<String>, nowMillis: Long) =
-        standbys.onInherited(hosts, nowMillis)
+    /**
+     * Adds what the last owner recorded in [roster]; to be called before recovered workflows are
+     * added.
+     *
+     * [sightings] and [lastHeartbeat] tell how long leases that it granted may last.
+     */
+    fun addRoster(
+        roster: RosterRecord,
+        sightings: StoreSightings,
+        lastHeartbeat: RecordVersion?,
+        nowMillis: Long
+    ) {
+        if (roster.recordsPlaces) arePlacesRecorded = true
+        inheritedLeases.add(roster, sightings, lastHeartbeat, directory)
+        standbys.onInherited(roster.standbys, nowMillis)
+    }
+
+    /**
+     * Records that [host] last acknowledged a heartbeat of the owner of [lastEpoch] [millisAgo].
+     */
+    fun onStandbyAnswered(host: String, lastEpoch: Long, millisAgo: Long, nowMillis: Long) =
+        inheritedLeases.onAnswered(host, lastEpoch, millisAgo, nowMillis)
 
     /** Updates the registered [hosts], of which [own] is the one of this owner. */
     fun onHostsRegistered(own: String, hosts: Set<String>, nowMillis: Long) =
@@ -248,6 +268,7 @@
         waitingTasks.step(nowMillis)
         recorder.step(nowMillis, unixMillis)
         standbys.step(nowMillis)
+        inheritedLeases.step(nowMillis)
         maintenance.poll(nowMillis)
         val actions = fleet.outbox.toList()
         fleet.outbox.clear()
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
@@ -70,6 +70,7 @@
 
     /** When the last term of this host had ended, in this process or in an earlier one. */
     private var lastEndMillis = 0L
+    private var startedMillis = 0L
 
     var isUp = false
         private set
@@ -107,6 +108,7 @@
         frozenUntilMillis = 0
         seenOwnerVersion = null
         lastEndMillis = clock()
+        startedMillis = clock()
         val started = process
         tick(started)
     }
@@ -284,14 +286,12 @@
         next.knownListings = state.listings
         next.scheduler.onWorkersListed(state.listings.values.toList(), clock())
         state.roster?.record?.let { roster ->
-            if (roster.recordsPlaces) next.scheduler.arePlacesRecorded = true
-            next.scheduler.addInheritedStandbys(roster.standbys, clock())
             for (worker in roster.workers) {
                 val lapsedBy =
                     roster.lapsedByMillis(worker, next.sightings, settings, state.heartbeat)
                 world.log("  roster ${worker.id} lapsed by ${lapsedBy - clock()} ms from now")
-                next.scheduler.addRosteredWorker(worker, lapsedBy)
             }
+            next.scheduler.addRoster(roster, next.sightings, state.heartbeat, clock())
         }
         state.jobs.forEach {
             next.scheduler.onWorkflowAccepted(it, state.progress[it.id], true, clock(), time.now)
@@ -341,6 +341,8 @@
                 action.hosts.forEach { announce(held, action.number, it) }
             }
 
+            is SchedulerAction.AskStandbys -> action.hosts.forEach { ask(held, action, it) }
+
             is SchedulerAction.Depose -> endTerm(held, "${action.worker} has a higher epoch")
 
             is SchedulerAction.Log -> world.log("  $name ${held.epoch} ${action.event}")
@@ -371,6 +373,33 @@
         reply()
     }
 
+    private fun ask(held: Term, question: SchedulerAction.AskStandbys, standby: String) {
+        val started = process
+        world.tell(name, standby) { other ->
+            other.answerSuccessor(question) { millisAgo ->
+                world.tell(standby, name) {
+                    inProcess(started) {
+                        if (held.isOpen) {
+                            held.scheduler.onStandbyAnswered(
+                                standby,
+                                question.lastEpoch,
+                                millisAgo,
+                                clock()
+                            )
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    private fun answerSuccessor(question: SchedulerAction.AskStandbys, reply: (Long) -> Unit) =
+        inProcess {
+            lastEpochSeen = maxOf(lastEpochSeen, question.epoch)
+            val lastMillis = maxOf(startedMillis, acknowledged[question.lastEpoch] ?: startedMillis)
+            reply(clock() - lastMillis)
+        }
+
     private fun mayAcknowledge(epoch: Long): Boolean {
         val seenMillis = heartbeatsSeen.filterKeys { it.epoch == epoch }.values.maxOrNull()
         return epoch == lastEpochSeen &&
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionSchedule.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionSchedule.kt
@@ -255,7 +255,9 @@
         hosts -= host
         val added = newHost("h${++lastHost}")
         hosts += added
-        time.at(now + random.nextLong(MIN_DOWN_MILLIS, MAX_DOWN_MILLIS)) { added.start() }
+        time.at(now + random.nextLong(MIN_DOWN_MILLIS, MAX_DOWN_MILLIS)) {
+            if (!added.isUp && added in hosts) added.start()
+        }
     }
 
     private fun loseStoreOfMost() {
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionTest.kt
@@ -4,6 +4,7 @@
 import strikt.api.expectThat
 import strikt.assertions.isEmpty
 import sycamoremast.coordination.workflow.SuccessionFault.CRASH_WORKER
+import sycamoremast.coordination.workflow.SuccessionFault.CUT_HOST_FROM_HOST
 import sycamoremast.coordination.workflow.SuccessionFault.CUT_HOST_FROM_STORE
 import sycamoremast.coordination.workflow.SuccessionFault.CUT_HOST_FROM_WORKER
 import sycamoremast.coordination.workflow.SuccessionFault.CUT_WORKER
@@ -11,6 +12,8 @@
 import sycamoremast.coordination.workflow.SuccessionFault.FREEZE_HOST
 import sycamoremast.coordination.workflow.SuccessionFault.KILL_HOST
 import sycamoremast.coordination.workflow.SuccessionFault.MOVE_WORKER
+import sycamoremast.coordination.workflow.SuccessionFault.PARTIAL_OUTAGE
+import sycamoremast.coordination.workflow.SuccessionFault.REPLACE_HOST
 import sycamoremast.coordination.workflow.SuccessionFault.REVOKE_KEY
 import sycamoremast.coordination.workflow.SuccessionFault.REVOKE_KEY_AND_SPLIT
 import sycamoremast.coordination.workflow.SuccessionFault.SPLIT
@@ -124,4 +127,33 @@
         expectNoViolations(156L..156, REVOKE_KEY_AND_SPLIT)
         expectNoViolations(213L..213, REVOKE_KEY_AND_SPLIT)
     }
+
+    // Guards against an owner that goes on by its standbys' acknowledgements, and starts a term anew.
+    @Test
+    fun `starts each lasting task once while hosts lose each other in outages of the store`() =
+        expectNoViolations(20L..27, STORE_OUTAGE, CUT_HOST_FROM_HOST, CUT_HOST_FROM_WORKER)
+
+    // Guards against a host that takes over without knowing how long the last owner went on.
+    @Test
+    fun `starts each lasting task once and in time while hosts are replaced in partial outages`() =
+        expectNoViolations(1L..8, PARTIAL_OUTAGE, REPLACE_HOST)
+
+    @Test
+    fun `starts each lasting task once while hosts are replaced in outages of the store`() =
+        expectNoViolations(1L..8, STORE_OUTAGE, REPLACE_HOST, CUT_HOST_FROM_WORKER)
+
+    @Test
+    fun `starts each lasting task once while standbys with the store acknowledge, too`() {
+        for (seed in 1L..8) {
+            val faults = SuccessionFaults(
+                setOf(PARTIAL_OUTAGE, STORE_OUTAGE, KILL_HOST),
+                lostAnswers = 0.05,
+                hostClockError = 20,
+                acknowledgesWithStore = true
+            )
+            val schedule = SuccessionSchedule(seed, faults)
+            schedule.play()
+            expectThat(schedule.violations).describedAs("seed $seed").isEmpty()
+        }
+    }
 }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/peer/StandbyMessages.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/peer/StandbyMessages.kt
@@ -1,4 +1,4 @@
-/** Messages by which the owner of a worker set announces heartbeats that the store can't show. */
+/** Messages between the owner of a worker set and the hosts that may succeed it. */
 package sycamoremast.daemon.peer
 
 import kotlinx.serialization.SerialName
@@ -7,10 +7,8 @@
 /** The heartbeat [number] of the owner of [epoch]. */
 @Serializable
 @SerialName("heartbeat")
-data class OwnerHeartbeat(
-    @SerialName("e") val epoch: Long,
-    @SerialName("n") val number: Long
-) : PeerMessage
+data class OwnerHeartbeat(@SerialName("e") val epoch: Long, @SerialName("n") val number: Long) :
+    PeerMessage
 
 /**
  * The acknowledgement of an [OwnerHeartbeat]: if the sender comes to own the worker set, it assumes
@@ -22,3 +20,20 @@
     @SerialName("e") val epoch: Long,
     @SerialName("n") val number: Long
 ) : PeerMessage
+
+/** The question of the owner of [epoch] to a standby of the owner of [lastEpoch]. */
+@Serializable
+@SerialName("standby-query")
+data class StandbyQuery(@SerialName("e") val epoch: Long, @SerialName("l") val lastEpoch: Long) :
+    PeerMessage
+
+/**
+ * The answer to a [StandbyQuery]: the sender has acknowledged no heartbeat of the owner of
+ * [lastEpoch] in the last [millisAgo] milliseconds, and acknowledges none any more.
+ */
+@Serializable
+@SerialName("standby-answer")
+data class StandbyAnswer(
+    @SerialName("l") val lastEpoch: Long,
+    @SerialName("a") val millisAgo: Long
+) : PeerMessage
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Election.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Election.kt
@@ -119,6 +119,13 @@
     /** Acknowledges a heartbeat of the owner of [epoch] if it is the last one known. */
     fun acknowledgeHeartbeat(epoch: Long): Boolean = history.acknowledge(epoch)
 
+    /**
+     * Returns how long ago this host last acknowledged a heartbeat of the owner of [lastEpoch], for
+     * its successor of [epoch]; no more heartbeats of earlier owners are acknowledged.
+     */
+    fun acknowledgedMillisAgo(epoch: Long, lastEpoch: Long): Long =
+        history.acknowledgedMillisAgo(epoch, lastEpoch)
+
     /** Ends the current term, if any, for [reason]; returns at once. */
     fun depose(reason: String) {
         wakeUps += reason
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/OwnerHistory.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/OwnerHistory.kt
@@ -24,6 +24,8 @@
     /** When this host last acknowledged a heartbeat that the owner of an epoch announced. */
     private val acknowledged = ConcurrentSkipListMap<Long, Long>()
 
+    private val startedMillis = clock.nowMillis()
+
     /** The last epoch known, 0 before the first listing. */
     private var lastEpoch = 0L
 
@@ -85,6 +87,17 @@
         if (key == heartbeatKey) hasSeenHeartbeat = true
     }
 
+    /**
+     * Returns how long ago this host last acknowledged a heartbeat of the owner of [lastEpoch], or
+     * may have done so in an earlier process, for the owner of [epoch]. From now on, no heartbeat
+     * of an earlier owner is acknowledged.
+     */
+    @Synchronized
+    fun acknowledgedMillisAgo(epoch: Long, lastEpoch: Long): Long {
+        this.lastEpoch = maxOf(this.lastEpoch, epoch)
+        return clock.nowMillis() - (acknowledged[lastEpoch] ?: startedMillis)
+    }
+
     /**
      * Returns what [host], this one, has seen before its claim of [epoch], which was made after
      * [claimedMillis], and the [ends] of earlier owners.
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
@@ -142,11 +142,7 @@
                 term.sightings.acknowledgedMillisOrNull(roster.epoch)
                     ?.let { clock.nowMillis() - it }
         )
-        val lapsedBy = roster.workers.associateWith {
-            roster.lapsedByMillis(it, term.sightings, settings, heartbeat)
-        }
-        addRoster(lapsedBy, roster.recordsPlaces)
-        addInheritedStandbys(roster.standbys)
+        addRoster(roster, term.sightings, heartbeat)
     }
 
     /** Passes on what [entry] holds; a scheduler without it learns anew. */
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
@@ -14,16 +14,19 @@
 import sycamoremast.coordination.MonotonicClock
 import sycamoremast.coordination.workflow.InterferenceRecord
 import sycamoremast.coordination.workflow.RecordBatch
+import sycamoremast.coordination.workflow.RecordVersion
+import sycamoremast.coordination.workflow.RosterRecord
 import sycamoremast.coordination.workflow.RunPort
 import sycamoremast.coordination.workflow.SchedulerAction
+import sycamoremast.coordination.workflow.StoreSightings
 import sycamoremast.coordination.workflow.WorkerListing
-import sycamoremast.coordination.workflow.WorkerRef
 import sycamoremast.coordination.workflow.Workflow
 import sycamoremast.coordination.workflow.WorkflowPhase
 import sycamoremast.coordination.workflow.WorkflowProgress
 import sycamoremast.coordination.workflow.WorkflowScheduler
 import sycamoremast.coordination.workflow.WorkflowStatus
 import sycamoremast.daemon.log.EventLog
+import sycamoremast.daemon.peer.StandbyAnswer
 
 /** Runs [scheduler] for one term of ownership; [onDeposed] is called when the term has to end. */
 internal class SchedulerLoop(
@@ -92,24 +95,18 @@
 
     fun removeWorker(id: String) = enqueue { scheduler.onWorkerUnlisted(id) }
 
-    /**
-     * Adds the workers of the previous owner's roster, with the times by which their leases end.
-     *
-     * If it [recordsPlaces], earlier owners have recorded the places of all long-running tasks.
-     */
-    fun addRoster(lapsedByMillis: Map<WorkerRef, Long>, recordsPlaces: Boolean) = enqueue {
-        if (recordsPlaces) scheduler.arePlacesRecorded = true
-        for ((worker, lapsedBy) in lapsedByMillis) scheduler.addRosteredWorker(worker, lapsedBy)
-    }
+    /** Adds the [roster] of the previous owner, of which this host knows by [sightings]. */
+    fun addRoster(roster: RosterRecord, sightings: StoreSightings, lastHeartbeat: RecordVersion?) =
+        enqueue { scheduler.addRoster(roster, sightings, lastHeartbeat, nowMillis()) }
 
     /** Adds what an earlier owner has learned about interference between tasks. */
     fun restoreInterference(record: InterferenceRecord) = enqueue {
         scheduler.restoreInterference(record, unixMillis())
     }
 
-    /** Adds the [hosts] that the last owner named as standbys. */
-    fun addInheritedStandbys(hosts: Set<String>) = enqueue {
-        scheduler.addInheritedStandbys(hosts, nowMillis())
+    /** Adds the [answer] of standby [host] of the previous owner. */
+    fun addStandbyAnswer(host: String, answer: StandbyAnswer) = enqueue {
+        scheduler.onStandbyAnswered(host, answer.lastEpoch, answer.millisAgo, nowMillis())
     }
 
     /** Records that [host] has acknowledged the heartbeat [number] of this term's [epoch]. */
@@ -200,6 +197,9 @@
             is SchedulerAction.Announce ->
                 standbys.announce(action.epoch, action.number, action.hosts)
 
+            is SchedulerAction.AskStandbys ->
+                standbys.ask(action.epoch, action.lastEpoch, action.hosts)
+
             is SchedulerAction.Depose -> endTerm("worker ${action.worker.id} has a higher epoch")
 
             is SchedulerAction.Log -> {
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/StandbyLinks.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/StandbyLinks.kt
@@ -12,11 +12,16 @@
     /** Sends heartbeat [number] of the owner of [epoch] to [hosts]; returns at once. */
     fun announce(epoch: Long, number: Long, hosts: Set<String>)
 
+    /** Asks [hosts], for the owner of [epoch], for their last acknowledgement to [lastEpoch]. */
+    fun ask(epoch: Long, lastEpoch: Long, hosts: Set<String>)
+
     /** The absence of peers. */
     object None : StandbyLinks {
         override val ownName = ""
         override val registeredHosts = emptySet<String>()
 
         override fun announce(epoch: Long, number: Long, hosts: Set<String>) = Unit
+
+        override fun ask(epoch: Long, lastEpoch: Long, hosts: Set<String>) = Unit
     }
 }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/StandbyPeers.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/StandbyPeers.kt
@@ -15,6 +15,8 @@
 import sycamoremast.daemon.peer.OwnerHeartbeat
 import sycamoremast.daemon.peer.PeerMessage
 import sycamoremast.daemon.peer.PeerNetwork
+import sycamoremast.daemon.peer.StandbyAnswer
+import sycamoremast.daemon.peer.StandbyQuery
 
 /** The decision of a host whether it acknowledges an owner's heartbeat. */
 internal enum class HeartbeatDecision {
@@ -42,6 +44,14 @@
     @Volatile
     var hasStore: () -> Boolean = { true }
 
+    /** Returns how long ago this host last acknowledged a heartbeat, and ends that for good. */
+    @Volatile
+    var answer: (StandbyQuery) -> Long = { 0 }
+
+    /** Called with the answer of a host to this one's query. */
+    @Volatile
+    var onAnswered: (host: String, answer: StandbyAnswer) -> Unit = { _, _ -> }
+
     /** Called with the host and the number of a heartbeat that it has acknowledged. */
     @Volatile
     var onAcknowledged: (host: String, epoch: Long, number: Long) -> Unit = { _, _, _ -> }
@@ -53,7 +63,7 @@
     private val decisions = ConcurrentHashMap<String, HeartbeatDecision>()
 
     @Volatile
-    private var lastAnnouncedMillis: Long? = null
+    private var lastUsedMillis: Long? = null
 
     override val registeredHosts: Set<String>
         get() {
@@ -69,6 +79,22 @@
             }
             null
         }
+        network.handle(StandbyQuery::class) { from, query ->
+            val millisAgo = answer(query)
+            log.add(
+                "standby-queried",
+                "peer" to from,
+                "epoch" to query.epoch,
+                "lastEpoch" to query.lastEpoch,
+                "acknowledgedMillisAgo" to millisAgo
+            )
+            send(from, StandbyAnswer(query.lastEpoch, millisAgo))
+            null
+        }
+        network.handle(StandbyAnswer::class) { from, answer ->
+            onAnswered(from, answer)
+            null
+        }
         network.handle(HeartbeatAcknowledgement::class) { from, acknowledgement ->
             onAcknowledged(from, acknowledgement.epoch, acknowledgement.number)
             null
@@ -90,12 +116,19 @@
     override fun announce(epoch: Long, number: Long, hosts: Set<String>) {
         // This host may succeed itself, with a new term.
         if (!acknowledge(epoch)) return
-        if (lastAnnouncedMillis == null) {
+        if (lastUsedMillis == null) {
             log.add("heartbeats-announced", "epoch" to epoch, "hosts" to hosts.size)
         }
-        lastAnnouncedMillis = clock.nowMillis()
+        sendAll(hosts, OwnerHeartbeat(epoch, number))
+    }
+
+    override fun ask(epoch: Long, lastEpoch: Long, hosts: Set<String>) =
+        sendAll(hosts, StandbyQuery(epoch, lastEpoch))
+
+    private fun sendAll(hosts: Set<String>, message: PeerMessage) {
+        lastUsedMillis = clock.nowMillis()
         targets.standbys = hosts.mapNotNullTo(HashSet()) { addresses[it] }
-        hosts.forEach { send(it, OwnerHeartbeat(epoch, number)) }
+        hosts.forEach { send(it, message) }
     }
 
     /** Sends [message], which the next one replaces if [host] isn't connected yet. */
@@ -105,9 +138,9 @@
 
     /** Gives up connections to standbys that are no longer needed. */
     fun releaseIdle() {
-        val announcedMillis = lastAnnouncedMillis ?: return
-        if (clock.nowMillis() < announcedMillis + IDLE_MILLIS) return
-        lastAnnouncedMillis = null
+        val usedMillis = lastUsedMillis ?: return
+        if (clock.nowMillis() < usedMillis + IDLE_MILLIS) return
+        lastUsedMillis = null
         targets.standbys = emptySet()
     }
 
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowHost.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowHost.kt
@@ -103,6 +103,8 @@
     private fun connectStandbys(standbys: StandbyPeers) {
         standbys.hasStore = { !store.isUnavailable }
         standbys.acknowledge = election::acknowledgeHeartbeat
+        standbys.answer = { election.acknowledgedMillisAgo(it.epoch, it.lastEpoch) }
+        standbys.onAnswered = { host, answer -> ownership.loop?.addStandbyAnswer(host, answer) }
         standbys.onAcknowledged = { host, epoch, number ->
             ownership.loop?.acknowledgeHeartbeat(host, epoch, number)
         }
