Bound announced heartbeats on the clock of the worker (TWICE)

The end of what may be announced is now converted to the worker's clock by the offset known at the last durable heartbeat, as the end of a lease is by the last one that standbys know of (LeaseHorizon).

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
@@ -54,12 +54,11 @@
     var isRosterDurable = false
 
     /**
-     * The time by which all leases end, which each heartbeat of this owner moves on that all
-     * standbys know of.
+     * When all leases end, which each heartbeat of this owner moves on that all standbys know of.
      *
      * The next owner counts from the last heartbeat, however long this owner goes on.
      */
-    var leasesEndByMillis = Long.MIN_VALUE / 2
+    var leaseHorizon = LeaseHorizon.NONE
         private set
 
     /** What the store may tell the next owner about leases of workers. */
@@ -126,26 +125,27 @@
         byId.values.forEach { it.lease.onHeartbeatFormed(formedMillis) }
 
     /**
-     * Records that all standbys know of the heartbeat formed at [formedMillis]: it is durable, or
+     * Records that all standbys know of the heartbeat formed at [formedMillis], as it [isDurable] or
      * they have acknowledged it.
      */
-    fun onHeartbeatKnown(formedMillis: Long) {
-        val endByMillis = formedMillis + settings.leaseHorizonMillis
-        if (endByMillis <= leasesEndByMillis) return
-        leasesEndByMillis = endByMillis
-        byId.values.forEach { it.lease.onHeartbeatKnown(formedMillis) }
+    fun onHeartbeatKnown(formedMillis: Long, isDurable: Boolean) {
+        val next = leaseHorizon.after(formedMillis, isDurable, settings)
+        if (next == leaseHorizon) return
+        val isLatest = next.knownMillis > leaseHorizon.knownMillis
+        leaseHorizon = next
+        byId.values.forEach { it.lease.onHeartbeatKnown(formedMillis, isDurable, isLatest) }
         isPlacementDue = true
     }
 
     /** Whether [worker] takes a start now, with a lease that is worth it. */
     fun acceptsStarts(worker: FleetWorker, nowMillis: Long): Boolean =
         worker.acceptsStarts(nowMillis) &&
-            worker.lease.longestMillis(nowMillis, leasesEndByMillis) >= SHORTEST_FIRST_LEASE_MILLIS
+            worker.lease.longestMillis(nowMillis, leaseHorizon) >= SHORTEST_FIRST_LEASE_MILLIS
 
     /** Returns the end of a lease granted now, on the clock of [worker], or null if there is none. */
     fun leaseEndOrNull(worker: FleetWorker, nowMillis: Long): Long? = worker.lease.endOrNull(
         nowMillis,
-        leasesEndByMillis,
+        leaseHorizon,
         worker.listing.isDraining,
         settings
     )
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
@@ -184,7 +184,7 @@
         }
         done.heartbeatMillis?.let {
             standbys.onHeartbeatDurable(it)
-            fleet.onHeartbeatKnown(it)
+            fleet.onHeartbeatKnown(it, isDurable = true)
         }
         if (done.workflows.any { it.workflow.isLongRunning }) fleet.isPlacementDue = true
         pendingEnds.entries.removeIf { (worker, ends) -> releaseDurableEnds(worker, ends) }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Standbys.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Standbys.kt
@@ -121,7 +121,7 @@
         }
         areSilent = false
         confirmedMillis = confirmed.formedMillis
-        fleet.onHeartbeatKnown(confirmed.formedMillis)
+        fleet.onHeartbeatKnown(confirmed.formedMillis, isDurable = false)
     }
 
     private fun logSilent(nowMillis: Long) {
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerLease.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerLease.kt
@@ -14,6 +14,9 @@
      */
     private var heartbeatOffsetMillis: Long? = null
 
+    /** The same for the last durable heartbeat. */
+    private var durableOffsetMillis: Long? = null
+
     /** The time by which the last lease granted to the worker has certainly lapsed. */
     var lapsedByMillis = Long.MIN_VALUE
         private set
@@ -33,6 +36,7 @@
         clockOffsetMillis = clockMillis - receivedMillis
         clockReadMillis = receivedMillis
         if (heartbeatOffsetMillis == null) heartbeatOffsetMillis = clockOffsetMillis
+        if (durableOffsetMillis == null) durableOffsetMillis = clockOffsetMillis
     }
 
     /** Records that a heartbeat is formed at [formedMillis]. */
@@ -40,10 +44,16 @@
         clockOffsetMillis?.let { formedOffsets[formedMillis] = it }
     }
 
-    /** Records that all standbys know of the heartbeat that was formed at [formedMillis]. */
-    fun onHeartbeatKnown(formedMillis: Long) {
-        formedOffsets[formedMillis]?.let { heartbeatOffsetMillis = it }
-        formedOffsets.keys.removeAll { it <= formedMillis }
+    /**
+     * Records that all standbys know of the heartbeat that was formed at [formedMillis], as it
+     * [isDurable] or they have acknowledged it, and whether it [isLatest] of those.
+     */
+    fun onHeartbeatKnown(formedMillis: Long, isDurable: Boolean, isLatest: Boolean = true) {
+        val formedOffset = formedOffsets[formedMillis]
+        if (formedOffset != null && isLatest) heartbeatOffsetMillis = formedOffset
+        if (formedOffset != null && isDurable) durableOffsetMillis = formedOffset
+        // The record in flight may become durable after later heartbeats were acknowledged.
+        if (isDurable) formedOffsets.keys.removeAll { it <= formedMillis }
     }
 
     /** Forgets the clock of an earlier incarnation. */
@@ -51,36 +61,42 @@
         clockOffsetMillis = null
         formedOffsets.clear()
         heartbeatOffsetMillis = null
+        durableOffsetMillis = null
     }
 
     /**
-     * Returns how long a lease granted now may last that ends by [latestMillis], which counts from
-     * the last heartbeat that standbys know of; this is negative if the time has passed or no clock is known.
+     * Returns how long a lease granted now may last that ends by [latest]; this is negative if the
+     * time has passed or no clock is known.
      *
-     * The time is converted by the offset known at the heartbeat: this owner's clock doesn't count
-     * the time for which the owner was suspended since.
+     * The times are converted by the offsets known at the heartbeats from which they count: this
+     * owner's clock doesn't count the time for which the owner was suspended since.
      */
-    fun longestMillis(nowMillis: Long, latestMillis: Long): Long {
+    fun longestMillis(nowMillis: Long, latest: LeaseHorizon): Long {
         val offset = clockOffsetMillis ?: return -1
         val heartbeatOffset = heartbeatOffsetMillis ?: return -1
-        return latestMillis + heartbeatOffset - nowMillis - offset
+        val durableOffset = durableOffsetMillis ?: return -1
+        val endMillis = minOf(
+            latest.knownMillis + heartbeatOffset,
+            latest.durableMillis + durableOffset
+        )
+        return endMillis - nowMillis - offset
     }
 
     /**
      * Returns the end of a lease granted now, on the worker's clock, or null if there is none.
      *
-     * The lease ends by [latestMillis], as in [longestMillis].
+     * The lease ends by [latest], as in [longestMillis].
      */
     fun endOrNull(
         nowMillis: Long,
-        latestMillis: Long,
+        latest: LeaseHorizon,
         isDraining: Boolean,
         settings: SchedulerSettings
     ): Long? {
         val offset = clockOffsetMillis ?: return null
         val drift = settings.maxDrift(nowMillis - clockReadMillis)
         val full = settings.leaseMillis(isDraining) - drift
-        val length = minOf(full, longestMillis(nowMillis, latestMillis))
+        val length = minOf(full, longestMillis(nowMillis, latest))
         return if (length > 0) nowMillis + offset + length else null
     }
 
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/StoreOutageTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/StoreOutageTest.kt
@@ -21,6 +21,17 @@
         }
     }
 
+    // Guards against an owner that goes on for longer than a new host assumes (TWICE).
+    @Test
+    fun `no task runs twice if hosts that acknowledge heartbeats are suspended`() {
+        for (seed in 1L..4) {
+            val schedule = SuccessionSchedule(seed, SuccessionFaults(emptySet()))
+            schedule.playNewHostBesideSuspendedOnes(OUTAGE_MILLIS, suspendMillis = 3_000)
+            expectThat(schedule.violations.filter { it.kind == "runs twice at once" })
+                .describedAs("seed $seed").isEmpty()
+        }
+    }
+
     private companion object {
         /** When the outage begins, long after all tasks have started. */
         const val OUTAGE_MILLIS = 15_000L
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionSchedule.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionSchedule.kt
@@ -102,15 +102,51 @@
         monitor.checkEnds()
     }
 
-    /** Plays an outage of the store for all, from [fromMillis] for [millis], and no other fault. */
-    fun playOutage(fromMillis: Long, millis: Long) {
+    /**
+     * Plays an outage of the store for all, from [fromMillis] for [millis], and no other fault but
+     * that all hosts lose worker w1 for [silentMillis] up to the outage.
+     */
+    fun playOutage(fromMillis: Long, millis: Long, silentMillis: Long = 0) {
         begin()
+        if (silentMillis > 0) {
+            time.at(fromMillis - silentMillis) { hosts.forEach { cut(it.name, "w1", silentMillis) } }
+        }
         time.at(fromMillis) { store.goDown() }
         time.at(fromMillis + millis) { store.comeUp() }
         observe()
         time.playUntil(END_MILLIS)
     }
 
+    /**
+     * Plays that all hosts lose the store at [fromMillis] and are suspended for [suspendMillis]
+     * three times, while a new host has the store. Neither reaches the other, and each reaches the
+     * workers that the other doesn't.
+     */
+    fun playNewHostBesideSuspendedOnes(fromMillis: Long, suspendMillis: Long) {
+        begin()
+        time.at(fromMillis) {
+            val old = hosts.toList()
+            val added = newHost("h${++lastHost}")
+            hosts += added
+            old.forEach { host ->
+                cut(host.name, HostWorld.STORE, END_MILLIS)
+                cut(host.name, added.name, END_MILLIS)
+            }
+            for ((index, id) in entries.keys.withIndex()) {
+                val without = if (index % 2 == 0) old else listOf(added)
+                without.forEach { cut(it.name, id, END_MILLIS) }
+            }
+            added.start()
+            for (i in 1L..3) {
+                time.at(fromMillis + i * SUSPENSION_INTERVAL_MILLIS) {
+                    old.forEach { it.freeze(suspendMillis, isClockCounting = false) }
+                }
+            }
+        }
+        observe()
+        time.playUntil(END_MILLIS)
+    }
+
     private fun newHost(name: String): ModelHost {
         val error = faults.hostClockError
         return ModelHost(name, this, PER_MILLE + random.nextLong(-error, error + 1))
@@ -468,6 +504,7 @@
         const val LONGEST_CUT_MILLIS = 20_000L
         const val MAX_FREEZE_MILLIS = 6_000L
         const val MAX_SUSPEND_MILLIS = 3_000L
+        const val SUSPENSION_INTERVAL_MILLIS = 5_000L
         const val MIN_DRAIN_MILLIS = 2_000L
 
         /** Three heartbeats. */
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/WorkerLeaseTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/WorkerLeaseTest.kt
@@ -10,7 +10,10 @@
     private val lease = WorkerLease()
 
     private fun endOrNull(nowMillis: Long, latestMillis: Long) =
-        lease.endOrNull(nowMillis, latestMillis, isDraining = false, settings)
+        lease.endOrNull(nowMillis, horizon(latestMillis), isDraining = false, settings)
+
+    private fun horizon(latestMillis: Long) =
+        LeaseHorizon(latestMillis, latestMillis + SchedulerSettings.LONGEST_ANNOUNCED_MILLIS)
 
     @Test
     fun `ends a lease by the time that the last heartbeat allows`() {
@@ -25,7 +28,7 @@
     fun `grants a suspended owner no longer leases than the heartbeat before allows`() {
         lease.recordClock(clockMillis = 1_000, receivedMillis = 1_000)
         lease.onHeartbeatFormed(1_000)
-        lease.onHeartbeatKnown(1_000)
+        lease.onHeartbeatKnown(1_000, isDurable = true)
         val latest = 1_000 + settings.leaseHorizonMillis
         val suspendedMillis = 3_000
         lease.recordClock(clockMillis = 2_000L + suspendedMillis, receivedMillis = 2_000)
@@ -37,10 +40,10 @@
     fun `grants full leases again from the next heartbeat on`() {
         lease.recordClock(clockMillis = 1_000, receivedMillis = 1_000)
         lease.onHeartbeatFormed(1_000)
-        lease.onHeartbeatKnown(1_000)
+        lease.onHeartbeatKnown(1_000, isDurable = true)
         lease.recordClock(clockMillis = 5_000, receivedMillis = 2_000)
         lease.onHeartbeatFormed(2_000)
-        lease.onHeartbeatKnown(2_000)
+        lease.onHeartbeatKnown(2_000, isDurable = true)
         val latest = 2_000 + settings.leaseHorizonMillis
         expectThat(endOrNull(2_000, latest)).isEqualTo(5_000 + settings.leaseMillis)
     }
@@ -51,9 +54,9 @@
         lease.onHeartbeatFormed(1_000)
         lease.recordClock(clockMillis = 5_000, receivedMillis = 2_000)
         lease.onHeartbeatFormed(2_000)
-        lease.onHeartbeatKnown(1_000)
+        lease.onHeartbeatKnown(1_000, isDurable = true)
         val latest = 1_000 + settings.leaseHorizonMillis
-        expectThat(lease.longestMillis(2_000, latest)).isEqualTo(latest - 5_000)
+        expectThat(lease.longestMillis(2_000, horizon(latest))).isEqualTo(latest - 5_000)
     }
 
     // Guards against the clock of an earlier incarnation, by which a heartbeat was formed.
@@ -63,7 +66,22 @@
         lease.onHeartbeatFormed(1_000)
         lease.forgetClock()
         lease.recordClock(clockMillis = 100, receivedMillis = 1_100)
-        lease.onHeartbeatKnown(1_000)
+        lease.onHeartbeatKnown(1_000, isDurable = true)
         expectThat(endOrNull(1_100, latestMillis = 2_100)).isEqualTo(1_100)
     }
+
+    // Guards against an owner that was suspended, and announces heartbeats for longer than allowed.
+    @Test
+    fun `counts the time for which heartbeats may be announced on the clock of the worker`() {
+        lease.recordClock(clockMillis = 1_000, receivedMillis = 1_000)
+        lease.onHeartbeatFormed(1_000)
+        lease.onHeartbeatKnown(1_000, isDurable = true)
+        val suspendedMillis = 40_000L
+        lease.recordClock(clockMillis = 5_000 + suspendedMillis, receivedMillis = 5_000)
+        lease.onHeartbeatFormed(5_000)
+        lease.onHeartbeatKnown(5_000, isDurable = false)
+        val horizon = LeaseHorizon.NONE.after(1_000, isDurable = true, settings)
+            .after(5_000, isDurable = false, settings)
+        expectThat(lease.endOrNull(5_000, horizon, isDraining = false, settings)).isNull()
+    }
 }
