Announce no heartbeats while a roster without standbys may be durable

Rare: the registration has to fail for 13 s while records don't.

The owner announces nothing unless a roster in flight names it, too. A host counts from its own acknowledgement, whatever the roster names. And the owner's own acknowledgement is needed like the others', as it may succeed itself; before, a sole host confirmed without one.

An entry now leaves the roster after 5 s without registration, as one dead host keeps the others from confirming.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RosterRecord.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RosterRecord.kt
@@ -71,12 +71,10 @@
         recordedByMillis: Long,
         sightings: StoreSightings,
         settings: SchedulerSettings
-    ): Long = when {
-        standbys.isEmpty() -> recordedByMillis
-
-        sightings.host in standbys -> sightings.acknowledgedMillisOrNull(epoch)
+    ): Long {
+        val isInformed = standbys.isEmpty() || sightings.host in standbys
+        if (!isInformed) return recordedByMillis + SchedulerSettings.longestAnnouncedMillis()
+        return sightings.acknowledgedMillisOrNull(epoch)
             ?.let { settings.lapsedAfterHeartbeat(it) } ?: recordedByMillis
-
-        else -> recordedByMillis + SchedulerSettings.longestAnnouncedMillis()
     }
 }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Standbys.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Standbys.kt
@@ -73,6 +73,7 @@
     fun step(nowMillis: Long) {
         forgetHosts(nowMillis)
         val isAwaited = ownHost in recorded &&
+            inRecord?.contains(ownHost) != false &&
             nowMillis >= durableMillis + ANNOUNCE_AFTER_MILLIS &&
             nowMillis < durableMillis + SchedulerSettings.LONGEST_ANNOUNCED_MILLIS
         val dueMillis = lastAnnouncedMillis + SchedulerSettings.HEARTBEAT_INTERVAL_MILLIS
@@ -83,7 +84,6 @@
         if (announcements.size > MAX_ANNOUNCEMENTS) announcements.removeFirst()
         fleet.outbox += SchedulerAction.Announce(fleet.epoch, lastNumber, needed())
         logSilent(nowMillis)
-        confirm(nowMillis)
     }
 
     /**
@@ -95,9 +95,11 @@
         lastRegistered.values.removeAll { nowMillis > it + UNREGISTERED_MILLIS }
     }
 
-    /** Returns all hosts that a successor may find named as standbys. */
-    private fun needed(): Set<String> =
-        recorded + inRecord.orEmpty() + lastRegistered.keys - setOfNotNull(ownHost)
+    /**
+     * Returns all hosts that a successor may find named as standbys, this one included, which may
+     * succeed itself.
+     */
+    private fun needed(): Set<String> = recorded + inRecord.orEmpty() + lastRegistered.keys
 
     /** Records that [host] has acknowledged the heartbeat with [number]. */
     fun onAcknowledged(host: String, number: Long, nowMillis: Long) {
@@ -106,7 +108,7 @@
     }
 
     private fun confirm(nowMillis: Long) {
-        val number = needed().minOfOrNull { acknowledged[it] ?: 0 } ?: lastNumber
+        val number = needed().minOf { acknowledged[it] ?: 0 }
         val confirmed = announcements.lastOrNull { it.number <= number } ?: return
         while (announcements.first() !== confirmed) announcements.removeFirst()
         announcements.removeFirst()
@@ -144,7 +146,7 @@
         const val ANNOUNCE_AFTER_MILLIS = 2 * SchedulerSettings.HEARTBEAT_INTERVAL_MILLIS
 
         /** Entries of hosts that live are back in much less. */
-        const val UNREGISTERED_MILLIS = 10_000L
+        const val UNREGISTERED_MILLIS = 5_000L
 
         /** Leases become shorter after that. */
         const val SILENT_MILLIS = 3_000L
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
@@ -338,7 +338,8 @@
 
             is SchedulerAction.Announce -> if (mayAcknowledge(held.epoch)) {
                 acknowledged[held.epoch] = clock()
-                action.hosts.forEach { announce(held, action.number, it) }
+                scheduler.onHeartbeatAcknowledged(name, action.number, clock())
+                (action.hosts - name).forEach { announce(held, action.number, it) }
             }
 
             is SchedulerAction.AskStandbys -> action.hosts.forEach { ask(held, action, it) }
