End dial loops of earlier requests, and note hosts' addresses early

A peer's address that was dropped and dialled again while its connection lasted had two loops that redial it. Each loop has a token now, and ends if another one has taken its place.

A new owner didn't know the addresses of standbys whose entries had expired in the outage before. All hosts note the addresses of registered hosts.

--- a/daemon/src/main/kotlin/sycamoremast/daemon/peer/KtorPeerNetwork.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/peer/KtorPeerNetwork.kt
@@ -55,7 +55,9 @@
     private val selector = SelectorManager(dispatcher)
     private val connections = CopyOnWriteArrayList<PeerConnection>()
     private val newestIncarnations = ConcurrentHashMap<String, Long>()
-    private val dialTargets = ConcurrentHashMap<String, String>()
+
+    /** The addresses to dial, each with a token that ends the loops of earlier requests to dial. */
+    private val dialTargets = ConcurrentHashMap<String, Any>()
     private val lastRequestId = AtomicLong()
 
     @Volatile
@@ -92,8 +94,9 @@
 
     override fun dial(addresses: Set<String>) {
         for (peerAddress in addresses - address) {
-            if (dialTargets.putIfAbsent(peerAddress, "") == null) {
-                scope.launch { dialLoop(peerAddress) }
+            val token = Any()
+            if (dialTargets.putIfAbsent(peerAddress, token) == null) {
+                scope.launch { dialLoop(peerAddress, token) }
             }
         }
         dialTargets.keys.retainAll(addresses)
@@ -159,9 +162,9 @@
         }
     }
 
-    private suspend fun dialLoop(peerAddress: String) {
+    private suspend fun dialLoop(peerAddress: String, token: Any) {
         var attempt = 0
-        while (peerAddress in dialTargets.keys) {
+        while (dialTargets[peerAddress] === token) {
             if (isConnectedTo(peerAddress)) {
                 attempt = 0
             } else {
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Peering.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Peering.kt
@@ -69,7 +69,7 @@
         val mayOwnLargeFleet =
             registry.hosts.size >= MIN_HOSTS_FOR_RELAYS && !registry.hasStrongerHost
         if (isLargeFleet || mayOwnLargeFleet) peerRelays.connect()
-        standbys.releaseIdle()
+        standbys.refresh()
         if (!isLargeFleet || !registry.hasStrongerHost) return
         log.add("stronger-host-known", "hosts" to registry.hosts.size)
         onStrongerHost()
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/StandbyPeers.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/StandbyPeers.kt
@@ -3,8 +3,8 @@
  * other owners.
  *
  * A host that has the store doesn't acknowledge any, so that an owner which alone has lost it gives
- * way. Connections to standbys are opened for the first announcement, and given up some time after
- * the last.
+ * way. Connections to standbys are opened for the first message, and not opened again some time
+ * after the last.
  */
 package sycamoremast.daemon.workflow
 
@@ -65,12 +65,7 @@
     @Volatile
     private var lastUsedMillis: Long? = null
 
-    override val registeredHosts: Set<String>
-        get() {
-            val hosts = registry.hosts
-            hosts.forEach { (name, record) -> addresses[name] = record.peerAddress }
-            return hosts.keys
-        }
+    override val registeredHosts: Set<String> get() = registry.hosts.keys
 
     fun start() {
         network.handle(OwnerHeartbeat::class) { from, heartbeat ->
@@ -116,6 +111,7 @@
     override fun announce(epoch: Long, number: Long, hosts: Set<String>) {
         // This host may succeed itself, with a new term.
         if (!acknowledge(epoch)) return
+        onAcknowledged(ownName, epoch, number)
         if (lastUsedMillis == null) {
             log.add("heartbeats-announced", "epoch" to epoch, "hosts" to hosts.size)
         }
@@ -127,8 +123,9 @@
 
     private fun sendAll(hosts: Set<String>, message: PeerMessage) {
         lastUsedMillis = clock.nowMillis()
+        noteAddresses()
         targets.standbys = hosts.mapNotNullTo(HashSet()) { addresses[it] }
-        hosts.forEach { send(it, message) }
+        (hosts - ownName).forEach { send(it, message) }
     }
 
     /** Sends [message], which the next one replaces if [host] isn't connected yet. */
@@ -136,14 +133,18 @@
         network.send(host, message)
     }
 
-    /** Gives up connections to standbys that are no longer needed. */
-    fun releaseIdle() {
+    /** Notes the addresses of hosts, and stops connecting to standbys that need no message now. */
+    fun refresh() {
+        noteAddresses()
         val usedMillis = lastUsedMillis ?: return
         if (clock.nowMillis() < usedMillis + IDLE_MILLIS) return
         lastUsedMillis = null
         targets.standbys = emptySet()
     }
 
+    private fun noteAddresses() =
+        registry.hosts.forEach { (name, record) -> addresses[name] = record.peerAddress }
+
     private companion object {
         /** Outages often come in series. */
         const val IDLE_MILLIS = 10_000L
