Test of a worker that is limited in the roster as an outage begins

Hypothesis 2 of the postmortem: a worker that was silent for 1.8 s is named in the roster as one that gets no lease.

Acknowledgements could carry which limits no longer hold, but a standby that restarts has forgotten them and would have to wait 8 s from its start for every silent worker, also where owners and workers go together, which is what the limits are for.

--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/StoreOutageTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/StoreOutageTest.kt
@@ -21,6 +21,16 @@
         }
     }
 
+    // Guards against a limit in the roster that can't be taken back (LOST, issue 46).
+    @Test
+    fun `no run lapses in an outage on a worker that was silent for a moment before it`() {
+        for (seed in 1L..4) {
+            val schedule = SuccessionSchedule(seed, SuccessionFaults(emptySet()))
+            schedule.playOutage(OUTAGE_MILLIS, 10_000, silentMillis = 1_800)
+            expectThat(schedule.lapsedRuns).describedAs("seed $seed").isEqualTo(0)
+        }
+    }
+
     // Guards against an owner that goes on for longer than a new host assumes (TWICE).
     @Test
     fun `no task runs twice if hosts that acknowledge heartbeats are suspended`() {
