Keep what the owner knows of leases for its own next term (LOST)

A process now keeps when the leases end that its last term knew of, which is exact, as nobody else can have granted any of that epoch. Hosts that have acknowledged a heartbeat within 3 s leave the claim to that owner for 0.5 s.

It takes the store for lost only after a second without an answer.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/LeaseGrants.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/LeaseGrants.kt
@@ -51,7 +51,8 @@
             "first" to obstacles.keys.take(MAX_NAMED).joinToString(",") { it.id },
             "runs" to obstacles.keys.sumOf { it.placements.size },
             "leaseLeftMillis" to obstacles.keys.minOfOrNull { it.lease.remainingMillis(nowMillis) },
-            "leasesEndInMillis" to fleet.leaseHorizon.knownMillis - nowMillis
+            "leasesEndInMillis" to
+                (fleet.leaseHorizon.knownMillis - nowMillis).takeIf { fleet.isRosterDurable }
         )
     }
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RosterRecord.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RosterRecord.kt
@@ -42,6 +42,7 @@
         settings: SchedulerSettings,
         lastHeartbeat: RecordVersion?
     ): Long {
+        sightings.leaseEnds[epoch]?.get(worker)?.let { return it }
         val succeededMillis = sightings.claimedByMillis(epoch + 1)
         leasesLeft?.get(worker.id)?.let {
             return minOf(
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerAction.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerAction.kt
@@ -20,13 +20,13 @@
 
     /**
      * Announce the heartbeat [number] of the owner of [epoch] to [hosts]; each acknowledgement goes
-     * to [WorkflowScheduler.onHeartbeatAcknowledged].
+     * to [Succession.onHeartbeatAcknowledged].
      */
     data class Announce(val epoch: Long, val number: Long, val hosts: Set<String>) : SchedulerAction
 
     /**
      * Ask [hosts] when they last acknowledged a heartbeat of the owner of [lastEpoch], which the
-     * owner of [epoch] succeeds; each answer goes to [WorkflowScheduler.onStandbyAnswered].
+     * owner of [epoch] succeeds; each answer goes to [Succession.onStandbyAnswered].
      */
     data class AskStandbys(val epoch: Long, val lastEpoch: Long, val hosts: Set<String>) :
         SchedulerAction
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Standbys.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Standbys.kt
@@ -65,6 +65,7 @@
     /** Records that a heartbeat is durable which was formed at [formedMillis]. */
     fun onHeartbeatDurable(formedMillis: Long) {
         durableMillis = formedMillis
+        announcements.clear()
         if (areSilent) fleet.log("standbys-not-needed", "epoch-${fleet.epoch}")
         areSilent = false
     }
@@ -78,12 +79,12 @@
             nowMillis < durableMillis + SchedulerSettings.LONGEST_ANNOUNCED_MILLIS
         val dueMillis = lastAnnouncedMillis + SchedulerSettings.HEARTBEAT_INTERVAL_MILLIS
         if (!isAwaited || nowMillis < dueMillis) return
+        if (announcements.isNotEmpty()) logSilent(nowMillis)
         lastAnnouncedMillis = nowMillis
         fleet.onHeartbeatFormed(nowMillis)
         announcements += Announcement(++lastNumber, nowMillis)
         if (announcements.size > MAX_ANNOUNCEMENTS) announcements.removeFirst()
         fleet.outbox += SchedulerAction.Announce(fleet.epoch, lastNumber, needed())
-        logSilent(nowMillis)
     }
 
     /**
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/StoreSightings.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/StoreSightings.kt
@@ -10,7 +10,8 @@
  * [heartbeats], and a time before its own claim and after all records of earlier owners,
  * [claimedMillis]. By the times in [ends], the owners of these epochs had certainly ended, as they
  * were on this [host]. In [acknowledged] are the times at which it last acknowledged a heartbeat
- * that the owner of an epoch announced to it.
+ * that the owner of an epoch announced to it. If the owner of an epoch was this process, its leases
+ * have lapsed by [leaseEnds].
  */
 data class StoreSightings(
     val claimedMillis: Long,
@@ -19,7 +20,8 @@
     val heartbeats: Map<RecordVersion, Long> = emptyMap(),
     val ends: Map<Long, Long> = emptyMap(),
     val host: String = "",
-    val acknowledged: Map<Long, Long> = emptyMap()
+    val acknowledged: Map<Long, Long> = emptyMap(),
+    val leaseEnds: Map<Long, Map<WorkerRef, Long>> = emptyMap()
 ) {
     /** Returns a time not before the claim of [epoch], which may be this host's own. */
     fun claimedByMillis(epoch: Long): Long =
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -38,12 +38,8 @@
      */
     var arePlacesRecorded: Boolean by fleet::arePlacesRecorded
 
-    /**
-     * When the last heartbeat was formed that all standbys have acknowledged, or null.
-     *
-     * It allows the owner to act for as long as a renewal of its lease in the store does.
-     */
-    val confirmedMillis: Long? get() = standbys.confirmedMillis
+    /** What this owner shares with others that succeed it or that it succeeds. */
+    val succession = Succession(fleet, standbys, inheritedLeases, directory)
 
     /** How many times placement has examined a worker, as a measure of its cost. */
     val examinedWorkers: Long get() = fleet.examinedWorkers
@@ -128,37 +124,6 @@
     fun addRosteredWorker(ref: WorkerRef, lapsedByMillis: Long) =
         directory.addRosteredWorker(ref, lapsedByMillis)
 
-    /**
-     * Adds what the last owner recorded in [roster]; to be called before recovered workflows are
-     * added.
-     *
-     * [sightings] and [lastHeartbeat] tell how long leases that it granted may last.
-     */
-    fun addRoster(
-        roster: RosterRecord,
-        sightings: StoreSightings,
-        lastHeartbeat: RecordVersion?,
-        nowMillis: Long
-    ) {
-        if (roster.recordsPlaces) arePlacesRecorded = true
-        inheritedLeases.add(roster, sightings, lastHeartbeat, directory)
-        standbys.onInherited(roster.standbys, nowMillis)
-    }
-
-    /**
-     * Records that [host] last acknowledged a heartbeat of the owner of [lastEpoch] [millisAgo].
-     */
-    fun onStandbyAnswered(host: String, lastEpoch: Long, millisAgo: Long, nowMillis: Long) =
-        inheritedLeases.onAnswered(host, lastEpoch, millisAgo, nowMillis)
-
-    /** Updates the registered [hosts], of which [own] is the one of this owner. */
-    fun onHostsRegistered(own: String, hosts: Set<String>, nowMillis: Long) =
-        standbys.onRegistered(own, hosts, nowMillis)
-
-    /** Records that [host] has acknowledged the heartbeat [number] that was announced to it. */
-    fun onHeartbeatAcknowledged(host: String, number: Long, nowMillis: Long) =
-        standbys.onAcknowledged(host, number, nowMillis)
-
     /** Adds what an earlier owner has learned about interference between tasks. */
     fun restoreInterference(record: InterferenceRecord, unixMillis: Long) {
         val restored = tails.restore(record, unixMillis)
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
@@ -71,6 +71,7 @@
     /** When the last term of this host had ended, in this process or in an earlier one. */
     private var lastEndMillis = 0L
     private var startedMillis = 0L
+    private var leaseEnds = emptyMap<Long, Map<WorkerRef, Long>>()
 
     var isUp = false
         private set
@@ -99,7 +100,7 @@
             get() = clock() < renewedMillis + ModelStore.LEASE_TTL_MILLIS - LEASE_MARGIN_MILLIS
         val isOver: Boolean
             get() = clock() >= LONGEST_TERM_MILLIS +
-                maxOf(renewedMillis, scheduler.confirmedMillis ?: renewedMillis)
+                maxOf(renewedMillis, scheduler.succession.confirmedMillis ?: renewedMillis)
     }
 
     fun start() {
@@ -124,6 +125,7 @@
         heartbeatsSeen = HashMap()
         lastEpochSeen = 0
         acknowledged = HashMap()
+        leaseEnds = emptyMap()
     }
 
     /** Stops for [millis] between a reading of the clock and the actions that depend on it. */
@@ -197,7 +199,7 @@
         val held = term ?: return claimIfFree()
         if (held.begunMillis == null) return
         if (owner?.epoch != held.epoch) return endTerm(held, "owner key names $owner")
-        held.scheduler.onHostsRegistered(name, store.registeredHosts(), clock())
+        held.scheduler.succession.onHostsRegistered(name, store.registeredHosts(), clock())
         if (held.knownListings != world.listings) {
             held.knownListings = HashMap(world.listings)
             held.scheduler.onWorkersListed(held.knownListings.values.toList(), clock())
@@ -210,7 +212,7 @@
     private fun claimIfFree() {
         if (isClaiming || term != null || claimableVersionOrNull() == null) return
         isClaiming = true
-        after(world.delayMillis()) {
+        after(world.delayMillis() + returningOwnerDelayMillis()) {
             val version = claimableVersionOrNull()
             if (version == null) {
                 isClaiming = false
@@ -220,6 +222,13 @@
         }
     }
 
+    /** Returns how long to leave the claim to an owner that went on through an outage. */
+    private fun returningOwnerDelayMillis(): Long {
+        val last = acknowledged[lastEpochSeen] ?: return 0
+        val mayReturn = lastEpochSeen !in leaseEnds && clock() < last + JUST_ACKNOWLEDGED_MILLIS
+        return if (mayReturn) RETURNING_OWNER_CLAIM_DELAY_MILLIS else 0
+    }
+
     private fun claimableVersionOrNull(): Long? =
         seenOwnerVersion?.takeIf { seenOwner.let { it == null || it.host == name } }
 
@@ -244,7 +253,8 @@
                         heartbeatsSeen.toMap(),
                         listOfNotNull(replaced).associate { key -> key.epoch to lastEndMillis },
                         name,
-                        acknowledged.toMap()
+                        acknowledged.toMap(),
+                        leaseEnds
                     )
                     lastEpochSeen = maxOf(lastEpochSeen, it.first)
                     beginTerm(it.first, it.second, lease, startedMillis, sightings)
@@ -291,7 +301,7 @@
                     roster.lapsedByMillis(worker, next.sightings, settings, state.heartbeat)
                 world.log("  roster ${worker.id} lapsed by ${lapsedBy - clock()} ms from now")
             }
-            next.scheduler.addRoster(roster, next.sightings, state.heartbeat, clock())
+            next.scheduler.succession.addRoster(roster, next.sightings, state.heartbeat, clock())
         }
         state.jobs.forEach {
             next.scheduler.onWorkflowAccepted(it, state.progress[it.id], true, clock(), time.now)
@@ -338,7 +348,7 @@
 
             is SchedulerAction.Announce -> if (mayAcknowledge(held.epoch)) {
                 acknowledged[held.epoch] = clock()
-                scheduler.onHeartbeatAcknowledged(name, action.number, clock())
+                scheduler.succession.onHeartbeatAcknowledged(name, action.number, clock())
                 (action.hosts - name).forEach { announce(held, action.number, it) }
             }
 
@@ -357,7 +367,7 @@
                 world.tell(standby, name) {
                     inProcess(started) {
                         if (held.isOpen) {
-                            held.scheduler.onHeartbeatAcknowledged(standby, number, clock())
+                            held.scheduler.succession.onHeartbeatAcknowledged(standby, number, clock())
                         }
                     }
                 }
@@ -381,7 +391,7 @@
                 world.tell(standby, name) {
                     inProcess(started) {
                         if (held.isOpen) {
-                            held.scheduler.onStandbyAnswered(
+                            held.scheduler.succession.onStandbyAnswered(
                                 standby,
                                 question.lastEpoch,
                                 millisAgo,
@@ -489,6 +499,7 @@
         if (!held.isOpen) return
         held.isOpen = false
         term = null
+        leaseEnds = mapOf(held.epoch to held.scheduler.succession.leaseEnds())
         isRenewing = false
         lastEndMillis = clock()
         world.log("$name ends epoch ${held.epoch}: $reason")
@@ -525,6 +536,8 @@
         const val RENEWAL_INTERVAL_MILLIS = 400L
         const val LEASE_MARGIN_MILLIS = 200L
         const val HANDOVER_MILLIS = 300L
+        const val JUST_ACKNOWLEDGED_MILLIS = 3_000L
+        const val RETURNING_OWNER_CLAIM_DELAY_MILLIS = 500L
         val LONGEST_TERM_MILLIS = SchedulerSettings.actingMillis(ModelStore.LEASE_TTL_MILLIS) -
             LEASE_MARGIN_MILLIS
     }
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/StoreOutageTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/StoreOutageTest.kt
@@ -4,6 +4,7 @@
 import strikt.api.expectThat
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThan
 
 /** Tests of outages of the store in which the owner stays in touch with hosts and workers. */
 class StoreOutageTest {
@@ -21,6 +22,16 @@
         }
     }
 
+    // Guards against a new term that forgets when the lease of a lost worker ends (LOST, issue 46).
+    @Test
+    fun `restarts tasks of a worker that is lost in an outage within three seconds of its end`() {
+        for (seed in 1L..8) {
+            val schedule = SuccessionSchedule(seed, SuccessionFaults(emptySet()))
+            expectThat(schedule.playOutageWithCrash(OUTAGE_MILLIS, 18_000))
+                .describedAs("seed $seed").isLessThan(3_000)
+        }
+    }
+
     // Guards against a limit in the roster that can't be taken back (LOST, issue 46).
     @Test
     fun `no run lapses in an outage on a worker that was silent for a moment before it`() {
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionSchedule.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionSchedule.kt
@@ -81,6 +81,7 @@
     private val late = HashSet<TaskName>()
     private var lastAddress = 0
     private var lastHost = HOSTS
+    private var restoredMillis: Long? = null
     val violations: List<Violation> get() = monitor.violations
     val log = ArrayList<String>()
 
@@ -108,8 +109,39 @@
      */
     fun playOutage(fromMillis: Long, millis: Long, silentMillis: Long = 0) {
         begin()
+        playOutageOnly(fromMillis, millis, silentMillis)
+    }
+
+    /**
+     * Like [playOutage], with worker w1 lost for good in the middle of the outage; returns how long
+     * after the outage all lasting tasks run again.
+     */
+    fun playOutageWithCrash(fromMillis: Long, millis: Long): Long {
+        begin()
+        val crashed = workers.values.first()
+        time.at(fromMillis + millis / 2) { crashed.crash() }
+        time.at(fromMillis + millis) { unlist(crashed) }
+        awaitLasting(fromMillis + millis)
+        playOutageOnly(fromMillis, millis)
+        return checkNotNull(restoredMillis) { "the lasting tasks never run" } - fromMillis - millis
+    }
+
+    private fun awaitLasting(fromMillis: Long) {
+        time.at(fromMillis) {
+            val running = workers.values.filter { it.isUp }.flatMap { it.running }
+            if (running.count { it.workflow == LASTING } == LASTING_TASKS) {
+                restoredMillis = now
+            } else {
+                awaitLasting(now + OBSERVE_MILLIS)
+            }
+        }
+    }
+
+    private fun playOutageOnly(fromMillis: Long, millis: Long, silentMillis: Long = 0) {
         if (silentMillis > 0) {
-            time.at(fromMillis - silentMillis) { hosts.forEach { cut(it.name, "w1", silentMillis) } }
+            time.at(fromMillis - silentMillis) {
+                hosts.forEach { cut(it.name, "w1", silentMillis) }
+            }
         }
         time.at(fromMillis) { store.goDown() }
         time.at(fromMillis + millis) { store.comeUp() }
@@ -221,31 +253,40 @@
             SuccessionFault.SUSPEND_HOST ->
                 host.freeze(random.nextLong(MAX_SUSPEND_MILLIS), isClockCounting = false)
 
+            SuccessionFault.REPLACE_HOST -> replace(host)
+
+            SuccessionFault.CRASH_WORKER, SuccessionFault.CUT_WORKER,
+            SuccessionFault.MOVE_WORKER, SuccessionFault.DRAIN_WORKER ->
+                if (current != null) occur(kind, current)
+
+            else -> lose(kind, host)
+        }
+    }
+
+    /** Cuts [host] or others off, or takes the store away. */
+    private fun lose(kind: SuccessionFault, host: ModelHost) {
+        when (kind) {
             SuccessionFault.CUT_HOST_FROM_STORE -> cut(host.name, HostWorld.STORE)
 
             SuccessionFault.CUT_HOST_FROM_WORKER ->
                 cut(host.name, "w${1 + random.nextInt(WORKERS)}")
 
+            SuccessionFault.CUT_HOST_FROM_HOST -> cut(host.name, hosts.random(random).name)
+
             SuccessionFault.STORE_OUTAGE -> {
                 store.goDown()
                 time.at(now + random.nextLong(MAX_CUT_MILLIS)) { store.comeUp() }
             }
 
-            SuccessionFault.REVOKE_KEY -> revokeKey()
-
-            SuccessionFault.CUT_HOST_FROM_HOST -> {
-                val millis = random.nextLong(MAX_CUT_MILLIS)
-                cut(host.name, hosts.random(random).name, millis)
-            }
+            SuccessionFault.PARTIAL_OUTAGE -> loseStoreOfMost()
 
-            SuccessionFault.REPLACE_HOST -> replace(host)
+            SuccessionFault.REVOKE_KEY -> revokeKey()
 
-            SuccessionFault.PARTIAL_OUTAGE -> loseStoreOfMost()
+            SuccessionFault.SPLIT -> split(isKeyRevoked = false)
 
-            SuccessionFault.SPLIT, SuccessionFault.REVOKE_KEY_AND_SPLIT ->
-                split(isKeyRevoked = kind == SuccessionFault.REVOKE_KEY_AND_SPLIT)
+            SuccessionFault.REVOKE_KEY_AND_SPLIT -> split(isKeyRevoked = true)
 
-            else -> if (current != null) occur(kind, current)
+            else -> error("not a loss of contact: $kind")
         }
     }
 
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Election.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Election.kt
@@ -225,12 +225,15 @@
      * Returns how long this host leaves the claim of [free] to others.
      *
      * A host that has not seen when the owner wrote its last heartbeat would have to wait longer for
-     * workers that don't answer.
+     * workers that don't answer. An owner that went on through an outage of the store knows best when
+     * their leases end.
      */
     private fun claimDelayMillis(free: OwnerKeyState): Long {
         val isUninformed = free.record == null && history.isUninformed
+        val mayOwnerReturn = history.hasJustAcknowledged && history.lastClaim?.host != host
         return (if (hasStrongerHost()) WEAK_HOST_CLAIM_DELAY_MILLIS else 0) +
-            if (isUninformed) UNINFORMED_CLAIM_DELAY_MILLIS else 0
+            (if (isUninformed) UNINFORMED_CLAIM_DELAY_MILLIS else 0) +
+            if (mayOwnerReturn) RETURNING_OWNER_CLAIM_DELAY_MILLIS else 0
     }
 
     private fun beginTerm(held: HeldTerm) {
@@ -316,6 +319,9 @@
 
         /** Several times as long as a host takes to learn that the owner's key was deleted. */
         const val UNINFORMED_CLAIM_DELAY_MILLIS = 300L
+
+        /** As long as an owner takes to notice that its lease has ended, and to claim again. */
+        const val RETURNING_OWNER_CLAIM_DELAY_MILLIS = 500L
         const val JOIN_TIMEOUT_MILLIS = 500L
     }
 }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/MonitoredStore.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/MonitoredStore.kt
@@ -42,6 +42,9 @@
     /** Whether a call is expected to fail. */
     val isUnavailable: Boolean get() = silenceMillis > MIN_OUTAGE_SILENCE_MILLIS
 
+    /** Whether the store is lost: it has not answered for longer than a call takes to fail. */
+    val isLost: Boolean get() = silenceMillis >= MIN_LOSS_SILENCE_MILLIS
+
     private fun <T> monitored(
         call: String,
         answer: () -> Either<StoreError, T>
@@ -89,5 +92,8 @@
 
         /** The usual duration of several calls, within which a prefix follower fails as well. */
         const val MIN_OUTAGE_SILENCE_MILLIS = 300L
+
+        /** Calls that were open when the store came back may still fail for this long. */
+        const val MIN_LOSS_SILENCE_MILLIS = 1_000L
     }
 }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/OwnerHistory.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/OwnerHistory.kt
@@ -87,6 +87,11 @@
         if (key == heartbeatKey) hasSeenHeartbeat = true
     }
 
+    /** Whether this host has just acknowledged a heartbeat, so that the owner may still be there. */
+    val hasJustAcknowledged: Boolean
+        get() = acknowledged.lastEntry()
+            ?.let { clock.nowMillis() - it.value < JUST_ACKNOWLEDGED_MILLIS } == true
+
     /**
      * Returns how long ago this host last acknowledged a heartbeat of the owner of [lastEpoch], or
      * may have done so in an earlier process, for the owner of [epoch]. From now on, no heartbeat
@@ -137,6 +142,9 @@
         ConcurrentSkipListMap<RecordVersion, Long>(compareBy({ it.epoch }, { it.batch }))
 
     private companion object {
+        /** Longer than hosts take to notice that the store is back. */
+        const val JUST_ACKNOWLEDGED_MILLIS = 3_000L
+
         /** Far more than there are owners, rosters or heartbeats within the longest lease. */
         const val MAX_SIGHTINGS = 64
     }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
@@ -19,6 +19,7 @@
 import sycamoremast.coordination.workflow.RosterRecord
 import sycamoremast.coordination.workflow.RunPort
 import sycamoremast.coordination.workflow.SchedulerSettings
+import sycamoremast.coordination.workflow.WorkerRef
 import sycamoremast.coordination.workflow.WorkflowProgress
 import sycamoremast.coordination.workflow.WorkflowScheduler
 import sycamoremast.daemon.log.EventLog
@@ -53,8 +54,13 @@
     var dispatch: OrderDispatch? = null
         private set
     private var followers = emptyList<PrefixFollower>()
+    private var epoch = 0L
+
+    /** The times by which the leases of this process's last term have lapsed, by its epoch. */
+    private var leaseEnds = emptyMap<Long, Map<WorkerRef, Long>>()
 
     override fun onBegin(term: Term) {
+        epoch = term.epoch
         val writer = RecordWriter(store, set, term, log)
         val scheduler = WorkflowScheduler(term.epoch, settings)
         val sender = OrderDispatch(term.epoch, runs, relays, clock, log).start()
@@ -142,7 +148,8 @@
                 term.sightings.acknowledgedMillisOrNull(roster.epoch)
                     ?.let { clock.nowMillis() - it }
         )
-        addRoster(roster, term.sightings, heartbeat)
+        val sightings = term.sightings.copy(leaseEnds = leaseEnds)
+        updateSuccession { addRoster(roster, sightings, heartbeat, it) }
     }
 
     /** Passes on what [entry] holds; a scheduler without it learns anew. */
@@ -180,6 +187,7 @@
         } else {
             endingLoop.close()
         }
+        endingLoop.leaseEnds?.let { leaseEnds = mapOf(epoch to it) }
     }
 
     companion object {
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
@@ -14,19 +14,17 @@
 import sycamoremast.coordination.MonotonicClock
 import sycamoremast.coordination.workflow.InterferenceRecord
 import sycamoremast.coordination.workflow.RecordBatch
-import sycamoremast.coordination.workflow.RecordVersion
-import sycamoremast.coordination.workflow.RosterRecord
 import sycamoremast.coordination.workflow.RunPort
 import sycamoremast.coordination.workflow.SchedulerAction
-import sycamoremast.coordination.workflow.StoreSightings
+import sycamoremast.coordination.workflow.Succession
 import sycamoremast.coordination.workflow.WorkerListing
+import sycamoremast.coordination.workflow.WorkerRef
 import sycamoremast.coordination.workflow.Workflow
 import sycamoremast.coordination.workflow.WorkflowPhase
 import sycamoremast.coordination.workflow.WorkflowProgress
 import sycamoremast.coordination.workflow.WorkflowScheduler
 import sycamoremast.coordination.workflow.WorkflowStatus
 import sycamoremast.daemon.log.EventLog
-import sycamoremast.daemon.peer.StandbyAnswer
 
 /** Runs [scheduler] for one term of ownership; [onDeposed] is called when the term has to end. */
 internal class SchedulerLoop(
@@ -60,6 +58,19 @@
     private var lastStepMillis = Long.MIN_VALUE / 2
     private val thread = Thread(::run, "scheduler").apply { isDaemon = true }
 
+    /** The epoch of the term. */
+    val epoch: Long get() = scheduler.epoch
+
+    /**
+     * The times by which leases have lapsed that the term has granted or inherited, once it is
+     * closed; null if the scheduler's thread doesn't end in time.
+     */
+    val leaseEnds: Map<WorkerRef, Long>?
+        get() {
+            thread.join(JOIN_TIMEOUT_MILLIS)
+            return if (thread.isAlive) null else scheduler.succession.leaseEnds()
+        }
+
     fun start() = apply { thread.start() }
 
     /** Returns the status of the workflow [id], or null if the scheduler doesn't know it. */
@@ -95,25 +106,16 @@
 
     fun removeWorker(id: String) = enqueue { scheduler.onWorkerUnlisted(id) }
 
-    /** Adds the [roster] of the previous owner, of which this host knows by [sightings]. */
-    fun addRoster(roster: RosterRecord, sightings: StoreSightings, lastHeartbeat: RecordVersion?) =
-        enqueue { scheduler.addRoster(roster, sightings, lastHeartbeat, nowMillis()) }
+    /** Passes a message of another host, or what is inherited from the last owner, with the time. */
+    fun updateSuccession(input: Succession.(nowMillis: Long) -> Unit) = enqueue {
+        scheduler.succession.input(nowMillis())
+    }
 
     /** Adds what an earlier owner has learned about interference between tasks. */
     fun restoreInterference(record: InterferenceRecord) = enqueue {
         scheduler.restoreInterference(record, unixMillis())
     }
 
-    /** Adds the [answer] of standby [host] of the previous owner. */
-    fun addStandbyAnswer(host: String, answer: StandbyAnswer) = enqueue {
-        scheduler.onStandbyAnswered(host, answer.lastEpoch, answer.millisAgo, nowMillis())
-    }
-
-    /** Records that [host] has acknowledged the heartbeat [number] of this term's [epoch]. */
-    fun acknowledgeHeartbeat(host: String, epoch: Long, number: Long) = enqueue {
-        if (epoch == scheduler.epoch) scheduler.onHeartbeatAcknowledged(host, number, nowMillis())
-    }
-
     /** Applies the policies of [table]. */
     fun updateRouting(table: RoutingTable) = enqueue {
         scheduler.updatePolicies(table.queues, table.guardingServices)
@@ -161,19 +163,17 @@
         if (lease == LeaseState.OVER) return endTerm("lease ended long ago")
         val isSoleOwner = lease == LeaseState.VALID
         val isCountDue = lastStepMillis >= nextCountMillis
-        if (isCountDue) updateHosts()
+        val hosts = standbys.registeredHosts
+        if (isCountDue && hosts.isNotEmpty()) {
+            scheduler.succession.onHostsRegistered(standbys.ownName, hosts, lastStepMillis)
+        }
         scheduler.step(lastStepMillis, unixMillis(), isSoleOwner).forEach(::execute)
-        confirmedMillis = scheduler.confirmedMillis
+        confirmedMillis = scheduler.succession.confirmedMillis
         if (!isCountDue) return
         nextCountMillis = lastStepMillis + COUNT_INTERVAL_MILLIS
         waitingCounts = scheduler.waitingByQueue()
     }
 
-    private fun updateHosts() {
-        val hosts = standbys.registeredHosts
-        if (hosts.isNotEmpty()) scheduler.onHostsRegistered(standbys.ownName, hosts, nowMillis())
-    }
-
     private fun execute(action: SchedulerAction) {
         when (action) {
             is SchedulerAction.Start -> runs.start(action.order) {
@@ -276,6 +276,9 @@
         /** Each step examines all waiting work; this interval delays no start or end noticeably. */
         const val MIN_STEP_INTERVAL_MILLIS = 4L
         const val COUNT_INTERVAL_MILLIS = 100L
+
+        /** Several times as long as a step takes. */
+        const val JOIN_TIMEOUT_MILLIS = 200L
         val QUEUED = WorkflowStatus(WorkflowPhase.QUEUED)
     }
 }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowHost.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowHost.kt
@@ -101,12 +101,18 @@
     }
 
     private fun connectStandbys(standbys: StandbyPeers) {
-        standbys.hasStore = { !store.isUnavailable }
+        standbys.hasStore = { !store.isLost }
         standbys.acknowledge = election::acknowledgeHeartbeat
         standbys.answer = { election.acknowledgedMillisAgo(it.epoch, it.lastEpoch) }
-        standbys.onAnswered = { host, answer -> ownership.loop?.addStandbyAnswer(host, answer) }
+        standbys.onAnswered = { host, answer ->
+            ownership.loop?.updateSuccession {
+                onStandbyAnswered(host, answer.lastEpoch, answer.millisAgo, it)
+            }
+        }
         standbys.onAcknowledged = { host, epoch, number ->
-            ownership.loop?.acknowledgeHeartbeat(host, epoch, number)
+            ownership.loop?.takeIf { it.epoch == epoch }?.updateSuccession {
+                onHeartbeatAcknowledged(host, number, it)
+            }
         }
     }
 
