--- /dev/null
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/StandbysTest.kt
@@ -0,0 +1,421 @@
+package sycamoremast.coordination.workflow
+
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.all
+import strikt.assertions.contains
+import strikt.assertions.hasSize
+import strikt.assertions.isA
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isGreaterThanOrEqualTo
+import strikt.assertions.isLessThan
+import strikt.assertions.isLessThanOrEqualTo
+import strikt.assertions.isNotEmpty
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
+
+class StandbysTest {
+    /** What the owner does at a time; [polls] are those sent then. */
+    private class Moment(
+        val millis: Long,
+        val announced: List<SchedulerAction.Announce>,
+        val rosters: List<RecordBatch>,
+        val polls: List<PollOrder>,
+        val events: List<SchedulerEvent>
+    )
+
+    private val driver = SchedulerDriver()
+    private val scheduler get() = driver.scheduler
+    private val settings = SchedulerSettings()
+
+    /** The row of the long-running task in reports, once it runs. */
+    private var row: RunningRow? = null
+
+    /** The hosts that acknowledge announcements. */
+    private val answering = HashSet<String>()
+
+    /** When the last heartbeat was formed that became durable at once. */
+    private var durableMillis = 0L
+
+    private fun register(vararg hosts: String, own: String = "h1") =
+        scheduler.onHostsRegistered(own, hosts.toSet(), driver.now)
+
+    /** Lets [millis] pass, in which w1 answers all polls. */
+    private fun play(millis: Long): List<Moment> = buildList {
+        val until = driver.now + millis
+        while (driver.now < until) add(step())
+    }
+
+    private fun step(): Moment {
+        val before = driver.polls.toSet()
+        val actions = driver.step(STEP_MILLIS).toList()
+        val now = driver.now
+        val batches = actions.filterIsInstance<SchedulerAction.Record>().map { it.batch }
+        if (driver.areRecordsDurableAtOnce && batches.any { it.isHeartbeat }) durableMillis = now
+        val polls = driver.polls.filter { it !in before }
+        driver.polls.forEach { driver.report(it, listOfNotNull(row)) }
+        val announced = actions.filterIsInstance<SchedulerAction.Announce>()
+        for (heartbeat in announced) {
+            (heartbeat.hosts intersect answering).forEach { acknowledge(it, heartbeat) }
+        }
+        return Moment(
+            now,
+            announced,
+            batches.filter { it.roster != null },
+            polls,
+            actions.filterIsInstance<SchedulerAction.Log>().map { it.event }
+        )
+    }
+
+    private fun acknowledge(host: String, heartbeat: SchedulerAction.Announce) =
+        scheduler.onHeartbeatAcknowledged(host, heartbeat.number, driver.now)
+
+    /** Registers [hosts], of which h1 is the owner, and starts a long-running task on w1. */
+    private fun begin(vararg hosts: String) {
+        if (hosts.isNotEmpty()) register(*hosts)
+        startTask()
+    }
+
+    private fun startTask() {
+        driver.listWorkers("w1")
+        driver.submit(driver.workflow("job", driver.taskStep().copy(isLongRunning = true)))
+        repeat(20) {
+            driver.step()
+            driver.starts.firstOrNull()?.let { order ->
+                driver.confirmStart(order)
+                row = RunningRow(order.task, order.run, "", percent = 100, null)
+                play(2_000)
+                return
+            }
+            driver.polls.forEach { driver.report(it) }
+        }
+        error("the task never starts")
+    }
+
+    /** From now on nothing becomes durable; [hosts] acknowledge announcements. */
+    private fun loseStore(vararg hosts: String) {
+        driver.areRecordsDurableAtOnce = false
+        driver.isSoleOwner = false
+        answering += hosts
+    }
+
+    private val List<Moment>.announced get() = flatMap { it.announced }
+    private val List<Moment>.polls get() = flatMap { it.polls }
+    private val List<Moment>.rosters get() = flatMap { it.rosters }
+
+    private fun List<Moment>.events(name: String) = flatMap { it.events }.filter { it.name == name }
+
+    /** Returns the lease ends that polls grant from [millis] after the last durable heartbeat. */
+    private fun List<Moment>.leaseEndsAfter(millis: Long) =
+        polls.filter { it.sentMillis >= durableMillis + millis }.map { it.leaseEndMillis }
+
+    @Test
+    fun `names all registered hosts in the roster`() {
+        register("h1", "h2", "h3")
+        driver.scheduler.onWorkersListed(listOf(driver.listing("w1")), driver.now)
+        expectThat(play(1_000).rosters.last().standbys).isEqualTo(setOf("h1", "h2", "h3"))
+    }
+
+    @Test
+    fun `announces nothing while heartbeats become durable`() {
+        begin("h1", "h2", "h3")
+        expectThat(play(40_000).announced).isEmpty()
+        expectThat(scheduler.confirmedMillis).isNull()
+    }
+
+    @Test
+    fun `announces a heartbeat each 600 ms once none has been durable for 1200 ms`() {
+        begin("h1", "h2", "h3")
+        loseStore()
+        val moments = play(5_000).filter { it.announced.isNotEmpty() }
+        expectThat(moments.first().millis).isEqualTo(durableMillis + 1_200)
+        expectThat(moments.zipWithNext { a, b -> b.millis - a.millis }).isNotEmpty().all {
+            isEqualTo(600)
+        }
+        val announced = moments.announced
+        expectThat(announced).all { get { epoch }.isEqualTo(1) }
+        expectThat(announced).all { get { hosts }.isEqualTo(setOf("h2", "h3")) }
+        expectThat(announced.map { it.number }).isEqualTo(announced.indices.map { it + 1L })
+    }
+
+    @Test
+    fun `announces nothing once heartbeats become durable again`() {
+        begin("h1", "h2")
+        loseStore("h2")
+        expectThat(play(5_000).announced).isNotEmpty()
+        scheduler.onBatchDurable()
+        driver.areRecordsDurableAtOnce = true
+        play(100)
+        expectThat(play(5_000).announced).isEmpty()
+    }
+
+    @Test
+    fun `announces nothing if this host is not registered`() {
+        begin("h2", "h3")
+        loseStore("h2", "h3")
+        val moments = play(10_000)
+        expectThat(moments.announced).isEmpty()
+        expectThat(moments.leaseEndsAfter(settings.leaseHorizonMillis)).isNotEmpty()
+            .all { isNull() }
+    }
+
+    @Test
+    fun `announces nothing if the roster names no standbys`() {
+        begin()
+        loseStore("h2")
+        register("h1", "h2")
+        val moments = play(10_000)
+        expectThat(moments.announced).isEmpty()
+        expectThat(moments.leaseEndsAfter(settings.leaseHorizonMillis)).isNotEmpty()
+            .all { isNull() }
+    }
+
+    // Guards against an owner that relies on a roster which was written, but isn't durable.
+    @Test
+    fun `announces nothing while the roster that names standbys is not durable`() {
+        begin()
+        driver.areRecordsDurableAtOnce = false
+        register("h1", "h2")
+        answering += "h2"
+        val moments = play(10_000)
+        expectThat(moments.rosters.map { it.standbys }).isEqualTo(listOf(setOf("h1", "h2")))
+        expectThat(moments.announced).isEmpty()
+    }
+
+    @Test
+    fun `grants leases while all standbys acknowledge`() {
+        begin("h1", "h2", "h3")
+        loseStore("h2", "h3")
+        val polls = play(25_000).polls.filter { it.sentMillis > durableMillis + 2_000 }
+        expectThat(polls.last().sentMillis).isGreaterThan(durableMillis + 20_000)
+        // The worker's clock was read a step ago.
+        val full = settings.leaseMillis - settings.maxDrift(STEP_MILLIS)
+        expectThat(polls).all {
+            get { leaseEndMillis }.isNotNull()
+            get { leaseEndMillis!! - sentMillis }.isEqualTo(full)
+        }
+        expectThat(scheduler.confirmedMillis).isNotNull().isGreaterThan(driver.now - 1_000)
+    }
+
+    @Test
+    fun `grants no lease past the last durable heartbeat's while one standby is silent`() {
+        begin("h1", "h2", "h3")
+        loseStore("h2")
+        val moments = play(15_000)
+        val lastEnd = durableMillis + settings.leaseHorizonMillis
+        expectThat(moments.polls.mapNotNull { it.leaseEndMillis }).isNotEmpty()
+            .all { isLessThanOrEqualTo(lastEnd) }
+        expectThat(moments.leaseEndsAfter(settings.leaseHorizonMillis)).isNotEmpty()
+            .all { isNull() }
+        expectThat(scheduler.confirmedMillis).isNull()
+    }
+
+    @Test
+    fun `grants no lease past the last confirmed heartbeat's once a standby becomes silent`() {
+        begin("h1", "h2", "h3")
+        loseStore("h2", "h3")
+        play(10_000)
+        answering -= "h3"
+        val confirmed = checkNotNull(scheduler.confirmedMillis)
+        val moments = play(12_000)
+        expectThat(scheduler.confirmedMillis).isEqualTo(confirmed)
+        expectThat(moments.polls.mapNotNull { it.leaseEndMillis }).isNotEmpty()
+            .all { isLessThanOrEqualTo(confirmed + settings.leaseHorizonMillis) }
+        expectThat(moments.last { it.polls.isNotEmpty() }.polls.map { it.leaseEndMillis })
+            .all { isNull() }
+    }
+
+    @Test
+    fun `counts from the heartbeat that the last standby has acknowledged`() {
+        begin("h1", "h2", "h3")
+        loseStore("h2")
+        val moments = play(5_000).filter { it.announced.isNotEmpty() }
+        acknowledge("h3", moments[1].announced.single())
+        expectThat(scheduler.confirmedMillis).isEqualTo(moments[1].millis)
+        acknowledge("h3", moments[0].announced.single())
+        expectThat(scheduler.confirmedMillis).isEqualTo(moments[1].millis)
+    }
+
+    @Test
+    fun `needs the acknowledgement of a host that registers in an outage`() {
+        begin("h1", "h2")
+        loseStore("h2")
+        play(5_000)
+        register("h1", "h2", "h3")
+        val confirmed = checkNotNull(scheduler.confirmedMillis)
+        val moments = play(5_000)
+        expectThat(moments.announced).all { get { hosts }.isEqualTo(setOf("h2", "h3")) }
+        expectThat(scheduler.confirmedMillis).isEqualTo(confirmed)
+        answering += "h3"
+        play(1_000)
+        expectThat(scheduler.confirmedMillis).isNotNull().isGreaterThan(confirmed + 5_000)
+    }
+
+    // Guards against an owner that no longer needs a host which the durable roster names.
+    @Test
+    fun `needs a host of the durable roster whose entry is gone for however long`() {
+        begin("h1", "h2", "h3")
+        loseStore("h2")
+        register("h1", "h2")
+        val moments = play(25_000)
+        expectThat(moments.announced).isNotEmpty().all {
+            get { hosts }.isEqualTo(setOf("h2", "h3"))
+        }
+        expectThat(scheduler.confirmedMillis).isNull()
+    }
+
+    // Guards against an owner that doesn't need the hosts of a roster which may be durable.
+    @Test
+    fun `needs the hosts of a roster in flight`() {
+        begin("h1", "h2")
+        register("h1", "h2", "h3")
+        loseStore("h2")
+        expectThat(play(500).rosters.map { it.standbys }).isEqualTo(listOf(setOf("h1", "h2", "h3")))
+        register("h1", "h2")
+        val moments = play(25_000)
+        expectThat(moments.announced).isNotEmpty().all { get { hosts }.contains("h3") }
+        expectThat(scheduler.confirmedMillis).isNull()
+    }
+
+    @Test
+    fun `confirms heartbeats itself if it is the only standby`() {
+        begin("h1")
+        loseStore()
+        val moments = play(10_000)
+        expectThat(moments.announced).isNotEmpty().all { get { hosts }.isEmpty() }
+        expectThat(scheduler.confirmedMillis).isNotNull().isGreaterThan(driver.now - 1_000)
+    }
+
+    @Test
+    fun `stops 30 s after the last durable heartbeat`() {
+        begin("h1", "h2")
+        loseStore("h2")
+        val moments = play(45_000)
+        val last = moments.last { it.announced.isNotEmpty() }.millis - durableMillis
+        expectThat(last).isLessThan(SchedulerSettings.LONGEST_ANNOUNCED_MILLIS)
+            .isGreaterThanOrEqualTo(SchedulerSettings.LONGEST_ANNOUNCED_MILLIS - 600)
+        val lastEnd = durableMillis + last + settings.leaseHorizonMillis
+        expectThat(moments.polls.mapNotNull { it.leaseEndMillis })
+            .all { isLessThanOrEqualTo(lastEnd) }
+        expectThat(moments.leaseEndsAfter(last + settings.leaseHorizonMillis)).isNotEmpty()
+            .all { isNull() }
+    }
+
+    @Test
+    fun `drops a host from the roster whose entry has been gone for 10 s`() {
+        begin("h1", "h2", "h3")
+        register("h1", "h2")
+        expectThat(play(9_900).rosters).isEmpty()
+        expectThat(play(10_000).rosters.map { it.standbys }).isEqualTo(listOf(setOf("h1", "h2")))
+    }
+
+    @Test
+    fun `keeps a host in the roster whose entry is gone for less than 10 s`() {
+        begin("h1", "h2", "h3")
+        register("h1", "h2")
+        val gone = play(9_900)
+        register("h1", "h2", "h3")
+        expectThat((gone + play(20_000)).rosters).isEmpty()
+    }
+
+    @Test
+    fun `drops an inherited standby that is not registered within 10 s`() {
+        scheduler.addInheritedStandbys(setOf("h1", "h2", "h9"), driver.now)
+        begin("h1", "h2")
+        loseStore("h2")
+        expectThat(play(3_000).announced.last().hosts).contains("h9")
+        scheduler.onBatchDurable()
+        driver.areRecordsDurableAtOnce = true
+        expectThat(play(20_000).rosters.map { it.standbys }).isEqualTo(listOf(setOf("h1", "h2")))
+    }
+
+    @Test
+    fun `records the roster once for a host that registers`() {
+        begin("h1", "h2")
+        expectThat(play(20_000).rosters).isEmpty()
+        register("h1", "h2", "h3")
+        expectThat(play(20_000).rosters.map { it.standbys })
+            .isEqualTo(listOf(setOf("h1", "h2", "h3")))
+    }
+
+    @Test
+    fun `does not record the roster again and again if this host is not registered`() {
+        begin("h2", "h3")
+        expectThat(play(20_000).rosters).isEmpty()
+    }
+
+    @Test
+    fun `records the roster once for all changes of an outage`() {
+        begin("h1", "h2", "h3")
+        loseStore("h2", "h3")
+        play(1_000)
+        register("h1", "h2", "h4")
+        expectThat(play(15_000).rosters).isEmpty()
+        scheduler.onBatchDurable()
+        driver.areRecordsDurableAtOnce = true
+        expectThat(play(20_000).rosters.map { it.standbys })
+            .isEqualTo(listOf(setOf("h1", "h2", "h4")))
+    }
+
+    // Guards against leases that become shorter when the store returns.
+    @Test
+    fun `is not affected by a late durable heartbeat formed before a confirmed one`() {
+        begin("h1", "h2")
+        loseStore("h2")
+        play(10_000)
+        val confirmed = scheduler.confirmedMillis
+        scheduler.onBatchDurable()
+        expectThat(scheduler.confirmedMillis).isNotNull().isEqualTo(confirmed)
+        answering.clear()
+        val polls = play(1_500).polls
+        expectThat(polls).isNotEmpty()
+            .all { get { leaseEndMillis }.isNotNull().isGreaterThan(driver.now) }
+        expectThat(polls.first()).get { leaseEndMillis!! - sentMillis }
+            .isGreaterThan(settings.leaseMillis - 1_000)
+    }
+
+    @Test
+    fun `logs once that standbys confirm`() {
+        begin("h1", "h2", "h3")
+        loseStore("h2", "h3")
+        val moments = play(28_000)
+        val event = moments.events("standbys-confirm").single()
+        expectThat(event.id).isEqualTo("epoch-1")
+        expectThat(event.fields["hosts"]).isEqualTo(2)
+        expectThat(event.fields["durableMillisAgo"]).isA<Long>().isLessThan(2_000)
+        expectThat(moments.events("standbys-silent")).isEmpty()
+    }
+
+    @Test
+    fun `logs once which standbys are silent, and names a few of them`() {
+        val silent = (10..29).map { "h$it" }
+        begin("h1", "h2", *silent.toTypedArray())
+        loseStore("h2")
+        val event = play(40_000).events("standbys-silent").single()
+        expectThat(event.id).isEqualTo("epoch-1")
+        expectThat(event.fields["hosts"]).isEqualTo(20)
+        expectThat(event.fields["needed"]).isEqualTo(21)
+        expectThat(event.fields["heartbeatMillisAgo"]).isA<Long>().isLessThan(4_000)
+        val names = event.fields["first"].toString().split(",")
+        expectThat(names).hasSize(4).all { get { this in silent }.isEqualTo(true) }
+    }
+
+    @Test
+    fun `logs that standbys confirm again after silence`() {
+        begin("h1", "h2")
+        loseStore("h2")
+        play(5_000)
+        answering.clear()
+        expectThat(play(8_000).events("standbys-silent")).hasSize(1)
+        answering += "h2"
+        val moments = play(8_000)
+        expectThat(moments.events("standbys-confirm")).hasSize(1)
+        expectThat(moments.events("standbys-silent")).isEmpty()
+    }
+
+    private companion object {
+        const val STEP_MILLIS = 50L
+    }
+}
