--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/ElectionTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/ElectionTest.kt
@@ -2,38 +2,56 @@
 
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit.SECONDS
+import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.contains
 import strikt.assertions.containsExactly
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isNotNull
+import sycamoremast.coordination.LeaseId
 import sycamoremast.coordination.MonotonicClock
 import sycamoremast.coordination.StorePut
 import sycamoremast.coordination.StoreTransaction
 import sycamoremast.coordination.TransactionalStore
+import sycamoremast.coordination.workflow.RecordVersion
+import sycamoremast.coordination.workflow.SchedulerSettings
+import sycamoremast.daemon.control.eventually
 import sycamoremast.daemon.log.EventLog
 
 class ElectionTest {
     private val store = MemoryStore()
     private val terms = LinkedBlockingQueue<Term>()
+    private val ends = LinkedBlockingQueue<String>()
     private val elections = ArrayList<AutoCloseable>()
 
     @AfterEach
     fun close() = elections.forEach { it.close() }
 
-    private fun startElection(host: String, electionStore: TransactionalStore = store) {
+    private fun startElection(
+        host: String,
+        electionStore: TransactionalStore = store,
+        clock: MonotonicClock = MonotonicClock.system(),
+        confirmedMillis: () -> Long? = { null }
+    ): Election {
         val listener = object : TermListener {
             override fun onBegin(term: Term) {
                 terms += term
             }
 
-            override fun onEnd(reason: String) = Unit
+            override fun onEnd(reason: String) {
+                ends += reason
+            }
         }
-        val clock = MonotonicClock.system()
-        elections += Election(electionStore, host, 0, clock, EventLog { }, listener).start()
+        val election = Election(electionStore, host, 0, clock, EventLog { }, listener)
+        election.confirmedMillis = confirmedMillis
+        elections += election
+        return election.start()
     }
 
     private fun owner() = store.entries[WorkflowKeys.owner(0)]
@@ -116,8 +134,102 @@
         expectThat(owner()).isEqualTo(OwnerRecord("other", 1))
     }
 
+    /** The store with a count of attempts to renew a lease. */
+    private inner class CountingStore : TransactionalStore by store {
+        val renewals = AtomicInteger()
+
+        override fun keepAlive(lease: LeaseId) =
+            store.keepAlive(lease).also { renewals.incrementAndGet() }
+
+        /** Waits until the election has tried to renew its lease twice more. */
+        fun awaitRenewals() {
+            val seen = renewals.get()
+            eventually("the lease is renewed in vain") { renewals.get() >= seen + 2 }
+        }
+    }
+
+    @Test
+    fun `goes on without the store while standbys confirm its heartbeats`() {
+        val now = AtomicLong()
+        val confirmed = AtomicLong()
+        val counting = CountingStore()
+        val election = startElection("host", counting, { now.get() }) { confirmed.get() }
+        expectThat(terms.poll(WAIT_SECONDS, SECONDS)).isNotNull()
+        store.isDown = true
+        confirmed.set(20_000)
+        now.set(20_000 + ACTING_MILLIS - 1)
+        counting.awaitRenewals()
+        expectThat(election.leaseState).isEqualTo(LeaseState.LAPSED)
+        expectThat(ends).isEmpty()
+        now.set(20_000 + ACTING_MILLIS)
+        expectThat(ends.poll(WAIT_SECONDS, SECONDS)).isNotNull().contains("store unreachable")
+    }
+
+    @Test
+    fun `ends a term without the store whose heartbeats no standby confirms`() {
+        val now = AtomicLong()
+        val counting = CountingStore()
+        val election = startElection("host", counting, { now.get() })
+        expectThat(terms.poll(WAIT_SECONDS, SECONDS)).isNotNull()
+        store.isDown = true
+        now.set(ACTING_MILLIS - 1)
+        counting.awaitRenewals()
+        expectThat(election.leaseState).isEqualTo(LeaseState.LAPSED)
+        expectThat(ends).isEmpty()
+        now.set(ACTING_MILLIS)
+        expectThat(ends.poll(WAIT_SECONDS, SECONDS)).isNotNull().contains("store unreachable")
+    }
+
+    @Test
+    fun `does not end a term for an old confirmation while its lease is renewed`() {
+        val now = AtomicLong(100_000)
+        val counting = CountingStore()
+        val election = startElection("host", counting, { now.get() }) { 0 }
+        expectThat(terms.poll(WAIT_SECONDS, SECONDS)).isNotNull()
+        expectThat(election.leaseState).isEqualTo(LeaseState.VALID)
+        store.isDown = true
+        now.addAndGet(ACTING_MILLIS - 1)
+        counting.awaitRenewals()
+        expectThat(ends).isEmpty()
+    }
+
+    // Guards against an owner that takes itself for the sole one although its lease has ended.
+    @Test
+    fun `does not take its lease for valid because standbys confirm`() {
+        val now = AtomicLong()
+        val election = startElection("host", CountingStore(), { now.get() }) { now.get() }
+        expectThat(terms.poll(WAIT_SECONDS, SECONDS)).isNotNull()
+        expectThat(election.leaseState).isEqualTo(LeaseState.VALID)
+        store.isDown = true
+        now.set(LEASE_TTL_MILLIS)
+        expectThat(election.leaseState).isEqualTo(LeaseState.LAPSED)
+    }
+
+    @Test
+    fun `acknowledges an owner's heartbeats until it claims the set, and tells so`() {
+        writeOwner("other", 3)
+        val heartbeat = encodeRecord(RecordVersion(3, 1))
+        val key = WorkflowKeys.owner(0, OwnerDetail.HEARTBEAT)
+        store.apply(StoreTransaction(emptyMap(), listOf(StorePut(key, heartbeat))))
+        val election = startElection("host", clock = { 5_000 })
+        eventually("the listing is known") { election.acknowledgeHeartbeat(3) }
+        val deleted = listOf(WorkflowKeys.owner(0))
+        store.apply(StoreTransaction(emptyMap(), emptyList(), deleted))
+        expectThat(terms.poll(WAIT_SECONDS, SECONDS)).isNotNull().get { sightings }.and {
+            get { host }.isEqualTo("host")
+            get { acknowledged }.isEqualTo(mapOf(3L to 5_000L))
+        }
+        expectThat(election.acknowledgeHeartbeat(3)).isFalse()
+    }
+
     private companion object {
         const val WAIT_SECONDS = 30L
+
+        /** How long the store keeps the owner's key without a renewal. */
+        const val LEASE_TTL_MILLIS = 2_000L
+
+        /** How long an owner acts after the last renewal, less the time for acting on it. */
+        val ACTING_MILLIS = SchedulerSettings.actingMillis(LEASE_TTL_MILLIS) - 200
         const val NANOS_PER_MILLI = 1_000_000L
         const val PROPAGATION_MILLIS = 200L
     }
--- /dev/null
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/OwnerHistoryTest.kt
@@ -0,0 +1,150 @@
+package sycamoremast.daemon.workflow
+
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isNull
+import strikt.assertions.isTrue
+import sycamoremast.coordination.MonotonicClock
+import sycamoremast.coordination.workflow.RecordVersion
+import sycamoremast.coordination.workflow.SchedulerSettings
+import sycamoremast.daemon.log.EventLog
+
+class OwnerHistoryTest {
+    private var now = 1_000L
+    private val history = OwnerHistory(0, MonotonicClock { now }, EventLog { })
+
+    private fun listClaim(epoch: Long) = history.record(
+        WorkflowKeys.owner(0, OwnerDetail.LAST_CLAIM),
+        encodeRecord(OwnerRecord("other", epoch))
+    )
+
+    private fun listHeartbeat(epoch: Long, batch: Long = 1) = history.record(
+        WorkflowKeys.owner(0, OwnerDetail.HEARTBEAT),
+        encodeRecord(RecordVersion(epoch, batch))
+    )
+
+    private fun listOwner(epoch: Long) {
+        listClaim(epoch)
+        listHeartbeat(epoch)
+    }
+
+    /** Returns what this host has seen when it claims [epoch]. */
+    private fun claim(epoch: Long) =
+        history.sightings(epoch, claimedMillis = now, ends = emptyMap(), host = "host")
+
+    @Test
+    fun `acknowledges heartbeats of the last owner`() {
+        listOwner(3)
+        expectThat(history.acknowledge(3)).isTrue()
+        expectThat(history.acknowledge(3)).isTrue()
+    }
+
+    @Test
+    fun `acknowledges nothing before a listing`() {
+        (0L..2L).forEach { expectThat(history.acknowledge(it)).isFalse() }
+    }
+
+    @Test
+    fun `acknowledges nothing of an owner that has no durable heartbeat`() {
+        listOwner(2)
+        listClaim(3)
+        expectThat(history.acknowledge(3)).isFalse()
+    }
+
+    @Test
+    fun `acknowledges nothing of an earlier owner`() {
+        listOwner(3)
+        listOwner(4)
+        expectThat(history.acknowledge(3)).isFalse()
+        expectThat(history.acknowledge(4)).isTrue()
+    }
+
+    // Guards against an acknowledgement between a claim and the first heartbeat after it.
+    @Test
+    fun `acknowledges nothing of an owner after another host's claim`() {
+        listOwner(3)
+        history.recordClaim(4)
+        expectThat(history.acknowledge(3)).isFalse()
+    }
+
+    @Test
+    fun `acknowledges nothing of an owner that it does not know`() {
+        listOwner(3)
+        expectThat(history.acknowledge(4)).isFalse()
+    }
+
+    // Guards against a listing that is older than the claims that were seen.
+    @Test
+    fun `acknowledges nothing of an earlier owner that is listed late`() {
+        listOwner(4)
+        listOwner(3)
+        history.recordClaim(3)
+        expectThat(history.acknowledge(3)).isFalse()
+        expectThat(history.acknowledge(4)).isTrue()
+    }
+
+    @Test
+    fun `acknowledges nothing of an earlier owner after its own claim`() {
+        listOwner(3)
+        claim(4)
+        expectThat(history.acknowledge(3)).isFalse()
+    }
+
+    // This host may succeed itself.
+    @Test
+    fun `acknowledges its own heartbeats once it has seen a durable one`() {
+        listOwner(3)
+        claim(4)
+        expectThat(history.acknowledge(4)).isFalse()
+        listHeartbeat(4)
+        expectThat(history.acknowledge(4)).isTrue()
+    }
+
+    @Test
+    fun `acknowledges nothing later than 30 s after the last durable heartbeat`() {
+        listOwner(3)
+        now += SchedulerSettings.LONGEST_ANNOUNCED_MILLIS
+        expectThat(history.acknowledge(3)).isTrue()
+        now++
+        expectThat(history.acknowledge(3)).isFalse()
+        listHeartbeat(3, batch = 2)
+        expectThat(history.acknowledge(3)).isTrue()
+    }
+
+    @Test
+    fun `counts from the time at which it first saw the last durable heartbeat`() {
+        listOwner(3)
+        now += SchedulerSettings.LONGEST_ANNOUNCED_MILLIS
+        listOwner(3)
+        expectThat(history.acknowledge(3)).isTrue()
+        now++
+        expectThat(history.acknowledge(3)).isFalse()
+    }
+
+    @Test
+    fun `tells a claim when it last acknowledged a heartbeat`() {
+        listOwner(3)
+        now = 2_000
+        history.acknowledge(3)
+        now = 3_000
+        history.acknowledge(3)
+        now = 4_000
+        val seen = claim(4)
+        expectThat(seen.acknowledgedMillisOrNull(3)).isEqualTo(3_000)
+        expectThat(seen.acknowledgedMillisOrNull(4)).isNull()
+        expectThat(seen.host).isEqualTo("host")
+    }
+
+    @Test
+    fun `tells a claim nothing of heartbeats that it did not acknowledge`() {
+        listOwner(3)
+        now = 2_000
+        history.acknowledge(3)
+        now += SchedulerSettings.LONGEST_ANNOUNCED_MILLIS
+        history.acknowledge(3)
+        history.acknowledge(2)
+        expectThat(claim(4).acknowledged).isEqualTo(mapOf(3L to 2_000L))
+    }
+}
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/RecordWriterTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/RecordWriterTest.kt
@@ -3,6 +3,7 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isA
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
 import strikt.assertions.isNotNull
@@ -16,6 +17,7 @@
 import sycamoremast.coordination.workflow.RecordVersion
 import sycamoremast.coordination.workflow.RosterRecord
 import sycamoremast.coordination.workflow.StoreSightings
+import sycamoremast.coordination.workflow.WorkerRef
 import sycamoremast.coordination.workflow.WorkflowPhase
 import sycamoremast.coordination.workflow.WorkflowProgress
 import sycamoremast.daemon.log.EventLog
@@ -117,4 +119,33 @@
         expectThat(write(WorkflowPhase.COMPLETED)).isFalse()
         expectThat(phase()).isEqualTo(WorkflowPhase.RUNNING)
     }
+
+    private fun rosterText() = store.entries.getValue(WorkflowKeys.roster(0)).value
+
+    @Test
+    fun `names the standbys in the roster`() {
+        val standbys = setOf("h1", "h2")
+        val batch = RecordBatch(emptyMap(), emptyList(), null, standbys = standbys)
+        expectThat(writer.write(batch) { true }).isTrue()
+        expectThat(decodeRecordOrNull<RosterRecord>(rosterText())).isNotNull()
+            .get { this.standbys }.isEqualTo(standbys)
+    }
+
+    @Test
+    fun `names no standbys in a roster for a batch without them`() {
+        expectThat(writer.write(RecordBatch(emptyMap(), emptyList(), null)) { true }).isTrue()
+        expectThat(decodeRecordOrNull<RosterRecord>(rosterText())).isNotNull()
+            .get { standbys }.isEmpty()
+    }
+
+    // Guards against a roster that a host of an earlier version wrote, and that can't be read.
+    @Test
+    fun `reads a roster of an earlier version as one without standbys`() {
+        val text = """{"workers":[{"id":"w1","address":"10.0.0.1:1"}],"epoch":3,"batch":2}"""
+        expectThat(decodeRecordOrNull<RosterRecord>(text)).isNotNull().and {
+            get { workers }.isEqualTo(listOf(WorkerRef("w1", "10.0.0.1:1")))
+            get { version }.isEqualTo(RecordVersion(3, 2))
+            get { standbys }.isEmpty()
+        }
+    }
 }
--- /dev/null
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/StandbyPeersTest.kt
@@ -0,0 +1,210 @@
+package sycamoremast.daemon.workflow
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry
+import java.util.concurrent.ConcurrentLinkedQueue
+import java.util.concurrent.atomic.AtomicInteger
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.BeforeEach
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isTrue
+import sycamoremast.coordination.MonotonicClock
+import sycamoremast.coordination.StoreTransaction
+import sycamoremast.coordination.membership.IncarnationClaim
+import sycamoremast.daemon.control.eventually
+import sycamoremast.daemon.control.quickLimits
+import sycamoremast.daemon.log.EventLog
+import sycamoremast.daemon.peer.KtorPeerNetwork
+import sycamoremast.daemon.peer.LocalPeer
+import sycamoremast.daemon.peer.PeerConnections
+
+class StandbyPeersTest {
+    /** A registered host that listens at a free port. */
+    private class Host(val name: String, store: MemoryStore, clock: MonotonicClock) :
+        AutoCloseable {
+        val network = KtorPeerNetwork.create(
+            LocalPeer(name, "zone", "127.0.0.1", 0),
+            IncarnationClaim(1),
+            SimpleMeterRegistry(),
+            quickLimits
+        ).apply { start() }
+        val logged = ConcurrentLinkedQueue<String>()
+        val dialled = ConcurrentLinkedQueue<Set<String>>()
+        private val log = EventLog { logged += it }
+        private val record = HostRecord(network.address, "zone", 1.0)
+        val registry = HostRegistry(store, name, record, log) { }
+        private val recording = object : PeerConnections by network {
+            override fun dial(addresses: Set<String>) {
+                dialled += addresses
+                network.dial(addresses)
+            }
+        }
+        val peers = StandbyPeers(name, network, PeerTargets(recording), registry, clock, log)
+
+        fun start() {
+            peers.start()
+            registry.start()
+        }
+
+        fun isConnectedTo(host: String) = network.connected().any { it.host == host }
+
+        override fun close() {
+            registry.close()
+            network.close()
+            log.close()
+        }
+    }
+
+    private data class Acknowledgement(val host: String, val epoch: Long, val number: Long)
+
+    @Volatile
+    private var now = 1_000L
+    private val store = MemoryStore()
+    private val owner = Host("owner", store) { now }
+    private val standby = Host("standby", store) { now }
+    private val acknowledged = ConcurrentLinkedQueue<Acknowledgement>()
+
+    /** The epochs whose heartbeats the standby was asked to acknowledge. */
+    private val asked = ConcurrentLinkedQueue<Long>()
+    private var lastNumber = 0L
+
+    @BeforeEach
+    fun start() {
+        owner.peers.acknowledge = { true }
+        owner.peers.onAcknowledged = { host, epoch, number ->
+            acknowledged += Acknowledgement(host, epoch, number)
+        }
+        standby.peers.hasStore = { false }
+        owner.start()
+        standby.start()
+        eventually("both hosts are registered") {
+            owner.peers.registeredHosts == setOf("owner", "standby")
+        }
+    }
+
+    @AfterEach
+    fun close() {
+        owner.close()
+        standby.close()
+    }
+
+    /** Lets the standby acknowledge heartbeats of [epochs]. */
+    private fun acceptEpochs(vararg epochs: Long) {
+        standby.peers.acknowledge = { epoch ->
+            asked += epoch
+            epoch in epochs
+        }
+    }
+
+    /** Announces heartbeats of [epoch] until [condition] holds, which is [what]. */
+    private fun announceUntil(what: String, epoch: Long, condition: () -> Boolean) =
+        eventually(what) {
+            owner.peers.announce(epoch, ++lastNumber, setOf("standby"))
+            condition()
+        }
+
+    private fun acknowledgedEpochs() = acknowledged.map { it.epoch }.toSet()
+
+    @Test
+    fun `a standby that lacks the store acknowledges an owner's heartbeat`() {
+        acceptEpochs(7)
+        announceUntil("one is acknowledged", epoch = 7) { acknowledged.isNotEmpty() }
+        val first = acknowledged.first()
+        expectThat(first).isEqualTo(Acknowledgement("standby", 7, first.number))
+        expectThat(first.number in 1..lastNumber).isTrue()
+    }
+
+    @Test
+    fun `acknowledges each heartbeat by its number`() {
+        acceptEpochs(7)
+        announceUntil("one is acknowledged", epoch = 7) { acknowledged.isNotEmpty() }
+        owner.peers.announce(7, 1_000_000, setOf("standby"))
+        eventually("the last one is acknowledged") { acknowledged.any { it.number == 1_000_000L } }
+    }
+
+    // What is acknowledged of a later owner shows that nothing was of the earlier one.
+    @Test
+    fun `a standby that has the store acknowledges nothing`() {
+        val inquiries = AtomicInteger()
+        acceptEpochs(7, 8)
+        standby.peers.hasStore = {
+            inquiries.incrementAndGet()
+            true
+        }
+        announceUntil("the standby has decided", epoch = 7) { inquiries.get() > 0 }
+        expectThat(asked).isEmpty()
+        acceptEpochs(8)
+        standby.peers.hasStore = { false }
+        announceUntil("one is acknowledged", epoch = 8) { acknowledged.isNotEmpty() }
+        expectThat(acknowledgedEpochs()).isEqualTo(setOf(8L))
+        eventually("the decision is logged") { hasLogged("STORE_AVAILABLE", epoch = 7) }
+    }
+
+    @Test
+    fun `a standby acknowledges nothing of an outdated owner`() {
+        acceptEpochs(8)
+        announceUntil("the standby has decided", epoch = 7) { 7L in asked }
+        announceUntil("one is acknowledged", epoch = 8) { acknowledged.isNotEmpty() }
+        expectThat(acknowledgedEpochs()).isEqualTo(setOf(8L))
+        eventually("the decision is logged") { hasLogged("OWNER_OUTDATED", epoch = 7) }
+    }
+
+    private fun hasLogged(decision: String, epoch: Long) = standby.logged.any {
+        it.startsWith("event=heartbeat-announced ") &&
+            "epoch=$epoch" in it &&
+            "decision=$decision" in it
+    }
+
+    // An owner may succeed itself with a new term. Without this, tasks ran twice in trials.
+    @Test
+    fun `an owner announces nothing that it does not acknowledge itself`() {
+        acceptEpochs(7, 8)
+        announceUntil("one is acknowledged", epoch = 7) { acknowledged.isNotEmpty() }
+        owner.peers.acknowledge = { it == 8L }
+        val last = ++lastNumber
+        owner.peers.announce(7, last, setOf("standby"))
+        announceUntil("a later one is acknowledged", epoch = 8) { 8L in acknowledgedEpochs() }
+        expectThat(acknowledged.none { it.number == last }).isTrue()
+    }
+
+    @Test
+    fun `connections to standbys are opened for an announcement`() {
+        expectThat(owner.isConnectedTo("standby")).isFalse()
+        expectThat(owner.dialled).isEmpty()
+        owner.peers.announce(7, 1, setOf("standby"))
+        expectThat(owner.dialled.last()).isEqualTo(setOf(standby.network.address))
+        eventually("the standby is connected") { owner.isConnectedTo("standby") }
+    }
+
+    @Test
+    fun `connections are kept up until 10 s after the last announcement`() {
+        val standbys = setOf(standby.network.address)
+        owner.peers.announce(7, 1, setOf("standby"))
+        now += 5_000
+        owner.peers.announce(7, 2, setOf("standby"))
+        now += 9_999
+        owner.peers.releaseIdle()
+        expectThat(owner.dialled.last()).isEqualTo(standbys)
+        now++
+        owner.peers.releaseIdle()
+        expectThat(owner.dialled.last()).isEmpty()
+        owner.peers.announce(7, 3, setOf("standby"))
+        expectThat(owner.dialled.last()).isEqualTo(standbys)
+    }
+
+    // Guards against an owner that has no address of a standby, as outages let entries expire.
+    @Test
+    fun `reaches a standby whose entry has expired`() {
+        acceptEpochs(7)
+        standby.registry.close()
+        val key = WorkflowKeys.host("standby")
+        store.apply(StoreTransaction(emptyMap(), emptyList(), listOf(key)))
+        eventually("the entry is gone") { owner.peers.registeredHosts == setOf("owner") }
+        announceUntil("one is acknowledged", epoch = 7) { acknowledged.isNotEmpty() }
+        expectThat(acknowledgedEpochs()).contains(7L)
+    }
+}
