--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Standbys.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Standbys.kt
@@ -84,7 +84,11 @@
         fleet.onHeartbeatFormed(nowMillis)
         announcements += Announcement(++lastNumber, nowMillis)
         if (announcements.size > MAX_ANNOUNCEMENTS) announcements.removeFirst()
-        fleet.outbox += SchedulerAction.Announce(fleet.epoch, lastNumber, needed())
+        fleet.outbox += SchedulerAction.Announce(
+            fleet.epoch,
+            lastNumber,
+            others()
+        )
     }
 
     /**
@@ -102,6 +106,8 @@
      */
     private fun needed(): Set<String> = recorded + inRecord.orEmpty() + lastRegistered.keys
 
+    private fun others(): Set<String> = needed() - setOfNotNull(ownHost)
+
     /** Records that [host] has acknowledged the heartbeat with [number]. */
     fun onAcknowledged(host: String, number: Long, nowMillis: Long) {
         acknowledged.merge(host, number, ::maxOf)
@@ -117,7 +123,7 @@
             fleet.log(
                 "standbys-confirm",
                 "epoch-${fleet.epoch}",
-                "hosts" to needed().size,
+                "hosts" to others().size,
                 "durableMillisAgo" to nowMillis - durableMillis,
                 "tookMillis" to nowMillis - confirmed.formedMillis
             )
@@ -131,13 +137,13 @@
         val known = maxOf(durableMillis, confirmedMillis ?: durableMillis)
         if (areSilent || nowMillis < known + SILENT_MILLIS) return
         areSilent = true
-        val missing = needed().filter { (acknowledged[it] ?: 0) < announcements.first().number }
+        val missing = others().filter { (acknowledged[it] ?: 0) < announcements.first().number }
         fleet.log(
             "standbys-silent",
             "epoch-${fleet.epoch}",
             "hosts" to missing.size,
             "first" to missing.take(MAX_NAMED).joinToString(","),
-            "needed" to needed().size,
+            "needed" to others().size,
             "heartbeatMillisAgo" to nowMillis - known
         )
     }
