--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/LeaseGrantsTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/LeaseGrantsTest.kt
@@ -43,7 +43,7 @@
     }
 
     @Test
-    fun `logs once that no lease is extended for lack of a heartbeat, and once that they are again`() {
+    fun `logs once that no lease is extended for lack of a heartbeat, and once they are again`() {
         val row = startTask()
         driver.areRecordsDurableAtOnce = false
         val outage = eventsWithin(10_000) { driver.report(it, listOf(row)) }.single()
