--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
@@ -113,6 +113,10 @@
         return index[label].orEmpty()
     }
 
+    /** Returns the workers among which one is chosen for a task of [spec]. */
+    fun candidates(spec: WorkflowStep): List<FleetWorker> =
+        if (spec.requiredLabel.isEmpty()) workerList else workersWith(spec.requiredLabel)
+
     private fun indexByLabel() = workerList
         .flatMap { worker -> worker.listing.labels.map { it to worker } }
         .groupBy({ it.first }, { it.second })
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/TaskRestarts.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/TaskRestarts.kt
@@ -9,7 +9,7 @@
 
 internal class TaskRestarts(
     private val fleet: Fleet,
-    private val placer: Placer,
+    private val futureRoom: FutureRoom,
     private val starter: Starter
 ) {
     private var cursor = 0
@@ -28,7 +28,7 @@
     }
 
     private fun reserveRoom(task: OpenTask, nowMillis: Long) {
-        val worker = placer.nextWithRoomOrNull(task, nowMillis) ?: return
+        val worker = futureRoom.chooseOrNull(task, nowMillis) ?: return
         worker.reservations.addFuture(task, nowMillis)
         fleet.log(
             "room-reserved",
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WaitingTasks.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WaitingTasks.kt
@@ -6,7 +6,7 @@
  */
 package sycamoremast.coordination.workflow
 
-internal class WaitingTasks(private val fleet: Fleet, private val placer: Placer) {
+internal class WaitingTasks(private val fleet: Fleet, private val obstacles: PlacementObstacles) {
     private var nextMillis = Long.MIN_VALUE
     private var lastStarts = 0L
 
@@ -25,7 +25,7 @@
     }
 
     private fun log(task: OpenTask, count: Int, startedSince: Long, nowMillis: Long) {
-        val obstacles = placer.obstacles(task, nowMillis)
+        val counts = obstacles.count(task, nowMillis)
         val workflow = task.step.workflow
         fleet.log(
             "task-waits",
@@ -37,8 +37,8 @@
             "reservedOn" to task.destination?.id,
             "milliCpus" to task.step.spec.demand.milliCpus,
             "memoryMib" to task.step.spec.demand.memoryMib,
-            "suitableWorkers" to (obstacles[null] ?: 0),
-            "obstacles" to obstacles.filterKeys { it != null }
+            "suitableWorkers" to (counts[null] ?: 0),
+            "obstacles" to counts.filterKeys { it != null }
                 .entries.joinToString(",") { (obstacle, workers) -> "$obstacle:$workers" },
             "otherStarts" to startedSince,
             "waitingTasks" to count
