--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
@@ -107,6 +107,7 @@
     val departures = ArrayList<Departure>()
 
     private var cachedView: ColocationView? = null
+    private var cachedEndingDemand: Resources? = null
 
     /** The runs that share the worker now. */
     val colocation: ColocationView get() = cachedView
@@ -230,8 +231,10 @@
         commitments.remove(spec)
     }
 
-    /** Returns the room that tasks take which end soon: short ones, and those told to stop. */
-    fun endingTaskDemand(): Resources = demand { it.isLeaving || !it.task.step.spec.isLongRunning }
+    /** The room that tasks take which end soon: short ones, and those told to stop. */
+    val endingTaskDemand: Resources get() = cachedEndingDemand
+        ?: demand { it.isLeaving || !it.task.step.spec.isLongRunning }
+            .also { cachedEndingDemand = it }
 
     /** Returns the room that the runs take which match [predicate]. */
     fun demand(predicate: (Placement) -> Boolean): Resources = placements.values.filter(predicate)
@@ -240,6 +243,7 @@
     fun add(placement: Placement) {
         placements[placement.task.name] = placement
         cachedView = null
+        cachedEndingDemand = null
         commitments.add(placement.task.step.spec, placement.pacePercent)
         countServing(placement.task.step.spec, 1)
     }
@@ -253,10 +257,16 @@
         }
         placements -= placement.task.name
         cachedView = null
+        cachedEndingDemand = null
         commitments.remove(placement.task.step.spec, placement.pacePercent)
         countServing(placement.task.step.spec, -1)
     }
 
+    /** Accounts for a change of the phase of a run. */
+    fun onPhaseChanged() {
+        cachedEndingDemand = null
+    }
+
     /** Accounts for a change of the pace of [placement] to [percent]. */
     fun updatePace(placement: Placement, percent: Int) {
         if (placements[placement.task.name] !== placement) return
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FutureRoom.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FutureRoom.kt
@@ -17,11 +17,11 @@
         // Whether idle CPU suffices depends on the neighbours by then.
         if (spec.usesIdleCpu) return null
         val able = fleet.candidates(spec)
-            .filter { obstacles.allow(it, task, nowMillis, freed = it.endingTaskDemand()) }
+            .filter { obstacles.allow(it, task, nowMillis, freed = it.endingTaskDemand) }
         val preferred =
             if (reserve.isCrowded()) {
                 able.filter {
-                    reserve.isLeft(it, spec, it.endingTaskDemand())
+                    reserve.isLeft(it, spec, it.endingTaskDemand)
                 }
             } else {
                 able
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placement.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placement.kt
@@ -61,8 +61,11 @@
     /** Applies [event]; returns whether the state chart allows it in the current phase. */
     fun transition(event: PlacementEvent, nowMillis: Long): Boolean {
         val next = CHART.nextOrNull(phase, event) ?: return false
-        if (next != phase) phaseSinceMillis = nowMillis
-        phase = next
+        if (next != phase) {
+            phaseSinceMillis = nowMillis
+            phase = next
+            worker.onPhaseChanged()
+        }
         if (event == PlacementEvent.SEEN) wasSeen = true
         return true
     }
