Stop at the first worker that a suspect could start on

Cause: whether a suspect that gets no worker now fits anywhere was found out by a list of all workers that suit it. The first one suffices.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
@@ -100,9 +100,14 @@
 
     /** Returns the workers on which [task] may start now. */
     fun eligible(task: OpenTask, nowMillis: Long): List<FleetWorker> =
-        fleet.candidates(task.step.spec).filter {
-            obstacles.allow(it, task, nowMillis) && score(it, task, nowMillis) != null
-        }
+        fleet.candidates(task.step.spec).filter { isEligible(it, task, nowMillis) }
+
+    /** Whether there is a worker on which [task] may start now. */
+    fun isEligibleAnywhere(task: OpenTask, nowMillis: Long): Boolean =
+        fleet.candidates(task.step.spec).any { isEligible(it, task, nowMillis) }
+
+    private fun isEligible(worker: FleetWorker, task: OpenTask, nowMillis: Long): Boolean =
+        obstacles.allow(worker, task, nowMillis) && score(worker, task, nowMillis) != null
 
     /** Returns the best of the [eligible] workers, or null if it suits none. */
     fun bestOrNull(eligible: List<FleetWorker>, task: OpenTask, nowMillis: Long): FleetWorker? {
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Starter.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Starter.kt
@@ -49,7 +49,7 @@
             trials.chooseOrNull(task, history, nowMillis)
         } else {
             placer.chooseOrNull(task, nowMillis)
-        } ?: return placer.eligible(task, nowMillis).isNotEmpty()
+        } ?: return placer.isEligibleAnywhere(task, nowMillis)
         if (!places.isReadyOn(worker, task, nowMillis)) return true
         val placement = place(task, worker, nextRun(task), nowMillis)
         if (history.needsTrial) trials.begin(placement, history)
