Decide once a round whether the fleet is crowded

Cause: each search for a long-running task added up the capacity of all workers and the demand of all workflows, neither of which changes within a round.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FutureRoom.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FutureRoom.kt
@@ -19,7 +19,7 @@
         val able = fleet.candidates(spec)
             .filter { obstacles.allow(it, task, nowMillis, freed = it.endingTaskDemand) }
         val preferred =
-            if (reserve.isCrowded()) {
+            if (reserve.isCrowded) {
                 able.filter {
                     reserve.isLeft(it, spec, it.endingTaskDemand)
                 }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
@@ -22,6 +22,7 @@
     fun beginRound() {
         unplaceableShapes.clear()
         unplaceableSteps.clear()
+        reserve.beginRound()
     }
 
     /**
@@ -69,7 +70,7 @@
     private fun searchAllOrNull(task: OpenTask, nowMillis: Long): FleetWorker? {
         val spec = task.step.spec
         val eligible = fleet.candidates(spec).filter { obstacles.allow(it, task, nowMillis) }
-        if (!spec.usesIdleCpu && reserve.isCrowded()) {
+        if (!spec.usesIdleCpu && reserve.isCrowded) {
             val withReserve = eligible.filter { reserve.isLeft(it, spec) }
             bestOrNull(withReserve, task, nowMillis)?.let { return it }
         }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/ShortTaskReserve.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/ShortTaskReserve.kt
@@ -4,8 +4,17 @@
 import sycamoremast.coordination.Resources
 
 internal class ShortTaskReserve(private val fleet: Fleet) {
+    private var cachedCrowded: Boolean? = null
+
     /** Whether running and waiting long-running tasks leave little of the fleet to short ones. */
-    fun isCrowded(): Boolean {
+    val isCrowded: Boolean get() = cachedCrowded ?: compare().also { cachedCrowded = it }
+
+    /** Begins a round, in which neither the capacity nor the accepted workflows change. */
+    fun beginRound() {
+        cachedCrowded = null
+    }
+
+    private fun compare(): Boolean {
         val capacity = fleet.workers.values.sumOf { it.capacity.milliCpus }
         return fleet.longRunningMilliCpus() > capacity * CROWDED_SHARE
     }
