Keep the work that a workflow has left until its tasks change

Cause: the order of placement added up the tasks of each waiting workflow and followed its chain of steps in every round.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/OpenWorkflow.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/OpenWorkflow.kt
@@ -62,15 +62,28 @@
     /** The CPU time that all tasks of one occurrence take, by their estimates. */
     val totalCoreMillis: Double = spec.steps.sumOf { coreMillis(it, it.taskCount) }
 
-    /** Returns the CPU time that tasks which are not done take, by their estimates. */
-    fun remainingCoreMillis(): Double =
-        steps().sumOf { coreMillis(it.spec, it.tasks.size - it.doneCount) }
+    private var cachedCoreMillis: Double? = null
+    private var cachedMillis: Long? = null
+
+    /** The CPU time that tasks which are not done take, by their estimates. */
+    val remainingCoreMillis: Double get() = cachedCoreMillis
+        ?: steps().sumOf { coreMillis(it.spec, it.tasks.size - it.doneCount) }
+            .also { cachedCoreMillis = it }
 
     private fun coreMillis(step: WorkflowStep, taskCount: Int): Double =
         taskCount * step.estimateMillis * step.demand.milliCpus / MILLIS_PER_CORE
 
-    /** Returns how long the workflow takes from now on if no task has to wait for a worker. */
-    fun remainingMillis(): Long = occurrences.maxOfOrNull { occurrence ->
+    /** How long the workflow takes from now on if no task has to wait for a worker. */
+    val remainingMillis: Long get() = cachedMillis
+        ?: longestOccurrenceMillis().also { cachedMillis = it }
+
+    /** Accounts for a change of its tasks, or of which are done. */
+    fun onTasksChanged() {
+        cachedCoreMillis = null
+        cachedMillis = null
+    }
+
+    private fun longestOccurrenceMillis(): Long = occurrences.maxOfOrNull { occurrence ->
         criticalPathMillis { i, step ->
             if (occurrence.steps[i].isDone) 0 else step.estimateMillis
         }
@@ -91,7 +104,10 @@
     }
 
     /** Discards the tasks, which are not needed once the workflow and all its runs have ended. */
-    fun discardTasks() = occurrences.clear()
+    fun discardTasks() {
+        occurrences.clear()
+        onTasksChanged()
+    }
 
     fun begin() {
         hasBegun = true
@@ -109,6 +125,7 @@
     /** Opens the tasks of the next occurrence. */
     fun addOccurrence() {
         occurrences += OpenOccurrence(this, occurrences.size)
+        onTasksChanged()
     }
 
     val isDone: Boolean
@@ -307,6 +324,7 @@
         isDone = true
         step.doneCount++
         step.waiting -= this
+        step.workflow.onTasksChanged()
     }
 
     fun place(placement: Placement) {
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/PlacementOrder.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/PlacementOrder.kt
@@ -28,13 +28,13 @@
     /** Returns the benefit of completing [workflow], for each core-second that this still takes. */
     private fun benefitRate(workflow: OpenWorkflow, meanCoreMillis: Double): Double {
         if (workflow.isLongRunning) return 0.0
-        val remaining = workflow.remainingCoreMillis().coerceAtLeast(1.0)
+        val remaining = workflow.remainingCoreMillis.coerceAtLeast(1.0)
         val size = BASE_BENEFIT * meanCoreMillis + (1 - BASE_BENEFIT) * workflow.totalCoreMillis
         return size / remaining * timeliness(workflow)
     }
 
     private fun timeliness(workflow: OpenWorkflow): Double {
-        val earliestEnd = nowMillis + workflow.remainingMillis()
+        val earliestEnd = nowMillis + workflow.remainingMillis
         val allowed = workflow.objectiveMillis - workflow.acceptedMillis
         return when {
             earliestEnd <= workflow.objectiveMillis -> 1.0
