--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunMaintenance.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunMaintenance.kt
@@ -14,7 +14,7 @@
             } else if (isRemovable(worker, nowMillis)) {
                 tracker.markLost(worker, nowMillis, "no longer listed")
             }
-            for (placement in worker.placements.values.toList()) step(placement, nowMillis)
+            for (placement in worker.placements.values) step(placement, nowMillis)
             worker.reservations.expire(nowMillis)
         }
     }
