Examine no worker for a long-running task that none has the CPU for

Cause: each lost task that fits nowhere was compared with all workers in each round, as its step may be limited per worker, so that a failed search tells nothing of others. Now the largest free CPU of the workers that take starts is found once a round, and again when a reservation is given up. A task that needs more is not searched for.

Searches for short tasks stay as they are, as the next one begins where the last has ended. Nothing is assumed of a task on idle CPU.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/PlacementObstacles.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/PlacementObstacles.kt
@@ -7,6 +7,31 @@
 import sycamoremast.coordination.Resources
 
 internal class PlacementObstacles(private val fleet: Fleet) {
+    private var largestFreeMilliCpus: Long? = null
+
+    /** Forgets how much room there is, before a round or once room has become free within one. */
+    fun onRoomFreed() {
+        largestFreeMilliCpus = null
+    }
+
+    /** Whether a worker may have the CPU for a task of [spec]; if not, none has to be examined. */
+    fun mayFit(spec: WorkflowStep, nowMillis: Long): Boolean {
+        if (spec.usesIdleCpu) return true
+        val largest = largestFreeMilliCpus
+            ?: findLargest(nowMillis).also { largestFreeMilliCpus = it }
+        return spec.demand.milliCpus <= largest
+    }
+
+    private fun findLargest(nowMillis: Long): Long {
+        var largest = 0L
+        for (worker in fleet.workerList) {
+            fleet.examinedWorkers++
+            val free = worker.capacity.milliCpus - worker.commitments.reservedMilliCpus
+            if (free > largest && closedOrNull(worker, nowMillis) == null) largest = free
+        }
+        return largest
+    }
+
     /** Whether nothing keeps [task] off [worker] once the room [freed] is free. */
     fun allow(
         worker: FleetWorker,
@@ -40,16 +65,7 @@
         nowMillis: Long
     ): PlacementObstacle? {
         val label = task.step.spec.requiredLabel
-        return when {
-            !fleet.acceptsStarts(worker, nowMillis) -> PlacementObstacle.ACCEPTS_NO_STARTS
-
-            !fleet.enforcesFencing(worker.ref) -> PlacementObstacle.NOT_FENCED
-
-            !fleet.mayGrantLease(worker) -> PlacementObstacle.NO_LEASE
-
-            !fleet.capacityReadings.isUsable(worker, nowMillis) ->
-                PlacementObstacle.CAPACITY_OUTDATED
-
+        return closedOrNull(worker, nowMillis) ?: when {
             worker.listing.service != task.step.workflow.queue.service ->
                 PlacementObstacle.OTHER_SERVICE
 
@@ -60,6 +76,18 @@
         }
     }
 
+    /** Returns why [worker] takes no start of any task, or null. */
+    private fun closedOrNull(worker: FleetWorker, nowMillis: Long): PlacementObstacle? = when {
+        !fleet.acceptsStarts(worker, nowMillis) -> PlacementObstacle.ACCEPTS_NO_STARTS
+        !fleet.enforcesFencing(worker.ref) -> PlacementObstacle.NOT_FENCED
+        !fleet.mayGrantLease(worker) -> PlacementObstacle.NO_LEASE
+
+        !fleet.capacityReadings.isUsable(worker, nowMillis) ->
+            PlacementObstacle.CAPACITY_OUTDATED
+
+        else -> null
+    }
+
     /** Returns which tasks on [worker] keep [task] off it, or null. */
     private fun presentOrNull(worker: FleetWorker, task: OpenTask): PlacementObstacle? {
         val limit = task.step.spec.maxPerWorker
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placer.kt
@@ -22,9 +22,17 @@
     fun beginRound() {
         unplaceableShapes.clear()
         unplaceableSteps.clear()
+        obstacles.onRoomFreed()
         reserve.beginRound()
     }
 
+    /** Gives up the room reserved for [task], which other tasks may take in this round. */
+    fun cancelReservation(task: OpenTask) {
+        val reserved = task.destination ?: return
+        reserved.reservations.cancel(task)
+        obstacles.onRoomFreed()
+    }
+
     /**
      * Returns the best worker for [task] at [nowMillis], or null if it fits on none.
      *
@@ -37,7 +45,7 @@
         val reserved = task.destination
         if (reserved != null && !isAwaitingRoom(task, nowMillis)) {
             val yielded = reserved.reservations.yieldedRoom(task)
-            reserved.reservations.cancel(task)
+            cancelReservation(task)
             if (obstacles.allow(reserved, task, nowMillis, yielded)) return reserved
         }
         val shape = TaskShape.of(task.step)
@@ -46,7 +54,7 @@
         if (isHopeless) return null
         val best = searchOrNull(task, nowMillis)
         if (best != null) {
-            task.destination?.reservations?.cancel(task)
+            cancelReservation(task)
         } else {
             unplaceableSteps += task.step
             // With maxPerWorker set, that limit may be the reason rather than the task's shape.
@@ -69,6 +77,7 @@
     /** Compares all workers, as long-running tasks are few and stay for long. */
     private fun searchAllOrNull(task: OpenTask, nowMillis: Long): FleetWorker? {
         val spec = task.step.spec
+        if (!obstacles.mayFit(spec, nowMillis)) return null
         val eligible = fleet.candidates(spec).filter { obstacles.allow(it, task, nowMillis) }
         if (!spec.usesIdleCpu && reserve.isCrowded) {
             val withReserve = eligible.filter { reserve.isLeft(it, spec) }
@@ -100,12 +109,15 @@
     }
 
     /** Returns the workers on which [task] may start now. */
-    fun eligible(task: OpenTask, nowMillis: Long): List<FleetWorker> =
-        fleet.candidates(task.step.spec).filter { isEligible(it, task, nowMillis) }
+    fun eligible(task: OpenTask, nowMillis: Long): List<FleetWorker> {
+        if (!obstacles.mayFit(task.step.spec, nowMillis)) return emptyList()
+        return fleet.candidates(task.step.spec).filter { isEligible(it, task, nowMillis) }
+    }
 
     /** Whether there is a worker on which [task] may start now. */
     fun isEligibleAnywhere(task: OpenTask, nowMillis: Long): Boolean =
-        fleet.candidates(task.step.spec).any { isEligible(it, task, nowMillis) }
+        obstacles.mayFit(task.step.spec, nowMillis) &&
+            fleet.candidates(task.step.spec).any { isEligible(it, task, nowMillis) }
 
     private fun isEligible(worker: FleetWorker, task: OpenTask, nowMillis: Long): Boolean =
         obstacles.allow(worker, task, nowMillis) && score(worker, task, nowMillis) != null
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/TrialPlacer.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/TrialPlacer.kt
@@ -13,7 +13,7 @@
      */
     fun chooseOrNull(task: OpenTask, history: CrashHistory, nowMillis: Long): FleetWorker? {
         val reserved = task.destination
-        reserved?.reservations?.cancel(task)
+        placer.cancelReservation(task)
         val eligible = placer.eligible(task, nowMillis)
         if (eligible.isEmpty()) return null
         if (mayBegin()) {
