--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/OpenWorkflow.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/OpenWorkflow.kt
@@ -64,6 +64,7 @@
 
     private var cachedCoreMillis: Double? = null
     private var cachedMillis: Long? = null
+    private var cachedHasReadyTasks: Boolean? = null
 
     /** The CPU time that tasks which are not done take, by their estimates. */
     val remainingCoreMillis: Double get() = cachedCoreMillis
@@ -77,10 +78,11 @@
     val remainingMillis: Long get() = cachedMillis
         ?: longestOccurrenceMillis().also { cachedMillis = it }
 
-    /** Accounts for a change of its tasks, or of which are done. */
+    /** Accounts for a change of its tasks, or of which of them wait or are done. */
     fun onTasksChanged() {
         cachedCoreMillis = null
         cachedMillis = null
+        cachedHasReadyTasks = null
     }
 
     private fun longestOccurrenceMillis(): Long = occurrences.maxOfOrNull { occurrence ->
@@ -131,7 +133,9 @@
     val isDone: Boolean
         get() = occurrences.size == (spec.recurrence?.count ?: 1) && occurrences.all { it.isDone }
 
-    val hasReadyTasks: Boolean get() = occurrences.any { o -> o.steps.any { it.hasReadyTasks } }
+    val hasReadyTasks: Boolean get() = cachedHasReadyTasks
+        ?: occurrences.any { o -> o.steps.any { it.hasReadyTasks } }
+            .also { cachedHasReadyTasks = it }
 
     fun steps(): Sequence<OpenStep> = occurrences.asSequence().flatMap { it.steps }
 
@@ -332,6 +336,7 @@
         step.workflow.onPlaced()
         lastRun = maxOf(lastRun, placement.run)
         step.waiting -= this
+        step.workflow.onTasksChanged()
     }
 
     /** Removes [placement]; the task waits again if it is not done and has no other placement. */
@@ -339,5 +344,6 @@
         if (placements.remove(placement)) step.workflow.onReleased()
         waitingSinceMillis = nowMillis
         if (!isDone && placements.isEmpty()) step.waiting += this
+        step.workflow.onTasksChanged()
     }
 }
