--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerAction.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerAction.kt
@@ -18,18 +18,20 @@
     /** Make [batch] durable; the outcome goes to [WorkflowScheduler.onBatchDurable]. */
     data class Record(val batch: RecordBatch) : SchedulerAction
 
+    /** A message to other hosts. */
+    sealed interface ToStandbys : SchedulerAction
+
     /**
      * Announce the heartbeat [number] of the owner of [epoch] to [hosts]; each acknowledgement goes
      * to [Succession.onHeartbeatAcknowledged].
      */
-    data class Announce(val epoch: Long, val number: Long, val hosts: Set<String>) : SchedulerAction
+    data class Announce(val epoch: Long, val number: Long, val hosts: Set<String>) : ToStandbys
 
     /**
      * Ask [hosts] when they last acknowledged a heartbeat of the owner of [lastEpoch], which the
      * owner of [epoch] succeeds; each answer goes to [Succession.onStandbyAnswered].
      */
-    data class AskStandbys(val epoch: Long, val lastEpoch: Long, val hosts: Set<String>) :
-        SchedulerAction
+    data class AskStandbys(val epoch: Long, val lastEpoch: Long, val hosts: Set<String>) : ToStandbys
 
     /** Give up ownership, as [worker] has seen a higher epoch. */
     data class Depose(val worker: WorkerRef) : SchedulerAction
@@ -43,8 +45,8 @@
  * changed.
  *
  * [waiting] is the number of workflows without a started task, by queue. [leasesLeft],
- * [recordsPlaces] and [standbys] go with the roster. If [isHeartbeat], the transaction also shows other hosts that
- * the owner is at work.
+ * [recordsPlaces] and [standbys] go with the roster. If [isHeartbeat], the transaction also shows
+ * other hosts that the owner is at work.
  */
 data class RecordBatch(
     val progress: Map<String, WorkflowProgress>,
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/FaultSchedule.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/FaultSchedule.kt
@@ -184,7 +184,7 @@
                 is SchedulerAction.Log ->
                     log += "$now ${action.event.name} ${action.event.id} ${action.event.fields}"
 
-                is SchedulerAction.Announce, is SchedulerAction.AskStandbys -> Unit
+                is SchedulerAction.ToStandbys -> Unit
 
                 is SchedulerAction.Depose -> error("deposed by ${action.worker}")
             }
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
@@ -367,7 +367,11 @@
                 world.tell(standby, name) {
                     inProcess(started) {
                         if (held.isOpen) {
-                            held.scheduler.succession.onHeartbeatAcknowledged(standby, number, clock())
+                            held.scheduler.succession.onHeartbeatAcknowledged(
+                                standby,
+                                number,
+                                clock()
+                            )
                         }
                     }
                 }
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/StandbysTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/StandbysTest.kt
@@ -204,7 +204,9 @@
             get { leaseEndMillis }.isNotNull()
             get { leaseEndMillis!! - sentMillis }.isEqualTo(full)
         }
-        expectThat(scheduler.succession.confirmedMillis).isNotNull().isGreaterThan(driver.now - 1_000)
+        expectThat(scheduler.succession.confirmedMillis).isNotNull().isGreaterThan(
+            driver.now - 1_000
+        )
     }
 
     @Test
@@ -258,7 +260,9 @@
         expectThat(scheduler.succession.confirmedMillis).isEqualTo(confirmed)
         answering += "h3"
         play(1_000)
-        expectThat(scheduler.succession.confirmedMillis).isNotNull().isGreaterThan(confirmed + 5_000)
+        expectThat(
+            scheduler.succession.confirmedMillis
+        ).isNotNull().isGreaterThan(confirmed + 5_000)
     }
 
     // Guards against an owner that no longer needs a host which the durable roster names.
@@ -293,7 +297,9 @@
         loseStore()
         val moments = play(10_000)
         expectThat(moments.announced).isNotEmpty().all { get { hosts }.isEmpty() }
-        expectThat(scheduler.succession.confirmedMillis).isNotNull().isGreaterThan(driver.now - 1_000)
+        expectThat(scheduler.succession.confirmedMillis).isNotNull().isGreaterThan(
+            driver.now - 1_000
+        )
     }
 
     @Test
--- a/emulator/src/main/kotlin/sycamoremast/emulator/Emulation.kt
+++ b/emulator/src/main/kotlin/sycamoremast/emulator/Emulation.kt
@@ -184,7 +184,7 @@
                 scheduler.onBatchDurable().forEach { (id, s) -> load.setPhase(id, s.phase, now) }
             }
 
-            is SchedulerAction.Announce, is SchedulerAction.AskStandbys -> Unit
+            is SchedulerAction.ToStandbys -> Unit
 
             is SchedulerAction.Depose -> error("scheduler deposed by ${action.worker.id}")
 
