--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerAction.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerAction.kt
@@ -31,7 +31,8 @@
      * Ask [hosts] when they last acknowledged a heartbeat of the owner of [lastEpoch], which the
      * owner of [epoch] succeeds; each answer goes to [Succession.onStandbyAnswered].
      */
-    data class AskStandbys(val epoch: Long, val lastEpoch: Long, val hosts: Set<String>) : ToStandbys
+    data class AskStandbys(val epoch: Long, val lastEpoch: Long, val hosts: Set<String>) :
+        ToStandbys
 
     /** Give up ownership, as [worker] has seen a higher epoch. */
     data class Depose(val worker: WorkerRef) : SchedulerAction
--- a/emulator/src/main/kotlin/sycamoremast/emulator/Emulation.kt
+++ b/emulator/src/main/kotlin/sycamoremast/emulator/Emulation.kt
@@ -155,18 +155,7 @@
                 schedule(CALL_MILLIS) { scheduler.onStartAnswer(action.order, answer, now) }
             }
 
-            is SchedulerAction.Stop -> schedule(CALL_MILLIS) {
-                stops++
-                val worker = fleet.worker(action.order.worker.id)
-                val stopMillis = pattern.shrinkingWorkers?.stopMillis
-                if (stopMillis == null) {
-                    fleet.stop(worker, action.order.task, now)
-                } else {
-                    schedule(stopMillis) { fleet.stop(worker, action.order.task, now) }
-                }
-                val answer = if (worker.isGone) NOT_SENT else WorkerAnswer.Done(now, now)
-                schedule(CALL_MILLIS) { scheduler.onStopAnswer(action.order, answer, now) }
-            }
+            is SchedulerAction.Stop -> schedule(CALL_MILLIS) { stop(action) }
 
             is SchedulerAction.Pace -> schedule(PACE_MILLIS) {
                 paceOrders++
@@ -206,6 +195,19 @@
         }
     }
 
+    private fun stop(action: SchedulerAction.Stop) {
+        stops++
+        val worker = fleet.worker(action.order.worker.id)
+        val stopMillis = pattern.shrinkingWorkers?.stopMillis
+        if (stopMillis == null) {
+            fleet.stop(worker, action.order.task, now)
+        } else {
+            schedule(stopMillis) { fleet.stop(worker, action.order.task, now) }
+        }
+        val answer = if (worker.isGone) NOT_SENT else WorkerAnswer.Done(now, now)
+        schedule(CALL_MILLIS) { scheduler.onStopAnswer(action.order, answer, now) }
+    }
+
     private fun poll(action: SchedulerAction.Poll, untilMillis: Long) {
         val worker = fleet.worker(action.order.worker.id)
         if (worker.isGone) {
