Name the lease ends of the process's own last term apart

In the extension of SchedulerLoop the name meant that of the loop, so that the daemon didn't compile since.

--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
@@ -57,7 +57,7 @@
     private var epoch = 0L
 
     /** The times by which the leases of this process's last term have lapsed, by its epoch. */
-    private var leaseEnds = emptyMap<Long, Map<WorkerRef, Long>>()
+    private var ownLeaseEnds = emptyMap<Long, Map<WorkerRef, Long>>()
 
     override fun onBegin(term: Term) {
         epoch = term.epoch
@@ -148,7 +148,7 @@
                 term.sightings.acknowledgedMillisOrNull(roster.epoch)
                     ?.let { clock.nowMillis() - it }
         )
-        val sightings = term.sightings.copy(leaseEnds = leaseEnds)
+        val sightings = term.sightings.copy(leaseEnds = ownLeaseEnds)
         updateSuccession { addRoster(roster, sightings, heartbeat, it) }
     }
 
@@ -187,7 +187,7 @@
         } else {
             endingLoop.close()
         }
-        endingLoop.leaseEnds?.let { leaseEnds = mapOf(epoch to it) }
+        endingLoop.leaseEnds?.let { ownLeaseEnds = mapOf(epoch to it) }
     }
 
     companion object {
