Note hosts' addresses whenever the owner reads them, and adapt a test

Once they were told apart, "reaches a standby whose entry has expired" failed, which the owner's own acknowledgement had hidden: noted addresses only each 2 s, so that of a host whose entry expires sooner was lost. They are noted with each reading of the hosts again, which the scheduler's loop makes ten times a second, not with each step.

--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
@@ -163,8 +163,8 @@
         if (lease == LeaseState.OVER) return endTerm("lease ended long ago")
         val isSoleOwner = lease == LeaseState.VALID
         val isCountDue = lastStepMillis >= nextCountMillis
-        val hosts = standbys.registeredHosts
-        if (isCountDue && hosts.isNotEmpty()) {
+        val hosts = if (isCountDue) standbys.registeredHosts else emptySet()
+        if (hosts.isNotEmpty()) {
             scheduler.succession.onHostsRegistered(standbys.ownName, hosts, lastStepMillis)
         }
         scheduler.step(lastStepMillis, unixMillis(), isSoleOwner).forEach(::execute)
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/StandbyPeers.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/StandbyPeers.kt
@@ -65,7 +65,11 @@
     @Volatile
     private var lastUsedMillis: Long? = null
 
-    override val registeredHosts: Set<String> get() = registry.hosts.keys
+    override val registeredHosts: Set<String>
+        get() {
+            noteAddresses()
+            return registry.hosts.keys
+        }
 
     fun start() {
         network.handle(OwnerHeartbeat::class) { from, heartbeat ->
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/StandbyPeersTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/StandbyPeersTest.kt
@@ -68,6 +68,9 @@
     private val standby = Host("standby", store) { now }
     private val acknowledged = ConcurrentLinkedQueue<Acknowledgement>()
 
+    /** The owner's acknowledgements of its own heartbeats. */
+    private val ownAcknowledged = ConcurrentLinkedQueue<Acknowledgement>()
+
     /** The epochs whose heartbeats the standby was asked to acknowledge. */
     private val asked = ConcurrentLinkedQueue<Long>()
     private var lastNumber = 0L
@@ -76,7 +79,8 @@
     fun start() {
         owner.peers.acknowledge = { true }
         owner.peers.onAcknowledged = { host, epoch, number ->
-            acknowledged += Acknowledgement(host, epoch, number)
+            val known = if (host == "owner") ownAcknowledged else acknowledged
+            known += Acknowledgement(host, epoch, number)
         }
         standby.peers.hasStore = { false }
         owner.start()
@@ -118,6 +122,13 @@
         expectThat(first.number in 1..lastNumber).isTrue()
     }
 
+    // Guards against an owner that succeeds itself and doesn't know how long it went on (TWICE).
+    @Test
+    fun `an owner acknowledges its own heartbeats`() {
+        owner.peers.announce(7, 5, setOf("standby"))
+        expectThat(ownAcknowledged.toList()).isEqualTo(listOf(Acknowledgement("owner", 7, 5)))
+    }
+
     @Test
     fun `acknowledges each heartbeat by its number`() {
         acceptEpochs(7)
