--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/StoreOutageTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/StoreOutageTest.kt
@@ -42,6 +42,39 @@
         }
     }
 
+    // Guards against standbys whose planned restart ends all leases in an outage (LOST, issue 49).
+    @Test
+    fun `no run lapses while the standbys are restarted in turn in an outage`() {
+        for (seed in 1L..4) {
+            val schedule = SuccessionSchedule(seed, SuccessionFaults(emptySet()))
+            schedule.playOutageWithStops(OUTAGE_MILLIS, 16_000, isOwnerStopped = false)
+            expectThat(schedule.lapsedRuns).describedAs("seed $seed").isEqualTo(0)
+            expectThat(schedule.violations).describedAs("seed $seed").isEmpty()
+        }
+    }
+
+    // Guards against an owner whose planned stop ends all leases in an outage (LOST, issue 49).
+    @Test
+    fun `no run lapses if the owner is stopped in an outage that goes on for 8 s`() {
+        for (seed in 1L..4) {
+            val schedule = SuccessionSchedule(seed, SuccessionFaults(emptySet()))
+            schedule.playOutageWithStops(OUTAGE_MILLIS, 10_000, isOwnerStopped = true)
+            expectThat(schedule.lapsedRuns).describedAs("seed $seed").isEqualTo(0)
+            expectThat(schedule.violations).describedAs("seed $seed").isEmpty()
+        }
+    }
+
+    // Guards against an owner whose planned stop ends all leases in an outage (LOST, issue 49).
+    @Test
+    fun `no run lapses if the owner is stopped in an outage that goes on for 14 s`() {
+        for (seed in 1L..4) {
+            val schedule = SuccessionSchedule(seed, SuccessionFaults(emptySet()))
+            schedule.playOutageWithStops(OUTAGE_MILLIS, 16_000, isOwnerStopped = true)
+            expectThat(schedule.lapsedRuns).describedAs("seed $seed").isEqualTo(0)
+            expectThat(schedule.violations).describedAs("seed $seed").isEmpty()
+        }
+    }
+
     // Guards against an owner that goes on for longer than a new host assumes (TWICE).
     @Test
     fun `no task runs twice if hosts that acknowledge heartbeats are suspended`() {
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionSchedule.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionSchedule.kt
@@ -126,6 +126,21 @@
         return checkNotNull(restoredMillis) { "the lasting tasks never run" } - fromMillis - millis
     }
 
+    /**
+     * Like [playOutage], while hosts are stopped as planned and started again in turn: the owner, or
+     * all others, one each two seconds from the outage's second second on.
+     */
+    fun playOutageWithStops(fromMillis: Long, millis: Long, isOwnerStopped: Boolean) {
+        begin()
+        time.at(fromMillis + FIRST_STOP_MILLIS) {
+            val stopped = hosts.filter { (it.term != null) == isOwnerStopped }
+            for ((index, host) in stopped.withIndex()) {
+                time.at(now + index * STOP_INTERVAL_MILLIS) { stop(host) }
+            }
+        }
+        playOutageOnly(fromMillis, millis)
+    }
+
     private fun awaitLasting(fromMillis: Long) {
         time.at(fromMillis) {
             val running = workers.values.filter { it.isUp }.flatMap { it.running }
@@ -546,6 +561,8 @@
         const val MAX_FREEZE_MILLIS = 6_000L
         const val MAX_SUSPEND_MILLIS = 3_000L
         const val SUSPENSION_INTERVAL_MILLIS = 5_000L
+        const val FIRST_STOP_MILLIS = 2_000L
+        const val STOP_INTERVAL_MILLIS = 2_000L
         const val MIN_DRAIN_MILLIS = 2_000L
 
         /** Three heartbeats. */
