--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/InheritedLeases.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/InheritedLeases.kt
@@ -1,9 +1,10 @@
 /**
  * The leases that earlier owners may have granted to workers which this owner doesn't reach.
  *
- * A host that the last roster doesn't name as a standby can't tell how long the last owner went on
- * with its standbys' acknowledgements. It asks them when they last gave one. A single answer is
- * enough, as a heartbeat counted only if all of them had acknowledged it.
+ * A process that the last roster doesn't name as a standby can't tell how long the last owner went on
+ * with its standbys' acknowledgements. It asks them when they last gave one, and the last owner's
+ * host when that owner ended. A single answer is enough, as a heartbeat counted only if all standbys
+ * that had not ended themselves had acknowledged it.
  */
 package sycamoremast.coordination.workflow
 
@@ -30,8 +31,10 @@
                 roster.lapsedByMillis(worker, sightings, fleet.settings, lastHeartbeat)
             directory.addRosteredWorker(worker, lapsedBy)
         }
-        val isInformed = roster.standbys.isEmpty() || sightings.host in roster.standbys
-        if (!isInformed) unanswered = Inheritance(roster, sightings, lastHeartbeat)
+        if (!roster.isInformed(sightings)) {
+            unanswered =
+                Inheritance(roster, sightings, lastHeartbeat)
+        }
     }
 
     /** Asks the standbys until one has answered or no worker is missing. */
@@ -44,20 +47,27 @@
         }
         nextAskMillis = nowMillis + ASK_INTERVAL_MILLIS
         val roster = inherited.roster
-        fleet.outbox += SchedulerAction.AskStandbys(fleet.epoch, roster.epoch, roster.standbys)
+        fleet.outbox += SchedulerAction.AskStandbys(
+            fleet.epoch,
+            roster.epoch,
+            roster.standbys,
+            inherited.sightings.owners[roster.epoch]
+        )
     }
 
     /**
-     * Records the answer of [host], which last acknowledged a heartbeat of the owner of [epoch]
-     * [millisAgo] by its own clock, and acknowledges none any more.
+     * Records the answer of [host], which last acknowledged a heartbeat of the owner of [epoch], or
+     * was its host until it ended, [millisAgo] by its own clock, and acknowledges none any more.
      */
     fun onAnswered(host: String, epoch: Long, millisAgo: Long, nowMillis: Long) {
         val inherited = unanswered?.takeIf { it.roster.epoch == epoch } ?: return
-        if (host !in inherited.roster.standbys) return
+        val standbys = inherited.roster.standbys
+        val isAsked = standbys.any { it.host == host } || host == inherited.sightings.owners[epoch]
+        if (!isAsked) return
         unanswered = null
         val sureMillisAgo = millisAgo - 2 * SchedulerSettings.maxClockError(millisAgo)
         val seenByHost = inherited.sightings.copy(
-            host = host,
+            process = standbys.first(),
             acknowledged = mapOf(epoch to nowMillis - sureMillisAgo)
         )
         for (ref in inherited.roster.workers) {
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RosterRecord.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RosterRecord.kt
@@ -25,7 +25,7 @@
     val drainingLeasesLeft: Map<String, Long>? = null,
     val batch: Long = 0,
     val recordsPlaces: Boolean = false,
-    val standbys: Set<String> = emptySet()
+    val standbys: Set<HostProcess> = emptySet()
 ) {
     val version: RecordVersion get() = RecordVersion(epoch, batch)
 
@@ -64,6 +64,13 @@
         ).min()
     }
 
+    /**
+     * Whether the owner counted a heartbeat that it announced only if the process of [sightings] had
+     * acknowledged it.
+     */
+    internal fun isInformed(sightings: StoreSightings): Boolean =
+        standbys.isEmpty() || sightings.process in standbys
+
     /**
      * Returns the time by which leases have lapsed that rely on heartbeats announced to standbys,
      * where those that rely on durable ones have lapsed by [recordedByMillis].
@@ -73,8 +80,10 @@
         sightings: StoreSightings,
         settings: SchedulerSettings
     ): Long {
-        val isInformed = standbys.isEmpty() || sightings.host in standbys
-        if (!isInformed) return recordedByMillis + SchedulerSettings.longestAnnouncedMillis()
+        if (!isInformed(sightings)) {
+            return recordedByMillis +
+                SchedulerSettings.longestAnnouncedMillis()
+        }
         return sightings.acknowledgedMillisOrNull(epoch)
             ?.let { settings.lapsedAfterHeartbeat(it) } ?: recordedByMillis
     }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerAction.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerAction.kt
@@ -22,17 +22,23 @@
     sealed interface ToStandbys : SchedulerAction
 
     /**
-     * Announce the heartbeat [number] of the owner of [epoch] to [hosts]; each acknowledgement goes
-     * to [Succession.onHeartbeatAcknowledged].
+     * Announce the heartbeat [number] of the owner of [epoch] to [standbys]; each acknowledgement
+     * goes to [Succession.onHeartbeatAcknowledged].
      */
-    data class Announce(val epoch: Long, val number: Long, val hosts: Set<String>) : ToStandbys
+    data class Announce(val epoch: Long, val number: Long, val standbys: Set<HostProcess>) :
+        ToStandbys
 
     /**
-     * Ask [hosts] when they last acknowledged a heartbeat of the owner of [lastEpoch], which the
-     * owner of [epoch] succeeds; each answer goes to [Succession.onStandbyAnswered].
+     * Ask [standbys] when they last acknowledged a heartbeat of the owner of [lastEpoch], and the
+     * host of that owner, [lastOwner] if known, when it ended. The owner of [epoch] succeeds it. Each
+     * answer goes to [Succession.onStandbyAnswered].
      */
-    data class AskStandbys(val epoch: Long, val lastEpoch: Long, val hosts: Set<String>) :
-        ToStandbys
+    data class AskStandbys(
+        val epoch: Long,
+        val lastEpoch: Long,
+        val standbys: Set<HostProcess>,
+        val lastOwner: String?
+    ) : ToStandbys
 
     /** Give up ownership, as [worker] has seen a higher epoch. */
     data class Depose(val worker: WorkerRef) : SchedulerAction
@@ -57,7 +63,7 @@
     val interference: InterferenceRecord? = null,
     val isHeartbeat: Boolean = false,
     val recordsPlaces: Boolean = false,
-    val standbys: Set<String> = emptySet()
+    val standbys: Set<HostProcess> = emptySet()
 ) {
     companion object {
         /** The most entries of a transaction, conditions included, that the platform's store takes. */
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Standbys.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Standbys.kt
@@ -1,30 +1,38 @@
 /**
- * The hosts that may succeed the owner, and which of its heartbeats they know of.
+ * The processes that may succeed the owner, and which of its heartbeats they know of.
  *
  * In an outage of the store no heartbeat becomes durable. The owner then announces heartbeats to all
  * standbys itself. One that all of them have acknowledged allows the owner to go on granting leases:
- * whichever of them takes over counts from the last heartbeat that it acknowledged.
+ * whichever of them takes over counts from the last heartbeat that it acknowledged. A standby that
+ * has ended can't take over, so its acknowledgement isn't awaited.
  *
- * A host that isn't named in the last roster asks the standbys ([InheritedLeases]). If none answers
- * it waits longer, by [SchedulerSettings.LONGEST_ANNOUNCED_MILLIS], for which the owner may go on.
+ * A process that isn't named in the last roster asks the standbys ([InheritedLeases]), also if an
+ * earlier one of its host is named. If none answers it waits longer, by
+ * [SchedulerSettings.LONGEST_ANNOUNCED_MILLIS], for which the owner may go on.
  */
 package sycamoremast.coordination.workflow
 
 internal class Standbys(private val fleet: Fleet) {
     private class Announcement(val number: Long, val formedMillis: Long)
 
-    private var ownHost: String? = null
+    private var own: HostProcess? = null
 
-    /** The hosts by the time at which they were last registered. */
-    private val lastRegistered = HashMap<String, Long>()
-    private var registered = emptySet<String>()
+    /** The standbys by the time at which they were last registered. */
+    private val lastRegistered = HashMap<HostProcess, Long>()
+    private var registered = emptySet<HostProcess>()
 
     /** The standbys in the last durable roster, and those in one that may be durable. */
-    private var recorded = emptySet<String>()
-    private var inRecord: Set<String>? = null
+    private var recorded = emptySet<HostProcess>()
+    private var inRecord: Set<HostProcess>? = null
 
-    /** The number of the last heartbeat that each host has acknowledged. */
-    private val acknowledged = HashMap<String, Long>()
+    /** The number of the last heartbeat announced before each standby was known. */
+    private val knownSince = HashMap<HostProcess, Long>()
+
+    /** The standbys that can't succeed this owner any more, as they have ended. */
+    private val ended = HashSet<HostProcess>()
+
+    /** The number of the last heartbeat that each standby has acknowledged. */
+    private val acknowledged = HashMap<HostProcess, Long>()
     private val announcements = ArrayDeque<Announcement>()
     private var lastNumber = 0L
     private var lastAnnouncedMillis = Long.MIN_VALUE / 2
@@ -35,26 +43,32 @@
     var confirmedMillis: Long? = null
         private set
 
-    /** The hosts to record as standbys, none if this host is not registered. */
-    private val current: Set<String>
-        get() = if (ownHost in lastRegistered) lastRegistered.keys.toSet() else emptySet()
+    /** The processes to record as standbys, none if this one is not registered. */
+    private val current: Set<HostProcess>
+        get() = if (own in lastRegistered) lastRegistered.keys.toSet() else emptySet()
 
     /** Whether the roster has to be recorded anew. */
     val isRecordDue: Boolean get() = fleet.isRosterDurable && current != (inRecord ?: recorded)
 
-    /** Updates the registered [hosts], of which [own] is this one. */
-    fun onRegistered(own: String, hosts: Set<String>, nowMillis: Long) {
-        ownHost = own
-        registered = hosts
-        hosts.forEach { lastRegistered[it] = nowMillis }
+    /** Updates the [processes] of the registered hosts, of which [own] is this one. */
+    fun onRegistered(own: HostProcess, processes: Set<HostProcess>, nowMillis: Long) {
+        this.own = own
+        ended.retainAll { it in processes || it in recorded || it in inRecord.orEmpty() }
+        registered = processes - ended
+        registered.forEach { note(it, nowMillis) }
     }
 
-    /** Records that earlier owners have named [hosts] as standbys. */
-    fun onInherited(hosts: Set<String>, nowMillis: Long) =
-        hosts.forEach { lastRegistered[it] = nowMillis }
+    /** Records that earlier owners have named [processes] as standbys. */
+    fun onInherited(processes: Set<HostProcess>, nowMillis: Long) =
+        processes.forEach { note(it, nowMillis) }
+
+    private fun note(process: HostProcess, nowMillis: Long) {
+        lastRegistered[process] = nowMillis
+        knownSince.putIfAbsent(process, lastNumber)
+    }
 
     /** Records that a roster is formed now; returns the standbys that it names. */
-    fun onRosterFormed(): Set<String> = current.also { inRecord = it }
+    fun onRosterFormed(): Set<HostProcess> = current.also { inRecord = it }
 
     /** Records that the last roster formed is durable. */
     fun onRosterDurable() {
@@ -62,6 +76,30 @@
         inRecord = null
     }
 
+    /**
+     * Records that [process] has ended and knew of no owner after that of [lastEpoch].
+     *
+     * If it knows of a later one, it may have answered that one, which then relies on the missing
+     * acknowledgement.
+     */
+    fun onEnded(process: HostProcess, lastEpoch: Long) {
+        val isAwaited = process in needed() && process != own && lastEpoch <= fleet.epoch
+        fleet.log(
+            "standby-ended",
+            "epoch-${fleet.epoch}",
+            "process" to process,
+            "lastEpoch" to lastEpoch,
+            "isAwaited" to isAwaited
+        )
+        if (isAwaited) forget(setOf(process))
+    }
+
+    private fun forget(processes: Set<HostProcess>) {
+        ended += processes
+        registered -= processes
+        lastRegistered -= processes
+    }
+
     /** Records that a heartbeat is durable which was formed at [formedMillis]. */
     fun onHeartbeatDurable(formedMillis: Long) {
         durableMillis = formedMillis
@@ -73,8 +111,8 @@
     /** Announces a heartbeat if none has been durable for a while. */
     fun step(nowMillis: Long) {
         forgetHosts(nowMillis)
-        val isAwaited = ownHost in recorded &&
-            inRecord?.contains(ownHost) != false &&
+        val isAwaited = own in recorded &&
+            inRecord?.contains(own) != false &&
             nowMillis >= durableMillis + ANNOUNCE_AFTER_MILLIS &&
             nowMillis < durableMillis + SchedulerSettings.LONGEST_ANNOUNCED_MILLIS
         val dueMillis = lastAnnouncedMillis + SchedulerSettings.HEARTBEAT_INTERVAL_MILLIS
@@ -92,25 +130,38 @@
     }
 
     /**
-     * Forgets hosts whose entries have been gone for longer than entries are missing after an
+     * Forgets processes whose entries have been gone for longer than entries are missing after an
      * outage.
      */
     private fun forgetHosts(nowMillis: Long) {
         registered.forEach { lastRegistered[it] = nowMillis }
         lastRegistered.values.removeAll { nowMillis > it + UNREGISTERED_MILLIS }
+        knownSince.keys.retainAll(lastRegistered.keys + recorded + inRecord.orEmpty())
     }
 
     /**
-     * Returns all hosts that a successor may find named as standbys, this one included, which may
-     * succeed itself.
+     * Returns all processes that a successor may find named as standbys and that have not ended,
+     * this one included, which may succeed itself.
      */
-    private fun needed(): Set<String> = recorded + inRecord.orEmpty() + lastRegistered.keys
+    private fun needed(): Set<HostProcess> =
+        recorded + inRecord.orEmpty() + lastRegistered.keys - ended
 
-    private fun others(): Set<String> = needed() - setOfNotNull(ownHost)
+    private fun others(): Set<HostProcess> = needed() - setOfNotNull(own)
 
-    /** Records that [host] has acknowledged the heartbeat with [number]. */
-    fun onAcknowledged(host: String, number: Long, nowMillis: Long) {
-        acknowledged.merge(host, number, ::maxOf)
+    /**
+     * Records that [process] has acknowledged the heartbeat with [number].
+     *
+     * Other processes of its host that were known before that heartbeat have ended. None of them has
+     * succeeded this owner, as [process] has read since its start that it is the last one.
+     */
+    fun onAcknowledged(process: HostProcess, number: Long, nowMillis: Long) {
+        if (process in ended) return
+        forget(
+            needed().filterTo(HashSet()) {
+                it.host == process.host && it != process && knownSince.getValue(it) < number
+            }
+        )
+        acknowledged.merge(process, number, ::maxOf)
         confirm(nowMillis)
     }
 
@@ -124,6 +175,7 @@
                 "standbys-confirm",
                 "epoch-${fleet.epoch}",
                 "hosts" to others().size,
+                "ended" to ended.size,
                 "durableMillisAgo" to nowMillis - durableMillis,
                 "tookMillis" to nowMillis - confirmed.formedMillis
             )
@@ -144,6 +196,7 @@
             "hosts" to missing.size,
             "first" to missing.take(MAX_NAMED).joinToString(","),
             "needed" to others().size,
+            "ended" to ended.size,
             "heartbeatMillisAgo" to nowMillis - known
         )
     }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/StoreSightings.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/StoreSightings.kt
@@ -9,7 +9,7 @@
  * The times at which this host first saw the claims of epochs, [claims], the [rosters] and the
  * [heartbeats], and a time before its own claim and after all records of earlier owners,
  * [claimedMillis]. By the times in [ends], the owners of these epochs had certainly ended, as they
- * were on this [host]. In [acknowledged] are the times at which it last acknowledged a heartbeat
+ * were on the host of this [process]. [owners] gives the hosts of others. In [acknowledged] are the times at which it last acknowledged a heartbeat
  * that the owner of an epoch announced to it. If the owner of an epoch was this process, its leases
  * have lapsed by [leaseEnds].
  */
@@ -19,9 +19,10 @@
     val rosters: Map<RecordVersion, Long> = emptyMap(),
     val heartbeats: Map<RecordVersion, Long> = emptyMap(),
     val ends: Map<Long, Long> = emptyMap(),
-    val host: String = "",
+    val process: HostProcess = HostProcess(""),
     val acknowledged: Map<Long, Long> = emptyMap(),
-    val leaseEnds: Map<Long, Map<WorkerRef, Long>> = emptyMap()
+    val leaseEnds: Map<Long, Map<WorkerRef, Long>> = emptyMap(),
+    val owners: Map<Long, String> = emptyMap()
 ) {
     /** Returns a time not before the claim of [epoch], which may be this host's own. */
     fun claimedByMillis(epoch: Long): Long =
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Succession.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Succession.kt
@@ -37,13 +37,22 @@
         standbys.onInherited(roster.standbys, nowMillis)
     }
 
-    /** Updates the registered [hosts], of which [own] is the one of this owner. */
-    fun onHostsRegistered(own: String, hosts: Set<String>, nowMillis: Long) =
-        standbys.onRegistered(own, hosts, nowMillis)
+    /** Updates the processes of the [registered] hosts, of which [own] is this one. */
+    fun onHostsRegistered(own: HostProcess, registered: Set<HostProcess>, nowMillis: Long) =
+        standbys.onRegistered(own, registered, nowMillis)
 
-    /** Records that [host] has acknowledged the heartbeat [number] that was announced to it. */
-    fun onHeartbeatAcknowledged(host: String, number: Long, nowMillis: Long) =
-        standbys.onAcknowledged(host, number, nowMillis)
+    /**
+     * Records that [process], which has read in the store that this owner is the last one, has
+     * acknowledged the heartbeat [number].
+     */
+    fun onHeartbeatAcknowledged(process: HostProcess, number: Long, nowMillis: Long) =
+        standbys.onAcknowledged(process, number, nowMillis)
+
+    /**
+     * Records that [process] ends as planned: it makes no claim and answers no successor any more,
+     * and knows of no owner after that of [lastEpoch].
+     */
+    fun onStandbyEnded(process: HostProcess, lastEpoch: Long) = standbys.onEnded(process, lastEpoch)
 
     /**
      * Records that [host] last acknowledged a heartbeat of the owner of [lastEpoch] [millisAgo].
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
@@ -51,6 +51,9 @@
     private val store = world.store
     private val settings = SchedulerSettings()
     private var process = 0
+
+    /** The name of the present process. */
+    private val self: HostProcess get() = HostProcess.of(name, "$process")
     private var frozenUntilMillis = 0L
     private var freezeMillis = 0L
     private var uncountedMillis = 0L
@@ -66,6 +69,9 @@
 
     /** The owner's key as last seen, and its version. */
     private var seenOwner: OwnerKey? = null
+
+    /** The last content of the owner's key that this process has seen. */
+    private var lastOwner: OwnerKey? = null
     private var seenOwnerVersion: Long? = null
 
     /** When the last term of this host had ended, in this process or in an earlier one. */
@@ -124,6 +130,7 @@
         rostersSeen = HashMap()
         heartbeatsSeen = HashMap()
         lastEpochSeen = 0
+        lastOwner = null
         acknowledged = HashMap()
         leaseEnds = emptyMap()
     }
@@ -188,18 +195,19 @@
     private fun syncWithStore() {
         if (!store.isUp || !world.reaches(name, HostWorld.STORE)) return
         store.expire()
-        store.register(name)
+        store.register(self)
         lastEpochSeen = maxOf(lastEpochSeen, store.epoch.epoch)
         val owner = store.owner
         if (owner != null) claimsSeen.putIfAbsent(owner.epoch, clock())
         store.roster?.let { rostersSeen.putIfAbsent(it.record.version, clock()) }
         store.heartbeat?.let { heartbeatsSeen.putIfAbsent(it, clock()) }
+        if (owner != null) lastOwner = owner
         seenOwner = owner
         seenOwnerVersion = store.ownerVersion
         val held = term ?: return claimIfFree()
         if (held.begunMillis == null) return
         if (owner?.epoch != held.epoch) return endTerm(held, "owner key names $owner")
-        held.scheduler.succession.onHostsRegistered(name, store.registeredHosts(), clock())
+        held.scheduler.succession.onHostsRegistered(self, store.registeredHosts(), clock())
         if (held.knownListings != world.listings) {
             held.knownListings = HashMap(world.listings)
             held.scheduler.onWorkersListed(held.knownListings.values.toList(), clock())
@@ -252,9 +260,10 @@
                         rostersSeen.toMap(),
                         heartbeatsSeen.toMap(),
                         listOfNotNull(replaced).associate { key -> key.epoch to lastEndMillis },
-                        name,
+                        self,
                         acknowledged.toMap(),
-                        leaseEnds
+                        leaseEnds,
+                        listOfNotNull(lastOwner).associate { key -> key.epoch to key.host }
                     )
                     lastEpochSeen = maxOf(lastEpochSeen, it.first)
                     beginTerm(it.first, it.second, lease, startedMillis, sightings)
@@ -348,11 +357,13 @@
 
             is SchedulerAction.Announce -> if (mayAcknowledge(held.epoch)) {
                 acknowledged[held.epoch] = clock()
-                scheduler.succession.onHeartbeatAcknowledged(name, action.number, clock())
-                (action.hosts - name).forEach { announce(held, action.number, it) }
+                scheduler.succession.onHeartbeatAcknowledged(self, action.number, clock())
+                (action.standbys - self).forEach { announce(held, action.number, it.host) }
             }
 
-            is SchedulerAction.AskStandbys -> action.hosts.forEach { ask(held, action, it) }
+            is SchedulerAction.AskStandbys ->
+                (action.standbys.map { it.host } + listOfNotNull(action.lastOwner)).distinct()
+                    .forEach { ask(held, action, it) }
 
             is SchedulerAction.Depose -> endTerm(held, "${action.worker} has a higher epoch")
 
@@ -363,12 +374,12 @@
     private fun announce(held: Term, number: Long, standby: String) {
         val started = process
         world.tell(name, standby) { other ->
-            other.acknowledge(held.epoch) {
+            other.acknowledge(held.epoch) { process ->
                 world.tell(standby, name) {
                     inProcess(started) {
                         if (held.isOpen) {
                             held.scheduler.succession.onHeartbeatAcknowledged(
-                                standby,
+                                process,
                                 number,
                                 clock()
                             )
@@ -380,12 +391,12 @@
     }
 
     /** Receives a heartbeat of the owner of [epoch]; calls [reply] if it is acknowledged. */
-    private fun acknowledge(epoch: Long, reply: () -> Unit) = inProcess {
+    private fun acknowledge(epoch: Long, reply: (HostProcess) -> Unit) = inProcess {
         val hasStore = store.isUp && world.reaches(name, HostWorld.STORE)
         if (hasStore && !world.acknowledgesWithStore) return@inProcess
         if (!mayAcknowledge(epoch)) return@inProcess
         acknowledged[epoch] = clock()
-        reply()
+        reply(self)
     }
 
     private fun ask(held: Term, question: SchedulerAction.AskStandbys, standby: String) {
@@ -410,8 +421,16 @@
 
     private fun answerSuccessor(question: SchedulerAction.AskStandbys, reply: (Long) -> Unit) =
         inProcess {
+            val mayOwn = term?.epoch == question.lastEpoch
+            val lastMillis = when {
+                self in question.standbys ->
+                    maxOf(startedMillis, acknowledged[question.lastEpoch] ?: startedMillis)
+
+                name == question.lastOwner && !mayOwn -> lastEndMillis
+
+                else -> return@inProcess
+            }
             lastEpochSeen = maxOf(lastEpochSeen, question.epoch)
-            val lastMillis = maxOf(startedMillis, acknowledged[question.lastEpoch] ?: startedMillis)
             reply(clock() - lastMillis)
         }
 
@@ -515,6 +534,7 @@
         val held = term
         val begun = held?.begunMillis
         if (held == null || begun == null) {
+            announceEnd()
             kill()
             return onEnded()
         }
@@ -531,6 +551,18 @@
         }
     }
 
+    /** Tells the last owner known that this process succeeds it no more. */
+    private fun announceEnd() {
+        val owner = lastOwner?.host ?: return
+        val process = self
+        val lastEpoch = lastEpochSeen
+        world.tell(name, owner) { other -> other.onStandbyEnded(process, lastEpoch) }
+    }
+
+    private fun onStandbyEnded(process: HostProcess, lastEpoch: Long) = inProcess {
+        term?.scheduler?.succession?.onStandbyEnded(process, lastEpoch)
+    }
+
     private companion object {
         const val PER_MILLE = 1_000L
         const val TICK_MILLIS = 100L
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelStore.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelStore.kt
@@ -21,6 +21,7 @@
 internal class ModelStore(private val time: VirtualTime, private val pausesLeases: Boolean) {
     private val leaseEnds = HashMap<Int, Long>()
     private val hostEnds = LinkedHashMap<String, Long>()
+    private val hostProcesses = HashMap<String, HostProcess>()
     private var lastLease = 0
     private var downSinceMillis: Long? = null
     val isUp: Boolean get() = downSinceMillis == null
@@ -67,15 +68,16 @@
         }
     }
 
-    /** Registers [host], or renews its entry. */
-    fun register(host: String) {
-        hostEnds[host] = time.now + HOST_TTL_MILLIS
+    /** Registers [process] of its host, or renews its entry. */
+    fun register(process: HostProcess) {
+        hostEnds[process.host] = time.now + HOST_TTL_MILLIS
+        hostProcesses[process.host] = process
     }
 
-    /** Returns the hosts whose entries have not expired. */
-    fun registeredHosts(): Set<String> {
+    /** Returns the processes of the hosts whose entries have not expired. */
+    fun registeredHosts(): Set<HostProcess> {
         hostEnds.values.removeIf { it <= time.now }
-        return hostEnds.keys.toSet()
+        return hostEnds.keys.mapTo(LinkedHashSet()) { hostProcesses.getValue(it) }
     }
 
     fun grantLease(): Int = (++lastLease).also { leaseEnds[it] = time.now + LEASE_TTL_MILLIS }
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/RosterRecordTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/RosterRecordTest.kt
@@ -46,40 +46,40 @@
             .isEqualTo(settings.lapsedAfterHeartbeat(10_000))
     }
 
-    private val announcing = roster.copy(standbys = setOf("h1", "h2"))
+    private val announcing = roster.copy(standbys = setOf(HostProcess("h1/a"), HostProcess("h2/a")))
 
-    /** What host [host] has seen that has last acknowledged heartbeats at [acknowledged]. */
-    private fun seenBy(host: String, vararg acknowledged: Pair<Long, Long>) =
-        sightings.copy(host = host, acknowledged = mapOf(*acknowledged))
+    /** What [process] has seen that has last acknowledged heartbeats at [acknowledged]. */
+    private fun seenBy(process: String, vararg acknowledged: Pair<Long, Long>) =
+        sightings.copy(process = HostProcess(process), acknowledged = mapOf(*acknowledged))
 
     @Test
     fun `counts from a standby's last acknowledgement if that is later`() {
-        expectThat(announcing.lapsedBy(seenBy("h2", 3L to 9_500), heartbeat))
+        expectThat(announcing.lapsedBy(seenBy("h2/a", 3L to 9_500), heartbeat))
             .isEqualTo(settings.lapsedAfterHeartbeat(9_500))
     }
 
     @Test
     fun `counts from the heartbeat that a standby has seen after its last acknowledgement`() {
-        expectThat(announcing.lapsedBy(seenBy("h2", 3L to 7_000), heartbeat))
+        expectThat(announcing.lapsedBy(seenBy("h2/a", 3L to 7_000), heartbeat))
             .isEqualTo(settings.lapsedAfterHeartbeat(8_000))
     }
 
     @Test
     fun `counts from the last heartbeat for a standby that has acknowledged none`() {
-        expectThat(announcing.lapsedBy(seenBy("h2"), heartbeat))
+        expectThat(announcing.lapsedBy(seenBy("h2/a"), heartbeat))
             .isEqualTo(settings.lapsedAfterHeartbeat(8_000))
     }
 
     @Test
     fun `ignores what a standby has acknowledged of other owners`() {
-        expectThat(announcing.lapsedBy(seenBy("h2", 2L to 9_500, 4L to 9_800), heartbeat))
+        expectThat(announcing.lapsedBy(seenBy("h2/a", 2L to 9_500, 4L to 9_800), heartbeat))
             .isEqualTo(settings.lapsedAfterHeartbeat(8_000))
     }
 
     // Guards against the bound that an owner without heartbeats has, which counts from a claim.
     @Test
     fun `counts from a standby's acknowledgement that is later than another host's claim`() {
-        val seen = seenBy("h2", 3L to 30_000).copy(claims = mapOf(4L to 9_000))
+        val seen = seenBy("h2/a", 3L to 30_000).copy(claims = mapOf(4L to 9_000))
         expectThat(announcing.lapsedBy(seen, heartbeat))
             .isEqualTo(settings.lapsedAfterHeartbeat(30_000))
     }
@@ -88,24 +88,24 @@
     fun `waits longer on a host that is no standby`() {
         val extra = SchedulerSettings.longestAnnouncedMillis()
         expectThat(extra).isEqualTo(31_200)
-        expectThat(announcing.lapsedBy(seenBy("h3"), heartbeat))
+        expectThat(announcing.lapsedBy(seenBy("h3/a"), heartbeat))
             .isEqualTo(settings.lapsedAfterHeartbeat(8_000) + extra)
-        expectThat(announcing.lapsedBy(seenBy("h3", 3L to 9_500), heartbeat))
+        expectThat(announcing.lapsedBy(seenBy("h3/a", 3L to 9_500), heartbeat))
             .isEqualTo(settings.lapsedAfterHeartbeat(8_000) + extra)
     }
 
     @Test
     fun `counts from the last heartbeat as before if the roster names no standbys`() {
-        expectThat(roster.lapsedBy(seenBy("h2"), heartbeat))
+        expectThat(roster.lapsedBy(seenBy("h2/a"), heartbeat))
             .isEqualTo(settings.lapsedAfterHeartbeat(8_000))
-        expectThat(roster.lapsedBy(seenBy("h2"), null))
+        expectThat(roster.lapsedBy(seenBy("h2/a"), null))
             .isEqualTo(settings.lapsedBy(10_000 + SchedulerSettings.PAST_LEASE_MILLIS))
     }
 
     // Guards against an owner that went on by standbys of an earlier roster (TWICE, issue 46).
     @Test
     fun `counts from its own acknowledgement also if the roster names no standbys`() {
-        expectThat(roster.lapsedBy(seenBy("h2", 3L to 9_500), heartbeat))
+        expectThat(roster.lapsedBy(seenBy("h2/a", 3L to 9_500), heartbeat))
             .isEqualTo(settings.lapsedAfterHeartbeat(9_500))
     }
 
@@ -121,15 +121,15 @@
     @Test
     fun `counts at most from the end of an owner on this host, whatever was announced`() {
         val ends = mapOf(3L to 9_000L)
-        val standby = seenBy("h2", 3L to 9_500).copy(ends = ends)
+        val standby = seenBy("h2/a", 3L to 9_500).copy(ends = ends)
         expectThat(announcing.lapsedBy(standby, heartbeat)).isEqualTo(settings.lapsedBy(9_000))
-        val other = seenBy("h3").copy(ends = ends)
+        val other = seenBy("h3/a").copy(ends = ends)
         expectThat(announcing.lapsedBy(other, heartbeat)).isEqualTo(settings.lapsedBy(9_000))
     }
 
     @Test
     fun `does not wait longer for a worker whose lease is limited in the roster`() {
         val limited = announcing.copy(leasesLeft = mapOf(worker.id to 500L))
-        expectThat(limited.lapsedBy(seenBy("h3"), heartbeat)).isEqualTo(10_500)
+        expectThat(limited.lapsedBy(seenBy("h3/a"), heartbeat)).isEqualTo(10_500)
     }
 }
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/StandbysTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/StandbysTest.kt
@@ -33,6 +33,8 @@
     /** The row of the long-running task in reports, once it runs. */
     private var row: RunningRow? = null
 
+    private var own = "h1"
+
     /** The hosts that acknowledge announcements. */
     private val answering = HashSet<String>()
 
@@ -40,14 +42,16 @@
     private var durableMillis = 0L
 
     private fun inherit(vararg standbys: String) = scheduler.succession.addRoster(
-        RosterRecord(emptyList(), standbys = standbys.toSet()),
-        StoreSightings(driver.now, host = "h1"),
+        RosterRecord(emptyList(), standbys = processes(*standbys)),
+        StoreSightings(driver.now, process = HostProcess("h1")),
         lastHeartbeat = null,
         driver.now
     )
 
-    private fun register(vararg hosts: String, own: String = "h1") =
-        scheduler.succession.onHostsRegistered(own, hosts.toSet(), driver.now)
+    private fun processes(vararg names: String) = names.mapTo(HashSet()) { HostProcess(it) }
+
+    private fun register(vararg names: String, own: String = "h1") =
+        scheduler.succession.onHostsRegistered(HostProcess(own), processes(*names), driver.now)
 
     /** Lets [millis] pass, in which w1 answers all polls. */
     private fun play(millis: Long): List<Moment> = buildList {
@@ -65,8 +69,8 @@
         driver.polls.forEach { driver.report(it, listOfNotNull(row)) }
         val announced = actions.filterIsInstance<SchedulerAction.Announce>()
         for (heartbeat in announced) {
-            acknowledge("h1", heartbeat)
-            (heartbeat.hosts intersect answering).forEach { acknowledge(it, heartbeat) }
+            acknowledge(own, heartbeat)
+            (heartbeat.names intersect answering).forEach { acknowledge(it, heartbeat) }
         }
         return Moment(
             now,
@@ -77,12 +81,20 @@
         )
     }
 
-    private fun acknowledge(host: String, heartbeat: SchedulerAction.Announce) =
-        scheduler.succession.onHeartbeatAcknowledged(host, heartbeat.number, driver.now)
+    private fun acknowledge(name: String, heartbeat: SchedulerAction.Announce) =
+        scheduler.succession.onHeartbeatAcknowledged(
+            HostProcess(name),
+            heartbeat.number,
+            driver.now
+        )
+
+    private fun end(name: String, lastEpoch: Long = 1) =
+        scheduler.succession.onStandbyEnded(HostProcess(name), lastEpoch)
 
-    /** Registers [hosts], of which h1 is the owner, and starts a long-running task on w1. */
-    private fun begin(vararg hosts: String) {
-        if (hosts.isNotEmpty()) register(*hosts)
+    /** Registers [hosts], of which [own] is the owner, and starts a long-running task on w1. */
+    private fun begin(vararg hosts: String, own: String = "h1") {
+        this.own = own
+        if (hosts.isNotEmpty()) register(*hosts, own = own)
         startTask()
     }
 
@@ -109,10 +121,15 @@
         answering += hosts
     }
 
+    private val SchedulerAction.Announce.names get() = standbys.map { it.text }.toSet()
     private val List<Moment>.announced get() = flatMap { it.announced }
     private val List<Moment>.polls get() = flatMap { it.polls }
     private val List<Moment>.rosters get() = flatMap { it.rosters }
 
+    /** The names in each roster. */
+    private val List<Moment>.recorded
+        get() = rosters.map { batch -> batch.standbys.map { it.text }.toSet() }
+
     private fun List<Moment>.events(name: String) = flatMap { it.events }.filter { it.name == name }
 
     /** Returns the lease ends that polls grant from [millis] after the last durable heartbeat. */
@@ -123,7 +140,7 @@
     fun `names all registered hosts in the roster`() {
         register("h1", "h2", "h3")
         driver.scheduler.onWorkersListed(listOf(driver.listing("w1")), driver.now)
-        expectThat(play(1_000).rosters.last().standbys).isEqualTo(setOf("h1", "h2", "h3"))
+        expectThat(play(1_000).recorded.last()).isEqualTo(setOf("h1", "h2", "h3"))
     }
 
     @Test
@@ -144,7 +161,7 @@
         }
         val announced = moments.announced
         expectThat(announced).all { get { epoch }.isEqualTo(1) }
-        expectThat(announced).all { get { hosts }.isEqualTo(setOf("h2", "h3")) }
+        expectThat(announced).all { get { names }.isEqualTo(setOf("h2", "h3")) }
         expectThat(announced.map { it.number }).isEqualTo(announced.indices.map { it + 1L })
     }
 
@@ -188,7 +205,7 @@
         register("h1", "h2")
         answering += "h2"
         val moments = play(10_000)
-        expectThat(moments.rosters.map { it.standbys }).isEqualTo(listOf(setOf("h1", "h2")))
+        expectThat(moments.recorded).isEqualTo(listOf(setOf("h1", "h2")))
         expectThat(moments.announced).isEmpty()
     }
 
@@ -256,7 +273,7 @@
         register("h1", "h2", "h3")
         val confirmed = checkNotNull(scheduler.succession.confirmedMillis)
         val moments = play(5_000)
-        expectThat(moments.announced).all { get { hosts }.isEqualTo(setOf("h2", "h3")) }
+        expectThat(moments.announced).all { get { names }.isEqualTo(setOf("h2", "h3")) }
         expectThat(scheduler.succession.confirmedMillis).isEqualTo(confirmed)
         answering += "h3"
         play(1_000)
@@ -273,7 +290,7 @@
         register("h1", "h2")
         val moments = play(25_000)
         expectThat(moments.announced).isNotEmpty().all {
-            get { hosts }.isEqualTo(setOf("h2", "h3"))
+            get { names }.isEqualTo(setOf("h2", "h3"))
         }
         expectThat(scheduler.succession.confirmedMillis).isNull()
     }
@@ -284,19 +301,80 @@
         begin("h1", "h2")
         register("h1", "h2", "h3")
         loseStore("h2")
-        expectThat(play(500).rosters.map { it.standbys }).isEqualTo(listOf(setOf("h1", "h2", "h3")))
+        expectThat(play(500).recorded).isEqualTo(listOf(setOf("h1", "h2", "h3")))
         register("h1", "h2")
         val moments = play(25_000)
-        expectThat(moments.announced).isNotEmpty().all { get { hosts }.contains("h3") }
+        expectThat(moments.announced).isNotEmpty().all { get { names }.contains("h3") }
+        expectThat(scheduler.succession.confirmedMillis).isNull()
+    }
+
+    // Guards against leases that end as a standby is stopped in an outage (LOST, issue 49).
+    @Test
+    fun `grants leases without the acknowledgement of a standby that has ended`() {
+        begin("h1/a", "h2/a", "h3/a", own = "h1/a")
+        loseStore("h2/a", "h3/a")
+        play(3_000)
+        answering -= "h3/a"
+        end("h3/a")
+        val moments = play(15_000)
+        expectThat(moments.leaseEndsAfter(10_000)).isNotEmpty().all { isNotNull() }
+        expectThat(moments.announced).all { get { names }.isEqualTo(setOf("h2/a")) }
+        expectThat(moments.events("standbys-silent")).isEmpty()
+    }
+
+    // Guards against leases past what an owner assumes that the standby has answered (TWICE).
+    @Test
+    fun `needs a standby that ends and knows of a later owner`() {
+        begin("h1/a", "h2/a", "h3/a", own = "h1/a")
+        loseStore("h2/a")
+        end("h3/a", lastEpoch = 2)
+        val moments = play(15_000)
+        expectThat(moments.announced).isNotEmpty().all { get { names }.contains("h3/a") }
         expectThat(scheduler.succession.confirmedMillis).isNull()
     }
 
+    // Guards against leases that end as a standby has restarted before an outage (LOST, issue 49).
+    @Test
+    fun `needs the new process of a host in place of the one that the roster names`() {
+        begin("h1/a", "h2/a", own = "h1/a")
+        loseStore("h2/b")
+        register("h1/a", "h2/b", own = "h1/a")
+        play(3_000)
+        val moments = play(15_000)
+        expectThat(moments.announced).isNotEmpty().all { get { names }.isEqualTo(setOf("h2/b")) }
+        expectThat(moments.leaseEndsAfter(10_000)).isNotEmpty().all { isNotNull() }
+    }
+
+    // Guards against a late message that takes a live standby for ended (TWICE).
+    @Test
+    fun `needs a process that was not known when the heartbeat was announced`() {
+        begin("h1/a", "h2/a", own = "h1/a")
+        loseStore("h2/a")
+        val last = play(3_000).announced.last()
+        register("h1/a", "h2/b", own = "h1/a")
+        answering.clear()
+        acknowledge("h2/a", last)
+        expectThat(play(3_000).announced).isNotEmpty()
+            .all { get { names }.isEqualTo(setOf("h2/a", "h2/b")) }
+    }
+
+    @Test
+    fun `drops a standby that has ended from the roster at once`() {
+        begin("h1/a", "h2/a", "h3/a", own = "h1/a")
+        end("h3/a")
+        expectThat(play(1_000).recorded).isEqualTo(listOf(setOf("h1/a", "h2/a")))
+        register("h1/a", "h2/a", "h3/a", own = "h1/a")
+        expectThat(play(20_000).recorded).isEmpty()
+        register("h1/a", "h2/a", "h3/b", own = "h1/a")
+        expectThat(play(1_000).recorded).isEqualTo(listOf(setOf("h1/a", "h2/a", "h3/b")))
+    }
+
     @Test
     fun `confirms heartbeats itself if it is the only standby`() {
         begin("h1")
         loseStore()
         val moments = play(10_000)
-        expectThat(moments.announced).isNotEmpty().all { get { hosts }.isEmpty() }
+        expectThat(moments.announced).isNotEmpty().all { get { names }.isEmpty() }
         expectThat(scheduler.succession.confirmedMillis).isNotNull().isGreaterThan(
             driver.now - 1_000
         )
@@ -322,7 +400,7 @@
         begin("h1", "h2", "h3")
         register("h1", "h2")
         expectThat(play(4_900).rosters).isEmpty()
-        expectThat(play(10_000).rosters.map { it.standbys }).isEqualTo(listOf(setOf("h1", "h2")))
+        expectThat(play(10_000).recorded).isEqualTo(listOf(setOf("h1", "h2")))
     }
 
     @Test
@@ -339,10 +417,10 @@
         inherit("h1", "h2", "h9")
         begin("h1", "h2")
         loseStore("h2")
-        expectThat(play(3_000).announced.last().hosts).contains("h9")
+        expectThat(play(3_000).announced.last().names).contains("h9")
         scheduler.onBatchDurable()
         driver.areRecordsDurableAtOnce = true
-        expectThat(play(20_000).rosters.map { it.standbys }).isEqualTo(listOf(setOf("h1", "h2")))
+        expectThat(play(20_000).recorded).isEqualTo(listOf(setOf("h1", "h2")))
     }
 
     @Test
@@ -350,7 +428,7 @@
         begin("h1", "h2")
         expectThat(play(20_000).rosters).isEmpty()
         register("h1", "h2", "h3")
-        expectThat(play(20_000).rosters.map { it.standbys })
+        expectThat(play(20_000).recorded)
             .isEqualTo(listOf(setOf("h1", "h2", "h3")))
     }
 
@@ -369,7 +447,7 @@
         expectThat(play(15_000).rosters).isEmpty()
         scheduler.onBatchDurable()
         driver.areRecordsDurableAtOnce = true
-        expectThat(play(20_000).rosters.map { it.standbys })
+        expectThat(play(20_000).recorded)
             .isEqualTo(listOf(setOf("h1", "h2", "h4")))
     }
 
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionSchedule.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionSchedule.kt
@@ -200,7 +200,7 @@
     }
 
     private fun begin() {
-        hosts.forEach { store.register(it.name) }
+        hosts.forEach { store.register(HostProcess.of(it.name, "1")) }
         repeat(WORKERS) { addWorker("w${it + 1}") }
         store.onOwnerChanged = { hosts.forEach { it.onOwnerKey() } }
         store.accept(lasting())
--- a/daemon/src/main/kotlin/sycamoremast/daemon/peer/StandbyMessages.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/peer/StandbyMessages.kt
@@ -11,25 +11,49 @@
     PeerMessage
 
 /**
- * The acknowledgement of an [OwnerHeartbeat]: if the sender comes to own the worker set, it assumes
- * that the owner of [epoch] has granted leases by that heartbeat.
+ * The acknowledgement of an [OwnerHeartbeat] by the process with the ID [process]: if it comes to own
+ * the worker set, it assumes that the owner of [epoch] has granted leases by that heartbeat.
+ *
+ * It has read in the store, since its start, that this owner is the last one.
  */
 @Serializable
 @SerialName("heartbeat-known")
 data class HeartbeatAcknowledgement(
     @SerialName("e") val epoch: Long,
-    @SerialName("n") val number: Long
+    @SerialName("n") val number: Long,
+    @SerialName("p") val process: String = ""
 ) : PeerMessage
 
-/** The question of the owner of [epoch] to a standby of the owner of [lastEpoch]. */
+/**
+ * The announcement that the process with the ID [process] ends as planned. From now on it claims
+ * nothing, acknowledges no heartbeat and answers no [StandbyQuery]. It knows of no owner after that
+ * of [lastEpoch].
+ */
+@Serializable
+@SerialName("standby-ended")
+data class StandbyEnded(
+    @SerialName("p") val process: String,
+    @SerialName("l") val lastEpoch: Long
+) : PeerMessage
+
+/**
+ * The question of the owner of [epoch] to the process with the ID [process], a standby of the owner
+ * of [lastEpoch], and, if [isLastOwner], to the host of that owner. Without an ID, it is for any
+ * process.
+ */
 @Serializable
 @SerialName("standby-query")
-data class StandbyQuery(@SerialName("e") val epoch: Long, @SerialName("l") val lastEpoch: Long) :
-    PeerMessage
+data class StandbyQuery(
+    @SerialName("e") val epoch: Long,
+    @SerialName("l") val lastEpoch: Long,
+    @SerialName("p") val process: String = "",
+    @SerialName("o") val isLastOwner: Boolean = false
+) : PeerMessage
 
 /**
- * The answer to a [StandbyQuery]: the sender has acknowledged no heartbeat of the owner of
- * [lastEpoch] in the last [millisAgo] milliseconds, and acknowledges none any more.
+ * The answer to a [StandbyQuery]: in the last [millisAgo] milliseconds, the sender has acknowledged
+ * no heartbeat of the owner of [lastEpoch], or that owner, which was on the sender's host, had ended.
+ * The sender acknowledges none of its heartbeats any more.
  */
 @Serializable
 @SerialName("standby-answer")
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Election.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Election.kt
@@ -24,6 +24,7 @@
 import sycamoremast.coordination.StorePut
 import sycamoremast.coordination.StoreTransaction
 import sycamoremast.coordination.TransactionalStore
+import sycamoremast.coordination.workflow.HostProcess
 import sycamoremast.coordination.workflow.SchedulerSettings
 import sycamoremast.coordination.workflow.StoreSightings
 import sycamoremast.daemon.log.EventLog
@@ -47,7 +48,7 @@
 }
 
 /**
- * Takes part for [host] in the election of the owner of worker set [set].
+ * Takes part for [host], in its [process], in the election of the owner of worker set [set].
  *
  * While [hasStrongerHost] returns true, this host delays its claims in favour of stronger hosts.
  */
@@ -58,6 +59,7 @@
     private val clock: MonotonicClock,
     private val log: EventLog,
     private val listener: TermListener,
+    private val process: HostProcess = HostProcess(host),
     private val hasStrongerHost: () -> Boolean = { false }
 ) : PrefixListener,
     AutoCloseable {
@@ -81,8 +83,17 @@
     private val history = OwnerHistory(set, clock, log)
 
     /** When the last term of this host had ended, in this process or in an earlier one. */
+    @Volatile
     private var lastEndMillis = clock.nowMillis()
 
+    /** The epoch of the term whose scheduler may still act, or null. */
+    @Volatile
+    private var activeEpoch: Long? = null
+
+    /** The last claim that this host has seen, and the last epoch of which it knows. */
+    val lastOwner: OwnerRecord? get() = history.lastClaim
+    val lastEpoch: Long get() = history.lastEpoch
+
     /** The last seen content of the owner's key, or null before the first listing. */
     @Volatile
     private var ownerKey: OwnerKeyState? = null
@@ -126,6 +137,17 @@
     fun acknowledgedMillisAgo(epoch: Long, lastEpoch: Long): Long =
         history.acknowledgedMillisAgo(epoch, lastEpoch)
 
+    /**
+     * Returns how long ago the owner of [lastEpoch], which was on this host, had ended, for its
+     * successor of [epoch], or null if it may still act; no more heartbeats of earlier owners are
+     * acknowledged.
+     */
+    fun endedMillisAgoOrNull(epoch: Long, lastEpoch: Long): Long? {
+        history.endAcknowledgements(epoch)
+        if (activeEpoch == lastEpoch) return null
+        return clock.nowMillis() - lastEndMillis
+    }
+
     /** Ends the current term, if any, for [reason]; returns at once. */
     fun depose(reason: String) {
         wakeUps += reason
@@ -195,6 +217,7 @@
         log.add("owner-ended", "set" to set, "epoch" to held.term.epoch, "reason" to reason)
         listener.onEnd(reason)
         lastEndMillis = clock.nowMillis()
+        activeEpoch = null
         store.revokeLease(held.lease).onLeft {
             log.add("lease-not-ended", "step" to it.step, "peer" to it.peer, "reason" to it.reason)
         }
@@ -237,7 +260,18 @@
     }
 
     private fun beginTerm(held: HeldTerm) {
-        heldTerm = held
+        val mayBegin = synchronized(this) {
+            if (isOpen) {
+                activeEpoch = held.term.epoch
+                heldTerm = held
+            }
+            isOpen
+        }
+        if (!mayBegin) {
+            log.add("owner-not-begun", "set" to set, "epoch" to held.term.epoch)
+            store.revokeLease(held.lease)
+            return
+        }
         log.add("owner-began", "set" to set, "epoch" to held.term.epoch)
         listener.onBegin(held.term)
     }
@@ -277,7 +311,7 @@
                                 epoch,
                                 readMillis,
                                 ends = earlier.associate { it.epoch to lastEndMillis },
-                                host
+                                process
                             )
                         ),
                         startedMillis
@@ -291,9 +325,12 @@
         }
     }
 
-    /** Ends the current term and deletes its lease, so that another host can claim at once. */
+    /**
+     * Ends the current term and deletes its lease, so that another host can claim at once. After
+     * that, no term begins.
+     */
     override fun close() {
-        isOpen = false
+        synchronized(this) { isOpen = false }
         follower.close()
         thread.interrupt()
         thread.join(JOIN_TIMEOUT_MILLIS)
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/HostRegistry.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/HostRegistry.kt
@@ -21,12 +21,16 @@
 import sycamoremast.coordination.TransactionalStore
 import sycamoremast.daemon.log.EventLog
 
-/** The entry of a host that listens for peers at [peerAddress]; [strength] is in cores. */
+/**
+ * The entry of a host that listens for peers at [peerAddress]; [strength] is in cores, [process] the
+ * ID of its process.
+ */
 @Serializable
 internal data class HostRecord(
     val peerAddress: String,
     val availabilityZone: String,
-    val strength: Double
+    val strength: Double,
+    val process: String = ""
 )
 
 /**
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/OwnerHistory.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/OwnerHistory.kt
@@ -3,6 +3,7 @@
 
 import java.util.concurrent.ConcurrentSkipListMap
 import sycamoremast.coordination.MonotonicClock
+import sycamoremast.coordination.workflow.HostProcess
 import sycamoremast.coordination.workflow.RecordVersion
 import sycamoremast.coordination.workflow.SchedulerSettings
 import sycamoremast.coordination.workflow.StoreSightings
@@ -27,7 +28,9 @@
     private val startedMillis = clock.nowMillis()
 
     /** The last epoch known, 0 before the first listing. */
-    private var lastEpoch = 0L
+    @get:Synchronized
+    var lastEpoch = 0L
+        private set
 
     /** The last claim, which is known also after the owner's key has been deleted. */
     @Volatile
@@ -99,12 +102,18 @@
      */
     @Synchronized
     fun acknowledgedMillisAgo(epoch: Long, lastEpoch: Long): Long {
-        this.lastEpoch = maxOf(this.lastEpoch, epoch)
+        endAcknowledgements(epoch)
         return clock.nowMillis() - (acknowledged[lastEpoch] ?: startedMillis)
     }
 
+    /** From now on, acknowledges no heartbeat of owners before that of [epoch]. */
+    @Synchronized
+    fun endAcknowledgements(epoch: Long) {
+        lastEpoch = maxOf(lastEpoch, epoch)
+    }
+
     /**
-     * Returns what [host], this one, has seen before its claim of [epoch], which was made after
+     * Returns what [process], this one, has seen before its claim of [epoch], which was made after
      * [claimedMillis], and the [ends] of earlier owners.
      *
      * From now on, no heartbeat of an earlier owner is acknowledged.
@@ -114,17 +123,18 @@
         epoch: Long,
         claimedMillis: Long,
         ends: Map<Long, Long>,
-        host: String
+        process: HostProcess
     ): StoreSightings {
-        lastEpoch = maxOf(lastEpoch, epoch)
+        endAcknowledgements(epoch)
         return StoreSightings(
             claimedMillis,
             claims.toMap(),
             rosters.toMap(),
             heartbeats.toMap(),
             ends,
-            host,
-            acknowledged.toMap()
+            process,
+            acknowledged.toMap(),
+            owners = listOfNotNull(lastClaim).associate { it.epoch to it.host }
         )
     }
 
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
@@ -143,7 +143,7 @@
             "drainingLeases" to (roster.drainingLeasesLeft?.size ?: 0),
             "recordsPlaces" to roster.recordsPlaces,
             "standbys" to roster.standbys.size,
-            "isStandby" to (term.sightings.host in roster.standbys),
+            "isStandby" to (term.sightings.process in roster.standbys),
             "acknowledgedMillisAgo" to
                 term.sightings.acknowledgedMillisOrNull(roster.epoch)
                     ?.let { clock.nowMillis() - it }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Peering.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Peering.kt
@@ -7,6 +7,7 @@
 import sycamoremast.coordination.TransactionalStore
 import sycamoremast.coordination.membership.IncarnationClaim
 import sycamoremast.coordination.store.Backoff
+import sycamoremast.coordination.workflow.HostProcess
 import sycamoremast.coordination.workflow.RunPort
 import sycamoremast.daemon.log.EventLog
 import sycamoremast.daemon.peer.KtorPeerNetwork
@@ -14,9 +15,9 @@
 import sycamoremast.daemon.peer.PeerLimits
 import sycamoremast.daemon.peer.RelayedAnswers
 
-/** Connects host [name] with the other hosts and relays their orders to workers through [runs]. */
+/** Connects [process] with the other hosts and relays their orders to workers through [runs]. */
 internal class Peering(
-    name: String,
+    process: HostProcess,
     peers: WorkflowPeers,
     store: TransactionalStore,
     runs: RunPort,
@@ -25,15 +26,15 @@
     clock: MonotonicClock = MonotonicClock.system()
 ) : AutoCloseable {
     private val network = KtorPeerNetwork.create(
-        LocalPeer(name, peers.availabilityZone, peers.address.ip, peers.address.port),
+        LocalPeer(process.host, peers.availabilityZone, peers.address.ip, peers.address.port),
         IncarnationClaim(System.currentTimeMillis(), isOnlyProcess = true),
         meters.registry,
         PeerLimits(redial = REDIAL)
     )
     private val registry = HostRegistry(
         store,
-        name,
-        HostRecord(peers.address.toString(), peers.availabilityZone, peers.cores),
+        process.host,
+        HostRecord(peers.address.toString(), peers.availabilityZone, peers.cores, process.id),
         log,
         ::onRenewalAttempt
     )
@@ -43,7 +44,7 @@
     val relays: Relays get() = peerRelays
 
     /** The exchange of heartbeats with other hosts. */
-    val standbys = StandbyPeers(name, network, targets, registry, clock, log)
+    val standbys = StandbyPeers(process, network, targets, registry, clock, log)
     val hasStrongerHost: Boolean get() = registry.hasStrongerHost
 
     /** Returns the dispatch of this host's scheduler, or null while another host is the owner. */
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
@@ -163,9 +163,9 @@
         if (lease == LeaseState.OVER) return endTerm("lease ended long ago")
         val isSoleOwner = lease == LeaseState.VALID
         val isCountDue = lastStepMillis >= nextCountMillis
-        val hosts = if (isCountDue) standbys.registeredHosts else emptySet()
-        if (hosts.isNotEmpty()) {
-            scheduler.succession.onHostsRegistered(standbys.ownName, hosts, lastStepMillis)
+        val registered = if (isCountDue) standbys.registeredProcesses else emptySet()
+        if (registered.isNotEmpty()) {
+            scheduler.succession.onHostsRegistered(standbys.self, registered, lastStepMillis)
         }
         scheduler.step(lastStepMillis, unixMillis(), isSoleOwner).forEach(::execute)
         confirmedMillis = scheduler.succession.confirmedMillis
@@ -194,11 +194,9 @@
 
             is SchedulerAction.Record -> records.execute { writeRecords(action.batch) }
 
-            is SchedulerAction.Announce ->
-                standbys.announce(action.epoch, action.number, action.hosts)
+            is SchedulerAction.Announce -> standbys.announce(action)
 
-            is SchedulerAction.AskStandbys ->
-                standbys.ask(action.epoch, action.lastEpoch, action.hosts)
+            is SchedulerAction.AskStandbys -> standbys.ask(action)
 
             is SchedulerAction.Depose -> endTerm("worker ${action.worker.id} has a higher epoch")
 
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/StandbyLinks.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/StandbyLinks.kt
@@ -1,27 +1,30 @@
 /** The link of a worker set's owner to the hosts that may succeed it. */
 package sycamoremast.daemon.workflow
 
+import sycamoremast.coordination.workflow.HostProcess
+import sycamoremast.coordination.workflow.SchedulerAction
+
 /** Tells the scheduler which hosts may succeed this one, and announces heartbeats to them. */
 internal interface StandbyLinks {
-    /** The name of this host. */
-    val ownName: String
+    /** This process. */
+    val self: HostProcess
 
-    /** The names of all registered hosts, this one included; none before they are known. */
-    val registeredHosts: Set<String>
+    /** The processes of all registered hosts, this one included; none before they are known. */
+    val registeredProcesses: Set<HostProcess>
 
-    /** Sends heartbeat [number] of the owner of [epoch] to [hosts]; returns at once. */
-    fun announce(epoch: Long, number: Long, hosts: Set<String>)
+    /** Sends [heartbeat] to its standbys; returns at once. */
+    fun announce(heartbeat: SchedulerAction.Announce)
 
-    /** Asks [hosts], for the owner of [epoch], for their last acknowledgement to [lastEpoch]. */
-    fun ask(epoch: Long, lastEpoch: Long, hosts: Set<String>)
+    /** Sends [question] to its standbys and the last owner's host; returns at once. */
+    fun ask(question: SchedulerAction.AskStandbys)
 
     /** The absence of peers. */
     object None : StandbyLinks {
-        override val ownName = ""
-        override val registeredHosts = emptySet<String>()
+        override val self = HostProcess("")
+        override val registeredProcesses = emptySet<HostProcess>()
 
-        override fun announce(epoch: Long, number: Long, hosts: Set<String>) = Unit
+        override fun announce(heartbeat: SchedulerAction.Announce) = Unit
 
-        override fun ask(epoch: Long, lastEpoch: Long, hosts: Set<String>) = Unit
+        override fun ask(question: SchedulerAction.AskStandbys) = Unit
     }
 }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/StandbyPeers.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/StandbyPeers.kt
@@ -10,12 +10,15 @@
 
 import java.util.concurrent.ConcurrentHashMap
 import sycamoremast.coordination.MonotonicClock
+import sycamoremast.coordination.workflow.HostProcess
+import sycamoremast.coordination.workflow.SchedulerAction
 import sycamoremast.daemon.log.EventLog
 import sycamoremast.daemon.peer.HeartbeatAcknowledgement
 import sycamoremast.daemon.peer.OwnerHeartbeat
 import sycamoremast.daemon.peer.PeerMessage
 import sycamoremast.daemon.peer.PeerNetwork
 import sycamoremast.daemon.peer.StandbyAnswer
+import sycamoremast.daemon.peer.StandbyEnded
 import sycamoremast.daemon.peer.StandbyQuery
 
 /** The decision of a host whether it acknowledges an owner's heartbeat. */
@@ -24,12 +27,15 @@
     STORE_AVAILABLE,
 
     /** The owner isn't the last one that this host knows of, or its last heartbeat is too old. */
-    OWNER_OUTDATED
+    OWNER_OUTDATED,
+
+    /** This process has announced its end. */
+    ENDING
 }
 
-/** Exchanges heartbeats with the hosts of [registry] over [network], for the host [ownName]. */
+/** Exchanges heartbeats with the hosts of [registry] over [network], for the process [self]. */
 internal class StandbyPeers(
-    override val ownName: String,
+    override val self: HostProcess,
     private val network: PeerNetwork,
     private val targets: PeerTargets,
     private val registry: HostRegistry,
@@ -46,15 +52,23 @@
 
     /** Returns how long ago this host last acknowledged a heartbeat, and ends that for good. */
     @Volatile
-    var answer: (StandbyQuery) -> Long = { 0 }
+    var acknowledgedMillisAgo: (StandbyQuery) -> Long = { 0 }
+
+    /** Returns how long ago the last owner ended, which was on this host, or null if it goes on. */
+    @Volatile
+    var endedMillisAgoOrNull: (StandbyQuery) -> Long? = { null }
+
+    /** Called with a process that has announced its end, and the last epoch that it knew. */
+    @Volatile
+    var onEnded: (process: HostProcess, lastEpoch: Long) -> Unit = { _, _ -> }
 
     /** Called with the answer of a host to this one's query. */
     @Volatile
     var onAnswered: (host: String, answer: StandbyAnswer) -> Unit = { _, _ -> }
 
-    /** Called with the host and the number of a heartbeat that it has acknowledged. */
+    /** Called with the process and the number of a heartbeat that it has acknowledged. */
     @Volatile
-    var onAcknowledged: (host: String, epoch: Long, number: Long) -> Unit = { _, _, _ -> }
+    var onAcknowledged: (process: HostProcess, epoch: Long, number: Long) -> Unit = { _, _, _ -> }
 
     /** The addresses of hosts, also of those whose entries have expired in an outage. */
     private val addresses = ConcurrentHashMap<String, String>()
@@ -65,29 +79,40 @@
     @Volatile
     private var lastUsedMillis: Long? = null
 
-    override val registeredHosts: Set<String>
+    /** Whether this process has announced its end. */
+    private var isEnding = false
+
+    override val registeredProcesses: Set<HostProcess>
         get() {
             noteAddresses()
-            return registry.hosts.keys
+            return registry.hosts.entries.mapTo(HashSet()) { (host, record) ->
+                HostProcess.of(host, record.process)
+            }
         }
 
     fun start() {
         network.handle(OwnerHeartbeat::class) { from, heartbeat ->
             if (decide(from, heartbeat.epoch) == HeartbeatDecision.ACKNOWLEDGED) {
-                send(from, HeartbeatAcknowledgement(heartbeat.epoch, heartbeat.number))
+                send(from, HeartbeatAcknowledgement(heartbeat.epoch, heartbeat.number, self.id))
             }
             null
         }
         network.handle(StandbyQuery::class) { from, query ->
-            val millisAgo = answer(query)
+            val millisAgo = answerOrNull(query)
             log.add(
                 "standby-queried",
                 "peer" to from,
                 "epoch" to query.epoch,
                 "lastEpoch" to query.lastEpoch,
-                "acknowledgedMillisAgo" to millisAgo
+                "process" to query.process,
+                "isLastOwner" to query.isLastOwner,
+                "millisAgo" to millisAgo
             )
-            send(from, StandbyAnswer(query.lastEpoch, millisAgo))
+            if (millisAgo != null) send(from, StandbyAnswer(query.lastEpoch, millisAgo))
+            null
+        }
+        network.handle(StandbyEnded::class) { from, end ->
+            onEnded(HostProcess.of(from, end.process), end.lastEpoch)
             null
         }
         network.handle(StandbyAnswer::class) { from, answer ->
@@ -95,13 +120,26 @@
             null
         }
         network.handle(HeartbeatAcknowledgement::class) { from, acknowledgement ->
-            onAcknowledged(from, acknowledgement.epoch, acknowledgement.number)
+            val process = HostProcess.of(from, acknowledgement.process)
+            onAcknowledged(process, acknowledgement.epoch, acknowledgement.number)
             null
         }
     }
 
+    /** A process that has announced its end must not answer, as it isn't waited for any more. */
+    @Synchronized
+    private fun answerOrNull(query: StandbyQuery): Long? = when {
+        isEnding -> null
+        query.process.isEmpty() && !query.isLastOwner -> acknowledgedMillisAgo(query)
+        query.process == self.id -> acknowledgedMillisAgo(query)
+        query.isLastOwner -> endedMillisAgoOrNull(query)
+        else -> null
+    }
+
+    @Synchronized
     private fun decide(from: String, epoch: Long): HeartbeatDecision {
         val decision = when {
+            isEnding -> HeartbeatDecision.ENDING
             hasStore() -> HeartbeatDecision.STORE_AVAILABLE
             acknowledge(epoch) -> HeartbeatDecision.ACKNOWLEDGED
             else -> HeartbeatDecision.OWNER_OUTDATED
@@ -112,30 +150,62 @@
         return decision
     }
 
-    override fun announce(epoch: Long, number: Long, hosts: Set<String>) {
+    override fun announce(heartbeat: SchedulerAction.Announce) {
+        val (epoch, number, standbys) = heartbeat
         // This host may succeed itself, with a new term.
         if (!acknowledge(epoch)) return
-        onAcknowledged(ownName, epoch, number)
+        onAcknowledged(self, epoch, number)
         if (lastUsedMillis == null) {
-            log.add("heartbeats-announced", "epoch" to epoch, "hosts" to hosts.size)
+            log.add("heartbeats-announced", "epoch" to epoch, "hosts" to standbys.size)
         }
-        sendAll(hosts, OwnerHeartbeat(epoch, number))
+        connect(standbys.mapTo(HashSet()) { it.host })
+        (standbys - self).forEach { send(it.host, OwnerHeartbeat(epoch, number)) }
     }
 
-    override fun ask(epoch: Long, lastEpoch: Long, hosts: Set<String>) =
-        sendAll(hosts, StandbyQuery(epoch, lastEpoch))
+    override fun ask(question: SchedulerAction.AskStandbys) {
+        val processes = question.standbys.associate { it.host to it.id }
+        val hosts = processes.keys + listOfNotNull(question.lastOwner)
+        connect(hosts)
+        for (host in hosts - self.host) {
+            val query = StandbyQuery(
+                question.epoch,
+                question.lastEpoch,
+                processes[host].orEmpty(),
+                isLastOwner = host == question.lastOwner
+            )
+            send(host, query)
+        }
+    }
 
-    private fun sendAll(hosts: Set<String>, message: PeerMessage) {
+    /**
+     * Tells [owner], the host of the last owner known, that this process succeeds it no more; waits
+     * for a connection to it for a short time.
+     *
+     * [knownEpoch] is read once no more queries of later owners are answered.
+     */
+    fun announceEnd(owner: String?, knownEpoch: () -> Long) {
+        synchronized(this) { isEnding = true }
+        val lastEpoch = knownEpoch()
+        if (owner == null || owner == self.host) return
+        val deadlineMillis = clock.nowMillis() + MAX_CONNECT_MILLIS
+        connect(setOf(owner))
+        val message = StandbyEnded(self.id, lastEpoch)
+        var isSent = send(owner, message)
+        while (!isSent && clock.nowMillis() < deadlineMillis) {
+            Thread.sleep(CONNECT_INTERVAL_MILLIS)
+            isSent = send(owner, message)
+        }
+        log.add("end-announced", "peer" to owner, "lastEpoch" to lastEpoch, "isSent" to isSent)
+    }
+
+    private fun connect(hosts: Set<String>) {
         lastUsedMillis = clock.nowMillis()
         noteAddresses()
         targets.standbys = hosts.mapNotNullTo(HashSet()) { addresses[it] }
-        (hosts - ownName).forEach { send(it, message) }
     }
 
     /** Sends [message], which the next one replaces if [host] isn't connected yet. */
-    private fun send(host: String, message: PeerMessage) {
-        network.send(host, message)
-    }
+    private fun send(host: String, message: PeerMessage): Boolean = network.send(host, message)
 
     /** Notes the addresses of hosts, and stops connecting to standbys that need no message now. */
     fun refresh() {
@@ -152,5 +222,9 @@
     private companion object {
         /** Outages often come in series. */
         const val IDLE_MILLIS = 10_000L
+
+        /** Far longer than connecting takes, and well within a graceful shutdown. */
+        const val MAX_CONNECT_MILLIS = 1_000L
+        const val CONNECT_INTERVAL_MILLIS = 20L
     }
 }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowHost.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowHost.kt
@@ -1,10 +1,12 @@
 /** The parts of an entry host that schedules workflows: gateway, routing, election, scheduler. */
 package sycamoremast.daemon.workflow
 
+import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
 import sycamoremast.configuration.Endpoint
 import sycamoremast.coordination.MonotonicClock
 import sycamoremast.coordination.TransactionalStore
+import sycamoremast.coordination.workflow.HostProcess
 import sycamoremast.coordination.workflow.RunPort
 import sycamoremast.coordination.workflow.SchedulerSettings
 import sycamoremast.daemon.log.EventLog
@@ -33,7 +35,8 @@
 ) {
     private val store = MonitoredStore(ports.store, clock, meters)
     private val routing = RoutingReplica(ports.catalog, log, ::onNewRouting)
-    private val peering = peers?.let { Peering(name, it, store, ports.runs, log, meters, clock) }
+    private val process = HostProcess.of(name, newProcessId())
+    private val peering = peers?.let { Peering(process, it, store, ports.runs, log, meters, clock) }
     private val ownership = Ownership(
         store,
         ports.catalog,
@@ -46,7 +49,7 @@
         peering?.relays ?: Relays.None,
         peering?.standbys ?: StandbyLinks.None
     ) { routing.table }
-    private val election = Election(store, name, set, clock, log, ownership) {
+    private val election = Election(store, name, set, clock, log, ownership, process) {
         peering?.hasStrongerHost == true
     }
     private val routingFollower = PrefixFollower(store, ports.catalog.routingKey, log, routing)
@@ -91,6 +94,7 @@
     fun handOver() {
         log.add("host-hand-over", "host" to name)
         election.close()
+        peering?.standbys?.announceEnd(election.lastOwner?.host) { election.lastEpoch }
     }
 
     /** Stops following the configuration and closes the connections to peers. */
@@ -103,15 +107,21 @@
     private fun connectStandbys(standbys: StandbyPeers) {
         standbys.hasStore = { !store.isLost }
         standbys.acknowledge = election::acknowledgeHeartbeat
-        standbys.answer = { election.acknowledgedMillisAgo(it.epoch, it.lastEpoch) }
+        standbys.acknowledgedMillisAgo = {
+            election.acknowledgedMillisAgo(it.epoch, it.lastEpoch)
+        }
+        standbys.endedMillisAgoOrNull = { election.endedMillisAgoOrNull(it.epoch, it.lastEpoch) }
+        standbys.onEnded = { process, lastEpoch ->
+            ownership.loop?.updateSuccession { onStandbyEnded(process, lastEpoch) }
+        }
         standbys.onAnswered = { host, answer ->
             ownership.loop?.updateSuccession {
                 onStandbyAnswered(host, answer.lastEpoch, answer.millisAgo, it)
             }
         }
-        standbys.onAcknowledged = { host, epoch, number ->
+        standbys.onAcknowledged = { process, epoch, number ->
             ownership.loop?.takeIf { it.epoch == epoch }?.updateSuccession {
-                onHeartbeatAcknowledged(host, number, it)
+                onHeartbeatAcknowledged(process, number, it)
             }
         }
     }
@@ -129,5 +139,10 @@
          * stop sending requests here.
          */
         private const val MAX_READY_SILENCE_MILLIS = 1_000L
+        private const val RADIX = 36
+
+        /** Returns an ID that differs from those of earlier processes of this host. */
+        private fun newProcessId(): String = System.currentTimeMillis().toString(RADIX) +
+            Random.nextInt(RADIX * RADIX).toString(RADIX)
     }
 }
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/ElectionTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/ElectionTest.kt
@@ -1,5 +1,6 @@
 package sycamoremast.daemon.workflow
 
+import java.util.concurrent.CountDownLatch
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit.SECONDS
 import java.util.concurrent.atomic.AtomicInteger
@@ -14,6 +15,7 @@
 import strikt.assertions.isFalse
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isNotNull
+import strikt.assertions.isTrue
 import sycamoremast.coordination.LeaseId
 import sycamoremast.coordination.MonotonicClock
 import sycamoremast.coordination.StorePut
@@ -134,6 +136,36 @@
         expectThat(owner()).isEqualTo(OwnerRecord("other", 1))
     }
 
+    // Guards against a term of a process that has announced its end (TWICE).
+    @Test
+    fun `begins no term for a claim that succeeds while it is closed`() {
+        val isClaimed = CountDownLatch(1)
+        val mayAnswer = CountDownLatch(1)
+        val slow = object : TransactionalStore by store {
+            override fun commit(transaction: StoreTransaction) = store.commit(transaction).also {
+                isClaimed.countDown()
+                awaitUninterruptibly(mayAnswer)
+            }
+        }
+        val election = startElection("host", slow)
+        expectThat(isClaimed.await(WAIT_SECONDS, SECONDS)).isTrue()
+        election.close()
+        mayAnswer.countDown()
+        eventually("the claim is given up") { owner() == null }
+        expectThat(terms).isEmpty()
+    }
+
+    /** Waits like a call of the store that an interrupt doesn't end. */
+    private fun awaitUninterruptibly(latch: CountDownLatch) {
+        while (latch.count > 0) {
+            try {
+                latch.await()
+            } catch (_: InterruptedException) {
+                continue
+            }
+        }
+    }
+
     /** The store with a count of attempts to renew a lease. */
     private inner class CountingStore : TransactionalStore by store {
         val renewals = AtomicInteger()
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/OwnerHistoryTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/OwnerHistoryTest.kt
@@ -7,6 +7,7 @@
 import strikt.assertions.isNull
 import strikt.assertions.isTrue
 import sycamoremast.coordination.MonotonicClock
+import sycamoremast.coordination.workflow.HostProcess
 import sycamoremast.coordination.workflow.RecordVersion
 import sycamoremast.coordination.workflow.SchedulerSettings
 import sycamoremast.daemon.log.EventLog
@@ -31,8 +32,12 @@
     }
 
     /** Returns what this host has seen when it claims [epoch]. */
-    private fun claim(epoch: Long) =
-        history.sightings(epoch, claimedMillis = now, ends = emptyMap(), host = "host")
+    private fun claim(epoch: Long) = history.sightings(
+        epoch,
+        claimedMillis = now,
+        ends = emptyMap(),
+        process = HostProcess("host/a")
+    )
 
     @Test
     fun `acknowledges heartbeats of the last owner`() {
@@ -134,7 +139,7 @@
         val seen = claim(4)
         expectThat(seen.acknowledgedMillisOrNull(3)).isEqualTo(3_000)
         expectThat(seen.acknowledgedMillisOrNull(4)).isNull()
-        expectThat(seen.host).isEqualTo("host")
+        expectThat(seen.process).isEqualTo(HostProcess("host/a"))
     }
 
     @Test
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/RecordWriterTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/RecordWriterTest.kt
@@ -12,6 +12,7 @@
 import sycamoremast.coordination.StoreEntry
 import sycamoremast.coordination.StorePut
 import sycamoremast.coordination.StoreTransaction
+import sycamoremast.coordination.workflow.HostProcess
 import sycamoremast.coordination.workflow.InterferenceRecord
 import sycamoremast.coordination.workflow.RecordBatch
 import sycamoremast.coordination.workflow.RecordVersion
@@ -124,7 +125,7 @@
 
     @Test
     fun `names the standbys in the roster`() {
-        val standbys = setOf("h1", "h2")
+        val standbys = setOf(HostProcess("h1/a"), HostProcess("h2"))
         val batch = RecordBatch(emptyMap(), emptyList(), null, standbys = standbys)
         expectThat(writer.write(batch) { true }).isTrue()
         expectThat(decodeRecordOrNull<RosterRecord>(rosterText())).isNotNull()
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/StandbyPeersTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/StandbyPeersTest.kt
@@ -15,6 +15,8 @@
 import sycamoremast.coordination.MonotonicClock
 import sycamoremast.coordination.StoreTransaction
 import sycamoremast.coordination.membership.IncarnationClaim
+import sycamoremast.coordination.workflow.HostProcess
+import sycamoremast.coordination.workflow.SchedulerAction
 import sycamoremast.daemon.control.eventually
 import sycamoremast.daemon.control.quickLimits
 import sycamoremast.daemon.log.EventLog
@@ -35,7 +37,7 @@
         val logged = ConcurrentLinkedQueue<String>()
         val dialled = ConcurrentLinkedQueue<Set<String>>()
         private val log = EventLog { logged += it }
-        private val record = HostRecord(network.address, "zone", 1.0)
+        private val record = HostRecord(network.address, "zone", 1.0, process = "a")
         val registry = HostRegistry(store, name, record, log) { }
         private val recording = object : PeerConnections by network {
             override fun dial(addresses: Set<String>) {
@@ -43,13 +45,22 @@
                 network.dial(addresses)
             }
         }
-        val peers = StandbyPeers(name, network, PeerTargets(recording), registry, clock, log)
+        val peers = StandbyPeers(
+            HostProcess.of(name, "a"),
+            network,
+            PeerTargets(recording),
+            registry,
+            clock,
+            log
+        )
 
         fun start() {
             peers.start()
             registry.start()
         }
 
+        fun registered() = peers.registeredProcesses.map { it.text }.toSet()
+
         fun isConnectedTo(host: String) = network.connected().any { it.host == host }
 
         override fun close() {
@@ -59,7 +70,7 @@
         }
     }
 
-    private data class Acknowledgement(val host: String, val epoch: Long, val number: Long)
+    private data class Acknowledgement(val process: String, val epoch: Long, val number: Long)
 
     @Volatile
     private var now = 1_000L
@@ -78,15 +89,15 @@
     @BeforeEach
     fun start() {
         owner.peers.acknowledge = { true }
-        owner.peers.onAcknowledged = { host, epoch, number ->
-            val known = if (host == "owner") ownAcknowledged else acknowledged
-            known += Acknowledgement(host, epoch, number)
+        owner.peers.onAcknowledged = { process, epoch, number ->
+            val known = if (process.host == "owner") ownAcknowledged else acknowledged
+            known += Acknowledgement(process.text, epoch, number)
         }
         standby.peers.hasStore = { false }
         owner.start()
         standby.start()
         eventually("both hosts are registered") {
-            owner.peers.registeredHosts == setOf("owner", "standby")
+            owner.registered() == setOf("owner/a", "standby/a")
         }
     }
 
@@ -96,6 +107,10 @@
         standby.close()
     }
 
+    private fun announce(epoch: Long, number: Long) = owner.peers.announce(
+        SchedulerAction.Announce(epoch, number, setOf(HostProcess("standby/a")))
+    )
+
     /** Lets the standby acknowledge heartbeats of [epochs]. */
     private fun acceptEpochs(vararg epochs: Long) {
         standby.peers.acknowledge = { epoch ->
@@ -107,7 +122,7 @@
     /** Announces heartbeats of [epoch] until [condition] holds, which is [what]. */
     private fun announceUntil(what: String, epoch: Long, condition: () -> Boolean) =
         eventually(what) {
-            owner.peers.announce(epoch, ++lastNumber, setOf("standby"))
+            announce(epoch, ++lastNumber)
             condition()
         }
 
@@ -118,22 +133,22 @@
         acceptEpochs(7)
         announceUntil("one is acknowledged", epoch = 7) { acknowledged.isNotEmpty() }
         val first = acknowledged.first()
-        expectThat(first).isEqualTo(Acknowledgement("standby", 7, first.number))
+        expectThat(first).isEqualTo(Acknowledgement("standby/a", 7, first.number))
         expectThat(first.number in 1..lastNumber).isTrue()
     }
 
     // Guards against an owner that succeeds itself and doesn't know how long it went on (TWICE).
     @Test
     fun `an owner acknowledges its own heartbeats`() {
-        owner.peers.announce(7, 5, setOf("standby"))
-        expectThat(ownAcknowledged.toList()).isEqualTo(listOf(Acknowledgement("owner", 7, 5)))
+        announce(7, 5)
+        expectThat(ownAcknowledged.toList()).isEqualTo(listOf(Acknowledgement("owner/a", 7, 5)))
     }
 
     @Test
     fun `acknowledges each heartbeat by its number`() {
         acceptEpochs(7)
         announceUntil("one is acknowledged", epoch = 7) { acknowledged.isNotEmpty() }
-        owner.peers.announce(7, 1_000_000, setOf("standby"))
+        announce(7, 1_000_000)
         eventually("the last one is acknowledged") { acknowledged.any { it.number == 1_000_000L } }
     }
 
@@ -177,7 +192,7 @@
         announceUntil("one is acknowledged", epoch = 7) { acknowledged.isNotEmpty() }
         owner.peers.acknowledge = { it == 8L }
         val last = ++lastNumber
-        owner.peers.announce(7, last, setOf("standby"))
+        announce(7, last)
         announceUntil("a later one is acknowledged", epoch = 8) { 8L in acknowledgedEpochs() }
         expectThat(acknowledged.none { it.number == last }).isTrue()
     }
@@ -186,7 +201,7 @@
     fun `connections to standbys are opened for an announcement`() {
         expectThat(owner.isConnectedTo("standby")).isFalse()
         expectThat(owner.dialled).isEmpty()
-        owner.peers.announce(7, 1, setOf("standby"))
+        announce(7, 1)
         expectThat(owner.dialled.last()).isEqualTo(setOf(standby.network.address))
         eventually("the standby is connected") { owner.isConnectedTo("standby") }
     }
@@ -194,16 +209,16 @@
     @Test
     fun `connections are kept up until 10 s after the last announcement`() {
         val standbys = setOf(standby.network.address)
-        owner.peers.announce(7, 1, setOf("standby"))
+        announce(7, 1)
         now += 5_000
-        owner.peers.announce(7, 2, setOf("standby"))
+        announce(7, 2)
         now += 9_999
         owner.peers.refresh()
         expectThat(owner.dialled.last()).isEqualTo(standbys)
         now++
         owner.peers.refresh()
         expectThat(owner.dialled.last()).isEmpty()
-        owner.peers.announce(7, 3, setOf("standby"))
+        announce(7, 3)
         expectThat(owner.dialled.last()).isEqualTo(standbys)
     }
 
@@ -214,8 +229,71 @@
         standby.registry.close()
         val key = WorkflowKeys.host("standby")
         store.apply(StoreTransaction(emptyMap(), emptyList(), listOf(key)))
-        eventually("the entry is gone") { owner.peers.registeredHosts == setOf("owner") }
+        eventually("the entry is gone") { owner.registered() == setOf("owner/a") }
         announceUntil("one is acknowledged", epoch = 7) { acknowledged.isNotEmpty() }
         expectThat(acknowledgedEpochs()).contains(7L)
     }
+
+    /** Asks the standby for the owner of epoch 8, which succeeds that of epoch 7. */
+    private fun ask(process: String, lastOwner: String? = null) = owner.peers.ask(
+        SchedulerAction.AskStandbys(8, 7, setOf(HostProcess(process)), lastOwner)
+    )
+
+    // Guards against leases that end as a standby is stopped in an outage (LOST, issue 49).
+    @Test
+    fun `a process that ends tells the owner which epoch it knows`() {
+        val ended = ConcurrentLinkedQueue<Pair<String, Long>>()
+        owner.peers.onEnded = { process, lastEpoch -> ended += process.text to lastEpoch }
+        eventually("the owner is registered") { standby.registered().size == 2 }
+        standby.peers.announceEnd("owner") { 7 }
+        eventually("the owner knows") { ended.toList() == listOf("standby/a" to 7L) }
+    }
+
+    // The owner awaits it no more, so that its answers would tell too little (TWICE).
+    @Test
+    fun `a process that has announced its end acknowledges and answers nothing`() {
+        val answers = ConcurrentLinkedQueue<String>()
+        owner.peers.onAnswered = { host, _ -> answers += host }
+        acceptEpochs(7)
+        announceUntil("one is acknowledged", epoch = 7) { acknowledged.isNotEmpty() }
+        standby.peers.announceEnd("owner") { 7 }
+        val before = lastNumber
+        announceUntil("the standby has decided", epoch = 7) { hasLogged("ENDING", epoch = 7) }
+        ask("standby/a")
+        eventually("the query is logged") { hasLoggedQuery("millisAgo=null") }
+        expectThat(acknowledged.filter { it.number > before }).isEmpty()
+        expectThat(answers).isEmpty()
+    }
+
+    @Test
+    fun `only the process that is named as a standby answers a successor`() {
+        val answers = ConcurrentLinkedQueue<Long>()
+        owner.peers.onAnswered = { _, answer -> answers += answer.millisAgo }
+        standby.peers.acknowledgedMillisAgo = { 300 }
+        eventually("an earlier process is asked for") {
+            ask("standby/earlier")
+            hasLoggedQuery("process=earlier")
+        }
+        eventually("this process is asked for") {
+            ask("standby/a")
+            answers.isNotEmpty()
+        }
+        expectThat(answers.toSet()).isEqualTo(setOf(300L))
+    }
+
+    // Guards against a wait for the longest leases after all hosts were killed (LOST, issue 49).
+    @Test
+    fun `a new process tells a successor when the owner on its host had ended`() {
+        val answers = ConcurrentLinkedQueue<Long>()
+        owner.peers.onAnswered = { _, answer -> answers += answer.millisAgo }
+        standby.peers.endedMillisAgoOrNull = { 400 }
+        eventually("it answers") {
+            ask("standby/earlier", lastOwner = "standby")
+            answers.isNotEmpty()
+        }
+        expectThat(answers.toSet()).isEqualTo(setOf(400L))
+    }
+
+    private fun hasLoggedQuery(text: String) =
+        standby.logged.any { it.startsWith("event=standby-queried ") && text in it }
 }
