--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/InheritedLeases.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/InheritedLeases.kt
@@ -51,7 +51,7 @@
             fleet.epoch,
             roster.epoch,
             roster.standbys,
-            inherited.sightings.owners[roster.epoch]
+            roster.host
         )
     }
 
@@ -62,7 +62,7 @@
     fun onAnswered(host: String, epoch: Long, millisAgo: Long, nowMillis: Long) {
         val inherited = unanswered?.takeIf { it.roster.epoch == epoch } ?: return
         val standbys = inherited.roster.standbys
-        val isAsked = standbys.any { it.host == host } || host == inherited.sightings.owners[epoch]
+        val isAsked = standbys.any { it.host == host } || host == inherited.roster.host
         if (!isAsked) return
         unanswered = null
         val sureMillisAgo = millisAgo - 2 * SchedulerSettings.maxClockError(millisAgo)
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RosterRecord.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RosterRecord.kt
@@ -15,7 +15,8 @@
  * their starts, or found all runs of such tasks.
  *
  * While no heartbeat of the owner is durable, one counts that all [standbys] have acknowledged. If
- * there are none, only durable ones count.
+ * there are none, only durable ones count. The owner is on [host], which is missing in rosters of
+ * earlier versions.
  */
 @Serializable
 data class RosterRecord(
@@ -25,7 +26,8 @@
     val drainingLeasesLeft: Map<String, Long>? = null,
     val batch: Long = 0,
     val recordsPlaces: Boolean = false,
-    val standbys: Set<HostProcess> = emptySet()
+    val standbys: Set<HostProcess> = emptySet(),
+    val host: String? = null
 ) {
     val version: RecordVersion get() = RecordVersion(epoch, batch)
 
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
@@ -262,8 +262,7 @@
                         listOfNotNull(replaced).associate { key -> key.epoch to lastEndMillis },
                         self,
                         acknowledged.toMap(),
-                        leaseEnds,
-                        listOfNotNull(lastOwner).associate { key -> key.epoch to key.host }
+                        leaseEnds
                     )
                     lastEpochSeen = maxOf(lastEpochSeen, it.first)
                     beginTerm(it.first, it.second, lease, startedMillis, sightings)
@@ -467,7 +466,8 @@
             batch.leasesLeft.draining,
             number,
             batch.recordsPlaces,
-            batch.standbys
+            batch.standbys,
+            name
         )
     }
 
@@ -544,6 +544,7 @@
                 if (!held.isWriting) write(held, held.scheduler.handoverBatch(clock(), time.now))
                 after(HANDOVER_MILLIS) {
                     call({ store.endLease(held.lease) }) {}
+                    announceEnd()
                     kill()
                     onEnded()
                 }
@@ -553,6 +554,7 @@
 
     /** Tells the last owner known that this process succeeds it no more. */
     private fun announceEnd() {
+        if (world.reaches(name, HostWorld.STORE)) store.unregister(self)
         val owner = lastOwner?.host ?: return
         val process = self
         val lastEpoch = lastEpochSeen
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelStore.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelStore.kt
@@ -74,6 +74,11 @@
         hostProcesses[process.host] = process
     }
 
+    /** Deletes the entry of [process], which stops. */
+    fun unregister(process: HostProcess) {
+        if (isUp && hostProcesses[process.host] == process) hostEnds -= process.host
+    }
+
     /** Returns the processes of the hosts whose entries have not expired. */
     fun registeredHosts(): Set<HostProcess> {
         hostEnds.values.removeIf { it <= time.now }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/OwnerHistory.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/OwnerHistory.kt
@@ -133,8 +133,7 @@
             heartbeats.toMap(),
             ends,
             process,
-            acknowledged.toMap(),
-            owners = listOfNotNull(lastClaim).associate { it.epoch to it.host }
+            acknowledged.toMap()
         )
     }
 
