--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Election.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Election.kt
@@ -81,6 +81,11 @@
     var confirmedMillis: () -> Long? = { null }
 
     private val history = OwnerHistory(set, clock, log)
+    private val startedMillis = clock.nowMillis()
+
+    /** Whether the store gave this process no answer for a while after its start. */
+    @Volatile
+    private var hasStartedInOutage = false
 
     /** When the last term of this host had ended, in this process or in an earlier one. */
     @Volatile
@@ -90,8 +95,10 @@
     @Volatile
     private var activeEpoch: Long? = null
 
-    /** The last claim that this host has seen, and the last epoch of which it knows. */
+    /** The last claim that this host has seen, or null. */
     val lastOwner: OwnerRecord? get() = history.lastClaim
+
+    /** The last epoch of which this host knows. */
     val lastEpoch: Long get() = history.lastEpoch
 
     /** The last seen content of the owner's key, or null before the first listing. */
@@ -107,6 +114,9 @@
     }
 
     override fun onListing(listing: StoreListing) {
+        if (ownerKey == null) {
+            hasStartedInOutage = clock.nowMillis() > startedMillis + USUAL_LISTING_MILLIS
+        }
         listing.entries.forEach { history.record(it.key, it.value) }
         val entry = listing.entries.find { it.key == WorkflowKeys.owner(set) }
         updateOwnerKey(entry?.value, entry?.version)
@@ -249,14 +259,18 @@
      *
      * A host that has not seen when the owner wrote its last heartbeat would have to wait longer for
      * workers that don't answer. An owner that went on through an outage of the store knows best when
-     * their leases end.
+     * their leases end; a host that started in the outage leaves the claim to the standbys, too.
      */
     private fun claimDelayMillis(free: OwnerKeyState): Long {
         val isUninformed = free.record == null && history.isUninformed
         val mayOwnerReturn = history.hasJustAcknowledged && history.lastClaim?.host != host
         return (if (hasStrongerHost()) WEAK_HOST_CLAIM_DELAY_MILLIS else 0) +
             (if (isUninformed) UNINFORMED_CLAIM_DELAY_MILLIS else 0) +
-            if (mayOwnerReturn) RETURNING_OWNER_CLAIM_DELAY_MILLIS else 0
+            if (mayOwnerReturn || (isUninformed && hasStartedInOutage)) {
+                RETURNING_OWNER_CLAIM_DELAY_MILLIS
+            } else {
+                0
+            }
     }
 
     private fun beginTerm(held: HeldTerm) {
@@ -348,6 +362,9 @@
         const val RENEWAL_INTERVAL_MILLIS = 400L
         val ACTING_MILLIS = SchedulerSettings.actingMillis(LEASE_TTL_MILLIS) - LEASE_MARGIN_MILLIS
 
+        /** A store that takes longer to list to a new process was away at its start. */
+        const val USUAL_LISTING_MILLIS = 1_000L
+
         /** Spreads the claims of hosts that see the deletion of the key at the same moment. */
         const val MAX_CLAIM_JITTER_MILLIS = 40L
 
