--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Standbys.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Standbys.kt
@@ -110,13 +110,13 @@
 
     /** Announces a heartbeat if none has been durable for a while. */
     fun step(nowMillis: Long) {
-        forgetHosts(nowMillis)
-        val isAwaited = own in recorded &&
+        forgetUnregistered(nowMillis)
+        val mayAnnounce = own in recorded &&
             inRecord?.contains(own) != false &&
             nowMillis >= durableMillis + ANNOUNCE_AFTER_MILLIS &&
             nowMillis < durableMillis + SchedulerSettings.LONGEST_ANNOUNCED_MILLIS
         val dueMillis = lastAnnouncedMillis + SchedulerSettings.HEARTBEAT_INTERVAL_MILLIS
-        if (!isAwaited || nowMillis < dueMillis) return
+        if (!mayAnnounce || nowMillis < dueMillis) return
         if (announcements.isNotEmpty()) logSilent(nowMillis)
         lastAnnouncedMillis = nowMillis
         fleet.onHeartbeatFormed(nowMillis)
@@ -133,7 +133,7 @@
      * Forgets processes whose entries have been gone for longer than entries are missing after an
      * outage.
      */
-    private fun forgetHosts(nowMillis: Long) {
+    private fun forgetUnregistered(nowMillis: Long) {
         registered.forEach { lastRegistered[it] = nowMillis }
         lastRegistered.values.removeAll { nowMillis > it + UNREGISTERED_MILLIS }
         knownSince.keys.retainAll(lastRegistered.keys + recorded + inRecord.orEmpty())
@@ -152,13 +152,17 @@
      * Records that [process] has acknowledged the heartbeat with [number].
      *
      * Other processes of its host that were known before that heartbeat have ended. None of them has
-     * succeeded this owner, as [process] has read since its start that it is the last one.
+     * succeeded this owner, as [process] has read since its start that it is the last one. Processes
+     * without an ID can't be told apart, so a later one may bear the same name.
      */
     fun onAcknowledged(process: HostProcess, number: Long, nowMillis: Long) {
         if (process in ended) return
         forget(
             needed().filterTo(HashSet()) {
-                it.host == process.host && it != process && knownSince.getValue(it) < number
+                it.host == process.host &&
+                    it != process &&
+                    it.id.isNotEmpty() &&
+                    knownSince.getValue(it) < number
             }
         )
         acknowledged.merge(process, number, ::maxOf)
@@ -166,7 +170,7 @@
     }
 
     private fun confirm(nowMillis: Long) {
-        val number = needed().minOf { acknowledged[it] ?: 0 }
+        val number = needed().minOfOrNull { acknowledged[it] ?: 0 } ?: return
         val confirmed = announcements.lastOrNull { it.number <= number } ?: return
         while (announcements.first() !== confirmed) announcements.removeFirst()
         announcements.removeFirst()
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/StoreOutageTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/StoreOutageTest.kt
@@ -75,6 +75,17 @@
         }
     }
 
+    // Guards against an owner that counts on the stopped process of the one before (LOST, issue 49).
+    @Test
+    fun `no run lapses in an outage that begins soon after the owner was stopped`() {
+        for (seed in 1L..12) {
+            val schedule = SuccessionSchedule(seed, SuccessionFaults(emptySet()))
+            schedule.playOutageAfterStop(OUTAGE_MILLIS, 12_000, beforeMillis = 1_500)
+            expectThat(schedule.lapsedRuns).describedAs("seed $seed").isEqualTo(0)
+            expectThat(schedule.violations).describedAs("seed $seed").isEmpty()
+        }
+    }
+
     // Guards against an owner that goes on for longer than a new host assumes (TWICE).
     @Test
     fun `no task runs twice if hosts that acknowledge heartbeats are suspended`() {
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionSchedule.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionSchedule.kt
@@ -141,6 +141,13 @@
         playOutageOnly(fromMillis, millis)
     }
 
+    /** Like [playOutage], with the owner stopped as planned [beforeMillis] before the outage. */
+    fun playOutageAfterStop(fromMillis: Long, millis: Long, beforeMillis: Long) {
+        begin()
+        time.at(fromMillis - beforeMillis) { hosts.first { it.term != null }.let(::stop) }
+        playOutageOnly(fromMillis, millis)
+    }
+
     private fun awaitLasting(fromMillis: Long) {
         time.at(fromMillis) {
             val running = workers.values.filter { it.isUp }.flatMap { it.running }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/HostRegistry.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/HostRegistry.kt
@@ -123,6 +123,19 @@
         }
     }
 
+    /**
+     * Deletes this host's entry and follows the others' no more, so that an owner which comes later
+     * doesn't count on this process.
+     */
+    fun leave() {
+        close()
+        thread.join(JOIN_TIMEOUT_MILLIS)
+        val held = lease ?: return
+        store.revokeLease(held).onLeft {
+            log.add("host-not-removed", "step" to it.step, "reason" to it.reason)
+        }
+    }
+
     override fun close() {
         isOpen = false
         thread.interrupt()
@@ -134,6 +147,9 @@
         const val LEASE_TTL_MILLIS = 8_000L
         const val RENEWAL_INTERVAL_MILLIS = 2_000L
 
+        /** Longer than an interrupted call takes to end. */
+        const val JOIN_TIMEOUT_MILLIS = 100L
+
         /** Smaller differences in strength don't justify a change of the owner. */
         const val MIN_STRENGTH_RATIO = 1.5
     }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Peering.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Peering.kt
@@ -76,6 +76,15 @@
         onStrongerHost()
     }
 
+    /**
+     * Tells the others that this process, which knows of no owner after that of [lastEpoch], is
+     * stopping, [lastOwner] first.
+     */
+    fun leave(lastOwner: String?, lastEpoch: () -> Long) {
+        standbys.announceEnd(lastOwner, lastEpoch)
+        registry.leave()
+    }
+
     override fun close() {
         registry.close()
         relay.close()
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/StandbyPeers.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/StandbyPeers.kt
@@ -82,6 +82,10 @@
     /** Whether this process has announced its end. */
     private var isEnding = false
 
+    /** Returns the last epoch known, once this process has announced its end. */
+    @Volatile
+    private var knownEpoch: () -> Long = { Long.MAX_VALUE }
+
     override val registeredProcesses: Set<HostProcess>
         get() {
             noteAddresses()
@@ -92,8 +96,13 @@
 
     fun start() {
         network.handle(OwnerHeartbeat::class) { from, heartbeat ->
-            if (decide(from, heartbeat.epoch) == HeartbeatDecision.ACKNOWLEDGED) {
-                send(from, HeartbeatAcknowledgement(heartbeat.epoch, heartbeat.number, self.id))
+            when (decide(from, heartbeat.epoch)) {
+                HeartbeatDecision.ACKNOWLEDGED ->
+                    send(from, HeartbeatAcknowledgement(heartbeat.epoch, heartbeat.number, self.id))
+
+                HeartbeatDecision.ENDING -> send(from, StandbyEnded(self.id, knownEpoch()))
+
+                HeartbeatDecision.STORE_AVAILABLE, HeartbeatDecision.OWNER_OUTDATED -> Unit
             }
             null
         }
@@ -163,39 +172,42 @@
     }
 
     override fun ask(question: SchedulerAction.AskStandbys) {
-        val processes = question.standbys.associate { it.host to it.id }
-        val hosts = processes.keys + listOfNotNull(question.lastOwner)
-        connect(hosts)
-        for (host in hosts - self.host) {
-            val query = StandbyQuery(
-                question.epoch,
-                question.lastEpoch,
-                processes[host].orEmpty(),
-                isLastOwner = host == question.lastOwner
-            )
-            send(host, query)
+        val (epoch, lastEpoch, standbys, lastOwner) = question
+        connect(standbys.mapTo(HashSet()) { it.host } + listOfNotNull(lastOwner))
+        standbys.filter { it.host != self.host }.forEach {
+            send(it.host, StandbyQuery(epoch, lastEpoch, it.id))
+        }
+        if (lastOwner != null && lastOwner != self.host) {
+            send(lastOwner, StandbyQuery(epoch, lastEpoch, isLastOwner = true))
         }
     }
 
     /**
      * Tells [owner], the host of the last owner known, that this process succeeds it no more; waits
-     * for a connection to it for a short time.
+     * for a connection to it for a short time. Owners that announce a heartbeat later are told then.
      *
-     * [knownEpoch] is read once no more queries of later owners are answered.
+     * [lastEpoch] is read once no more queries of later owners are answered.
      */
-    fun announceEnd(owner: String?, knownEpoch: () -> Long) {
-        synchronized(this) { isEnding = true }
-        val lastEpoch = knownEpoch()
+    fun announceEnd(owner: String?, lastEpoch: () -> Long) {
+        synchronized(this) {
+            knownEpoch = lastEpoch
+            isEnding = true
+        }
         if (owner == null || owner == self.host) return
         val deadlineMillis = clock.nowMillis() + MAX_CONNECT_MILLIS
         connect(setOf(owner))
-        val message = StandbyEnded(self.id, lastEpoch)
+        val message = StandbyEnded(self.id, lastEpoch())
         var isSent = send(owner, message)
         while (!isSent && clock.nowMillis() < deadlineMillis) {
             Thread.sleep(CONNECT_INTERVAL_MILLIS)
             isSent = send(owner, message)
         }
-        log.add("end-announced", "peer" to owner, "lastEpoch" to lastEpoch, "isSent" to isSent)
+        log.add(
+            "end-announced",
+            "peer" to owner,
+            "lastEpoch" to message.lastEpoch,
+            "isSent" to isSent
+        )
     }
 
     private fun connect(hosts: Set<String>) {
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowHost.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowHost.kt
@@ -94,7 +94,7 @@
     fun handOver() {
         log.add("host-hand-over", "host" to name)
         election.close()
-        peering?.standbys?.announceEnd(election.lastOwner?.host) { election.lastEpoch }
+        peering?.leave(election.lastOwner?.host) { election.lastEpoch }
     }
 
     /** Stops following the configuration and closes the connections to peers. */
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/HostRegistryTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/HostRegistryTest.kt
@@ -5,6 +5,7 @@
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.isNull
 import strikt.assertions.isTrue
 import sycamoremast.coordination.StorePut
 import sycamoremast.coordination.StoreTransaction
@@ -40,6 +41,16 @@
         expectThat(awaitRegistration()).isTrue()
     }
 
+    // Guards against an owner that counts on a process which has ended (LOST, issue 49).
+    @Test
+    fun `deletes its entry when it leaves, and does not register again`() {
+        expectThat(awaitRegistration()).isTrue()
+        registry.leave()
+        expectThat(store.get(key).getOrNull()).isNull()
+        Thread.sleep(POLL_MILLIS)
+        expectThat(store.get(key).getOrNull()).isNull()
+    }
+
     private companion object {
         /** Several renewal intervals. */
         const val WAIT_SECONDS = 10L
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/StandbyPeersTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/StandbyPeersTest.kt
@@ -249,6 +249,17 @@
         eventually("the owner knows") { ended.toList() == listOf("standby/a" to 7L) }
     }
 
+    // Guards against leases that end as the owner has changed since a standby ended (LOST, issue 49).
+    @Test
+    fun `a process that has announced its end tells each owner that announces a heartbeat`() {
+        val ended = ConcurrentLinkedQueue<Pair<String, Long>>()
+        owner.peers.onEnded = { process, lastEpoch -> ended += process.text to lastEpoch }
+        standby.peers.announceEnd(owner = null) { 7 }
+        announceUntil("the owner knows", epoch = 8) { ended.isNotEmpty() }
+        expectThat(ended.first()).isEqualTo("standby/a" to 7L)
+        expectThat(acknowledged).isEmpty()
+    }
+
     // The owner awaits it no more, so that its answers would tell too little (TWICE).
     @Test
     fun `a process that has announced its end acknowledges and answers nothing`() {
