Adapt two tests of the daemon to processes of hosts

Since the tests of daemon didn't compile: ElectionTest read the host of sightings, which are a process's now, and PeeringTest passed a host's name for a process. The check in ElectionTest names the process, which contains the host.

--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/ElectionTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/ElectionTest.kt
@@ -21,6 +21,7 @@
 import sycamoremast.coordination.StorePut
 import sycamoremast.coordination.StoreTransaction
 import sycamoremast.coordination.TransactionalStore
+import sycamoremast.coordination.workflow.HostProcess
 import sycamoremast.coordination.workflow.RecordVersion
 import sycamoremast.coordination.workflow.SchedulerSettings
 import sycamoremast.daemon.control.eventually
@@ -248,7 +249,7 @@
         val deleted = listOf(WorkflowKeys.owner(0))
         store.apply(StoreTransaction(emptyMap(), emptyList(), deleted))
         expectThat(terms.poll(WAIT_SECONDS, SECONDS)).isNotNull().get { sightings }.and {
-            get { host }.isEqualTo("host")
+            get { process }.isEqualTo(HostProcess("host"))
             get { acknowledged }.isEqualTo(mapOf(3L to 5_000L))
         }
         expectThat(election.acknowledgeHeartbeat(3)).isFalse()
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/PeeringTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/PeeringTest.kt
@@ -6,6 +6,7 @@
 import org.junit.jupiter.api.Test
 import sycamoremast.configuration.Endpoint
 import sycamoremast.coordination.membership.IncarnationClaim
+import sycamoremast.coordination.workflow.HostProcess
 import sycamoremast.coordination.workflow.PaceOrder
 import sycamoremast.coordination.workflow.PollOrder
 import sycamoremast.coordination.workflow.RunPort
@@ -37,7 +38,9 @@
     private fun startPeering(name: String): String {
         val port = ServerSocket(0).use { it.localPort }
         val peers = WorkflowPeers("zone", Endpoint("127.0.0.1", port), 1.0)
-        val peering = Peering(name, peers, MemoryStore(), NoWorkers, EventLog { }, WorkflowMeters())
+        val process = HostProcess(name)
+        val peering =
+            Peering(process, peers, MemoryStore(), NoWorkers, EventLog { }, WorkflowMeters())
         started += peering
         peering.start()
         return peers.address.toString()
