--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunEnds.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunEnds.kt
@@ -11,6 +11,11 @@
     private val recorder: Recorder,
     private val crashes: CrashLedger
 ) {
+    private val lapsedRuns = LapsedRuns(fleet)
+
+    /** Logs what is due. */
+    fun step(nowMillis: Long) = lapsedRuns.step(nowMillis)
+
     /** Processes the end of a run that [worker] reports in [row]. */
     fun onEnded(worker: FleetWorker, row: EndedRow, nowMillis: Long) {
         val task = fleet.taskOrNull(row.task) ?: return
@@ -26,6 +31,9 @@
             "how" to row.how,
             "ranMillis" to placement?.let { nowMillis - it.startedMillis }
         )
+        if (row.how == RunEnd.LAPSED && task.step.spec.isLongRunning) {
+            lapsedRuns.count(worker, isKnown = placement != null)
+        }
         if (placement != null) fleet.release(placement, nowMillis)
         if (!workflow.isOpen) return
         crashes.onReported(task, row.run)
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunMaintenance.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunMaintenance.kt
@@ -7,6 +7,7 @@
     private val leases = LeaseGrants(fleet)
 
     fun step(nowMillis: Long) {
+        tracker.step(nowMillis)
         for (worker in fleet.workers.values.toList()) {
             if (worker.hasCertainlyLapsed(nowMillis)) {
                 // Another owner might reach the worker and extend its lease.
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
@@ -10,6 +10,9 @@
     private val ends = RunEnds(fleet, recorder, crashes)
     private val runs = ReportedRuns(fleet, recorder, crashes)
 
+    /** Logs what is due. */
+    fun step(nowMillis: Long) = ends.step(nowMillis)
+
     fun onStartAnswer(order: StartOrder, answer: WorkerAnswer, nowMillis: Long) {
         val placement = findPlacementOrNull(order.task, order.worker, order.run) ?: return
         when (answer) {
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Standbys.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Standbys.kt
@@ -39,6 +39,9 @@
     private var durableMillis = Long.MIN_VALUE / 2
     private var areSilent = false
 
+    /** When the last durable heartbeat was formed, or null. */
+    val lastDurableMillis: Long? get() = durableMillis.takeIf { it != Long.MIN_VALUE / 2 }
+
     /** When the last heartbeat was formed that all standbys have acknowledged, or null. */
     var confirmedMillis: Long? = null
         private set
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Succession.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Succession.kt
@@ -16,6 +16,9 @@
      */
     val confirmedMillis: Long? get() = standbys.confirmedMillis
 
+    /** When the last durable heartbeat was formed, or null. */
+    val durableMillis: Long? get() = standbys.lastDurableMillis
+
     /** Returns the times by which the leases that this owner knows of have certainly lapsed. */
     fun leaseEnds(): Map<WorkerRef, Long> =
         fleet.workers.values.associate { it.ref to it.lease.lapsedByMillis }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
@@ -187,7 +187,24 @@
         } else {
             endingLoop.close()
         }
-        endingLoop.leaseEnds?.let { ownLeaseEnds = mapOf(epoch to it) }
+        val end = endingLoop.endOrNull()
+        if (end != null) ownLeaseEnds = mapOf(epoch to end.leaseEnds)
+        logEnd(reason, end)
+    }
+
+    private fun logEnd(reason: String, end: TermEnd?) {
+        val now = clock.nowMillis()
+        log.add(
+            "leases-at-end",
+            "set" to set,
+            "epoch" to epoch,
+            "reason" to reason,
+            "durableMillisAgo" to end?.durableMillis?.let { now - it },
+            "confirmedMillisAgo" to end?.confirmedMillis?.let { now - it },
+            "workers" to end?.leaseEnds?.count { it.value > now },
+            "longestLeaseMillis" to end?.leaseEnds?.values?.maxOrNull()?.let { maxOf(it - now, 0) },
+            "isHandedOver" to end?.isHandedOver
+        )
     }
 
     companion object {
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
@@ -18,7 +18,6 @@
 import sycamoremast.coordination.workflow.SchedulerAction
 import sycamoremast.coordination.workflow.Succession
 import sycamoremast.coordination.workflow.WorkerListing
-import sycamoremast.coordination.workflow.WorkerRef
 import sycamoremast.coordination.workflow.Workflow
 import sycamoremast.coordination.workflow.WorkflowPhase
 import sycamoremast.coordination.workflow.WorkflowProgress
@@ -61,15 +60,25 @@
     /** The epoch of the term. */
     val epoch: Long get() = scheduler.epoch
 
+    /** Whether the hand-over was recorded, or null before a planned end. */
+    @Volatile
+    private var isHandedOver: Boolean? = null
+
     /**
-     * The times by which leases have lapsed that the term has granted or inherited, once it is
-     * closed; null if the scheduler's thread doesn't end in time.
+     * What the term leaves behind once it is closed, or null if the scheduler's thread doesn't end
+     * in time.
      */
-    val leaseEnds: Map<WorkerRef, Long>?
-        get() {
-            thread.join(JOIN_TIMEOUT_MILLIS)
-            return if (thread.isAlive) null else scheduler.succession.leaseEnds()
-        }
+    fun endOrNull(): TermEnd? {
+        thread.join(JOIN_TIMEOUT_MILLIS)
+        if (thread.isAlive) return null
+        val succession = scheduler.succession
+        return TermEnd(
+            succession.durableMillis,
+            succession.confirmedMillis,
+            succession.leaseEnds(),
+            isHandedOver
+        )
+    }
 
     fun start() = apply { thread.start() }
 
@@ -251,6 +260,7 @@
      */
     fun closeAfterRecording(limitMillis: Long) {
         isOpen = false
+        isHandedOver = false
         thread.join(limitMillis)
         if (!thread.isAlive) records.execute { handOver(limitMillis) }
         records.shutdown()
@@ -264,6 +274,7 @@
             val isRecorded = writer.write(scheduler.handoverBatch(nowMillis(), unixMillis())) {
                 nowMillis() < deadlineMillis
             }
+            isHandedOver = isRecorded
             log.add("handed-over", "isRecorded" to isRecorded)
         } catch (_: InterruptedException) {
             log.add("handed-over", "isRecorded" to false)
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/OwnershipTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/OwnershipTest.kt
@@ -45,6 +45,7 @@
 import sycamoremast.coordination.workflow.WorkflowPhase
 import sycamoremast.coordination.workflow.WorkflowProgress
 import sycamoremast.coordination.workflow.WorkflowStep
+import sycamoremast.daemon.control.eventually
 import sycamoremast.daemon.log.EventLog
 
 class OwnershipTest {
@@ -61,6 +62,7 @@
     @Volatile
     private var isMemoryLacking = false
     private val meters = WorkflowMeters()
+    private val lines = CopyOnWriteArrayList<String>()
     private val ownership = Ownership(
         object : TransactionalStore by store {
             override fun commit(transaction: StoreTransaction) = when {
@@ -74,7 +76,7 @@
         0,
         SchedulerSettings(),
         clock,
-        EventLog { },
+        EventLog { lines += it },
         meters
     ) { null }.apply { onDeposed = { deposed.complete(it) } }
 
@@ -167,6 +169,39 @@
         }
     }
 
+    /** Returns the line on the leases at the end of a term that ends for [reason]. */
+    private fun leasesAtEnd(reason: String, hasStore: Boolean = true): String {
+        put(OneWorkerCatalog.workersPrefix + "w1", "")
+        ownership.onBegin(claim(1))
+        accept("job")
+        runs.awaitStart("job")
+        store.isDown = !hasStore
+        ownership.onEnd(reason)
+        eventually("the end is logged") { lines.any { "leases-at-end" in it } }
+        return lines.single { "leases-at-end" in it }
+    }
+
+    @Test
+    fun `logs the leases that a planned end leaves behind, and that they are recorded`() {
+        expectThat(leasesAtEnd(Ownership.SHUTDOWN))
+            .contains("epoch=1 reason=shutdown durableMillisAgo=")
+            .contains("workers=1 longestLeaseMillis=6")
+            .contains("isHandedOver=true")
+    }
+
+    @Test
+    fun `logs that a planned end could not be recorded`() {
+        expectThat(leasesAtEnd(Ownership.SHUTDOWN, hasStore = false)).contains("isHandedOver=false")
+    }
+
+    @Test
+    fun `logs the leases that another end leaves behind`() {
+        expectThat(leasesAtEnd("lease ended"))
+            .contains("reason=\"lease ended\"")
+            .contains("longestLeaseMillis=6")
+            .not().contains("isHandedOver")
+    }
+
     @Test
     fun `begins a term although what was learned about interference can't be read`() {
         put(OneWorkerCatalog.workersPrefix + "w1", "")
