--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
@@ -65,6 +65,7 @@
     private var lastEpochSeen = 0L
     private var acknowledged = HashMap<Long, Long>()
     private var isClaiming = false
+    private var isStopping = false
     private var isRenewing = false
 
     /** The owner's key as last seen, and its version. */
@@ -125,6 +126,7 @@
         process++
         term = null
         isClaiming = false
+        isStopping = false
         isRenewing = false
         claimsSeen = HashMap()
         rostersSeen = HashMap()
@@ -218,7 +220,7 @@
     }
 
     private fun claimIfFree() {
-        if (isClaiming || term != null || claimableVersionOrNull() == null) return
+        if (isStopping || isClaiming || term != null || claimableVersionOrNull() == null) return
         isClaiming = true
         after(world.delayMillis() + returningOwnerDelayMillis()) {
             val version = claimableVersionOrNull()
@@ -529,15 +531,39 @@
         call({ store.endLease(held.lease) }) {}
     }
 
-    /** Hands over to another host as planned, then ends the process and calls [onEnded]. */
+    /**
+     * Hands over to another host as planned, then ends the process and calls [onEnded].
+     *
+     * An owner without the store goes on until it is back, as long as the grace period allows.
+     */
     fun stop(onEnded: () -> Unit) {
+        if (isStopping) return
+        isStopping = true
+        stopBy(time.now + LONGEST_HAND_OVER_MILLIS, onEnded)
+    }
+
+    private fun stopBy(limitMillis: Long, onEnded: () -> Unit) {
         val held = term
-        val begun = held?.begunMillis
-        if (held == null || begun == null) {
-            announceEnd()
-            kill()
-            return onEnded()
+        val hasStore = store.isUp && world.reaches(name, HostWorld.STORE)
+        when {
+            held?.begunMillis == null -> {
+                announceEnd()
+                kill()
+                onEnded()
+            }
+
+            hasStore -> handOver(held, onEnded)
+
+            time.now < limitMillis -> after(TICK_MILLIS) { stopBy(limitMillis, onEnded) }
+
+            else -> {
+                kill()
+                onEnded()
+            }
         }
+    }
+
+    private fun handOver(held: Term, onEnded: () -> Unit) {
         held.isOpen = false
         inProcess {
             after(HANDOVER_MILLIS) {
@@ -572,6 +598,9 @@
         const val RENEWAL_INTERVAL_MILLIS = 400L
         const val LEASE_MARGIN_MILLIS = 200L
         const val HANDOVER_MILLIS = 300L
+
+        /** A grace period of 6 s, less the time that the end of the process takes. */
+        const val LONGEST_HAND_OVER_MILLIS = 5_000L
         const val JUST_ACKNOWLEDGED_MILLIS = 3_000L
         const val RETURNING_OWNER_CLAIM_DELAY_MILLIS = 500L
         val LONGEST_TERM_MILLIS = SchedulerSettings.actingMillis(ModelStore.LEASE_TTL_MILLIS) -
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Election.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Election.kt
@@ -4,7 +4,8 @@
  * The owner holds a key in the store under a lease that it renews. Every other host watches the key
  * and, once it is deleted, claims it in one transaction that also increments the epoch, which is
  * the fencing token. An owner that can't reach the store continues past its lease for a bounded
- * time: workers reject its orders as soon as a newer owner has contacted them.
+ * time: workers reject its orders as soon as a newer owner has contacted them. So does an owner that
+ * is to hand over in an outage of the store, in which nobody can succeed it.
  */
 package sycamoremast.daemon.workflow
 
@@ -101,6 +102,13 @@
     @Volatile
     private var isOpen = true
 
+    /** Until when a closing election may go on with its term. */
+    @Volatile
+    private var closesByMillis = Long.MAX_VALUE
+
+    /** Whether a term goes on although the election is closing; used by the election thread only. */
+    private var goesOn = false
+
     fun start() = apply {
         follower.start()
         thread.start()
@@ -154,9 +162,11 @@
     }
 
     private fun run() {
-        while (isOpen) {
+        while (isOpen || heldTerm != null) {
             try {
-                step(wakeUps.poll(RENEWAL_INTERVAL_MILLIS, MILLISECONDS).orEmpty())
+                val longestMillis =
+                    if (isOpen) RENEWAL_INTERVAL_MILLIS else HAND_OVER_INTERVAL_MILLIS
+                step(wakeUps.poll(longestMillis, MILLISECONDS).orEmpty())
             } catch (_: InterruptedException) {
                 return
             } catch (e: RuntimeException) {
@@ -169,8 +179,9 @@
         val held = heldTerm
         when {
             held != null && deposeReason.isNotEmpty() -> endTerm(held, deposeReason)
+            held != null && !isOpen -> endOrGoOn(held)
             held != null -> renew(held)
-            else -> claimIfFree()
+            isOpen -> claimIfFree()
         }
     }
 
@@ -212,12 +223,46 @@
         }
     }
 
+    /**
+     * Ends the term of a closing election, unless the store gives no answer.
+     *
+     * A renewal shows whether it does, also where its loss has not been noticed before. The hand-over
+     * itself can't be tried out: a successor may rely on what an unanswered one has recorded.
+     */
+    private fun endOrGoOn(held: HeldTerm) {
+        val failure = store.keepAlive(held.lease).leftOrNull()
+        when {
+            failure == null -> endTerm(held, Ownership.SHUTDOWN)
+
+            leaseState(held) == LeaseState.OVER ->
+                endTerm(held, "store unreachable: ${failure.reason}")
+
+            clock.nowMillis() >= closesByMillis -> endTerm(held, Ownership.SHUTDOWN_WITHOUT_STORE)
+
+            !goesOn -> {
+                goesOn = true
+                log.add(
+                    "owner-goes-on",
+                    "set" to set,
+                    "epoch" to held.term.epoch,
+                    "limitMillis" to closesByMillis - clock.nowMillis(),
+                    "reason" to failure.reason
+                )
+            }
+        }
+    }
+
+    /** Ends the term unless another thread has ended it. */
     private fun endTerm(held: HeldTerm, reason: String) {
-        heldTerm = null
+        synchronized(this) {
+            if (heldTerm !== held) return
+            heldTerm = null
+        }
         log.add("owner-ended", "set" to set, "epoch" to held.term.epoch, "reason" to reason)
         listener.onEnd(reason)
         lastEndMillis = clock.nowMillis()
         activeEpoch = null
+        if (reason == Ownership.SHUTDOWN_WITHOUT_STORE) return
         store.revokeLease(held.lease).onLeft {
             log.add("lease-not-ended", "step" to it.step, "peer" to it.peer, "reason" to it.reason)
         }
@@ -325,16 +370,34 @@
         }
     }
 
+    /** Ends the current term at once, as [close] with a limit does. */
+    override fun close() = close(0)
+
     /**
-     * Ends the current term and deletes its lease, so that another host can claim at once. After
-     * that, no term begins.
+     * Ends the current term and deletes its lease, so that another host can claim at once. From now
+     * on, no term begins.
+     *
+     * While the store gives no answer nobody could claim, so the term goes on until it does, but not
+     * for longer than [limitMillis].
      */
-    override fun close() {
-        synchronized(this) { isOpen = false }
+    fun close(limitMillis: Long) {
+        val isOwner = synchronized(this) {
+            isOpen = false
+            closesByMillis = clock.nowMillis() + limitMillis
+            heldTerm != null
+        }
+        wakeUps += ""
+        if (isOwner) awaitEnd(limitMillis)
         follower.close()
         thread.interrupt()
         thread.join(JOIN_TIMEOUT_MILLIS)
-        heldTerm?.let { endTerm(it, Ownership.SHUTDOWN) }
+        heldTerm?.let { endTerm(it, Ownership.SHUTDOWN_WITHOUT_STORE) }
+    }
+
+    /** Waits for the election thread, which ends the term within [limitMillis] and its last call. */
+    private fun awaitEnd(limitMillis: Long) {
+        thread.join(limitMillis + LAST_CALL_MILLIS)
+        if (heldTerm == null) thread.join(HAND_OVER_MILLIS)
     }
 
     private companion object {
@@ -360,5 +423,14 @@
         /** As long as an owner takes to notice that its lease has ended, and to claim again. */
         const val RETURNING_OWNER_CLAIM_DELAY_MILLIS = 500L
         const val JOIN_TIMEOUT_MILLIS = 500L
+
+        /** How often a closing election looks whether the store answers again. */
+        const val HAND_OVER_INTERVAL_MILLIS = 100L
+
+        /** Longer than a call of the store without an answer takes. */
+        const val LAST_CALL_MILLIS = 700L
+
+        /** Longer than it takes to record a hand-over and to delete the lease. */
+        const val HAND_OVER_MILLIS = 4_000L
     }
 }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
@@ -211,6 +211,9 @@
         /** The end reason of a planned stop, before which pending records are still written. */
         const val SHUTDOWN = "shutdown"
 
+        /** The end reason of a planned stop in an outage of the store that outlasts it. */
+        const val SHUTDOWN_WITHOUT_STORE = "shutdown without the store"
+
         /** The end reason when a stronger host is to take over, also with records written. */
         const val STRONGER_HOST = "a stronger host is there"
         private val PLANNED_END_REASONS = setOf(SHUTDOWN, STRONGER_HOST)
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowHost.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowHost.kt
@@ -90,10 +90,14 @@
         peering?.start()
     }
 
-    /** Hands ownership over to another host; the gateway keeps serving until the process ends. */
-    fun handOver() {
-        log.add("host-hand-over", "host" to name)
-        election.close()
+    /**
+     * Hands ownership over to another host; the gateway keeps serving until the process ends.
+     *
+     * In an outage of the store, goes on as the owner until the outage ends, or for [limitMillis].
+     */
+    fun handOver(limitMillis: Long) {
+        log.add("host-hand-over", "host" to name, "limitMillis" to limitMillis)
+        election.close(limitMillis)
         peering?.standbys?.announceEnd(election.lastOwner?.host) { election.lastEpoch }
     }
 
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowSettings.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowSettings.kt
@@ -18,7 +18,7 @@
  * The settings of one host.
  *
  * [drainMillis] is how long a stopping host continues to answer callers; it has to be well below
- * the time after which the platform kills it. [cores] is the processing power that the host may
+ * [graceMillis], the time after which the platform kills it. [cores] is the processing power that the host may
  * use: its share of the processor multiplied by the processor's speed in cores.
  */
 data class WorkflowSettings(
@@ -33,12 +33,27 @@
     val stopMillis: Long = SchedulerSettings.DEFAULT_STOP_MILLIS,
     val drainMillis: Long = DEFAULT_DRAIN_MILLIS,
     val cores: Double = 1.0,
-    val limits: WorkflowLimits = WorkflowLimits()
+    val limits: WorkflowLimits = WorkflowLimits(),
+    val graceMillis: Long = defaultGraceMillis(drainMillis)
 ) {
+    /** How long a stopping owner may go on in an outage of the store. */
+    val longestHandOverMillis: Long get() = (graceMillis - STOP_MARGIN_MILLIS).coerceAtLeast(0)
+
     companion object {
         /** Two failed readiness checks a second apart, plus a second for requests in flight. */
         const val DEFAULT_DRAIN_MILLIS = 3_000L
 
+        /** Covers a last call of the store without an answer, and the end of the process. */
+        private const val STOP_MARGIN_MILLIS = 1_000L
+
+        /** The longest time that a hand-over takes while the store answers. */
+        private const val HAND_OVER_MILLIS = 3_000L
+        private const val LONGEST_GRACE_SECONDS = 600.0
+        private const val MILLIS_PER_SECOND = 1_000
+
+        /** Without a known time a stop takes no longer than it may where the store answers. */
+        private fun defaultGraceMillis(drainMillis: Long) = drainMillis + HAND_OVER_MILLIS
+
         /** The progress of so many tasks, about 50 bytes each, fits into one record of 1 MB. */
         const val DEFAULT_MAX_TASKS_PER_WORKFLOW = 10_000L
         private val TASKS_PER_WORKFLOW_RANGE = 1L..20_000L
@@ -61,6 +76,13 @@
             return sorted?.left() ?: checkNotNull(settings).right()
         }
 
+        private class Times(
+            val leaseMillis: Long,
+            val stopMillis: Long,
+            val drainMillis: Long,
+            val graceMillis: Long
+        )
+
         private class SettingsSections(
             private val document: IniDocument,
             private val errors: MutableList<IniError>
@@ -77,13 +99,7 @@
                     section("capacity") { cores() }
                 }
                 val store = section("store") { endpoint("address") }
-                val times = section("times") {
-                    Triple(
-                        long("lease-millis", LEASE_RANGE),
-                        long("stop-millis", STOP_RANGE),
-                        long("drain-millis", DRAIN_RANGE, DEFAULT_DRAIN_MILLIS)
-                    )
-                }
+                val times = section("times") { times() }
                 val limits = if (document.section("limits") == null) {
                     WorkflowLimits()
                 } else {
@@ -101,15 +117,33 @@
                         listen.bind().first.third.bind(),
                         listen.bind().second.bind(),
                         store.bind(),
-                        times.bind().first.bind(),
-                        times.bind().second.bind(),
-                        times.bind().third.bind(),
+                        times.bind().leaseMillis,
+                        times.bind().stopMillis,
+                        times.bind().drainMillis,
                         cores.bind(),
-                        limits.bind()
+                        limits.bind(),
+                        times.bind().graceMillis
                     )
                 }
             }
 
+            private fun SectionReader.times(): Times? {
+                val lease = long("lease-millis", LEASE_RANGE)
+                val stop = long("stop-millis", STOP_RANGE)
+                val drain = long("drain-millis", DRAIN_RANGE, DEFAULT_DRAIN_MILLIS)
+                val grace = graceMillis(drain ?: DEFAULT_DRAIN_MILLIS)
+                return nullable { Times(lease.bind(), stop.bind(), drain.bind(), grace.bind()) }
+            }
+
+            private fun SectionReader.graceMillis(drainMillis: Long): Long? = convert(
+                "grace-seconds",
+                defaultGraceMillis(drainMillis),
+                "must be a number above 0 and up to $LONGEST_GRACE_SECONDS"
+            ) { text ->
+                text.toDoubleOrNull()?.takeIf { it > 0 && it <= LONGEST_GRACE_SECONDS }
+                    ?.let { (it * MILLIS_PER_SECOND).toLong() }
+            }
+
             private fun SectionReader.cores(): Double? {
                 val share = positiveNumber("cpu-share")
                 val speed = positiveNumber("cores")
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/ElectionTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/ElectionTest.kt
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit.SECONDS
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
+import kotlin.concurrent.thread
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
@@ -15,6 +16,7 @@
 import strikt.assertions.isFalse
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isNotNull
+import strikt.assertions.isNull
 import strikt.assertions.isTrue
 import sycamoremast.coordination.LeaseId
 import sycamoremast.coordination.MonotonicClock
@@ -238,6 +240,86 @@
         expectThat(election.leaseState).isEqualTo(LeaseState.LAPSED)
     }
 
+    /** Closes [election] on a thread of its own. */
+    private fun closeLater(election: Election, limitMillis: Long): Thread =
+        thread { election.close(limitMillis) }
+
+    // Guards against an owner whose planned stop ends all leases in an outage (LOST, issue 49).
+    @Test
+    fun `goes on in an outage when it is closed until the store is back`() {
+        val counting = CountingStore()
+        val election = startElection("host", counting)
+        expectThat(terms.poll(WAIT_SECONDS, SECONDS)).isNotNull()
+        store.isDown = true
+        val closing = closeLater(election, limitMillis = LONG_LIMIT_MILLIS)
+        repeat(3) { counting.awaitRenewals() }
+        expectThat(ends).isEmpty()
+        expectThat(closing.isAlive).isTrue()
+        store.isDown = false
+        expectThat(ends.poll(WAIT_SECONDS, SECONDS)).isEqualTo(Ownership.SHUTDOWN)
+        closing.join(WAIT_SECONDS * MILLIS_PER_SECOND)
+        expectThat(owner()).isNull()
+        expectThat(terms).isEmpty()
+    }
+
+    @Test
+    fun `ends its term in an outage when the limit of closing is reached`() {
+        val election = startElection("host")
+        expectThat(terms.poll(WAIT_SECONDS, SECONDS)).isNotNull()
+        store.isDown = true
+        val startNanos = System.nanoTime()
+        election.close(SHORT_LIMIT_MILLIS)
+        expectThat((System.nanoTime() - startNanos) / NANOS_PER_MILLI)
+            .isGreaterThan(SHORT_LIMIT_MILLIS - 1)
+        expectThat(ends.toList()).containsExactly(Ownership.SHUTDOWN_WITHOUT_STORE)
+        expectThat(election.leaseState).isEqualTo(LeaseState.LAPSED)
+    }
+
+    @Test
+    fun `ends its term at once when it is closed outside an outage`() {
+        val election = startElection("host")
+        expectThat(terms.poll(WAIT_SECONDS, SECONDS)).isNotNull()
+        election.close(Long.MAX_VALUE / 2)
+        expectThat(ends.toList()).containsExactly(Ownership.SHUTDOWN)
+        expectThat(owner()).isNull()
+    }
+
+    // Guards against a new term of a process that is about to end (TWICE).
+    @Test
+    fun `makes no claim after a term that has lapsed while it was closed in an outage`() {
+        val counting = CountingStore()
+        val election = startElection("host", counting)
+        expectThat(terms.poll(WAIT_SECONDS, SECONDS)).isNotNull()
+        store.isDown = true
+        val closing = closeLater(election, limitMillis = LONG_LIMIT_MILLIS)
+        counting.awaitRenewals()
+        election.depose("owner key names host null")
+        expectThat(ends.poll(WAIT_SECONDS, SECONDS)).isEqualTo("owner key names host null")
+        val deleted = listOf(WorkflowKeys.owner(0))
+        store.apply(StoreTransaction(emptyMap(), emptyList(), deleted))
+        store.isDown = false
+        closing.join(WAIT_SECONDS * MILLIS_PER_SECOND)
+        Thread.sleep(PROPAGATION_MILLIS)
+        expectThat(owner()).isNull()
+        expectThat(terms).isEmpty()
+    }
+
+    @Test
+    fun `goes on in an outage when it is closed no longer than without the store at all`() {
+        val now = AtomicLong()
+        val counting = CountingStore()
+        val election = startElection("host", counting, { now.get() })
+        expectThat(terms.poll(WAIT_SECONDS, SECONDS)).isNotNull()
+        store.isDown = true
+        val closing = closeLater(election, limitMillis = LONG_LIMIT_MILLIS)
+        counting.awaitRenewals()
+        expectThat(ends).isEmpty()
+        now.set(ACTING_MILLIS)
+        expectThat(ends.poll(WAIT_SECONDS, SECONDS)).isNotNull().contains("store unreachable")
+        closing.join(WAIT_SECONDS * MILLIS_PER_SECOND)
+        expectThat(closing.isAlive).isFalse()
+    }
+
     @Test
     fun `acknowledges an owner's heartbeats until it claims the set, and tells so`() {
         writeOwner("other", 3)
@@ -265,5 +347,8 @@
         val ACTING_MILLIS = SchedulerSettings.actingMillis(LEASE_TTL_MILLIS) - 200
         const val NANOS_PER_MILLI = 1_000_000L
         const val PROPAGATION_MILLIS = 200L
+        const val MILLIS_PER_SECOND = 1_000L
+        const val SHORT_LIMIT_MILLIS = 300L
+        const val LONG_LIMIT_MILLIS = 60_000L
     }
 }
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/WorkflowSettingsTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/WorkflowSettingsTest.kt
@@ -43,6 +43,31 @@
         expectThat(WorkflowSettings.parseOrNull(text + limits.replace("500", "0"))).isNull()
     }
 
+    @Test
+    fun `leaves a margin before the end of the grace period`() {
+        expectThat(WorkflowSettings.parseOrNull("$text\ngrace-seconds = 6.5")).isNotNull().and {
+            get { graceMillis }.isEqualTo(6_500)
+            get { longestHandOverMillis }.isEqualTo(5_500)
+        }
+        expectThat(WorkflowSettings.parseOrNull("$text\ngrace-seconds = 0.5")).isNotNull()
+            .get { longestHandOverMillis }.isEqualTo(0)
+    }
+
+    @Test
+    fun `assumes a grace period that leaves time to drain and to hand over`() {
+        expectThat(WorkflowSettings.parseOrNull("$text\ndrain-millis = 8000")).isNotNull()
+            .get { graceMillis }.isEqualTo(11_000)
+    }
+
+    @Test
+    fun `rejects a grace period that is not a positive number of seconds`() {
+        for (grace in listOf("0", "-1", "NaN", "601", "6s", "")) {
+            val errors = WorkflowSettings.parse("node.ini", "$text\ngrace-seconds = $grace")
+                .leftOrNull().orEmpty()
+            expectThat(errors.map { it.render() }).any { contains("grace-seconds") }
+        }
+    }
+
     @Test
     fun `reports every error`() {
         val broken = text.replace("6000", "soon").replace("[store]", "[shop]")
