--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
@@ -187,13 +187,33 @@
         } else {
             endingLoop.close()
         }
-        endingLoop.leaseEnds?.let { ownLeaseEnds = mapOf(epoch to it) }
+        val end = endingLoop.endOrNull()
+        if (end != null) ownLeaseEnds = mapOf(epoch to end.leaseEnds)
+        logEnd(reason, end)
+    }
+
+    private fun logEnd(reason: String, end: TermEnd?) {
+        val now = clock.nowMillis()
+        log.add(
+            "leases-at-end",
+            "set" to set,
+            "epoch" to epoch,
+            "reason" to reason,
+            "durableMillisAgo" to end?.durableMillis?.let { now - it },
+            "confirmedMillisAgo" to end?.confirmedMillis?.let { now - it },
+            "workers" to end?.leaseEnds?.count { it.value > now },
+            "longestLeaseMillis" to end?.leaseEnds?.values?.maxOrNull()?.let { maxOf(it - now, 0) },
+            "isHandedOver" to end?.isHandedOver
+        )
     }
 
     companion object {
         /** The end reason of a planned stop, before which pending records are still written. */
         const val SHUTDOWN = "shutdown"
 
+        /** The end reason of a planned stop in an outage of the store that outlasts it. */
+        const val SHUTDOWN_WITHOUT_STORE = "shutdown without the store"
+
         /** The end reason when a stronger host is to take over, also with records written. */
         const val STRONGER_HOST = "a stronger host is there"
         private val PLANNED_END_REASONS = setOf(SHUTDOWN, STRONGER_HOST)
