--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
@@ -31,6 +31,9 @@
      */
     fun tell(from: String, to: String, receive: (ModelHost) -> Unit)
 
+    /** Returns by how much an owner learns late which hosts are registered, 0 for at once. */
+    fun registryLagMillis(): Long
+
     /** Whether standbys also acknowledge heartbeats while they have the store. */
     val acknowledgesWithStore: Boolean
 
@@ -70,7 +73,7 @@
     /** The owner's key as last seen, and its version. */
     private var seenOwner: OwnerKey? = null
 
-    /** The last content of the owner's key that this process has seen. */
+    /** The last claim that this process has seen. */
     private var lastOwner: OwnerKey? = null
     private var seenOwnerVersion: Long? = null
 
@@ -201,13 +204,13 @@
         if (owner != null) claimsSeen.putIfAbsent(owner.epoch, clock())
         store.roster?.let { rostersSeen.putIfAbsent(it.record.version, clock()) }
         store.heartbeat?.let { heartbeatsSeen.putIfAbsent(it, clock()) }
-        if (owner != null) lastOwner = owner
+        lastOwner = store.lastClaim
         seenOwner = owner
         seenOwnerVersion = store.ownerVersion
         val held = term ?: return claimIfFree()
         if (held.begunMillis == null) return
         if (owner?.epoch != held.epoch) return endTerm(held, "owner key names $owner")
-        held.scheduler.succession.onHostsRegistered(self, store.registeredHosts(), clock())
+        noteRegistered(held, store.registeredHosts())
         if (held.knownListings != world.listings) {
             held.knownListings = HashMap(world.listings)
             held.scheduler.onWorkersListed(held.knownListings.values.toList(), clock())
@@ -217,6 +220,13 @@
         }
     }
 
+    private fun noteRegistered(held: Term, registered: Set<HostProcess>) {
+        fun note() = held.scheduler.succession.onHostsRegistered(self, registered, clock())
+        val lagMillis = world.registryLagMillis()
+        if (lagMillis == 0L) return note()
+        after(lagMillis) { if (held.isOpen) note() }
+    }
+
     private fun claimIfFree() {
         if (isClaiming || term != null || claimableVersionOrNull() == null) return
         isClaiming = true
@@ -249,6 +259,7 @@
             }
             val (lease, epochVersion) = granted
             val readMillis = clock()
+            val earlier = listOfNotNull(replaced, lastOwner).filter { it.host == name }
             call({
                 store.claim(name, lease, ownerVersion, epochVersion)?.let { it to store.version }
             }) {
@@ -259,7 +270,7 @@
                         claimsSeen.toMap(),
                         rostersSeen.toMap(),
                         heartbeatsSeen.toMap(),
-                        listOfNotNull(replaced).associate { key -> key.epoch to lastEndMillis },
+                        earlier.associate { key -> key.epoch to lastEndMillis },
                         self,
                         acknowledged.toMap(),
                         leaseEnds,
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelStore.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelStore.kt
@@ -32,6 +32,10 @@
     var owner: OwnerKey? = null
         private set
 
+    /** The last content of the owner's key, which remains when the key is deleted. */
+    var lastClaim: OwnerKey? = null
+        private set
+
     /** The version of the owner's key, or 0 if it is absent. */
     var ownerVersion = 0L
         private set
@@ -116,6 +120,7 @@
         epoch = EpochKey(epoch.epoch + 1, 0)
         this.epochVersion = version
         owner = OwnerKey(host, epoch.epoch, lease)
+        lastClaim = owner
         this.ownerVersion = version
         onOwnerChanged()
         return epoch.epoch
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/StoreOutageTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/StoreOutageTest.kt
@@ -86,6 +86,17 @@
         }
     }
 
+    // Guards against a standby that has answered a successor and isn't awaited any more (TWICE).
+    @Test
+    fun `no task runs twice if a standby that a new host asks is stopped`() {
+        for (stopMillis in 2_700L..4_300L step 200) {
+            val schedule = SuccessionSchedule(seed = stopMillis, SuccessionFaults(emptySet()))
+            schedule.playNewHostBesideStoppedStandby(OUTAGE_MILLIS, stopMillis)
+            expectThat(schedule.violations.filter { it.kind == "runs twice at once" })
+                .describedAs("stopped after $stopMillis ms").isEmpty()
+        }
+    }
+
     private companion object {
         /** When the outage begins, long after all tasks have started. */
         const val OUTAGE_MILLIS = 15_000L
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionSchedule.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionSchedule.kt
@@ -40,7 +40,13 @@
     REPLACE_HOST(9_000),
 
     /** Most hosts lose the store, and those that have it lose some workers for longer. */
-    PARTIAL_OUTAGE(9_000)
+    PARTIAL_OUTAGE(9_000),
+
+    /** All hosts are stopped or killed in turn, some of them again before the last one is. */
+    RESTART_ALL(8_000),
+
+    /** The owner's key is deleted, and hosts are stopped while they claim it. */
+    STOP_IN_ELECTION(6_000)
 }
 
 internal data class SuccessionFaults(
@@ -52,7 +58,11 @@
     /** How much slower than true time workers' clocks may be, in thousandths. */
     val workerClockError: Long = 20,
     val restartsHosts: Boolean = true,
-    val acknowledgesWithStore: Boolean = false
+    val acknowledgesWithStore: Boolean = false,
+    /** How many messages between hosts arrive late, and so out of order. */
+    val lateMessages: Double = 0.0,
+    /** By how much the owner may learn later than others of processes that come and go. */
+    val registryLagMillis: Long = 0
 )
 
 internal class SuccessionSchedule(seed: Long, private val faults: SuccessionFaults) : HostWorld {
@@ -194,6 +204,30 @@
         time.playUntil(END_MILLIS)
     }
 
+    /**
+     * Plays that all hosts lose the store at [fromMillis], while a new host has the store and reaches
+     * only one standby, which is stopped [stopMillis] later, and the workers that the others don't.
+     */
+    fun playNewHostBesideStoppedStandby(fromMillis: Long, stopMillis: Long) {
+        begin()
+        time.at(fromMillis) {
+            val old = hosts.toList()
+            val stopped = old.first { it.term == null }
+            val added = newHost("h${++lastHost}")
+            hosts += added
+            old.forEach { cut(it.name, HostWorld.STORE, END_MILLIS) }
+            (old - stopped).forEach { cut(it.name, added.name, END_MILLIS) }
+            for ((index, id) in entries.keys.withIndex()) {
+                val without = if (index % 2 == 0) old else listOf(added)
+                without.forEach { cut(it.name, id, END_MILLIS) }
+            }
+            time.at(fromMillis + NEW_HOST_MILLIS) { added.start() }
+            time.at(fromMillis + stopMillis) { stop(stopped) }
+        }
+        observe()
+        time.playUntil(END_MILLIS)
+    }
+
     private fun newHost(name: String): ModelHost {
         val error = faults.hostClockError
         return ModelHost(name, this, PER_MILLE + random.nextLong(-error, error + 1))
@@ -270,6 +304,10 @@
 
             SuccessionFault.REPLACE_HOST -> replace(host)
 
+            SuccessionFault.RESTART_ALL -> restartAll()
+
+            SuccessionFault.STOP_IN_ELECTION -> stopInElection()
+
             SuccessionFault.CRASH_WORKER, SuccessionFault.CUT_WORKER,
             SuccessionFault.MOVE_WORKER, SuccessionFault.DRAIN_WORKER ->
                 if (current != null) occur(kind, current)
@@ -325,6 +363,27 @@
         if (host.isUp) host.stop { restartLater(host) }
     }
 
+    private fun restartAll() {
+        val restarted = hosts.shuffled(random) + hosts.shuffled(random).take(2)
+        for ((index, host) in restarted.withIndex()) {
+            time.at(now + index * RESTART_INTERVAL_MILLIS) {
+                if (random.nextInt(3) > 0) {
+                    stop(host)
+                } else {
+                    host.kill()
+                    restartLater(host)
+                }
+            }
+        }
+    }
+
+    private fun stopInElection() {
+        revokeKey()
+        for (host in hosts.shuffled(random).take(2)) {
+            time.at(now + random.nextLong(1, MAX_ELECTION_MILLIS)) { stop(host) }
+        }
+    }
+
     private fun revokeKey() {
         store.owner?.let { store.endLease(it.lease) }
     }
@@ -424,11 +483,16 @@
     override fun tell(from: String, to: String, receive: (ModelHost) -> Unit) {
         if (!reaches(from, to) || !reaches(to, from)) return
         if (peerRandom.nextDouble() < faults.lostAnswers) return
-        time.at(now + peerRandom.nextLong(1, MAX_DELAY_MILLIS)) {
+        val isLate = faults.lateMessages > 0 && peerRandom.nextDouble() < faults.lateMessages
+        val maxMillis = if (isLate) MAX_LATE_MILLIS else MAX_DELAY_MILLIS
+        time.at(now + peerRandom.nextLong(1, maxMillis)) {
             hosts.find { it.name == to }?.let(receive)
         }
     }
 
+    override fun registryLagMillis(): Long =
+        if (faults.registryLagMillis > 0) peerRandom.nextLong(faults.registryLagMillis) else 0
+
     override fun log(text: String) {
         log += "$now $text"
     }
@@ -560,9 +624,16 @@
         const val LONGEST_CUT_MILLIS = 20_000L
         const val MAX_FREEZE_MILLIS = 6_000L
         const val MAX_SUSPEND_MILLIS = 3_000L
+
+        /** Longer than the owner's key lasts. */
+        const val NEW_HOST_MILLIS = 3_000L
         const val SUSPENSION_INTERVAL_MILLIS = 5_000L
         const val FIRST_STOP_MILLIS = 2_000L
         const val STOP_INTERVAL_MILLIS = 2_000L
+        const val RESTART_INTERVAL_MILLIS = 700L
+
+        /** Longer than hosts take to notice that the owner's key is gone, and to claim it. */
+        const val MAX_ELECTION_MILLIS = 100L
         const val MIN_DRAIN_MILLIS = 2_000L
 
         /** Three heartbeats. */
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionTest.kt
@@ -14,10 +14,12 @@
 import sycamoremast.coordination.workflow.SuccessionFault.MOVE_WORKER
 import sycamoremast.coordination.workflow.SuccessionFault.PARTIAL_OUTAGE
 import sycamoremast.coordination.workflow.SuccessionFault.REPLACE_HOST
+import sycamoremast.coordination.workflow.SuccessionFault.RESTART_ALL
 import sycamoremast.coordination.workflow.SuccessionFault.REVOKE_KEY
 import sycamoremast.coordination.workflow.SuccessionFault.REVOKE_KEY_AND_SPLIT
 import sycamoremast.coordination.workflow.SuccessionFault.SPLIT
 import sycamoremast.coordination.workflow.SuccessionFault.STOP_HOST
+import sycamoremast.coordination.workflow.SuccessionFault.STOP_IN_ELECTION
 import sycamoremast.coordination.workflow.SuccessionFault.STORE_OUTAGE
 import sycamoremast.coordination.workflow.SuccessionFault.SUSPEND_HOST
 
@@ -156,4 +158,28 @@
             expectThat(schedule.violations).describedAs("seed $seed").isEmpty()
         }
     }
+
+    @Test
+    fun `runs no task twice while hosts restart and their messages are late`() {
+        val mixes = listOf(
+            setOf(RESTART_ALL, PARTIAL_OUTAGE, CUT_HOST_FROM_HOST),
+            setOf(RESTART_ALL, STORE_OUTAGE, CUT_HOST_FROM_WORKER),
+            setOf(STOP_IN_ELECTION, RESTART_ALL, PARTIAL_OUTAGE, REPLACE_HOST)
+        )
+        for (kinds in mixes) {
+            for (seed in 1L..8) {
+                val faults = SuccessionFaults(
+                    kinds,
+                    hostClockError = 20,
+                    acknowledgesWithStore = seed % 2 == 0L,
+                    lateMessages = 0.2,
+                    registryLagMillis = 3_000
+                )
+                val schedule = SuccessionSchedule(seed, faults)
+                schedule.play()
+                expectThat(schedule.violations.filter { it.kind == "runs twice at once" })
+                    .describedAs("seed $seed, $kinds").isEmpty()
+            }
+        }
+    }
 }
