--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelWorker.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelWorker.kt
@@ -71,6 +71,9 @@
             .forEach { end(it, RunEnd.DONE, nowMillis) }
     }
 
+    /** Ends the run of [task], as another member of its gang has ended. */
+    fun breakRun(task: TaskName, nowMillis: Long) = end(task, RunEnd.BROKEN, nowMillis)
+
     private fun end(task: TaskName, how: RunEnd, nowMillis: Long) {
         val run = runs.remove(task) ?: return
         ends += EndedRow(++lastEnd, task, run.number, how, "")
--- /dev/null
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/RestartCensusTest.kt
@@ -0,0 +1,97 @@
+package sycamoremast.coordination.workflow
+
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEmpty
+import strikt.assertions.isLessThanOrEqualTo
+
+/** Tests of how long after the last disruption each kind of work runs again. */
+class RestartCensusTest {
+    private fun expectRestarts(
+        loss: CensusLoss,
+        works: List<CensusWork> = CensusWork.entries,
+        seeds: LongRange = 1L..2
+    ) {
+        for (work in works) {
+            for (seed in seeds) {
+                val census = RestartCensus(seed, work, loss)
+                val times = census.play()
+                val case = "$work, $loss, seed $seed"
+                expectThat(census.violations).describedAs(case).isEmpty()
+                expectThat(times.afterLastMillis).describedAs(case)
+                    .isLessThanOrEqualTo(BOUND_MILLIS)
+            }
+        }
+    }
+
+    @Test
+    fun `restarts work in time after its worker is lost`() = expectRestarts(CensusLoss.WORKER)
+
+    @Test
+    fun `work goes on after the owner is lost`() = expectRestarts(CensusLoss.OWNER)
+
+    // Guards against leases that outlast the heartbeats of a lost owner (LOST, issue 49).
+    @Test
+    fun `restarts work in time after its worker and the owner are lost`() =
+        expectRestarts(CensusLoss.WORKER_AND_OWNER)
+
+    @Test
+    fun `restarts work in time after its worker is lost as the owner is stopped`() =
+        expectRestarts(CensusLoss.WORKER_AND_STOPPED_OWNER)
+
+    @Test
+    fun `restarts work in time after three owners in a row are lost`() =
+        expectRestarts(CensusLoss.WORKER_AND_OWNER_SERIES)
+
+    @Test
+    fun `restarts work in time after an outage of the store in which its worker is lost`() =
+        expectRestarts(CensusLoss.STORE_AND_WORKER)
+
+    // Guards against a successor that counts leases from its own start (LOST, issue 49).
+    @Test
+    fun `restarts work in time after an outage in which its worker and a standby are lost`() =
+        expectRestarts(CensusLoss.STORE_AND_WORKER_AND_STANDBY)
+
+    @Test
+    fun `restarts work in time after an outage in which its worker and the owner are lost`() =
+        expectRestarts(CensusLoss.STORE_AND_WORKER_AND_OWNER)
+
+    // Guards against a successor that counts leases from its own start (LOST, issue 49).
+    @Test
+    fun `restarts a gang in time after an outage whose end a restarted host sees first`() =
+        expectRestarts(
+            CensusLoss.STORE_AND_WORKER_AND_OWNER,
+            listOf(CensusWork.GANG),
+            seeds = 14L..14
+        )
+
+    // Guards against a successor that doesn't ask the last owner's host (LOST, issue 49).
+    @Test
+    fun `restarts work in time after an outage in which all hosts are restarted in turn`() =
+        expectRestarts(CensusLoss.STORE_AND_WORKER_AND_STOPS)
+
+    @Test
+    fun `work goes on in a zone that is cut off with the owner`() =
+        expectRestarts(CensusLoss.ZONE_OF_OWNER)
+
+    @Test
+    fun `restarts work in time after a zone is cut off with the owner and the worker`() =
+        expectRestarts(CensusLoss.ZONE_OF_OWNER_AND_WORKER)
+
+    @Test
+    fun `restarts work in time after all hosts and its worker are lost`() =
+        expectRestarts(CensusLoss.ALL_HOSTS_AND_WORKER)
+
+    @Test
+    fun `restarts work in time after its worker is reborn`() =
+        expectRestarts(CensusLoss.REBORN_WORKER)
+
+    @Test
+    fun `restarts work in time after its worker is reborn and the owner is lost`() =
+        expectRestarts(CensusLoss.REBORN_WORKER_AND_OWNER)
+
+    private companion object {
+        /** The calm that the platform's rules ask for, and how long work may be off then. */
+        const val BOUND_MILLIS = 7_000L
+    }
+}
