--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
@@ -150,14 +150,18 @@
     fun leaseEndOrNull(worker: FleetWorker, nowMillis: Long): Long? = worker.lease.endOrNull(
         nowMillis,
         leaseHorizon,
-        worker.listing.isDraining,
+        getsShortLeases(worker),
         settings
     )
 
+    /** Whether [worker] gets short leases, as it drains or its limit in the roster is lifted. */
+    fun getsShortLeases(worker: FleetWorker): Boolean =
+        worker.listing.isDraining || worker.id in leaseLimits.lifted
+
     /** Whether [worker] may get a lease, so that what the store may tell of its lease stays true. */
     fun mayGrantLease(worker: FleetWorker): Boolean = when {
         !isRosterDurable -> false
-        worker.id in leaseLimits.ended -> false
+        worker.id in leaseLimits.ended && worker.id !in leaseLimits.lifted -> false
         worker.id in leaseLimits.short -> worker.listing.isDraining && isSoleOwner
         else -> true
     }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/InheritedLeases.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/InheritedLeases.kt
@@ -56,20 +56,16 @@
     }
 
     /**
-     * Records the answer of [host], which last acknowledged a heartbeat of the owner of [epoch], or
-     * was its host until it ended, [millisAgo] by its own clock, and acknowledges none any more.
+     * Records the answer of [host] about the owner of [epoch], of which it acknowledges no heartbeat
+     * any more.
      */
-    fun onAnswered(host: String, epoch: Long, millisAgo: Long, nowMillis: Long) {
+    fun onAnswered(host: String, epoch: Long, report: StandbyReport, nowMillis: Long) {
         val inherited = unanswered?.takeIf { it.roster.epoch == epoch } ?: return
         val standbys = inherited.roster.standbys
         val isAsked = standbys.any { it.host == host } || host == inherited.sightings.owners[epoch]
         if (!isAsked) return
         unanswered = null
-        val sureMillisAgo = millisAgo - 2 * SchedulerSettings.maxClockError(millisAgo)
-        val seenByHost = inherited.sightings.copy(
-            process = standbys.first(),
-            acknowledged = mapOf(epoch to nowMillis - sureMillisAgo)
-        )
+        val seenByHost = seenByHost(inherited, report, nowMillis)
         for (ref in inherited.roster.workers) {
             val worker = fleet.workers[ref.id]?.takeIf { it.ref == ref } ?: continue
             if (!worker.lease.isInherited) continue
@@ -85,7 +81,30 @@
             "standby-answered",
             "epoch-${fleet.epoch}",
             "host" to host,
-            "acknowledgedMillisAgo" to millisAgo
+            "acknowledgedMillisAgo" to report.millisAgo,
+            "isOwnerEnd" to report.isOwnerEnd,
+            "liftedLimits" to report.liftedLimits?.size
+        )
+    }
+
+    /** Returns what this host would have seen as the one that has sent [report]. */
+    private fun seenByHost(
+        inherited: Inheritance,
+        report: StandbyReport,
+        nowMillis: Long
+    ): StoreSightings {
+        val roster = inherited.roster
+        val sureMillisAgo =
+            report.millisAgo - 2 * SchedulerSettings.maxClockError(report.millisAgo)
+        val lastMillis = nowMillis - sureMillisAgo
+        val lifted = report.liftedLimits
+            ?: roster.leasesLeft.orEmpty().mapValues { Long.MAX_VALUE }
+        val ends = inherited.sightings.ends
+        return inherited.sightings.copy(
+            process = roster.standbys.first(),
+            acknowledged = mapOf(roster.epoch to lastMillis),
+            ends = if (report.isOwnerEnd) ends + (roster.epoch to lastMillis) else ends,
+            liftedLimits = mapOf(roster.epoch to lifted)
         )
     }
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/LeaseLimiter.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/LeaseLimiter.kt
@@ -50,7 +50,7 @@
 
     /** Gives up the limits that the roster formed last, which is durable now, doesn't contain. */
     fun onRecorded() {
-        fleet.leaseLimits = formed
+        fleet.leaseLimits = fleet.leaseLimits.recorded(formed)
         fleet.isRosterDurable = true
     }
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/LeaseLimits.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/LeaseLimits.kt
@@ -9,9 +9,20 @@
 /**
  * The IDs of workers that get no lease any more, as they don't answer, in [ended], and of those that
  * get short ones while the owner is the sole one, as they drain, in [short].
+ *
+ * All standbys know that the [lifted] limits of [ended] no longer hold.
  */
-internal data class LeaseLimits(val ended: Set<String>, val short: Set<String>) {
-    operator fun plus(other: LeaseLimits) = LeaseLimits(ended + other.ended, short + other.short)
+internal data class LeaseLimits(
+    val ended: Set<String>,
+    val short: Set<String>,
+    val lifted: Set<String> = emptySet()
+) {
+    /** Returns these limits and the [formed] ones of a roster formed now, which are not lifted. */
+    operator fun plus(formed: LeaseLimits) =
+        LeaseLimits(ended + formed.ended, short + formed.short, lifted - formed.ended)
+
+    /** Returns the [formed] limits of a roster that is durable now, of which some were lifted. */
+    fun recorded(formed: LeaseLimits) = formed.copy(lifted = lifted intersect formed.ended)
 
     companion object {
         val NONE = LeaseLimits(emptySet(), emptySet())
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
@@ -151,7 +151,8 @@
         val roster = if (hasRosterChanged) fleet.workers.values.map { it.ref } else null
         hasRosterChanged = false
         val leasesLeft = if (roster != null) leases.limit(nowMillis) else LeasesLeft.NONE
-        val namedStandbys = if (roster != null) standbys.onRosterFormed() else emptySet()
+        val namedStandbys =
+            if (roster != null) standbys.onRosterFormed(leasesLeft.fixed.keys) else emptySet()
         inFlight = BatchInFlight(
             batch.map(::RecordedWorkflow),
             roster?.toSet(),
@@ -167,7 +168,8 @@
             interference = newInterference,
             isHeartbeat = isHeartbeat,
             recordsPlaces = fleet.arePlacesRecorded,
-            standbys = namedStandbys
+            standbys = namedStandbys,
+            lastAnnounced = standbys.lastNumber
         )
         fleet.outbox += SchedulerAction.Record(records)
         newWaiting = null
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RosterRecord.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RosterRecord.kt
@@ -15,7 +15,8 @@
  * their starts, or found all runs of such tasks.
  *
  * While no heartbeat of the owner is durable, one counts that all [standbys] have acknowledged. If
- * there are none, only durable ones count.
+ * there are none, only durable ones count. Those after [lastAnnounced] may lift limits in
+ * [leasesLeft] of leases that had not lapsed, but not those of a planned handover.
  */
 @Serializable
 data class RosterRecord(
@@ -25,7 +26,8 @@
     val drainingLeasesLeft: Map<String, Long>? = null,
     val batch: Long = 0,
     val recordsPlaces: Boolean = false,
-    val standbys: Set<HostProcess> = emptySet()
+    val standbys: Set<HostProcess> = emptySet(),
+    val lastAnnounced: Long = 0
 ) {
     val version: RecordVersion get() = RecordVersion(epoch, batch)
 
@@ -44,14 +46,25 @@
     ): Long {
         sightings.leaseEnds[epoch]?.get(worker)?.let { return it }
         val succeededMillis = sightings.claimedByMillis(epoch + 1)
-        leasesLeft?.get(worker.id)?.let {
-            return minOf(
-                sightings.rosterMillisOrNull(version) ?: succeededMillis,
-                succeededMillis
-            ) +
-                it
+        leasesLeft?.get(worker.id)?.let { left ->
+            val formedBy = sightings.rosterMillisOrNull(version) ?: succeededMillis
+            val limit = minOf(formedBy, succeededMillis) + left
+            if (left == 0L || !mayBeLifted(worker, sightings)) return limit
+            val granted = grantedByMillis(sightings, settings, lastHeartbeat, isShort = true)
+            return maxOf(limit, granted)
         }
         drainingLeasesLeft?.get(worker.id)?.let { return succeededMillis + it }
+        return grantedByMillis(sightings, settings, lastHeartbeat, isShort = false)
+    }
+
+    /** Returns the time by which leases have lapsed that have no limit; [isShort] tells their kind. */
+    private fun grantedByMillis(
+        sightings: StoreSightings,
+        settings: SchedulerSettings,
+        lastHeartbeat: RecordVersion?,
+        isShort: Boolean
+    ): Long {
+        val succeededMillis = sightings.claimedByMillis(epoch + 1)
         // An owner that recorded a roster and no heartbeat is of a version that writes none.
         val heartbeat = lastHeartbeat?.takeIf { it.epoch >= epoch }
         val recordedBy = listOfNotNull(
@@ -60,10 +73,15 @@
         ).min()
         return listOfNotNull(
             maxOf(recordedBy, announcedByMillis(recordedBy, sightings, settings)),
-            sightings.ends[epoch]?.let { settings.lapsedBy(it) }
+            sightings.ends[epoch]?.let { settings.lapsedBy(it, isDraining = isShort) }
         ).min()
     }
 
+    /** Whether the owner may have gone on to extend leases of [worker], which [leasesLeft] limits. */
+    private fun mayBeLifted(worker: WorkerRef, sightings: StoreSightings): Boolean =
+        !isInformed(sightings) ||
+            (sightings.liftedLimits[epoch]?.get(worker.id) ?: 0) > lastAnnounced
+
     /**
      * Whether the owner counted a heartbeat that it announced only if the process of [sightings] had
      * acknowledged it.
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunMaintenance.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunMaintenance.kt
@@ -107,7 +107,7 @@
         val acknowledged = if (isIncarnationKnown) worker.recordedEnd else 0
         if (isIncarnationKnown) worker.acknowledgedEnd = acknowledged
         if (leaseEnd != null) {
-            worker.lease.record(fleet.settings.lapsedBy(nowMillis, worker.listing.isDraining))
+            worker.lease.record(fleet.settings.lapsedBy(nowMillis, fleet.getsShortLeases(worker)))
         }
         val wait = when {
             !mayWait -> 0
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerAction.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerAction.kt
@@ -24,9 +24,15 @@
     /**
      * Announce the heartbeat [number] of the owner of [epoch] to [standbys]; each acknowledgement
      * goes to [Succession.onHeartbeatAcknowledged].
+     *
+     * Limits of the workers [liftedLimits] in rosters that were formed so far may no longer hold.
      */
-    data class Announce(val epoch: Long, val number: Long, val standbys: Set<HostProcess>) :
-        ToStandbys
+    data class Announce(
+        val epoch: Long,
+        val number: Long,
+        val standbys: Set<HostProcess>,
+        val liftedLimits: Set<String> = emptySet()
+    ) : ToStandbys
 
     /**
      * Ask [standbys] when they last acknowledged a heartbeat of the owner of [lastEpoch], and the
@@ -52,8 +58,8 @@
  * changed.
  *
  * [waiting] is the number of workflows without a started task, by queue. [leasesLeft],
- * [recordsPlaces] and [standbys] go with the roster. If [isHeartbeat], the transaction also shows
- * other hosts that the owner is at work.
+ * [recordsPlaces], [standbys] and [lastAnnounced] go with the roster. If [isHeartbeat], the
+ * transaction also shows other hosts that the owner is at work.
  */
 data class RecordBatch(
     val progress: Map<String, WorkflowProgress>,
@@ -63,7 +69,8 @@
     val interference: InterferenceRecord? = null,
     val isHeartbeat: Boolean = false,
     val recordsPlaces: Boolean = false,
-    val standbys: Set<HostProcess> = emptySet()
+    val standbys: Set<HostProcess> = emptySet(),
+    val lastAnnounced: Long = 0
 ) {
     companion object {
         /** The most entries of a transaction, conditions included, that the platform's store takes. */
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Standbys.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Standbys.kt
@@ -34,7 +34,14 @@
     /** The number of the last heartbeat that each standby has acknowledged. */
     private val acknowledged = HashMap<HostProcess, Long>()
     private val announcements = ArrayDeque<Announcement>()
-    private var lastNumber = 0L
+    private val liftedLimits = LiftedLimits(fleet)
+
+    /** The number of the last announcement that recorded lifted limits, by standby. */
+    private val limitsKnown = HashMap<HostProcess, Long>()
+
+    /** The number of the last heartbeat announced. */
+    var lastNumber = 0L
+        private set
     private var lastAnnouncedMillis = Long.MIN_VALUE / 2
     private var durableMillis = Long.MIN_VALUE / 2
     private var areSilent = false
@@ -67,8 +74,14 @@
         knownSince.putIfAbsent(process, lastNumber)
     }
 
-    /** Records that a roster is formed now; returns the standbys that it names. */
-    fun onRosterFormed(): Set<HostProcess> = current.also { inRecord = it }
+    /**
+     * Records that a roster is formed now, which limits the leases of the [limited] workers; returns
+     * the standbys that it names.
+     */
+    fun onRosterFormed(limited: Set<String>): Set<HostProcess> {
+        liftedLimits.onRosterFormed(limited)
+        return current.also { inRecord = it }
+    }
 
     /** Records that the last roster formed is durable. */
     fun onRosterDurable() {
@@ -125,7 +138,8 @@
         fleet.outbox += SchedulerAction.Announce(
             fleet.epoch,
             lastNumber,
-            others()
+            others(),
+            liftedLimits.namesFor(lastNumber, nowMillis)
         )
     }
 
@@ -149,12 +163,18 @@
     private fun others(): Set<HostProcess> = needed() - setOfNotNull(own)
 
     /**
-     * Records that [process] has acknowledged the heartbeat with [number].
+     * Records that [process] has acknowledged the heartbeat with [number], and whether it
+     * [recordsLimits] that this one lifts.
      *
      * Other processes of its host that were known before that heartbeat have ended. None of them has
      * succeeded this owner, as [process] has read since its start that it is the last one.
      */
-    fun onAcknowledged(process: HostProcess, number: Long, nowMillis: Long) {
+    fun onAcknowledged(
+        process: HostProcess,
+        number: Long,
+        recordsLimits: Boolean,
+        nowMillis: Long
+    ) {
         if (process in ended) return
         forget(
             needed().filterTo(HashSet()) {
@@ -162,6 +182,8 @@
             }
         )
         acknowledged.merge(process, number, ::maxOf)
+        if (recordsLimits) limitsKnown.merge(process, number, ::maxOf)
+        liftedLimits.onKnown(needed().minOf { limitsKnown[it] ?: 0 })
         confirm(nowMillis)
     }
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/StoreSightings.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/StoreSightings.kt
@@ -9,9 +9,10 @@
  * The times at which this host first saw the claims of epochs, [claims], the [rosters] and the
  * [heartbeats], and a time before its own claim and after all records of earlier owners,
  * [claimedMillis]. By the times in [ends], the owners of these epochs had certainly ended, as they
- * were on the host of this [process]. [owners] gives the hosts of others. In [acknowledged] are the times at which it last acknowledged a heartbeat
- * that the owner of an epoch announced to it. If the owner of an epoch was this process, its leases
- * have lapsed by [leaseEnds].
+ * were on the host of this [process]. [owners] gives the hosts of others. In [acknowledged] are the
+ * times at which it last acknowledged a heartbeat that the owner of an epoch announced to it, and in
+ * [liftedLimits] the workers whose limits these lifted, by the number of the last one that named
+ * them. If the owner of an epoch was this process, its leases have lapsed by [leaseEnds].
  */
 data class StoreSightings(
     val claimedMillis: Long,
@@ -22,7 +23,8 @@
     val process: HostProcess = HostProcess(""),
     val acknowledged: Map<Long, Long> = emptyMap(),
     val leaseEnds: Map<Long, Map<WorkerRef, Long>> = emptyMap(),
-    val owners: Map<Long, String> = emptyMap()
+    val owners: Map<Long, String> = emptyMap(),
+    val liftedLimits: Map<Long, Map<String, Long>> = emptyMap()
 ) {
     /** Returns a time not before the claim of [epoch], which may be this host's own. */
     fun claimedByMillis(epoch: Long): Long =
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Succession.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Succession.kt
@@ -43,10 +43,14 @@
 
     /**
      * Records that [process], which has read in the store that this owner is the last one, has
-     * acknowledged the heartbeat [number].
+     * acknowledged the heartbeat [number], and whether it [recordsLimits] that this one lifts.
      */
-    fun onHeartbeatAcknowledged(process: HostProcess, number: Long, nowMillis: Long) =
-        standbys.onAcknowledged(process, number, nowMillis)
+    fun onHeartbeatAcknowledged(
+        process: HostProcess,
+        number: Long,
+        recordsLimits: Boolean,
+        nowMillis: Long
+    ) = standbys.onAcknowledged(process, number, recordsLimits, nowMillis)
 
     /**
      * Records that [process] ends as planned: it makes no claim and answers no successor any more,
@@ -54,9 +58,7 @@
      */
     fun onStandbyEnded(process: HostProcess, lastEpoch: Long) = standbys.onEnded(process, lastEpoch)
 
-    /**
-     * Records that [host] last acknowledged a heartbeat of the owner of [lastEpoch] [millisAgo].
-     */
-    fun onStandbyAnswered(host: String, lastEpoch: Long, millisAgo: Long, nowMillis: Long) =
-        inheritedLeases.onAnswered(host, lastEpoch, millisAgo, nowMillis)
+    /** Records what [host] knows of the owner of [lastEpoch]. */
+    fun onStandbyAnswered(host: String, lastEpoch: Long, report: StandbyReport, nowMillis: Long) =
+        inheritedLeases.onAnswered(host, lastEpoch, report, nowMillis)
 }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -253,7 +253,8 @@
             leasesLeft =
             LeasesLeft(workers.associate { it.id to it.lease.remainingMillis(nowMillis) }),
             interference = tails.record(unixMillis),
-            recordsPlaces = fleet.arePlacesRecorded
+            recordsPlaces = fleet.arePlacesRecorded,
+            lastAnnounced = standbys.lastNumber
         )
     }
 
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
@@ -64,6 +64,9 @@
     /** The last epoch seen in the store, or 0 if this process has not reached the store. */
     private var lastEpochSeen = 0L
     private var acknowledged = HashMap<Long, Long>()
+
+    /** The workers named by heartbeats acknowledged, with the last number, by epoch. */
+    private var liftedLimits = HashMap<Long, HashMap<String, Long>>()
     private var isClaiming = false
     private var isRenewing = false
 
@@ -132,6 +135,7 @@
         lastEpochSeen = 0
         lastOwner = null
         acknowledged = HashMap()
+        liftedLimits = HashMap()
         leaseEnds = emptyMap()
     }
 
@@ -263,7 +267,8 @@
                         self,
                         acknowledged.toMap(),
                         leaseEnds,
-                        listOfNotNull(lastOwner).associate { key -> key.epoch to key.host }
+                        listOfNotNull(lastOwner).associate { key -> key.epoch to key.host },
+                        liftedLimits.mapValues { (_, limits) -> limits.toMap() }
                     )
                     lastEpochSeen = maxOf(lastEpochSeen, it.first)
                     beginTerm(it.first, it.second, lease, startedMillis, sightings)
@@ -356,9 +361,10 @@
             is SchedulerAction.Record -> write(held, action.batch)
 
             is SchedulerAction.Announce -> if (mayAcknowledge(held.epoch)) {
-                acknowledged[held.epoch] = clock()
-                scheduler.succession.onHeartbeatAcknowledged(self, action.number, clock())
-                (action.standbys - self).forEach { announce(held, action.number, it.host) }
+                recordAcknowledgement(action)
+                scheduler.succession
+                    .onHeartbeatAcknowledged(self, action.number, recordsLimits = true, clock())
+                (action.standbys - self).forEach { announce(held, action, it.host) }
             }
 
             is SchedulerAction.AskStandbys ->
@@ -371,16 +377,17 @@
         }
     }
 
-    private fun announce(held: Term, number: Long, standby: String) {
+    private fun announce(held: Term, heartbeat: SchedulerAction.Announce, standby: String) {
         val started = process
         world.tell(name, standby) { other ->
-            other.acknowledge(held.epoch) { process ->
+            other.acknowledge(heartbeat) { process ->
                 world.tell(standby, name) {
                     inProcess(started) {
                         if (held.isOpen) {
                             held.scheduler.succession.onHeartbeatAcknowledged(
                                 process,
-                                number,
+                                heartbeat.number,
+                                recordsLimits = true,
                                 clock()
                             )
                         }
@@ -390,26 +397,33 @@
         }
     }
 
-    /** Receives a heartbeat of the owner of [epoch]; calls [reply] if it is acknowledged. */
-    private fun acknowledge(epoch: Long, reply: (HostProcess) -> Unit) = inProcess {
-        val hasStore = store.isUp && world.reaches(name, HostWorld.STORE)
-        if (hasStore && !world.acknowledgesWithStore) return@inProcess
-        if (!mayAcknowledge(epoch)) return@inProcess
-        acknowledged[epoch] = clock()
-        reply(self)
+    /** Receives [heartbeat] of an owner; calls [reply] if it is acknowledged. */
+    private fun acknowledge(heartbeat: SchedulerAction.Announce, reply: (HostProcess) -> Unit) =
+        inProcess {
+            val hasStore = store.isUp && world.reaches(name, HostWorld.STORE)
+            if (hasStore && !world.acknowledgesWithStore) return@inProcess
+            if (!mayAcknowledge(heartbeat.epoch)) return@inProcess
+            recordAcknowledgement(heartbeat)
+            reply(self)
+        }
+
+    private fun recordAcknowledgement(heartbeat: SchedulerAction.Announce) {
+        acknowledged[heartbeat.epoch] = clock()
+        val limits = liftedLimits.getOrPut(heartbeat.epoch) { HashMap() }
+        heartbeat.liftedLimits.forEach { limits.merge(it, heartbeat.number, ::maxOf) }
     }
 
     private fun ask(held: Term, question: SchedulerAction.AskStandbys, standby: String) {
         val started = process
         world.tell(name, standby) { other ->
-            other.answerSuccessor(question) { millisAgo ->
+            other.answerSuccessor(question) { report ->
                 world.tell(standby, name) {
                     inProcess(started) {
                         if (held.isOpen) {
                             held.scheduler.succession.onStandbyAnswered(
                                 standby,
                                 question.lastEpoch,
-                                millisAgo,
+                                report,
                                 clock()
                             )
                         }
@@ -419,20 +433,26 @@
         }
     }
 
-    private fun answerSuccessor(question: SchedulerAction.AskStandbys, reply: (Long) -> Unit) =
-        inProcess {
-            val mayOwn = term?.epoch == question.lastEpoch
-            val lastMillis = when {
-                self in question.standbys ->
-                    maxOf(startedMillis, acknowledged[question.lastEpoch] ?: startedMillis)
+    private fun answerSuccessor(
+        question: SchedulerAction.AskStandbys,
+        reply: (StandbyReport) -> Unit
+    ) = inProcess {
+        val lastEpoch = question.lastEpoch
+        val mayOwn = term?.epoch == lastEpoch
+        val report = when {
+            self in question.standbys -> {
+                val last = maxOf(startedMillis, acknowledged[lastEpoch] ?: startedMillis)
+                StandbyReport(clock() - last, liftedLimits[lastEpoch].orEmpty().toMap())
+            }
 
-                name == question.lastOwner && !mayOwn -> lastEndMillis
+            name == question.lastOwner && !mayOwn ->
+                StandbyReport(clock() - lastEndMillis, liftedLimits = null, isOwnerEnd = true)
 
-                else -> return@inProcess
-            }
-            lastEpochSeen = maxOf(lastEpochSeen, question.epoch)
-            reply(clock() - lastMillis)
+            else -> return@inProcess
         }
+        lastEpochSeen = maxOf(lastEpochSeen, question.epoch)
+        reply(report)
+    }
 
     private fun mayAcknowledge(epoch: Long): Boolean {
         val seenMillis = heartbeatsSeen.filterKeys { it.epoch == epoch }.values.maxOrNull()
@@ -467,7 +487,8 @@
             batch.leasesLeft.draining,
             number,
             batch.recordsPlaces,
-            batch.standbys
+            batch.standbys,
+            batch.lastAnnounced
         )
     }
 
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/RosterRecordTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/RosterRecordTest.kt
@@ -127,9 +127,60 @@
         expectThat(announcing.lapsedBy(other, heartbeat)).isEqualTo(settings.lapsedBy(9_000))
     }
 
+    /** Limits the lease of [worker] to 500 ms, by a roster formed after heartbeat 4. */
+    private val limited =
+        announcing.copy(leasesLeft = mapOf(worker.id to 500L), lastAnnounced = 4)
+
+    /** What a standby has seen to which heartbeat [number] of [epoch] has named [id]. */
+    private fun seenLifted(epoch: Long, id: String, number: Long) =
+        seenBy("h2/a", 3L to 9_500).copy(liftedLimits = mapOf(epoch to mapOf(id to number)))
+
+    @Test
+    fun `does not wait longer on a standby for a worker whose lease is limited in the roster`() {
+        expectThat(limited.lapsedBy(seenBy("h2/a"), heartbeat)).isEqualTo(10_500)
+        expectThat(limited.lapsedBy(seenBy("h2/a", 3L to 9_500), heartbeat)).isEqualTo(10_500)
+    }
+
+    // Guards against an owner that went on to extend a lease which the roster limits (TWICE).
+    @Test
+    fun `counts from a standby's last acknowledgement if heartbeats have lifted the limit`() {
+        expectThat(limited.lapsedBy(seenLifted(3, "w1", 5), heartbeat))
+            .isEqualTo(settings.lapsedAfterHeartbeat(9_500))
+    }
+
+    @Test
+    fun `keeps a limit that other heartbeats have lifted`() {
+        expectThat(limited.lapsedBy(seenLifted(2, "w1", 5), heartbeat)).isEqualTo(10_500)
+        expectThat(limited.lapsedBy(seenLifted(3, "w2", 5), heartbeat)).isEqualTo(10_500)
+    }
+
+    @Test
+    fun `keeps a limit of a roster that was formed after the heartbeats that had lifted it`() {
+        expectThat(limited.lapsedBy(seenLifted(3, "w1", 4), heartbeat)).isEqualTo(10_500)
+    }
+
+    @Test
+    fun `waits for the limit if that is later than leases after it was lifted`() {
+        val long = limited.copy(leasesLeft = mapOf(worker.id to 50_000L))
+        expectThat(long.lapsedBy(seenLifted(3, "w1", 5), heartbeat)).isEqualTo(60_000)
+    }
+
+    // Guards against a host that can't know whether a limit was lifted (TWICE).
+    @Test
+    fun `takes a limit for lifted on a host that is no standby`() {
+        val extra = SchedulerSettings.longestAnnouncedMillis()
+        expectThat(limited.lapsedBy(seenBy("h3/a"), heartbeat))
+            .isEqualTo(settings.lapsedAfterHeartbeat(8_000) + extra)
+        val ends = seenBy("h3/a").copy(ends = mapOf(3L to 9_000L))
+        expectThat(limited.lapsedBy(ends, heartbeat))
+            .isEqualTo(settings.lapsedBy(9_000, isDraining = true))
+    }
+
     @Test
-    fun `does not wait longer for a worker whose lease is limited in the roster`() {
-        val limited = announcing.copy(leasesLeft = mapOf(worker.id to 500L))
-        expectThat(limited.lapsedBy(seenBy("h3/a"), heartbeat)).isEqualTo(10_500)
+    fun `takes no limit for lifted of a lease that had lapsed or of an owner without standbys`() {
+        val lapsed = limited.copy(leasesLeft = mapOf(worker.id to 0L))
+        expectThat(lapsed.lapsedBy(seenBy("h3/a"), heartbeat)).isEqualTo(10_000)
+        val alone = limited.copy(standbys = emptySet())
+        expectThat(alone.lapsedBy(seenBy("h3/a"), heartbeat)).isEqualTo(10_500)
     }
 }
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/StandbysTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/StandbysTest.kt
@@ -15,6 +15,7 @@
 import strikt.assertions.isNotEmpty
 import strikt.assertions.isNotNull
 import strikt.assertions.isNull
+import sycamoremast.coordination.Resources
 
 class StandbysTest {
     /** What the owner does at a time; [polls] are those sent then. */
@@ -30,14 +31,20 @@
     private val scheduler get() = driver.scheduler
     private val settings = SchedulerSettings()
 
-    /** The row of the long-running task in reports, once it runs. */
-    private var row: RunningRow? = null
+    /** The rows of the long-running tasks in reports, by worker, once they run. */
+    private val rows = HashMap<String, RunningRow>()
+
+    /** Whether workers answer no polls. */
+    private var areWorkersSilent = false
 
     private var own = "h1"
 
     /** The hosts that acknowledge announcements. */
     private val answering = HashSet<String>()
 
+    /** Those of them that don't know of limits. */
+    private val ignoringLimits = HashSet<String>()
+
     /** When the last heartbeat was formed that became durable at once. */
     private var durableMillis = 0L
 
@@ -53,7 +60,13 @@
     private fun register(vararg names: String, own: String = "h1") =
         scheduler.succession.onHostsRegistered(HostProcess(own), processes(*names), driver.now)
 
-    /** Lets [millis] pass, in which w1 answers all polls. */
+    /** Lets [millis] pass, in which workers answer no polls. */
+    private fun playInSilence(millis: Long): List<Moment> {
+        areWorkersSilent = true
+        return play(millis).also { areWorkersSilent = false }
+    }
+
+    /** Lets [millis] pass, in which workers answer all polls. */
     private fun play(millis: Long): List<Moment> = buildList {
         val until = driver.now + millis
         while (driver.now < until) add(step())
@@ -66,7 +79,13 @@
         val batches = actions.filterIsInstance<SchedulerAction.Record>().map { it.batch }
         if (driver.areRecordsDurableAtOnce && batches.any { it.isHeartbeat }) durableMillis = now
         val polls = driver.polls.filter { it !in before }
-        driver.polls.forEach { driver.report(it, listOfNotNull(row)) }
+        driver.polls.forEach {
+            if (areWorkersSilent) {
+                driver.answer(it, WorkerAnswer.Unknown("timeout"))
+            } else {
+                driver.report(it, listOfNotNull(rows[it.worker.id]))
+            }
+        }
         val announced = actions.filterIsInstance<SchedulerAction.Announce>()
         for (heartbeat in announced) {
             acknowledge(own, heartbeat)
@@ -85,33 +104,42 @@
         scheduler.succession.onHeartbeatAcknowledged(
             HostProcess(name),
             heartbeat.number,
+            name !in ignoringLimits,
             driver.now
         )
 
     private fun end(name: String, lastEpoch: Long = 1) =
         scheduler.succession.onStandbyEnded(HostProcess(name), lastEpoch)
 
-    /** Registers [hosts], of which [own] is the owner, and starts a long-running task on w1. */
-    private fun begin(vararg hosts: String, own: String = "h1") {
+    /**
+     * Registers [hosts], of which [own] is the owner, and starts a long-running task on each of
+     * [workers] workers: w1, w2 and so on.
+     */
+    private fun begin(vararg hosts: String, own: String = "h1", workers: Int = 1) {
         this.own = own
         if (hosts.isNotEmpty()) register(*hosts, own = own)
-        startTask()
+        startTasks(workers)
     }
 
-    private fun startTask() {
-        driver.listWorkers("w1")
-        driver.submit(driver.workflow("job", driver.taskStep().copy(isLongRunning = true)))
+    private fun startTasks(count: Int) {
+        driver.listWorkers(*Array(count) { "w${it + 1}" })
+        val step = driver.taskStep(count)
+            .copy(demand = Resources(32_000, 1_000), isLongRunning = true)
+        driver.submit(driver.workflow("job", step))
         repeat(20) {
             driver.step()
-            driver.starts.firstOrNull()?.let { order ->
+            for (order in driver.starts) {
                 driver.confirmStart(order)
-                row = RunningRow(order.task, order.run, "", percent = 100, null)
+                rows[order.worker.id] =
+                    RunningRow(order.task, order.run, "", percent = 100, null)
+            }
+            driver.polls.forEach { driver.report(it, listOfNotNull(rows[it.worker.id])) }
+            if (rows.size == count) {
                 play(2_000)
                 return
             }
-            driver.polls.forEach { driver.report(it) }
         }
-        error("the task never starts")
+        error("the tasks never start")
     }
 
     /** From now on nothing becomes durable; [hosts] acknowledge announcements. */
@@ -468,6 +496,112 @@
             .isGreaterThan(settings.leaseMillis - 1_000)
     }
 
+    // Guards against a limit in the roster that can't be taken back (LOST, issues 34 and 49).
+    @Test
+    fun `extends the lease of a worker that answers again once all standbys know`() {
+        begin("h1", "h2", "h3")
+        playInSilence(1_000)
+        loseStore("h2", "h3")
+        val moments = play(20_000)
+        expectThat(moments.announced).isNotEmpty().all {
+            get { liftedLimits }.isEqualTo(setOf("w1"))
+        }
+        expectThat(moments.events("limits-lifted").single().fields["first"]).isEqualTo("w1")
+        val (before, after) = moments.partition { it.millis <= moments.firstAnnouncedMillis }
+        expectThat(before.polls).isNotEmpty().all { get { leaseEndMillis }.isNull() }
+        // The worker's clock was read a step ago.
+        val full = settings.drainingLeaseMillis - settings.maxDrift(STEP_MILLIS)
+        expectThat(after.polls).isNotEmpty().all {
+            get { leaseEndMillis!! - sentMillis }.isEqualTo(full)
+        }
+    }
+
+    private val List<Moment>.firstAnnouncedMillis
+        get() = first { it.announced.isNotEmpty() }.millis
+
+    @Test
+    fun `extends no limited lease while one standby is silent`() {
+        begin("h1", "h2", "h3")
+        playInSilence(1_000)
+        loseStore("h2")
+        expectThat(play(10_000).polls).isNotEmpty().all { get { leaseEndMillis }.isNull() }
+    }
+
+    // A host of an earlier version acknowledges heartbeats, and would count by the limit (TWICE).
+    @Test
+    fun `extends no limited lease while one standby does not record limits`() {
+        begin("h1", "h2", "h3")
+        playInSilence(1_000)
+        ignoringLimits += "h3"
+        loseStore("h2", "h3")
+        expectThat(play(10_000).polls).isNotEmpty().all { get { leaseEndMillis }.isNull() }
+        expectThat(scheduler.succession.confirmedMillis).isNotNull()
+    }
+
+    @Test
+    fun `lifts no limit of a worker that stays silent`() {
+        begin("h1", "h2")
+        playInSilence(1_000)
+        loseStore("h2")
+        expectThat(playInSilence(10_000).announced).isNotEmpty().all {
+            get { liftedLimits }.isEmpty()
+        }
+    }
+
+    // A host that is no standby relies on it (TWICE).
+    @Test
+    fun `lifts no limit of a lease that has lapsed`() {
+        begin("h1", "h2")
+        playInSilence(1_000)
+        loseStore("h2")
+        playInSilence(settings.lapsedBy(0))
+        expectThat(play(10_000).announced).isNotEmpty().all { get { liftedLimits }.isEmpty() }
+    }
+
+    // Guards against a lease after an acknowledgement that came before the limit (TWICE).
+    @Test
+    fun `lifts a limit anew that a later roster contains`() {
+        begin("h1", "h2")
+        playInSilence(1_000)
+        loseStore("h2")
+        val lifted = play(5_000).announced.last()
+        expectThat(lifted.liftedLimits).isEqualTo(setOf("w1"))
+        areWorkersSilent = true
+        play(500)
+        // The roster without the limit, which was in flight.
+        scheduler.onBatchDurable()
+        val limiting = playInSilence(2_000).rosters.single()
+        expectThat(limiting.leasesLeft.fixed.keys).isEqualTo(setOf("w1"))
+        val last = limiting.lastAnnounced
+        expectThat(last).isGreaterThanOrEqualTo(lifted.number)
+        answering -= "h2"
+        val moments = play(3_000)
+        expectThat(moments.polls).isNotEmpty().all { get { leaseEndMillis }.isNull() }
+        acknowledge("h2", lifted)
+        expectThat(play(500).polls).isNotEmpty().all { get { leaseEndMillis }.isNull() }
+        answering += "h2"
+        val later = play(3_000)
+        expectThat(later.announced.last()).and {
+            get { number }.isGreaterThan(last)
+            get { liftedLimits }.isEqualTo(setOf("w1"))
+        }
+        expectThat(later.polls.last().leaseEndMillis).isNotNull()
+    }
+
+    @Test
+    fun `names at most 32 workers whose limits are lifted, and logs that others are left`() {
+        begin("h1", "h2", workers = 40)
+        playInSilence(1_000)
+        loseStore("h2")
+        val moments = play(4_000)
+        expectThat(moments.announced).isNotEmpty().all { get { liftedLimits }.hasSize(32) }
+        expectThat(moments.announced.map { it.liftedLimits }.distinct()).hasSize(1)
+        expectThat(moments.events("limits-not-lifted").first().fields["workers"]).isEqualTo(8)
+        val named = moments.announced.first().liftedLimits
+        val extended = moments.polls.filter { it.leaseEndMillis != null }.map { it.worker.id }
+        expectThat(extended.toSet()).isEqualTo(named)
+    }
+
     @Test
     fun `logs once that standbys confirm`() {
         begin("h1", "h2", "h3")
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionSchedule.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionSchedule.kt
@@ -40,7 +40,13 @@
     REPLACE_HOST(9_000),
 
     /** Most hosts lose the store, and those that have it lose some workers for longer. */
-    PARTIAL_OUTAGE(9_000)
+    PARTIAL_OUTAGE(9_000),
+
+    /**
+     * Some workers are silent for a moment as an outage of the store begins. When the store is back,
+     * the owner doesn't have it, and the other hosts lose these workers for longer.
+     */
+    SILENCE_BEFORE_OUTAGE(12_000)
 }
 
 internal data class SuccessionFaults(
@@ -295,6 +301,8 @@
 
             SuccessionFault.PARTIAL_OUTAGE -> loseStoreOfMost()
 
+            SuccessionFault.SILENCE_BEFORE_OUTAGE -> silenceBeforeOutage()
+
             SuccessionFault.REVOKE_KEY -> revokeKey()
 
             SuccessionFault.SPLIT -> split(isKeyRevoked = false)
@@ -360,6 +368,23 @@
         }
     }
 
+    private fun silenceBeforeOutage() {
+        val silent = entries.keys.filter { random.nextInt(3) == 0 }
+        val silentMillis = random.nextLong(MIN_SILENT_MILLIS, MAX_SILENT_MILLIS)
+        silent.forEach { id -> hosts.forEach { cut(it.name, id, silentMillis) } }
+        time.at(now + silentMillis) { store.goDown() }
+        time.at(now + silentMillis + random.nextLong(MAX_CUT_MILLIS)) {
+            val owner = hosts.firstOrNull { it.term != null }
+            if (owner != null) {
+                cut(owner.name, HostWorld.STORE, LONGEST_CUT_MILLIS)
+                for (host in hosts.filter { it !== owner }) {
+                    silent.forEach { cut(host.name, it, LONGEST_CUT_MILLIS) }
+                }
+            }
+            store.comeUp()
+        }
+    }
+
     private fun randomHost(): ModelHost =
         hosts.firstOrNull { it.term != null && random.nextBoolean() } ?: hosts.random(random)
 
@@ -563,6 +588,10 @@
         const val SUSPENSION_INTERVAL_MILLIS = 5_000L
         const val FIRST_STOP_MILLIS = 2_000L
         const val STOP_INTERVAL_MILLIS = 2_000L
+
+        /** Around the time after which a worker is taken for silent. */
+        const val MIN_SILENT_MILLIS = 1_000L
+        const val MAX_SILENT_MILLIS = 3_000L
         const val MIN_DRAIN_MILLIS = 2_000L
 
         /** Three heartbeats. */
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionTest.kt
@@ -16,6 +16,7 @@
 import sycamoremast.coordination.workflow.SuccessionFault.REPLACE_HOST
 import sycamoremast.coordination.workflow.SuccessionFault.REVOKE_KEY
 import sycamoremast.coordination.workflow.SuccessionFault.REVOKE_KEY_AND_SPLIT
+import sycamoremast.coordination.workflow.SuccessionFault.SILENCE_BEFORE_OUTAGE
 import sycamoremast.coordination.workflow.SuccessionFault.SPLIT
 import sycamoremast.coordination.workflow.SuccessionFault.STOP_HOST
 import sycamoremast.coordination.workflow.SuccessionFault.STORE_OUTAGE
@@ -142,6 +143,14 @@
     fun `starts each lasting task once while hosts are replaced in outages of the store`() =
         expectNoViolations(1L..8, STORE_OUTAGE, REPLACE_HOST, CUT_HOST_FROM_WORKER)
 
+    // Guards against a successor that counts by a limit which its predecessor had lifted (TWICE).
+    @Test
+    fun `starts each lasting task once while workers are silent before outages of the store`() {
+        expectNoViolations(1L..8, SILENCE_BEFORE_OUTAGE)
+        expectNoViolations(1L..8, SILENCE_BEFORE_OUTAGE, KILL_HOST)
+        expectNoViolations(1L..8, SILENCE_BEFORE_OUTAGE, REPLACE_HOST, CUT_WORKER)
+    }
+
     @Test
     fun `starts each lasting task once while standbys with the store acknowledge, too`() {
         for (seed in 1L..8) {
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/RecordWriter.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/RecordWriter.kt
@@ -68,7 +68,8 @@
                 batch.leasesLeft.draining,
                 next.batch,
                 batch.recordsPlaces,
-                batch.standbys
+                batch.standbys,
+                batch.lastAnnounced
             )
             puts += StorePut(WorkflowKeys.roster(set), encodeRecord(record))
             puts +=
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowHost.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowHost.kt
@@ -9,6 +9,7 @@
 import sycamoremast.coordination.workflow.HostProcess
 import sycamoremast.coordination.workflow.RunPort
 import sycamoremast.coordination.workflow.SchedulerSettings
+import sycamoremast.coordination.workflow.StandbyReport
 import sycamoremast.daemon.log.EventLog
 
 /** The ports through which a host uses its platform. */
@@ -116,12 +117,13 @@
         }
         standbys.onAnswered = { host, answer ->
             ownership.loop?.updateSuccession {
-                onStandbyAnswered(host, answer.lastEpoch, answer.millisAgo, it)
+                val report = StandbyReport(answer.millisAgo, liftedLimits = null)
+                onStandbyAnswered(host, answer.lastEpoch, report, it)
             }
         }
         standbys.onAcknowledged = { process, epoch, number ->
             ownership.loop?.takeIf { it.epoch == epoch }?.updateSuccession {
-                onHeartbeatAcknowledged(process, number, it)
+                onHeartbeatAcknowledged(process, number, recordsLimits = false, it)
             }
         }
     }
