--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Election.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Election.kt
@@ -26,8 +26,10 @@
 import sycamoremast.coordination.TransactionalStore
 import sycamoremast.coordination.workflow.HostProcess
 import sycamoremast.coordination.workflow.SchedulerSettings
+import sycamoremast.coordination.workflow.StandbyReport
 import sycamoremast.coordination.workflow.StoreSightings
 import sycamoremast.daemon.log.EventLog
+import sycamoremast.daemon.peer.OwnerHeartbeat
 
 /**
  * A term of ownership.
@@ -127,25 +129,26 @@
         wakeUps += ""
     }
 
-    /** Acknowledges a heartbeat of the owner of [epoch] if it is the last one known. */
-    fun acknowledgeHeartbeat(epoch: Long): Boolean = history.acknowledge(epoch)
+    /** Acknowledges a [heartbeat] of an owner if that is the last one known. */
+    fun acknowledgeHeartbeat(heartbeat: OwnerHeartbeat): Boolean = history.acknowledge(heartbeat)
 
     /**
-     * Returns how long ago this host last acknowledged a heartbeat of the owner of [lastEpoch], for
-     * its successor of [epoch]; no more heartbeats of earlier owners are acknowledged.
+     * Returns what this process has acknowledged of the owner of [lastEpoch], for its successor of
+     * [epoch]; no more heartbeats of earlier owners are acknowledged.
      */
-    fun acknowledgedMillisAgo(epoch: Long, lastEpoch: Long): Long =
-        history.acknowledgedMillisAgo(epoch, lastEpoch)
+    fun reportStandby(epoch: Long, lastEpoch: Long): StandbyReport =
+        history.report(epoch, lastEpoch)
 
     /**
      * Returns how long ago the owner of [lastEpoch], which was on this host, had ended, for its
      * successor of [epoch], or null if it may still act; no more heartbeats of earlier owners are
      * acknowledged.
      */
-    fun endedMillisAgoOrNull(epoch: Long, lastEpoch: Long): Long? {
+    fun reportEndOrNull(epoch: Long, lastEpoch: Long): StandbyReport? {
         history.endAcknowledgements(epoch)
         if (activeEpoch == lastEpoch) return null
-        return clock.nowMillis() - lastEndMillis
+        val millisAgo = clock.nowMillis() - lastEndMillis
+        return StandbyReport(millisAgo, liftedLimits = null, isOwnerEnd = true)
     }
 
     /** Ends the current term, if any, for [reason]; returns at once. */
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/OwnerHistory.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/OwnerHistory.kt
@@ -6,8 +6,10 @@
 import sycamoremast.coordination.workflow.HostProcess
 import sycamoremast.coordination.workflow.RecordVersion
 import sycamoremast.coordination.workflow.SchedulerSettings
+import sycamoremast.coordination.workflow.StandbyReport
 import sycamoremast.coordination.workflow.StoreSightings
 import sycamoremast.daemon.log.EventLog
+import sycamoremast.daemon.peer.OwnerHeartbeat
 
 /** The owners of worker set [set]. Records are added by one thread and read by others. */
 internal class OwnerHistory(
@@ -25,6 +27,9 @@
     /** When this host last acknowledged a heartbeat that the owner of an epoch announced. */
     private val acknowledged = ConcurrentSkipListMap<Long, Long>()
 
+    /** The workers that heartbeats acknowledged have named, by the last one's number, by epoch. */
+    private val liftedLimits = ConcurrentSkipListMap<Long, Map<String, Long>>()
+
     private val startedMillis = clock.nowMillis()
 
     /** The last epoch known, 0 before the first listing. */
@@ -66,14 +71,15 @@
     }
 
     /**
-     * Acknowledges a heartbeat that the owner of [epoch] announces, unless a later owner is known or
-     * its last durable heartbeat is too old; returns whether it is acknowledged.
+     * Acknowledges a [heartbeat] that an owner announces, unless a later owner is known or its last
+     * durable heartbeat is too old; returns whether it is acknowledged.
      *
      * If this host takes over, it counts from its last acknowledgement. A process that has not
      * listed the owner's records doesn't acknowledge: its predecessor may have taken over already.
      */
     @Synchronized
-    fun acknowledge(epoch: Long): Boolean {
+    fun acknowledge(heartbeat: OwnerHeartbeat): Boolean {
+        val epoch = heartbeat.epoch
         val now = clock.nowMillis()
         val durableMillis = heartbeats.floorEntry(RecordVersion(epoch, Long.MAX_VALUE))
             ?.takeIf { it.key.epoch == epoch }?.value
@@ -81,9 +87,19 @@
         if (now > durableMillis + SchedulerSettings.LONGEST_ANNOUNCED_MILLIS) return false
         acknowledged[epoch] = now
         if (acknowledged.size > MAX_SIGHTINGS) acknowledged.pollFirstEntry()
+        recordLimits(heartbeat)
         return true
     }
 
+    private fun recordLimits(heartbeat: OwnerHeartbeat) {
+        if (heartbeat.liftedLimits.isEmpty()) return
+        val known = liftedLimits[heartbeat.epoch].orEmpty()
+        liftedLimits[heartbeat.epoch] = known + heartbeat.liftedLimits.associateWith {
+            maxOf(heartbeat.number, known[it] ?: 0)
+        }
+        if (liftedLimits.size > MAX_SIGHTINGS) liftedLimits.pollFirstEntry()
+    }
+
     /** Records what has just been written at [key], a detail of the owner. */
     fun recordChange(key: String, text: String) {
         record(key, text)
@@ -97,13 +113,16 @@
 
     /**
      * Returns how long ago this host last acknowledged a heartbeat of the owner of [lastEpoch], or
-     * may have done so in an earlier process, for the owner of [epoch]. From now on, no heartbeat
-     * of an earlier owner is acknowledged.
+     * may have done so in an earlier process, for the owner of [epoch], and which limits those have
+     * lifted. From now on, no heartbeat of an earlier owner is acknowledged.
      */
     @Synchronized
-    fun acknowledgedMillisAgo(epoch: Long, lastEpoch: Long): Long {
+    fun report(epoch: Long, lastEpoch: Long): StandbyReport {
         endAcknowledgements(epoch)
-        return clock.nowMillis() - (acknowledged[lastEpoch] ?: startedMillis)
+        return StandbyReport(
+            clock.nowMillis() - (acknowledged[lastEpoch] ?: startedMillis),
+            liftedLimits[lastEpoch].orEmpty()
+        )
     }
 
     /** From now on, acknowledges no heartbeat of owners before that of [epoch]. */
@@ -134,7 +153,8 @@
             ends,
             process,
             acknowledged.toMap(),
-            owners = listOfNotNull(lastClaim).associate { it.epoch to it.host }
+            owners = listOfNotNull(lastClaim).associate { it.epoch to it.host },
+            liftedLimits = liftedLimits.toMap()
         )
     }
 
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/StandbyPeers.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/StandbyPeers.kt
@@ -12,6 +12,7 @@
 import sycamoremast.coordination.MonotonicClock
 import sycamoremast.coordination.workflow.HostProcess
 import sycamoremast.coordination.workflow.SchedulerAction
+import sycamoremast.coordination.workflow.StandbyReport
 import sycamoremast.daemon.log.EventLog
 import sycamoremast.daemon.peer.HeartbeatAcknowledgement
 import sycamoremast.daemon.peer.OwnerHeartbeat
@@ -42,21 +43,21 @@
     private val clock: MonotonicClock,
     private val log: EventLog
 ) : StandbyLinks {
-    /** Records for a later claim that the owner of an epoch goes on, if that is the last epoch. */
+    /** Records for a later claim what a heartbeat tells, if its owner is the last one. */
     @Volatile
-    var acknowledge: (epoch: Long) -> Boolean = { false }
+    var acknowledge: (OwnerHeartbeat) -> Boolean = { false }
 
     /** Whether this host has the store. */
     @Volatile
     var hasStore: () -> Boolean = { true }
 
-    /** Returns how long ago this host last acknowledged a heartbeat, and ends that for good. */
+    /** Returns what this process has acknowledged of the last owner, and ends that for good. */
     @Volatile
-    var acknowledgedMillisAgo: (StandbyQuery) -> Long = { 0 }
+    var report: (StandbyQuery) -> StandbyReport = { StandbyReport(0) }
 
     /** Returns how long ago the last owner ended, which was on this host, or null if it goes on. */
     @Volatile
-    var endedMillisAgoOrNull: (StandbyQuery) -> Long? = { null }
+    var reportEndOrNull: (StandbyQuery) -> StandbyReport? = { null }
 
     /** Called with a process that has announced its end, and the last epoch that it knew. */
     @Volatile
@@ -66,9 +67,9 @@
     @Volatile
     var onAnswered: (host: String, answer: StandbyAnswer) -> Unit = { _, _ -> }
 
-    /** Called with the process and the number of a heartbeat that it has acknowledged. */
+    /** Called with a process and its acknowledgement of a heartbeat. */
     @Volatile
-    var onAcknowledged: (process: HostProcess, epoch: Long, number: Long) -> Unit = { _, _, _ -> }
+    var onAcknowledged: (process: HostProcess, HeartbeatAcknowledgement) -> Unit = { _, _ -> }
 
     /** The addresses of hosts, also of those whose entries have expired in an outage. */
     private val addresses = ConcurrentHashMap<String, String>()
@@ -92,13 +93,13 @@
 
     fun start() {
         network.handle(OwnerHeartbeat::class) { from, heartbeat ->
-            if (decide(from, heartbeat.epoch) == HeartbeatDecision.ACKNOWLEDGED) {
-                send(from, HeartbeatAcknowledgement(heartbeat.epoch, heartbeat.number, self.id))
+            if (decide(from, heartbeat) == HeartbeatDecision.ACKNOWLEDGED) {
+                send(from, acknowledgement(heartbeat))
             }
             null
         }
         network.handle(StandbyQuery::class) { from, query ->
-            val millisAgo = answerOrNull(query)
+            val report = answerOrNull(query)
             log.add(
                 "standby-queried",
                 "peer" to from,
@@ -106,9 +107,10 @@
                 "lastEpoch" to query.lastEpoch,
                 "process" to query.process,
                 "isLastOwner" to query.isLastOwner,
-                "millisAgo" to millisAgo
+                "millisAgo" to report?.millisAgo,
+                "liftedLimits" to report?.liftedLimits?.size
             )
-            if (millisAgo != null) send(from, StandbyAnswer(query.lastEpoch, millisAgo))
+            if (report != null) send(from, answer(query, report))
             null
         }
         network.handle(StandbyEnded::class) { from, end ->
@@ -121,27 +123,42 @@
         }
         network.handle(HeartbeatAcknowledgement::class) { from, acknowledgement ->
             val process = HostProcess.of(from, acknowledgement.process)
-            onAcknowledged(process, acknowledgement.epoch, acknowledgement.number)
+            onAcknowledged(process, acknowledgement)
             null
         }
     }
 
+    private fun acknowledgement(heartbeat: OwnerHeartbeat) = HeartbeatAcknowledgement(
+        heartbeat.epoch,
+        heartbeat.number,
+        self.id,
+        recordsLimits = true
+    )
+
+    private fun answer(query: StandbyQuery, report: StandbyReport) = StandbyAnswer(
+        query.lastEpoch,
+        report.millisAgo,
+        report.liftedLimits,
+        report.isOwnerEnd
+    )
+
     /** A process that has announced its end must not answer, as it isn't waited for any more. */
     @Synchronized
-    private fun answerOrNull(query: StandbyQuery): Long? = when {
+    private fun answerOrNull(query: StandbyQuery): StandbyReport? = when {
         isEnding -> null
-        query.process.isEmpty() && !query.isLastOwner -> acknowledgedMillisAgo(query)
-        query.process == self.id -> acknowledgedMillisAgo(query)
-        query.isLastOwner -> endedMillisAgoOrNull(query)
+        query.process.isEmpty() && !query.isLastOwner -> report(query)
+        query.process == self.id -> report(query)
+        query.isLastOwner -> reportEndOrNull(query)
         else -> null
     }
 
     @Synchronized
-    private fun decide(from: String, epoch: Long): HeartbeatDecision {
+    private fun decide(from: String, heartbeat: OwnerHeartbeat): HeartbeatDecision {
+        val epoch = heartbeat.epoch
         val decision = when {
             isEnding -> HeartbeatDecision.ENDING
             hasStore() -> HeartbeatDecision.STORE_AVAILABLE
-            acknowledge(epoch) -> HeartbeatDecision.ACKNOWLEDGED
+            acknowledge(heartbeat) -> HeartbeatDecision.ACKNOWLEDGED
             else -> HeartbeatDecision.OWNER_OUTDATED
         }
         if (decisions.put(from, decision) != decision) {
@@ -151,15 +168,16 @@
     }
 
     override fun announce(heartbeat: SchedulerAction.Announce) {
-        val (epoch, number, standbys) = heartbeat
+        val (epoch, number, standbys, liftedLimits) = heartbeat
+        val message = OwnerHeartbeat(epoch, number, liftedLimits)
         // This host may succeed itself, with a new term.
-        if (!acknowledge(epoch)) return
-        onAcknowledged(self, epoch, number)
+        if (!acknowledge(message)) return
+        onAcknowledged(self, acknowledgement(message))
         if (lastUsedMillis == null) {
             log.add("heartbeats-announced", "epoch" to epoch, "hosts" to standbys.size)
         }
         connect(standbys.mapTo(HashSet()) { it.host })
-        (standbys - self).forEach { send(it.host, OwnerHeartbeat(epoch, number)) }
+        (standbys - self).forEach { send(it.host, message) }
     }
 
     override fun ask(question: SchedulerAction.AskStandbys) {
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowHost.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowHost.kt
@@ -108,22 +108,21 @@
     private fun connectStandbys(standbys: StandbyPeers) {
         standbys.hasStore = { !store.isLost }
         standbys.acknowledge = election::acknowledgeHeartbeat
-        standbys.acknowledgedMillisAgo = {
-            election.acknowledgedMillisAgo(it.epoch, it.lastEpoch)
-        }
-        standbys.endedMillisAgoOrNull = { election.endedMillisAgoOrNull(it.epoch, it.lastEpoch) }
+        standbys.report = { election.reportStandby(it.epoch, it.lastEpoch) }
+        standbys.reportEndOrNull = { election.reportEndOrNull(it.epoch, it.lastEpoch) }
         standbys.onEnded = { process, lastEpoch ->
             ownership.loop?.updateSuccession { onStandbyEnded(process, lastEpoch) }
         }
         standbys.onAnswered = { host, answer ->
             ownership.loop?.updateSuccession {
-                val report = StandbyReport(answer.millisAgo, liftedLimits = null)
+                val report =
+                    StandbyReport(answer.millisAgo, answer.liftedLimits, answer.isOwnerEnd)
                 onStandbyAnswered(host, answer.lastEpoch, report, it)
             }
         }
-        standbys.onAcknowledged = { process, epoch, number ->
+        standbys.onAcknowledged = { process, (epoch, number, _, recordsLimits) ->
             ownership.loop?.takeIf { it.epoch == epoch }?.updateSuccession {
-                onHeartbeatAcknowledged(process, number, recordsLimits = false, it)
+                onHeartbeatAcknowledged(process, number, recordsLimits, it)
             }
         }
     }
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/ElectionTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/ElectionTest.kt
@@ -26,6 +26,7 @@
 import sycamoremast.coordination.workflow.SchedulerSettings
 import sycamoremast.daemon.control.eventually
 import sycamoremast.daemon.log.EventLog
+import sycamoremast.daemon.peer.OwnerHeartbeat
 
 class ElectionTest {
     private val store = MemoryStore()
@@ -245,14 +246,14 @@
         val key = WorkflowKeys.owner(0, OwnerDetail.HEARTBEAT)
         store.apply(StoreTransaction(emptyMap(), listOf(StorePut(key, heartbeat))))
         val election = startElection("host", clock = { 5_000 })
-        eventually("the listing is known") { election.acknowledgeHeartbeat(3) }
+        eventually("the listing is known") { election.acknowledgeHeartbeat(OwnerHeartbeat(3, 1)) }
         val deleted = listOf(WorkflowKeys.owner(0))
         store.apply(StoreTransaction(emptyMap(), emptyList(), deleted))
         expectThat(terms.poll(WAIT_SECONDS, SECONDS)).isNotNull().get { sightings }.and {
             get { process }.isEqualTo(HostProcess("host"))
             get { acknowledged }.isEqualTo(mapOf(3L to 5_000L))
         }
-        expectThat(election.acknowledgeHeartbeat(3)).isFalse()
+        expectThat(election.acknowledgeHeartbeat(OwnerHeartbeat(3, 1))).isFalse()
     }
 
     private companion object {
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/OwnerHistoryTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/OwnerHistoryTest.kt
@@ -10,7 +10,9 @@
 import sycamoremast.coordination.workflow.HostProcess
 import sycamoremast.coordination.workflow.RecordVersion
 import sycamoremast.coordination.workflow.SchedulerSettings
+import sycamoremast.coordination.workflow.StandbyReport
 import sycamoremast.daemon.log.EventLog
+import sycamoremast.daemon.peer.OwnerHeartbeat
 
 class OwnerHistoryTest {
     private var now = 1_000L
@@ -31,6 +33,9 @@
         listHeartbeat(epoch)
     }
 
+    private fun acknowledge(epoch: Long, number: Long = 1, vararg liftedLimits: String): Boolean =
+        history.acknowledge(OwnerHeartbeat(epoch, number, setOf(*liftedLimits)))
+
     /** Returns what this host has seen when it claims [epoch]. */
     private fun claim(epoch: Long) = history.sightings(
         epoch,
@@ -42,28 +47,28 @@
     @Test
     fun `acknowledges heartbeats of the last owner`() {
         listOwner(3)
-        expectThat(history.acknowledge(3)).isTrue()
-        expectThat(history.acknowledge(3)).isTrue()
+        expectThat(acknowledge(3)).isTrue()
+        expectThat(acknowledge(3)).isTrue()
     }
 
     @Test
     fun `acknowledges nothing before a listing`() {
-        (0L..2L).forEach { expectThat(history.acknowledge(it)).isFalse() }
+        (0L..2L).forEach { expectThat(acknowledge(it)).isFalse() }
     }
 
     @Test
     fun `acknowledges nothing of an owner that has no durable heartbeat`() {
         listOwner(2)
         listClaim(3)
-        expectThat(history.acknowledge(3)).isFalse()
+        expectThat(acknowledge(3)).isFalse()
     }
 
     @Test
     fun `acknowledges nothing of an earlier owner`() {
         listOwner(3)
         listOwner(4)
-        expectThat(history.acknowledge(3)).isFalse()
-        expectThat(history.acknowledge(4)).isTrue()
+        expectThat(acknowledge(3)).isFalse()
+        expectThat(acknowledge(4)).isTrue()
     }
 
     // Guards against an acknowledgement between a claim and the first heartbeat after it.
@@ -71,13 +76,13 @@
     fun `acknowledges nothing of an owner after another host's claim`() {
         listOwner(3)
         history.recordClaim(4)
-        expectThat(history.acknowledge(3)).isFalse()
+        expectThat(acknowledge(3)).isFalse()
     }
 
     @Test
     fun `acknowledges nothing of an owner that it does not know`() {
         listOwner(3)
-        expectThat(history.acknowledge(4)).isFalse()
+        expectThat(acknowledge(4)).isFalse()
     }
 
     // Guards against a listing that is older than the claims that were seen.
@@ -86,15 +91,15 @@
         listOwner(4)
         listOwner(3)
         history.recordClaim(3)
-        expectThat(history.acknowledge(3)).isFalse()
-        expectThat(history.acknowledge(4)).isTrue()
+        expectThat(acknowledge(3)).isFalse()
+        expectThat(acknowledge(4)).isTrue()
     }
 
     @Test
     fun `acknowledges nothing of an earlier owner after its own claim`() {
         listOwner(3)
         claim(4)
-        expectThat(history.acknowledge(3)).isFalse()
+        expectThat(acknowledge(3)).isFalse()
     }
 
     // This host may succeed itself.
@@ -102,20 +107,20 @@
     fun `acknowledges its own heartbeats once it has seen a durable one`() {
         listOwner(3)
         claim(4)
-        expectThat(history.acknowledge(4)).isFalse()
+        expectThat(acknowledge(4)).isFalse()
         listHeartbeat(4)
-        expectThat(history.acknowledge(4)).isTrue()
+        expectThat(acknowledge(4)).isTrue()
     }
 
     @Test
     fun `acknowledges nothing later than 30 s after the last durable heartbeat`() {
         listOwner(3)
         now += SchedulerSettings.LONGEST_ANNOUNCED_MILLIS
-        expectThat(history.acknowledge(3)).isTrue()
+        expectThat(acknowledge(3)).isTrue()
         now++
-        expectThat(history.acknowledge(3)).isFalse()
+        expectThat(acknowledge(3)).isFalse()
         listHeartbeat(3, batch = 2)
-        expectThat(history.acknowledge(3)).isTrue()
+        expectThat(acknowledge(3)).isTrue()
     }
 
     @Test
@@ -123,18 +128,18 @@
         listOwner(3)
         now += SchedulerSettings.LONGEST_ANNOUNCED_MILLIS
         listOwner(3)
-        expectThat(history.acknowledge(3)).isTrue()
+        expectThat(acknowledge(3)).isTrue()
         now++
-        expectThat(history.acknowledge(3)).isFalse()
+        expectThat(acknowledge(3)).isFalse()
     }
 
     @Test
     fun `tells a claim when it last acknowledged a heartbeat`() {
         listOwner(3)
         now = 2_000
-        history.acknowledge(3)
+        acknowledge(3)
         now = 3_000
-        history.acknowledge(3)
+        acknowledge(3)
         now = 4_000
         val seen = claim(4)
         expectThat(seen.acknowledgedMillisOrNull(3)).isEqualTo(3_000)
@@ -146,10 +151,35 @@
     fun `tells a claim nothing of heartbeats that it did not acknowledge`() {
         listOwner(3)
         now = 2_000
-        history.acknowledge(3)
+        acknowledge(3)
         now += SchedulerSettings.LONGEST_ANNOUNCED_MILLIS
-        history.acknowledge(3)
-        history.acknowledge(2)
+        acknowledge(3)
+        acknowledge(2)
         expectThat(claim(4).acknowledged).isEqualTo(mapOf(3L to 2_000L))
     }
+
+    // Guards against a successor that relies on a limit which its predecessor had lifted (TWICE).
+    @Test
+    fun `tells a claim and a successor which limits heartbeats have lifted`() {
+        listOwner(3)
+        acknowledge(3, number = 1)
+        acknowledge(3, number = 2, "w1")
+        acknowledge(3, number = 4, "w1", "w2")
+        acknowledge(3, number = 3, "w1")
+        acknowledge(3, number = 5)
+        val lifted = mapOf("w1" to 4L, "w2" to 4L)
+        now = 3_000
+        expectThat(history.report(epoch = 4, lastEpoch = 3)).isEqualTo(StandbyReport(2_000, lifted))
+        expectThat(claim(4).liftedLimits).isEqualTo(mapOf(3L to lifted))
+        expectThat(history.report(epoch = 5, lastEpoch = 4).liftedLimits).isEqualTo(emptyMap())
+    }
+
+    @Test
+    fun `records no limits of heartbeats that it does not acknowledge`() {
+        listOwner(3)
+        acknowledge(2, number = 1, "w1")
+        history.report(epoch = 4, lastEpoch = 3)
+        expectThat(acknowledge(3, number = 2, "w1")).isFalse()
+        expectThat(claim(5).liftedLimits).isEqualTo(emptyMap())
+    }
 }
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/StandbyPeersTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/StandbyPeersTest.kt
@@ -17,12 +17,14 @@
 import sycamoremast.coordination.membership.IncarnationClaim
 import sycamoremast.coordination.workflow.HostProcess
 import sycamoremast.coordination.workflow.SchedulerAction
+import sycamoremast.coordination.workflow.StandbyReport
 import sycamoremast.daemon.control.eventually
 import sycamoremast.daemon.control.quickLimits
 import sycamoremast.daemon.log.EventLog
 import sycamoremast.daemon.peer.KtorPeerNetwork
 import sycamoremast.daemon.peer.LocalPeer
 import sycamoremast.daemon.peer.PeerConnections
+import sycamoremast.daemon.peer.StandbyAnswer
 
 class StandbyPeersTest {
     /** A registered host that listens at a free port. */
@@ -89,9 +91,10 @@
     @BeforeEach
     fun start() {
         owner.peers.acknowledge = { true }
-        owner.peers.onAcknowledged = { process, epoch, number ->
+        owner.peers.onAcknowledged = { process, (epoch, number, _, recordsLimits) ->
             val known = if (process.host == "owner") ownAcknowledged else acknowledged
             known += Acknowledgement(process.text, epoch, number)
+            expectThat(recordsLimits).isTrue()
         }
         standby.peers.hasStore = { false }
         owner.start()
@@ -113,9 +116,9 @@
 
     /** Lets the standby acknowledge heartbeats of [epochs]. */
     private fun acceptEpochs(vararg epochs: Long) {
-        standby.peers.acknowledge = { epoch ->
-            asked += epoch
-            epoch in epochs
+        standby.peers.acknowledge = { heartbeat ->
+            asked += heartbeat.epoch
+            heartbeat.epoch in epochs
         }
     }
 
@@ -190,7 +193,7 @@
     fun `an owner announces nothing that it does not acknowledge itself`() {
         acceptEpochs(7, 8)
         announceUntil("one is acknowledged", epoch = 7) { acknowledged.isNotEmpty() }
-        owner.peers.acknowledge = { it == 8L }
+        owner.peers.acknowledge = { it.epoch == 8L }
         val last = ++lastNumber
         announce(7, last)
         announceUntil("a later one is acknowledged", epoch = 8) { 8L in acknowledgedEpochs() }
@@ -270,7 +273,7 @@
     fun `only the process that is named as a standby answers a successor`() {
         val answers = ConcurrentLinkedQueue<Long>()
         owner.peers.onAnswered = { _, answer -> answers += answer.millisAgo }
-        standby.peers.acknowledgedMillisAgo = { 300 }
+        standby.peers.report = { StandbyReport(300) }
         eventually("an earlier process is asked for") {
             ask("standby/earlier")
             hasLoggedQuery("process=earlier")
@@ -285,14 +288,42 @@
     // Guards against a wait for the longest leases after all hosts were killed (LOST, issue 49).
     @Test
     fun `a new process tells a successor when the owner on its host had ended`() {
-        val answers = ConcurrentLinkedQueue<Long>()
-        owner.peers.onAnswered = { _, answer -> answers += answer.millisAgo }
-        standby.peers.endedMillisAgoOrNull = { 400 }
+        val answers = ConcurrentLinkedQueue<StandbyAnswer>()
+        owner.peers.onAnswered = { _, answer -> answers += answer }
+        standby.peers.reportEndOrNull =
+            { StandbyReport(400, liftedLimits = null, isOwnerEnd = true) }
         eventually("it answers") {
             ask("standby/earlier", lastOwner = "standby")
             answers.isNotEmpty()
         }
-        expectThat(answers.toSet()).isEqualTo(setOf(400L))
+        val expected = StandbyAnswer(7, 400, liftedLimits = null, isOwnerEnd = true)
+        expectThat(answers.toSet()).isEqualTo(setOf(expected))
+    }
+
+    // Guards against a successor that relies on a limit which its predecessor had lifted (TWICE).
+    @Test
+    fun `a heartbeat and an answer tell which limits are lifted`() {
+        val known = ConcurrentLinkedQueue<Set<String>>()
+        val ownKnown = ConcurrentLinkedQueue<Set<String>>()
+        standby.peers.acknowledge = { known.add(it.liftedLimits) }
+        owner.peers.acknowledge = { ownKnown.add(it.liftedLimits) }
+        val standbys = setOf(HostProcess("standby/a"))
+        eventually("the standby knows") {
+            owner.peers.announce(
+                SchedulerAction.Announce(7, ++lastNumber, standbys, setOf("w1", "w2"))
+            )
+            known.isNotEmpty()
+        }
+        expectThat(known.first()).isEqualTo(setOf("w1", "w2"))
+        expectThat(ownKnown.first()).isEqualTo(setOf("w1", "w2"))
+        val answers = ConcurrentLinkedQueue<StandbyAnswer>()
+        owner.peers.onAnswered = { _, answer -> answers += answer }
+        standby.peers.report = { StandbyReport(300, mapOf("w1" to 5L)) }
+        eventually("it answers") {
+            ask("standby/a")
+            answers.isNotEmpty()
+        }
+        expectThat(answers.first()).isEqualTo(StandbyAnswer(7, 300, mapOf("w1" to 5L)))
     }
 
     private fun hasLoggedQuery(text: String) =
