--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/StoreSightings.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/StoreSightings.kt
@@ -10,8 +10,9 @@
  * [heartbeats], and a time before its own claim and after all records of earlier owners,
  * [claimedMillis]. By the times in [ends], the owners of these epochs had certainly ended, as they
  * were on the host of this [process]. In [acknowledged] are the times at which it last acknowledged a
- * heartbeat that the owner of an epoch announced to it. If the owner of an epoch was this process,
- * its leases have lapsed by [leaseEnds].
+ * heartbeat that the owner of an epoch announced to it, and in [liftedLimits] the workers whose
+ * limits these lifted, by the number of the last one that named them. If the owner of an epoch was
+ * this process, its leases have lapsed by [leaseEnds].
  */
 data class StoreSightings(
     val claimedMillis: Long,
@@ -21,7 +22,8 @@
     val ends: Map<Long, Long> = emptyMap(),
     val process: HostProcess = HostProcess(""),
     val acknowledged: Map<Long, Long> = emptyMap(),
-    val leaseEnds: Map<Long, Map<WorkerRef, Long>> = emptyMap()
+    val leaseEnds: Map<Long, Map<WorkerRef, Long>> = emptyMap(),
+    val liftedLimits: Map<Long, Map<String, Long>> = emptyMap()
 ) {
     /** Returns a time not before the claim of [epoch], which may be this host's own. */
     fun claimedByMillis(epoch: Long): Long =
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionSchedule.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionSchedule.kt
@@ -46,7 +46,13 @@
     RESTART_ALL(8_000),
 
     /** The owner's key is deleted, and hosts are stopped while they claim it. */
-    STOP_IN_ELECTION(6_000)
+    STOP_IN_ELECTION(6_000),
+
+    /**
+     * Some workers are silent for a moment as an outage of the store begins. When the store is back,
+     * the owner doesn't have it, and the other hosts lose these workers for longer.
+     */
+    SILENCE_BEFORE_OUTAGE(12_000)
 }
 
 internal data class SuccessionFaults(
@@ -340,6 +346,8 @@
 
             SuccessionFault.PARTIAL_OUTAGE -> loseStoreOfMost()
 
+            SuccessionFault.SILENCE_BEFORE_OUTAGE -> silenceBeforeOutage()
+
             SuccessionFault.REVOKE_KEY -> revokeKey()
 
             SuccessionFault.SPLIT -> split(isKeyRevoked = false)
@@ -426,6 +434,23 @@
         }
     }
 
+    private fun silenceBeforeOutage() {
+        val silent = entries.keys.filter { random.nextInt(3) == 0 }
+        val silentMillis = random.nextLong(MIN_SILENT_MILLIS, MAX_SILENT_MILLIS)
+        silent.forEach { id -> hosts.forEach { cut(it.name, id, silentMillis) } }
+        time.at(now + silentMillis) { store.goDown() }
+        time.at(now + silentMillis + random.nextLong(MAX_CUT_MILLIS)) {
+            val owner = hosts.firstOrNull { it.term != null }
+            if (owner != null) {
+                cut(owner.name, HostWorld.STORE, LONGEST_CUT_MILLIS)
+                for (host in hosts.filter { it !== owner }) {
+                    silent.forEach { cut(host.name, it, LONGEST_CUT_MILLIS) }
+                }
+            }
+            store.comeUp()
+        }
+    }
+
     private fun randomHost(): ModelHost =
         hosts.firstOrNull { it.term != null && random.nextBoolean() } ?: hosts.random(random)
 
@@ -641,6 +666,10 @@
 
         /** Longer than hosts take to notice that the owner's key is gone, and to claim it. */
         const val MAX_ELECTION_MILLIS = 100L
+
+        /** Around the time after which a worker is taken for silent. */
+        const val MIN_SILENT_MILLIS = 1_000L
+        const val MAX_SILENT_MILLIS = 3_000L
         const val MIN_DRAIN_MILLIS = 2_000L
 
         /** Three heartbeats. */
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/RecordWriter.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/RecordWriter.kt
@@ -69,6 +69,7 @@
                 next.batch,
                 batch.recordsPlaces,
                 batch.standbys,
+                batch.lastAnnounced,
                 term.sightings.process.host
             )
             puts += StorePut(WorkflowKeys.roster(set), encodeRecord(record))
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowHost.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowHost.kt
@@ -9,6 +9,7 @@
 import sycamoremast.coordination.workflow.HostProcess
 import sycamoremast.coordination.workflow.RunPort
 import sycamoremast.coordination.workflow.SchedulerSettings
+import sycamoremast.coordination.workflow.StandbyReport
 import sycamoremast.daemon.log.EventLog
 
 /** The ports through which a host uses its platform. */
@@ -111,21 +112,21 @@
     private fun connectStandbys(standbys: StandbyPeers) {
         standbys.hasStore = { !store.isLost }
         standbys.acknowledge = election::acknowledgeHeartbeat
-        standbys.acknowledgedMillisAgo = {
-            election.acknowledgedMillisAgo(it.epoch, it.lastEpoch)
-        }
-        standbys.endedMillisAgoOrNull = { election.endedMillisAgoOrNull(it.epoch, it.lastEpoch) }
+        standbys.report = { election.reportStandby(it.epoch, it.lastEpoch) }
+        standbys.reportEndOrNull = { election.reportEndOrNull(it.epoch, it.lastEpoch) }
         standbys.onEnded = { process, lastEpoch ->
             ownership.loop?.updateSuccession { onStandbyEnded(process, lastEpoch) }
         }
-        standbys.onAnswered = { host, answer ->
+        standbys.onAnswered = { process, answer ->
             ownership.loop?.updateSuccession {
-                onStandbyAnswered(host, answer.lastEpoch, answer.millisAgo, it)
+                val report =
+                    StandbyReport(answer.millisAgo, answer.liftedLimits, answer.isOwnerEnd)
+                onStandbyAnswered(process, answer.lastEpoch, report, it)
             }
         }
-        standbys.onAcknowledged = { process, epoch, number ->
+        standbys.onAcknowledged = { process, (epoch, number, _, recordsLimits) ->
             ownership.loop?.takeIf { it.epoch == epoch }?.updateSuccession {
-                onHeartbeatAcknowledged(process, number, it)
+                onHeartbeatAcknowledged(process, number, recordsLimits, it)
             }
         }
     }
