--- a/daemon/src/main/kotlin/sycamoremast/daemon/platform/JsonClient.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/platform/JsonClient.kt
@@ -12,6 +12,7 @@
 import okhttp3.Call
 import okhttp3.Callback
 import okhttp3.ConnectionPool
+import okhttp3.ConnectionSpec
 import okhttp3.EventListener
 import okhttp3.MediaType.Companion.toMediaType
 import okhttp3.OkHttpClient
@@ -141,8 +142,14 @@
     explicitNulls = false
 }
 
-/** Returns a client for the platform's services; all adapters may share it. */
+/**
+ * Returns a client for the platform's services; all adapters may share it.
+ *
+ * The services have plain HTTP only. A client that allows TLS loads all trusted certificates at the
+ * start of the process.
+ */
 fun platformHttpClient(timeouts: PlatformTimeouts): OkHttpClient = OkHttpClient.Builder()
+    .connectionSpecs(listOf(ConnectionSpec.CLEARTEXT))
     .socketFactory(NoDelaySocketFactory)
     .withoutFollowUps()
     .connectTimeout(timeouts.connect.inWholeMilliseconds, MILLISECONDS)
