--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/StoreOutageTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/StoreOutageTest.kt
@@ -108,6 +108,17 @@
         }
     }
 
+    // Guards against a process that takes an earlier one's knowledge for its own (TWICE).
+    @Test
+    fun `no task runs twice if a restarted standby succeeds an owner that goes on`() {
+        for (seed in 1L..4) {
+            val schedule = SuccessionSchedule(seed, SuccessionFaults(emptySet()))
+            schedule.playRestartedStandbyBesideOwner(OUTAGE_MILLIS)
+            expectThat(schedule.violations.filter { it.kind == "runs twice at once" })
+                .describedAs("seed $seed").isEmpty()
+        }
+    }
+
     private companion object {
         /** When the outage begins, long after all tasks have started. */
         const val OUTAGE_MILLIS = 15_000L
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionSchedule.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionSchedule.kt
@@ -241,6 +241,31 @@
         time.playUntil(END_MILLIS)
     }
 
+    /**
+     * Plays that all hosts lose the store at [fromMillis], and a standby is stopped and has the store
+     * when it starts again. From then on, neither it nor the others reach each other, and each reaches
+     * the workers that the other doesn't.
+     */
+    fun playRestartedStandbyBesideOwner(fromMillis: Long) {
+        begin()
+        time.at(fromMillis) {
+            hosts.forEach { cut(it.name, HostWorld.STORE, END_MILLIS) }
+            val stopped = hosts.first { it.term == null }
+            val others = hosts - stopped
+            for ((index, id) in entries.keys.withIndex()) {
+                val without = if (index % 2 == 0) others else listOf(stopped)
+                without.forEach { cut(it.name, id, END_MILLIS) }
+            }
+            time.at(fromMillis + FIRST_STOP_MILLIS) { stop(stopped) }
+            time.at(fromMillis + FIRST_STOP_MILLIS + MAX_DELAY_MILLIS) {
+                others.forEach { cut(it.name, stopped.name, END_MILLIS) }
+                cutUntil -= stopped.name to HostWorld.STORE
+            }
+        }
+        observe()
+        time.playUntil(END_MILLIS)
+    }
+
     private fun newHost(name: String): ModelHost {
         val error = faults.hostClockError
         return ModelHost(name, this, PER_MILLE + random.nextLong(-error, error + 1))
