--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
@@ -72,6 +72,9 @@
     private var liftedLimits = HashMap<Long, HashMap<String, Long>>()
     private var isClaiming = false
     private var isStopping = false
+
+    /** Whether the store gave this process no answer for a while after its start. */
+    private var hasStartedInOutage = false
     private var isRenewing = false
 
     /** The owner's key as last seen, and its version. */
@@ -203,6 +206,9 @@
 
     private fun syncWithStore() {
         if (!store.isUp || !world.reaches(name, HostWorld.STORE)) return
+        if (seenOwnerVersion == null) {
+            hasStartedInOutage = clock() > startedMillis + USUAL_LISTING_MILLIS
+        }
         store.expire()
         store.register(self)
         lastEpochSeen = maxOf(lastEpochSeen, store.epoch.epoch)
@@ -248,6 +254,7 @@
 
     /** Returns how long to leave the claim to an owner that went on through an outage. */
     private fun returningOwnerDelayMillis(): Long {
+        if (hasStartedInOutage && seenOwner == null) return STARTED_IN_OUTAGE_CLAIM_DELAY_MILLIS
         val last = acknowledged[lastEpochSeen] ?: return 0
         val mayReturn = lastEpochSeen !in leaseEnds && clock() < last + JUST_ACKNOWLEDGED_MILLIS
         return if (mayReturn) RETURNING_OWNER_CLAIM_DELAY_MILLIS else 0
@@ -637,6 +644,8 @@
         const val LONGEST_HAND_OVER_MILLIS = 5_000L
         const val JUST_ACKNOWLEDGED_MILLIS = 3_000L
         const val RETURNING_OWNER_CLAIM_DELAY_MILLIS = 500L
+        const val STARTED_IN_OUTAGE_CLAIM_DELAY_MILLIS = 800L
+        const val USUAL_LISTING_MILLIS = 1_000L
         val LONGEST_TERM_MILLIS = SchedulerSettings.actingMillis(ModelStore.LEASE_TTL_MILLIS) -
             LEASE_MARGIN_MILLIS
     }
