--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
@@ -240,7 +240,7 @@
     }
 
     private fun claimIfFree() {
-        if (isStopping || isClaiming || term != null || claimableVersionOrNull() == null) return
+        if (isClaiming || term != null || claimableVersionOrNull() == null) return
         isClaiming = true
         after(world.delayMillis() + returningOwnerDelayMillis()) {
             val version = claimableVersionOrNull()
@@ -261,7 +261,7 @@
     }
 
     private fun claimableVersionOrNull(): Long? =
-        seenOwnerVersion?.takeIf { seenOwner.let { it == null || it.host == name } }
+        seenOwnerVersion?.takeIf { !isStopping && seenOwner.let { it == null || it.host == name } }
 
     /** Claims the key, which names this host as [replaced] or is absent. */
     private fun claim(ownerVersion: Long, replaced: OwnerKey?, startedMillis: Long) {
