--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/InheritedLeasesTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/InheritedLeasesTest.kt
@@ -32,9 +32,8 @@
         driver.step()
     }
 
-    private fun answer(process: String, report: StandbyReport) =
-        driver.scheduler.succession
-            .onStandbyAnswered(HostProcess(process), 3, report, driver.now)
+    private fun answer(process: String, report: StandbyReport) = driver.scheduler.succession
+        .onStandbyAnswered(HostProcess(process), 3, report, driver.now)
 
     private val lapsedByMillis get() = driver.scheduler.succession.leaseEnds().getValue(worker)
 
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/StandbyPeersTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/StandbyPeersTest.kt
@@ -334,7 +334,9 @@
             ask("standby/a")
             answers.isNotEmpty()
         }
-        expectThat(answers.first()).isEqualTo(StandbyAnswer(7, 300, mapOf("w1" to 5L), process = "a"))
+        expectThat(
+            answers.first()
+        ).isEqualTo(StandbyAnswer(7, 300, mapOf("w1" to 5L), process = "a"))
     }
 
     private fun hasLoggedQuery(text: String) =
