--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RosterRecord.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RosterRecord.kt
@@ -47,16 +47,30 @@
         lastHeartbeat: RecordVersion?
     ): Long {
         sightings.leaseEnds[epoch]?.get(worker)?.let { return it }
-        val succeededMillis = sightings.claimedByMillis(epoch + 1)
-        leasesLeft?.get(worker.id)?.let { left ->
-            val formedBy = sightings.rosterMillisOrNull(version) ?: succeededMillis
-            val limit = minOf(formedBy, succeededMillis) + left
-            if (left == 0L || !mayBeLifted(worker, sightings)) return limit
-            val granted = grantedByMillis(sightings, settings, lastHeartbeat, isShort = true)
-            return maxOf(limit, granted)
+        val left = leasesLeft?.get(worker.id)
+        val drainingLeft = drainingLeasesLeft?.get(worker.id)
+        return when {
+            left != null -> limitedByMillis(worker, left, sightings, settings, lastHeartbeat)
+
+            drainingLeft != null -> sightings.claimedByMillis(epoch + 1) + drainingLeft
+
+            else -> grantedByMillis(sightings, settings, lastHeartbeat, isShort = false)
         }
-        drainingLeasesLeft?.get(worker.id)?.let { return succeededMillis + it }
-        return grantedByMillis(sightings, settings, lastHeartbeat, isShort = false)
+    }
+
+    /** Returns the time by which leases of [worker] have lapsed, for which it had [left] at most. */
+    private fun limitedByMillis(
+        worker: WorkerRef,
+        left: Long,
+        sightings: StoreSightings,
+        settings: SchedulerSettings,
+        lastHeartbeat: RecordVersion?
+    ): Long {
+        val succeededMillis = sightings.claimedByMillis(epoch + 1)
+        val formedBy = sightings.rosterMillisOrNull(version) ?: succeededMillis
+        val limit = minOf(formedBy, succeededMillis) + left
+        if (left == 0L || !mayBeLifted(worker, sightings)) return limit
+        return maxOf(limit, grantedByMillis(sightings, settings, lastHeartbeat, isShort = true))
     }
 
     /** Returns the time by which leases have lapsed that have no limit; [isShort] tells their kind. */
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionSchedule.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionSchedule.kt
@@ -52,7 +52,10 @@
      * Some workers are silent for a moment as an outage of the store begins. When the store is back,
      * the owner doesn't have it, and the other hosts lose these workers for longer.
      */
-    SILENCE_BEFORE_OUTAGE(12_000)
+    SILENCE_BEFORE_OUTAGE(12_000),
+
+    /** All hosts are killed at once and started again one after the other. */
+    KILL_ALL_HOSTS(9_000)
 }
 
 internal data class SuccessionFaults(
@@ -164,6 +167,46 @@
         playOutageOnly(fromMillis, millis)
     }
 
+    /**
+     * Plays that a worker is lost for good and all hosts are killed at [atMillis], the owner's for
+     * [ownerDarkMillis] and the others for [OTHERS_DARK_MILLIS]. The first [killedSuccessors] owners
+     * that follow are killed before they write a record, and started again like the others.
+     *
+     * Returns how long after the loss all lasting tasks run again.
+     */
+    fun playKillOfAllHosts(
+        atMillis: Long,
+        ownerDarkMillis: Long = OTHERS_DARK_MILLIS,
+        killedSuccessors: Int = 0
+    ): Long {
+        begin()
+        time.at(atMillis) {
+            val crashed = workers.values.first()
+            crashed.crash()
+            unlist(crashed)
+            for (host in hosts) {
+                val darkMillis = if (host.term != null) ownerDarkMillis else OTHERS_DARK_MILLIS
+                host.kill()
+                time.at(now + darkMillis) { host.start() }
+            }
+            killSuccessors(killedSuccessors)
+        }
+        awaitLasting(atMillis)
+        observe()
+        time.playUntil(END_MILLIS)
+        return checkNotNull(restoredMillis) { "the lasting tasks never run" } - atMillis
+    }
+
+    private fun killSuccessors(count: Int) {
+        if (count == 0) return
+        val successor = hosts.find { it.term != null }
+        if (successor != null) {
+            successor.kill()
+            time.at(now + OTHERS_DARK_MILLIS) { successor.start() }
+        }
+        time.at(now + 1) { killSuccessors(if (successor == null) count else count - 1) }
+    }
+
     private fun awaitLasting(fromMillis: Long) {
         time.at(fromMillis) {
             val running = workers.values.filter { it.isUp }.flatMap { it.running }
@@ -332,6 +375,11 @@
                 restartLater(host)
             }
 
+            SuccessionFault.KILL_ALL_HOSTS -> hosts.forEach {
+                it.kill()
+                restartLater(it)
+            }
+
             SuccessionFault.STOP_HOST -> stop(host)
 
             SuccessionFault.FREEZE_HOST ->
@@ -675,6 +723,7 @@
         const val MAX_LATE_MILLIS = 6_000L
         const val MIN_DOWN_MILLIS = 300L
         const val MAX_DOWN_MILLIS = 2_500L
+        const val OTHERS_DARK_MILLIS = 500L
         const val MAX_CUT_MILLIS = 12_000L
 
         /** Longer than an owner may go on and a lease may last after that. */
