--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
@@ -95,19 +95,25 @@
     fun addWorkflow(workflow: Workflow, progress: WorkflowProgress?, isRecovered: Boolean) =
         enqueue {
             statuses.putIfAbsent(workflow.id, progress?.status ?: QUEUED)
-            scheduler.onWorkflowAccepted(workflow, progress, isRecovered, nowMillis(), unixMillis())
+            scheduler.onWorkflowAccepted(
+                workflow,
+                progress,
+                isRecovered,
+                clock.nowMillis(),
+                unixMillis()
+            )
         }
 
     fun cancelWorkflow(id: String) = enqueue {
-        scheduler.onWorkflowCancelled(id, nowMillis(), unixMillis())
+        scheduler.onWorkflowCancelled(id, clock.nowMillis(), unixMillis())
     }
 
     fun updateWorkers(workers: List<WorkerListing>) = enqueue {
-        scheduler.onWorkersListed(workers, nowMillis())
+        scheduler.onWorkersListed(workers, clock.nowMillis())
     }
 
     fun updateWorker(worker: WorkerListing) = enqueue {
-        scheduler.onWorkerListed(worker, nowMillis())
+        scheduler.onWorkerListed(worker, clock.nowMillis())
     }
 
     /** Confirms that all changes of the workers up to [asOfMillis] were passed on. */
@@ -117,7 +123,7 @@
 
     /** Passes a message of another host, or what is inherited from the last owner, with the time. */
     fun updateSuccession(input: Succession.(nowMillis: Long) -> Unit) = enqueue {
-        scheduler.succession.input(nowMillis())
+        scheduler.succession.input(clock.nowMillis())
     }
 
     /** Adds what an earlier owner has learned about interference between tasks. */
@@ -137,12 +143,10 @@
         inbox += input
     }
 
-    private fun nowMillis() = clock.nowMillis()
-
     private fun run() {
         while (isOpen) {
             try {
-                val first = inbox.poll(scheduler.waitMillis(nowMillis()), MILLISECONDS)
+                val first = inbox.poll(scheduler.waitMillis(clock.nowMillis()), MILLISECONDS)
                 first?.invoke()
                 awaitNextStep()
                 while (isOpen) (inbox.poll() ?: break).invoke()
@@ -161,13 +165,13 @@
 
     /** Waits so that inputs that arrive within a short time are handled in one step. */
     private fun awaitNextStep() {
-        val remainingMillis = lastStepMillis + MIN_STEP_INTERVAL_MILLIS - nowMillis()
+        val remainingMillis = lastStepMillis + MIN_STEP_INTERVAL_MILLIS - clock.nowMillis()
         if (remainingMillis > 0) Thread.sleep(remainingMillis)
     }
 
     private fun step() {
         // The clock is read before the lease's state, so that orders of this step are in time.
-        lastStepMillis = nowMillis()
+        lastStepMillis = clock.nowMillis()
         val lease = leaseState()
         if (lease == LeaseState.OVER) return endTerm("lease ended long ago")
         val isSoleOwner = lease == LeaseState.VALID
@@ -186,19 +190,19 @@
     private fun execute(action: SchedulerAction) {
         when (action) {
             is SchedulerAction.Start -> runs.start(action.order) {
-                enqueue { scheduler.onStartAnswer(action.order, it, nowMillis()) }
+                enqueue { scheduler.onStartAnswer(action.order, it, clock.nowMillis()) }
             }
 
             is SchedulerAction.Stop -> runs.stop(action.order) {
-                enqueue { scheduler.onStopAnswer(action.order, it, nowMillis()) }
+                enqueue { scheduler.onStopAnswer(action.order, it, clock.nowMillis()) }
             }
 
             is SchedulerAction.Poll -> runs.poll(action.order) {
-                enqueue { scheduler.onPollAnswer(action.order, it, nowMillis()) }
+                enqueue { scheduler.onPollAnswer(action.order, it, clock.nowMillis()) }
             }
 
             is SchedulerAction.Pace -> runs.pace(action.order) {
-                enqueue { scheduler.onPaceAnswer(action.order, it, nowMillis()) }
+                enqueue { scheduler.onPaceAnswer(action.order, it, clock.nowMillis()) }
             }
 
             is SchedulerAction.Record -> records.execute { writeRecords(action.batch) }
@@ -269,10 +273,12 @@
     }
 
     private fun handOver(limitMillis: Long) {
-        val deadlineMillis = nowMillis() + limitMillis
+        val deadlineMillis = clock.nowMillis() + limitMillis
         try {
-            val isRecorded = writer.write(scheduler.handoverBatch(nowMillis(), unixMillis())) {
-                nowMillis() < deadlineMillis
+            val isRecorded = writer.write(
+                scheduler.handoverBatch(clock.nowMillis(), unixMillis())
+            ) {
+                clock.nowMillis() < deadlineMillis
             }
             isHandedOver = isRecorded
             log.add("handed-over", "isRecorded" to isRecorded)
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/StandbyPeers.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/StandbyPeers.kt
@@ -177,8 +177,9 @@
     }
 
     override fun announce(heartbeat: SchedulerAction.Announce) {
-        val (epoch, number, standbys, liftedLimits) = heartbeat
-        val message = OwnerHeartbeat(epoch, number, liftedLimits)
+        val epoch = heartbeat.epoch
+        val standbys = heartbeat.standbys
+        val message = OwnerHeartbeat(epoch, heartbeat.number, heartbeat.liftedLimits)
         // This host may succeed itself, with a new term.
         if (!acknowledge(message)) return
         onAcknowledged(self, acknowledgement(message))
@@ -190,13 +191,14 @@
     }
 
     override fun ask(question: SchedulerAction.AskStandbys) {
-        val (epoch, lastEpoch, standbys, lastOwner) = question
-        connect(standbys.mapTo(HashSet()) { it.host } + listOfNotNull(lastOwner))
-        standbys.filter { it.host != self.host }.forEach {
-            send(it.host, StandbyQuery(epoch, lastEpoch, it.id))
+        val query = StandbyQuery(question.epoch, question.lastEpoch)
+        val lastOwner = question.lastOwner
+        connect(question.standbys.mapTo(HashSet()) { it.host } + listOfNotNull(lastOwner))
+        question.standbys.filter { it.host != self.host }.forEach {
+            send(it.host, query.copy(process = it.id))
         }
         if (lastOwner != null && lastOwner != self.host) {
-            send(lastOwner, StandbyQuery(epoch, lastEpoch, isLastOwner = true))
+            send(lastOwner, query.copy(isLastOwner = true))
         }
     }
 
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowHost.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowHost.kt
@@ -124,9 +124,9 @@
                 onStandbyAnswered(process, answer.lastEpoch, report, it)
             }
         }
-        standbys.onAcknowledged = { process, (epoch, number, _, recordsLimits) ->
-            ownership.loop?.takeIf { it.epoch == epoch }?.updateSuccession {
-                onHeartbeatAcknowledged(process, number, recordsLimits, it)
+        standbys.onAcknowledged = { process, known ->
+            ownership.loop?.takeIf { it.epoch == known.epoch }?.updateSuccession {
+                onHeartbeatAcknowledged(process, known.number, known.recordsLimits, it)
             }
         }
     }
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/StandbyPeersTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/StandbyPeersTest.kt
@@ -91,10 +91,10 @@
     @BeforeEach
     fun start() {
         owner.peers.acknowledge = { true }
-        owner.peers.onAcknowledged = { process, (epoch, number, _, recordsLimits) ->
+        owner.peers.onAcknowledged = { process, message ->
             val known = if (process.host == "owner") ownAcknowledged else acknowledged
-            known += Acknowledgement(process.text, epoch, number)
-            expectThat(recordsLimits).isTrue()
+            known += Acknowledgement(process.text, message.epoch, message.number)
+            expectThat(message.recordsLimits).isTrue()
         }
         standby.peers.hasStore = { false }
         owner.start()
