--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionSchedule.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionSchedule.kt
@@ -375,10 +375,8 @@
                 restartLater(host)
             }
 
-            SuccessionFault.KILL_ALL_HOSTS -> hosts.forEach {
-                it.kill()
-                restartLater(it)
-            }
+            SuccessionFault.KILL_ALL_HOSTS, SuccessionFault.RESTART_ALL,
+            SuccessionFault.STOP_IN_ELECTION -> occurToHosts(kind)
 
             SuccessionFault.STOP_HOST -> stop(host)
 
@@ -390,10 +388,6 @@
 
             SuccessionFault.REPLACE_HOST -> replace(host)
 
-            SuccessionFault.RESTART_ALL -> restartAll()
-
-            SuccessionFault.STOP_IN_ELECTION -> stopInElection()
-
             SuccessionFault.CRASH_WORKER, SuccessionFault.CUT_WORKER,
             SuccessionFault.MOVE_WORKER, SuccessionFault.DRAIN_WORKER ->
                 if (current != null) occur(kind, current)
@@ -451,6 +445,19 @@
         if (host.isUp) host.stop { restartLater(host) }
     }
 
+    private fun occurToHosts(kind: SuccessionFault) = when (kind) {
+        SuccessionFault.KILL_ALL_HOSTS -> hosts.forEach {
+            it.kill()
+            restartLater(it)
+        }
+
+        SuccessionFault.RESTART_ALL -> restartAll()
+
+        SuccessionFault.STOP_IN_ELECTION -> stopInElection()
+
+        else -> error("not a fault of several hosts: $kind")
+    }
+
     private fun restartAll() {
         val restarted = hosts.shuffled(random) + hosts.shuffled(random).take(2)
         for ((index, host) in restarted.withIndex()) {
