--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/InheritedLeases.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/InheritedLeases.kt
@@ -18,6 +18,7 @@
     /** What a standby's answer would tell more about, or null. */
     private var unanswered: Inheritance? = null
     private var nextAskMillis = Long.MIN_VALUE
+    private var askedCount = 0
 
     /** Adds the workers that [roster] names, of which this host knows by [sightings]. */
     fun add(
@@ -47,6 +48,7 @@
         }
         nextAskMillis = nowMillis + ASK_INTERVAL_MILLIS
         val roster = inherited.roster
+        if (++askedCount == LOGGED_QUESTION) logUnanswered(roster, nowMillis)
         fleet.outbox += SchedulerAction.AskStandbys(
             fleet.epoch,
             roster.epoch,
@@ -55,6 +57,21 @@
         )
     }
 
+    private fun logUnanswered(roster: RosterRecord, nowMillis: Long) = fleet.log(
+        "last-owner-unknown",
+        "epoch-${fleet.epoch}",
+        "lastEpoch" to roster.epoch,
+        "lastOwner" to roster.host,
+        "standbys" to roster.standbys.size,
+        "unanswered" to askedCount - 1,
+        "workers" to fleet.workers.values.count { it.lease.isInherited },
+        "leaseLeftMillis" to longestLeftMillis(nowMillis)
+    )
+
+    private fun longestLeftMillis(nowMillis: Long): Long? =
+        fleet.workers.values.filter { it.lease.isInherited }
+            .maxOfOrNull { it.lease.remainingMillis(nowMillis) }
+
     /**
      * Records the answer of [process] about the owner of [epoch], of which it acknowledges no heartbeat
      * any more.
@@ -81,7 +98,8 @@
             "process" to process,
             "acknowledgedMillisAgo" to report.millisAgo,
             "isOwnerEnd" to report.isOwnerEnd,
-            "liftedLimits" to report.liftedLimits?.size
+            "liftedLimits" to report.liftedLimits?.size,
+            "leaseLeftMillis" to longestLeftMillis(nowMillis)
         )
     }
 
@@ -117,5 +135,8 @@
 
     private companion object {
         const val ASK_INTERVAL_MILLIS = 600L
+
+        /** The first answers should have arrived before it. */
+        const val LOGGED_QUESTION = 3
     }
 }
