--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
@@ -36,6 +36,10 @@
     /** When the last report was processed, or null if a call has failed since. */
     private var lastReportMillis: Long? = null
 
+    /** When the last poll was sent that this incarnation has answered, or null if there is none. */
+    var acceptedMillis: Long? = null
+        private set
+
     /** When this incarnation first reported, or null if it has not. */
     var upSinceMillis: Long? = null
         private set
@@ -174,9 +178,10 @@
         acknowledgedEnd = 0
     }
 
-    /** Records a report that was processed at [nowMillis]. */
-    fun recordReport(nowMillis: Long) {
+    /** Records a report that was processed at [nowMillis] and answers a poll sent at [sentMillis]. */
+    fun recordReport(sentMillis: Long, nowMillis: Long) {
         lastReportMillis = nowMillis
+        acceptedMillis = maxOf(sentMillis, acceptedMillis ?: sentMillis)
         if (upSinceMillis == null) upSinceMillis = nowMillis
     }
 
@@ -212,6 +217,7 @@
     /** Resets the end numbers, which a restarted worker counts from 1 again. */
     fun resetAfterRestart() {
         lease.forgetClock()
+        acceptedMillis = null
         upSinceMillis = null
         seenEnd = 0
         recordedEnd = 0
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/InheritedLeases.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/InheritedLeases.kt
@@ -5,6 +5,9 @@
  * with its standbys' acknowledgements. It asks them when they last gave one, and the last owner's
  * host when that owner ended. A single answer is enough, as a heartbeat counted only if all standbys
  * that had not ended themselves had acknowledged it.
+ *
+ * Without any answer, a bound comes from the workers: once a majority of those in the roster have
+ * answered this owner, they reject the last one, which can't extend leases by a later heartbeat.
  */
 package sycamoremast.coordination.workflow
 
@@ -13,7 +16,11 @@
         val roster: RosterRecord,
         val sightings: StoreSightings,
         val lastHeartbeat: RecordVersion?
-    )
+    ) {
+        /** The workers that have answered this owner, also those that were lost later. */
+        val fenced = HashSet<WorkerRef>()
+        var isFenced = false
+    }
 
     /** What a standby's answer would tell more about, or null. */
     private var unanswered: Inheritance? = null
@@ -41,6 +48,7 @@
     /** Asks the standbys until one has answered or no worker is missing. */
     fun step(nowMillis: Long) {
         val inherited = unanswered ?: return
+        noteFenced(inherited, nowMillis)
         if (nowMillis < nextAskMillis) return
         if (fleet.isFleetReconciled()) {
             unanswered = null
@@ -68,6 +76,38 @@
         "leaseLeftMillis" to longestLeftMillis(nowMillis)
     )
 
+    /** Limits inherited leases once so many workers have answered that the last owner is fenced. */
+    private fun noteFenced(inherited: Inheritance, nowMillis: Long) {
+        if (inherited.isFenced) return
+        val roster = inherited.roster
+        roster.workers.filterTo(inherited.fenced) { ref ->
+            fleet.workers[ref.id]?.let { it.ref == ref && it.lease.isClockKnown } ?: false
+        }
+        if (!roster.isFencedBy(inherited.fenced)) return
+        inherited.isFenced = true
+        limit(inherited, inherited.sightings.copy(fenced = mapOf(roster.epoch to nowMillis)))
+        fleet.log(
+            "last-owner-fenced",
+            "epoch-${fleet.epoch}",
+            "lastEpoch" to roster.epoch,
+            "workers" to inherited.fenced.size,
+            "ofWorkers" to roster.workers.size,
+            "leaseLeftMillis" to longestLeftMillis(nowMillis)
+        )
+    }
+
+    /** Limits the leases of workers that have not answered by what [sightings] tell. */
+    private fun limit(inherited: Inheritance, sightings: StoreSightings) {
+        val roster = inherited.roster
+        for (ref in roster.workers) {
+            val worker = fleet.workers[ref.id]?.takeIf { it.ref == ref } ?: continue
+            if (!worker.lease.isInherited) continue
+            val lapsedBy =
+                roster.lapsedByMillis(ref, sightings, fleet.settings, inherited.lastHeartbeat)
+            worker.lease.limitInherited(lapsedBy)
+        }
+    }
+
     private fun longestLeftMillis(nowMillis: Long): Long? =
         fleet.workers.values.filter { it.lease.isInherited }
             .maxOfOrNull { it.lease.remainingMillis(nowMillis) }
@@ -80,18 +120,7 @@
         val inherited = unanswered?.takeIf { it.roster.epoch == epoch } ?: return
         if (!isInformed(process, report, inherited.roster)) return
         unanswered = null
-        val seenByHost = seenByHost(inherited, report, nowMillis)
-        for (ref in inherited.roster.workers) {
-            val worker = fleet.workers[ref.id]?.takeIf { it.ref == ref } ?: continue
-            if (!worker.lease.isInherited) continue
-            val lapsedBy = inherited.roster.lapsedByMillis(
-                ref,
-                seenByHost,
-                fleet.settings,
-                inherited.lastHeartbeat
-            )
-            worker.lease.limitInherited(lapsedBy)
-        }
+        limit(inherited, seenByHost(inherited, report, nowMillis))
         fleet.log(
             "standby-answered",
             "epoch-${fleet.epoch}",
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
@@ -152,7 +152,7 @@
         hasRosterChanged = false
         val leasesLeft = if (roster != null) leases.limit(nowMillis) else LeasesLeft.NONE
         val namedStandbys =
-            if (roster != null) standbys.onRosterFormed(leasesLeft.fixed.keys) else emptySet()
+            roster?.let { standbys.onRosterFormed(it.toSet(), leasesLeft.fixed.keys) }.orEmpty()
         inFlight = BatchInFlight(
             batch.map(::RecordedWorkflow),
             roster?.toSet(),
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RosterRecord.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RosterRecord.kt
@@ -17,7 +17,8 @@
  * While no heartbeat of the owner is durable, one counts that all [standbys] have acknowledged. If
  * there are none, only durable ones count. Those after [lastAnnounced] may lift limits in
  * [leasesLeft] of leases that had not lapsed, but not those of a planned handover. The owner is on
- * [host], which is missing in rosters of earlier versions.
+ * [host], which is missing in rosters of earlier versions. If it [needsWorkers], such a heartbeat
+ * counts only if a majority of [workers] have accepted an order that was sent after it.
  */
 @Serializable
 data class RosterRecord(
@@ -29,7 +30,8 @@
     val recordsPlaces: Boolean = false,
     val standbys: Set<HostProcess> = emptySet(),
     val lastAnnounced: Long = 0,
-    val host: String? = null
+    val host: String? = null,
+    val needsWorkers: Boolean = false
 ) {
     val version: RecordVersion get() = RecordVersion(epoch, batch)
 
@@ -98,6 +100,10 @@
         !isInformed(sightings) ||
             (sightings.liftedLimits[epoch]?.get(worker.id) ?: 0) > lastAnnounced
 
+    /** Whether no announced heartbeat counts any more once the workers [fenced] reject the owner. */
+    internal fun isFencedBy(fenced: Set<WorkerRef>): Boolean =
+        needsWorkers && workers.count { it in fenced } >= AcceptingWorkers.majority(workers)
+
     /**
      * Whether the owner counted a heartbeat that it announced only if the process of [sightings] had
      * acknowledged it.
@@ -115,8 +121,9 @@
         settings: SchedulerSettings
     ): Long {
         if (!isInformed(sightings)) {
-            return recordedByMillis +
-                SchedulerSettings.longestAnnouncedMillis()
+            val longest = recordedByMillis + SchedulerSettings.longestAnnouncedMillis()
+            val fencedMillis = sightings.fenced[epoch] ?: return longest
+            return minOf(longest, settings.lapsedAfterHeartbeat(fencedMillis))
         }
         return sightings.acknowledgedMillisOrNull(epoch)
             ?.let { settings.lapsedAfterHeartbeat(it) } ?: recordedByMillis
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
@@ -174,7 +174,7 @@
             crashes.onAnswered(worker)
         }
         worker.recordAnswer(report.clockMillis, report.receivedMillis)
-        worker.recordReport(nowMillis)
+        worker.recordReport(order.sentMillis, nowMillis)
         if (!worker.isReconciled || worker.contactFailures == 0) fleet.isPlacementDue = true
         if (!worker.isReconciled) worker.lease.recordFenced(fleet.settings.lapsedBy(nowMillis))
         worker.isReconciled = true
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Standbys.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Standbys.kt
@@ -6,6 +6,9 @@
  * whichever of them takes over counts from the last heartbeat that it acknowledged. A standby that
  * has ended can't take over, so its acknowledgement isn't awaited.
  *
+ * Such a heartbeat also needs a majority of the workers ([AcceptingWorkers]), which bounds it where
+ * no standby is left.
+ *
  * A process that isn't named in the last roster asks the standbys ([InheritedLeases]), also if an
  * earlier one of its host is named. If none answers it waits longer, by
  * [SchedulerSettings.LONGEST_ANNOUNCED_MILLIS], for which the owner may go on.
@@ -35,6 +38,7 @@
     private val acknowledged = HashMap<HostProcess, Long>()
     private val announcements = ArrayDeque<Announcement>()
     private val liftedLimits = LiftedLimits(fleet)
+    private val acceptingWorkers = AcceptingWorkers(fleet)
 
     /** The number of the last announcement that recorded lifted limits, by standby. */
     private val limitsKnown = HashMap<HostProcess, Long>()
@@ -78,11 +82,12 @@
     }
 
     /**
-     * Records that a roster is formed now, which limits the leases of the [limited] workers; returns
-     * the standbys that it names.
+     * Records that a roster of [workers] is formed now, which limits the leases of the [limited] ones;
+     * returns the standbys that it names.
      */
-    fun onRosterFormed(limited: Set<String>): Set<HostProcess> {
+    fun onRosterFormed(workers: Set<WorkerRef>, limited: Set<String>): Set<HostProcess> {
         liftedLimits.onRosterFormed(limited)
+        acceptingWorkers.onRosterFormed(workers)
         return current.also { inRecord = it }
     }
 
@@ -90,6 +95,7 @@
     fun onRosterDurable() {
         recorded = inRecord.orEmpty()
         inRecord = null
+        acceptingWorkers.onRosterDurable()
     }
 
     /**
@@ -127,6 +133,7 @@
     /** Announces a heartbeat if none has been durable for a while. */
     fun step(nowMillis: Long) {
         forgetUnregistered(nowMillis)
+        confirm(nowMillis)
         val mayAnnounce = own in recorded &&
             inRecord?.contains(own) != false &&
             nowMillis >= durableMillis + ANNOUNCE_AFTER_MILLIS &&
@@ -136,6 +143,7 @@
         if (announcements.isNotEmpty()) logSilent(nowMillis)
         lastAnnouncedMillis = nowMillis
         fleet.onHeartbeatFormed(nowMillis)
+        acceptingWorkers.requestReports()
         announcements += Announcement(++lastNumber, nowMillis)
         if (announcements.size > MAX_ANNOUNCEMENTS) announcements.removeFirst()
         fleet.outbox += SchedulerAction.Announce(
@@ -195,8 +203,12 @@
     }
 
     private fun confirm(nowMillis: Long) {
+        if (announcements.isEmpty()) return
         val number = needed().minOfOrNull { acknowledged[it] ?: 0 } ?: return
-        val confirmed = announcements.lastOrNull { it.number <= number } ?: return
+        val accepted = acceptingWorkers.acceptedMillisOrNull() ?: return
+        val confirmed = announcements.lastOrNull {
+            it.number <= number && it.formedMillis <= accepted
+        } ?: return
         while (announcements.first() !== confirmed) announcements.removeFirst()
         announcements.removeFirst()
         if (confirmedMillis == null || areSilent) {
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/StoreSightings.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/StoreSightings.kt
@@ -12,7 +12,8 @@
  * were on the host of this [process]. In [acknowledged] are the times at which it last acknowledged a
  * heartbeat that the owner of an epoch announced to it, and in [liftedLimits] the workers whose
  * limits these lifted, by the number of the last one that named them. If the owner of an epoch was
- * this process, its leases have lapsed by [leaseEnds].
+ * this process, its leases have lapsed by [leaseEnds]. By the times in [fenced], so many workers
+ * rejected the owner of an epoch that no heartbeat counts which it announced later.
  */
 data class StoreSightings(
     val claimedMillis: Long,
@@ -23,7 +24,8 @@
     val process: HostProcess = HostProcess(""),
     val acknowledged: Map<Long, Long> = emptyMap(),
     val leaseEnds: Map<Long, Map<WorkerRef, Long>> = emptyMap(),
-    val liftedLimits: Map<Long, Map<String, Long>> = emptyMap()
+    val liftedLimits: Map<Long, Map<String, Long>> = emptyMap(),
+    val fenced: Map<Long, Long> = emptyMap()
 ) {
     /** Returns a time not before the claim of [epoch], which may be this host's own. */
     fun claimedByMillis(epoch: Long): Long =
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerLease.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerLease.kt
@@ -17,6 +17,10 @@
     /** The same for the last durable heartbeat. */
     private var durableOffsetMillis: Long? = null
 
+    /** Whether a durable heartbeat was formed when the clock of this incarnation was known. */
+    var isClockDurable = false
+        private set
+
     /** The time by which the last lease granted to the worker has certainly lapsed. */
     var lapsedByMillis = Long.MIN_VALUE
         private set
@@ -51,7 +55,10 @@
     fun onHeartbeatKnown(formedMillis: Long, isDurable: Boolean, isLatest: Boolean = true) {
         val formedOffset = formedOffsets[formedMillis]
         if (formedOffset != null && isLatest) heartbeatOffsetMillis = formedOffset
-        if (formedOffset != null && isDurable) durableOffsetMillis = formedOffset
+        if (formedOffset != null && isDurable) {
+            durableOffsetMillis = formedOffset
+            isClockDurable = true
+        }
         // The record in flight may become durable after later heartbeats were acknowledged.
         if (isDurable) formedOffsets.keys.removeAll { it <= formedMillis }
     }
@@ -62,6 +69,7 @@
         formedOffsets.clear()
         heartbeatOffsetMillis = null
         durableOffsetMillis = null
+        isClockDurable = false
     }
 
     /**
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/InheritedLeasesTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/InheritedLeasesTest.kt
@@ -14,14 +14,20 @@
     private val claimedMillis = driver.now
     private val limitMillis = claimedMillis + LEFT_MILLIS
 
-    private fun inherit(owner: String = "h1") {
+    /** Inherits [worker] and [others], of which the last owner needed a majority if [needsWorkers]. */
+    private fun inherit(
+        owner: String = "h1",
+        others: List<String> = emptyList(),
+        needsWorkers: Boolean = true
+    ) {
         val roster = RosterRecord(
-            listOf(worker),
+            listOf(worker) + others.map(driver::ref),
             epoch = 3,
             leasesLeft = mapOf(worker.id to LEFT_MILLIS),
             standbys = setOf(HostProcess("h1/a"), HostProcess("h2/a")),
             lastAnnounced = 4,
-            host = owner
+            host = owner,
+            needsWorkers = needsWorkers
         )
         val sightings = StoreSightings(
             claimedMillis,
@@ -82,6 +88,53 @@
         expectThat(lapsedByMillis).isEqualTo(before)
     }
 
+    /** Lets the [workers] answer a poll at [atMillis] after the claim, and no other. */
+    private fun answerPolls(atMillis: Long, vararg workers: String) {
+        driver.step(claimedMillis + atMillis - driver.now)
+        driver.polls.filter { it.worker.id in workers }.forEach { driver.report(it) }
+        driver.step()
+    }
+
+    // Guards against a wait of 39 s if no standby and no host of the last owner is left (LOST, issue 52).
+    @Test
+    fun `counts from the answers of a majority of the workers if no host answers`() {
+        inherit(others = listOf("w1", "w2"))
+        answerPolls(atMillis = 400, "w1", "w2")
+        expectThat(lapsedByMillis).isEqualTo(settings.lapsedAfterHeartbeat(driver.now))
+    }
+
+    // Guards against an owner that goes on with a majority, unknown to its successor (TWICE).
+    @Test
+    fun `does not count from the answers of half of the workers`() {
+        inherit(others = listOf("w1", "w2", "w3"))
+        val before = lapsedByMillis
+        answerPolls(atMillis = 400, "w1", "w2")
+        expectThat(lapsedByMillis).isEqualTo(before)
+    }
+
+    // Guards against an owner of an earlier version, which goes on without any worker (TWICE).
+    @Test
+    fun `does not count from answers of workers that the last owner did not need`() {
+        inherit(others = listOf("w1", "w2"), needsWorkers = false)
+        val before = lapsedByMillis
+        answerPolls(atMillis = 400, "w1", "w2")
+        expectThat(lapsedByMillis).isEqualTo(before)
+    }
+
+    @Test
+    fun `logs that the last owner is fenced`() {
+        inherit(others = listOf("w1", "w2"))
+        driver.polls.filter { it.worker != worker }.forEach { driver.report(it) }
+        val event = driver.step().filterIsInstance<SchedulerAction.Log>().map { it.event }
+            .single { it.name == "last-owner-fenced" }
+        expectThat(event.fields) {
+            get { get("lastEpoch") }.isEqualTo(3L)
+            get { get("workers") }.isEqualTo(2)
+            get { get("ofWorkers") }.isEqualTo(3)
+            get { get("leaseLeftMillis") }.isEqualTo(lapsedByMillis - driver.now)
+        }
+    }
+
     private companion object {
         const val LEFT_MILLIS = 500L
     }
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
@@ -508,7 +508,8 @@
             batch.recordsPlaces,
             batch.standbys,
             batch.lastAnnounced,
-            name
+            name,
+            needsWorkers = true
         )
     }
 
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/RosterRecordTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/RosterRecordTest.kt
@@ -94,6 +94,20 @@
             .isEqualTo(settings.lapsedAfterHeartbeat(8_000) + extra)
     }
 
+    @Test
+    fun `counts from the time at which the last owner was fenced on a host that is no standby`() {
+        val fenced = seenBy("h3/a").copy(fenced = mapOf(3L to 12_000L))
+        expectThat(announcing.lapsedBy(fenced, heartbeat))
+            .isEqualTo(settings.lapsedAfterHeartbeat(12_000))
+        val earlier = seenBy("h3/a").copy(fenced = mapOf(3L to 7_000L))
+        expectThat(announcing.lapsedBy(earlier, heartbeat))
+            .isEqualTo(settings.lapsedAfterHeartbeat(8_000))
+        val ofOther = seenBy("h3/a").copy(fenced = mapOf(2L to 7_000L))
+        expectThat(announcing.lapsedBy(ofOther, heartbeat)).isEqualTo(
+            settings.lapsedAfterHeartbeat(8_000) + SchedulerSettings.longestAnnouncedMillis()
+        )
+    }
+
     @Test
     fun `counts from the last heartbeat as before if the roster names no standbys`() {
         expectThat(roster.lapsedBy(seenBy("h2/a"), heartbeat))
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/StandbysTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/StandbysTest.kt
@@ -37,6 +37,9 @@
     /** Whether workers answer no polls. */
     private var areWorkersSilent = false
 
+    /** The workers that never answer. */
+    private val silentWorkers = HashSet<String>()
+
     private var own = "h1"
 
     /** The hosts that acknowledge announcements. */
@@ -80,7 +83,7 @@
         if (driver.areRecordsDurableAtOnce && batches.any { it.isHeartbeat }) durableMillis = now
         val polls = driver.polls.filter { it !in before }
         driver.polls.forEach {
-            if (areWorkersSilent) {
+            if (areWorkersSilent || it.worker.id in silentWorkers) {
                 driver.answer(it, WorkerAnswer.Unknown("timeout"))
             } else {
                 driver.report(it, listOfNotNull(rows[it.worker.id]))
@@ -254,6 +257,31 @@
         )
     }
 
+    // Guards against leases that a successor can't know of which has reached most workers (TWICE).
+    @Test
+    fun `grants no lease past the last durable heartbeat's without a majority of the workers`() {
+        begin("h1", "h2", "h3", workers = 4)
+        loseStore("h2", "h3")
+        silentWorkers += setOf("w1", "w2")
+        val moments = play(15_000)
+        expectThat(moments.leaseEndsAfter(settings.leaseHorizonMillis)).isNotEmpty()
+            .all { isNull() }
+        expectThat(scheduler.succession.confirmedMillis).isNull()
+    }
+
+    @Test
+    fun `grants leases with a majority of the workers, also if most of these are idle`() {
+        begin("h1", "h2", "h3")
+        driver.listWorkers("w1", "x1", "x2", "x3", "x4")
+        play(2_000)
+        loseStore("h2", "h3")
+        silentWorkers += setOf("x1", "x2")
+        val polls = play(25_000).polls.filter { it.worker.id == "w1" }
+        expectThat(polls.filter { it.sentMillis > durableMillis + 20_000 }).isNotEmpty().all {
+            get { leaseEndMillis }.isNotNull()
+        }
+    }
+
     @Test
     fun `grants no lease past the last durable heartbeat's while one standby is silent`() {
         begin("h1", "h2", "h3")
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/StoreOutageTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/StoreOutageTest.kt
@@ -108,6 +108,20 @@
         }
     }
 
+    // Guards against an owner that extends leases after its successor has reached most workers (TWICE).
+    @Test
+    fun `restarts tasks once and in time if a new host reaches most workers but no other host`() {
+        for (seed in 1L..8) {
+            for (startMillis in 2_000L..14_000L step 4_000) {
+                val schedule = SuccessionSchedule(seed, SuccessionFaults(emptySet()))
+                val millis = schedule.playNewHostWithMostWorkers(OUTAGE_MILLIS, startMillis)
+                val case = "seed $seed, started after $startMillis ms"
+                expectThat(millis).describedAs(case).isLessThan(12_000)
+                expectThat(schedule.violations).describedAs(case).isEmpty()
+            }
+        }
+    }
+
     // Guards against a process that takes an earlier one's knowledge for its own (TWICE).
     @Test
     fun `no task runs twice if a restarted standby succeeds an owner that goes on`() {
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionSchedule.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionSchedule.kt
@@ -233,7 +233,7 @@
     /**
      * Plays that all hosts lose the store at [fromMillis] and are suspended for [suspendMillis]
      * three times, while a new host has the store. Neither reaches the other, and each reaches the
-     * workers that the other doesn't.
+     * workers that the other doesn't, the old ones a majority.
      */
     fun playNewHostBesideSuspendedOnes(fromMillis: Long, suspendMillis: Long) {
         begin()
@@ -245,10 +245,7 @@
                 cut(host.name, HostWorld.STORE, END_MILLIS)
                 cut(host.name, added.name, END_MILLIS)
             }
-            for ((index, id) in entries.keys.withIndex()) {
-                val without = if (index % 2 == 0) old else listOf(added)
-                without.forEach { cut(it.name, id, END_MILLIS) }
-            }
+            divideWorkers(old, MAJORITY, listOf(added))
             added.start()
             for (i in 1L..3) {
                 time.at(fromMillis + i * SUSPENSION_INTERVAL_MILLIS) {
@@ -262,7 +259,8 @@
 
     /**
      * Plays that all hosts lose the store at [fromMillis], while a new host has the store and reaches
-     * only one standby, which is stopped [stopMillis] later, and the workers that the others don't.
+     * only one standby, which is stopped [stopMillis] later, and the minority of workers that the
+     * others don't.
      */
     fun playNewHostBesideStoppedStandby(fromMillis: Long, stopMillis: Long) {
         begin()
@@ -273,10 +271,7 @@
             hosts += added
             old.forEach { cut(it.name, HostWorld.STORE, END_MILLIS) }
             (old - stopped).forEach { cut(it.name, added.name, END_MILLIS) }
-            for ((index, id) in entries.keys.withIndex()) {
-                val without = if (index % 2 == 0) old else listOf(added)
-                without.forEach { cut(it.name, id, END_MILLIS) }
-            }
+            divideWorkers(old, MAJORITY, listOf(added))
             time.at(fromMillis + NEW_HOST_MILLIS) { added.start() }
             time.at(fromMillis + stopMillis) { stop(stopped) }
         }
@@ -287,7 +282,7 @@
     /**
      * Plays that all hosts lose the store at [fromMillis], and a standby is stopped and has the store
      * when it starts again. From then on, neither it nor the others reach each other, and each reaches
-     * the workers that the other doesn't.
+     * the workers that the other doesn't, the others a majority.
      */
     fun playRestartedStandbyBesideOwner(fromMillis: Long) {
         begin()
@@ -295,10 +290,7 @@
             hosts.forEach { cut(it.name, HostWorld.STORE, END_MILLIS) }
             val stopped = hosts.first { it.term == null }
             val others = hosts - stopped
-            for ((index, id) in entries.keys.withIndex()) {
-                val without = if (index % 2 == 0) others else listOf(stopped)
-                without.forEach { cut(it.name, id, END_MILLIS) }
-            }
+            divideWorkers(others, MAJORITY, listOf(stopped))
             time.at(fromMillis + FIRST_STOP_MILLIS) { stop(stopped) }
             time.at(fromMillis + FIRST_STOP_MILLIS + MAX_DELAY_MILLIS) {
                 others.forEach { cut(it.name, stopped.name, END_MILLIS) }
@@ -309,6 +301,43 @@
         time.playUntil(END_MILLIS)
     }
 
+    /**
+     * Plays that all hosts lose the store at [fromMillis], and [startMillis] later a new host starts
+     * that has the store. From then on, neither it nor the others reach each other, and only it
+     * reaches a majority of the workers, the others the rest.
+     *
+     * Returns how long after the start of the new host all lasting tasks run for good, once leases of
+     * the workers that it doesn't reach have lapsed.
+     */
+    fun playNewHostWithMostWorkers(fromMillis: Long, startMillis: Long): Long {
+        begin()
+        val splitMillis = fromMillis + startMillis
+        time.at(fromMillis) { hosts.forEach { cut(it.name, HostWorld.STORE, END_MILLIS) } }
+        time.at(splitMillis) {
+            val old = hosts.toList()
+            val added = newHost("h${++lastHost}")
+            hosts += added
+            old.forEach {
+                cut(it.name, added.name, END_MILLIS)
+                cut(added.name, it.name, END_MILLIS)
+            }
+            divideWorkers(listOf(added), MAJORITY, old)
+            added.start()
+        }
+        awaitLasting(splitMillis + SchedulerSettings().leaseHorizonMillis + 1)
+        observe()
+        time.playUntil(END_MILLIS)
+        return checkNotNull(restoredMillis) { "the lasting tasks never run" } - splitMillis
+    }
+
+    /** From now on, only [some] hosts reach the first [count] workers, and only [others] the rest. */
+    private fun divideWorkers(some: List<ModelHost>, count: Int, others: List<ModelHost>) {
+        for ((index, id) in entries.keys.withIndex()) {
+            val without = if (index < count) others else some
+            without.forEach { cut(it.name, id, END_MILLIS) }
+        }
+    }
+
     private fun newHost(name: String): ModelHost {
         val error = faults.hostClockError
         return ModelHost(name, this, PER_MILLE + random.nextLong(-error, error + 1))
@@ -711,6 +740,7 @@
     private companion object {
         const val HOSTS = 4
         const val WORKERS = 6
+        const val MAJORITY = 4
         const val LASTING = "lasting"
         const val LASTING_TASKS = 8
         const val LASTING_MILLIS = 10_000_000L
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
@@ -143,6 +143,7 @@
             "drainingLeases" to (roster.drainingLeasesLeft?.size ?: 0),
             "recordsPlaces" to roster.recordsPlaces,
             "standbys" to roster.standbys.size,
+            "needsWorkers" to roster.needsWorkers,
             "isStandby" to (term.sightings.process in roster.standbys),
             "acknowledgedMillisAgo" to
                 term.sightings.acknowledgedMillisOrNull(roster.epoch)
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/RecordWriter.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/RecordWriter.kt
@@ -70,7 +70,8 @@
                 batch.recordsPlaces,
                 batch.standbys,
                 batch.lastAnnounced,
-                term.sightings.process.host
+                term.sightings.process.host,
+                needsWorkers = true
             )
             puts += StorePut(WorkflowKeys.roster(set), encodeRecord(record))
             puts +=
