--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerSettings.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerSettings.kt
@@ -122,11 +122,11 @@
         /** How often an owner writes a heartbeat, which allows it to grant leases for a while. */
         const val HEARTBEAT_INTERVAL_MILLIS = 600L
 
-        /** Leases have their full length while heartbeats come at twice their interval or faster. */
+        /** Shorter leases have their full length while heartbeats come at twice their interval. */
         private const val LEASE_HORIZON_SLACK_MILLIS = 1_400L
 
-        /** Lets the tasks of a worker that is lost together with the owner restart within 9 s. */
-        private const val LONGEST_LEASE_HORIZON_MILLIS = 7_400L
+        /** Lets the tasks of a worker that is lost together with the owner restart within 7 s. */
+        private const val LONGEST_LEASE_HORIZON_MILLIS = 6_000L
 
         /**
          * How long after a durable heartbeat an owner may announce heartbeats to standbys instead.
