--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/InheritedLeases.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/InheritedLeases.kt
@@ -20,10 +20,13 @@
         /** The workers that have answered this owner, also those that were lost later. */
         val fenced = HashSet<WorkerRef>()
         var isFenced = false
+
+        /** Whether a host has answered, so that none is asked any more; later answers count too. */
+        var isAnswered = false
     }
 
-    /** What a standby's answer would tell more about, or null. */
-    private var unanswered: Inheritance? = null
+    /** What answers would tell more about, or null. */
+    private var inherited: Inheritance? = null
     private var nextAskMillis = Long.MIN_VALUE
     private var askedCount = 0
 
@@ -40,20 +43,20 @@
             directory.addRosteredWorker(worker, lapsedBy)
         }
         if (!roster.isInformed(sightings)) {
-            unanswered =
+            inherited =
                 Inheritance(roster, sightings, lastHeartbeat)
         }
     }
 
     /** Asks the standbys until one has answered or no worker is missing. */
     fun step(nowMillis: Long) {
-        val inherited = unanswered ?: return
-        noteFenced(inherited, nowMillis)
-        if (nowMillis < nextAskMillis) return
+        val inherited = inherited ?: return
         if (fleet.isFleetReconciled()) {
-            unanswered = null
+            this.inherited = null
             return
         }
+        noteFenced(inherited, nowMillis)
+        if (nowMillis < nextAskMillis || inherited.isAnswered) return
         nextAskMillis = nowMillis + ASK_INTERVAL_MILLIS
         val roster = inherited.roster
         if (++askedCount == LOGGED_QUESTION) logUnanswered(roster, nowMillis)
@@ -117,9 +120,9 @@
      * any more.
      */
     fun onAnswered(process: HostProcess, epoch: Long, report: StandbyReport, nowMillis: Long) {
-        val inherited = unanswered?.takeIf { it.roster.epoch == epoch } ?: return
+        val inherited = inherited?.takeIf { it.roster.epoch == epoch } ?: return
         if (!isInformed(process, report, inherited.roster)) return
-        unanswered = null
+        inherited.isAnswered = true
         limit(inherited, seenByHost(inherited, report, nowMillis))
         fleet.log(
             "standby-answered",
@@ -128,6 +131,7 @@
             "acknowledgedMillisAgo" to report.millisAgo,
             "isOwnerEnd" to report.isOwnerEnd,
             "liftedLimits" to report.liftedLimits?.size,
+            "heartbeatMillisAgo" to report.lastHeartbeat?.millisAgo,
             "leaseLeftMillis" to longestLeftMillis(nowMillis)
         )
     }
@@ -148,20 +152,30 @@
         nowMillis: Long
     ): StoreSightings {
         val roster = inherited.roster
-        val sureMillisAgo =
-            report.millisAgo - 2 * SchedulerSettings.maxClockError(report.millisAgo)
-        val lastMillis = nowMillis - sureMillisAgo
+        val lastMillis = nowMillis - sureMillis(report.millisAgo)
         val lifted = report.liftedLimits
             ?: roster.leasesLeft.orEmpty().mapValues { Long.MAX_VALUE }
-        val ends = inherited.sightings.ends
-        return inherited.sightings.copy(
+        val own = inherited.sightings
+        val ends = own.ends
+        val seen = report.lastHeartbeat
+        val heartbeats = if (seen == null) {
+            own.heartbeats
+        } else {
+            val seenMillis = nowMillis - sureMillis(seen.millisAgo)
+            own.heartbeats + (seen.version to minOf(seenMillis, own.heartbeatMillis(seen.version)))
+        }
+        return own.copy(
             process = roster.standbys.first(),
+            heartbeats = heartbeats,
             acknowledged = mapOf(roster.epoch to lastMillis),
             ends = if (report.isOwnerEnd) ends + (roster.epoch to lastMillis) else ends,
             liftedLimits = mapOf(roster.epoch to lifted)
         )
     }
 
+    /** Returns how long [millis] of another host's clock are on this one's at least. */
+    private fun sureMillis(millis: Long): Long = millis - 2 * SchedulerSettings.maxClockError(millis)
+
     private companion object {
         const val ASK_INTERVAL_MILLIS = 600L
 
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/InheritedLeasesTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/InheritedLeasesTest.kt
@@ -78,6 +78,42 @@
             .isEqualTo(settings.lapsedBy(driver.now, isDraining = true))
     }
 
+    // Guards against a restarted host that counts a heartbeat from its own start (LOST, issue 52).
+    @Test
+    fun `counts from when a standby saw the last durable heartbeat`() {
+        inherit()
+        driver.step(2_000)
+        val seen = HeartbeatSighting(heartbeat, millisAgo = 3_000)
+        answer("h2/a", StandbyReport(60_000, liftedLimits = null, lastHeartbeat = seen))
+        val clockErrors = 2 * SchedulerSettings.maxClockError(3_000)
+        expectThat(lapsedByMillis)
+            .isEqualTo(settings.lapsedAfterHeartbeat(driver.now - 3_000 + clockErrors))
+    }
+
+    // Guards against the age of a heartbeat that was not the last one (TWICE).
+    @Test
+    fun `counts nothing from when a standby saw an earlier heartbeat`() {
+        inherit()
+        val earlier = HeartbeatSighting(heartbeat.copy(batch = 6), millisAgo = 3_000)
+        answer("h2/a", StandbyReport(60_000, liftedLimits = null, lastHeartbeat = earlier))
+        expectThat(lapsedByMillis).isEqualTo(settings.lapsedAfterHeartbeat(claimedMillis))
+    }
+
+    @Test
+    fun `takes a later answer that tells more`() {
+        inherit()
+        driver.step(1_000)
+        answer("h1/a", StandbyReport(1_000, liftedLimits = null))
+        val acknowledgedMillis =
+            driver.now - 1_000 + 2 * SchedulerSettings.maxClockError(1_000)
+        expectThat(lapsedByMillis).isEqualTo(settings.lapsedAfterHeartbeat(acknowledgedMillis))
+        val seen = HeartbeatSighting(heartbeat, millisAgo = 5_000)
+        answer("h2/a", StandbyReport(60_000, liftedLimits = null, lastHeartbeat = seen))
+        val clockErrors = 2 * SchedulerSettings.maxClockError(5_000)
+        expectThat(lapsedByMillis)
+            .isEqualTo(settings.lapsedAfterHeartbeat(driver.now - 5_000 + clockErrors))
+    }
+
     // Guards against the answer of a process that the owner didn't await (TWICE).
     @Test
     fun `takes no answer of another process than the named ones`() {
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
@@ -461,7 +461,11 @@
         val report = when {
             self in question.standbys -> {
                 val last = maxOf(startedMillis, acknowledged[lastEpoch] ?: startedMillis)
-                StandbyReport(clock() - last, liftedLimits[lastEpoch].orEmpty().toMap())
+                StandbyReport(
+                    clock() - last,
+                    liftedLimits[lastEpoch].orEmpty().toMap(),
+                    lastHeartbeat = lastHeartbeatOrNull(lastEpoch)
+                )
             }
 
             name == question.lastOwner && !mayOwn ->
@@ -473,6 +477,10 @@
         reply(self, report)
     }
 
+    private fun lastHeartbeatOrNull(epoch: Long): HeartbeatSighting? =
+        heartbeatsSeen.filterKeys { it.epoch == epoch }.maxByOrNull { it.key.batch }
+            ?.let { (version, seenMillis) -> HeartbeatSighting(version, clock() - seenMillis) }
+
     private fun mayAcknowledge(epoch: Long): Boolean {
         val seenMillis = heartbeatsSeen.filterKeys { it.epoch == epoch }.values.maxOrNull()
         return epoch == lastEpochSeen &&
--- a/daemon/src/main/kotlin/sycamoremast/daemon/peer/StandbyMessages.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/peer/StandbyMessages.kt
@@ -3,6 +3,7 @@
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import sycamoremast.coordination.workflow.HeartbeatSighting
 
 /**
  * The heartbeat [number] of the owner of [epoch]. Limits in its rosters so far of leases of the
@@ -59,12 +60,13 @@
 ) : PeerMessage
 
 /**
- * The answer of the process with the ID [process] to a [StandbyQuery]: in the last [millisAgo] milliseconds, the sender has acknowledged
- * no heartbeat of the owner of [lastEpoch], or, if [isOwnerEnd], that owner, which was on the sender's
- * host, had ended. The sender acknowledges none of its heartbeats any more.
+ * The answer of the process with the ID [process] to a [StandbyQuery]: in the last [millisAgo]
+ * milliseconds, the sender has acknowledged no heartbeat of the owner of [lastEpoch], or, if
+ * [isOwnerEnd], that owner, which was on the sender's host, had ended. The sender acknowledges none of its heartbeats any more.
  *
  * [liftedLimits] gives the workers whose limits those heartbeats have lifted, by the number of the
- * last one that named them, or null if the sender doesn't know.
+ * last one that named them, or null if the sender doesn't know. [lastHeartbeat] is the last durable
+ * heartbeat of that owner that the sender has seen.
  */
 @Serializable
 @SerialName("standby-answer")
@@ -73,5 +75,6 @@
     @SerialName("a") val millisAgo: Long,
     @SerialName("w") val liftedLimits: Map<String, Long>? = null,
     @SerialName("o") val isOwnerEnd: Boolean = false,
-    @SerialName("p") val process: String = ""
+    @SerialName("p") val process: String = "",
+    @SerialName("h") val lastHeartbeat: HeartbeatSighting? = null
 ) : PeerMessage
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/OwnerHistory.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/OwnerHistory.kt
@@ -3,6 +3,7 @@
 
 import java.util.concurrent.ConcurrentSkipListMap
 import sycamoremast.coordination.MonotonicClock
+import sycamoremast.coordination.workflow.HeartbeatSighting
 import sycamoremast.coordination.workflow.HostProcess
 import sycamoremast.coordination.workflow.RecordVersion
 import sycamoremast.coordination.workflow.SchedulerSettings
@@ -81,10 +82,9 @@
     fun acknowledge(heartbeat: OwnerHeartbeat): Boolean {
         val epoch = heartbeat.epoch
         val now = clock.nowMillis()
-        val durableMillis = heartbeats.floorEntry(RecordVersion(epoch, Long.MAX_VALUE))
-            ?.takeIf { it.key.epoch == epoch }?.value
-        if (epoch != lastEpoch || durableMillis == null) return false
-        if (now > durableMillis + SchedulerSettings.LONGEST_ANNOUNCED_MILLIS) return false
+        val durable = lastHeartbeatOrNull(epoch)
+        if (epoch != lastEpoch || durable == null) return false
+        if (durable.millisAgo > SchedulerSettings.LONGEST_ANNOUNCED_MILLIS) return false
         acknowledged[epoch] = now
         if (acknowledged.size > MAX_SIGHTINGS) acknowledged.pollFirstEntry()
         recordLimits(heartbeat)
@@ -113,18 +113,24 @@
 
     /**
      * Returns how long ago this host last acknowledged a heartbeat of the owner of [lastEpoch], or
-     * may have done so in an earlier process, for the owner of [epoch], and which limits those have
-     * lifted. From now on, no heartbeat of an earlier owner is acknowledged.
+     * may have done so in an earlier process, for the owner of [epoch], which limits those have
+     * lifted, and when it saw the last durable one. From now on, no heartbeat of an earlier owner is acknowledged.
      */
     @Synchronized
     fun report(epoch: Long, lastEpoch: Long): StandbyReport {
         endAcknowledgements(epoch)
         return StandbyReport(
             clock.nowMillis() - (acknowledged[lastEpoch] ?: startedMillis),
-            liftedLimits[lastEpoch].orEmpty()
+            liftedLimits[lastEpoch].orEmpty(),
+            lastHeartbeat = lastHeartbeatOrNull(lastEpoch)
         )
     }
 
+    private fun lastHeartbeatOrNull(epoch: Long): HeartbeatSighting? =
+        heartbeats.floorEntry(RecordVersion(epoch, Long.MAX_VALUE))
+            ?.takeIf { it.key.epoch == epoch }
+            ?.let { HeartbeatSighting(it.key, clock.nowMillis() - it.value) }
+
     /** From now on, acknowledges no heartbeat of owners before that of [epoch]. */
     @Synchronized
     fun endAcknowledgements(epoch: Long) {
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/StandbyPeers.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/StandbyPeers.kt
@@ -148,7 +148,8 @@
         report.millisAgo,
         report.liftedLimits,
         report.isOwnerEnd,
-        self.id
+        self.id,
+        report.lastHeartbeat
     )
 
     /** A process that has announced its end must not answer, as it isn't waited for any more. */
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowHost.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowHost.kt
@@ -119,8 +119,12 @@
         }
         standbys.onAnswered = { process, answer ->
             ownership.loop?.updateSuccession {
-                val report =
-                    StandbyReport(answer.millisAgo, answer.liftedLimits, answer.isOwnerEnd)
+                val report = StandbyReport(
+                    answer.millisAgo,
+                    answer.liftedLimits,
+                    answer.isOwnerEnd,
+                    answer.lastHeartbeat
+                )
                 onStandbyAnswered(process, answer.lastEpoch, report, it)
             }
         }
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/OwnerHistoryTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/OwnerHistoryTest.kt
@@ -7,6 +7,7 @@
 import strikt.assertions.isNull
 import strikt.assertions.isTrue
 import sycamoremast.coordination.MonotonicClock
+import sycamoremast.coordination.workflow.HeartbeatSighting
 import sycamoremast.coordination.workflow.HostProcess
 import sycamoremast.coordination.workflow.RecordVersion
 import sycamoremast.coordination.workflow.SchedulerSettings
@@ -169,11 +170,28 @@
         acknowledge(3, number = 5)
         val lifted = mapOf("w1" to 4L, "w2" to 4L)
         now = 3_000
-        expectThat(history.report(epoch = 4, lastEpoch = 3)).isEqualTo(StandbyReport(2_000, lifted))
+        val seen = HeartbeatSighting(RecordVersion(3, 1), 2_000)
+        expectThat(history.report(epoch = 4, lastEpoch = 3))
+            .isEqualTo(StandbyReport(2_000, lifted, lastHeartbeat = seen))
         expectThat(claim(4).liftedLimits).isEqualTo(mapOf(3L to lifted))
         expectThat(history.report(epoch = 5, lastEpoch = 4).liftedLimits).isEqualTo(emptyMap())
     }
 
+    // Guards against a successor that counts an old heartbeat from its own start (LOST, issue 52).
+    @Test
+    fun `tells a successor when it first saw the last heartbeat of its predecessor`() {
+        listOwner(3)
+        now = 2_000
+        listHeartbeat(3, batch = 5)
+        now = 3_000
+        listHeartbeat(3, batch = 5)
+        listHeartbeat(2, batch = 9)
+        now = 4_000
+        expectThat(history.report(epoch = 5, lastEpoch = 3).lastHeartbeat)
+            .isEqualTo(HeartbeatSighting(RecordVersion(3, 5), millisAgo = 2_000))
+        expectThat(history.report(epoch = 5, lastEpoch = 4).lastHeartbeat).isNull()
+    }
+
     @Test
     fun `records no limits of heartbeats that it does not acknowledge`() {
         listOwner(3)
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/StandbyPeersTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/StandbyPeersTest.kt
@@ -15,7 +15,9 @@
 import sycamoremast.coordination.MonotonicClock
 import sycamoremast.coordination.StoreTransaction
 import sycamoremast.coordination.membership.IncarnationClaim
+import sycamoremast.coordination.workflow.HeartbeatSighting
 import sycamoremast.coordination.workflow.HostProcess
+import sycamoremast.coordination.workflow.RecordVersion
 import sycamoremast.coordination.workflow.SchedulerAction
 import sycamoremast.coordination.workflow.StandbyReport
 import sycamoremast.daemon.control.eventually
@@ -329,14 +331,15 @@
         expectThat(ownKnown.first()).isEqualTo(setOf("w1", "w2"))
         val answers = ConcurrentLinkedQueue<StandbyAnswer>()
         owner.peers.onAnswered = { _, answer -> answers += answer }
-        standby.peers.report = { StandbyReport(300, mapOf("w1" to 5L)) }
+        val seen = HeartbeatSighting(RecordVersion(7, 2), millisAgo = 900)
+        standby.peers.report = { StandbyReport(300, mapOf("w1" to 5L), lastHeartbeat = seen) }
         eventually("it answers") {
             ask("standby/a")
             answers.isNotEmpty()
         }
-        expectThat(
-            answers.first()
-        ).isEqualTo(StandbyAnswer(7, 300, mapOf("w1" to 5L), process = "a"))
+        expectThat(answers.first()).isEqualTo(
+            StandbyAnswer(7, 300, mapOf("w1" to 5L), process = "a", lastHeartbeat = seen)
+        )
     }
 
     private fun hasLoggedQuery(text: String) =
