--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RosterRecord.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RosterRecord.kt
@@ -54,7 +54,11 @@
         return when {
             left != null -> limitedByMillis(worker, left, sightings, settings, lastHeartbeat)
 
-            drainingLeft != null -> sightings.claimedByMillis(epoch + 1) + drainingLeft
+            // The worker has answered the owner of this roster, whose heartbeats limit its leases.
+            drainingLeft != null -> minOf(
+                sightings.claimedByMillis(epoch + 1) + drainingLeft,
+                grantedByMillis(sightings, settings, lastHeartbeat, isShort = false)
+            )
 
             else -> grantedByMillis(sightings, settings, lastHeartbeat, isShort = false)
         }
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/RosterRecordTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/RosterRecordTest.kt
@@ -20,6 +20,16 @@
             .isEqualTo(settings.lapsedAfterHeartbeat(8_000))
     }
 
+    // Guards against a draining worker that is waited for from the claim of a later host (LOST, issue 52).
+    @Test
+    fun `counts a draining worker from the claim or from the last heartbeat, whichever is sooner`() {
+        val draining = roster.copy(drainingLeasesLeft = mapOf(worker.id to 5_000L))
+        expectThat(draining.lapsedBy(sightings, heartbeat))
+            .isEqualTo(settings.lapsedAfterHeartbeat(8_000))
+        val late = sightings.copy(heartbeats = mapOf(heartbeat to 9_500L))
+        expectThat(draining.lapsedBy(late, heartbeat)).isEqualTo(15_000)
+    }
+
     @Test
     fun `counts from the claim for a heartbeat that this host has not seen`() {
         expectThat(roster.lapsedBy(sightings, RecordVersion(3, 8)))
