--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/InheritedLeases.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/InheritedLeases.kt
@@ -174,7 +174,8 @@
     }
 
     /** Returns how long [millis] of another host's clock are on this one's at least. */
-    private fun sureMillis(millis: Long): Long = millis - 2 * SchedulerSettings.maxClockError(millis)
+    private fun sureMillis(millis: Long): Long =
+        millis - 2 * SchedulerSettings.maxClockError(millis)
 
     private companion object {
         const val ASK_INTERVAL_MILLIS = 600L
