--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/RestartCensus.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/RestartCensus.kt
@@ -59,7 +59,28 @@
     ZONE_OF_OWNER_AND_WORKER(10_000),
 
     /** All hosts are killed at once and start again, and the worker crashes. */
-    ALL_HOSTS_AND_WORKER(CensusSteps.RESTART_MILLIS),
+    ALL_HOSTS_AND_WORKER(CensusHosts.RESTART_MILLIS),
+
+    /** Like [ALL_HOSTS_AND_WORKER], but the owner's host doesn't start again. */
+    ALL_HOSTS_AND_WORKER_OWNER_GONE(CensusHosts.RESTART_MILLIS),
+
+    /** All hosts are gone at once, others come that were never registered, and the worker crashes. */
+    ALL_HOSTS_REPLACED_AND_WORKER(CensusHosts.RESTART_MILLIS),
+
+    /** Like [ALL_HOSTS_AND_WORKER], and half of the workers crash and come back under their IDs. */
+    ALL_HOSTS_AND_WORKER_HALF_REBORN(CensusHosts.RESTART_MILLIS),
+
+    /** Like [ALL_HOSTS_AND_WORKER_OWNER_GONE], and over half of the workers crash. */
+    ALL_HOSTS_AND_MOST_WORKERS_OWNER_GONE(CensusHosts.RESTART_MILLIS),
+
+    /** Like [STORE_AND_WORKER], all hosts are killed with the worker, and the owner's is gone. */
+    STORE_AND_WORKER_AND_ALL_HOSTS(10_000),
+
+    /**
+     * The owner's and a standby's host are gone, others come that were never registered, and the
+     * worker crashes. Standbys are left to succeed at once.
+     */
+    OWNER_AND_STANDBY_REPLACED_AND_WORKER(0),
 
     /** The worker crashes and comes back under its ID. */
     REBORN_WORKER(CensusSteps.REBIRTH_MILLIS),
@@ -69,7 +90,6 @@
 }
 
 private object CensusSteps {
-    const val RESTART_MILLIS = 1_500L
     const val REBIRTH_MILLIS = 1_000L
     private val demand = Resources(1_000L, 1_000)
     val short = WorkflowStep(1, demand)
@@ -94,7 +114,7 @@
     private val entries = LinkedHashMap<String, WorkerListing>()
     override val listings: Map<String, WorkerListing> get() = entries
     private val workers = LinkedHashMap<WorkerRef, ModelWorker>()
-    private val hosts = (1..HOSTS).map { ModelHost("h$it", this, PER_MILLE) }
+    private val hosts = CensusHosts(this)
     private val monitor = RunMonitor { workers.values }
 
     /** Until when hosts are cut off from workers or the store. */
@@ -114,9 +134,7 @@
      */
     fun play(observedMillis: Long = OBSERVED_MILLIS): RestartTimes {
         repeat(WORKERS) { addWorker("w${it + 1}") }
-        hosts.forEach { store.register(HostProcess.of(it.name, "1")) }
-        store.onOwnerChanged = { hosts.forEach { it.onOwnerKey() } }
-        hosts.forEach { host -> time.at(random.nextLong(MAX_START_MILLIS)) { host.start() } }
+        hosts.begin { random.nextLong(MAX_START_MILLIS) }
         time.at(SUBMIT_MILLIS) { store.accept(job()) }
         if (work.isDraining) time.at(lossMillis - DRAIN_MILLIS) { drain(worker()) }
         time.at(lossMillis) {
@@ -147,8 +165,6 @@
     private fun worker(): ModelWorker =
         workers.values.first { it.isUp && tasks.first() in it.running }
 
-    private fun owner(): ModelHost = hosts.first { it.term != null }
-
     private fun observe() {
         workers.values.forEach { it.advance(now) }
         val wasComplete = isComplete
@@ -164,50 +180,65 @@
     }
 
     private fun lose() {
-        log("$loss, worker ${worker().ref}, owner ${owner().name}")
+        log("$loss, worker ${worker().ref}, owner ${hosts.owner.name}")
         when (loss) {
-            CensusLoss.WORKER -> crash(worker())
+            CensusLoss.OWNER -> hosts.restart(hosts.owner)
 
-            CensusLoss.OWNER -> restart(owner())
+            CensusLoss.ZONE_OF_OWNER -> cutOffZone(areOthersCut = false)
 
-            CensusLoss.WORKER_AND_OWNER -> loseWorkerAndOwner()
+            CensusLoss.ZONE_OF_OWNER_AND_WORKER -> cutOffZone(areOthersCut = true)
 
-            CensusLoss.WORKER_AND_STOPPED_OWNER -> {
-                crash(worker())
-                stop(owner())
-            }
+            CensusLoss.REBORN_WORKER -> rebear(worker())
 
-            CensusLoss.WORKER_AND_OWNER_SERIES -> {
-                loseWorkerAndOwner()
-                for (i in 1..2) time.at(now + i * SERIES_MILLIS) { restart(owner()) }
+            CensusLoss.REBORN_WORKER_AND_OWNER -> {
+                rebear(worker())
+                hosts.restart(hosts.owner)
             }
 
             CensusLoss.STORE_AND_WORKER,
             CensusLoss.STORE_AND_WORKER_AND_OWNER,
             CensusLoss.STORE_AND_WORKER_AND_STANDBY,
+            CensusLoss.STORE_AND_WORKER_AND_ALL_HOSTS,
             CensusLoss.STORE_AND_WORKER_AND_STOPS -> loseStore()
 
-            CensusLoss.ZONE_OF_OWNER -> cutOffZone(areOthersCut = false)
+            else -> {
+                val lost = worker()
+                crash(lost)
+                loseHosts(lost)
+            }
+        }
+    }
 
-            CensusLoss.ZONE_OF_OWNER_AND_WORKER -> cutOffZone(areOthersCut = true)
+    /** Loses the hosts that are lost together with the worker [lost] while the store is up. */
+    private fun loseHosts(lost: ModelWorker) = when (loss) {
+        CensusLoss.WORKER -> Unit
 
-            CensusLoss.ALL_HOSTS_AND_WORKER -> {
-                crash(worker())
-                hosts.forEach { restart(it) }
-            }
+        CensusLoss.WORKER_AND_OWNER -> hosts.restart(hosts.owner)
 
-            CensusLoss.REBORN_WORKER -> rebear(worker())
+        CensusLoss.WORKER_AND_STOPPED_OWNER -> hosts.stop(hosts.owner)
 
-            CensusLoss.REBORN_WORKER_AND_OWNER -> {
-                rebear(worker())
-                restart(owner())
-            }
+        CensusLoss.WORKER_AND_OWNER_SERIES -> hosts.restartOwners()
+
+        CensusLoss.ALL_HOSTS_AND_WORKER -> hosts.restartAll()
+
+        CensusLoss.ALL_HOSTS_AND_WORKER_OWNER_GONE -> hosts.restartAllButOwner()
+
+        CensusLoss.ALL_HOSTS_REPLACED_AND_WORKER -> hosts.replace(hosts.all)
+
+        CensusLoss.ALL_HOSTS_AND_WORKER_HALF_REBORN -> {
+            (workers.values - lost).take(WORKERS / 2).forEach(::rebear)
+            hosts.restartAll()
         }
-    }
 
-    private fun loseWorkerAndOwner() {
-        crash(worker())
-        restart(owner())
+        CensusLoss.ALL_HOSTS_AND_MOST_WORKERS_OWNER_GONE -> {
+            (workers.values - lost).take(WORKERS / 2).forEach(::crash)
+            hosts.restartAllButOwner()
+        }
+
+        CensusLoss.OWNER_AND_STANDBY_REPLACED_AND_WORKER ->
+            hosts.replace(listOf(hosts.owner, hosts.standby))
+
+        else -> error("not a loss of hosts beside the worker: $loss")
     }
 
     private fun loseStore() {
@@ -216,46 +247,38 @@
         time.at(lastMillis) { store.comeUp() }
         time.at(now + loss.lastMillis / 2) {
             crash(lost)
-            if (loss == CensusLoss.STORE_AND_WORKER_AND_OWNER) restart(owner())
+            when (loss) {
+                CensusLoss.STORE_AND_WORKER_AND_OWNER -> hosts.restart(hosts.owner)
+                CensusLoss.STORE_AND_WORKER_AND_ALL_HOSTS -> hosts.restartAllButOwner()
+                else -> Unit
+            }
         }
         if (loss == CensusLoss.STORE_AND_WORKER_AND_STANDBY) {
-            time.at(now + STANDBY_MILLIS) { restart(hosts.first { it.term == null }) }
-        }
-        if (loss != CensusLoss.STORE_AND_WORKER_AND_STOPS) return
-        for ((index, host) in hosts.withIndex()) {
-            time.at(now + (index + 1) * STOP_INTERVAL_MILLIS) { stop(host) }
+            time.at(now + STANDBY_MILLIS) { hosts.restart(hosts.standby) }
         }
+        if (loss == CensusLoss.STORE_AND_WORKER_AND_STOPS) hosts.stopInTurn()
     }
 
     private fun cutOffZone(areOthersCut: Boolean) {
-        val cutHosts = (listOf(owner()) + (hosts - owner())).take(HOSTS / ZONES)
+        val ownerFirst = listOf(hosts.owner) + (hosts.all - hosts.owner)
+        val cutHosts = ownerFirst.take(ownerFirst.size / ZONES)
         val near = (listOf(worker()) + (workers.values - worker())).take(WORKERS / ZONES)
         for (host in cutHosts) {
             cutUntil[host.name to HostWorld.STORE] = lastMillis
             (workers.values - near.toSet()).forEach { cut(host, it) }
-            (hosts - cutHosts.toSet()).forEach { other ->
+            (ownerFirst - cutHosts.toSet()).forEach { other ->
                 cutUntil[host.name to other.name] = lastMillis
                 cutUntil[other.name to host.name] = lastMillis
             }
         }
         if (!areOthersCut) return
-        for (host in hosts - cutHosts.toSet()) near.forEach { cut(host, it) }
+        for (host in ownerFirst - cutHosts.toSet()) near.forEach { cut(host, it) }
     }
 
     private fun cut(host: ModelHost, worker: ModelWorker) {
         cutUntil[host.name to worker.ref.id] = lastMillis
     }
 
-    private fun restart(host: ModelHost) {
-        host.kill()
-        startLater(host)
-    }
-
-    private fun stop(host: ModelHost) = host.stop { startLater(host) }
-
-    private fun startLater(host: ModelHost) =
-        time.at(now + CensusSteps.RESTART_MILLIS) { if (!host.isUp) host.start() }
-
     private fun crash(worker: ModelWorker) {
         worker.crash()
         time.at(now + EXPIRY_MILLIS) { entries -= worker.ref.id }
@@ -305,7 +328,7 @@
 
     override fun tell(from: String, to: String, receive: (ModelHost) -> Unit) {
         if (!reaches(from, to)) return
-        time.at(now + delayMillis()) { hosts.find { it.name == to }?.let(receive) }
+        time.at(now + delayMillis()) { hosts.findOrNull(to)?.let(receive) }
     }
 
     override fun log(text: String) {
@@ -339,10 +362,8 @@
 
     private companion object {
         const val JOB = "job"
-        const val HOSTS = 6
         const val WORKERS = 9
         const val ZONES = 3
-        const val PER_MILLE = 1_000L
         const val CAPACITY_MILLI_CPUS = 12_000L
 
         /** Longer than a play; runs have to make progress of a percent in three seconds. */
@@ -358,8 +379,6 @@
         const val LOSS_SPREAD_MILLIS = 1_200L
         const val DRAIN_MILLIS = 1_000L
         const val STANDBY_MILLIS = 1_000L
-        const val SERIES_MILLIS = 4_000L
-        const val STOP_INTERVAL_MILLIS = 1_200L
         const val EXPIRY_MILLIS = 3_300L
 
         /** Longer than a task may be off after the last disruption. */
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/RestartCensusTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/RestartCensusTest.kt
@@ -82,6 +82,36 @@
     fun `restarts work in time after all hosts and its worker are lost`() =
         expectRestarts(CensusLoss.ALL_HOSTS_AND_WORKER)
 
+    // Guards against a wait for announced heartbeats of which nobody is left to tell (LOST, issue 52).
+    @Test
+    fun `restarts work in time after all hosts are lost and the owner's is gone`() =
+        expectRestarts(CensusLoss.ALL_HOSTS_AND_WORKER_OWNER_GONE)
+
+    // Guards against a bound that needs a process or host which the roster names (LOST, issue 52).
+    @Test
+    fun `restarts work in time after all hosts are replaced and its worker is lost`() =
+        expectRestarts(CensusLoss.ALL_HOSTS_REPLACED_AND_WORKER)
+
+    // Guards against a bound that needs workers which remember the last owner (LOST, issue 52).
+    @Test
+    fun `restarts work in time after all hosts are lost and half of the workers are reborn`() =
+        expectRestarts(CensusLoss.ALL_HOSTS_AND_WORKER_HALF_REBORN)
+
+    // Guards against a bound that needs a majority of the last owner's workers (LOST, issue 52).
+    @Test
+    fun `restarts work in time after hosts and most workers are lost and the owner's is gone`() =
+        expectRestarts(CensusLoss.ALL_HOSTS_AND_MOST_WORKERS_OWNER_GONE)
+
+    // Guards against leases counted from the store's return where nobody can tell (LOST, issue 52).
+    @Test
+    fun `restarts work in time after all hosts are lost in an outage and the owner's is gone`() =
+        expectRestarts(CensusLoss.STORE_AND_WORKER_AND_ALL_HOSTS)
+
+    // Guards against a successor that awaits the hosts that are gone, not the others (LOST, issue 52).
+    @Test
+    fun `restarts work in time after its worker is lost as two hosts are replaced`() =
+        expectRestarts(CensusLoss.OWNER_AND_STANDBY_REPLACED_AND_WORKER)
+
     @Test
     fun `restarts work in time after its worker is reborn`() =
         expectRestarts(CensusLoss.REBORN_WORKER)
