--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/LiftedLimits.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/LiftedLimits.kt
@@ -2,8 +2,8 @@
  * The limits in the roster that no longer hold, although the roster can't be recorded anew.
  *
  * In an outage of the store, the heartbeats that the owner announces name the workers that answer
- * again. Once all standbys have acknowledged one that names a worker, its limit is lifted: whichever
- * of them takes over counts from the last heartbeat that it acknowledged, as for other workers. A
+ * again. Once one counts that names a worker, its limit is lifted: whichever standby
+ * takes over counts from the last heartbeat that it acknowledged, as for other workers. A
  * limit is lifted only before the last lease has lapsed, as no run is left on the worker after that.
  *
  * The leases are as short as those of draining workers. A host that knows nothing of lifted limits
@@ -47,7 +47,10 @@
         named.keys -= limited
     }
 
-    /** Records that all standbys know the workers that the announcement [number] named. */
+    /**
+     * Records that all standbys know the workers that the announcement [number] named, and that this
+     * heartbeat counts.
+     */
     fun onKnown(number: Long) {
         val known = named.filterValues { it <= number }.keys
         val added = known - fleet.leaseLimits.lifted
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Standbys.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Standbys.kt
@@ -198,7 +198,6 @@
         )
         acknowledged.merge(process, number, ::maxOf)
         if (recordsLimits) limitsKnown.merge(process, number, ::maxOf)
-        liftedLimits.onKnown(needed().minOf { limitsKnown[it] ?: 0 })
         confirm(nowMillis)
     }
 
@@ -224,6 +223,8 @@
         areSilent = false
         confirmedMillis = confirmed.formedMillis
         fleet.onHeartbeatKnown(confirmed.formedMillis, isDurable = false)
+        val limitsKnownTo = needed().minOf { limitsKnown[it] ?: 0 }
+        liftedLimits.onKnown(minOf(limitsKnownTo, confirmed.number))
     }
 
     private fun logSilent(nowMillis: Long) {
@@ -238,6 +239,7 @@
             "first" to missing.take(MAX_NAMED).joinToString(","),
             "needed" to others().size,
             "ended" to ended.size,
+            "workersMillisAgo" to acceptingWorkers.acceptedMillisOrNull()?.let { nowMillis - it },
             "heartbeatMillisAgo" to nowMillis - known
         )
     }
