--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/InheritedLeases.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/InheritedLeases.kt
@@ -6,8 +6,8 @@
  * host when that owner ended. A single answer is enough, as a heartbeat counted only if all standbys
  * that had not ended themselves had acknowledged it.
  *
- * Without any answer, a bound comes from the workers: once a majority of those in the roster have
- * answered this owner, they reject the last one, which can't extend leases by a later heartbeat.
+ * Without any answer, a bound comes from the workers: those that have answered this owner reject the
+ * last one, which can't extend leases by a later heartbeat once no majority is left for it.
  */
 package sycamoremast.coordination.workflow
 
@@ -103,7 +103,8 @@
     private fun limit(inherited: Inheritance, sightings: StoreSightings) {
         val roster = inherited.roster
         for (ref in roster.workers) {
-            val worker = fleet.workers[ref.id]?.takeIf { it.ref == ref } ?: continue
+            // Also at another address, the worker has inherited no other lease than this one.
+            val worker = fleet.workers[ref.id] ?: continue
             if (!worker.lease.isInherited) continue
             val lapsedBy =
                 roster.lapsedByMillis(ref, sightings, fleet.settings, inherited.lastHeartbeat)
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RosterRecord.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RosterRecord.kt
@@ -104,9 +104,12 @@
         !isInformed(sightings) ||
             (sightings.liftedLimits[epoch]?.get(worker.id) ?: 0) > lastAnnounced
 
-    /** Whether no announced heartbeat counts any more once the workers [fenced] reject the owner. */
+    /**
+     * Whether no announced heartbeat counts any more once the workers [fenced] reject the owner, as
+     * the others are no majority.
+     */
     internal fun isFencedBy(fenced: Set<WorkerRef>): Boolean =
-        needsWorkers && workers.count { it in fenced } >= AcceptingWorkers.majority(workers)
+        needsWorkers && workers.count { it !in fenced } < AcceptingWorkers.majority(workers)
 
     /**
      * Whether the owner counted a heartbeat that it announced only if the process of [sightings] had
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/AcceptingWorkersTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/AcceptingWorkersTest.kt
@@ -103,6 +103,22 @@
         expectThat(accepting.acceptedMillisOrNull()).isNull()
     }
 
+    // Guards against leases that a successor which has read the other roster does not know (TWICE).
+    @Test
+    fun `counts from the roster whose majority answered earlier`() {
+        begin()
+        val added = List(5) { WorkerRef("x$it", "10.0.1.$it:1") }
+        added.forEach(::add)
+        accepting.onRosterFormed(added.toSet())
+        refs.indices.forEach { answer(it, 500) }
+        added.forEach { fleet.workers.getValue(it.id).recordAnswer(100, 100) }
+        makeHeartbeatDurable(550)
+        added.forEach { fleet.workers.getValue(it.id).recordReport(300, 310) }
+        expectThat(accepting.acceptedMillisOrNull()).isEqualTo(300)
+        added.forEach { fleet.workers.getValue(it.id).recordReport(900, 910) }
+        expectThat(accepting.acceptedMillisOrNull()).isEqualTo(500)
+    }
+
     @Test
     fun `does not count a worker at another address`() {
         begin()
