--- a/configuration/src/main/kotlin/sycamoremast/configuration/ini/SectionReader.kt
+++ b/configuration/src/main/kotlin/sycamoremast/configuration/ini/SectionReader.kt
@@ -24,6 +24,24 @@
         return section.entry(key) != null
     }
 
+    /**
+     * Returns why no value is told for [key], or null if one is told; marks [key] as known.
+     *
+     * A settings file may be filled in from a template that asks for more than its deployment
+     * tells: such a value is empty, or its placeholder is left. A value that holds a placeholder
+     * beside other text is told, but malformed.
+     */
+    fun untoldReasonOrNull(key: String): String? {
+        knownKeys += key
+        val value = section.entry(key)?.value
+        return when {
+            value == null -> "the key is missing"
+            value.isEmpty() -> "the value is empty"
+            PLACEHOLDER.matches(value) -> "the placeholder $value is not filled in"
+            else -> null
+        }
+    }
+
     /** Returns the text at [key]; a missing key is an error unless there is a [default]. */
     fun text(key: String, default: String? = null): String? =
         convert(key, default, "must not be empty") { it.ifEmpty { null } }
@@ -84,4 +102,8 @@
             .filter { it.key !in knownKeys }
             .forEach { reject(it.key, "the key is unknown; known are $knownList") }
     }
+
+    private companion object {
+        val PLACEHOLDER = Regex("""\{\{[^{}]*}}""")
+    }
 }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowSettings.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowSettings.kt
@@ -14,12 +14,16 @@
 import sycamoremast.configuration.ini.SectionReader
 import sycamoremast.coordination.workflow.SchedulerSettings
 
+/** The [value] at [key] is a default, as the deployment tells none: [reason] says how. */
+data class SettingDefault(val key: String, val value: String, val reason: String)
+
 /**
  * The settings of one host.
  *
  * [drainMillis] is how long a stopping host continues to answer callers; it has to be well below
- * [graceMillis], the time after which the platform kills it. [cores] is the processing power that the host may
- * use: its share of the processor multiplied by the processor's speed in cores.
+ * [graceMillis], the time after which the platform kills it. [cores] is the processing power that
+ * the host may use: its share of the processor multiplied by the processor's speed in cores.
+ * [defaults] are the settings that the deployment doesn't tell although the host asks for them.
  */
 data class WorkflowSettings(
     val host: String,
@@ -34,7 +38,8 @@
     val drainMillis: Long = DEFAULT_DRAIN_MILLIS,
     val cores: Double = 1.0,
     val limits: WorkflowLimits = WorkflowLimits(),
-    val graceMillis: Long = defaultGraceMillis(drainMillis)
+    val graceMillis: Long = defaultGraceMillis(drainMillis),
+    val defaults: List<SettingDefault> = emptyList()
 ) {
     /** How long a stopping owner may go on in an outage of the store. */
     val longestHandOverMillis: Long get() = (graceMillis - STOP_MARGIN_MILLIS).coerceAtLeast(0)
@@ -50,9 +55,19 @@
         private const val HAND_OVER_MILLIS = 3_000L
         private const val LONGEST_GRACE_SECONDS = 600.0
         private const val MILLIS_PER_SECOND = 1_000
-
-        /** Without a known time a stop takes no longer than it may where the store answers. */
-        private fun defaultGraceMillis(drainMillis: Long) = drainMillis + HAND_OVER_MILLIS
+        private const val GRACE_KEY = "grace-seconds"
+        private const val GRACE_RULE = "must be a number above 0 and up to $LONGEST_GRACE_SECONDS"
+
+        /**
+         * Without a told time a stop takes no longer in an outage of the store than it may where
+         * the store answers: callers are drained while the owner hands over.
+         *
+         * If that is too short, leases lapse in a longer outage. If it is too long, the owner is
+         * killed before it tells the other hosts of its end, and its successor waits for all
+         * leases that it may have extended.
+         */
+        private fun defaultGraceMillis(drainMillis: Long) =
+            maxOf(drainMillis, HAND_OVER_MILLIS) + STOP_MARGIN_MILLIS
 
         /** The progress of so many tasks, about 50 bytes each, fits into one record of 1 MB. */
         const val DEFAULT_MAX_TASKS_PER_WORKFLOW = 10_000L
@@ -87,6 +102,8 @@
             private val document: IniDocument,
             private val errors: MutableList<IniError>
         ) {
+            private val defaults = mutableListOf<SettingDefault>()
+
             fun read(): WorkflowSettings? {
                 val host = section("host") { text("name") to text("availability-zone") }
                 val listen = section("listen") {
@@ -122,7 +139,8 @@
                         times.bind().drainMillis,
                         cores.bind(),
                         limits.bind(),
-                        times.bind().graceMillis
+                        times.bind().graceMillis,
+                        defaults
                     )
                 }
             }
@@ -135,14 +153,18 @@
                 return nullable { Times(lease.bind(), stop.bind(), drain.bind(), grace.bind()) }
             }
 
-            private fun SectionReader.graceMillis(drainMillis: Long): Long? = convert(
-                "grace-seconds",
-                defaultGraceMillis(drainMillis),
-                "must be a number above 0 and up to $LONGEST_GRACE_SECONDS"
-            ) { text ->
+            private fun SectionReader.graceMillis(drainMillis: Long): Long? {
+                val untoldReason = untoldReasonOrNull(GRACE_KEY)
+                    ?: return convert(GRACE_KEY, null, GRACE_RULE, ::parseGraceMillisOrNull)
+                val default = defaultGraceMillis(drainMillis)
+                val seconds = default.toDouble() / MILLIS_PER_SECOND
+                defaults += SettingDefault(GRACE_KEY, "$seconds", untoldReason)
+                return default
+            }
+
+            private fun parseGraceMillisOrNull(text: String): Long? =
                 text.toDoubleOrNull()?.takeIf { it > 0 && it <= LONGEST_GRACE_SECONDS }
                     ?.let { (it * MILLIS_PER_SECOND).toLong() }
-            }
 
             private fun SectionReader.cores(): Double? {
                 val share = positiveNumber("cpu-share")
