--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
@@ -61,6 +61,12 @@
     var leaseHorizon = LeaseHorizon.NONE
         private set
 
+    /**
+     * Whether the leases that the last owner may have granted are bounded only by the longest time,
+     * as no host has told how long it went on, nor enough workers have rejected it.
+     */
+    var isLastOwnerUnknown = false
+
     /** What the store may tell the next owner about leases of workers. */
     var leaseLimits = LeaseLimits.NONE
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/InheritedLeases.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/InheritedLeases.kt
@@ -45,6 +45,7 @@
         if (!roster.isInformed(sightings)) {
             inherited =
                 Inheritance(roster, sightings, lastHeartbeat)
+            fleet.isLastOwnerUnknown = true
         }
     }
 
@@ -88,6 +89,7 @@
         }
         if (!roster.isFencedBy(inherited.fenced)) return
         inherited.isFenced = true
+        fleet.isLastOwnerUnknown = false
         limit(inherited, inherited.sightings.copy(fenced = mapOf(roster.epoch to nowMillis)))
         fleet.log(
             "last-owner-fenced",
@@ -124,6 +126,7 @@
         val inherited = inherited?.takeIf { it.roster.epoch == epoch } ?: return
         if (!isInformed(process, report, inherited.roster)) return
         inherited.isAnswered = true
+        fleet.isLastOwnerUnknown = false
         limit(inherited, seenByHost(inherited, report, nowMillis))
         fleet.log(
             "standby-answered",
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
@@ -102,12 +102,18 @@
      * Whether the first roster waits for the first answers of inherited workers.
      *
      * A worker that has answered by then is not limited, and may get a lease once the roster is
-     * durable.
+     * durable. The limits of the others bind the next owner too, so a roster with the longest ones
+     * waits longer for answers that shorten them.
      */
     private fun isAwaitingAnswers(nowMillis: Long): Boolean {
         if (fleet.isRosterDurable) return false
         val first = firstStepMillis ?: nowMillis.also { firstStepMillis = it }
-        return nowMillis < first + FIRST_ROSTER_DELAY_MILLIS &&
+        val delayMillis = if (fleet.isLastOwnerUnknown) {
+            LONGEST_FIRST_ROSTER_DELAY_MILLIS
+        } else {
+            FIRST_ROSTER_DELAY_MILLIS
+        }
+        return nowMillis < first + delayMillis &&
             fleet.workers.values.any { it.lease.isInherited && !it.isSilent }
     }
 
@@ -212,6 +218,9 @@
         /** Many times the response time of a worker. */
         const val FIRST_ROSTER_DELAY_MILLIS = 200L
 
+        /** The response time of a worker whose orders wait for a relay, and a second attempt. */
+        const val LONGEST_FIRST_ROSTER_DELAY_MILLIS = 1_000L
+
         /**
          * Callers may see counts of waiting workflows that are 2 s old; this takes up half of that.
          */
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/InheritedLeasesTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/InheritedLeasesTest.kt
@@ -2,6 +2,7 @@
 
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
 
@@ -176,6 +177,34 @@
         expectThat(lapsedByMillis).isEqualTo(before)
     }
 
+    // Guards against a roster that passes the wait of 39 s on to the next owner (LOST, issue 52).
+    @Test
+    fun `records the first roster once the last owner is fenced`() {
+        inherit(others = listOf("w1", "w2"))
+        while (driver.now < claimedMillis + 700) {
+            expectThat(driver.step().filterIsInstance<SchedulerAction.Record>()).isEmpty()
+        }
+        driver.polls.filter { it.worker != worker }.forEach { driver.report(it) }
+        driver.step()
+        val fencedMillis = driver.now
+        driver.step()
+        expectThat(driver.records.single().leasesLeft.fixed).isEqualTo(
+            mapOf(worker.id to settings.lapsedAfterHeartbeat(fencedMillis) - driver.now)
+        )
+    }
+
+    @Test
+    fun `records the first roster after a second if too few workers answer`() {
+        inherit(others = listOf("w1", "w2"))
+        val rosters = ArrayList<RecordBatch>()
+        while (driver.now < claimedMillis + 1_200) {
+            driver.step()
+            rosters += driver.records.filter { it.roster != null }
+        }
+        expectThat(rosters.first().leasesLeft.fixed.keys)
+            .isEqualTo(setOf(worker.id, "w1", "w2"))
+    }
+
     @Test
     fun `logs that the last owner is fenced`() {
         inherit(others = listOf("w1", "w2"))
