--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerLease.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerLease.kt
@@ -77,15 +77,16 @@
      * time has passed or no clock is known.
      *
      * The times are converted by the offsets known at the heartbeats from which they count: this
-     * owner's clock doesn't count the time for which the owner was suspended since.
+     * owner's clock doesn't count the time for which the owner was suspended since. Where the offset
+     * known now is smaller, the worker's clock has lagged while nobody read it.
      */
     fun longestMillis(nowMillis: Long, latest: LeaseHorizon): Long {
         val offset = clockOffsetMillis ?: return -1
         val heartbeatOffset = heartbeatOffsetMillis ?: return -1
         val durableOffset = durableOffsetMillis ?: return -1
         val endMillis = minOf(
-            latest.knownMillis + heartbeatOffset,
-            latest.durableMillis + durableOffset
+            latest.knownMillis + minOf(heartbeatOffset, offset),
+            latest.durableMillis + minOf(durableOffset, offset)
         )
         return endMillis - nowMillis - offset
     }
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/RosterRecordTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/RosterRecordTest.kt
@@ -22,7 +22,7 @@
 
     // Guards against a draining worker that is waited for from the claim of a later host (LOST, issue 52).
     @Test
-    fun `counts a draining worker from the claim or from the last heartbeat, whichever is sooner`() {
+    fun `counts a draining worker from the claim or the last heartbeat, whichever is sooner`() {
         val draining = roster.copy(drainingLeasesLeft = mapOf(worker.id to 5_000L))
         expectThat(draining.lapsedBy(sightings, heartbeat))
             .isEqualTo(settings.lapsedAfterHeartbeat(8_000))
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/WorkerLeaseTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/WorkerLeaseTest.kt
@@ -3,6 +3,7 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.isNull
 
 class WorkerLeaseTest {
@@ -84,4 +85,37 @@
             .after(5_000, isDurable = false, settings)
         expectThat(lease.endOrNull(5_000, horizon, isDraining = false, settings)).isNull()
     }
+
+    // Guards against an offset that was read long before the heartbeat, of an idle worker (TWICE).
+    @Test
+    fun `grants a worker that was idle for long no longer lease than the heartbeat allows`() {
+        val heartbeatMillis = 300_000L
+        lease.recordClock(clockMillis = 0, receivedMillis = 0)
+        lease.onHeartbeatFormed(heartbeatMillis)
+        lease.onHeartbeatKnown(heartbeatMillis, isDurable = true)
+        val horizon = LeaseHorizon.NONE.after(heartbeatMillis, isDurable = true, settings)
+
+        // A task starts; from then on polls read the clock, which lags by 2%.
+        fun clock(millis: Long) = millis - millis / 50
+        val pollMillis = heartbeatMillis + 5_000
+        lease.recordClock(clock(pollMillis), pollMillis)
+        val end = lease.endOrNull(pollMillis, horizon, isDraining = false, settings) ?: 0
+        expectThat(end).isLessThanOrEqualTo(clock(settings.lapsedAfterHeartbeat(heartbeatMillis)))
+    }
+
+    // Guards against the first offset of an incarnation, which is later than the heartbeat (TWICE).
+    @Test
+    fun `grants a worker that restarts no longer lease than the heartbeat before a suspension`() {
+        lease.recordClock(clockMillis = 1_000, receivedMillis = 1_000)
+        lease.onHeartbeatFormed(1_000)
+        lease.onHeartbeatKnown(1_000, isDurable = true)
+        val horizon = LeaseHorizon.NONE.after(1_000, isDurable = true, settings)
+        // 4 s pass that the owner's clock doesn't count; the worker restarts 1 s before it answers.
+        lease.forgetClock()
+        lease.recordClock(clockMillis = 1_000, receivedMillis = 2_000)
+        val trueMillisSinceHeartbeat = 1_000 + 4_000
+        val left = settings.leaseHorizonMillis - trueMillisSinceHeartbeat
+        val end = lease.endOrNull(2_000, horizon, isDraining = false, settings) ?: 0
+        expectThat(end).isLessThanOrEqualTo(1_000 + left)
+    }
 }
