--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/AcceptingWorkers.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/AcceptingWorkers.kt
@@ -3,8 +3,8 @@
  *
  * A worker rejects the orders of an owner once a later one has reached it. A heartbeat that isn't
  * durable counts only if a majority of the workers in the last roster have accepted an order that was
- * sent after it. A successor that has reached a majority of the same workers thus knows that no later
- * heartbeat counts, without a word from any host.
+ * sent after it. Once the others are no majority, a successor thus knows that no later heartbeat
+ * counts, without a word from any host.
  */
 package sycamoremast.coordination.workflow
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/InheritedLeases.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/InheritedLeases.kt
@@ -26,7 +26,7 @@
     }
 
     /** What answers would tell more about, or null. */
-    private var inherited: Inheritance? = null
+    private var inheritance: Inheritance? = null
     private var nextAskMillis = Long.MIN_VALUE
     private var askedCount = 0
 
@@ -43,17 +43,17 @@
             directory.addRosteredWorker(worker, lapsedBy)
         }
         if (!roster.isInformed(sightings)) {
-            inherited =
-                Inheritance(roster, sightings, lastHeartbeat)
+            inheritance = Inheritance(roster, sightings, lastHeartbeat)
             fleet.isLastOwnerUnknown = true
         }
     }
 
     /** Asks the standbys until one has answered or no worker is missing. */
     fun step(nowMillis: Long) {
-        val inherited = inherited ?: return
+        val inherited = inheritance ?: return
         if (fleet.isFleetReconciled()) {
-            this.inherited = null
+            inheritance = null
+            fleet.isLastOwnerUnknown = false
             return
         }
         noteFenced(inherited, nowMillis)
@@ -123,7 +123,7 @@
      * any more.
      */
     fun onAnswered(process: HostProcess, epoch: Long, report: StandbyReport, nowMillis: Long) {
-        val inherited = inherited?.takeIf { it.roster.epoch == epoch } ?: return
+        val inherited = inheritance?.takeIf { it.roster.epoch == epoch } ?: return
         if (!isInformed(process, report, inherited.roster)) return
         inherited.isAnswered = true
         fleet.isLastOwnerUnknown = false
@@ -160,7 +160,6 @@
         val lifted = report.liftedLimits
             ?: roster.leasesLeft.orEmpty().mapValues { Long.MAX_VALUE }
         val own = inherited.sightings
-        val ends = own.ends
         val seen = report.lastHeartbeat
         val heartbeats = if (seen == null) {
             own.heartbeats
@@ -172,7 +171,7 @@
             process = roster.standbys.first(),
             heartbeats = heartbeats,
             acknowledged = mapOf(roster.epoch to lastMillis),
-            ends = if (report.isOwnerEnd) ends + (roster.epoch to lastMillis) else ends,
+            ends = if (report.isOwnerEnd) own.ends + (roster.epoch to lastMillis) else own.ends,
             liftedLimits = mapOf(roster.epoch to lifted)
         )
     }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/LiftedLimits.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/LiftedLimits.kt
@@ -2,9 +2,9 @@
  * The limits in the roster that no longer hold, although the roster can't be recorded anew.
  *
  * In an outage of the store, the heartbeats that the owner announces name the workers that answer
- * again. Once one counts that names a worker, its limit is lifted: whichever standby
- * takes over counts from the last heartbeat that it acknowledged, as for other workers. A
- * limit is lifted only before the last lease has lapsed, as no run is left on the worker after that.
+ * again. Once one counts that names a worker, its limit is lifted: whichever standby takes over
+ * counts from the last heartbeat that it acknowledged, as for other workers. A limit is lifted only
+ * before the last lease has lapsed, as no run is left on the worker after that.
  *
  * The leases are as short as those of draining workers. A host that knows nothing of lifted limits
  * but when the owner had ended has to assume that all of them were.
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Standbys.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Standbys.kt
@@ -10,8 +10,8 @@
  * no standby is left.
  *
  * A process that isn't named in the last roster asks the standbys ([InheritedLeases]), also if an
- * earlier one of its host is named. If none answers it waits longer, by
- * [SchedulerSettings.LONGEST_ANNOUNCED_MILLIS], for which the owner may go on.
+ * earlier one of its host is named. If none answers, and half of the workers don't either, it waits
+ * longer, by [SchedulerSettings.LONGEST_ANNOUNCED_MILLIS], for which the owner may go on.
  */
 package sycamoremast.coordination.workflow
 
--- a/daemon/src/main/kotlin/sycamoremast/daemon/peer/StandbyMessages.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/peer/StandbyMessages.kt
@@ -62,7 +62,8 @@
 /**
  * The answer of the process with the ID [process] to a [StandbyQuery]: in the last [millisAgo]
  * milliseconds, the sender has acknowledged no heartbeat of the owner of [lastEpoch], or, if
- * [isOwnerEnd], that owner, which was on the sender's host, had ended. The sender acknowledges none of its heartbeats any more.
+ * [isOwnerEnd], that owner, which was on the sender's host, had ended. The sender acknowledges none
+ * of its heartbeats any more.
  *
  * [liftedLimits] gives the workers whose limits those heartbeats have lifted, by the number of the
  * last one that named them, or null if the sender doesn't know. [lastHeartbeat] is the last durable
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/OwnerHistory.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/OwnerHistory.kt
@@ -114,7 +114,8 @@
     /**
      * Returns how long ago this host last acknowledged a heartbeat of the owner of [lastEpoch], or
      * may have done so in an earlier process, for the owner of [epoch], which limits those have
-     * lifted, and when it saw the last durable one. From now on, no heartbeat of an earlier owner is acknowledged.
+     * lifted, and when it saw the last durable one. From now on, no heartbeat of an earlier owner is
+     * acknowledged.
      */
     @Synchronized
     fun report(epoch: Long, lastEpoch: Long): StandbyReport {
