--- a/daemon/src/main/kotlin/sycamoremast/daemon/PlatformAdapters.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/PlatformAdapters.kt
@@ -15,7 +15,7 @@
 import sycamoremast.daemon.platform.platformHttpClient
 import sycamoremast.daemon.settings.DaemonSettings
 
-/** Adapters to the platform's services, which share one HTTP connection pool. */
+/** Adapters to the platform's services, which share the threads of one HTTP client. */
 internal class PlatformAdapters private constructor(
     private val http: OkHttpClient,
     val store: KeyValueStore,
--- a/daemon/src/main/kotlin/sycamoremast/daemon/platform/JsonClient.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/platform/JsonClient.kt
@@ -2,12 +2,17 @@
  * A JSON client over HTTP that reports whether any byte of a request may have left this host.
  *
  * OkHttp's retries and redirects are disabled, so that a request is sent at most once.
+ *
+ * Connections may go silent without a reset, all of a peer's at one moment. A call that gets no
+ * answer is the only sign of it, so the idle connections to that peer are then discarded: the next
+ * call opens a new one. Connections in use are left alone; each ends with its own call.
  */
 package sycamoremast.daemon.platform
 
 import java.io.IOException
 import java.util.concurrent.TimeUnit.MILLISECONDS
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 import kotlinx.serialization.json.Json
 import okhttp3.Call
 import okhttp3.Callback
@@ -45,9 +50,17 @@
     val timeout: Duration? = null
 )
 
-/** Calls the peer at [address], an IP address with a port and an optional path. */
-class JsonClient(address: String, private val http: OkHttpClient) {
+/**
+ * Calls the peer at [address], an IP address with a port and an optional path.
+ *
+ * Uses the settings and threads of [http], and connections of its own, which are kept open for
+ * [keepAlive] while idle.
+ */
+class JsonClient(address: String, http: OkHttpClient, keepAlive: Duration = DEFAULT_KEEP_ALIVE) {
     private val base = "http://$address"
+    private val connections =
+        ConnectionPool(MAX_IDLE_CONNECTIONS, keepAlive.inWholeMilliseconds, MILLISECONDS)
+    private val http = http.newBuilder().connectionPool(connections).build()
 
     fun get(path: String): CallResult = execute(Request.Builder().url(base + path))
 
@@ -92,7 +105,10 @@
 
     private fun failure(e: IOException, tracker: SendTracker): CallResult {
         val reason = e.message ?: e.javaClass.simpleName
-        return if (tracker.hasStarted) CallResult.AnswerLost(reason) else CallResult.NotSent(reason)
+        if (!tracker.hasStarted) return CallResult.NotSent(reason)
+        val idleCount = connections.idleConnectionCount()
+        connections.evictAll()
+        return CallResult.AnswerLost("$reason; idle connections discarded: $idleCount")
     }
 
     /** Returns a call for a streamed response, limited by [idleTimeout] but not in total time. */
@@ -122,6 +138,10 @@
 
     companion object {
         private val CONTENT_TYPE_JSON = "application/json".toMediaType()
+
+        /** As many as one host has calls to one peer at the same time. */
+        private const val MAX_IDLE_CONNECTIONS = 64
+        private val DEFAULT_KEEP_ALIVE = 60.seconds
     }
 }
 
@@ -155,9 +175,5 @@
     .connectTimeout(timeouts.connect.inWholeMilliseconds, MILLISECONDS)
     .callTimeout(timeouts.call.inWholeMilliseconds, MILLISECONDS)
     .readTimeout(timeouts.call.inWholeMilliseconds, MILLISECONDS)
-    .connectionPool(ConnectionPool(MAX_IDLE_CONNECTIONS, KEEP_ALIVE_MILLIS, MILLISECONDS))
     .eventListenerFactory { it.request().tag(SendTracker::class.java) ?: EventListener.NONE }
     .build()
-
-private const val MAX_IDLE_CONNECTIONS = 64
-private const val KEEP_ALIVE_MILLIS = 60_000L
