--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunMaintenance.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunMaintenance.kt
@@ -96,8 +96,11 @@
     private fun poll(worker: FleetWorker, nowMillis: Long) {
         val leaseEnd = leases.endOrNull(worker, nowMillis)
         val isIncarnationKnown = worker.isIncarnationKnown(nowMillis)
+        val acknowledges = isIncarnationKnown && worker.recordedEnd > worker.acknowledgedEnd
+        // A poll that waits in the worker's next incarnation would acknowledge ends as they come.
         val mayWait = worker.isReconciled &&
             isIncarnationKnown &&
+            !acknowledges &&
             worker.contactFailures == 0 &&
             worker.placements.isNotEmpty() &&
             worker.seenEnd == worker.recordedEnd &&
@@ -105,8 +108,8 @@
         worker.isPolling = true
         worker.isReportDue = false
         worker.lastPollMillis = nowMillis
-        val acknowledged = if (isIncarnationKnown) worker.recordedEnd else 0
-        if (isIncarnationKnown) worker.acknowledgedEnd = acknowledged
+        val acknowledged = if (acknowledges) worker.recordedEnd else 0
+        if (acknowledges) worker.acknowledgedEnd = acknowledged
         if (leaseEnd != null) {
             worker.lease.record(fleet.settings.lapsedBy(nowMillis, fleet.getsShortLeases(worker)))
         }
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/WorkerRestartTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/WorkerRestartTest.kt
@@ -4,6 +4,7 @@
 import strikt.api.expectThat
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThan
 import sycamoremast.coordination.workflow.WorkerAnswer.Unknown
 
 /** Tests of workers that restart under their IDs, which only their reports show. */
@@ -61,6 +62,26 @@
         expectThat(driver.freshPoll("w1").acknowledgedEnd).isEqualTo(1)
     }
 
+    // Guards against ends that come while a poll waits in a new incarnation, forgotten unread.
+    @Test
+    fun `acknowledges ends by polls that don't wait, and once only`() {
+        driver.listWorkers("w1")
+        driver.submit(driver.workflow("earlier", driver.taskStep(2)))
+        driver.step()
+        val (first, second) = driver.starts.onEach(driver::confirmStart)
+        val end = EndedRow(1, first.task, first.run, RunEnd.DONE, "")
+        val running = RunningRow(second.task, second.run, "", 50, null)
+        driver.report(driver.freshPoll("w1"), listOf(running), listOf(end))
+        repeat(3) { driver.step() }
+        val acknowledging = driver.polls.single()
+        expectThat(acknowledging.acknowledgedEnd).isEqualTo(1)
+        expectThat(acknowledging.waitMillis).isEqualTo(0)
+        driver.report(acknowledging, listOf(running))
+        val waiting = driver.freshPoll("w1")
+        expectThat(waiting.acknowledgedEnd).isEqualTo(0)
+        expectThat(waiting.waitMillis).isGreaterThan(0)
+    }
+
     // Guards against a task that runs on two workers at the same time.
     @Test
     fun `keeps a start that a new incarnation may still carry out`() {
