--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/InheritedLeases.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/InheritedLeases.kt
@@ -7,7 +7,7 @@
  * that had not ended themselves had acknowledged it.
  *
  * Without any answer, a bound comes from the workers: those that have answered this owner reject the
- * last one, which can't extend leases by a later heartbeat once no majority is left for it.
+ * last one, which can't extend leases by a later heartbeat once no quorum is left for it.
  */
 package sycamoremast.coordination.workflow
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RosterRecord.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RosterRecord.kt
@@ -18,7 +18,8 @@
  * there are none, only durable ones count. Those after [lastAnnounced] may lift limits in
  * [leasesLeft] of leases that had not lapsed, but not those of a planned handover. The owner is on
  * [host], which is missing in rosters of earlier versions. If it [needsWorkers], such a heartbeat
- * counts only if a majority of [workers] have accepted an order that was sent after it.
+ * counts only if a [quorum] of [workers] have accepted an order that was sent after it, which is a
+ * majority in rosters of earlier versions.
  */
 @Serializable
 data class RosterRecord(
@@ -31,7 +32,8 @@
     val standbys: Set<HostProcess> = emptySet(),
     val lastAnnounced: Long = 0,
     val host: String? = null,
-    val needsWorkers: Boolean = false
+    val needsWorkers: Boolean = false,
+    val quorum: Int? = null
 ) {
     val version: RecordVersion get() = RecordVersion(epoch, batch)
 
@@ -106,10 +108,13 @@
 
     /**
      * Whether no announced heartbeat counts any more once the workers [fenced] reject the owner, as
-     * the others are no majority.
+     * the others are no quorum.
      */
     internal fun isFencedBy(fenced: Set<WorkerRef>): Boolean =
-        needsWorkers && workers.count { it !in fenced } < AcceptingWorkers.majority(workers)
+        needsWorkers && workers.count { it !in fenced } < neededWorkers
+
+    private val neededWorkers: Int
+        get() = quorum ?: AcceptingWorkers.majority(workers.size)
 
     /**
      * Whether the owner counted a heartbeat that it announced only if the process of [sightings] had
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerAction.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerAction.kt
@@ -72,6 +72,9 @@
     val standbys: Set<HostProcess> = emptySet(),
     val lastAnnounced: Long = 0
 ) {
+    /** How many workers of the roster a heartbeat needs that isn't durable. */
+    val quorum: Int? get() = roster?.let { AcceptingWorkers.quorum(it.size) }
+
     companion object {
         /** The most entries of a transaction, conditions included, that the platform's store takes. */
         const val MAX_TRANSACTION_ENTRIES = 32
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Standbys.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Standbys.kt
@@ -6,12 +6,12 @@
  * whichever of them takes over counts from the last heartbeat that it acknowledged. A standby that
  * has ended can't take over, so its acknowledgement isn't awaited.
  *
- * Such a heartbeat also needs a majority of the workers ([AcceptingWorkers]), which bounds it where
+ * Such a heartbeat also needs a quorum of the workers ([AcceptingWorkers]), which bounds it where
  * no standby is left.
  *
  * A process that isn't named in the last roster asks the standbys ([InheritedLeases]), also if an
- * earlier one of its host is named. If none answers, and half of the workers don't either, it waits
- * longer, by [SchedulerSettings.LONGEST_ANNOUNCED_MILLIS], for which the owner may go on.
+ * earlier one of its host is named. If none answers, and too few workers do, it waits longer, by
+ * [SchedulerSettings.LONGEST_ANNOUNCED_MILLIS], for which the owner may go on.
  */
 package sycamoremast.coordination.workflow
 
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/AcceptingWorkersTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/AcceptingWorkersTest.kt
@@ -4,6 +4,8 @@
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
+import strikt.assertions.isIn
+import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.isNull
 import strikt.assertions.isTrue
 import sycamoremast.coordination.Resources
@@ -129,6 +131,51 @@
         expectThat(accepting.acceptedMillisOrNull()).isNull()
     }
 
+    // Guards against a quorum that leaves no majority, and one that a lost zone of three ends.
+    @Test
+    fun `needs three fifths of the workers, and a majority of few`() {
+        val quorums = (0..10).map(AcceptingWorkers::quorum)
+        expectThat(quorums).isEqualTo(listOf(1, 1, 2, 2, 3, 3, 4, 5, 5, 6, 6))
+        expectThat(AcceptingWorkers.quorum(45)).isEqualTo(27)
+        for (workers in 1..1_000) {
+            val quorum = AcceptingWorkers.quorum(workers)
+            expectThat(quorum).describedAs("$workers workers")
+                .isIn(AcceptingWorkers.majority(workers)..workers)
+            expectThat(quorum).describedAs("$workers workers, a third lost")
+                .isLessThanOrEqualTo(workers - workers / 3)
+        }
+    }
+
+    /** Adds nine workers, like [begin]; six of them are a quorum. */
+    private fun beginWithNine(): List<FleetWorker> {
+        val nine = List(9) { WorkerRef("x$it", "10.0.1.$it:1") }
+        nine.forEach(::add)
+        val workers = nine.map { fleet.workers.getValue(it.id) }
+        workers.forEach { it.recordAnswer(100, 100) }
+        makeHeartbeatDurable(200)
+        accepting.onRosterFormed(nine.toSet())
+        accepting.onRosterDurable()
+        return workers
+    }
+
+    // Guards against leases that a successor does not know of which has reached two fifths (TWICE).
+    @Test
+    fun `does not count a majority that is no quorum`() {
+        val workers = beginWithNine()
+        workers.take(5).forEach { it.recordReport(300, 310) }
+        expectThat(accepting.acceptedMillisOrNull()).isNull()
+        workers[5].recordReport(400, 410)
+        expectThat(accepting.acceptedMillisOrNull()).isEqualTo(300)
+    }
+
+    // Guards against leases that end in an outage as too few idle workers are asked (LOST, issue 55).
+    @Test
+    fun `asks a quorum of idle workers for reports`() {
+        val workers = beginWithNine()
+        accepting.requestReports()
+        expectThat(workers.count { it.isReportDue }).isEqualTo(6)
+    }
+
     @Test
     fun `asks as many idle workers for reports as are missing to a majority`() {
         begin()
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/InheritedLeasesTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/InheritedLeasesTest.kt
@@ -15,11 +15,12 @@
     private val claimedMillis = driver.now
     private val limitMillis = claimedMillis + LEFT_MILLIS
 
-    /** Inherits [worker] and [others], of which the last owner needed a majority if [needsWorkers]. */
+    /** Inherits [worker] and [others], of which the last owner needed a [quorum] if [needsWorkers]. */
     private fun inherit(
         owner: String = "h1",
         others: List<String> = emptyList(),
-        needsWorkers: Boolean = true
+        needsWorkers: Boolean = true,
+        quorum: Int? = null
     ) {
         val roster = RosterRecord(
             listOf(worker) + others.map(driver::ref),
@@ -28,7 +29,8 @@
             standbys = setOf(HostProcess("h1/a"), HostProcess("h2/a")),
             lastAnnounced = 4,
             host = owner,
-            needsWorkers = needsWorkers
+            needsWorkers = needsWorkers,
+            quorum = quorum
         )
         val sightings = StoreSightings(
             claimedMillis,
@@ -158,6 +160,17 @@
         expectThat(lapsedByMillis).isEqualTo(before)
     }
 
+    // Guards against a wait of 39 s if fewer than half of the workers are left (LOST, issue 55).
+    @Test
+    fun `counts from the answers of fewer than half if the others are no quorum`() {
+        inherit(others = listOf("w1", "w2", "w3", "w4"), quorum = 4)
+        val before = lapsedByMillis
+        answerPolls(atMillis = 400, "w1")
+        expectThat(lapsedByMillis).isEqualTo(before)
+        answerPolls(atMillis = 600, "w2")
+        expectThat(lapsedByMillis).isEqualTo(settings.lapsedAfterHeartbeat(driver.now))
+    }
+
     // Guards against a wait of 39 s for a worker that is listed at another address (LOST, issue 52).
     @Test
     fun `counts from the answers of a majority also for a worker that has moved`() {
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
@@ -517,7 +517,8 @@
             batch.standbys,
             batch.lastAnnounced,
             name,
-            needsWorkers = true
+            needsWorkers = true,
+            quorum = batch.quorum
         )
     }
 
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/RosterRecordTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/RosterRecordTest.kt
@@ -3,6 +3,7 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
 
 class RosterRecordTest {
     private val settings = SchedulerSettings()
@@ -104,6 +105,23 @@
             .isEqualTo(settings.lapsedAfterHeartbeat(8_000) + extra)
     }
 
+    // Guards against an owner of an earlier version, which needs a majority only (TWICE).
+    @Test
+    fun `is fenced once too few workers are left for the quorum that its owner needed`() {
+        val workers = List(9) { WorkerRef("w$it", "10.0.0.$it:1") }
+        val earlier = RosterRecord(workers, epoch = 3, needsWorkers = true)
+        fun RosterRecord.answersThatFence() = (0..9).first { isFencedBy(workers.take(it).toSet()) }
+        expectThat(earlier.answersThatFence()).isEqualTo(5)
+        expectThat(earlier.copy(quorum = 6).answersThatFence()).isEqualTo(4)
+        expectThat(earlier.copy(quorum = 9).answersThatFence()).isEqualTo(1)
+    }
+
+    @Test
+    fun `is never fenced by workers that its owner did not need`() {
+        val unneeded = RosterRecord(listOf(worker), epoch = 3, quorum = 1)
+        expectThat(unneeded.isFencedBy(setOf(worker))).isFalse()
+    }
+
     @Test
     fun `counts from the time at which the last owner was fenced on a host that is no standby`() {
         val fenced = seenBy("h3/a").copy(fenced = mapOf(3L to 12_000L))
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/StoreOutageTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/StoreOutageTest.kt
@@ -114,7 +114,7 @@
         for (seed in 1L..8) {
             for (startMillis in 2_000L..14_000L step 4_000) {
                 val schedule = SuccessionSchedule(seed, SuccessionFaults(emptySet()))
-                val millis = schedule.playNewHostWithMostWorkers(OUTAGE_MILLIS, startMillis)
+                val millis = schedule.playNewHostWithWorkers(OUTAGE_MILLIS, startMillis)
                 val case = "seed $seed, started after $startMillis ms"
                 expectThat(millis).describedAs(case).isLessThan(12_000)
                 expectThat(schedule.violations).describedAs(case).isEmpty()
@@ -122,6 +122,28 @@
         }
     }
 
+    // Guards against an owner that goes on with fewer workers than its roster tells (TWICE).
+    @Test
+    fun `restarts tasks once and in time if a new host leaves the last owner no quorum`() {
+        for (seed in 1L..8) {
+            val schedule = SuccessionSchedule(seed, SuccessionFaults(emptySet()), workerCount = 9)
+            val millis = schedule.playNewHostWithWorkers(OUTAGE_MILLIS, 6_000, reached = 4)
+            expectThat(millis).describedAs("seed $seed").isLessThan(12_000)
+            expectThat(schedule.violations).describedAs("seed $seed").isEmpty()
+        }
+    }
+
+    // Guards against a successor that takes a quorum for lost which the last owner has (TWICE).
+    @Test
+    fun `no task runs twice if a new host leaves the last owner a quorum`() {
+        for (seed in 1L..8) {
+            val schedule = SuccessionSchedule(seed, SuccessionFaults(emptySet()), workerCount = 9)
+            schedule.playNewHostWithWorkers(OUTAGE_MILLIS, 6_000, reached = 3)
+            expectThat(schedule.violations.filter { it.kind == "runs twice at once" })
+                .describedAs("seed $seed").isEmpty()
+        }
+    }
+
     // Guards against a process that takes an earlier one's knowledge for its own (TWICE).
     @Test
     fun `no task runs twice if a restarted standby succeeds an owner that goes on`() {
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionSchedule.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionSchedule.kt
@@ -74,7 +74,11 @@
     val registryLagMillis: Long = 0
 )
 
-internal class SuccessionSchedule(seed: Long, private val faults: SuccessionFaults) : HostWorld {
+internal class SuccessionSchedule(
+    seed: Long,
+    private val faults: SuccessionFaults,
+    private val workerCount: Int = WORKERS
+) : HostWorld {
     private val random = Random(seed)
 
     /** For messages between hosts, which leaves the course of other events as it is without them. */
@@ -304,12 +308,12 @@
     /**
      * Plays that all hosts lose the store at [fromMillis], and [startMillis] later a new host starts
      * that has the store. From then on, neither it nor the others reach each other, and only it
-     * reaches a majority of the workers, the others the rest.
+     * reaches the first [reached] workers, the others the rest.
      *
      * Returns how long after the start of the new host all lasting tasks run for good, once leases of
      * the workers that it doesn't reach have lapsed.
      */
-    fun playNewHostWithMostWorkers(fromMillis: Long, startMillis: Long): Long {
+    fun playNewHostWithWorkers(fromMillis: Long, startMillis: Long, reached: Int = MAJORITY): Long {
         begin()
         val splitMillis = fromMillis + startMillis
         time.at(fromMillis) { hosts.forEach { cut(it.name, HostWorld.STORE, END_MILLIS) } }
@@ -321,7 +325,7 @@
                 cut(it.name, added.name, END_MILLIS)
                 cut(added.name, it.name, END_MILLIS)
             }
-            divideWorkers(listOf(added), MAJORITY, old)
+            divideWorkers(listOf(added), reached, old)
             added.start()
         }
         awaitLasting(splitMillis + SchedulerSettings().leaseHorizonMillis + 1)
@@ -345,7 +349,7 @@
 
     private fun begin() {
         hosts.forEach { store.register(HostProcess.of(it.name, "1")) }
-        repeat(WORKERS) { addWorker("w${it + 1}") }
+        repeat(workerCount) { addWorker("w${it + 1}") }
         store.onOwnerChanged = { hosts.forEach { it.onOwnerKey() } }
         store.accept(lasting())
         hosts.forEach { host -> time.at(random.nextLong(MAX_START_MILLIS)) { host.start() } }
@@ -431,7 +435,7 @@
             SuccessionFault.CUT_HOST_FROM_STORE -> cut(host.name, HostWorld.STORE)
 
             SuccessionFault.CUT_HOST_FROM_WORKER ->
-                cut(host.name, "w${1 + random.nextInt(WORKERS)}")
+                cut(host.name, "w${1 + random.nextInt(workerCount)}")
 
             SuccessionFault.CUT_HOST_FROM_HOST -> cut(host.name, hosts.random(random).name)
 
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
@@ -144,6 +144,7 @@
             "recordsPlaces" to roster.recordsPlaces,
             "standbys" to roster.standbys.size,
             "needsWorkers" to roster.needsWorkers,
+            "quorum" to roster.quorum,
             "isStandby" to (term.sightings.process in roster.standbys),
             "acknowledgedMillisAgo" to
                 term.sightings.acknowledgedMillisOrNull(roster.epoch)
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/RecordWriter.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/RecordWriter.kt
@@ -71,7 +71,8 @@
                 batch.standbys,
                 batch.lastAnnounced,
                 term.sightings.process.host,
-                needsWorkers = true
+                needsWorkers = true,
+                quorum = batch.quorum
             )
             puts += StorePut(WorkflowKeys.roster(set), encodeRecord(record))
             puts +=
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/RecordWriterTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/RecordWriterTest.kt
@@ -7,6 +7,7 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
 import strikt.assertions.isNotNull
+import strikt.assertions.isNull
 import strikt.assertions.isTrue
 import sycamoremast.coordination.CommitResult
 import sycamoremast.coordination.StoreEntry
@@ -139,6 +140,17 @@
             .get { standbys }.isEmpty()
     }
 
+    // Guards against a successor that assumes another quorum than the owner keeps to (TWICE).
+    @Test
+    fun `names what an announced heartbeat needs in the roster`() {
+        val workers = List(9) { WorkerRef("w$it", "10.0.0.$it:1") }
+        writer.write(RecordBatch(emptyMap(), workers, null)) { true }
+        expectThat(decodeRecordOrNull<RosterRecord>(rosterText())).isNotNull().and {
+            get { needsWorkers }.isTrue()
+            get { quorum }.isEqualTo(6)
+        }
+    }
+
     // Guards against a roster that a host of an earlier version wrote, and that can't be read.
     @Test
     fun `reads a roster of an earlier version as one without standbys`() {
@@ -147,6 +159,8 @@
             get { workers }.isEqualTo(listOf(WorkerRef("w1", "10.0.0.1:1")))
             get { version }.isEqualTo(RecordVersion(3, 2))
             get { standbys }.isEmpty()
+            get { needsWorkers }.isFalse()
+            get { quorum }.isNull()
         }
     }
 }
