Grant no lease by a heartbeat at which the worker's clock was unknown (TWICE)

Callers could see a task run twice: an owner that was suspended after a heartbeat gave a worker that had restarted meanwhile (or first answered) a lease that outlasts what a successor counts from that heartbeat. Cause: the first offset of an incarnation stood in for the one at the heartbeat, which was formed earlier, so the time of the suspension was not counted. The same happened if the answer to a start showed the clock of a new incarnation before a report told of it.

A lease now needs a heartbeat that was formed when the clock of this incarnation was known, and only reports tell the clock. So that workers don't wait for it, the first roster waits for the first answers of all workers (up to 200 ms; so far of inherited ones only), and a heartbeat comes 150 ms after the last one if a worker needs it. Cost: a worker that joins or restarts gets its first lease up to 150 ms and a write later.

The tests of the daemon, the emulator and the platform were not run yet.

Tests changed: WorkerLeaseTest forms the heartbeat that a lease relies on, and expects no lease (not one) by a heartbeat of an earlier incarnation; EarlierIncarnationTest and EvacuationTest wait for one more heartbeat, the former also expects no start before it.

--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
@@ -141,8 +141,13 @@
         trial == null &&
         nowMillis >= noStartsBeforeMillis
 
+    /** Records the clock that a report shows; other answers don't tell whose clock they show. */
     fun recordAnswer(clockMillis: Long, receivedMillis: Long) {
         lease.recordClock(clockMillis, receivedMillis)
+        recordContact()
+    }
+
+    fun recordContact() {
         contactFailures = 0
     }
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/LeaseGrants.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/LeaseGrants.kt
@@ -30,6 +30,7 @@
         worker.contactFailures > 0 -> LeaseObstacle.UNREACHABLE
         !worker.lease.isClockKnown -> LeaseObstacle.CLOCK_UNKNOWN
         !fleet.isRosterDurable -> LeaseObstacle.NO_DURABLE_ROSTER
+        !worker.lease.isClockDurable -> LeaseObstacle.NO_HEARTBEAT
         !fleet.mayGrantLease(worker) -> LeaseObstacle.LIMITED_IN_ROSTER
         fleet.leaseEndOrNull(worker, nowMillis) == null -> LeaseObstacle.HEARTBEAT_TOO_OLD
         else -> null
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/LeaseObstacle.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/LeaseObstacle.kt
@@ -6,6 +6,9 @@
     UNREACHABLE,
     NO_DURABLE_ROSTER,
 
+    /** No heartbeat that was formed since the clock is known is durable yet. */
+    NO_HEARTBEAT,
+
     /** The roster says that the worker gets no lease, or only short ones from a sole owner. */
     LIMITED_IN_ROSTER,
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
@@ -99,28 +99,39 @@
     }
 
     /**
-     * Whether the first roster waits for the first answers of inherited workers.
+     * Whether the first roster waits for the first answers of workers.
      *
-     * A worker that has answered by then is not limited, and may get a lease once the roster is
-     * durable. The limits of the others bind the next owner too, so a roster with the longest ones
-     * waits longer for answers that shorten them.
+     * A worker that has answered by then is not limited, and may get a lease once the roster and the
+     * heartbeat that comes with it are durable. The limits of inherited ones bind the next owner too,
+     * so a roster with the longest limits waits longer for answers that shorten them.
      */
     private fun isAwaitingAnswers(nowMillis: Long): Boolean {
         if (fleet.isRosterDurable) return false
         val first = firstStepMillis ?: nowMillis.also { firstStepMillis = it }
-        val delayMillis = if (fleet.isLastOwnerUnknown) {
-            LONGEST_FIRST_ROSTER_DELAY_MILLIS
+        val elapsedMillis = nowMillis - first
+        if (elapsedMillis >= LONGEST_FIRST_ROSTER_DELAY_MILLIS) return false
+        val awaited =
+            fleet.workers.values.filter { !it.lease.isClockKnown && !it.isSilent }
+        return if (elapsedMillis < FIRST_ROSTER_DELAY_MILLIS) {
+            awaited.isNotEmpty()
         } else {
-            FIRST_ROSTER_DELAY_MILLIS
+            fleet.isLastOwnerUnknown && awaited.any { it.lease.isInherited }
         }
-        return nowMillis < first + delayMillis &&
-            fleet.workers.values.any { it.lease.isInherited && !it.isSilent }
     }
 
-    /** The first heartbeat comes with the first roster, before which no lease is granted. */
-    private fun isHeartbeatDue(nowMillis: Long): Boolean =
-        (hasRosterChanged || fleet.isRosterDurable) &&
-            nowMillis >= lastHeartbeatMillis + SchedulerSettings.HEARTBEAT_INTERVAL_MILLIS
+    /**
+     * The first heartbeat comes with the first roster, before which no lease is granted. One comes
+     * sooner than usual if a worker gets no lease without it.
+     */
+    private fun isHeartbeatDue(nowMillis: Long): Boolean {
+        if (!hasRosterChanged && !fleet.isRosterDurable) return false
+        val elapsedMillis = nowMillis - lastHeartbeatMillis
+        return elapsedMillis >= SchedulerSettings.HEARTBEAT_INTERVAL_MILLIS ||
+            (
+                elapsedMillis >= SHORTEST_HEARTBEAT_INTERVAL_MILLIS &&
+                    fleet.workers.values.any { it.lease.isHeartbeatDue }
+                )
+    }
 
     private fun updateWaitingCounts(nowMillis: Long) {
         if (nowMillis < lastCountMillis + COUNT_INTERVAL_MILLIS) return
@@ -215,6 +226,9 @@
     }
 
     private companion object {
+        /** A worker that comes or restarts waits for it, and all hosts read each heartbeat. */
+        const val SHORTEST_HEARTBEAT_INTERVAL_MILLIS = 150L
+
         /** Many times the response time of a worker. */
         const val FIRST_ROSTER_DELAY_MILLIS = 200L
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
@@ -18,7 +18,7 @@
         when (answer) {
             is WorkerAnswer.Done -> {
                 answer.clockMillis?.let {
-                    placement.worker.recordAnswer(it, answer.receivedMillis)
+                    placement.worker.recordContact()
                     placement.recordSeen(it)
                 }
                 placement.transition(PlacementEvent.SEEN, nowMillis)
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerLease.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerLease.kt
@@ -9,8 +9,8 @@
     private val formedOffsets = LinkedHashMap<Long, Long>()
 
     /**
-     * The offset known when the last heartbeat was formed that standbys know of; for a worker that
-     * answered only later, its first offset.
+     * The offset known when the last heartbeat was formed that standbys know of, or null if none was
+     * known then: without it, nothing tells how long the owner has been suspended since.
      */
     private var heartbeatOffsetMillis: Long? = null
 
@@ -18,8 +18,7 @@
     private var durableOffsetMillis: Long? = null
 
     /** Whether a durable heartbeat was formed when the clock of this incarnation was known. */
-    var isClockDurable = false
-        private set
+    val isClockDurable: Boolean get() = durableOffsetMillis != null
 
     /** The time by which the last lease granted to the worker has certainly lapsed. */
     var lapsedByMillis = Long.MIN_VALUE
@@ -28,6 +27,10 @@
     /** Whether the offset of the worker's clock is known, without which no lease can be granted. */
     val isClockKnown: Boolean get() = clockOffsetMillis != null
 
+    /** Whether no heartbeat has been formed since the worker's clock is known. */
+    val isHeartbeatDue: Boolean
+        get() = isClockKnown && heartbeatOffsetMillis == null && formedOffsets.isEmpty()
+
     /**
      * Whether an earlier owner may have granted a lease, and the worker has never answered this one.
      *
@@ -39,8 +42,6 @@
     fun recordClock(clockMillis: Long, receivedMillis: Long) {
         clockOffsetMillis = clockMillis - receivedMillis
         clockReadMillis = receivedMillis
-        if (heartbeatOffsetMillis == null) heartbeatOffsetMillis = clockOffsetMillis
-        if (durableOffsetMillis == null) durableOffsetMillis = clockOffsetMillis
     }
 
     /** Records that a heartbeat is formed at [formedMillis]. */
@@ -55,10 +56,7 @@
     fun onHeartbeatKnown(formedMillis: Long, isDurable: Boolean, isLatest: Boolean = true) {
         val formedOffset = formedOffsets[formedMillis]
         if (formedOffset != null && isLatest) heartbeatOffsetMillis = formedOffset
-        if (formedOffset != null && isDurable) {
-            durableOffsetMillis = formedOffset
-            isClockDurable = true
-        }
+        if (formedOffset != null && isDurable) durableOffsetMillis = formedOffset
         // The record in flight may become durable after later heartbeats were acknowledged.
         if (isDurable) formedOffsets.keys.removeAll { it <= formedMillis }
     }
@@ -69,12 +67,11 @@
         formedOffsets.clear()
         heartbeatOffsetMillis = null
         durableOffsetMillis = null
-        isClockDurable = false
     }
 
     /**
      * Returns how long a lease granted now may last that ends by [latest]; this is negative if the
-     * time has passed or no clock is known.
+     * time has passed, or if the worker's clock is unknown or was so at the last heartbeat.
      *
      * The times are converted by the offsets known at the heartbeats from which they count: this
      * owner's clock doesn't count the time for which the owner was suspended since. Where the offset
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/EarlierIncarnationTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/EarlierIncarnationTest.kt
@@ -6,6 +6,7 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThan
+import strikt.assertions.isTrue
 
 /** Checks that the state of a worker's earlier incarnation is not applied to a later one. */
 class EarlierIncarnationTest {
@@ -23,6 +24,7 @@
         driver.submit(driver.workflow())
         driver.step()
         driver.polls.forEach { driver.report(it) }
+        driver.step()
         val moved = atOtherAddress(driver.listing("w1"))
         scheduler.onWorkerListed(moved, driver.now)
         scheduler.onBatchDurable()
@@ -34,6 +36,10 @@
         }
         expectThat(starts).isEmpty()
         scheduler.onBatchDurable()
+        expectThat(driver.step().filterIsInstance<SchedulerAction.Start>()).isEmpty()
+        // The heartbeat without which the worker gets no lease.
+        expectThat(driver.records.single().isHeartbeat).isTrue()
+        scheduler.onBatchDurable()
         driver.step()
         expectThat(driver.starts.single().worker).isEqualTo(moved.ref)
     }
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/EvacuationTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/EvacuationTest.kt
@@ -39,6 +39,8 @@
         scheduler.onWorkerListed(other, driver.now)
         driver.step()
         driver.polls.filter { it.worker.id == "w2" }.forEach { driver.report(it) }
+        // The heartbeat without which w2 gets no lease.
+        driver.step(SchedulerSettings.HEARTBEAT_INTERVAL_MILLIS)
         scheduler.onWorkerListed(driver.listing("w1", isDraining = true), driver.now)
         return started
     }
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/WorkerLeaseTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/WorkerLeaseTest.kt
@@ -19,6 +19,8 @@
     @Test
     fun `ends a lease by the time that the last heartbeat allows`() {
         lease.recordClock(clockMillis = 500, receivedMillis = 1_000)
+        lease.onHeartbeatFormed(1_000)
+        lease.onHeartbeatKnown(1_000, isDurable = true)
         expectThat(endOrNull(1_000, latestMillis = 20_000)).isEqualTo(500 + settings.leaseMillis)
         expectThat(endOrNull(1_000, latestMillis = 4_000)).isEqualTo(3_500)
         expectThat(endOrNull(1_000, latestMillis = 1_000)).isNull()
@@ -68,7 +70,10 @@
         lease.forgetClock()
         lease.recordClock(clockMillis = 100, receivedMillis = 1_100)
         lease.onHeartbeatKnown(1_000, isDurable = true)
-        expectThat(endOrNull(1_100, latestMillis = 2_100)).isEqualTo(1_100)
+        expectThat(endOrNull(1_100, latestMillis = 2_100)).isNull()
+        lease.onHeartbeatFormed(1_200)
+        lease.onHeartbeatKnown(1_200, isDurable = true)
+        expectThat(endOrNull(1_200, latestMillis = 2_100)).isEqualTo(1_100)
     }
 
     // Guards against an owner that was suspended, and announces heartbeats for longer than allowed.
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/WorkerRestartTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/WorkerRestartTest.kt
@@ -5,6 +5,8 @@
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
+import strikt.assertions.isGreaterThanOrEqualTo
+import strikt.assertions.isTrue
 import sycamoremast.coordination.workflow.WorkerAnswer.Unknown
 
 /** Tests of workers that restart under their IDs, which only their reports show. */
@@ -40,6 +42,30 @@
         expectThat(driver.polls.single().acknowledgedEnd).isEqualTo(0)
     }
 
+    // Guards against a lease that relies on a heartbeat by the clock of a later incarnation (TWICE).
+    @Test
+    fun `takes no clock from an answer that does not tell the incarnation`() {
+        driver.listWorkers("w1")
+        val start = startNext()
+        scheduler.onStartAnswer(start, WorkerAnswer.Done(0, driver.now), driver.now)
+        driver.submit(driver.workflow("last"))
+        driver.step()
+        expectThat(driver.starts.single().leaseEndMillis)
+            .isGreaterThanOrEqualTo(start.leaseEndMillis)
+    }
+
+    // Guards against tasks that wait for the next usual heartbeat after a worker's restart.
+    @Test
+    fun `writes a heartbeat soon after a worker has restarted`() {
+        driver.listWorkers("w1")
+        startNext()
+        driver.report(driver.freshPoll("w1"), started = 2)
+        driver.submit(driver.workflow("last"))
+        expectThat(driver.step(1).filterIsInstance<SchedulerAction.Start>()).isEmpty()
+        val nextMillis = SchedulerSettings.HEARTBEAT_INTERVAL_MILLIS / 2
+        expectThat(driver.step(nextMillis).any { it is SchedulerAction.Start }).isTrue()
+    }
+
     // Guards against a task that runs again after its end was forgotten unread.
     @Test
     fun `acknowledges nothing between an unanswered call and the next report`() {
