--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/ColocationController.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/ColocationController.kt
@@ -194,7 +194,7 @@
         fleet.outbox += SchedulerAction.Pace(
             PaceOrder(
                 placement.worker.ref,
-                fleet.epoch,
+                placement.worker.fencingToken,
                 placement.task.name,
                 placement.run,
                 percent
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
@@ -20,6 +20,9 @@
     val placements = LinkedHashMap<TaskName, Placement>()
     val id: String get() = ref.id
 
+    /** What orders carry so that the worker rejects those of earlier owners and incarnations. */
+    var fencingToken = 0L
+
     /** Whether the durable roster names this worker; otherwise no task starts on it. */
     var isInRoster = false
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placement.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placement.kt
@@ -102,6 +102,16 @@
     val headroomOrNull: Double?
         get() = gauge?.takeIf { it > 0 }?.let { task.step.spec.targetTailMillis / it }
 
+    /**
+     * Requires a report to a poll sent after [nowMillis] as proof that the run is absent.
+     *
+     * An earlier report leaves open whether the worker's next incarnation will still carry out the
+     * start.
+     */
+    fun awaitReport(nowMillis: Long) {
+        phaseSinceMillis = nowMillis
+    }
+
     /** Restarts the timer after which an unanswered stop is sent again. */
     fun restartStopTimer(nowMillis: Long) {
         phaseSinceMillis = nowMillis
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/ReportedRuns.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/ReportedRuns.kt
@@ -67,7 +67,7 @@
         if (row.task !in worker.unknownRuns) {
             fleet.log("run-unknown", row.task.toString(), "run" to row.run, "worker" to worker.id)
         }
-        val order = StopOrder(worker.ref, fleet.epoch, row.task, row.run)
+        val order = StopOrder(worker.ref, worker.fencingToken, row.task, row.run)
         fleet.outbox += SchedulerAction.Stop(order)
     }
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunMaintenance.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunMaintenance.kt
@@ -119,7 +119,7 @@
             else -> maxWaitMillis(worker)
         }
         fleet.outbox += SchedulerAction.Poll(
-            PollOrder(worker.ref, fleet.epoch, acknowledged, leaseEnd, wait, nowMillis)
+            PollOrder(worker.ref, worker.fencingToken, acknowledged, leaseEnd, wait, nowMillis)
         )
     }
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
@@ -25,7 +25,7 @@
                 recorder.markBegun(placement.task.step.workflow)
             }
 
-            is WorkerAnswer.Rejected -> onStartRejected(placement, answer.reason, nowMillis)
+            is WorkerAnswer.Rejected -> onStartRejected(placement, order, answer.reason, nowMillis)
 
             is WorkerAnswer.Unknown -> {
                 fleet.log(
@@ -44,7 +44,12 @@
         }
     }
 
-    private fun onStartRejected(placement: Placement, reason: RejectReason, nowMillis: Long) {
+    private fun onStartRejected(
+        placement: Placement,
+        order: StartOrder,
+        reason: RejectReason,
+        nowMillis: Long
+    ) {
         val worker = placement.worker
         val task = placement.task
         fleet.log(
@@ -56,7 +61,7 @@
         )
         crashes.onNotStarted(placement)
         when (reason) {
-            RejectReason.STALE_EPOCH -> fleet.outbox += SchedulerAction.Depose(worker.ref)
+            RejectReason.STALE_EPOCH -> fleet.onTokenRejected(worker.ref, order.epoch)
             RejectReason.OTHER_INCARNATION -> return markLost(
                 worker,
                 nowMillis,
@@ -87,8 +92,7 @@
             }
 
             is WorkerAnswer.Rejected -> when (answer.reason) {
-                RejectReason.STALE_EPOCH ->
-                    fleet.outbox += SchedulerAction.Depose(order.worker)
+                RejectReason.STALE_EPOCH -> fleet.onTokenRejected(order.worker, order.epoch)
 
                 RejectReason.OTHER_INCARNATION ->
                     markLost(placement.worker, nowMillis, "other incarnation")
@@ -114,7 +118,11 @@
             is WorkerAnswer.Reported -> onReport(worker, order, answer.report, nowMillis)
 
             is WorkerAnswer.Rejected -> when (answer.reason) {
-                RejectReason.STALE_EPOCH -> fleet.outbox += SchedulerAction.Depose(worker.ref)
+                RejectReason.STALE_EPOCH -> {
+                    fleet.onTokenRejected(worker.ref, order.epoch)
+                    worker.nextPollMillis = nowMillis + REPOLL_BACKOFF_MILLIS
+                }
+
                 RejectReason.OTHER_INCARNATION -> markLost(worker, nowMillis, "other incarnation")
                 else -> {
                     val isUnanswered = answer.reason == RejectReason.NOT_SENT
@@ -137,6 +145,8 @@
         nowMillis: Long
     ) {
         worker.failedPollMillis = order.sentMillis
+        // Another incarnation may answer the next poll.
+        if (worker.contactFailures == 0) fleet.fenceEarlierOrders(worker)
         if (worker.contactFailures == 0) {
             fleet.log(
                 "worker-unreachable",
@@ -169,6 +179,8 @@
             fleet.log("worker-restarted", worker.id, "runs" to worker.placements.size)
             recorder.dropPendingEnds(worker)
             worker.resetAfterRestart()
+            fleet.fenceEarlierOrders(worker)
+            worker.placements.values.filter { !it.wasSeen }.forEach { it.awaitReport(nowMillis) }
             crashes.onRestarted(worker, nowMillis)
         } else {
             crashes.onAnswered(worker)
@@ -203,6 +215,7 @@
     /** Releases the placements on [worker], whose lease has lapsed, which ended all its runs. */
     fun releaseLapsed(worker: FleetWorker, nowMillis: Long) {
         crashes.onLost(worker, hasEnded = false, nowMillis)
+        fleet.fenceEarlierOrders(worker)
         releaseAll(worker, nowMillis, "lease lapsed")
     }
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Starter.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Starter.kt
@@ -108,7 +108,7 @@
         fleet.outbox += SchedulerAction.Start(
             StartOrder(
                 worker.ref,
-                fleet.epoch,
+                worker.fencingToken,
                 task.name,
                 placement.run,
                 workflow.spec.payload,
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -175,7 +175,7 @@
     fun onPaceAnswer(order: PaceOrder, answer: WorkerAnswer, nowMillis: Long) {
         if (answer is WorkerAnswer.Rejected && answer.reason == RejectReason.STALE_EPOCH) {
             fleet.log("pace-rejected", order.task.toString(), "atMillis" to nowMillis)
-            fleet.outbox += SchedulerAction.Depose(order.worker)
+            fleet.onTokenRejected(order.worker, order.epoch)
         }
     }
 
