--- a/coordination/src/main/kotlin/sycamoremast/coordination/TransactionalStore.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/TransactionalStore.kt
@@ -14,11 +14,25 @@
     /** Returns the entry at [key], or null if there is none; a [mayBeStale] read costs less. */
     fun get(key: String, mayBeStale: Boolean = false): Either<StoreError, StoreEntry?>
 
+    /**
+     * Returns the entries whose keys start with [prefix] and come after the key [after], in order,
+     * as many as the service returns at once; a [mayBeStale] read costs less.
+     */
+    fun page(
+        prefix: String,
+        after: String = "",
+        mayBeStale: Boolean = false
+    ): Either<StoreError, StorePage>
+
     /**
      * Returns all entries whose keys start with [prefix], without a consistent snapshot; a
      * [mayBeStale] read costs less.
      */
-    fun list(prefix: String, mayBeStale: Boolean = false): Either<StoreError, StoreListing>
+    fun list(prefix: String, mayBeStale: Boolean = false): Either<StoreError, StoreListing> {
+        val entries = ArrayList<StoreEntry>()
+        return forEachPage(prefix, mayBeStale) { entries += it }
+            .map { StoreListing(entries, it) }
+    }
 
     /** Returns the changes under [prefix] after [revision], waiting up to [wait] for one. */
     fun changes(prefix: String, revision: Long, wait: Duration): Either<StoreError, StoreChanges>
@@ -36,6 +50,36 @@
     fun revokeLease(lease: LeaseId): Either<StoreError, Unit>
 }
 
+/**
+ * Passes all entries whose keys start with [prefix] to [onPage], a page at a time and in order, so
+ * that they needn't be in memory at once; returns the revision from which to watch the prefix.
+ *
+ * The pages aren't read from one snapshot. The revision is that of the first, so that a watch from
+ * there also returns the changes made between pages.
+ */
+inline fun TransactionalStore.forEachPage(
+    prefix: String,
+    mayBeStale: Boolean = false,
+    onPage: (List<StoreEntry>) -> Unit
+): Either<StoreError, Long> {
+    var revision: Long? = null
+    var after = ""
+    while (true) {
+        val page = when (val read = page(prefix, after, mayBeStale)) {
+            is Either.Left -> return read
+            is Either.Right -> read.value
+        }
+        onPage(page.entries)
+        val first = revision ?: page.revision
+        revision = first
+        if (!page.hasMore || page.entries.isEmpty()) return Either.Right(first)
+        after = page.entries.last().key
+    }
+}
+
+/** Some [entries] under a prefix, read when the store was at [revision]. */
+data class StorePage(val entries: List<StoreEntry>, val revision: Long, val hasMore: Boolean)
+
 /** Writes [puts] and deletes [deletes] if all keys in [expected] have the given revisions. */
 data class StoreTransaction(
     val expected: Map<String, Long>,
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
@@ -14,7 +14,12 @@
             return field
         }
         private set
+
+    /** The workflows that have not ended, or whose end or last run still has to be dealt with. */
     val workflows = LinkedHashMap<String, OpenWorkflow>()
+
+    /** The others, by their IDs: their specifications would fill the memory in time. */
+    val endedWorkflows = LinkedHashMap<String, EndedWorkflow>()
     val openTasks = OpenTasks(this)
 
     /** The workflows that have not ended. */
@@ -198,6 +203,15 @@
         else -> true
     }
 
+    /** Keeps of [workflow] no more than its end if that is durable and none of its runs is left. */
+    fun retireIfEnded(workflow: OpenWorkflow) {
+        if (!workflow.durablePhase.isFinal || workflow.placedCount > 0) return
+        if (workflow.durableChange < workflow.lastChange) return
+        workflows -= workflow.id
+        endedWorkflows[workflow.id] =
+            EndedWorkflow(workflow.durablePhase, workflow.endedUnixMillis)
+    }
+
     /** Returns the task [name], of which a run was ordered, if its workflow is known. */
     fun taskOrNull(name: TaskName): OpenTask? {
         val workflow = workflows[name.workflow] ?: return null
@@ -247,6 +261,7 @@
         placement.worker.remove(placement, nowMillis)
         placement.task.release(placement, nowMillis)
         openTasks.discardIfEnded(placement.task.step.workflow)
+        retireIfEnded(placement.task.step.workflow)
         isPlacementDue = true
     }
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
@@ -200,6 +200,7 @@
         for (record in done.workflows) {
             record.workflow.durablePhase = record.phase
             record.workflow.durableChange = record.change
+            fleet.retireIfEnded(record.workflow)
         }
         done.heartbeatMillis?.let {
             standbys.onHeartbeatDurable(it)
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -61,12 +61,12 @@
         nowMillis: Long,
         unixMillis: Long
     ) {
-        if (workflow.id in fleet.workflows) return
+        if (workflow.id in fleet.workflows || workflow.id in fleet.endedWorkflows) return
+        if (progress?.phase?.isFinal == true) return onEndedWorkflow(workflow.id, progress)
         val age = (unixMillis - workflow.submittedMillis).coerceIn(0, MAX_AGE_MILLIS)
         val open = OpenWorkflow(workflow, isRecovered, nowMillis - age)
         fleet.workflows[workflow.id] = open
         if (progress != null) open.restore(progress)
-        if (!open.isOpen) return
         if (isRecovered && open.isLongRunning) {
             open.arePlacesKnown =
                 fleet.arePlacesRecorded &&
@@ -94,8 +94,15 @@
         if (isCancelled) onWorkflowCancelled(workflow.id, nowMillis, unixMillis)
     }
 
+    /** Adds the workflow [id], which ended in an earlier term as [progress] tells. */
+    fun onEndedWorkflow(id: String, progress: WorkflowProgress) {
+        pendingCancels -= id
+        fleet.endedWorkflows[id] = EndedWorkflow(progress.phase, progress.endedUnixMillis)
+    }
+
     /** Ends the workflow [id], which was cancelled, now or once it is accepted. */
     fun onWorkflowCancelled(id: String, nowMillis: Long, unixMillis: Long) {
+        if (id in fleet.endedWorkflows) return
         val workflow = fleet.workflows[id]
         if (workflow == null) {
             pendingCancels += id
@@ -188,21 +195,10 @@
 
     /** Returns the phase that callers may see of the workflow [id], or null if it is unknown. */
     fun phaseOrNull(id: String): WorkflowPhase? {
-        val workflow = fleet.workflows[id] ?: return null
+        val workflow = fleet.workflows[id] ?: return fleet.endedWorkflows[id]?.phase
         return if (workflow.phase.isFinal) workflow.durablePhase else workflow.phase
     }
 
-    /** Removes workflows that ended before [unixMillis] and returns their IDs. */
-    fun forgetEnded(unixMillis: Long): List<String> {
-        val old = fleet.workflows.values.filter {
-            it.durablePhase.isFinal &&
-                it.endedUnixMillis < unixMillis &&
-                it.steps().all { s -> s.tasks.all { t -> t.placements.isEmpty() } }
-        }
-        old.forEach { fleet.workflows -= it.id }
-        return old.map { it.id }
-    }
-
     /**
      * Decides and returns the actions that are due at [nowMillis].
      *
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Election.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Election.kt
@@ -174,6 +174,17 @@
         wakeUps += reason
     }
 
+    /**
+     * Renews the lease of the current term if that is due; returns whether the term goes on.
+     *
+     * Called on the election thread while the term begins, so that it may take longer than a lease.
+     */
+    fun keepTerm(): Boolean {
+        val held = heldTerm ?: return false
+        renew(held)
+        return isOpen && heldTerm === held
+    }
+
     private fun run() {
         while (isOpen || heldTerm != null) {
             try {
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/MonitoredStore.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/MonitoredStore.kt
@@ -14,7 +14,7 @@
 import sycamoremast.coordination.StoreChanges
 import sycamoremast.coordination.StoreEntry
 import sycamoremast.coordination.StoreError
-import sycamoremast.coordination.StoreListing
+import sycamoremast.coordination.StorePage
 import sycamoremast.coordination.StoreTransaction
 import sycamoremast.coordination.TransactionalStore
 
@@ -64,8 +64,11 @@
     override fun get(key: String, mayBeStale: Boolean): Either<StoreError, StoreEntry?> =
         monitored("get") { store.get(key, mayBeStale) }
 
-    override fun list(prefix: String, mayBeStale: Boolean): Either<StoreError, StoreListing> =
-        monitored("list") { store.list(prefix, mayBeStale) }
+    override fun page(
+        prefix: String,
+        after: String,
+        mayBeStale: Boolean
+    ): Either<StoreError, StorePage> = monitored("list") { store.page(prefix, after, mayBeStale) }
 
     override fun changes(
         prefix: String,
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
@@ -13,7 +13,9 @@
 import sycamoremast.coordination.StoreEntry
 import sycamoremast.coordination.StoreError
 import sycamoremast.coordination.StoreListing
+import sycamoremast.coordination.StorePage
 import sycamoremast.coordination.TransactionalStore
+import sycamoremast.coordination.forEachPage
 import sycamoremast.coordination.workflow.InterferenceRecord
 import sycamoremast.coordination.workflow.RecordVersion
 import sycamoremast.coordination.workflow.RosterRecord
@@ -44,6 +46,9 @@
     /** Returns the state of this host's lease. */
     var leaseState: () -> LeaseState = { LeaseState.VALID }
 
+    /** Keeps the term while its recovery goes on; returns whether it goes on. */
+    var keepTerm: () -> Boolean = { true }
+
     /** The running scheduler, or null while another host owns the set. */
     @Volatile
     var loop: SchedulerLoop? = null
@@ -85,40 +90,41 @@
                 log.add(
                     "recovered",
                     "epoch" to term.epoch,
-                    "workflows" to recovered.value,
+                    "workflows" to recovered.value.workflows,
+                    "open" to recovered.value.openWorkflows,
                     "tookMillis" to clock.nowMillis() - term.sightings.claimedMillis
                 )
                 routing()?.let(next::updateRouting)
                 next.start()
                 loop = next
-                startFollowers(next, workers, term)
+                startFollowers(next, workers, term, recovered.value.revision)
             }
         }
     }
 
-    /** Loads the store's content into [next]; returns the number of workflows with progress. */
+    /** Loads the store's content into [next], while this host keeps its term. */
     private fun recover(
         next: SchedulerLoop,
         workers: WorkerFeed,
         term: Term
-    ): Either<StoreError, Int> = either {
+    ): Either<StoreError, Recovery> = either {
         val listed = store.list(catalog.workersPrefix).bind()
         val roster = store.get(WorkflowKeys.roster(set)).bind()
-        val progress = store.list(WorkflowKeys.progress(set)).bind().entries
-            .associate { it.key.lastSegment() to readProgress(it).bind() }
+        val heartbeat = store.get(WorkflowKeys.owner(set, OwnerDetail.HEARTBEAT)).bind()
+            ?.let { decodeRecordOrNull<RecordVersion>(it.value) }
         val interference = store.get(WorkflowKeys.interference(set)).bind()
-        val work = store.list(WorkflowKeys.WORK).bind()
+        val kept = TermKeepingStore(store, keepTerm)
+        val progress = HashMap<String, WorkflowProgress>()
+        kept.forEachPage(WorkflowKeys.progress(set)) { page ->
+            page.associateTo(progress) { it.key.lastSegment() to readProgress(it).bind() }
+        }.bind()
         workers.onListing(listed)
-        val heartbeat = work.entries.find {
-            it.key == WorkflowKeys.owner(set, OwnerDetail.HEARTBEAT)
-        }
-            ?.let { decodeRecordOrNull<RecordVersion>(it.value) }
         roster?.let { decodeRecordOrNull<RosterRecord>(it.value) }
             ?.let { next.addRoster(it, heartbeat, term) }
         interference?.let { restoreInterference(next, it) }
-        val feed = WorkflowFeed(next, set, term, log, progress)
-        feed.onListing(work)
-        progress.size
+        val revision =
+            WorkflowFeed(next, set, term, log, progress).read(kept, WorkflowKeys.WORK).bind()
+        Recovery(revision, progress.size, progress.values.count { !it.phase.isFinal })
     }
 
     /** Adds the workers of the last [roster], with the time by which their leases expire. */
@@ -169,9 +175,16 @@
         decodeRecordOrNull<WorkflowProgress>(entry.value)?.right()
             ?: StoreError.AnswerLost("read-progress", entry.key, "unreadable record").left()
 
-    private fun startFollowers(next: SchedulerLoop, workers: WorkerFeed, term: Term) {
+    /** Follows the workflows from [revision] on, up to which they are recovered, and the workers. */
+    private fun startFollowers(
+        next: SchedulerLoop,
+        workers: WorkerFeed,
+        term: Term,
+        revision: Long
+    ) {
+        val workflows = WorkflowFeed(next, set, term, log)
         followers = listOf(
-            PrefixFollower(store, WorkflowKeys.WORK, log, WorkflowFeed(next, set, term, log)),
+            PrefixFollower(store, WorkflowKeys.WORK, log, workflows, revision = revision),
             PrefixFollower(store, catalog.workersPrefix, log, workers, clock = clock)
         ).onEach { it.start() }
     }
@@ -225,6 +238,25 @@
     }
 }
 
+/** What was recovered: the [workflows] with progress, up to [revision], and how many are open. */
+private class Recovery(val revision: Long, val workflows: Int, val openWorkflows: Int)
+
+/** Reads pages of [store] for as long as [keepTerm] returns true before each. */
+private class TermKeepingStore(
+    private val store: TransactionalStore,
+    private val keepTerm: () -> Boolean
+) : TransactionalStore by store {
+    override fun page(
+        prefix: String,
+        after: String,
+        mayBeStale: Boolean
+    ): Either<StoreError, StorePage> = if (keepTerm()) {
+        store.page(prefix, after, mayBeStale)
+    } else {
+        StoreError.NotSent("recover", prefix, "the term is over").left()
+    }
+}
+
 /**
  * Passes accepted and cancelled workflows to the scheduler until another host owns the set.
  *
@@ -238,11 +270,13 @@
     private val log: EventLog,
     private val progress: Map<String, WorkflowProgress> = emptyMap()
 ) : PrefixListener {
-    override fun onListing(listing: StoreListing) {
-        // Keys are listed in order, so the owner's key was read after all workflows.
-        val owner = listing.entries.find { it.key == WorkflowKeys.owner(set) }
-        deposeUnlessOwner(owner?.value)
-        listing.entries.forEach(::applyEntry)
+    override fun read(store: TransactionalStore, prefix: String): Either<StoreError, Long> {
+        var owner: StoreEntry? = null
+        return store.forEachPage(prefix) { page ->
+            // Keys are listed in order, so the owner's key is read after all workflows.
+            page.find { it.key == WorkflowKeys.owner(set) }?.let { owner = it }
+            page.forEach(::applyEntry)
+        }.onRight { deposeUnlessOwner(owner?.value) }
     }
 
     override fun onChange(change: StoreChange) {
@@ -268,6 +302,9 @@
     }
 
     private fun accept(id: String, entry: StoreEntry) {
+        if (loop.statusOrNull(id) != null) return
+        val ended = progress[id]?.takeIf { it.phase.isFinal }
+        if (ended != null) return loop.addEndedWorkflow(id, ended)
         val record = decodeRecordOrNull<AcceptanceRecord>(entry.value)
         if (record == null) log.add("job-unreadable", "key" to entry.key)
         val workflow = record?.workflow ?: return
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/PrefixFollower.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/PrefixFollower.kt
@@ -13,14 +13,22 @@
 import sycamoremast.coordination.MonotonicClock
 import sycamoremast.coordination.StoreChange
 import sycamoremast.coordination.StoreChanges
+import sycamoremast.coordination.StoreError
 import sycamoremast.coordination.StoreListing
 import sycamoremast.coordination.TransactionalStore
 import sycamoremast.daemon.log.EventLog
 
 /** Receives the entries and changes under a prefix, on the follower's thread. */
 internal interface PrefixListener {
-    /** Called with all entries under the prefix, at the start and after a gap in the history. */
-    fun onListing(listing: StoreListing)
+    /** Called by [read] with all entries under the prefix. */
+    fun onListing(listing: StoreListing) = Unit
+
+    /**
+     * Reads all entries under [prefix], at the start and after a gap in the history; returns the
+     * revision from which to watch them.
+     */
+    fun read(store: TransactionalStore, prefix: String): Either<StoreError, Long> =
+        store.list(prefix).onRight(::onListing).map { it.revision }
 
     /** Called for each change after the listing. */
     fun onChange(change: StoreChange)
@@ -29,18 +37,22 @@
     fun onCurrent(asOfMillis: Long) = Unit
 }
 
-/** Lists and watches [prefix], and passes the results to [listener] from a thread of its own. */
+/**
+ * Lists and watches [prefix], and passes the results to [listener] from a thread of its own.
+ *
+ * A prefix that has been read is only watched, from the [revision] that the reading returned.
+ */
 internal class PrefixFollower(
     private val store: TransactionalStore,
     private val prefix: String,
     private val log: EventLog,
     private val listener: PrefixListener,
     private val watchTimeout: Duration = DEFAULT_WATCH_TIMEOUT,
-    private val clock: MonotonicClock = MonotonicClock.system()
+    private val clock: MonotonicClock = MonotonicClock.system(),
+    private var revision: Long? = null
 ) : AutoCloseable {
     @Volatile
     private var isOpen = true
-    private var revision: Long? = null
     private var failures = 0
     private val thread = Thread(::run, "follow-$prefix").apply { isDaemon = true }
 
@@ -75,16 +87,13 @@
         return if (fromRevision == null) list(beganMillis) else watch(fromRevision, beganMillis)
     }
 
-    private fun list(beganMillis: Long): Boolean = when (val listing = store.list(prefix)) {
-        is Either.Left -> recordFailure(listing.value.reason)
+    private fun list(beganMillis: Long): Boolean = when (val read = listener.read(store, prefix)) {
+        is Either.Left -> recordFailure(read.value.reason)
 
         is Either.Right -> {
             recordSuccess()
-            if (isOpen) {
-                listener.onListing(listing.value)
-                listener.onCurrent(beganMillis)
-            }
-            revision = listing.value.revision
+            if (isOpen) listener.onCurrent(beganMillis)
+            revision = read.value
             true
         }
     }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
@@ -104,6 +104,12 @@
             )
         }
 
+    /** Adds the workflow [id], which ended in an earlier term as [progress] tells. */
+    fun addEndedWorkflow(id: String, progress: WorkflowProgress) = enqueue {
+        statuses.putIfAbsent(id, progress.status)
+        scheduler.onEndedWorkflow(id, progress)
+    }
+
     fun cancelWorkflow(id: String) = enqueue {
         scheduler.onWorkflowCancelled(id, clock.nowMillis(), unixMillis())
     }
@@ -148,7 +154,9 @@
             try {
                 val first = inbox.poll(scheduler.waitMillis(clock.nowMillis()), MILLISECONDS)
                 first?.invoke()
-                awaitNextStep()
+                // Inputs that arrive within a short time are handled in one step.
+                val dueMillis = lastStepMillis + MIN_STEP_INTERVAL_MILLIS
+                Thread.sleep((dueMillis - clock.nowMillis()).coerceAtLeast(0))
                 while (isOpen) (inbox.poll() ?: break).invoke()
                 if (isOpen) step()
             } catch (_: InterruptedException) {
@@ -163,12 +171,6 @@
         }
     }
 
-    /** Waits so that inputs that arrive within a short time are handled in one step. */
-    private fun awaitNextStep() {
-        val remainingMillis = lastStepMillis + MIN_STEP_INTERVAL_MILLIS - clock.nowMillis()
-        if (remainingMillis > 0) Thread.sleep(remainingMillis)
-    }
-
     private fun step() {
         // The clock is read before the lease's state, so that orders of this step are in time.
         lastStepMillis = clock.nowMillis()
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowHost.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowHost.kt
@@ -73,6 +73,7 @@
 
     init {
         ownership.onDeposed = election::depose
+        ownership.keepTerm = election::keepTerm
         ownership.leaseState = { election.leaseState }
         election.confirmedMillis = { ownership.loop?.confirmedMillis }
         peering?.standbys?.let(::connectStandbys)
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/MemoryStore.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/MemoryStore.kt
@@ -10,7 +10,7 @@
 import sycamoremast.coordination.StoreChanges
 import sycamoremast.coordination.StoreEntry
 import sycamoremast.coordination.StoreError
-import sycamoremast.coordination.StoreListing
+import sycamoremast.coordination.StorePage
 import sycamoremast.coordination.StoreTransaction
 import sycamoremast.coordination.TransactionalStore
 
@@ -45,6 +45,9 @@
     /** The most entries of a transaction; one with more is never applied. */
     var maxTransactionEntries = Int.MAX_VALUE
 
+    /** The most entries of a page. */
+    var pageEntries = 500
+
     /** Injects [faults] into the next commits, one each. */
     @Synchronized
     fun failCommits(vararg faults: Fault) = failCommits(faults.asList())
@@ -60,12 +63,17 @@
         if (isDown) notSent() else entries[key].right()
 
     @Synchronized
-    override fun list(prefix: String, mayBeStale: Boolean): Either<StoreError, StoreListing> =
-        if (isDown) {
-            notSent()
-        } else {
-            StoreListing(entries.values.filter { it.key.startsWith(prefix) }, revision).right()
-        }
+    override fun page(
+        prefix: String,
+        after: String,
+        mayBeStale: Boolean
+    ): Either<StoreError, StorePage> {
+        if (isDown) return notSent()
+        val rest = entries.tailMap(maxOf(prefix, after)).values.asSequence()
+            .takeWhile { it.key.startsWith(prefix) }.filter { it.key > after }
+        val page = rest.take(pageEntries + 1).toList()
+        return StorePage(page.take(pageEntries), revision, page.size > pageEntries).right()
+    }
 
     override fun changes(
         prefix: String,
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/PeeringTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/PeeringTest.kt
@@ -79,7 +79,7 @@
 }
 
 /** Workers that must not receive orders. */
-private object NoWorkers : RunPort {
+internal object NoWorkers : RunPort {
     override fun start(order: StartOrder, done: (WorkerAnswer) -> Unit) = fail()
 
     override fun stop(order: StopOrder, done: (WorkerAnswer) -> Unit) = fail()
