--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
@@ -83,19 +83,18 @@
     /** How many starts were ordered. */
     var orderedStarts = 0L
 
-    /** The highest fencing token that an order of this owner carries. */
-    private var lastToken = epoch * TOKENS_PER_EPOCH
+    val fencingTokens = FencingTokens(epoch)
 
     fun add(worker: FleetWorker) {
         byId[worker.id] = worker
-        worker.fencingToken = lastToken
+        worker.fencingToken = fencingTokens.highest
         resetWorkerIndexes()
     }
 
     fun remove(worker: FleetWorker) {
         byId -= worker.id
         // Orders to the next worker with this ID carry a higher token.
-        fenceEarlierOrders(worker)
+        fencingTokens.fenceEarlierOrders(worker)
         startTimes -= worker.ref
         soleOwnerStartTimes -= worker.ref
         resetWorkerIndexes()
@@ -117,19 +116,10 @@
     fun enforcesFencing(worker: WorkerRef): Boolean =
         isSoleOwner || startTimes[worker] == soleOwnerStartTimes[worker]
 
-    /**
-     * Lets [worker] reject the orders sent so far once it has received a later one.
-     *
-     * An order without an answer may be carried out late, by another incarnation of the worker.
-     */
-    fun fenceEarlierOrders(worker: FleetWorker) {
-        check(lastToken + 1 < (epoch + 1) * TOKENS_PER_EPOCH) { "no token left in epoch $epoch" }
-        worker.fencingToken = ++lastToken
-    }
-
     /** Deposes this owner unless [worker] rejected [token] because of a later order of its own. */
     fun onTokenRejected(worker: WorkerRef, token: Long) {
-        val highest = byId[worker.id]?.takeIf { it.ref == worker }?.fencingToken ?: lastToken
+        val highest = byId[worker.id]?.takeIf { it.ref == worker }?.fencingToken
+            ?: fencingTokens.highest
         if (token < highest) {
             log("order-fenced", worker.id, "token" to token, "highest" to highest)
         } else {
@@ -269,9 +259,6 @@
         /** The size of the range of run numbers that each epoch has for a task. */
         const val RUNS_PER_EPOCH = 1_000L
 
-        /** The size of the range of fencing tokens that each epoch has. */
-        const val TOKENS_PER_EPOCH = 1_000_000L
-
         /** A shorter lease would lapse before the poll that extends it. */
         const val SHORTEST_FIRST_LEASE_MILLIS = 1_000L
     }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
@@ -61,7 +61,7 @@
         )
         crashes.onNotStarted(placement)
         when (reason) {
-            RejectReason.STALE_EPOCH -> fleet.onTokenRejected(worker.ref, order.epoch)
+            RejectReason.STALE_TOKEN -> fleet.onTokenRejected(worker.ref, order.fencingToken)
             RejectReason.OTHER_INCARNATION -> return markLost(
                 worker,
                 nowMillis,
@@ -92,7 +92,7 @@
             }
 
             is WorkerAnswer.Rejected -> when (answer.reason) {
-                RejectReason.STALE_EPOCH -> fleet.onTokenRejected(order.worker, order.epoch)
+                RejectReason.STALE_TOKEN -> fleet.onTokenRejected(order.worker, order.fencingToken)
 
                 RejectReason.OTHER_INCARNATION ->
                     markLost(placement.worker, nowMillis, "other incarnation")
@@ -118,8 +118,8 @@
             is WorkerAnswer.Reported -> onReport(worker, order, answer.report, nowMillis)
 
             is WorkerAnswer.Rejected -> when (answer.reason) {
-                RejectReason.STALE_EPOCH -> {
-                    fleet.onTokenRejected(worker.ref, order.epoch)
+                RejectReason.STALE_TOKEN -> {
+                    fleet.onTokenRejected(worker.ref, order.fencingToken)
                     worker.nextPollMillis = nowMillis + REPOLL_BACKOFF_MILLIS
                 }
 
@@ -146,7 +146,7 @@
     ) {
         worker.failedPollMillis = order.sentMillis
         // Another incarnation may answer the next poll.
-        if (worker.contactFailures == 0) fleet.fenceEarlierOrders(worker)
+        if (worker.contactFailures == 0) fleet.fencingTokens.fenceEarlierOrders(worker)
         if (worker.contactFailures == 0) {
             fleet.log(
                 "worker-unreachable",
@@ -179,7 +179,7 @@
             fleet.log("worker-restarted", worker.id, "runs" to worker.placements.size)
             recorder.dropPendingEnds(worker)
             worker.resetAfterRestart()
-            fleet.fenceEarlierOrders(worker)
+            fleet.fencingTokens.fenceEarlierOrders(worker)
             worker.placements.values.filter { !it.wasSeen }.forEach { it.awaitReport(nowMillis) }
             crashes.onRestarted(worker, nowMillis)
         } else {
@@ -215,7 +215,7 @@
     /** Releases the placements on [worker], whose lease has lapsed, which ended all its runs. */
     fun releaseLapsed(worker: FleetWorker, nowMillis: Long) {
         crashes.onLost(worker, hasEnded = false, nowMillis)
-        fleet.fenceEarlierOrders(worker)
+        fleet.fencingTokens.fenceEarlierOrders(worker)
         releaseAll(worker, nowMillis, "lease lapsed")
     }
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerOrders.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerOrders.kt
@@ -1,9 +1,9 @@
 /**
  * Orders to workers and their answers.
  *
- * An order carries the owner's epoch as a fencing token: a worker that has seen a higher epoch
- * rejects it. A `leaseEndMillis` is a time on the worker's own clock; runs on the worker end when
- * it passes.
+ * An order carries a fencing token: a worker that has seen a higher one rejects it. Tokens of later
+ * epochs are higher, and so are those of later orders to a worker that may have restarted. A
+ * `leaseEndMillis` is a time on the worker's own clock; runs on the worker end when it passes.
  */
 package sycamoremast.coordination.workflow
 
@@ -14,6 +14,7 @@
 @Serializable
 sealed interface WorkerOrder {
     val worker: WorkerRef
+    val fencingToken: Long
 }
 
 /** Asks [worker] to start a run of a task, from [checkpoint] unless that is empty. */
@@ -21,7 +22,7 @@
 @SerialName("start")
 data class StartOrder(
     @SerialName("w") override val worker: WorkerRef,
-    @SerialName("e") val epoch: Long,
+    @SerialName("e") override val fencingToken: Long,
     @SerialName("t") val task: TaskName,
     @SerialName("r") val run: Int,
     @SerialName("p") val payload: String,
@@ -34,7 +35,7 @@
 @SerialName("stop")
 data class StopOrder(
     @SerialName("w") override val worker: WorkerRef,
-    @SerialName("e") val epoch: Long,
+    @SerialName("e") override val fencingToken: Long,
     @SerialName("t") val task: TaskName,
     @SerialName("r") val run: Int
 ) : WorkerOrder
@@ -44,7 +45,7 @@
 @SerialName("pace")
 data class PaceOrder(
     @SerialName("w") override val worker: WorkerRef,
-    @SerialName("e") val epoch: Long,
+    @SerialName("e") override val fencingToken: Long,
     @SerialName("t") val task: TaskName,
     @SerialName("r") val run: Int,
     @SerialName("n") val percent: Int
@@ -60,7 +61,7 @@
 @SerialName("poll")
 data class PollOrder(
     @SerialName("w") override val worker: WorkerRef,
-    @SerialName("e") val epoch: Long,
+    @SerialName("e") override val fencingToken: Long,
     @SerialName("a") val acknowledgedEnd: Long,
     @SerialName("l") val leaseEndMillis: Long?,
     @SerialName("m") val waitMillis: Long,
@@ -95,9 +96,11 @@
 }
 
 /** The reason why an order had no effect. */
+@Serializable
 enum class RejectReason {
-    /** The worker has seen a higher epoch. */
-    STALE_EPOCH,
+    /** The worker has seen a higher fencing token. */
+    @SerialName("STALE_EPOCH")
+    STALE_TOKEN,
 
     /** This run or a later one was stopped or has ended on the worker. */
     STALE_RUN,
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -180,9 +180,9 @@
 
     /** Processes the answer to a change of pace. */
     fun onPaceAnswer(order: PaceOrder, answer: WorkerAnswer, nowMillis: Long) {
-        if (answer is WorkerAnswer.Rejected && answer.reason == RejectReason.STALE_EPOCH) {
+        if (answer is WorkerAnswer.Rejected && answer.reason == RejectReason.STALE_TOKEN) {
             fleet.log("pace-rejected", order.task.toString(), "atMillis" to nowMillis)
-            fleet.onTokenRejected(order.worker, order.epoch)
+            fleet.onTokenRejected(order.worker, order.fencingToken)
         }
     }
 
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/LateOrderTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/LateOrderTest.kt
@@ -14,7 +14,7 @@
 class LateOrderTest {
     private val driver = SchedulerDriver()
     private val scheduler = driver.scheduler
-    private val stale = Rejected(RejectReason.STALE_EPOCH)
+    private val stale = Rejected(RejectReason.STALE_TOKEN)
 
     private fun startOnW1(): StartOrder {
         driver.listWorkers("w1")
@@ -66,7 +66,7 @@
         driver.step()
         expectThat(driver.starts).isEmpty()
         val fencing = driver.polls.single()
-        expectThat(fencing.epoch).isGreaterThan(start.epoch)
+        expectThat(fencing.fencingToken).isGreaterThan(start.fencingToken)
         driver.report(fencing, started = 2)
         do driver.step() while (driver.starts.isEmpty() && driver.now < START_BY_MILLIS)
         expectThat(driver.starts.single().run).isGreaterThan(start.run)
@@ -77,9 +77,9 @@
         val start = startOnW1()
         driver.answer(driver.polls.single(), Unknown("connection reset"))
         val fencing = driver.freshPoll("w1")
-        expectThat(fencing.epoch).isGreaterThan(start.epoch)
+        expectThat(fencing.fencingToken).isGreaterThan(start.fencingToken)
         driver.answer(fencing, Unknown("connection reset"))
-        expectThat(driver.freshPoll("w1").epoch).isEqualTo(fencing.epoch)
+        expectThat(driver.freshPoll("w1").fencingToken).isEqualTo(fencing.fencingToken)
     }
 
     @Test
@@ -87,7 +87,7 @@
         val start = startOnW1().also(driver::confirmStart)
         driver.answer(driver.polls.single(), Rejected(RejectReason.OTHER_INCARNATION))
         scheduler.onWorkerListed(driver.listing("w1"), driver.now)
-        expectThat(driver.freshPoll("w1").epoch).isGreaterThan(start.epoch)
+        expectThat(driver.freshPoll("w1").fencingToken).isGreaterThan(start.fencingToken)
     }
 
     // Guards against an owner that gives up as a worker rejects an order which it has overtaken.
@@ -112,7 +112,9 @@
         repeat(RESTARTS) { driver.report(driver.freshPoll("w1"), started = it + 2L) }
         val next = SchedulerDriver(epoch = 2)
         next.scheduler.onWorkersListed(listOf(next.listing("w1")), next.now)
-        expectThat(driver.freshPoll("w1").epoch).isLessThan(next.freshPoll("w1").epoch)
+        expectThat(
+            driver.freshPoll("w1").fencingToken
+        ).isLessThan(next.freshPoll("w1").fencingToken)
     }
 
     private companion object {
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelWorker.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelWorker.kt
@@ -27,7 +27,7 @@
     private val highestFencedRuns = HashMap<TaskName, Int>()
     private val unacknowledged = ArrayList<DoneEnd>()
     private var lastEnd = 0L
-    private var epoch = 0L
+    private var highestToken = 0L
     private var leaseEndMillis = 0L
     private var startedMillis = 0L
     val doneEnds = ArrayList<DoneEnd>()
@@ -51,7 +51,7 @@
         highestFencedRuns.clear()
         unacknowledged.clear()
         lastEnd = 0
-        epoch = 0
+        highestToken = 0
     }
 
     fun restart(nowMillis: Long) {
@@ -88,14 +88,9 @@
     /** Carries out [order] and calls [onStart] if a run starts. */
     fun carryOut(order: WorkerOrder, nowMillis: Long, onStart: (TaskName) -> Unit): WorkerAnswer {
         advance(nowMillis)
-        val orderEpoch = when (order) {
-            is StartOrder -> order.epoch
-            is StopOrder -> order.epoch
-            is PaceOrder -> order.epoch
-            is PollOrder -> order.epoch
-        }
-        if (orderEpoch < epoch) return WorkerAnswer.Rejected(RejectReason.STALE_EPOCH)
-        epoch = orderEpoch
+        val token = order.fencingToken
+        if (token < highestToken) return WorkerAnswer.Rejected(RejectReason.STALE_TOKEN)
+        highestToken = token
         return when (order) {
             is StartOrder -> start(order, nowMillis, onStart)
             is StopOrder -> stop(order, nowMillis)
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/WorkflowSchedulerTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/WorkflowSchedulerTest.kt
@@ -224,7 +224,7 @@
     @Test
     fun `returns Depose when a worker has seen a higher epoch`() {
         val first = startFirst()
-        val stale = WorkerAnswer.Rejected(RejectReason.STALE_EPOCH)
+        val stale = WorkerAnswer.Rejected(RejectReason.STALE_TOKEN)
         driver.answer(poll(first.worker.id), stale)
         expectThat(driver.step()).contains(SchedulerAction.Depose(first.worker))
     }
