--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/LateOrderTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/LateOrderTest.kt
@@ -117,7 +117,41 @@
         ).isLessThan(next.freshPoll("w1").fencingToken)
     }
 
+    // Guards against a late start beside the task's next run, as nothing is sent to an idle worker.
+    @Test
+    fun `a worker that has restarted while idle soon gets an order with the higher token`() {
+        driver.listWorkers("w1")
+        driver.submit(driver.workflow("job", driver.taskStep(2)))
+        driver.step()
+        val (late, ended) = driver.starts
+        driver.confirmStart(ended)
+        scheduler.onStartAnswer(late, Unknown("timeout"), driver.now)
+        // The worker drains, so that nothing else starts there, and the store is slow.
+        scheduler.onWorkerListed(driver.listing("w1", isDraining = true), driver.now)
+        driver.areRecordsDurableAtOnce = false
+        val running = RunningRow(ended.task, ended.run, "", 50, null)
+        driver.report(driver.freshPoll("w1"), listOf(running))
+        driver.step()
+        val stop = driver.stops.single { it.task == late.task }
+        scheduler.onStopAnswer(stop, WorkerAnswer.Done(driver.now, driver.now), driver.now)
+        val end = EndedRow(1, ended.task, ended.run, RunEnd.DONE, "")
+        driver.report(driver.freshPoll("w1"), ended = listOf(end))
+
+        val next = ModelWorker(driver.ref("w1"), WORK_MILLIS).apply { restart(driver.now) }
+        repeat(STEPS) {
+            driver.step()
+            for (poll in driver.polls) {
+                val answer = next.carryOut(poll, driver.now) {} as WorkerAnswer.Reported
+                val report = answer.report.copy(receivedMillis = driver.now)
+                driver.answer(poll, WorkerAnswer.Reported(report))
+            }
+        }
+        expectThat(next.carryOut(late, driver.now) {}).isEqualTo(stale)
+    }
+
     private companion object {
+        /** Several times as long as a report of an idle worker may be due. */
+        const val STEPS = 80
         const val WORK_MILLIS = 400L
         const val START_BY_MILLIS = 5_000L
         const val RESTARTS = 20
