--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/FencedPaceTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/FencedPaceTest.kt
@@ -6,7 +6,7 @@
 import strikt.assertions.isNotEmpty
 import sycamoremast.coordination.Resources
 
-/** Tests of changes of a run's pace that its worker rejects, as a later order has overtaken them. */
+/** Tests of changes of a run's pace that a later order has overtaken. */
 class FencedPaceTest {
     private val driver = SchedulerDriver()
     private val scheduler = driver.scheduler
