--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/WorkflowFailureTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/WorkflowFailureTest.kt
@@ -70,6 +70,18 @@
             .containsExactly(WorkflowFailure.Run(1), WorkflowFailure.Run(start.run, "w1"))
     }
 
+    // Guards against a workflow that a takeover fails, for crashes not blamed on it so far (LOST).
+    @Test
+    fun `fails no recovered workflow before another crash`() {
+        val crashes = mapOf("0.0.0" to setOf(1, 2, 3, 4))
+        val progress = WorkflowProgress(WorkflowPhase.RUNNING, hasBegun = true, crashes = crashes)
+        driver.listWorkers("w1")
+        val workflow = driver.workflow()
+        scheduler.onWorkflowAccepted(workflow, progress, isRecovered = true, driver.now, driver.now)
+        repeat(4) { step() }
+        expectThat(scheduler.phaseOrNull(workflow.id)).isEqualTo(WorkflowPhase.RUNNING)
+    }
+
     @Test
     fun `restores the failure of an ended workflow and records it unchanged`() {
         val failure =
