--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
@@ -180,6 +180,8 @@
             recorder.dropPendingEnds(worker)
             worker.resetAfterRestart()
             fleet.fencingTokens.fenceEarlierOrders(worker)
+            // An idle worker would not be told the token before the next start.
+            worker.isReportDue = true
             worker.placements.values.filter { !it.wasSeen }.forEach { it.awaitReport(nowMillis) }
             crashes.onRestarted(worker, nowMillis)
         } else {
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/FencedPaceTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/FencedPaceTest.kt
@@ -62,7 +62,7 @@
         val failed = driver.freshPoll("w1")
         driver.answer(failed, WorkerAnswer.Unknown("connection reset"))
         report(driver.freshPoll("w1"))
-        val stale = WorkerAnswer.Rejected(RejectReason.STALE_EPOCH)
+        val stale = WorkerAnswer.Rejected(RejectReason.STALE_TOKEN)
         scheduler.onPaceAnswer(halt, stale, driver.now)
         expectThat(awaitPace()).isNotEmpty()
     }
