--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FencingTokens.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FencingTokens.kt
@@ -19,6 +19,6 @@
 
     private companion object {
         /** The size of the range of tokens that each epoch has. */
-        const val PER_EPOCH = 1_000_000L
+        const val PER_EPOCH = 1_000_000_000L
     }
 }
