--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/ColocationController.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/ColocationController.kt
@@ -202,6 +202,15 @@
         )
     }
 
+    /** Orders the pace of [rejected] again if it still applies and a later order has overtaken it. */
+    fun repeatPace(rejected: PaceOrder, nowMillis: Long) {
+        val placement = fleet.workers[rejected.worker.id]?.placements?.get(rejected.task) ?: return
+        val isLatest =
+            placement.run == rejected.run && placement.pacePercent == rejected.percent
+        val isOvertaken = rejected.fencingToken < placement.worker.fencingToken
+        if (isLatest && isOvertaken) pace(placement, rejected.percent, nowMillis)
+    }
+
     /** Removes the baselines of the steps of [workflow], which has ended. */
     fun removeBaselines(workflow: OpenWorkflow) {
         workflow.steps().forEach {
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -183,6 +183,7 @@
         if (answer is WorkerAnswer.Rejected && answer.reason == RejectReason.STALE_TOKEN) {
             fleet.log("pace-rejected", order.task.toString(), "atMillis" to nowMillis)
             fleet.onTokenRejected(order.worker, order.fencingToken)
+            colocation.repeatPace(order, nowMillis)
         }
     }
 
