--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
@@ -18,8 +18,8 @@
     /** The workflows that have not ended, or whose end or last run still has to be dealt with. */
     val workflows = LinkedHashMap<String, OpenWorkflow>()
 
-    /** The others, by their IDs: their specifications would fill the memory in time. */
-    val endedWorkflows = LinkedHashMap<String, EndedWorkflow>()
+    /** How the others ended, by their IDs: their specifications would fill the memory in time. */
+    val endedWorkflows = HashMap<String, WorkflowPhase>()
     val openTasks = OpenTasks(this)
 
     /** The workflows that have not ended. */
@@ -198,8 +198,7 @@
         if (!workflow.durablePhase.isFinal || workflow.placedCount > 0) return
         if (workflow.durableChange < workflow.lastChange) return
         workflows -= workflow.id
-        endedWorkflows[workflow.id] =
-            EndedWorkflow(workflow.durablePhase, workflow.endedUnixMillis)
+        endedWorkflows[workflow.id] = workflow.durablePhase
     }
 
     /** Returns the task [name], of which a run was ordered, if its workflow is known. */
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -62,7 +62,7 @@
         unixMillis: Long
     ) {
         if (workflow.id in fleet.workflows || workflow.id in fleet.endedWorkflows) return
-        if (progress?.phase?.isFinal == true) return onEndedWorkflow(workflow.id, progress)
+        if (progress?.phase?.isFinal == true) return onEndedWorkflow(workflow.id, progress.phase)
         val age = (unixMillis - workflow.submittedMillis).coerceIn(0, MAX_AGE_MILLIS)
         val open = OpenWorkflow(workflow, isRecovered, nowMillis - age)
         fleet.workflows[workflow.id] = open
@@ -94,10 +94,10 @@
         if (isCancelled) onWorkflowCancelled(workflow.id, nowMillis, unixMillis)
     }
 
-    /** Adds the workflow [id], which ended in an earlier term as [progress] tells. */
-    fun onEndedWorkflow(id: String, progress: WorkflowProgress) {
+    /** Adds the workflow [id], which ended as [phase] in an earlier term. */
+    fun onEndedWorkflow(id: String, phase: WorkflowPhase) {
         pendingCancels -= id
-        fleet.endedWorkflows[id] = EndedWorkflow(progress.phase, progress.endedUnixMillis)
+        fleet.endedWorkflows[id] = phase
     }
 
     /** Ends the workflow [id], which was cancelled, now or once it is accepted. */
@@ -196,7 +196,7 @@
 
     /** Returns the phase that callers may see of the workflow [id], or null if it is unknown. */
     fun phaseOrNull(id: String): WorkflowPhase? {
-        val workflow = fleet.workflows[id] ?: return fleet.endedWorkflows[id]?.phase
+        val workflow = fleet.workflows[id] ?: return fleet.endedWorkflows[id]
         return if (workflow.phase.isFinal) workflow.durablePhase else workflow.phase
     }
 
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
@@ -107,7 +107,7 @@
     /** Adds the workflow [id], which ended in an earlier term as [progress] tells. */
     fun addEndedWorkflow(id: String, progress: WorkflowProgress) = enqueue {
         statuses.putIfAbsent(id, progress.status)
-        scheduler.onEndedWorkflow(id, progress)
+        scheduler.onEndedWorkflow(id, progress.phase)
     }
 
     fun cancelWorkflow(id: String) = enqueue {
