--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
@@ -145,9 +145,9 @@
         nowMillis: Long
     ) {
         worker.failedPollMillis = order.sentMillis
-        // Another incarnation may answer the next poll.
-        if (worker.contactFailures == 0) fleet.fencingTokens.fenceEarlierOrders(worker)
         if (worker.contactFailures == 0) {
+            // Another incarnation may answer the next poll.
+            fleet.fencingTokens.fenceEarlierOrders(worker)
             fleet.log(
                 "worker-unreachable",
                 worker.id,
