--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
@@ -126,11 +126,9 @@
     private fun isHeartbeatDue(nowMillis: Long): Boolean {
         if (!hasRosterChanged && !fleet.isRosterDurable) return false
         val elapsedMillis = nowMillis - lastHeartbeatMillis
-        return elapsedMillis >= SchedulerSettings.HEARTBEAT_INTERVAL_MILLIS ||
-            (
-                elapsedMillis >= SHORTEST_HEARTBEAT_INTERVAL_MILLIS &&
-                    fleet.workers.values.any { it.lease.isHeartbeatDue }
-                )
+        if (elapsedMillis >= SchedulerSettings.HEARTBEAT_INTERVAL_MILLIS) return true
+        return elapsedMillis >= SHORTEST_HEARTBEAT_INTERVAL_MILLIS &&
+            fleet.workers.values.any { it.lease.isHeartbeatDue }
     }
 
     private fun updateWaitingCounts(nowMillis: Long) {
