--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Election.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Election.kt
@@ -40,8 +40,11 @@
  */
 internal data class Term(val epoch: Long, val epochRevision: Long, val sightings: StoreSightings)
 
-/** The owner key's content at [version]; [record] is null if the key is absent or unreadable. */
-private class OwnerKeyState(val record: OwnerRecord?, val version: Long)
+/**
+ * The owner key's content at [version], which this host has known since [seenMillis]; [record] is
+ * null if the key is absent or unreadable.
+ */
+private class OwnerKeyState(val record: OwnerRecord?, val version: Long, val seenMillis: Long)
 
 /** Receives the start and end of this host's terms of ownership, on the election thread. */
 internal interface TermListener {
@@ -66,7 +69,10 @@
     private val hasStrongerHost: () -> Boolean = { false }
 ) : PrefixListener,
     AutoCloseable {
-    private class HeldTerm(val lease: LeaseId, val term: Term, @Volatile var renewedMillis: Long)
+    private class HeldTerm(val lease: LeaseId, val term: Term, val claimedMillis: Long) {
+        @Volatile
+        var renewedMillis = claimedMillis
+    }
 
     /** Wakes the election thread; a non-empty element is a reason to end the current term. */
     private val wakeUps = LinkedBlockingQueue<String>()
@@ -143,7 +149,11 @@
     private fun updateOwnerKey(value: String?, version: Long?) {
         val record = value?.let { decodeRecordOrNull<OwnerRecord>(it) }
         if (record != null) history.recordClaim(record.epoch)
-        ownerKey = OwnerKeyState(record, version?.takeIf { value != null } ?: StoreEntry.ABSENT)
+        ownerKey = OwnerKeyState(
+            record,
+            version?.takeIf { value != null } ?: StoreEntry.ABSENT,
+            clock.nowMillis()
+        )
         wakeUps += ""
     }
 
@@ -294,10 +304,22 @@
 
     private fun claimIfFree() {
         val free = claimableKeyOrNull() ?: return
-        Thread.sleep(Random.nextLong(MAX_CLAIM_JITTER_MILLIS) + claimDelayMillis(free))
+        val delay = claimDelay(free)
+        Thread.sleep(Random.nextLong(MAX_CLAIM_JITTER_MILLIS) + delay.millis)
         val key = claimableKeyOrNull()
         if (key == null || !isOpen) return
         val startedMillis = clock.nowMillis()
+        log.add(
+            "owner-claims",
+            "set" to set,
+            "lastOwner" to (key.record ?: history.lastClaim)?.host,
+            "lastEpoch" to lastEpoch,
+            "isKeyHeld" to (key.record != null),
+            "knownMillis" to startedMillis - key.seenMillis,
+            "strongerHostMillis" to delay.strongerHostMillis,
+            "uninformedMillis" to delay.uninformedMillis,
+            "returningOwnerMillis" to delay.returningOwnerMillis
+        )
         val claimed = store.grantLease(LEASE_TTL_MILLIS.milliseconds).flatMap { lease ->
             store.get(WorkflowKeys.epoch(set)).flatMap { claim(lease, key, it, startedMillis) }
         }
@@ -306,7 +328,8 @@
                 "claim-failed",
                 "step" to claimed.value.step,
                 "peer" to claimed.value.peer,
-                "reason" to claimed.value.reason
+                "reason" to claimed.value.reason,
+                "tookMillis" to clock.nowMillis() - startedMillis
             )
 
             is Either.Right -> beginTerm(claimed.value ?: return)
@@ -320,16 +343,14 @@
      * workers that don't answer. An owner that went on through an outage of the store knows best when
      * their leases end; a host that started in the outage leaves the claim to the standbys, too.
      */
-    private fun claimDelayMillis(free: OwnerKeyState): Long {
+    private fun claimDelay(free: OwnerKeyState): ClaimDelay {
         val isUninformed = free.record == null && history.isUninformed
         val mayOwnerReturn = history.hasJustAcknowledged && history.lastClaim?.host != host
-        return (if (hasStrongerHost()) WEAK_HOST_CLAIM_DELAY_MILLIS else 0) +
-            (if (isUninformed) UNINFORMED_CLAIM_DELAY_MILLIS else 0) +
-            if (mayOwnerReturn || (isUninformed && hasStartedInOutage)) {
-                RETURNING_OWNER_CLAIM_DELAY_MILLIS
-            } else {
-                0
-            }
+        return ClaimDelay.from(
+            hasStrongerHost(),
+            isUninformed,
+            mayOwnerReturn || (isUninformed && hasStartedInOutage)
+        )
     }
 
     private fun beginTerm(held: HeldTerm) {
@@ -345,7 +366,12 @@
             store.revokeLease(held.lease)
             return
         }
-        log.add("owner-began", "set" to set, "epoch" to held.term.epoch)
+        log.add(
+            "owner-began",
+            "set" to set,
+            "epoch" to held.term.epoch,
+            "claimMillis" to clock.nowMillis() - held.claimedMillis
+        )
         listener.onBegin(held.term)
     }
 
@@ -445,14 +471,6 @@
         /** Spreads the claims of hosts that see the deletion of the key at the same moment. */
         const val MAX_CLAIM_JITTER_MILLIS = 40L
 
-        /** Lets stronger hosts claim first; costs less time than a weak owner would lose. */
-        const val WEAK_HOST_CLAIM_DELAY_MILLIS = 600L
-
-        /** Several times as long as a host takes to learn that the owner's key was deleted. */
-        const val UNINFORMED_CLAIM_DELAY_MILLIS = 300L
-
-        /** As long as an owner takes to notice that its lease has ended, and to claim again. */
-        const val RETURNING_OWNER_CLAIM_DELAY_MILLIS = 500L
         const val JOIN_TIMEOUT_MILLIS = 500L
 
         /** How often a closing election looks whether the store answers again. */
