--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/ClaimDelay.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/ClaimDelay.kt
@@ -10,6 +10,8 @@
     val millis: Long get() = strongerHostMillis + uninformedMillis + returningOwnerMillis
 
     companion object {
+        val NONE = ClaimDelay(0, 0, 0)
+
         /** Lets stronger hosts claim first; costs less time than a weak owner would lose. */
         private const val STRONGER_HOST_MILLIS = 600L
 
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Election.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Election.kt
@@ -342,9 +342,11 @@
      * A host that has not seen when the owner wrote its last heartbeat would have to wait longer for
      * workers that don't answer. An owner that went on through an outage of the store knows best when
      * their leases end; a host that started in the outage leaves the claim to the standbys, too.
+     * Nobody else can claim a key that names this host.
      */
     private fun claimDelay(free: OwnerKeyState): ClaimDelay {
-        val isUninformed = free.record == null && history.isUninformed
+        if (free.record != null) return ClaimDelay.NONE
+        val isUninformed = history.isUninformed
         val mayOwnerReturn = history.hasJustAcknowledged && history.lastClaim?.host != host
         return ClaimDelay.from(
             hasStrongerHost(),
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/ElectionTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/ElectionTest.kt
@@ -34,6 +34,7 @@
     private val store = MemoryStore()
     private val terms = LinkedBlockingQueue<Term>()
     private val ends = LinkedBlockingQueue<String>()
+    private val lines = LinkedBlockingQueue<String>()
     private val elections = ArrayList<AutoCloseable>()
 
     @AfterEach
@@ -43,6 +44,7 @@
         host: String,
         electionStore: TransactionalStore = store,
         clock: MonotonicClock = MonotonicClock.system(),
+        hasStrongerHost: Boolean = false,
         confirmedMillis: () -> Long? = { null }
     ): Election {
         val listener = object : TermListener {
@@ -54,7 +56,11 @@
                 ends += reason
             }
         }
-        val election = Election(electionStore, host, 0, clock, EventLog { }, listener)
+        val log = EventLog { lines += it }
+        val election =
+            Election(electionStore, host, 0, clock, log, listener, hasStrongerHost = {
+                hasStrongerHost
+            })
         election.confirmedMillis = confirmedMillis
         elections += election
         return election.start()
@@ -81,6 +87,27 @@
         expectThat(owner()).isEqualTo(OwnerRecord("host", 4))
     }
 
+    /** Returns the line of the event [name], once it is there. */
+    private fun awaitLine(name: String): String {
+        eventually("$name is logged") { lines.any { "event=$name " in it } }
+        return lines.first { "event=$name " in it }
+    }
+
+    // Guards against leases that lapse while a restarted owner leaves its own key to hosts that
+    // can't claim it (LOST).
+    @Test
+    fun `leaves a key that names the same host to no stronger host`() {
+        writeOwner("host", 3)
+        startElection("host", hasStrongerHost = true)
+        expectThat(awaitLine("owner-claims")).contains("strongerHostMillis=0 ")
+    }
+
+    @Test
+    fun `leaves a key that is absent to a stronger host`() {
+        startElection("host", hasStrongerHost = true)
+        expectThat(awaitLine("owner-claims")).contains("strongerHostMillis=600 ")
+    }
+
     private fun writeLastClaim(host: String, epoch: Long) = store.apply(
         StoreTransaction(
             emptyMap(),
