--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/MonitoredStore.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/MonitoredStore.kt
@@ -1,11 +1,12 @@
 /**
  * Detects outages of the store, so that callers needn't wait for calls that are bound to fail.
  *
- * The prefix followers keep calling the store during an outage; the first answer ends it.
+ * The prefix followers keep probing the store during an outage; the first answer ends it.
  */
 package sycamoremast.daemon.workflow
 
 import arrow.core.Either
+import arrow.core.left
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration
 import sycamoremast.coordination.CommitResult
@@ -18,13 +19,20 @@
 import sycamoremast.coordination.StoreTransaction
 import sycamoremast.coordination.TransactionalStore
 
-/** Delegates to [store] and counts consecutive calls without an answer. */
+/**
+ * Delegates to [store] and counts consecutive calls without an answer.
+ *
+ * While the store is lost, listings and watches wait for the answer to a probe before they are sent.
+ */
 internal class MonitoredStore(
     private val store: TransactionalStore,
     private val clock: MonotonicClock,
     private val meters: WorkflowMeters = WorkflowMeters()
 ) : TransactionalStore {
     private val failures = AtomicInteger()
+    private val probe = StoreProbe(clock) {
+        monitored("probe") { store.get(WorkflowKeys.PROBE) }.isRight()
+    }
 
     @Volatile
     private var lastAnswerMillis = clock.nowMillis()
@@ -61,6 +69,17 @@
         }
     }
 
+    /** Makes a call that takes long to time out, once a probe shows that a lost store is back. */
+    private fun <T> unlessLost(
+        call: String,
+        prefix: String,
+        answer: () -> Either<StoreError, T>
+    ): Either<StoreError, T> = if (isLost && !probe.awaitAnswer(MAX_PROBE_WAIT_MILLIS)) {
+        StoreError.NotSent(call, prefix, "the store does not answer").left()
+    } else {
+        monitored(call, answer)
+    }
+
     override fun get(key: String, mayBeStale: Boolean): Either<StoreError, StoreEntry?> =
         monitored("get") { store.get(key, mayBeStale) }
 
@@ -68,14 +87,15 @@
         prefix: String,
         after: String,
         mayBeStale: Boolean
-    ): Either<StoreError, StorePage> = monitored("list") { store.page(prefix, after, mayBeStale) }
+    ): Either<StoreError, StorePage> =
+        unlessLost("list", prefix) { store.page(prefix, after, mayBeStale) }
 
     override fun changes(
         prefix: String,
         revision: Long,
         wait: Duration
     ): Either<StoreError, StoreChanges> =
-        monitored("watch") { store.changes(prefix, revision, wait) }
+        unlessLost("watch", prefix) { store.changes(prefix, revision, wait) }
 
     override fun commit(transaction: StoreTransaction): Either<StoreError, CommitResult> =
         monitored("commit") { store.commit(transaction) }
@@ -98,5 +118,8 @@
 
         /** Calls that were open when the store came back may still fail for this long. */
         const val MIN_LOSS_SILENCE_MILLIS = 1_000L
+
+        /** About as long as a listing without an answer takes. */
+        const val MAX_PROBE_WAIT_MILLIS = 1_500L
     }
 }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowKeys.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowKeys.kt
@@ -12,6 +12,9 @@
     /** Contains the registered entry hosts. */
     const val HOSTS = "${ROOT}host/"
 
+    /** Holds nothing; reading it shows whether the store answers. */
+    const val PROBE = "${ROOT}probe"
+
     fun host(name: String) = HOSTS + name
 
     fun job(id: String) = JOBS + id
