--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/CrashHistory.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/CrashHistory.kt
@@ -36,6 +36,14 @@
 
     /** The worker of each of these runs, or null if an earlier owner recorded the crash. */
     val runWorkers: Map<Int, String?> get() = crashes.mapValues { it.value?.workerId }
+
+    /** The runs that count as crashed though the fleet's own trouble explains their crashes. */
+    private val explainedRuns: Set<Int>
+        get() = crashes.filter { (run, crash) ->
+            if (crash == null) run in explainedBefore else crash.isInTrouble == true
+        }.keys
+    val explainedRunsOrNull: Set<Int>? get() = explainedRuns.takeIf { it.isNotEmpty() }
+    private var explainedBefore = emptySet<Int>()
     val isUndecided: Boolean get() = crashes.values.any { it?.isDecided == false }
 
     /** Whether the task has crashed so many workers that its workflow fails. */
@@ -50,7 +58,7 @@
 
     /** Whether the next run is to start alone; the fleet's own trouble explains a single crash. */
     val needsTrial: Boolean
-        get() = crashes.size > 1 || crashes.values.any { it?.isInTrouble != true }
+        get() = crashes.size > 1 || explainedRuns.size < crashes.size
 
     /** How long a run has to live to have outlived the crashed ones. */
     val trialMillis: Long
@@ -59,9 +67,16 @@
             return (longest + TRIAL_MARGIN_MILLIS).coerceIn(MIN_TRIAL_MILLIS, MAX_TRIAL_MILLIS)
         }
 
-    fun restore(recorded: Set<Int>) {
+    /**
+     * Restores the [recorded] runs, of which an earlier owner has [explained] some.
+     *
+     * It may have found no time to explain the last one, so only another crash uses up the credible
+     * ones.
+     */
+    fun restore(recorded: Set<Int>, explained: Set<Int>) {
         recorded.forEach { crashes[it] = null }
-        isGivenUp = isExhausted
+        explainedBefore = explained
+        isGivenUp = crashes.size >= MAX_CRASHES
     }
 
     fun add(crash: CrashedRun) {
@@ -86,7 +101,9 @@
 
     /** The number of crashes that the fleet's own trouble doesn't explain. */
     private val credibleCount: Int
-        get() = crashes.values.count { it == null || it.isInTrouble == false }
+        get() = crashes.count { (run, crash) ->
+            if (crash == null) run !in explainedBefore else crash.isInTrouble == false
+        }
 
     private companion object {
         /** Assumed of runs that an earlier owner recorded. */
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/CrashLedger.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/CrashLedger.kt
@@ -104,7 +104,11 @@
             val untilMillis = crash.lostMillis + COINCIDENCE_MILLIS
             val around = crash.lostMillis - COINCIDENCE_MILLIS..untilMillis
             when {
-                losses.showsTrouble(around, crash.workerId) -> crash.isInTrouble = true
+                losses.showsTrouble(around, crash.workerId) -> {
+                    crash.isInTrouble = true
+                    recorder.markChanged(task.step.workflow)
+                }
+
                 nowMillis > untilMillis -> crash.isInTrouble = false
             }
         }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/OpenWorkflow.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/OpenWorkflow.kt
@@ -165,7 +165,9 @@
         hasBegun = hasBegun,
         endedUnixMillis = endedUnixMillis,
         failure = failure,
-        crashes = if (isOpen) perTask(::recordedCrashes) else emptyMap(),
+        crashes = if (isOpen) perTask { it.recordedHistory?.runs?.toSet() } else emptyMap(),
+        explainedCrashes =
+        if (isOpen) perTask { it.recordedHistory?.explainedRunsOrNull } else emptyMap(),
         places = if (isOpen && isLongRunning && arePlacesKnown) perTask { it.place } else null
     )
 
@@ -185,7 +187,7 @@
                 ?.forEach { it.markDone() }
             for (task in step.tasks) {
                 progress.failures[task.key]?.let(task::restoreFailures)
-                progress.crashes[task.key]?.let(task::restoreCrashes)
+                task.restoreCrashes(progress)
                 if (arePlacesKnown) progress.places?.get(task.key)?.let(task::restorePlace)
                 task.checkpoint = progress.checkpoints[task.key].orEmpty()
             }
@@ -198,9 +200,6 @@
     private fun recordedFailures(task: OpenTask): Set<Int>? =
         task.failedRuns.takeIf { it.isNotEmpty() }?.toSet()
 
-    private fun recordedCrashes(task: OpenTask): Set<Int>? =
-        task.crashHistory?.runs?.toSet()?.takeIf { !task.isDone }
-
     private fun recordedCheckpoint(task: OpenTask): String? =
         task.checkpoint.takeIf { it.isNotEmpty() && !task.isDone && task.placements.isEmpty() }
 
@@ -266,6 +265,7 @@
 
     /** The crashes for which the task may be to blame, or null if there are none. */
     var crashHistory: CrashHistory? = null
+    val recordedHistory: CrashHistory? get() = crashHistory.takeIf { !isDone }
     var checkpoint = ""
     var notBeforeMillis = Long.MIN_VALUE
 
@@ -307,8 +307,10 @@
         lastRun = maxOf(lastRun, recorded.maxOrNull() ?: 0)
     }
 
-    fun restoreCrashes(recorded: Set<Int>) {
-        crashHistory = CrashHistory().apply { restore(recorded) }
+    fun restoreCrashes(progress: WorkflowProgress) {
+        val recorded = progress.crashes[key] ?: return
+        val explained = progress.explainedCrashes[key].orEmpty()
+        crashHistory = CrashHistory().apply { restore(recorded, explained) }
         lastRun = maxOf(lastRun, recorded.maxOrNull() ?: 0)
     }
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowProgress.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowProgress.kt
@@ -23,7 +23,9 @@
  * Steps are keyed by `occurrence.step`, tasks by `occurrence.step.index`. [failures] contains the
  * numbers of each task's failed runs. Two owners may read the same end, and an owner may read the
  * ends of a task's runs from several workers in any order; the numbers show which are counted.
- * [crashes] contains the numbers of the runs under which the worker may have crashed.
+ * [crashes] contains the numbers of the runs under which the worker may have crashed, and
+ * [explainedCrashes] those of them that the fleet's own trouble explains; records of earlier versions
+ * explain none.
  *
  * [endedUnixMillis] is 0 until the workflow has ended. [failure] tells why it failed; records of
  * earlier versions have none.
@@ -42,7 +44,8 @@
     val endedUnixMillis: Long = 0,
     val failure: WorkflowFailure? = null,
     val crashes: Map<String, Set<Int>> = emptyMap(),
-    val places: Map<String, String>? = null
+    val places: Map<String, String>? = null,
+    val explainedCrashes: Map<String, Set<Int>> = emptyMap()
 ) {
     /** The number of the first occurrences that include all tasks of which anything is recorded. */
     val startedOccurrences: Int
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/DeadlyTaskTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/DeadlyTaskTest.kt
@@ -197,6 +197,62 @@
         expectThat(workers.phaseOf("deadly")).isEqualTo(WorkflowPhase.FAILED)
     }
 
+    // Guards against a deadly task that starts on and on as its owners change (harm to workers).
+    @Test
+    fun `starts a task once more at most if its fourth crash is recorded as its owner goes`() {
+        val workers = workers(6)
+        workers.deadly += "deadly"
+        workers.submit("deadly")
+        repeat(4) { i ->
+            val starts = workers.startsOf("deadly").size
+            while (workers.startsOf("deadly").size == starts) workers.run(20)
+            workers.run(600)
+            expectThat(workers.recorded.getValue("deadly").crashes["0.0.0"].orEmpty())
+                .hasSize(i + 1)
+            workers.takeOver(2L + i)
+        }
+        workers.run(60_000)
+        expectThat(workers.startsOf("deadly").size).isLessThanOrEqualTo(MOST_STARTS)
+        expectThat(workers.phaseOf("deadly")).isEqualTo(WorkflowPhase.FAILED)
+    }
+
+    // Guards against a job that fails for crashes that earlier owners had explained (LOST).
+    @Test
+    fun `blames no task for crashes that earlier owners have explained`() {
+        val workers = workers(6)
+        workers.submit("lasting", driver.taskStep().copy(isLongRunning = true))
+        val crashes = mapOf("0.0.0" to setOf(1, 2, 3))
+        workers.recorded["lasting"] = WorkflowProgress(
+            WorkflowPhase.RUNNING,
+            hasBegun = true,
+            crashes = crashes,
+            explainedCrashes = crashes
+        )
+        workers.takeOver(2)
+        workers.run(20_000) {
+            workers.nodesOf("lasting").filter { workers.startsOf("lasting").size == 1 }
+                .forEach(workers::crash)
+        }
+        val counted = workers.logged("crash-counted").single()
+        expectThat(counted.fields["crashes"]).isEqualTo(4)
+        expectThat(counted.fields["inTrouble"]).isEqualTo(false)
+        expectThat(workers.phaseOf("lasting")).isEqualTo(WorkflowPhase.RUNNING)
+        expectThat(workers.nodesOf("lasting")).hasSize(1)
+    }
+
+    // Guards against an owner that leaves no word of which crashes were explained (LOST).
+    @Test
+    fun `records which crashes the fleet's own trouble explains`() {
+        val workers = workers(8)
+        workers.submit("job", driver.taskStep(30))
+        workers.run(100)
+        repeat(8, workers::crash)
+        workers.run(2_000)
+        val recorded = workers.recorded.getValue("job")
+        expectThat(recorded.crashes).isNotEmpty()
+        expectThat(recorded.explainedCrashes).isEqualTo(recorded.crashes)
+    }
+
     // Guards against a suspect that takes others with it.
     @Test
     fun `starts a suspect alone while other work goes on`() {
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/WorkflowFailureTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/WorkflowFailureTest.kt
@@ -82,6 +82,38 @@
         expectThat(scheduler.phaseOrNull(workflow.id)).isEqualTo(WorkflowPhase.RUNNING)
     }
 
+    // Guards against a deadly task that each owner starts anew.
+    @Test
+    fun `fails a recovered workflow with five recorded crashes, whatever explains them`() {
+        val crashes = mapOf("0.0.0" to setOf(1, 2, 3, 4, 5))
+        val progress = WorkflowProgress(
+            WorkflowPhase.RUNNING,
+            hasBegun = true,
+            crashes = crashes,
+            explainedCrashes = crashes
+        )
+        driver.listWorkers("w1")
+        val workflow = driver.workflow()
+        scheduler.onWorkflowAccepted(workflow, progress, isRecovered = true, driver.now, driver.now)
+        repeat(4) { step() }
+        expectThat(scheduler.phaseOrNull(workflow.id)).isEqualTo(WorkflowPhase.FAILED)
+    }
+
+    @Test
+    fun `restores which crashes are explained and records it unchanged`() {
+        val progress = WorkflowProgress(
+            WorkflowPhase.RUNNING,
+            hasBegun = true,
+            crashes = mapOf("0.0.0" to setOf(1, 2, 3)),
+            explainedCrashes = mapOf("0.0.0" to setOf(1, 3))
+        )
+        val open = OpenWorkflow(driver.workflow(), isRecovered = true, acceptedMillis = 0)
+        open.restore(progress)
+        open.addOccurrence()
+        open.restoreTasks(progress)
+        expectThat(open.progress()).isEqualTo(progress)
+    }
+
     @Test
     fun `restores the failure of an ended workflow and records it unchanged`() {
         val failure =
@@ -107,6 +139,14 @@
         expectThat(progress.failure).isNull()
     }
 
+    @Test
+    fun `reads records that were written without explained crashes`() {
+        val text = """{"phase":"RUNNING","crashes":{"0.0.0":[1,2]}}"""
+        expectThat(Json.decodeFromString<WorkflowProgress>(text)).isEqualTo(
+            WorkflowProgress(WorkflowPhase.RUNNING, crashes = mapOf("0.0.0" to setOf(1, 2)))
+        )
+    }
+
     // Guards against an owner that can't take over as a later version has recorded a new reason.
     @Test
     fun `reads a reason of a later version as unknown`() {
