--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
@@ -518,7 +518,8 @@
             batch.lastAnnounced,
             name,
             needsWorkers = true,
-            quorum = batch.quorum
+            quorum = batch.quorum,
+            raisesTokens = true
         )
     }
 
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/RecordWriter.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/RecordWriter.kt
@@ -72,7 +72,8 @@
                 batch.lastAnnounced,
                 term.sightings.process.host,
                 needsWorkers = true,
-                quorum = batch.quorum
+                quorum = batch.quorum,
+                raisesTokens = true
             )
             puts += StorePut(WorkflowKeys.roster(set), encodeRecord(record))
             puts +=
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/RecordWriterTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/RecordWriterTest.kt
@@ -148,6 +148,7 @@
         expectThat(decodeRecordOrNull<RosterRecord>(rosterText())).isNotNull().and {
             get { needsWorkers }.isTrue()
             get { quorum }.isEqualTo(6)
+            get { raisesTokens }.isTrue()
         }
     }
 
@@ -161,6 +162,7 @@
             get { standbys }.isEmpty()
             get { needsWorkers }.isFalse()
             get { quorum }.isNull()
+            get { raisesTokens }.isFalse()
         }
     }
 }
