--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/CrashLedger.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/CrashLedger.kt
@@ -114,7 +114,7 @@
         }
         if (!crash.isConfirmed || crash.isInTrouble == null) return false
         history.decide(crash)
-        history.heldUntilMillis = nowMillis + MAX_HOLD_MILLIS * (history.runs.size - 1)
+        history.heldUntilMillis = nowMillis + holdMillis(task, history)
         if (history.isGivenUp) fleet.endCandidates += task.step.workflow
         fleet.isPlacementDue = true
         fleet.log(
@@ -131,6 +131,13 @@
         return true
     }
 
+    private fun holdMillis(task: OpenTask, history: CrashHistory): Long =
+        if (task.step.spec.isLongRunning) {
+            MAX_LASTING_HOLD_MILLIS
+        } else {
+            MAX_HOLD_MILLIS * (history.runs.size - 1)
+        }
+
     private fun confirm(worker: FleetWorker, hasEnded: Boolean, nowMillis: Long) {
         // A start that is on its way may reach the new incarnation.
         val loss = currentLoss(worker, failures = 0)
@@ -245,5 +252,8 @@
 
         /** The longest time for which that is awaited, multiplied by the repetitions. */
         const val MAX_HOLD_MILLIS = 10_000L
+
+        /** The longest time for which that is awaited for a task that is to last. */
+        const val MAX_LASTING_HOLD_MILLIS = 2_000L
     }
 }
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/DeadlyTaskTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/DeadlyTaskTest.kt
@@ -240,6 +240,28 @@
         expectThat(workers.nodesOf("lasting")).hasSize(1)
     }
 
+    // Guards against lasting tasks that wait for a quiet moment while workers go all the time (LOST).
+    @Test
+    fun `starts a lasting suspect in time on a fleet that is never quiet`() {
+        val workers = workers(8)
+        workers.submit("lasting", driver.taskStep().copy(isLongRunning = true))
+        val crashes = mapOf("0.0.0" to setOf(1))
+        workers.recorded["lasting"] =
+            WorkflowProgress(WorkflowPhase.RUNNING, hasBegun = true, crashes = crashes)
+        workers.takeOver(2)
+        var steps = 0
+        workers.run(30_000) {
+            val used = workers.nodesOf("lasting")
+            if (workers.startsOf("lasting").size == 1) used.forEach(workers::crash)
+            if (++steps % 75 == 0) {
+                (0 until 8).first { it !in used && workers.isUp(it) }.let(workers::crash)
+            }
+        }
+        val countedMillis = workers.log.single { it.first.name == "crash-counted" }.second
+        expectThat(workers.started[1].second - countedMillis).isLessThanOrEqualTo(3_000)
+        expectThat(workers.phaseOf("lasting")).isEqualTo(WorkflowPhase.RUNNING)
+    }
+
     // Guards against an owner that leaves no word of which crashes were explained (LOST).
     @Test
     fun `records which crashes the fleet's own trouble explains`() {
