--- a/daemon/src/main/kotlin/sycamoremast/daemon/request/BackendClient.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/request/BackendClient.kt
@@ -5,6 +5,9 @@
  * at which an attempt failed: the state `CONNECTING` is left just before the first byte is written.
  * A response is accepted only if its end is marked, it is complete, no surplus bytes follow it, and
  * it does not have the id of another request.
+ *
+ * Connections may go silent without a reset, or break, all of a server's at one moment. A request
+ * that was sent and got no answer is a sign of it, so the idle connections are then discarded.
  */
 package sycamoremast.daemon.request
 
@@ -141,6 +144,7 @@
             else -> FailureKind.BROKEN
         }
         val reason = e.message ?: e.javaClass.simpleName
+        if (kind == FailureKind.DEADLINE || kind == FailureKind.BROKEN) closeIdle()
         return Failed(RequestFailure(lifecycle.state, address, reason), kind)
     }
 
