--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
@@ -18,8 +18,8 @@
     /** The workflows that have not ended, or whose end or last run still has to be dealt with. */
     val workflows = LinkedHashMap<String, OpenWorkflow>()
 
-    /** How the others ended, by their IDs: their specifications would fill the memory in time. */
-    val endedWorkflows = HashMap<String, WorkflowPhase>()
+    /** How the others ended: their specifications would fill the memory in time. */
+    val endedWorkflows = EndedWorkflows(settings)
     val openTasks = OpenTasks(this)
 
     /** The workflows that have not ended. */
@@ -197,8 +197,10 @@
     fun retireIfEnded(workflow: OpenWorkflow) {
         if (!workflow.durablePhase.isFinal || workflow.placedCount > 0) return
         if (workflow.durableChange < workflow.lastChange) return
+        if (workflow.isRetired) return
+        workflow.isRetired = true
         workflows -= workflow.id
-        endedWorkflows[workflow.id] = workflow.durablePhase
+        endedWorkflows.add(workflow.id, workflow.durablePhase, workflow.isCancelled)
     }
 
     /** Returns the task [name], of which a run was ordered, if its workflow is known. */
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/OpenWorkflow.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/OpenWorkflow.kt
@@ -30,6 +30,12 @@
     var areRunsKnown = !isRecovered
     var endedUnixMillis = 0L
 
+    /** Whether the owner keeps no more than its end, which is durable. */
+    var isRetired = false
+
+    /** Whether the store holds a cancellation of it. */
+    var isCancelled = false
+
     /** Why the workflow failed, or null if it did not or that is not known. */
     var failure: WorkflowFailure? = null
         private set
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
@@ -3,6 +3,10 @@
  *
  * One batch is in flight at a time. The end of a run may be acknowledged to its worker once a batch
  * is durable that contains its workflow and was formed after the end was reported.
+ *
+ * Records of workflows that ended long ago are deleted by batches that are due anyway and have room
+ * left, so that deletions cost few calls of the store and delay nothing. A batch of its own deletes
+ * some only if there has been no other for a while.
  */
 package sycamoremast.coordination.workflow
 
@@ -37,7 +41,8 @@
     private class BatchInFlight(
         val workflows: List<RecordedWorkflow>,
         val roster: Set<WorkerRef>?,
-        val heartbeatMillis: Long?
+        val heartbeatMillis: Long?,
+        val forgotten: List<EndedWorkflow>
     )
 
     /** End [number] of a worker, to be acknowledged once [change] of [workflow] is durable. */
@@ -45,7 +50,9 @@
         val isDurable: Boolean get() = workflow.durableChange >= change
     }
 
+    /** Records a change of [workflow], unless its end is all that is left, which may be deleted. */
     fun markChanged(workflow: OpenWorkflow) {
+        if (workflow.isRetired) return
         workflow.lastChange = ++lastChange
         changed += workflow
     }
@@ -87,12 +94,16 @@
 
     /** Adds the next batch to the outbox if one is due. */
     fun step(nowMillis: Long, unixMillis: Long) {
+        fleet.endedWorkflows.step(nowMillis)
         if (inFlight != null || isAwaitingAnswers(nowMillis)) return
+        fleet.endedWorkflows.logFieldsOrNull(nowMillis)
+            ?.let { fleet.log("records-forgotten", "epoch-${fleet.epoch}", *it) }
         updateWaitingCounts(nowMillis)
         updateInterference(nowMillis, unixMillis)
         if (leases.isRecordDue(nowMillis) || standbys.isRecordDue) hasRosterChanged = true
         val isUnchanged = changed.isEmpty() && !hasRosterChanged && newWaiting == null
-        if (isUnchanged && newInterference == null && !isHeartbeatDue(nowMillis)) return
+        val isIdle = isUnchanged && newInterference == null && !isHeartbeatDue(nowMillis)
+        if (isIdle && !isForgettingDue(nowMillis)) return
         if (nowMillis < dueMillis()) return
         lastBatchMillis = nowMillis
         sendBatch(nowMillis)
@@ -131,6 +142,10 @@
             fleet.workers.values.any { it.lease.isHeartbeatDue }
     }
 
+    private fun isForgettingDue(nowMillis: Long) = fleet.isRosterDurable &&
+        nowMillis >= lastBatchMillis + FORGET_INTERVAL_MILLIS &&
+        fleet.endedWorkflows.isAnyDue(nowMillis)
+
     private fun updateWaitingCounts(nowMillis: Long) {
         if (nowMillis < lastCountMillis + COUNT_INTERVAL_MILLIS) return
         lastCountMillis = nowMillis
@@ -168,10 +183,16 @@
         val leasesLeft = if (roster != null) leases.limit(nowMillis) else LeasesLeft.NONE
         val namedStandbys =
             roster?.let { standbys.onRosterFormed(it.toSet(), leasesLeft.fixed.keys) }.orEmpty()
+        val forgotten = if (fleet.isRosterDurable) {
+            fleet.endedWorkflows.takeDue(nowMillis, RecordBatch.MAX_WORKFLOWS - batch.size)
+        } else {
+            emptyList()
+        }
         inFlight = BatchInFlight(
             batch.map(::RecordedWorkflow),
             roster?.toSet(),
-            nowMillis.takeIf { isHeartbeat }
+            nowMillis.takeIf { isHeartbeat },
+            forgotten
         )
         val progress = batch.associate { it.id to it.progress() }
         newWaiting?.let { recordedWaiting = it }
@@ -184,7 +205,8 @@
             isHeartbeat = isHeartbeat,
             recordsPlaces = fleet.arePlacesRecorded,
             standbys = namedStandbys,
-            lastAnnounced = standbys.lastNumber
+            lastAnnounced = standbys.lastNumber,
+            forgotten = forgotten.map { ForgottenWorkflow(it.id, it.isCancelled) }
         )
         fleet.outbox += SchedulerAction.Record(records)
         newWaiting = null
@@ -200,6 +222,7 @@
             record.workflow.durableChange = record.change
             fleet.retireIfEnded(record.workflow)
         }
+        fleet.endedWorkflows.onDeleted(done.forgotten)
         done.heartbeatMillis?.let {
             standbys.onHeartbeatDurable(it)
             fleet.onHeartbeatKnown(it, isDurable = true)
@@ -239,6 +262,9 @@
          */
         const val COUNT_INTERVAL_MILLIS = 1_000L
 
+        /** Limits batches that only delete to 5 a second, a small share of the store's writes. */
+        const val FORGET_INTERVAL_MILLIS = 200L
+
         /** A successor loses what was learned since then; each record has some kilobytes. */
         const val INTERFERENCE_INTERVAL_MILLIS = 2_000L
     }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerAction.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerAction.kt
@@ -60,6 +60,8 @@
  * [waiting] is the number of workflows without a started task, by queue. [leasesLeft],
  * [recordsPlaces], [standbys] and [lastAnnounced] go with the roster. If [isHeartbeat], the
  * transaction also shows other hosts that the owner is at work.
+ *
+ * All records of [forgotten] workflows are deleted.
  */
 data class RecordBatch(
     val progress: Map<String, WorkflowProgress>,
@@ -70,7 +72,8 @@
     val isHeartbeat: Boolean = false,
     val recordsPlaces: Boolean = false,
     val standbys: Set<HostProcess> = emptySet(),
-    val lastAnnounced: Long = 0
+    val lastAnnounced: Long = 0,
+    val forgotten: List<ForgottenWorkflow> = emptyList()
 ) {
     /** How many workers of the roster a heartbeat needs that isn't durable. */
     val quorum: Int? get() = roster?.let { AcceptingWorkers.quorum(it.size) }
@@ -90,5 +93,8 @@
     }
 }
 
+/** The workflow [id], which ended long ago, whose cancellation is deleted too if it [isCancelled]. */
+data class ForgottenWorkflow(val id: String, val isCancelled: Boolean)
+
 /** A decision or an observed change, for the log, with the inputs that led to it. */
 data class SchedulerEvent(val name: String, val id: String, val fields: Map<String, Any?>)
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerSettings.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerSettings.kt
@@ -7,6 +7,9 @@
  * [leaseMillis] is the lease that orders grant to a worker, and [drainingLeaseMillis] the one that
  * they grant to a worker that is about to leave. [stopMillis] is how long a stop may take.
  * [maxOpenTasks] is how many tasks the owner keeps in memory, those that run included.
+ * [statusMillis] is how long after its end the state of a workflow has to be known, and
+ * [clockJumpMillis] how far the clocks of two owners may differ, one of which has recorded the end.
+ * [recordDelayMillis] is how long after the end of a workflow its record may have been written.
  */
 data class SchedulerSettings(
     val leaseMillis: Long = DEFAULT_LEASE_MILLIS,
@@ -14,8 +17,14 @@
     val recordIntervalMillis: Long = DEFAULT_RECORD_INTERVAL_MILLIS,
     val pollWaitMillis: Long = DEFAULT_POLL_WAIT_MILLIS,
     val drainingLeaseMillis: Long = DRAINING_LEASE_MILLIS,
-    val maxOpenTasks: Long = DEFAULT_MAX_OPEN_TASKS
+    val maxOpenTasks: Long = DEFAULT_MAX_OPEN_TASKS,
+    val statusMillis: Long = DEFAULT_STATUS_MILLIS,
+    val clockJumpMillis: Long = DEFAULT_CLOCK_JUMP_MILLIS,
+    val recordDelayMillis: Long = LONGEST_ANNOUNCED_MILLIS + PAST_LEASE_MILLIS
 ) {
+    /** How long the records of a workflow are kept once callers can see its end. */
+    val retentionMillis: Long get() = statusMillis + clockJumpMillis
+
     /** Returns the length of the lease that an order grants to a worker. */
     fun leaseMillis(isDraining: Boolean): Long =
         if (isDraining) minOf(drainingLeaseMillis, leaseMillis) else leaseMillis
@@ -79,11 +88,13 @@
         fun within(
             maxLeaseMillis: Long,
             stopMillis: Long,
-            maxOpenTasks: Long = DEFAULT_MAX_OPEN_TASKS
+            maxOpenTasks: Long = DEFAULT_MAX_OPEN_TASKS,
+            statusMillis: Long = DEFAULT_STATUS_MILLIS
         ) = SchedulerSettings(
             leaseMillis = minOf(maxLeaseMillis, LONGEST_LEASE_MILLIS),
             stopMillis = stopMillis,
-            maxOpenTasks = maxOpenTasks
+            maxOpenTasks = maxOpenTasks,
+            statusMillis = statusMillis
         )
 
         /**
@@ -101,6 +112,12 @@
         /** The platform's limit on a worker's lease. */
         const val DEFAULT_LEASE_MILLIS = 6_000L
 
+        /** The platform's bound on how long the state of an ended workflow has to be known. */
+        const val DEFAULT_STATUS_MILLIS = 120_000L
+
+        /** Several times as long as the seconds by which clocks may jump. */
+        const val DEFAULT_CLOCK_JUMP_MILLIS = 30_000L
+
         /** The platform's limit on how long a stop takes. */
         const val DEFAULT_STOP_MILLIS = 200L
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -62,7 +62,9 @@
         unixMillis: Long
     ) {
         if (workflow.id in fleet.workflows || workflow.id in fleet.endedWorkflows) return
-        if (progress?.phase?.isFinal == true) return onEndedWorkflow(workflow.id, progress.phase)
+        if (progress?.phase?.isFinal == true) {
+            return onEndedWorkflow(workflow.id, progress, nowMillis, unixMillis)
+        }
         val age = (unixMillis - workflow.submittedMillis).coerceIn(0, MAX_AGE_MILLIS)
         val open = OpenWorkflow(workflow, isRecovered, nowMillis - age)
         fleet.workflows[workflow.id] = open
@@ -94,20 +96,26 @@
         if (isCancelled) onWorkflowCancelled(workflow.id, nowMillis, unixMillis)
     }
 
-    /** Adds the workflow [id], which ended as [phase] in an earlier term. */
-    fun onEndedWorkflow(id: String, phase: WorkflowPhase) {
-        pendingCancels -= id
-        fleet.endedWorkflows[id] = phase
+    /** Adds the workflow [id], which ended in an earlier term as [progress] tells. */
+    fun onEndedWorkflow(id: String, progress: WorkflowProgress, nowMillis: Long, unixMillis: Long) {
+        val ended = fleet.endedWorkflows
+        val dueMillis = ended.dueMillis(progress.endedUnixMillis, nowMillis, unixMillis)
+        ended.add(id, progress.phase, dueMillis)
+        if (pendingCancels.remove(id)) ended.onCancelled(id)
     }
 
+    /** Forgets the workflow [id], whose records an owner has deleted. */
+    fun onWorkflowDeleted(id: String) = fleet.endedWorkflows.remove(id)
+
     /** Ends the workflow [id], which was cancelled, now or once it is accepted. */
     fun onWorkflowCancelled(id: String, nowMillis: Long, unixMillis: Long) {
-        if (id in fleet.endedWorkflows) return
+        if (id in fleet.endedWorkflows) return fleet.endedWorkflows.onCancelled(id)
         val workflow = fleet.workflows[id]
         if (workflow == null) {
             pendingCancels += id
             return
         }
+        workflow.isCancelled = true
         if (!workflow.isOpen) return
         end(workflow, WorkflowPhase.CANCELLED, nowMillis, unixMillis)
     }
@@ -196,7 +204,7 @@
 
     /** Returns the phase that callers may see of the workflow [id], or null if it is unknown. */
     fun phaseOrNull(id: String): WorkflowPhase? {
-        val workflow = fleet.workflows[id] ?: return fleet.endedWorkflows[id]
+        val workflow = fleet.workflows[id] ?: return fleet.endedWorkflows.phaseOrNull(id)
         return if (workflow.phase.isFinal) workflow.durablePhase else workflow.phase
     }
 
@@ -320,17 +328,15 @@
         starter.beginRound()
         restarts.step(order, nowMillis)
         for (workflow in order) {
-            if (workflow.isLongRunning && isSettling(workflow, nowMillis)) continue
+            // Long-running tasks pack better together, so each waits a moment for others.
+            val isSettling = nowMillis < workflow.acceptedMillis + SETTLE_MILLIS
+            if (workflow.isLongRunning && isSettling) continue
             for (step in workflow.steps()) {
                 if (step.hasReadyTasks) starter.startWaiting(step, nowMillis)
             }
         }
     }
 
-    /** Whether [workflow] still waits for others, as long-running tasks pack better together. */
-    private fun isSettling(workflow: OpenWorkflow, nowMillis: Long) =
-        nowMillis < workflow.acceptedMillis + SETTLE_MILLIS
-
     private companion object {
         /** Much shorter than the seconds that a long-running task may take to start. */
         const val SETTLE_MILLIS = 250L
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/EndedWorkflowTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/EndedWorkflowTest.kt
@@ -3,6 +3,7 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
+import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isTrue
@@ -41,6 +42,24 @@
         expectThat("job" in fleet.endedWorkflows).isTrue()
     }
 
+    // Guards against progress that is written again once it was deleted, which no one would delete.
+    @Test
+    fun `records nothing more of a workflow of which only the end is kept`() {
+        val fleet = Fleet(1, SchedulerSettings())
+        val recorder = Recorder(fleet, TailModel(), Standbys(fleet))
+        val workflow = OpenWorkflow(driver.workflow(), isRecovered = false, driver.now)
+        workflow.end(WorkflowPhase.FAILED, driver.now)
+        workflow.durablePhase = WorkflowPhase.FAILED
+        fleet.retireIfEnded(workflow)
+        recorder.markChanged(workflow)
+        fleet.retireIfEnded(workflow)
+        recorder.step(driver.now, driver.now)
+        val batches = fleet.outbox.filterIsInstance<SchedulerAction.Record>().map { it.batch }
+        expectThat(batches.flatMap { it.progress.keys }).isEmpty()
+        val dueMillis = driver.now + SchedulerSettings().retentionMillis
+        expectThat(fleet.endedWorkflows.takeDue(dueMillis, 25)).hasSize(1)
+    }
+
     @Test
     fun `shows the end of a recovered workflow`() {
         val failed = WorkflowProgress(WorkflowPhase.FAILED)
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
@@ -39,6 +39,11 @@
 
     fun log(text: String)
 
+    val settings: SchedulerSettings get() = SchedulerSettings()
+
+    /** How late owners learn of jobs that are accepted or deleted. */
+    val workLagMillis: Long get() = 0
+
     companion object {
         const val STORE = "store"
     }
@@ -52,7 +57,7 @@
 ) {
     private val time = world.time
     private val store = world.store
-    private val settings = SchedulerSettings()
+    private val settings = world.settings
     private var process = 0
 
     /** The name of the present process. */
@@ -111,6 +116,9 @@
 
         /** When the scheduler began to decide, or null while the store is being read. */
         var begunMillis: Long? = null
+
+        /** How many changes of jobs were read that the scheduler learns of. */
+        var readChanges = store.workChanges.size
         var knownListings: Map<String, WorkerListing> = emptyMap()
         val isSoleOwner: Boolean
             get() = clock() < renewedMillis + ModelStore.LEASE_TTL_MILLIS - LEASE_MARGIN_MILLIS
@@ -227,8 +235,26 @@
             held.knownListings = HashMap(world.listings)
             held.scheduler.onWorkersListed(held.knownListings.values.toList(), clock())
         }
-        store.jobs.values.forEach {
-            held.scheduler.onWorkflowAccepted(it, null, false, clock(), time.now)
+        readChanges(held)
+    }
+
+    private fun readChanges(held: Term) {
+        val changes = store.workChanges.drop(held.readChanges)
+        held.readChanges += changes.size
+        if (changes.isEmpty()) return
+        if (world.workLagMillis == 0L) return changes.forEach { learn(held, it) }
+        after(world.workLagMillis) { if (held.isOpen) changes.forEach { learn(held, it) } }
+    }
+
+    private fun learn(held: Term, change: WorkChange) {
+        val workflow = change.workflow
+        when {
+            change.isCancelled ->
+                held.scheduler.onWorkflowCancelled(change.id, clock(), time.now)
+
+            workflow == null -> held.scheduler.onWorkflowDeleted(change.id)
+
+            else -> held.scheduler.onWorkflowAccepted(workflow, null, false, clock(), time.now)
         }
     }
 
@@ -323,6 +349,7 @@
         val heartbeat = store.heartbeat
         val progress = HashMap(store.progress)
         val jobs = store.jobs.values.toList()
+        val cancels = store.cancels.toList()
     }
 
     private fun recover(next: Term, state: RecoveredState) {
@@ -339,6 +366,7 @@
         state.jobs.forEach {
             next.scheduler.onWorkflowAccepted(it, state.progress[it.id], true, clock(), time.now)
         }
+        state.cancels.forEach { next.scheduler.onWorkflowCancelled(it, clock(), time.now) }
         next.begunMillis = time.now
         step(next)
     }
@@ -540,16 +568,22 @@
 
                 else -> {
                     held.isWriting = false
-                    onWritten(held, isApplied)
+                    onWritten(held, batch, isApplied)
                 }
             }
         }
     }
 
-    private fun onWritten(held: Term, isApplied: Boolean) {
+    private fun onWritten(held: Term, batch: RecordBatch, isApplied: Boolean) {
         when {
             !held.isOpen -> Unit
-            isApplied -> held.scheduler.onBatchDurable()
+            isApplied -> {
+                held.scheduler.onBatchDurable()
+                if (store.plantedBug == PlantedForgettingBug.FORGETS_UNSEEN_DELETIONS) {
+                    batch.forgotten.forEach { held.scheduler.onWorkflowDeleted(it.id) }
+                }
+            }
+
             else -> endTerm(held, "records refused")
         }
     }
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelStore.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelStore.kt
@@ -15,6 +15,9 @@
 /** The roster as it was written at [version]. */
 internal class StoredRoster(val record: RosterRecord, val version: Long)
 
+/** A change of the job [id], which is deleted if [workflow] is null, or its cancellation. */
+internal class WorkChange(val id: String, val workflow: Workflow?, val isCancelled: Boolean = false)
+
 /** The version at which records were written, or null if [current] prevented it. */
 internal class Commit(val version: Long?, val current: EpochKey, val currentVersion: Long)
 
@@ -49,6 +52,14 @@
         private set
     val progress = LinkedHashMap<String, WorkflowProgress>()
     val jobs = LinkedHashMap<String, Workflow>()
+    val cancels = LinkedHashSet<String>()
+
+    /** All changes of jobs and of cancellations, in order. */
+    val workChanges = ArrayList<WorkChange>()
+
+    /** Called before the records of a workflow are deleted. */
+    var onDeleted: (String) -> Unit = {}
+    var plantedBug: PlantedForgettingBug? = null
 
     /** Called after each change of the owner's key, of the roster and of the heartbeat. */
     var onOwnerChanged: () -> Unit = {}
@@ -56,6 +67,29 @@
     fun accept(job: Workflow) {
         version++
         jobs[job.id] = job
+        workChanges += WorkChange(job.id, job)
+    }
+
+    fun cancel(id: String) {
+        version++
+        cancels += id
+        workChanges += WorkChange(id, jobs[id], isCancelled = true)
+    }
+
+    private fun delete(forgotten: ForgottenWorkflow) {
+        onDeleted(forgotten.id)
+        progress -= forgotten.id
+        if (plantedBug == PlantedForgettingBug.DELETES_IN_PARTS) {
+            time.at(time.now + SECOND_PART_MILLIS) { deleteJob(forgotten) }
+        } else {
+            deleteJob(forgotten)
+        }
+    }
+
+    private fun deleteJob(forgotten: ForgottenWorkflow) {
+        if (forgotten.isCancelled) cancels -= forgotten.id
+        jobs -= forgotten.id
+        workChanges += WorkChange(forgotten.id, null)
     }
 
     fun goDown() {
@@ -138,11 +172,15 @@
         batch: RecordBatch,
         rosterRecord: RosterRecord?
     ): Commit {
+        if (plantedBug == PlantedForgettingBug.EPOCH_IGNORED) batch.forgotten.forEach(::delete)
         if (epochVersion != expectedVersion) return Commit(null, epoch, epochVersion)
         version++
         epoch = next
         epochVersion = version
+        val deleted = batch.forgotten.map { it.id }
+        check(deleted.none { it in batch.progress }) { "$deleted are also written" }
         progress += batch.progress
+        if (plantedBug != PlantedForgettingBug.EPOCH_IGNORED) batch.forgotten.forEach(::delete)
         if (rosterRecord != null) roster = StoredRoster(rosterRecord, version)
         if (batch.isHeartbeat) heartbeat = RecordVersion(next.epoch, next.batch)
         if (rosterRecord != null || batch.isHeartbeat) onOwnerChanged()
@@ -152,5 +190,6 @@
     companion object {
         const val LEASE_TTL_MILLIS = 2_000L
         const val HOST_TTL_MILLIS = 8_000L
+        private const val SECOND_PART_MILLIS = 300L
     }
 }
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionSchedule.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionSchedule.kt
@@ -71,7 +71,11 @@
     /** How many messages between hosts arrive late, and so out of order. */
     val lateMessages: Double = 0.0,
     /** By how much the owner may learn later than others of processes that come and go. */
-    val registryLagMillis: Long = 0
+    val registryLagMillis: Long = 0,
+    /** Whether workflows that have ended are forgotten soon, with this bug if not null. */
+    val forgetsSoon: Boolean = false,
+    val plantedBug: PlantedForgettingBug? = null,
+    val workLagMillis: Long = 0
 )
 
 internal class SuccessionSchedule(
@@ -90,6 +94,9 @@
     private val entries = LinkedHashMap<String, WorkerListing>()
     override val listings: Map<String, WorkerListing> get() = entries
     private val monitor = RunMonitor { workers.values }
+    override val settings = if (faults.forgetsSoon) soonForgetting() else SchedulerSettings()
+    override val workLagMillis: Long get() = faults.workLagMillis
+    val forgetting = ForgettingLoad(time, store, Random(seed + 2), END_MILLIS, ::short)
     private val hosts = (1..HOSTS).map { newHost("h$it") }.toMutableList()
 
     /** Until when a host or worker is cut off, by the pair of their names. */
@@ -105,7 +112,7 @@
     private var lastAddress = 0
     private var lastHost = HOSTS
     private var restoredMillis: Long? = null
-    val violations: List<Violation> get() = monitor.violations
+    val violations: List<Violation> get() = monitor.violations + forgetting.violations
     val log = ArrayList<String>()
 
     /** The number of terms of ownership. */
@@ -352,9 +359,20 @@
         repeat(workerCount) { addWorker("w${it + 1}") }
         store.onOwnerChanged = { hosts.forEach { it.onOwnerKey() } }
         store.accept(lasting())
+        store.plantedBug = faults.plantedBug
+        if (faults.forgetsSoon) forgetting.begin()
         hosts.forEach { host -> time.at(random.nextLong(MAX_START_MILLIS)) { host.start() } }
     }
 
+    private fun soonForgetting(): SchedulerSettings {
+        val isBugPlanted = faults.plantedBug == PlantedForgettingBug.FORGETS_AT_ONCE
+        return SchedulerSettings(
+            statusMillis = if (isBugPlanted) 0 else ForgettingLoad.STATUS_MILLIS,
+            clockJumpMillis = if (isBugPlanted) 0 else MARGIN_MILLIS,
+            recordDelayMillis = MAX_CUT_MILLIS
+        )
+    }
+
     private fun lasting(): Workflow {
         val step = WorkflowStep(LASTING_TASKS, Resources(MILLI_CPUS, 1_000), isLongRunning = true)
         return Workflow(LASTING, QUEUE, "payload", listOf(step), submittedMillis = now)
@@ -753,6 +771,9 @@
         const val MILLI_CPUS = 1_000L
         const val CAPACITY_MILLI_CPUS = 12_000L
         const val PER_MILLE = 1_000L
+
+        /** Covers the error of hosts' clocks within the time for which records are kept. */
+        const val MARGIN_MILLIS = 500L
         const val FAULTS_END_MILLIS = 35_000L
         const val END_MILLIS = 60_000L
         const val OBSERVE_MILLIS = 100L
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Gateway.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Gateway.kt
@@ -15,11 +15,13 @@
 import java.util.Collections
 import kotlin.random.Random
 import sycamoremast.coordination.CommitResult
+import sycamoremast.coordination.MonotonicClock
 import sycamoremast.coordination.StoreEntry
 import sycamoremast.coordination.StoreError
 import sycamoremast.coordination.StorePut
 import sycamoremast.coordination.StoreTransaction
 import sycamoremast.coordination.TransactionalStore
+import sycamoremast.coordination.workflow.SchedulerSettings
 import sycamoremast.coordination.workflow.Workflow
 import sycamoremast.coordination.workflow.WorkflowPhase
 import sycamoremast.coordination.workflow.WorkflowProgress
@@ -63,7 +65,8 @@
  *
  * A workflow of more than [maxTasksPerWorkflow] tasks is refused, as its progress doesn't fit into one
  * record. [isStoreUnavailable] returns whether calls of the store are expected to fail, and [owner] returns
- * the scheduler if this host owns the set.
+ * the scheduler if this host owns the set. The records of a workflow are kept for [statusMillis] after its
+ * end at least; [clock] tells for how long this host relies on having accepted it.
  */
 class Gateway internal constructor(
     private val store: TransactionalStore,
@@ -72,14 +75,16 @@
     private val log: EventLog,
     private val meters: WorkflowMeters = WorkflowMeters(),
     private val maxTasksPerWorkflow: Long = WorkflowSettings.DEFAULT_MAX_TASKS_PER_WORKFLOW,
+    private val statusMillis: Long = SchedulerSettings.DEFAULT_STATUS_MILLIS,
+    private val clock: MonotonicClock = MonotonicClock.system(),
     private val isStoreUnavailable: () -> Boolean = { false },
     private val owner: () -> SchedulerLoop?
 ) {
-    /** IDs of workflows accepted on this host. */
-    private val acceptedIds = boundedIdSet()
+    /** When workflows were accepted on this host, by their IDs. */
+    private val acceptedMillis = boundedIdMap<Long>()
 
     /** IDs of workflows submitted here with an unknown outcome: a write may still take effect. */
-    private val undecidedIds = boundedIdSet()
+    private val undecidedIds = Collections.newSetFromMap(boundedIdMap<Boolean>())
 
     /** Submits [workflow] and returns the outcome. */
     fun accept(workflow: Workflow): Acceptance {
@@ -103,7 +108,7 @@
         )
         meters.countSubmission(outcome)
         when (outcome) {
-            Acceptance.Accepted -> acceptedIds += workflow.id
+            Acceptance.Accepted -> acceptedMillis[workflow.id] = clock.nowMillis()
             is Acceptance.Unknown -> undecidedIds += workflow.id
             is Acceptance.Refused -> Unit
         }
@@ -240,7 +245,7 @@
         val status = recorded.flatMap { known ->
             when {
                 known != null -> Either.Right(known)
-                id in acceptedIds -> Either.Right(QUEUED)
+                isLatelyAccepted(id) -> Either.Right(QUEUED)
                 else -> exists(id).map { if (it) QUEUED else null }
             }
         }
@@ -250,6 +255,12 @@
         }
     }
 
+    /** Whether the workflow [id] was accepted here so lately that its records are still kept. */
+    private fun isLatelyAccepted(id: String): Boolean {
+        val accepted = acceptedMillis[id] ?: return false
+        return clock.nowMillis() - accepted < statusMillis
+    }
+
     private fun exists(id: String): Either<StoreError, Boolean> =
         store.get(WorkflowKeys.job(id)).map(::holdsWorkflow)
 
@@ -260,7 +271,7 @@
      * no longer be.
      */
     fun cancel(id: String): Lookup<Unit> {
-        val isKnown = id in acceptedIds || owner()?.statusOrNull(id) != null
+        val isKnown = isLatelyAccepted(id) || owner()?.statusOrNull(id) != null
         val outcome = writeCancellation(id)
             .flatMap { if (isKnown) Either.Right(true) else exists(id) }
         log.add("job-cancel", "id" to id, "isKnown" to isKnown, "outcome" to outcome)
@@ -289,13 +300,10 @@
         }
     }
 
-    private fun boundedIdSet(): MutableSet<String> = Collections.synchronizedSet(
-        Collections.newSetFromMap(
-            object : LinkedHashMap<String, Boolean>() {
-                override fun removeEldestEntry(eldest: Map.Entry<String, Boolean>) =
-                    size > MAX_REMEMBERED_IDS
-            }
-        )
+    private fun <T> boundedIdMap(): MutableMap<String, T> = Collections.synchronizedMap(
+        object : LinkedHashMap<String, T>() {
+            override fun removeEldestEntry(eldest: Map.Entry<String, T>) = size > MAX_REMEMBERED_IDS
+        }
     )
 
     private companion object {
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
@@ -272,11 +272,15 @@
 ) : PrefixListener {
     override fun read(store: TransactionalStore, prefix: String): Either<StoreError, Long> {
         var owner: StoreEntry? = null
+        loop.onListingJobs()
         return store.forEachPage(prefix) { page ->
             // Keys are listed in order, so the owner's key is read after all workflows.
             page.find { it.key == WorkflowKeys.owner(set) }?.let { owner = it }
             page.forEach(::applyEntry)
-        }.onRight { deposeUnlessOwner(owner?.value) }
+        }.onRight {
+            loop.onJobsListed(it)
+            deposeUnlessOwner(owner?.value)
+        }
     }
 
     override fun onChange(change: StoreChange) {
@@ -284,6 +288,9 @@
         when {
             change.key == WorkflowKeys.owner(set) -> deposeUnlessOwner(value)
             value != null -> applyEntry(StoreEntry(change.key, value, change.revision))
+
+            change.key.startsWith(WorkflowKeys.JOBS) ->
+                loop.onJobDeleted(change.key.lastSegment(), change.revision)
         }
     }
 
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/RecordWriter.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/RecordWriter.kt
@@ -27,10 +27,15 @@
 ) {
     private val epoch = term.epoch
     private var epochRevision = term.epochRevision
+
+    /** The revision of the last batch that was written. */
+    val revision: Long get() = epochRevision
     private var lastBatch = 0L
     private var lastFailure = ""
 
     /**
+     * Writes [batch] and deletes what it forgets, at once.
+     *
      * Returns true once [batch] is durable, or false if another owner has taken over.
      *
      * Blocks and retries while the store gives no definite answer and [shouldRetry] returns true;
@@ -88,7 +93,14 @@
         batch.interference?.let {
             puts += StorePut(WorkflowKeys.interference(set), encodeRecord(it))
         }
-        return StoreTransaction(mapOf(WorkflowKeys.epoch(set) to epochRevision), puts)
+        val deletes = batch.forgotten.flatMap { (id, isCancelled) ->
+            listOfNotNull(
+                WorkflowKeys.progress(set, id),
+                WorkflowKeys.job(id),
+                WorkflowKeys.cancel(id).takeIf { isCancelled }
+            )
+        }
+        return StoreTransaction(mapOf(WorkflowKeys.epoch(set) to epochRevision), puts, deletes)
     }
 
     /** Returns whether the transaction took effect, or null if that is unknown. */
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowHost.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowHost.kt
@@ -56,10 +56,17 @@
     private val routingFollower = PrefixFollower(store, ports.catalog.routingKey, log, routing)
 
     /** Serves callers' requests. */
-    val gateway =
-        Gateway(store, name, set, log, meters, maxTasksPerWorkflow, { store.isUnavailable }) {
-            ownership.loop
-        }
+    val gateway = Gateway(
+        store,
+        name,
+        set,
+        log,
+        meters,
+        maxTasksPerWorkflow,
+        settings.statusMillis,
+        clock,
+        { store.isUnavailable }
+    ) { ownership.loop }
 
     /** Reports workflows that were given up, for operators. */
     val problems = WorkflowProblems(store, set, log) { store.isUnavailable }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowSettings.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowSettings.kt
@@ -23,7 +23,7 @@
  * [drainMillis] is how long a stopping host continues to answer callers; it has to be well below
  * [graceMillis], the time after which the platform kills it. [cores] is the processing power that
  * the host may use: its share of the processor multiplied by the processor's speed in cores.
- * [defaults] are the settings that the deployment doesn't tell although the host asks for them.
+ * [statusMillis] is how long after its end the state of a workflow has to be known. [defaults] are the settings that the deployment doesn't tell although the host asks for them.
  */
 data class WorkflowSettings(
     val host: String,
@@ -39,7 +39,8 @@
     val cores: Double = 1.0,
     val limits: WorkflowLimits = WorkflowLimits(),
     val graceMillis: Long = defaultGraceMillis(drainMillis),
-    val defaults: List<SettingDefault> = emptyList()
+    val defaults: List<SettingDefault> = emptyList(),
+    val statusMillis: Long = SchedulerSettings.DEFAULT_STATUS_MILLIS
 ) {
     /** How long a stopping owner may go on in an outage of the store. */
     val longestHandOverMillis: Long get() = (graceMillis - STOP_MARGIN_MILLIS).coerceAtLeast(0)
@@ -55,6 +56,10 @@
         private const val HAND_OVER_MILLIS = 3_000L
         private const val LONGEST_GRACE_SECONDS = 600.0
         private const val MILLIS_PER_SECOND = 1_000
+        private const val STATUS_KEY = "status-seconds"
+        private const val LONGEST_STATUS_SECONDS = 86_400.0
+        private const val STATUS_RULE =
+            "must be a number above 0 and up to $LONGEST_STATUS_SECONDS"
         private const val GRACE_KEY = "grace-seconds"
         private const val GRACE_RULE = "must be a number above 0 and up to $LONGEST_GRACE_SECONDS"
 
@@ -95,7 +100,8 @@
             val leaseMillis: Long,
             val stopMillis: Long,
             val drainMillis: Long,
-            val graceMillis: Long
+            val graceMillis: Long,
+            val statusMillis: Long
         )
 
         private class SettingsSections(
@@ -140,7 +146,8 @@
                         cores.bind(),
                         limits.bind(),
                         times.bind().graceMillis,
-                        defaults
+                        defaults,
+                        times.bind().statusMillis
                     )
                 }
             }
@@ -150,20 +157,40 @@
                 val stop = long("stop-millis", STOP_RANGE)
                 val drain = long("drain-millis", DRAIN_RANGE, DEFAULT_DRAIN_MILLIS)
                 val grace = graceMillis(drain ?: DEFAULT_DRAIN_MILLIS)
-                return nullable { Times(lease.bind(), stop.bind(), drain.bind(), grace.bind()) }
+                val status = millis(
+                    STATUS_KEY,
+                    SchedulerSettings.DEFAULT_STATUS_MILLIS,
+                    STATUS_RULE,
+                    LONGEST_STATUS_SECONDS
+                )
+                return nullable {
+                    Times(lease.bind(), stop.bind(), drain.bind(), grace.bind(), status.bind())
+                }
             }
 
-            private fun SectionReader.graceMillis(drainMillis: Long): Long? {
-                val untoldReason = untoldReasonOrNull(GRACE_KEY)
-                    ?: return convert(GRACE_KEY, null, GRACE_RULE, ::parseGraceMillisOrNull)
-                val default = defaultGraceMillis(drainMillis)
+            private fun SectionReader.graceMillis(drainMillis: Long): Long? = millis(
+                GRACE_KEY,
+                defaultGraceMillis(drainMillis),
+                GRACE_RULE,
+                LONGEST_GRACE_SECONDS
+            )
+
+            /** Returns a told number of seconds in milliseconds, or [default] if none is told. */
+            private fun SectionReader.millis(
+                key: String,
+                default: Long,
+                rule: String,
+                longestSeconds: Double
+            ): Long? {
+                val untoldReason = untoldReasonOrNull(key)
+                    ?: return convert(key, null, rule) { parseMillisOrNull(it, longestSeconds) }
                 val seconds = default.toDouble() / MILLIS_PER_SECOND
-                defaults += SettingDefault(GRACE_KEY, "$seconds", untoldReason)
+                defaults += SettingDefault(key, "$seconds", untoldReason)
                 return default
             }
 
-            private fun parseGraceMillisOrNull(text: String): Long? =
-                text.toDoubleOrNull()?.takeIf { it > 0 && it <= LONGEST_GRACE_SECONDS }
+            private fun parseMillisOrNull(text: String, longestSeconds: Double): Long? =
+                text.toDoubleOrNull()?.takeIf { it > 0 && it <= longestSeconds }
                     ?.let { (it * MILLIS_PER_SECOND).toLong() }
 
             private fun SectionReader.cores(): Double? {
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/GatewayTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/GatewayTest.kt
@@ -1,5 +1,6 @@
 package sycamoremast.daemon.workflow
 
+import arrow.core.Either
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isA
@@ -9,8 +10,11 @@
 import sycamoremast.coordination.CommitResult
 import sycamoremast.coordination.MonotonicClock
 import sycamoremast.coordination.Resources
+import sycamoremast.coordination.StoreEntry
+import sycamoremast.coordination.StoreError
 import sycamoremast.coordination.StorePut
 import sycamoremast.coordination.StoreTransaction
+import sycamoremast.coordination.TransactionalStore
 import sycamoremast.coordination.workflow.FailureReason
 import sycamoremast.coordination.workflow.PaceOrder
 import sycamoremast.coordination.workflow.PollOrder
@@ -199,6 +203,37 @@
         expectThat(gateway.cancel("id")).isA<Lookup.Unavailable>()
     }
 
+    // Guards against a state that is wrong for good once the records are deleted (LOST).
+    @Test
+    fun `knows no workflow whose records are deleted after their time`() {
+        var nowMillis = 0L
+        var reads = 0
+        val counting = object : TransactionalStore by store {
+            override fun get(key: String, mayBeStale: Boolean): Either<StoreError, StoreEntry?> {
+                if (key == WorkflowKeys.job("id")) reads++
+                return store.get(key, mayBeStale)
+            }
+        }
+        val host =
+            Gateway(
+                counting,
+                "host",
+                0,
+                EventLog { },
+                statusMillis = 1_000,
+                clock = { nowMillis }
+            ) { null }
+        host.accept(workflow)
+        nowMillis = 999
+        expectThat(host.status("id"))
+            .isEqualTo(Lookup.Found(WorkflowStatus(WorkflowPhase.QUEUED)))
+        expectThat(reads).isEqualTo(0)
+        store.apply(StoreTransaction(emptyMap(), emptyList(), listOf(WorkflowKeys.job("id"))))
+        nowMillis = 1_000
+        expectThat(host.status("id")).isEqualTo(Lookup.Absent)
+        expectThat(host.cancel("id")).isEqualTo(Lookup.Absent)
+    }
+
     @Test
     fun `returns no refusal while an earlier attempt may still take effect`() {
         var isUnavailable = false
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/RecordWriterTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/RecordWriterTest.kt
@@ -13,6 +13,7 @@
 import sycamoremast.coordination.StoreEntry
 import sycamoremast.coordination.StorePut
 import sycamoremast.coordination.StoreTransaction
+import sycamoremast.coordination.workflow.ForgottenWorkflow
 import sycamoremast.coordination.workflow.HostProcess
 import sycamoremast.coordination.workflow.InterferenceRecord
 import sycamoremast.coordination.workflow.RecordBatch
@@ -122,6 +123,53 @@
         expectThat(phase()).isEqualTo(WorkflowPhase.RUNNING)
     }
 
+    private val job = StorePut(WorkflowKeys.job("id"), "job")
+    private val cancel = StorePut(WorkflowKeys.cancel("id"), "host")
+
+    private fun forget(isCancelled: Boolean = true): Boolean {
+        val forgotten = listOf(ForgottenWorkflow("id", isCancelled))
+        return writer.write(RecordBatch(emptyMap(), null, null, forgotten = forgotten)) { true }
+    }
+
+    private fun keysOfWorkflow() = store.entries.keys.filter { it.endsWith("/id") }.toSet()
+
+    @Test
+    fun `deletes all records of a forgotten workflow at once`() {
+        write(WorkflowPhase.CANCELLED)
+        store.apply(StoreTransaction(emptyMap(), listOf(job, cancel)))
+        store.failCommits(Fault.ANSWER_LOST)
+        expectThat(forget()).isTrue()
+        expectThat(keysOfWorkflow()).isEmpty()
+        val deletions = store.history.filter { it.value == null }
+        expectThat(deletions.map { it.revision }.toSet().size).isEqualTo(1)
+    }
+
+    // Guards against the loss of a new workflow with the same ID, by a deletion done twice (LOST).
+    @Test
+    fun `a deletion that is done late has no effect`() {
+        write(WorkflowPhase.COMPLETED)
+        store.apply(StoreTransaction(emptyMap(), listOf(job)))
+        store.failCommits(Fault.DELAYED)
+        expectThat(forget(isCancelled = false)).isTrue()
+        expectThat(keysOfWorkflow()).isEmpty()
+        store.apply(StoreTransaction(emptyMap(), listOf(job)))
+        expectThat(store.applyDelayed().single()).isA<CommitResult.Conflict>()
+        expectThat(keysOfWorkflow()).isEqualTo(setOf(WorkflowKeys.job("id")))
+    }
+
+    // Guards against a replaced owner that deletes what its successor has read (LOST, TWICE).
+    @Test
+    fun `a deletion of a replaced owner has no effect`() {
+        write(WorkflowPhase.COMPLETED)
+        store.apply(StoreTransaction(emptyMap(), listOf(job)))
+        store.failCommits(Fault.DELAYED)
+        claim(2)
+        expectThat(forget()).isFalse()
+        store.applyDelayed()
+        expectThat(keysOfWorkflow())
+            .isEqualTo(setOf(WorkflowKeys.job("id"), WorkflowKeys.progress(0, "id")))
+    }
+
     private fun rosterText() = store.entries.getValue(WorkflowKeys.roster(0)).value
 
     @Test
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/RecoveryTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/RecoveryTest.kt
@@ -43,11 +43,14 @@
         it.stop()
     }
 
-    private fun startHost(store: TransactionalStore): WorkflowHost {
+    private fun startHost(
+        store: TransactionalStore,
+        settings: SchedulerSettings = SchedulerSettings()
+    ): WorkflowHost {
         val host = WorkflowHost(
             "host${hosts.size}",
             WorkflowPorts(store, NoWorkers, EmptyCatalog),
-            SchedulerSettings(),
+            settings,
             EventLog { lines += it },
             WorkflowMeters()
         )
@@ -73,8 +76,16 @@
         )
     )
 
-    private fun putEnded(ids: List<String>, payload: String = "payload") = ids.forEach {
-        val progress = WorkflowProgress(WorkflowPhase.COMPLETED, hasBegun = true)
+    private fun putEnded(
+        ids: List<String>,
+        payload: String = "payload",
+        endedUnixMillis: Long = System.currentTimeMillis()
+    ) = ids.forEach {
+        val progress = WorkflowProgress(
+            WorkflowPhase.COMPLETED,
+            hasBegun = true,
+            endedUnixMillis = endedUnixMillis
+        )
         put(
             StorePut(WorkflowKeys.job(it), jobRecord(it, payload)),
             StorePut(WorkflowKeys.progress(0, it), encodeRecord(progress))
@@ -154,11 +165,63 @@
         expectThat(lines.find { "workflow-known" in it && "id=ended" in it }).isNull()
     }
 
+    private fun keysOf(id: String) = synchronized(memory) {
+        memory.entries.keys.filter { it.endsWith("/$id") }
+    }
+
+    private fun awaitForgotten(host: WorkflowHost, ids: List<String>) =
+        eventually("the records are forgotten") {
+            ids.all { keysOf(it).isEmpty() && host.gateway.status(it) == Lookup.Absent }
+        }
+
+    // Guards against takeovers and an owner's memory that grow with all that ever ran (LOST).
+    @Test
+    fun `forgets workflows that ended longer ago than their states have to be known`() {
+        val old = List(OLD_WORKFLOWS) { "old$it" }
+        putEnded(old, endedUnixMillis = System.currentTimeMillis() - LONG_AGO_MILLIS)
+        put(StorePut(WorkflowKeys.cancel("old1"), "host"))
+        putEnded(listOf("young"))
+        val host = startHost(memory)
+        awaitForgotten(host, old)
+        expectThat(phase(host, "young")).isEqualTo(WorkflowPhase.COMPLETED)
+        expectThat(keysOf("young").size).isEqualTo(2)
+        eventually("it is logged") { lines.any { "event=records-forgotten" in it } }
+    }
+
+    // Guards against a new workflow that no owner knows, as its ID was that of an ended one (LOST).
+    @Test
+    fun `knows a workflow whose ID is used again once the last one is forgotten`() {
+        putEnded(listOf("id"), endedUnixMillis = System.currentTimeMillis() - LONG_AGO_MILLIS)
+        val host = startHost(memory)
+        awaitForgotten(host, listOf("id"))
+        put(StorePut(WorkflowKeys.job("id"), jobRecord("id")))
+        eventually("it is known") { host.gateway.waitingCount("queue") == Lookup.Found(1) }
+        expectThat(phase(host, "id")).isEqualTo(WorkflowPhase.QUEUED)
+    }
+
+    // Guards against an owner that keeps what it has deleted, as the store's history was gone.
+    @Test
+    fun `forgets workflows still when the history of the store is gone`() {
+        val old = List(OLD_WORKFLOWS) { "old$it" }
+        putEnded(old, endedUnixMillis = System.currentTimeMillis() - LONG_AGO_MILLIS)
+        val host = startHost(memory)
+        awaitRecovery()
+        repeat(HISTORY_DROPS) {
+            memory.dropHistory()
+            Thread.sleep(HISTORY_DROP_INTERVAL_MILLIS)
+        }
+        awaitForgotten(host, old)
+    }
+
     private fun phase(host: WorkflowHost, id: String) =
         (host.gateway.status(id) as? Lookup.Found)?.value?.phase
 
     private companion object {
         const val ENDED_WORKFLOWS = 400
+        const val OLD_WORKFLOWS = 40
+        const val LONG_AGO_MILLIS = 200_000L
+        const val HISTORY_DROPS = 20
+        const val HISTORY_DROP_INTERVAL_MILLIS = 100L
         const val PAGES = 20
 
         /** Two prefixes with so many pages each take twice as long as a lease of two seconds. */
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/WorkflowSettingsTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/WorkflowSettingsTest.kt
@@ -74,32 +74,56 @@
         for ((settings, reason) in reasons) {
             expectThat(WorkflowSettings.parseOrNull(settings)).isNotNull().and {
                 get { graceMillis }.isEqualTo(4_000)
-                get { defaults }.containsExactly(SettingDefault("grace-seconds", "4.0", reason))
+                get { defaults }.containsExactly(
+                    SettingDefault("grace-seconds", "4.0", reason),
+                    SettingDefault("status-seconds", "120.0", "the key is missing")
+                )
             }
         }
     }
 
     @Test
-    fun `uses a grace period that is told and no default`() {
-        expectThat(WorkflowSettings.parseOrNull("$text\ngrace-seconds = 6")).isNotNull().and {
+    fun `uses times that are told and no defaults`() {
+        val told = "$text\ngrace-seconds = 6\nstatus-seconds = 90.5"
+        expectThat(WorkflowSettings.parseOrNull(told)).isNotNull().and {
             get { graceMillis }.isEqualTo(6_000)
+            get { statusMillis }.isEqualTo(90_500)
             get { defaults }.isEmpty()
         }
     }
 
+    // Guards against records that are deleted too early where the platform tells no time (LOST).
     @Test
-    fun `rejects a grace period that is told and not a positive number of seconds`() {
+    fun `uses the default for how long states are known if it is not told`() {
+        val reasons = mapOf(
+            "$text\ngrace-seconds = 6" to "the key is missing",
+            "$text\ngrace-seconds = 6\nstatus-seconds =" to "the value is empty",
+            "$text\ngrace-seconds = 6\nstatus-seconds = {{bounds.status_s}}" to
+                "the placeholder {{bounds.status_s}} is not filled in"
+        )
+        for ((settings, reason) in reasons) {
+            expectThat(WorkflowSettings.parseOrNull(settings)).isNotNull().and {
+                get { statusMillis }.isEqualTo(120_000)
+                get { defaults }.containsExactly(SettingDefault("status-seconds", "120.0", reason))
+            }
+        }
+    }
+
+    @Test
+    fun `rejects times that are told and not a positive number of seconds`() {
         val malformed =
-            listOf("0", "-1", "NaN", "601", "6s", "abc", "{{a}}s", "{{a}}{{b}}", "{{a", "{}")
-        for (grace in malformed) {
-            val errors = WorkflowSettings.parse("node.ini", "$text\ngrace-seconds = $grace")
-                .leftOrNull().orEmpty()
-            expectThat(errors.map { it.render() }).describedAs(grace)
-                .any { contains("grace-seconds") }
+            listOf("0", "-1", "NaN", "6s", "abc", "{{a}}s", "{{a}}{{b}}", "{{a", "{}")
+        for ((key, longest) in mapOf("grace-seconds" to "601", "status-seconds" to "86401")) {
+            for (value in malformed + longest) {
+                val errors = WorkflowSettings.parse("node.ini", "$text\n$key = $value")
+                    .leftOrNull().orEmpty()
+                expectThat(errors.map { it.render() }).describedAs("$key $value")
+                    .any { contains(key) }
+            }
         }
     }
 
-    // Only the grace period has a default that is safe on each platform.
+    // Only the times above have defaults that are safe on each platform.
     @Test
     fun `rejects other times that are not told`() {
         for (told in listOf("lease-millis = 6000", "stop-millis = 200")) {
