--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/AcceptingWorkers.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/AcceptingWorkers.kt
@@ -25,7 +25,8 @@
     }
 
     /**
-     * Returns the time after which a quorum has accepted an order, or null if it has not.
+     * Returns the time after which a quorum has accepted an order, or null if it has not; a
+     * heartbeat that was formed by then counts.
      */
     fun acceptedMillisOrNull(): Long? {
         val times = rosters().map { acceptedMillisOrNull(it) }
@@ -38,13 +39,6 @@
         return times.getOrNull(quorum(roster.size) - 1)
     }
 
-    /** Whether a quorum vouches for an announced heartbeat that was formed at [formedMillis]. */
-    fun vouchFor(formedMillis: Long): Boolean = rosters().all { roster ->
-        roster.isEmpty() ||
-            roster.count { workerOrNull(it)?.vouchesFor(formedMillis) == true } >=
-            quorum(roster.size)
-    }
-
     private fun rosters(): List<Set<WorkerRef>> = listOfNotNull(recorded, inRecord)
 
     /**
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
@@ -43,12 +43,6 @@
     var acceptedMillis: Long? = null
         private set
 
-    /** When this incarnation first answered a poll with a raised token, or null if it has not. */
-    private var raisedMillis: Long? = null
-
-    /** Tells what the last owner announced, or null if that isn't asked. */
-    var probe: AnnouncementProbe? = null
-
     /** When this incarnation first reported, or null if it has not. */
     var upSinceMillis: Long? = null
         private set
@@ -192,27 +186,13 @@
         acknowledgedEnd = 0
     }
 
-    /**
-     * Records a report that was processed at [nowMillis] and answers a poll sent at [sentMillis],
-     * whose token [isRaised] or not.
-     */
-    fun recordReport(sentMillis: Long, nowMillis: Long, isRaised: Boolean = false) {
+    /** Records a report that was processed at [nowMillis] and answers a poll sent at [sentMillis]. */
+    fun recordReport(sentMillis: Long, nowMillis: Long) {
         lastReportMillis = nowMillis
-        if (isRaised && raisedMillis == null) raisedMillis = nowMillis
         acceptedMillis = maxOf(sentMillis, acceptedMillis ?: sentMillis)
         if (upSinceMillis == null) upSinceMillis = nowMillis
     }
 
-    /**
-     * Whether a successor can't have probed the worker before it vouched for an announced heartbeat
-     * that was formed at [formedMillis], nor fenced it.
-     */
-    fun vouchesFor(formedMillis: Long): Boolean {
-        val raised = raisedMillis ?: return false
-        val accepted = acceptedMillis ?: return false
-        return formedMillis in raised + AnnouncementProbe.VOUCH_DELAY_MILLIS..accepted
-    }
-
     /**
      * Whether the worker is certainly still in the incarnation of its last report.
      *
@@ -246,7 +226,6 @@
     fun resetAfterRestart() {
         lease.forgetClock()
         acceptedMillis = null
-        raisedMillis = null
         upSinceMillis = null
         seenEnd = 0
         recordedEnd = 0
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/InheritedLeases.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/InheritedLeases.kt
@@ -21,10 +21,6 @@
         val fenced = HashSet<WorkerRef>()
         var isFenced = false
 
-        /** The workers that have vouched for no heartbeat announced after the last durable one. */
-        val unannounced = HashSet<WorkerRef>()
-        var isUnannounced = false
-
         /** Whether a host has answered, so that none is asked any more; later answers count too. */
         var isAnswered = false
     }
@@ -49,15 +45,6 @@
         if (!roster.isInformed(sightings)) {
             inheritance = Inheritance(roster, sightings, lastHeartbeat)
             fleet.isLastOwnerUnknown = true
-            if (roster.raisesTokens) probe(roster)
-        }
-    }
-
-    /** Lets the workers of [roster] be asked what they know of the last owner before they are fenced. */
-    private fun probe(roster: RosterRecord) {
-        val token = FencingTokens.probeOrNull(roster.epoch, fleet.epoch) ?: return
-        for (ref in roster.workers) {
-            fleet.workers[ref.id]?.takeIf { it.ref == ref }?.probe = AnnouncementProbe(token)
         }
     }
 
@@ -70,7 +57,6 @@
             return
         }
         noteFenced(inherited, nowMillis)
-        noteUnannounced(inherited, nowMillis)
         if (nowMillis < nextAskMillis || inherited.isAnswered) return
         nextAskMillis = nowMillis + ASK_INTERVAL_MILLIS
         val roster = inherited.roster
@@ -115,34 +101,6 @@
         )
     }
 
-    /**
-     * Limits inherited leases to those by durable heartbeats once too few workers for a quorum can
-     * have vouched for an announced one since.
-     */
-    private fun noteUnannounced(inherited: Inheritance, nowMillis: Long) {
-        if (inherited.isUnannounced) return
-        val roster = inherited.roster
-        val last = inherited.lastHeartbeat?.takeIf { it.epoch >= roster.epoch } ?: return
-        val seenMillis = inherited.sightings.heartbeatMillis(last)
-        roster.workers.filterTo(inherited.unannounced) { ref ->
-            fleet.workers[ref.id]?.takeIf { it.ref == ref }
-                ?.probe?.excludesAfter(seenMillis) == true
-        }
-        if (!roster.isFencedBy(inherited.unannounced)) return
-        inherited.isUnannounced = true
-        fleet.isLastOwnerUnknown = false
-        limit(inherited, inherited.sightings.copy(fenced = mapOf(roster.epoch to seenMillis)))
-        fleet.log(
-            "last-owner-unannounced",
-            "epoch-${fleet.epoch}",
-            "lastEpoch" to roster.epoch,
-            "workers" to inherited.unannounced.size,
-            "ofWorkers" to roster.workers.size,
-            "heartbeatMillisAgo" to nowMillis - seenMillis,
-            "leaseLeftMillis" to longestLeftMillis(nowMillis)
-        )
-    }
-
     /** Limits the leases of workers that have not answered by what [sightings] tell. */
     private fun limit(inherited: Inheritance, sightings: StoreSightings) {
         val roster = inherited.roster
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
@@ -136,8 +136,6 @@
      */
     private fun isHeartbeatDue(nowMillis: Long): Boolean {
         if (!hasRosterChanged && !fleet.isRosterDurable) return false
-        // Workers of a later roster may not have vouched for what was announced before it.
-        if (hasRosterChanged && standbys.hasAnnouncedSince(lastHeartbeatMillis)) return true
         val elapsedMillis = nowMillis - lastHeartbeatMillis
         if (elapsedMillis >= SchedulerSettings.HEARTBEAT_INTERVAL_MILLIS) return true
         return elapsedMillis >= SHORTEST_HEARTBEAT_INTERVAL_MILLIS &&
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RosterRecord.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RosterRecord.kt
@@ -19,8 +19,7 @@
  * [leasesLeft] of leases that had not lapsed, but not those of a planned handover. The owner is on
  * [host], which is missing in rosters of earlier versions. If it [needsWorkers], such a heartbeat
  * counts only if a [quorum] of [workers] have accepted an order that was sent after it, which is a
- * majority in rosters of earlier versions. If the owner [raisesTokens], these workers have accepted a
- * raised fencing token before such a heartbeat, see [AnnouncementProbe].
+ * majority in rosters of earlier versions.
  */
 @Serializable
 data class RosterRecord(
@@ -34,8 +33,7 @@
     val lastAnnounced: Long = 0,
     val host: String? = null,
     val needsWorkers: Boolean = false,
-    val quorum: Int? = null,
-    val raisesTokens: Boolean = false
+    val quorum: Int? = null
 ) {
     val version: RecordVersion get() = RecordVersion(epoch, batch)
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunMaintenance.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunMaintenance.kt
@@ -66,9 +66,7 @@
         for (worker in fleet.workers.values) {
             if (worker.isPolling || worker.isLost || isLapseNear(worker, nowMillis)) continue
             if (nowMillis < worker.nextPollMillis && !worker.isFinalPollDue(nowMillis)) continue
-            if (!isPollDue(worker, nowMillis)) continue
-            val probe = worker.probe?.takeIf { !it.isSent }
-            if (probe != null) probe(worker, probe, nowMillis) else poll(worker, nowMillis)
+            if (isPollDue(worker, nowMillis)) poll(worker, nowMillis)
         }
         leases.step(nowMillis)
     }
@@ -95,23 +93,6 @@
             !worker.lease.isClockKnown
     }
 
-    /** Sends the probe of [worker], which has to come before its first poll. */
-    private fun probe(worker: FleetWorker, probe: AnnouncementProbe, nowMillis: Long) {
-        probe.isSent = true
-        worker.isPolling = true
-        worker.lastPollMillis = nowMillis
-        fleet.outbox += SchedulerAction.Poll(
-            PollOrder(
-                worker.ref,
-                probe.token,
-                acknowledgedEnd = 0,
-                leaseEndMillis = null,
-                waitMillis = 0,
-                sentMillis = nowMillis
-            )
-        )
-    }
-
     private fun poll(worker: FleetWorker, nowMillis: Long) {
         val leaseEnd = leases.endOrNull(worker, nowMillis)
         val isIncarnationKnown = worker.isIncarnationKnown(nowMillis)
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
@@ -137,19 +137,6 @@
         }
     }
 
-    /** Processes the answer to a probe; it tells nothing of the runs, as the worker isn't fenced yet. */
-    fun onProbeAnswer(order: PollOrder, answer: WorkerAnswer, nowMillis: Long) {
-        val worker = fleet.workers[order.worker.id]?.takeIf { it.ref == order.worker } ?: return
-        val isRejected =
-            answer is WorkerAnswer.Rejected && answer.reason == RejectReason.STALE_TOKEN
-        when {
-            answer is WorkerAnswer.Reported -> worker.probe?.onAccepted(answer.report)
-            !isRejected -> return onPollAnswer(order, answer, nowMillis)
-        }
-        worker.isPolling = false
-        worker.nextPollMillis = nowMillis
-    }
-
     private fun onPollFailed(
         worker: FleetWorker,
         order: PollOrder,
@@ -201,12 +188,7 @@
             crashes.onAnswered(worker)
         }
         worker.recordAnswer(report.clockMillis, report.receivedMillis)
-        worker.recordReport(
-            order.sentMillis,
-            nowMillis,
-            FencingTokens.isRaised(order.fencingToken)
-        )
-        worker.probe?.onFenced(report)
+        worker.recordReport(order.sentMillis, nowMillis)
         if (!worker.isReconciled || worker.contactFailures == 0) fleet.isPlacementDue = true
         if (!worker.isReconciled) worker.lease.recordFenced(fleet.settings.lapsedBy(nowMillis))
         worker.isReconciled = true
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Standbys.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Standbys.kt
@@ -134,7 +134,6 @@
     fun step(nowMillis: Long) {
         forgetUnregistered(nowMillis)
         confirm(nowMillis)
-        raiseTokens(nowMillis)
         val mayAnnounce = own in recorded &&
             inRecord?.contains(own) != false &&
             nowMillis >= durableMillis + ANNOUNCE_AFTER_MILLIS &&
@@ -155,23 +154,6 @@
         )
     }
 
-    /** Raises the tokens if heartbeats may have to be announced soon. */
-    private fun raiseTokens(nowMillis: Long) {
-        val durable = lastDurableMillis ?: return
-        if (own !in recorded || fleet.fencingTokens.areRaised) return
-        if (nowMillis < durable + RAISE_AFTER_MILLIS) return
-        fleet.log(
-            "tokens-raised",
-            "epoch-${fleet.epoch}",
-            "durableMillisAgo" to nowMillis - durable
-        )
-        fleet.fencingTokens.raise(fleet.workers.values)
-        acceptingWorkers.requestReports()
-    }
-
-    /** Whether a heartbeat was announced after [millis]. */
-    fun hasAnnouncedSince(millis: Long): Boolean = lastAnnouncedMillis > millis
-
     /**
      * Forgets processes whose entries have been gone for longer than entries are missing after an
      * outage.
@@ -222,8 +204,9 @@
     private fun confirm(nowMillis: Long) {
         if (announcements.isEmpty()) return
         val number = needed().minOfOrNull { acknowledged[it] ?: 0 } ?: return
+        val accepted = acceptingWorkers.acceptedMillisOrNull() ?: return
         val confirmed = announcements.lastOrNull {
-            it.number <= number && acceptingWorkers.vouchFor(it.formedMillis)
+            it.number <= number && it.formedMillis <= accepted
         } ?: return
         while (announcements.first() !== confirmed) announcements.removeFirst()
         announcements.removeFirst()
@@ -265,9 +248,6 @@
         /** Two heartbeats that should be durable by now; a single one is late now and then. */
         const val ANNOUNCE_AFTER_MILLIS = 2 * SchedulerSettings.HEARTBEAT_INTERVAL_MILLIS
 
-        /** One heartbeat is late, and workers have time to answer before the first announced one. */
-        const val RAISE_AFTER_MILLIS = 900L
-
         /** Entries of hosts that live are back in much less. */
         const val UNREGISTERED_MILLIS = 5_000L
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -181,9 +181,6 @@
 
     /** Processes the answer to a poll. */
     fun onPollAnswer(order: PollOrder, answer: WorkerAnswer, nowMillis: Long) {
-        if (order.fencingToken == fleet.workers[order.worker.id]?.probe?.token) {
-            return tracker.onProbeAnswer(order, answer, nowMillis)
-        }
         val report = (answer as? WorkerAnswer.Reported)?.report
         if (report != null) fleet.recordIncarnation(order.worker, report.startedUnixMillis)
         tracker.onPollAnswer(order, answer, nowMillis)
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/RecordWriter.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/RecordWriter.kt
@@ -77,8 +77,7 @@
                 batch.lastAnnounced,
                 term.sightings.process.host,
                 needsWorkers = true,
-                quorum = batch.quorum,
-                raisesTokens = true
+                quorum = batch.quorum
             )
             puts += StorePut(WorkflowKeys.roster(set), encodeRecord(record))
             puts +=
