--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Gateway.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Gateway.kt
@@ -66,7 +66,7 @@
  * A workflow of more than [maxTasksPerWorkflow] tasks is refused, as its progress doesn't fit into one
  * record. [isStoreUnavailable] returns whether calls of the store are expected to fail, and [owner] returns
  * the scheduler if this host owns the set. The records of a workflow are kept for [statusMillis] after its
- * end at least; [clock] tells for how long this host relies on having accepted it.
+ * end at least; [clock] tells for how long this host relies on having created it.
  */
 class Gateway internal constructor(
     private val store: TransactionalStore,
@@ -80,8 +80,8 @@
     private val isStoreUnavailable: () -> Boolean = { false },
     private val owner: () -> SchedulerLoop?
 ) {
-    /** When workflows were accepted on this host, by their IDs. */
-    private val acceptedMillis = boundedIdMap<Long>()
+    /** When workflows were created on this host, by their IDs. */
+    private val createdMillis = boundedIdMap<Long>()
 
     /** IDs of workflows submitted here with an unknown outcome: a write may still take effect. */
     private val undecidedIds = Collections.newSetFromMap(boundedIdMap<Boolean>())
@@ -108,9 +108,8 @@
         )
         meters.countSubmission(outcome)
         when (outcome) {
-            Acceptance.Accepted -> acceptedMillis[workflow.id] = clock.nowMillis()
             is Acceptance.Unknown -> undecidedIds += workflow.id
-            is Acceptance.Refused -> Unit
+            Acceptance.Accepted, is Acceptance.Refused -> Unit
         }
         return outcome
     }
@@ -154,7 +153,11 @@
             }
 
             is Either.Right -> when (val commit = result.value) {
-                is CommitResult.Applied -> Acceptance.Accepted
+                is CommitResult.Applied -> {
+                    createdMillis[id] = clock.nowMillis()
+                    Acceptance.Accepted
+                }
+
                 is CommitResult.Conflict -> resolveConflict(id, record, commit.current)
                 CommitResult.LeaseGone -> Acceptance.Unknown("the store named a lease")
             }
@@ -245,7 +248,7 @@
         val status = recorded.flatMap { known ->
             when {
                 known != null -> Either.Right(known)
-                isLatelyAccepted(id) -> Either.Right(QUEUED)
+                isLatelyCreated(id) -> Either.Right(QUEUED)
                 else -> exists(id).map { if (it) QUEUED else null }
             }
         }
@@ -255,10 +258,10 @@
         }
     }
 
-    /** Whether the workflow [id] was accepted here so lately that its records are still kept. */
-    private fun isLatelyAccepted(id: String): Boolean {
-        val accepted = acceptedMillis[id] ?: return false
-        return clock.nowMillis() - accepted < statusMillis
+    /** Whether the workflow [id] was created here so lately that its records are still kept. */
+    private fun isLatelyCreated(id: String): Boolean {
+        val created = createdMillis[id] ?: return false
+        return clock.nowMillis() - created < statusMillis
     }
 
     private fun exists(id: String): Either<StoreError, Boolean> =
@@ -271,7 +274,7 @@
      * no longer be.
      */
     fun cancel(id: String): Lookup<Unit> {
-        val isKnown = isLatelyAccepted(id) || owner()?.statusOrNull(id) != null
+        val isKnown = isLatelyCreated(id) || owner()?.statusOrNull(id) != null
         val outcome = writeCancellation(id)
             .flatMap { if (isKnown) Either.Right(true) else exists(id) }
         log.add("job-cancel", "id" to id, "isKnown" to isKnown, "outcome" to outcome)
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/GatewayTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/GatewayTest.kt
@@ -234,6 +234,18 @@
         expectThat(host.cancel("id")).isEqualTo(Lookup.Absent)
     }
 
+    // Guards against a state that is wrong for a while after a late repetition of a submission (MIXED).
+    @Test
+    fun `knows no deleted workflow that was submitted again before`() {
+        gateway.accept(workflow)
+        val other = Gateway(store, "other", 0, EventLog { }) { null }
+        expectThat(other.accept(workflow)).isEqualTo(Acceptance.Accepted)
+        expectThat(other.status("id"))
+            .isEqualTo(Lookup.Found(WorkflowStatus(WorkflowPhase.QUEUED)))
+        store.apply(StoreTransaction(emptyMap(), emptyList(), listOf(WorkflowKeys.job("id"))))
+        expectThat(other.status("id")).isEqualTo(Lookup.Absent)
+    }
+
     @Test
     fun `returns no refusal while an earlier attempt may still take effect`() {
         var isUnavailable = false
