--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
@@ -272,13 +272,13 @@
 ) : PrefixListener {
     override fun read(store: TransactionalStore, prefix: String): Either<StoreError, Long> {
         var owner: StoreEntry? = null
-        loop.onListingJobs()
+        loop.deletions.onListing()
         return store.forEachPage(prefix) { page ->
             // Keys are listed in order, so the owner's key is read after all workflows.
             page.find { it.key == WorkflowKeys.owner(set) }?.let { owner = it }
             page.forEach(::applyEntry)
         }.onRight {
-            loop.onJobsListed(it)
+            loop.deletions.onListed(it)
             deposeUnlessOwner(owner?.value)
         }
     }
@@ -290,7 +290,7 @@
             value != null -> applyEntry(StoreEntry(change.key, value, change.revision))
 
             change.key.startsWith(WorkflowKeys.JOBS) ->
-                loop.onJobDeleted(change.key.lastSegment(), change.revision)
+                loop.deletions.onSeen(change.key.lastSegment(), change.revision)
         }
     }
 
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
@@ -39,7 +39,17 @@
 ) : AutoCloseable {
     private val inbox = LinkedBlockingQueue<() -> Unit>()
     private val statuses = ConcurrentHashMap<String, WorkflowStatus>()
-    private val unseenDeletions = UnseenDeletions()
+
+    /** The workflows that the owner has deleted, of which it keeps nothing once it sees that. */
+    val deletions = UnseenDeletions { id ->
+        val status = statuses[id]
+        if (status?.phase?.isFinal == false) {
+            log.add("job-deleted", "id" to id, "status" to status)
+        } else if (status != null) {
+            statuses -= id
+            enqueue { scheduler.onWorkflowDeleted(id) }
+        }
+    }
     private val records = Executors.newSingleThreadExecutor { run ->
         Thread(run, "records").apply { isDaemon = true }
     }
@@ -111,29 +121,6 @@
         scheduler.onEndedWorkflow(id, progress, clock.nowMillis(), unixMillis())
     }
 
-    /**
-     * Forgets the workflow [id], as the store's changes tell that its job was deleted at [revision].
-     *
-     * Later changes may tell of a new workflow with this ID, which [statusOrNull] then doesn't know.
-     */
-    fun onJobDeleted(id: String, revision: Long) {
-        unseenDeletions.onSeen(id, revision)
-        forgetWorkflow(id)
-    }
-
-    /** Forgets workflows that were deleted before a listing of all jobs, which begins. */
-    fun onListingJobs() = unseenDeletions.onListing().forEach(::forgetWorkflow)
-
-    /** Forgets workflows that the listing of all jobs as of [revision] didn't contain. */
-    fun onJobsListed(revision: Long) = unseenDeletions.onListed(revision).forEach(::forgetWorkflow)
-
-    private fun forgetWorkflow(id: String) {
-        val status = statuses[id] ?: return
-        if (!status.phase.isFinal) return log.add("job-deleted", "id" to id, "status" to status)
-        statuses -= id
-        enqueue { scheduler.onWorkflowDeleted(id) }
-    }
-
     fun cancelWorkflow(id: String) = enqueue {
         scheduler.onWorkflowCancelled(id, clock.nowMillis(), unixMillis())
     }
@@ -250,8 +237,7 @@
     private fun writeRecords(batch: RecordBatch) {
         try {
             if (writer.write(batch) { isOpen }) {
-                unseenDeletions.add(batch.forgotten.map { it.id }, writer.revision)
-                    .forEach(::forgetWorkflow)
+                deletions.add(batch.forgotten.map { it.id }, writer.revision)
                 enqueue {
                     for ((id, status) in scheduler.onBatchDurable()) {
                         meters.countFailure(statuses.put(id, status), status)
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/UnseenDeletions.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/UnseenDeletions.kt
@@ -6,44 +6,42 @@
  */
 package sycamoremast.daemon.workflow
 
-internal class UnseenDeletions {
+/** Calls [forget] for a workflow once changes or a listing show that it was deleted. */
+internal class UnseenDeletions(private val forget: (id: String) -> Unit) {
     private val revisions = HashMap<String, Long>()
     private var seenRevision = 0L
     private var listedRevision = 0L
 
-    /**
-     * Adds the workflows [ids], deleted at [revision]; returns those that may be forgotten now, as a
-     * listing has shown it.
-     */
+    /** Adds the workflows [ids], which this owner has deleted at [revision]. */
     @Synchronized
-    fun add(ids: List<String>, revision: Long): List<String> = when {
-        revision <= seenRevision -> emptyList()
-
-        revision <= listedRevision -> ids
-
-        else -> {
-            ids.forEach { revisions[it] = revision }
-            emptyList()
-        }
+    fun add(ids: List<String>, revision: Long) = when {
+        revision <= seenRevision -> Unit
+        revision <= listedRevision -> ids.forEach(forget)
+        else -> ids.forEach { revisions[it] = revision }
     }
 
-    /** Records that the changes tell of the deletion of [id] at [revision]. */
+    /** Forgets the workflow [id], as the changes tell that it was deleted at [revision]. */
     @Synchronized
     fun onSeen(id: String, revision: Long) {
         seenRevision = maxOf(seenRevision, revision)
         revisions -= id
+        forget(id)
     }
 
-    /** Records that a listing begins; returns the workflows that it certainly doesn't show. */
+    /** Forgets the workflows that a listing, which begins, certainly doesn't show. */
     @Synchronized
-    fun onListing(): List<String> = revisions.keys.toList().also { revisions.clear() }
+    fun onListing() = forgetUpTo(Long.MAX_VALUE)
 
-    /** Records a listing as of [revision]; returns further workflows that it doesn't show. */
+    /** Forgets the workflows that a listing as of [revision] didn't show. */
     @Synchronized
-    fun onListed(revision: Long): List<String> {
+    fun onListed(revision: Long) {
         listedRevision = maxOf(listedRevision, revision)
+        forgetUpTo(revision)
+    }
+
+    private fun forgetUpTo(revision: Long) {
         val shown = revisions.filterValues { it <= revision }.keys.toList()
         revisions -= shown.toSet()
-        return shown
+        shown.forEach(forget)
     }
 }
