--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/MonitoredStore.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/MonitoredStore.kt
@@ -22,7 +22,8 @@
 /**
  * Delegates to [store] and counts consecutive calls without an answer.
  *
- * While the store is lost, listings and watches wait for the answer to a probe before they are sent.
+ * While the store is lost, or hasn't answered this process yet, listings and watches wait for the
+ * answer to a probe before they are sent.
  */
 internal class MonitoredStore(
     private val store: TransactionalStore,
@@ -30,13 +31,17 @@
     private val meters: WorkflowMeters = WorkflowMeters()
 ) : TransactionalStore {
     private val failures = AtomicInteger()
-    private val probe = StoreProbe(clock) {
-        monitored("probe") { store.get(WorkflowKeys.PROBE) }.isRight()
+    private val probe = StoreProbe(clock, { isLost || !hasAnswered }) {
+        monitored("probe") { store.get(WorkflowKeys.PROBE) }
     }
 
     @Volatile
     private var lastAnswerMillis = clock.nowMillis()
 
+    /** Whether the store has answered this process, which may have started in an outage. */
+    @Volatile
+    private var hasAnswered = false
+
     /** The time since the store last answered a call, or 0 outside an outage. */
     val silenceMillis: Long
         get() = if (failures.get() <
@@ -58,13 +63,16 @@
         answer: () -> Either<StoreError, T>
     ): Either<StoreError, T> {
         val startNanos = System.nanoTime()
+        val sentMillis = clock.nowMillis()
         return answer().also {
             meters.recordStoreCall(call, it.isRight(), System.nanoTime() - startNanos)
-            if (it.isLeft()) {
-                failures.incrementAndGet()
-            } else {
+            if (it.isRight()) {
                 failures.set(0)
                 lastAnswerMillis = clock.nowMillis()
+                hasAnswered = true
+            } else if (sentMillis >= lastAnswerMillis) {
+                // A call that was sent before the last answer tells nothing of the store since.
+                failures.incrementAndGet()
             }
         }
     }
@@ -74,10 +82,10 @@
         call: String,
         prefix: String,
         answer: () -> Either<StoreError, T>
-    ): Either<StoreError, T> = if (isLost && !probe.awaitAnswer(MAX_PROBE_WAIT_MILLIS)) {
-        StoreError.NotSent(call, prefix, "the store does not answer").left()
-    } else {
+    ): Either<StoreError, T> = if (probe.awaitAnswer(MAX_PROBE_WAIT_MILLIS)) {
         monitored(call, answer)
+    } else {
+        StoreError.NotSent(call, prefix, "the store does not answer").left()
     }
 
     override fun get(key: String, mayBeStale: Boolean): Either<StoreError, StoreEntry?> =
@@ -119,7 +127,7 @@
         /** Calls that were open when the store came back may still fail for this long. */
         const val MIN_LOSS_SILENCE_MILLIS = 1_000L
 
-        /** About as long as a listing without an answer takes. */
-        const val MAX_PROBE_WAIT_MILLIS = 1_500L
+        /** Callers wait a little before they try again, and nobody probes meanwhile. */
+        const val MAX_PROBE_WAIT_MILLIS = 5_000L
     }
 }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/StoreProbe.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/StoreProbe.kt
@@ -13,26 +13,28 @@
 import kotlin.concurrent.withLock
 import sycamoremast.coordination.MonotonicClock
 
-/** Probes a store by calls of [ask], which returns whether the store answered. */
-internal class StoreProbe(private val clock: MonotonicClock, private val ask: () -> Boolean) {
+/** Probes a store by calls of [ask] while it [isLost]. */
+internal class StoreProbe(
+    private val clock: MonotonicClock,
+    private val isLost: () -> Boolean,
+    private val ask: () -> Unit
+) {
     private val senders = Executors.newCachedThreadPool { run ->
         Thread(run, "store-probe").apply { isDaemon = true }
     }
     private val unanswered = Semaphore(MAX_UNANSWERED)
     private val lock = ReentrantLock()
-    private val answered = lock.newCondition()
-    private var answers = 0L
+    private val asked = lock.newCondition()
     private var lastSentMillis = Long.MIN_VALUE / 2
 
-    /** Waits up to [limitMillis] for an answer to a probe; returns whether there was one. */
+    /** Waits up to [limitMillis] until any call is answered; returns whether one was. */
     fun awaitAnswer(limitMillis: Long): Boolean = lock.withLock {
-        val earlierAnswers = answers
         val deadlineMillis = clock.nowMillis() + limitMillis
-        while (answers == earlierAnswers) {
+        while (isLost()) {
             val now = clock.nowMillis()
             if (now >= deadlineMillis) return false
             if (now >= lastSentMillis + INTERVAL_MILLIS) send(now)
-            answered.await(minOf(INTERVAL_MILLIS, deadlineMillis - now), MILLISECONDS)
+            asked.await(minOf(INTERVAL_MILLIS, deadlineMillis - now), MILLISECONDS)
         }
         true
     }
@@ -42,18 +44,14 @@
         lastSentMillis = nowMillis
         senders.execute {
             try {
-                if (ask()) recordAnswer()
+                ask()
             } finally {
                 unanswered.release()
+                lock.withLock { asked.signalAll() }
             }
         }
     }
 
-    private fun recordAnswer() = lock.withLock {
-        answers++
-        answered.signalAll()
-    }
-
     private companion object {
         /** The longest time that a host takes to notice the store's return, but for its answer. */
         const val INTERVAL_MILLIS = 100L
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/MonitoredStoreTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/MonitoredStoreTest.kt
@@ -1,7 +1,10 @@
 package sycamoremast.daemon.workflow
 
+import arrow.core.Either
+import arrow.core.left
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.ConcurrentLinkedQueue
+import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit.SECONDS
 import java.util.concurrent.atomic.AtomicLong
 import org.junit.jupiter.api.Test
@@ -11,6 +14,7 @@
 import strikt.assertions.isFalse
 import strikt.assertions.isTrue
 import sycamoremast.coordination.MonotonicClock
+import sycamoremast.coordination.StoreEntry
 import sycamoremast.coordination.StoreError
 import sycamoremast.coordination.TransactionalStore
 import sycamoremast.daemon.control.eventually
@@ -57,7 +61,7 @@
         val lost = MonitoredStore(recording, { clock.get() })
         store.isDown = true
         clock.set(LOSS_MILLIS)
-        repeat(2) { lost.page("a/") }
+        repeat(2) { lost.get("a") }
         expectThat(lost.isLost).isTrue()
         calls.clear()
         val listing = CompletableFuture.supplyAsync { lost.page("a/") }
@@ -71,6 +75,26 @@
         expectThat(lost.isLost).isFalse()
     }
 
+    // Guards against the same wait in a process that starts in an outage, as a restarted owner (LOST).
+    @Test
+    fun `lists nothing before the store has answered the process at all`() {
+        val calls = ConcurrentLinkedQueue<String>()
+        val recording = object : TransactionalStore by store {
+            override fun get(key: String, mayBeStale: Boolean) =
+                store.get(key, mayBeStale).also { calls += "get" }
+
+            override fun page(prefix: String, after: String, mayBeStale: Boolean) =
+                store.page(prefix, after, mayBeStale).also { calls += "page" }
+        }
+        val started = MonitoredStore(recording, MonotonicClock.system())
+        store.isDown = true
+        val listing = CompletableFuture.supplyAsync { started.page("a/") }
+        eventually("the store is probed") { calls.isNotEmpty() }
+        expectThat(calls.contains("page")).isFalse()
+        store.isDown = false
+        expectThat(listing.get(10, SECONDS).isRight()).isTrue()
+    }
+
     @Test
     fun `says that a listing was not sent if no probe is answered`() {
         val clock = MonotonicClock.system()
@@ -84,6 +108,32 @@
             .get { reason }.isEqualTo("the store does not answer")
     }
 
+    // Guards against requests that are refused after an outage as calls sent into it fail late.
+    @Test
+    fun `takes no call that was sent before the last answer for a sign of an outage`() {
+        val sent = CountDownLatch(2)
+        val end = CountDownLatch(1)
+        val silent = object : TransactionalStore by store {
+            override fun get(key: String, mayBeStale: Boolean): Either<StoreError, StoreEntry?> {
+                if (key != "silent") return store.get(key, mayBeStale)
+                sent.countDown()
+                end.await(10, SECONDS)
+                return StoreError.AnswerLost("get", key, "timeout").left()
+            }
+        }
+        val clock = AtomicLong()
+        val regained = MonitoredStore(silent, clock::get)
+        val calls = List(2) { CompletableFuture.supplyAsync { regained.get("silent") } }
+        expectThat(sent.await(10, SECONDS)).isTrue()
+        clock.set(LOSS_MILLIS)
+        regained.get("a")
+        clock.set(2 * LOSS_MILLIS)
+        end.countDown()
+        calls.forEach { it.get(10, SECONDS) }
+        expectThat(regained.isUnavailable).isFalse()
+        expectThat(regained.isLost).isFalse()
+    }
+
     private companion object {
         const val LOSS_MILLIS = 1_000L
     }
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/StoreProbeTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/StoreProbeTest.kt
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit.SECONDS
+import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicInteger
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
@@ -13,9 +14,12 @@
 class StoreProbeTest {
     private val asked = AtomicInteger()
     private val end = CountDownLatch(1)
+    private val isLost = AtomicBoolean(true)
 
     private fun probe(ask: (number: Int) -> Boolean) =
-        StoreProbe(MonotonicClock.system()) { ask(asked.incrementAndGet()) }
+        StoreProbe(MonotonicClock.system(), isLost::get) {
+            if (ask(asked.incrementAndGet())) isLost.set(false)
+        }
 
     // Guards against a store that is back while calls sent before still wait for their timeouts.
     @Test
@@ -39,4 +43,14 @@
         val probe = probe { false }
         expectThat(probe.awaitAnswer(250)).isFalse()
     }
+
+    // Guards against waits for a read where the store rejects reads and answers other calls.
+    @Test
+    fun `waits no more once another call is answered`() {
+        val probe = probe { number ->
+            if (number == 2) isLost.set(false)
+            false
+        }
+        expectThat(probe.awaitAnswer(60_000)).isTrue()
+    }
 }
