--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/EndedWorkflows.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/EndedWorkflows.kt
@@ -12,7 +12,6 @@
 
 /** The ended workflows, which are kept as long as [settings] say. */
 internal class EndedWorkflows(private val settings: SchedulerSettings) {
-    private val retentionMillis = settings.retentionMillis
     private val byId = HashMap<String, EndedWorkflow>()
     private val unscheduled = LinkedHashMap<String, EndedWorkflow>()
     private val byDueTime = PriorityQueue<EndedWorkflow>(compareBy { it.dueMillis })
@@ -51,7 +50,13 @@
      * The record may have been written late, and by another clock; no workflow is kept longer than
      * if it ended now.
      */
-    fun dueMillis(endedUnixMillis: Long, nowMillis: Long, unixMillis: Long): Long {
+    fun dueMillis(
+        phase: WorkflowPhase,
+        endedUnixMillis: Long,
+        nowMillis: Long,
+        unixMillis: Long
+    ): Long {
+        val retentionMillis = settings.retentionMillis(phase)
         if (endedUnixMillis <= 0) return nowMillis + retentionMillis
         val leftMillis =
             endedUnixMillis + settings.recordDelayMillis + retentionMillis - unixMillis
@@ -61,7 +66,9 @@
     /** Begins to count the time of workflows that were added without one, before [nowMillis]. */
     fun step(nowMillis: Long) {
         if (unscheduled.isEmpty()) return
-        unscheduled.values.forEach { schedule(it, nowMillis + retentionMillis) }
+        unscheduled.values.forEach {
+            schedule(it, nowMillis + settings.retentionMillis(it.phase))
+        }
         unscheduled.clear()
     }
 
@@ -95,7 +102,10 @@
     fun onDeleted(deleted: List<EndedWorkflow>) {
         if (deleted.isEmpty()) return
         deletedCount += deleted.size
-        oldestEndMillis = minOf(oldestEndMillis, deleted.minOf { it.dueMillis } - retentionMillis)
+        oldestEndMillis = minOf(
+            oldestEndMillis,
+            deleted.minOf { it.dueMillis - settings.retentionMillis(it.phase) }
+        )
     }
 
     /**
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerSettings.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerSettings.kt
@@ -7,7 +7,8 @@
  * [leaseMillis] is the lease that orders grant to a worker, and [drainingLeaseMillis] the one that
  * they grant to a worker that is about to leave. [stopMillis] is how long a stop may take.
  * [maxOpenTasks] is how many tasks the owner keeps in memory, those that run included.
- * [statusMillis] is how long after its end the state of a workflow has to be known, and
+ * [statusMillis] is how long after its end the state of a workflow has to be known, [problemMillis]
+ * how long that of a failed one, and
  * [clockJumpMillis] how far the clocks of two owners may differ, one of which has recorded the end.
  * [recordDelayMillis] is how long after the end of a workflow its record may have been written.
  */
@@ -19,11 +20,17 @@
     val drainingLeaseMillis: Long = DRAINING_LEASE_MILLIS,
     val maxOpenTasks: Long = DEFAULT_MAX_OPEN_TASKS,
     val statusMillis: Long = DEFAULT_STATUS_MILLIS,
+    val problemMillis: Long = maxOf(statusMillis, DEFAULT_PROBLEM_MILLIS),
     val clockJumpMillis: Long = DEFAULT_CLOCK_JUMP_MILLIS,
     val recordDelayMillis: Long = LONGEST_ANNOUNCED_MILLIS + PAST_LEASE_MILLIS
 ) {
-    /** How long the records of a workflow are kept once callers can see its end. */
-    val retentionMillis: Long get() = statusMillis + clockJumpMillis
+    /**
+     * How long the records of a workflow are kept once callers can see that it ended as [phase].
+     *
+     * Those of failed ones are what operators read problem reports from.
+     */
+    fun retentionMillis(phase: WorkflowPhase): Long =
+        (if (phase == WorkflowPhase.FAILED) problemMillis else statusMillis) + clockJumpMillis
 
     /** Returns the length of the lease that an order grants to a worker. */
     fun leaseMillis(isDraining: Boolean): Long =
@@ -115,6 +122,9 @@
         /** The platform's bound on how long the state of an ended workflow has to be known. */
         const val DEFAULT_STATUS_MILLIS = 120_000L
 
+        /** Operators who look once an hour see each failed workflow. */
+        const val DEFAULT_PROBLEM_MILLIS = 3_600_000L
+
         /** Several times as long as the seconds by which clocks may jump. */
         const val DEFAULT_CLOCK_JUMP_MILLIS = 30_000L
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -99,7 +99,8 @@
     /** Adds the workflow [id], which ended in an earlier term as [progress] tells. */
     fun onEndedWorkflow(id: String, progress: WorkflowProgress, nowMillis: Long, unixMillis: Long) {
         val ended = fleet.endedWorkflows
-        val dueMillis = ended.dueMillis(progress.endedUnixMillis, nowMillis, unixMillis)
+        val dueMillis =
+            ended.dueMillis(progress.phase, progress.endedUnixMillis, nowMillis, unixMillis)
         ended.add(id, progress.phase, dueMillis)
         if (pendingCancels.remove(id)) ended.onCancelled(id)
     }
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/EndedWorkflowTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/EndedWorkflowTest.kt
@@ -56,7 +56,7 @@
         recorder.step(driver.now, driver.now)
         val batches = fleet.outbox.filterIsInstance<SchedulerAction.Record>().map { it.batch }
         expectThat(batches.flatMap { it.progress.keys }).isEmpty()
-        val dueMillis = driver.now + SchedulerSettings().retentionMillis
+        val dueMillis = driver.now + SchedulerSettings().retentionMillis(WorkflowPhase.FAILED)
         expectThat(fleet.endedWorkflows.takeDue(dueMillis, 25)).hasSize(1)
     }
 
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/EndedWorkflowsTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/EndedWorkflowsTest.kt
@@ -44,12 +44,27 @@
     fun `a recovered workflow is kept no longer than one that ends now`() {
         val unixMillis = 1_800_000_000_000
         fun leftMillis(agoMillis: Long) =
-            ended.dueMillis(unixMillis - agoMillis, 5_000, unixMillis) - 5_000
+            ended.dueMillis(WorkflowPhase.COMPLETED, unixMillis - agoMillis, 5_000, unixMillis) -
+                5_000
         expectThat(leftMillis(400)).isEqualTo(650)
         expectThat(leftMillis(20)).isEqualTo(1_000)
         expectThat(leftMillis(-60_000)).isEqualTo(1_000)
         expectThat(leftMillis(86_400_000)).isEqualTo(0)
-        expectThat(ended.dueMillis(0, 5_000, unixMillis)).isEqualTo(6_000)
+        expectThat(ended.dueMillis(WorkflowPhase.COMPLETED, 0, 5_000, unixMillis))
+            .isEqualTo(6_000)
+    }
+
+    // Guards against failures that operators never get to see.
+    @Test
+    fun `a failed workflow is kept for operators as well`() {
+        ended.add("failed", WorkflowPhase.FAILED, isCancelled = false)
+        ended.step(0)
+        expectThat(takeDue(3_600_099)).isEmpty()
+        expectThat(takeDue(3_600_100)).containsExactly("failed")
+        val unixMillis = 1_800_000_000_000
+        expectThat(
+            ended.dueMillis(WorkflowPhase.FAILED, unixMillis - 10_000_000, 5_000, unixMillis)
+        ).isEqualTo(5_000)
     }
 
     // Guards against an owner that records nothing any more, as the store refuses its batch for good.
