--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/DeadlyTaskTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/DeadlyTaskTest.kt
@@ -275,6 +275,30 @@
         expectThat(recorded.explainedCrashes).isEqualTo(recorded.crashes)
     }
 
+    // Guards against a job that a takeover alone fails while its run goes on, on a worker that was cut
+    // off as the owner went (LOST).
+    @Test
+    fun `fails no job for a crash that is undecided as its owner goes`() {
+        val workers = workers(6)
+        workers.submit("lasting", driver.taskStep().copy(isLongRunning = true))
+        val crashes = mapOf("0.0.0" to setOf(1, 2, 3, 4))
+        workers.recorded["lasting"] = WorkflowProgress(
+            WorkflowPhase.RUNNING,
+            hasBegun = true,
+            crashes = crashes,
+            explainedCrashes = crashes
+        )
+        workers.takeOver(2)
+        while (workers.nodesOf("lasting").isEmpty()) workers.run(20)
+        workers.cutOff(workers.nodesOf("lasting").single(), 3_000)
+        while (workers.recorded.getValue("lasting").crashes.getValue("0.0.0").size < 5) {
+            workers.run(20)
+        }
+        workers.takeOver(3)
+        workers.run(10_000)
+        expectThat(workers.phaseOf("lasting")).isEqualTo(WorkflowPhase.RUNNING)
+    }
+
     // Guards against a suspect that takes others with it.
     @Test
     fun `starts a suspect alone while other work goes on`() {
