Start a host of ControlPartitionTest on another port if its own was taken

The test takes a port that is free, closes it and binds it later, and meanwhile any connection of the machine may take it. It now takes another one; what it checks is unchanged.

--- a/daemon/src/test/kotlin/sycamoremast/daemon/control/ControlPartitionTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/control/ControlPartitionTest.kt
@@ -1,5 +1,6 @@
 package sycamoremast.daemon.control
 
+import java.net.BindException
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import org.netcrusher.core.reactor.NioReactor
@@ -28,9 +29,14 @@
     }
 
     private fun startAll(vararg hosts: String) {
-        for (host in hosts) {
-            val proxy = PeerProxy(reactor)
-            proxies[host] = proxy
+        hosts.forEach(::start)
+        eventually("all are live") { nodes.values.all { it.liveCount() == hosts.size } }
+    }
+
+    /** Starts [host], with another port if a process of the machine has taken the one that was free. */
+    private fun start(host: String) {
+        val proxy = PeerProxy(reactor)
+        try {
             nodes[host] = ControlNode(
                 host,
                 host.take(1),
@@ -38,8 +44,11 @@
                 bindPort = proxy.port,
                 advertised = proxy.address
             ).start()
+            proxies[host] = proxy
+        } catch (_: BindException) {
+            proxy.close()
+            start(host)
         }
-        eventually("all are live") { nodes.values.all { it.liveCount() == hosts.size } }
     }
 
     private fun node(host: String) = nodes.getValue(host)
