--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/MonitoredStore.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/MonitoredStore.kt
@@ -23,7 +23,7 @@
  * Delegates to [store] and counts consecutive calls without an answer.
  *
  * While the store is lost, or hasn't answered this process yet, listings and watches wait for the
- * answer to a probe before they are sent.
+ * answer to a probe before they are sent. Stale listings don't: callers wait for them.
  */
 internal class MonitoredStore(
     private val store: TransactionalStore,
@@ -95,8 +95,11 @@
         prefix: String,
         after: String,
         mayBeStale: Boolean
-    ): Either<StoreError, StorePage> =
-        unlessLost("list", prefix) { store.page(prefix, after, mayBeStale) }
+    ): Either<StoreError, StorePage> = if (mayBeStale) {
+        monitored("list") { store.page(prefix, after, mayBeStale = true) }
+    } else {
+        unlessLost("list", prefix) { store.page(prefix, after) }
+    }
 
     override fun changes(
         prefix: String,
