--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/MonitoredStore.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/MonitoredStore.kt
@@ -32,7 +32,7 @@
 ) : TransactionalStore {
     private val failures = AtomicInteger()
     private val probe = StoreProbe(clock, { isLost || !hasAnswered }) {
-        monitored("probe") { store.get(WorkflowKeys.PROBE) }
+        monitored(PROBE_CALL) { store.get(WorkflowKeys.PROBE) }
     }
 
     @Volatile
@@ -70,8 +70,8 @@
                 failures.set(0)
                 lastAnswerMillis = clock.nowMillis()
                 hasAnswered = true
-            } else if (sentMillis >= lastAnswerMillis) {
-                // A call that was sent before the last answer tells nothing of the store since.
+            } else if (call != PROBE_CALL || sentMillis >= lastAnswerMillis) {
+                // Probes sent before the last answer fail after an outage, and tell of no new one.
                 failures.incrementAndGet()
             }
         }
@@ -121,6 +121,8 @@
         monitored("revoke-lease") { store.revokeLease(lease) }
 
     private companion object {
+        const val PROBE_CALL = "probe"
+
         /** A single lost answer or interrupted watch is not an outage. */
         const val MIN_OUTAGE_FAILURES = 2
 
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/MonitoredStoreTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/MonitoredStoreTest.kt
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.CountDownLatch
+import java.util.concurrent.Semaphore
 import java.util.concurrent.TimeUnit.SECONDS
 import java.util.concurrent.atomic.AtomicLong
 import org.junit.jupiter.api.Test
@@ -108,9 +109,38 @@
             .get { reason }.isEqualTo("the store does not answer")
     }
 
-    // Guards against requests that are refused after an outage as calls sent into it fail late.
+    // Guards against requests that are refused after an outage as probes sent into it fail late.
     @Test
-    fun `takes no call that was sent before the last answer for a sign of an outage`() {
+    fun `takes no probe that was sent before the last answer for a sign of an outage`() {
+        val sent = Semaphore(0)
+        val end = CountDownLatch(1)
+        val silent = object : TransactionalStore by store {
+            override fun get(key: String, mayBeStale: Boolean): Either<StoreError, StoreEntry?> {
+                if (key != WorkflowKeys.PROBE) return store.get(key, mayBeStale)
+                sent.release()
+                end.await(10, SECONDS)
+                return StoreError.AnswerLost("get", key, "timeout").left()
+            }
+        }
+        val clock = AtomicLong()
+        val regained = MonitoredStore(silent, clock::get)
+        val listing = CompletableFuture.supplyAsync { regained.page("a/") }
+        repeat(2) {
+            expectThat(sent.tryAcquire(10, SECONDS)).isTrue()
+            clock.addAndGet(100)
+        }
+        regained.get("a")
+        expectThat(listing.get(10, SECONDS).isRight()).isTrue()
+        clock.addAndGet(LOSS_MILLIS)
+        end.countDown()
+        Thread.sleep(100)
+        expectThat(regained.isUnavailable).isFalse()
+        expectThat(regained.isLost).isFalse()
+    }
+
+    // Guards against standbys that notice an outage late, as their watches were sent before it (LOST).
+    @Test
+    fun `takes a call that was sent before the last answer for a sign of an outage`() {
         val sent = CountDownLatch(2)
         val end = CountDownLatch(1)
         val silent = object : TransactionalStore by store {
@@ -122,16 +152,15 @@
             }
         }
         val clock = AtomicLong()
-        val regained = MonitoredStore(silent, clock::get)
-        val calls = List(2) { CompletableFuture.supplyAsync { regained.get("silent") } }
+        val lost = MonitoredStore(silent, clock::get)
+        val calls = List(2) { CompletableFuture.supplyAsync { lost.get("silent") } }
         expectThat(sent.await(10, SECONDS)).isTrue()
         clock.set(LOSS_MILLIS)
-        regained.get("a")
+        lost.get("a")
         clock.set(2 * LOSS_MILLIS)
         end.countDown()
         calls.forEach { it.get(10, SECONDS) }
-        expectThat(regained.isUnavailable).isFalse()
-        expectThat(regained.isLost).isFalse()
+        expectThat(lost.isLost).isTrue()
     }
 
     private companion object {
