--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowSettings.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowSettings.kt
@@ -23,7 +23,8 @@
  * [drainMillis] is how long a stopping host continues to answer callers; it has to be well below
  * [graceMillis], the time after which the platform kills it. [cores] is the processing power that
  * the host may use: its share of the processor multiplied by the processor's speed in cores.
- * [statusMillis] is how long after its end the state of a workflow has to be known. [defaults] are the settings that the deployment doesn't tell although the host asks for them.
+ * [statusMillis] is how long after its end the state of a workflow has to be known. [defaults] are
+ * the settings that the deployment doesn't tell although the host asks for them.
  */
 data class WorkflowSettings(
     val host: String,
