--- a/bench/src/main/kotlin/sycamoremast/bench/capacity/PeerProbes.kt
+++ b/bench/src/main/kotlin/sycamoremast/bench/capacity/PeerProbes.kt
@@ -6,8 +6,8 @@
 import java.util.concurrent.atomic.AtomicLong
 import sycamoremast.coordination.membership.IncarnationClaim
 import sycamoremast.daemon.peer.Heartbeat
-import sycamoremast.daemon.peer.KtorPeerNetwork
 import sycamoremast.daemon.peer.LocalPeer
+import sycamoremast.daemon.peer.TcpPeerNetwork
 
 private const val ROLE = "membership"
 private const val MEASURED_ROUNDS = 500
@@ -79,9 +79,9 @@
 
     private fun sentBytes() = registry.counter("sycamoremast.peers.sent.bytes").count()
 
-    private fun network(host: String, registry: SimpleMeterRegistry): KtorPeerNetwork {
+    private fun network(host: String, registry: SimpleMeterRegistry): TcpPeerNetwork {
         val local = LocalPeer(host, "sigulda", "127.0.0.1", 0)
-        val network = KtorPeerNetwork.create(local, IncarnationClaim(1), registry)
+        val network = TcpPeerNetwork.create(local, IncarnationClaim(1), registry)
         return network.also { it.start() }
     }
 
--- a/daemon/src/main/kotlin/sycamoremast/daemon/ControlPlane.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/ControlPlane.kt
@@ -14,16 +14,16 @@
 import sycamoremast.daemon.control.Membership
 import sycamoremast.daemon.control.MembershipTimes
 import sycamoremast.daemon.control.ProblemLog
-import sycamoremast.daemon.peer.KtorPeerNetwork
 import sycamoremast.daemon.peer.LocalPeer
 import sycamoremast.daemon.peer.PeerLimits
+import sycamoremast.daemon.peer.TcpPeerNetwork
 import sycamoremast.daemon.settings.DaemonSettings
 
 /** The control plane of one entry host. */
 internal class ControlPlane private constructor(
     val store: KeyValueStore,
     val callBudget: CallBudget,
-    val network: KtorPeerNetwork,
+    val network: TcpPeerNetwork,
     val membership: Membership,
     val replica: ConfigurationReplica,
     val audit: AuditLog,
@@ -69,7 +69,7 @@
             )
             val claim = IncarnationClaim(System.currentTimeMillis())
             val network =
-                KtorPeerNetwork.create(localPeer(settings), claim, registry, limits(settings))
+                TcpPeerNetwork.create(localPeer(settings), claim, registry, limits(settings))
             val peers = ControlPeers.of(network)
             val seeds = settings.peers.addresses.map(Endpoint::toString).toSet()
             val membership = Membership.create(context, claim, peers, seeds, times(settings))
--- a/daemon/src/main/kotlin/sycamoremast/daemon/control/ControlPeers.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/control/ControlPeers.kt
@@ -1,9 +1,9 @@
 /** Access of the control plane to the peer network. */
 package sycamoremast.daemon.control
 
-import sycamoremast.daemon.peer.KtorPeerNetwork
 import sycamoremast.daemon.peer.PeerConnections
 import sycamoremast.daemon.peer.PeerNetwork
+import sycamoremast.daemon.peer.TcpPeerNetwork
 
 /** Messages to and connections with the other hosts, which reach this one at [ownAddress]. */
 class ControlPeers(
@@ -17,6 +17,6 @@
 
     companion object {
         /** Returns the access to a [network] that has been started. */
-        fun of(network: KtorPeerNetwork) = ControlPeers(network, network) { network.address }
+        fun of(network: TcpPeerNetwork) = ControlPeers(network, network) { network.address }
     }
 }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/peer/PeerConnection.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/peer/PeerConnection.kt
@@ -1,13 +1,7 @@
 /** One connection to another entry host, with a bounded queue of outgoing frames. */
 package sycamoremast.daemon.peer
 
-import io.ktor.network.sockets.Socket
-import io.ktor.network.sockets.openReadChannel
-import io.ktor.network.sockets.openWriteChannel
-import io.ktor.utils.io.readByteArray
-import io.ktor.utils.io.readInt
-import io.ktor.utils.io.writeByteArray
-import io.ktor.utils.io.writeInt
+import java.nio.ByteBuffer
 import java.util.concurrent.atomic.AtomicLong
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.ExperimentalCoroutinesApi
@@ -27,13 +21,11 @@
 
 /** A connection over [socket] to the peer at [address]. */
 internal class PeerConnection(
-    private val socket: Socket,
+    private val socket: PeerSocket,
     val address: String,
     private val limits: PeerLimits,
     private val counters: PeerCounters
 ) {
-    private val input = socket.openReadChannel()
-    private val output = socket.openWriteChannel(autoFlush = false)
     private val queue = Channel<ByteArray>(limits.maxQueuedMessages)
     private val queuedBytes = AtomicLong()
 
@@ -103,18 +95,17 @@
     }
 
     private suspend fun write(bytes: ByteArray) {
-        output.writeInt(bytes.size)
-        output.writeByteArray(bytes)
-        output.flush()
-        counters.countSent(bytes.size + LENGTH_BYTES)
+        val frame = ByteBuffer.allocate(LENGTH_BYTES + bytes.size).putInt(bytes.size).put(bytes)
+        socket.write(frame.flip())
+        counters.countSent(frame.limit())
     }
 
     private suspend fun read(maxBytes: Int): PeerFrame {
-        val length = input.readInt()
+        val length = ByteBuffer.wrap(socket.read(LENGTH_BYTES)).getInt()
         if (length !in 1..maxBytes) {
             throw PeerViolationException("oversized", "a frame of $length bytes, limit $maxBytes")
         }
-        val bytes = input.readByteArray(length)
+        val bytes = socket.read(length)
         counters.countReceived(length + LENGTH_BYTES)
         return try {
             PeerCodec.decode(bytes)
--- /dev/null
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/peer/PeerSocket.kt
@@ -0,0 +1,125 @@
+/** TCP sockets whose calls suspend instead of blocking a thread. */
+package sycamoremast.daemon.peer
+
+import java.io.EOFException
+import java.io.IOException
+import java.net.InetSocketAddress
+import java.net.StandardSocketOptions
+import java.nio.ByteBuffer
+import java.nio.channels.SelectionKey
+import java.nio.channels.ServerSocketChannel
+import java.nio.channels.SocketChannel
+import kotlin.math.min
+
+/** A connected socket, read by one coroutine and written by one at a time. */
+internal class PeerSocket private constructor(
+    private val channel: SocketChannel,
+    private val selector: ChannelSelector
+) : AutoCloseable {
+    /** What was received and not yet read. */
+    private val received = ByteBuffer.allocate(READ_BUFFER_BYTES).flip()
+
+    val remoteAddress: String
+        get() = channel.remoteAddress?.toString()?.removePrefix("/") ?: "closed"
+
+    /** @throws IOException if the connection ends before [size] bytes were received */
+    suspend fun read(size: Int): ByteArray {
+        val bytes = ByteArray(size)
+        var count = 0
+        while (count < size) {
+            if (!received.hasRemaining()) receive()
+            val next = min(size - count, received.remaining())
+            received.get(bytes, count, next)
+            count += next
+        }
+        return bytes
+    }
+
+    private suspend fun receive() {
+        received.clear()
+        var count = channel.read(received)
+        while (count == 0) {
+            selector.awaitReady(channel, SelectionKey.OP_READ)
+            count = channel.read(received)
+        }
+        received.flip()
+        if (count < 0) throw EOFException("closed by the peer")
+    }
+
+    /** @throws IOException if the connection ends before all of [bytes] were accepted */
+    suspend fun write(bytes: ByteBuffer) {
+        val end = bytes.limit()
+        while (bytes.position() < end) {
+            bytes.limit(min(end, bytes.position() + MAX_WRITE_BYTES))
+            if (channel.write(bytes) == 0) selector.awaitReady(channel, SelectionKey.OP_WRITE)
+            bytes.limit(end)
+        }
+    }
+
+    override fun close() {
+        channel.close()
+        selector.release(channel)
+    }
+
+    companion object {
+        private const val READ_BUFFER_BYTES = 16_384
+
+        /** The JDK keeps a buffer as large as the largest write for each thread. */
+        private const val MAX_WRITE_BYTES = 65_536
+
+        /** @throws IOException if no connection to [address] can be made */
+        suspend fun connect(address: InetSocketAddress, selector: ChannelSelector): PeerSocket {
+            val socket = of(SocketChannel.open(), selector)
+            try {
+                if (!socket.channel.connect(address)) {
+                    do {
+                        selector.awaitReady(socket.channel, SelectionKey.OP_CONNECT)
+                    } while (!socket.channel.finishConnect())
+                }
+                return socket
+            } catch (e: Throwable) {
+                socket.close()
+                throw e
+            }
+        }
+
+        /** Returns the socket of the connected or new [channel]. */
+        fun of(channel: SocketChannel, selector: ChannelSelector): PeerSocket {
+            channel.configureBlocking(false)
+            channel.setOption(StandardSocketOptions.TCP_NODELAY, true)
+            return PeerSocket(channel, selector)
+        }
+    }
+}
+
+/** A listening socket. */
+internal class PeerListener private constructor(
+    private val channel: ServerSocketChannel,
+    private val selector: ChannelSelector
+) : AutoCloseable {
+    val port: Int get() = (channel.localAddress as InetSocketAddress).port
+
+    /** @throws IOException if no connection can be accepted */
+    suspend fun accept(): PeerSocket {
+        while (true) {
+            channel.accept()?.let { return PeerSocket.of(it, selector) }
+            selector.awaitReady(channel, SelectionKey.OP_ACCEPT)
+        }
+    }
+
+    override fun close() {
+        channel.close()
+        selector.release(channel)
+    }
+
+    companion object {
+        /** @throws IOException if [address] can't be bound */
+        fun bind(address: InetSocketAddress, selector: ChannelSelector): PeerListener {
+            val channel = ServerSocketChannel.open()
+            channel.configureBlocking(false)
+            channel.setOption(StandardSocketOptions.SO_REUSEADDR, true)
+            channel.bind(address)
+            return PeerListener(channel, selector)
+        }
+    }
+}
--- a/daemon/src/main/kotlin/sycamoremast/daemon/peer/KtorPeerNetwork.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/peer/TcpPeerNetwork.kt
@@ -1,5 +1,5 @@
 /**
- * The network between the entry hosts, over Ktor sockets.
+ * The network between the entry hosts, over TCP.
  *
  * Every host dials each known host that it has no connection to. Both ends may send over a
  * connection, whichever dialled it, so one reachable direction is enough. Delivery is best effort:
@@ -10,14 +10,9 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
-import io.ktor.network.selector.SelectorManager
-import io.ktor.network.sockets.InetSocketAddress
-import io.ktor.network.sockets.ServerSocket
-import io.ktor.network.sockets.Socket
-import io.ktor.network.sockets.aSocket
-import io.ktor.network.sockets.toJavaAddress
 import io.micrometer.core.instrument.MeterRegistry
 import java.io.IOException
+import java.net.InetSocketAddress
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.TimeUnit
@@ -32,14 +27,13 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeoutOrNull
 import org.tinylog.kotlin.Logger
 import sycamoremast.coordination.membership.IncarnationClaim
 import sycamoremast.daemon.log.event
 
 /** Connects to the other entry hosts; [start] begins to listen, [close] closes all connections. */
-class KtorPeerNetwork private constructor(
+class TcpPeerNetwork private constructor(
     private val local: LocalPeer,
     private val claim: IncarnationClaim,
     private val limits: PeerLimits,
@@ -52,7 +46,7 @@
     private val handlers = PeerHandlers(counters)
     private val dispatcher = Dispatchers.IO.limitedParallelism(NETWORK_THREADS)
     private val scope = CoroutineScope(SupervisorJob() + dispatcher)
-    private val selector = SelectorManager(dispatcher)
+    private val selector = ChannelSelector.start()
     private val connections = CopyOnWriteArrayList<PeerConnection>()
     private val newestIncarnations = ConcurrentHashMap<String, Long>()
 
@@ -64,7 +58,7 @@
     private var closed = false
 
     @Volatile
-    private var server: ServerSocket? = null
+    private var listener: PeerListener? = null
 
     @Volatile
     private var boundAddress: String? = null
@@ -75,11 +69,10 @@
 
     /** Binds the listening socket and accepts peers. */
     fun start() {
-        val bound = runBlocking {
-            aSocket(selector).tcp().bind(local.bindHost, local.bindPort) { reuseAddress = true }
-        }
-        server = bound
-        boundAddress = "${local.bindHost}:${(bound.localAddress as InetSocketAddress).port}"
+        val bound =
+            PeerListener.bind(InetSocketAddress(local.bindHost, local.bindPort), selector)
+        listener = bound
+        boundAddress = "${local.bindHost}:${bound.port}"
         counters.registerConnectionGauge { connections.size }
         scope.launch { acceptLoop(bound) }
     }
@@ -87,9 +80,9 @@
     override fun close() {
         closed = true
         connections.forEach { it.close() }
-        server?.close()
+        listener?.close()
         scope.cancel()
-        runCatching { selector.close() }
+        selector.close()
     }
 
     override fun dial(addresses: Set<String>) {
@@ -149,7 +142,7 @@
 
     private fun identity() = PeerIdentity(local.host, local.availabilityZone, address, claim.value)
 
-    private suspend fun acceptLoop(bound: ServerSocket) {
+    private suspend fun acceptLoop(bound: PeerListener) {
         while (!closed) {
             try {
                 val socket = bound.accept()
@@ -179,7 +172,7 @@
         val socket = try {
             withTimeoutOrNull(limits.connectTimeout) {
                 val (host, port) = splitAddress(peerAddress)
-                aSocket(selector).tcp().connect(host, port) { noDelay = true }
+                PeerSocket.connect(InetSocketAddress(host, port), selector)
             }
         } catch (e: IOException) {
             Logger.debug { event("peer-unreachable", "peer" to peerAddress, "reason" to e.message) }
@@ -191,9 +184,9 @@
     private fun isConnectedTo(peerAddress: String) =
         connections.any { it.address == peerAddress || it.peer?.peerAddress == peerAddress }
 
-    private suspend fun serve(socket: Socket) {
-        val remote = socket.remoteAddress.toJavaAddress().toString().removePrefix("/")
-        runConnection(PeerConnection(socket, remote, limits, counters), isDialer = false)
+    private suspend fun serve(socket: PeerSocket) {
+        val connection = PeerConnection(socket, socket.remoteAddress, limits, counters)
+        runConnection(connection, isDialer = false)
     }
 
     private suspend fun runConnection(connection: PeerConnection, isDialer: Boolean): Boolean {
@@ -308,6 +301,6 @@
             registry: MeterRegistry,
             limits: PeerLimits = PeerLimits(),
             random: Random = Random.Default
-        ): KtorPeerNetwork = KtorPeerNetwork(local, claim, limits, random, registry)
+        ): TcpPeerNetwork = TcpPeerNetwork(local, claim, limits, random, registry)
     }
 }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Peering.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Peering.kt
@@ -10,10 +10,10 @@
 import sycamoremast.coordination.workflow.HostProcess
 import sycamoremast.coordination.workflow.RunPort
 import sycamoremast.daemon.log.EventLog
-import sycamoremast.daemon.peer.KtorPeerNetwork
 import sycamoremast.daemon.peer.LocalPeer
 import sycamoremast.daemon.peer.PeerLimits
 import sycamoremast.daemon.peer.RelayedAnswers
+import sycamoremast.daemon.peer.TcpPeerNetwork
 
 /** Connects [process] with the other hosts and relays their orders to workers through [runs]. */
 internal class Peering(
@@ -25,7 +25,7 @@
     meters: WorkflowMeters,
     clock: MonotonicClock = MonotonicClock.system()
 ) : AutoCloseable {
-    private val network = KtorPeerNetwork.create(
+    private val network = TcpPeerNetwork.create(
         LocalPeer(process.host, peers.availabilityZone, peers.address.ip, peers.address.port),
         IncarnationClaim(System.currentTimeMillis(), isOnlyProcess = true),
         meters.registry,
--- a/daemon/src/test/kotlin/sycamoremast/daemon/control/ControlNode.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/control/ControlNode.kt
@@ -10,9 +10,9 @@
 import sycamoremast.coordination.membership.MemberTimeouts
 import sycamoremast.coordination.store.Backoff
 import sycamoremast.coordination.store.CallBudget
-import sycamoremast.daemon.peer.KtorPeerNetwork
 import sycamoremast.daemon.peer.LocalPeer
 import sycamoremast.daemon.peer.PeerLimits
+import sycamoremast.daemon.peer.TcpPeerNetwork
 import sycamoremast.daemon.platform.HttpKeyValueStore
 import sycamoremast.daemon.platform.PlatformTimeouts
 import sycamoremast.daemon.platform.platformHttpClient
@@ -63,7 +63,7 @@
 ) : AutoCloseable {
     val registry = SimpleMeterRegistry()
     val claim = IncarnationClaim(incarnation)
-    val network = KtorPeerNetwork.create(
+    val network = TcpPeerNetwork.create(
         LocalPeer(host, zone, "127.0.0.1", bindPort, advertised),
         claim,
         registry,
--- a/daemon/src/test/kotlin/sycamoremast/daemon/peer/KtorPeerNetworkTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/peer/TcpPeerNetworkTest.kt
@@ -3,11 +3,13 @@
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry
 import java.io.DataInputStream
 import java.io.DataOutputStream
+import java.lang.management.ManagementFactory
 import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.net.Socket
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.nanoseconds
 import kotlin.time.Duration.Companion.seconds
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
@@ -15,13 +17,14 @@
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
+import strikt.assertions.isLessThan
 import strikt.assertions.isNull
 import strikt.assertions.isTrue
 import sycamoremast.coordination.membership.IncarnationClaim
 import sycamoremast.daemon.control.eventually
 import sycamoremast.daemon.control.quickLimits
 
-class KtorPeerNetworkTest {
+class TcpPeerNetworkTest {
     private val started = mutableListOf<AutoCloseable>()
 
     private inner class Node(
@@ -32,7 +35,7 @@
     ) : AutoCloseable {
         val registry = SimpleMeterRegistry()
         val claim = IncarnationClaim(incarnation)
-        val network = KtorPeerNetwork.create(
+        val network = TcpPeerNetwork.create(
             LocalPeer(host, "a", "127.0.0.1", port),
             claim,
             registry,
@@ -111,6 +114,27 @@
         expectThat(first.readMessage().isAnswer).isFalse()
     }
 
+    // Guards against LOST: an owner that retries writes to a full connection without waiting hangs.
+    @Test
+    fun `a peer that stops reading costs no processor time`() {
+        val node = Node("a1", limits = quickLimits.copy(dropAfterSilence = 30.seconds))
+        val peer = connect(node.network.address)
+        peer.write(hello())
+        eventually("the peer is connected") { "raw" in node.hosts }
+        val message = Documents(List(10) { "x".repeat(100_000) })
+        eventually("the connection is full") { !node.network.send("raw", message) }
+        val before = threadCpuNanos()
+        Thread.sleep(OBSERVATION.inWholeMilliseconds)
+        val busiest = threadCpuNanos().maxOf { (id, nanos) -> nanos - (before[id] ?: 0) }
+        expectThat(busiest.nanoseconds).isLessThan(OBSERVATION / 5)
+    }
+
+    /** Returns the processor time of each thread by its ID. */
+    private fun threadCpuNanos(): Map<Long, Long> {
+        val threads = ManagementFactory.getThreadMXBean()
+        return threads.allThreadIds.associateWith { threads.getThreadCpuTime(it) }
+    }
+
     private fun Socket.readMessage(): PeerFrame.Message =
         generateSequence { readFrame() }.filterIsInstance<PeerFrame.Message>().first()
 
@@ -230,4 +254,8 @@
     private fun isFree(port: Int): Boolean = runCatching {
         ServerSocket().use { it.bind(InetSocketAddress("127.0.0.1", port)) }
     }.isSuccess
+
+    private companion object {
+        val OBSERVATION = 1.seconds
+    }
 }
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/PeeringTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/PeeringTest.kt
@@ -16,8 +16,8 @@
 import sycamoremast.daemon.control.eventually
 import sycamoremast.daemon.control.quickLimits
 import sycamoremast.daemon.log.EventLog
-import sycamoremast.daemon.peer.KtorPeerNetwork
 import sycamoremast.daemon.peer.LocalPeer
+import sycamoremast.daemon.peer.TcpPeerNetwork
 
 class PeeringTest {
     private val started = mutableListOf<AutoCloseable>()
@@ -25,7 +25,7 @@
     @AfterEach
     fun close() = started.forEach { it.close() }
 
-    private fun peer(host: String, incarnation: Long = 1) = KtorPeerNetwork.create(
+    private fun peer(host: String, incarnation: Long = 1) = TcpPeerNetwork.create(
         LocalPeer(host, "zone", "127.0.0.1", 0),
         IncarnationClaim(incarnation),
         SimpleMeterRegistry(),
@@ -67,7 +67,7 @@
         }
     }
 
-    private fun KtorPeerNetwork.isConnectedTo(host: String) = connected().any { it.host == host }
+    private fun TcpPeerNetwork.isConnectedTo(host: String) = connected().any { it.host == host }
 
     private companion object {
         /** Much longer than the test runs. */
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/StandbyPeersTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/StandbyPeersTest.kt
@@ -23,16 +23,16 @@
 import sycamoremast.daemon.control.eventually
 import sycamoremast.daemon.control.quickLimits
 import sycamoremast.daemon.log.EventLog
-import sycamoremast.daemon.peer.KtorPeerNetwork
 import sycamoremast.daemon.peer.LocalPeer
 import sycamoremast.daemon.peer.PeerConnections
 import sycamoremast.daemon.peer.StandbyAnswer
+import sycamoremast.daemon.peer.TcpPeerNetwork
 
 class StandbyPeersTest {
     /** A registered host that listens at a free port. */
     private class Host(val name: String, store: MemoryStore, clock: MonotonicClock) :
         AutoCloseable {
-        val network = KtorPeerNetwork.create(
+        val network = TcpPeerNetwork.create(
             LocalPeer(name, "zone", "127.0.0.1", 0),
             IncarnationClaim(1),
             SimpleMeterRegistry(),
