--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/CrashHistory.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/CrashHistory.kt
@@ -50,6 +50,9 @@
     var isGivenUp = false
         private set
 
+    /** Whether as many crashes are known as a task may have, whatever explains them. */
+    val isUsedUp: Boolean get() = crashes.size >= MAX_CRASHES
+
     /** Until when the task waits, at most, for the fleet to be free of trouble. */
     var heldUntilMillis = Long.MIN_VALUE
 
@@ -71,12 +74,17 @@
      * Restores the [recorded] runs, of which an earlier owner has [explained] some.
      *
      * It may have found no time to explain the last one, so only another crash uses up the credible
-     * ones.
+     * ones. Nor may it have found time to confirm that one, so the history doesn't tell whether the
+     * task is given up if it [isUsedUp].
      */
     fun restore(recorded: Set<Int>, explained: Set<Int>) {
         recorded.forEach { crashes[it] = null }
         explainedBefore = explained
-        isGivenUp = crashes.size >= MAX_CRASHES
+    }
+
+    /** Gives the task up, of whose restored runs none has turned out to go on. */
+    fun giveUp() {
+        isGivenUp = true
     }
 
     fun add(crash: CrashedRun) {
@@ -97,7 +105,7 @@
     }
 
     private val isExhausted: Boolean
-        get() = crashes.size >= MAX_CRASHES || credibleCount >= MAX_CREDIBLE_CRASHES
+        get() = isUsedUp || credibleCount >= MAX_CREDIBLE_CRASHES
 
     /** The number of crashes that the fleet's own trouble doesn't explain. */
     private val credibleCount: Int
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/CrashLedger.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/CrashLedger.kt
@@ -6,6 +6,10 @@
  * worker, and workers also crash for reasons of their own, a suspect starts alone next time. If two
  * workers crash under it alone, while no others are lost, it is given up. If it outlives the crashed
  * runs, it is cleared.
+ *
+ * The record of a crash doesn't tell whether it was confirmed: the worker may have been out of reach
+ * as its owner went. A successor gives up a task for recorded crashes alone only if all workers on
+ * which it may run have answered without it, or their leases have lapsed.
  */
 package sycamoremast.coordination.workflow
 
@@ -13,6 +17,15 @@
     private val losses = LossHistory(fleet)
     private val undecided = LinkedHashMap<CrashedRun, OpenTask>()
 
+    /** Tasks with as many recorded crashes as a task may have, until it is known if a run goes on. */
+    private val usedUp = LinkedHashSet<OpenTask>()
+
+    /** Processes the crashes of tasks of [workflow] that earlier owners have recorded. */
+    fun onRestored(workflow: OpenWorkflow) {
+        workflow.steps().flatMap { it.tasks }
+            .filterTo(usedUp) { it.crashHistory?.isUsedUp == true }
+    }
+
     /** Processes a call to [worker] that failed after [tookMillis], unsent or unanswered. */
     fun onCallFailed(worker: FleetWorker, tookMillis: Long, nowMillis: Long) {
         if (worker.listing.isDraining) return
@@ -83,17 +96,39 @@
         val history = task.crashHistory ?: return true
         return when {
             history.runs.size == 1 -> true
-            history.isGivenUp || history.isUndecided -> false
+            history.isUsedUp || history.isGivenUp || history.isUndecided -> false
             nowMillis >= history.heldUntilMillis -> true
             // Single calls that fail now and then would hold it back for long.
             else -> !losses.showsTrouble(nowMillis - QUIET_MILLIS..nowMillis) { it.isCounted }
         }
     }
 
-    /** Decides what is known by [nowMillis]. */
-    fun step(nowMillis: Long) {
+    /**
+     * Decides what is known by [nowMillis]. No run of a waiting task that [isFree] is left which an
+     * earlier owner has ordered.
+     */
+    fun step(nowMillis: Long, isFree: (OpenTask) -> Boolean) {
         losses.expire(nowMillis)
         undecided.entries.removeIf { (crash, task) -> decide(crash, task, nowMillis) }
+        usedUp.removeIf { decideRestored(it, isFree) }
+    }
+
+    /** Decides on the restored crashes of [task] if possible; returns whether that is done. */
+    private fun decideRestored(task: OpenTask, isFree: (OpenTask) -> Boolean): Boolean {
+        val history = task.crashHistory
+        val workflow = task.step.workflow
+        if (history?.isUsedUp != true || !workflow.isOpen || task.isDone) return true
+        if (task.placements.isNotEmpty() || !isFree(task)) return false
+        history.giveUp()
+        fleet.endCandidates += workflow
+        fleet.log(
+            "crashes-confirmed",
+            task.name.toString(),
+            "runs" to history.runs.joinToString(","),
+            "crashes" to history.runs.size,
+            "givenUp" to true
+        )
+        return true
     }
 
     /** Decides on [crash] as far as possible; returns whether nothing is left to decide. */
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -81,6 +81,7 @@
         if (progress != null) {
             fleet.openTasks.openStarted(open, progress.startedOccurrences)
             open.restoreTasks(progress)
+            crashes.onRestored(open)
         }
         fleet.openTasks.openDue(open, unixMillis)
         fleet.isPlacementDue = true
@@ -226,7 +227,7 @@
         if (nowMillis >= nextMaintenanceMillis) {
             nextMaintenanceMillis = nowMillis + MAINTENANCE_INTERVAL_MILLIS
             maintenance.step(nowMillis)
-            crashes.step(nowMillis)
+            crashes.step(nowMillis, places::isFree)
             evacuation.step(nowMillis)
             consolidation.step(nowMillis)
             directory.applyMovedEntries(nowMillis)
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/DeadlyTaskTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/DeadlyTaskTest.kt
@@ -275,10 +275,8 @@
         expectThat(recorded.explainedCrashes).isEqualTo(recorded.crashes)
     }
 
-    // Guards against a job that a takeover alone fails while its run goes on, on a worker that was cut
-    // off as the owner went (LOST).
-    @Test
-    fun `fails no job for a crash that is undecided as its owner goes`() {
+    /** Starts a fifth run of a lasting task whose four crashes another owner has recorded. */
+    private fun workersWithFifthRun(): CrashingWorkers {
         val workers = workers(6)
         workers.submit("lasting", driver.taskStep().copy(isLongRunning = true))
         val crashes = mapOf("0.0.0" to setOf(1, 2, 3, 4))
@@ -290,15 +288,42 @@
         )
         workers.takeOver(2)
         while (workers.nodesOf("lasting").isEmpty()) workers.run(20)
-        workers.cutOff(workers.nodesOf("lasting").single(), 3_000)
+        return workers
+    }
+
+    /**
+     * Cuts off the worker of a task's fifth run for [cutMillis]; another owner takes over once this is
+     * recorded as the fifth crash.
+     */
+    private fun takeOverAtFifthCrash(cutMillis: Long): CrashingWorkers {
+        val workers = workersWithFifthRun()
+        workers.cutOff(workers.nodesOf("lasting").single(), cutMillis)
         while (workers.recorded.getValue("lasting").crashes.getValue("0.0.0").size < 5) {
             workers.run(20)
         }
         workers.takeOver(3)
+        return workers
+    }
+
+    // Guards against a job that a takeover alone fails while its run goes on, on a worker that was cut
+    // off as the owner went (LOST).
+    @Test
+    fun `fails no job for a crash that is undecided as its owner goes`() {
+        val workers = takeOverAtFifthCrash(cutMillis = 3_000)
         workers.run(10_000)
         expectThat(workers.phaseOf("lasting")).isEqualTo(WorkflowPhase.RUNNING)
     }
 
+    // Guards against a deadly task that goes on to start, or is never shown as failed.
+    @Test
+    fun `fails a job whose fifth crash is confirmed after its owner has gone`() {
+        val workers = takeOverAtFifthCrash(cutMillis = 60_000)
+        workers.run(20_000)
+        expectThat(workers.startsOf("lasting")).hasSize(1)
+        expectThat(workers.logged("crashes-confirmed")).hasSize(1)
+        expectThat(workers.phaseOf("lasting")).isEqualTo(WorkflowPhase.FAILED)
+    }
+
     // Guards against a suspect that takes others with it.
     @Test
     fun `starts a suspect alone while other work goes on`() {
