--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/CrashLedger.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/CrashLedger.kt
@@ -76,7 +76,8 @@
             fleet.isPlacementDue = true
             log("trial-ended", placement, "shownMillis" to shownMillis)
         }
-        if (placement.isExposed && shownMillis >= exposureMillis(history)) {
+        // A run that an earlier owner ordered is not exposed, but may outlive the crashed ones, too.
+        if (shownMillis >= exposureMillis(history)) {
             placement.isExposed = false
             if (history != null) clear(placement, history)
         }
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/DeadlyTaskTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/DeadlyTaskTest.kt
@@ -324,6 +324,22 @@
         expectThat(workers.phaseOf("lasting")).isEqualTo(WorkflowPhase.FAILED)
     }
 
+    // Guards against a job that fails as its later owners never clear it of its crashes (LOST).
+    @Test
+    fun `clears a suspect whose run outlives the crashed ones under the next owner`() {
+        val workers = workersWithFifthRun()
+        workers.takeOver(3)
+        workers.run(10_000)
+        expectThat(workers.recorded.getValue("lasting").crashes).isEmpty()
+        repeat(2) {
+            workers.crash(workers.nodesOf("lasting").single())
+            while (workers.nodesOf("lasting").isEmpty()) workers.run(20)
+        }
+        workers.run(20_000)
+        expectThat(workers.nodesOf("lasting")).hasSize(1)
+        expectThat(workers.phaseOf("lasting")).isEqualTo(WorkflowPhase.RUNNING)
+    }
+
     // Guards against a suspect that takes others with it.
     @Test
     fun `starts a suspect alone while other work goes on`() {
