--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Peering.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Peering.kt
@@ -26,7 +26,13 @@
     clock: MonotonicClock = MonotonicClock.system()
 ) : AutoCloseable {
     private val network = KtorPeerNetwork.create(
-        LocalPeer(process.host, peers.availabilityZone, peers.address.ip, peers.address.port),
+        LocalPeer(
+            process.host,
+            peers.availabilityZone,
+            peers.address.ip,
+            peers.address.port,
+            peers.advertised.toString()
+        ),
         IncarnationClaim(System.currentTimeMillis(), isOnlyProcess = true),
         meters.registry,
         PeerLimits(redial = REDIAL)
@@ -34,7 +40,7 @@
     private val registry = HostRegistry(
         store,
         process.host,
-        HostRecord(peers.address.toString(), peers.availabilityZone, peers.cores, process.id),
+        HostRecord(peers.advertised.toString(), peers.availabilityZone, peers.cores, process.id),
         log,
         ::onRenewalAttempt
     )
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowHost.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowHost.kt
@@ -19,8 +19,17 @@
     val catalog: PlatformCatalog
 )
 
-/** What peers need to know of a host: its zone, listening address and strength in [cores]. */
-data class WorkflowPeers(val availabilityZone: String, val address: Endpoint, val cores: Double)
+/**
+ * What peers need to know of a host: its zone, listening address and strength in [cores].
+ *
+ * Other hosts connect to [advertised].
+ */
+data class WorkflowPeers(
+    val availabilityZone: String,
+    val address: Endpoint,
+    val cores: Double,
+    val advertised: Endpoint = address
+)
 
 /** The host [name], which takes part in the election of the owner of worker set [set]. */
 class WorkflowHost(
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowSettings.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/WorkflowSettings.kt
@@ -24,7 +24,8 @@
  * [graceMillis], the time after which the platform kills it. [cores] is the processing power that
  * the host may use: its share of the processor multiplied by the processor's speed in cores.
  * [statusMillis] is how long after its end the state of a workflow has to be known. [defaults] are
- * the settings that the deployment doesn't tell although the host asks for them.
+ * the settings that the deployment doesn't tell although the host asks for them. Other hosts connect
+ * to [advertisedPeers] where that differs from [peers].
  */
 data class WorkflowSettings(
     val host: String,
@@ -41,7 +42,8 @@
     val limits: WorkflowLimits = WorkflowLimits(),
     val graceMillis: Long = defaultGraceMillis(drainMillis),
     val defaults: List<SettingDefault> = emptyList(),
-    val statusMillis: Long = SchedulerSettings.DEFAULT_STATUS_MILLIS
+    val statusMillis: Long = SchedulerSettings.DEFAULT_STATUS_MILLIS,
+    val advertisedPeers: Endpoint? = null
 ) {
     /** How long a stopping owner may go on in an outage of the store. */
     val longestHandOverMillis: Long get() = (graceMillis - STOP_MARGIN_MILLIS).coerceAtLeast(0)
@@ -117,18 +119,11 @@
                     Triple(endpoint("requests"), endpoint("readiness"), endpoint("metrics"))
                         .let { if (has("peers")) it to endpoint("peers") else it to NO_PEERS }
                 }
-                val cores = if (document.section("capacity") == null) {
-                    1.0
-                } else {
-                    section("capacity") { cores() }
-                }
+                val advertised = optionalSection("advertise", null) { endpoint("peers") }
+                val cores = optionalSection("capacity", 1.0) { cores() }
                 val store = section("store") { endpoint("address") }
                 val times = section("times") { times() }
-                val limits = if (document.section("limits") == null) {
-                    WorkflowLimits()
-                } else {
-                    section("limits") { limits() }
-                }
+                val limits = optionalSection("limits", WorkflowLimits()) { limits() }
                 document.sections.filter { it.name !in SECTIONS }.forEach {
                     errors += IniError(document.file, it.line, it.name, "", "unknown section")
                 }
@@ -148,7 +143,8 @@
                         limits.bind(),
                         times.bind().graceMillis,
                         defaults,
-                        times.bind().statusMillis
+                        times.bind().statusMillis,
+                        advertised
                     )
                 }
             }
@@ -223,6 +219,12 @@
                     text.toDoubleOrNull()?.takeIf { it > 0 && it.isFinite() }
                 }
 
+            private fun <T : Any> optionalSection(
+                name: String,
+                default: T?,
+                read: SectionReader.() -> T?
+            ): T? = if (document.section(name) == null) default else section(name, read)
+
             private fun <T : Any> section(name: String, read: SectionReader.() -> T?): T? {
                 val section = document.section(name)
                 if (section == null) {
@@ -235,7 +237,8 @@
             }
         }
 
-        private val SECTIONS = setOf("host", "listen", "store", "times", "capacity", "limits")
+        private val SECTIONS =
+            setOf("host", "listen", "advertise", "store", "times", "capacity", "limits")
 
         /** Means that the host has no peers; no port is opened for them. */
         val NO_PEERS = Endpoint("0.0.0.0", 0)
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/PeeringTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/PeeringTest.kt
@@ -36,16 +36,20 @@
     }
 
     private fun startPeering(name: String): String {
-        val port = ServerSocket(0).use { it.localPort }
-        val peers = WorkflowPeers("zone", Endpoint("127.0.0.1", port), 1.0)
-        val process = HostProcess(name)
+        val peers = WorkflowPeers("zone", freeEndpoint(), 1.0)
+        startPeering(name, peers, MemoryStore())
+        return peers.address.toString()
+    }
+
+    private fun startPeering(name: String, peers: WorkflowPeers, store: MemoryStore) {
         val peering =
-            Peering(process, peers, MemoryStore(), NoWorkers, EventLog { }, WorkflowMeters())
+            Peering(HostProcess(name), peers, store, NoWorkers, EventLog { }, WorkflowMeters())
         started += peering
         peering.start()
-        return peers.address.toString()
     }
 
+    private fun freeEndpoint() = Endpoint("127.0.0.1", ServerSocket(0).use { it.localPort })
+
     // A host takes its incarnation from its clock. Guards against peers that reject a host for good
     // because its clock was set back before a restart.
     @Test
@@ -67,6 +71,20 @@
         }
     }
 
+    // Guards against hosts that connect to the address that another host listens on, where that is
+    // reached at another one: a proxy between them would be passed by.
+    @Test
+    fun `tells the other hosts the address that it advertises`() {
+        val store = MemoryStore()
+        val advertised = freeEndpoint()
+        startPeering("host", WorkflowPeers("zone", freeEndpoint(), 1.0, advertised), store)
+        eventually("the host is registered at the advertised address") {
+            val entry = store.get(WorkflowKeys.host("host")).getOrNull()
+            entry != null &&
+                decodeRecordOrNull<HostRecord>(entry.value)?.peerAddress == "$advertised"
+        }
+    }
+
     private fun KtorPeerNetwork.isConnectedTo(host: String) = connected().any { it.host == host }
 
     private companion object {
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/WorkflowSettingsTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/WorkflowSettingsTest.kt
@@ -45,6 +45,17 @@
         expectThat(WorkflowSettings.parseOrNull(text + limits.replace("500", "0"))).isNull()
     }
 
+    @Test
+    fun `parses the address that other hosts connect to`() {
+        val advertise = "\n[advertise]\npeers = 127.0.0.2:7721"
+        expectThat(WorkflowSettings.parseOrNull(text + advertise)).isNotNull()
+            .get { advertisedPeers }.isEqualTo(Endpoint("127.0.0.2", 7721))
+        expectThat(WorkflowSettings.parseOrNull(text)).isNotNull()
+            .get { advertisedPeers }.isNull()
+        expectThat(WorkflowSettings.parseOrNull("$text\n[advertise]\npeers = x")).isNull()
+        expectThat(WorkflowSettings.parseOrNull("$text\n[advertise]")).isNull()
+    }
+
     @Test
     fun `leaves a margin before the end of the grace period`() {
         expectThat(WorkflowSettings.parseOrNull("$text\ngrace-seconds = 6.5")).isNotNull().and {
