--- a/cli/src/main/kotlin/sycamoremast/cli/ExplainCommand.kt
+++ b/cli/src/main/kotlin/sycamoremast/cli/ExplainCommand.kt
@@ -1,8 +1,7 @@
 /**
  * Assembles the history of one request or workflow from hosts' logs.
  *
- * A log line of a daemon has an ISO time, then `event=name`, then `key=value` fields. A line
- * belongs to an ID if its `id` field is that ID or the name of one of its tasks.
+ * A line belongs to an ID if its `id` field is that ID or the name of one of its tasks.
  */
 package sycamoremast.cli
 
@@ -13,16 +12,13 @@
 import com.github.ajalt.clikt.parameters.arguments.multiple
 import com.github.ajalt.clikt.parameters.types.file
 
-/** A log line; [time] and [event] are empty if the line has none. */
-internal data class LogLine(val time: String, val event: String, val text: String)
-
 /** The log lines of one ID in order of time, and the one that decided the outcome. */
 internal class History(id: String, lines: Sequence<String>) {
     private val idPattern = Regex("""\bid="?${Regex.escape(id)}(\.[0-9.]+)?"?(\s|$)""")
 
     /** The lines of the ID in order of time. */
     val lines: List<LogLine> =
-        lines.filter(idPattern::containsMatchIn).map(::parse).sortedBy { it.time }.toList()
+        lines.filter(idPattern::containsMatchIn).map(LogLine::parse).sortedBy { it.time }.toList()
 
     /** The line that decided the outcome, or null if no line did. */
     val deciding: LogLine? = failureOrNull() ?: DECIDING_PATTERNS.firstNotNullOfOrNull { pattern ->
@@ -41,20 +37,11 @@
         return termLines.lastOrNull { it.event == "workflow-failed" }
     }
 
-    private fun parse(text: String) = LogLine(
-        TIME.find(text)?.value.orEmpty(),
-        EVENT.find(text)?.groupValues?.get(1).orEmpty(),
-        text
-    )
-
     private class LinePattern(val event: String, val substring: String = "") {
         fun matches(line: LogLine) = line.event == event && substring in line.text
     }
 
     private companion object {
-        val TIME = Regex("""\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d(\.\d+)?""")
-        val EVENT = Regex("""event=([\w-]+)""")
-
         /** The events that decide any other outcome, in order of precedence. */
         val DECIDING_PATTERNS = listOf(
             LinePattern("workflow-ended", "CANCELLED"),
--- /dev/null
+++ b/cli/src/main/kotlin/sycamoremast/cli/OffTimes.kt
@@ -0,0 +1,289 @@
+/**
+ * Finds out from hosts' logs when long-running tasks were without a run, and why.
+ *
+ * The owner's lines tell when it ordered a run and when it learned of the run's end. That may be
+ * later than the end itself: a worker that is gone is first unreachable, and a new owner learns what
+ * ended before its term from its first reports. So each loss has a time at which it was noted, and
+ * an earliest time.
+ */
+package sycamoremast.cli
+
+/** How the time without a run ended. */
+internal enum class OffEnd { RUNS_AGAIN, JOB_ENDED, LOG_ENDS }
+
+/**
+ * A time without a run of [task], after a run on [worker] that ended by [cause].
+ *
+ * @property earliestSeconds when the run may have ended at the earliest
+ * @property notedSeconds when the owner learned of its end
+ * @property views how the owner saw the task meanwhile
+ */
+internal data class OffTime(
+    val task: String,
+    val worker: String,
+    val cause: String,
+    val earliestSeconds: Double,
+    val notedSeconds: Double,
+    val endSeconds: Double,
+    val end: OffEnd,
+    val views: List<String>
+) {
+    val seconds: Double get() = endSeconds - earliestSeconds
+}
+
+/** The times without a run in [play]. */
+internal class OffTimes(private val play: Play) {
+    private class Loss(
+        val worker: String,
+        val cause: String,
+        val earliestSeconds: Double,
+        val notedSeconds: Double
+    )
+
+    private class Task {
+        var run = 0
+        var worker = ""
+        var orderedSeconds = 0.0
+        var loss: Loss? = null
+        val views = ArrayList<Pair<Double, String>>()
+
+        /** The loss that the last order was to end, in case the order isn't carried out. */
+        var lossBeforeOrder: Loss? = null
+    }
+
+    private class Silence(val from: Double, var to: Double?)
+
+    private val isLongRunning = LongRunningJobs(play.events)
+    private val tasks = LinkedHashMap<String, Task>()
+    private val silences = HashMap<String, Silence>()
+    private val stopReasons = HashMap<Pair<String, Int>, String>()
+    private val lastSignBeforeTerm = HashMap<String, Double>()
+    private val termStarts = ArrayList<Double>()
+    private val endedJobs = HashSet<String>()
+    private val generalViews = ArrayList<Pair<Double, String>>()
+    private val closed = ArrayList<Pair<Task, OffTime>>()
+    private var lastSignSeconds = Double.NEGATIVE_INFINITY
+
+    /** The times without a run, in order of their ends; the last ones are those that go on. */
+    val all: List<OffTime>
+
+    init {
+        play.events.forEach(::process)
+        tasks.forEach { (name, task) -> close(name, task, play.endSeconds, OffEnd.LOG_ENDS) }
+        all = closed.map { (task, off) -> off.copy(views = viewsOf(task, off)) }
+    }
+
+    private fun process(event: HostEvent) {
+        when (event.name) {
+            "owner-began" -> onOwnerBegan(event)
+            "recovery-waits" -> generalViews += event.seconds to "recovery waits"
+            "worker-unreachable" -> silences.getOrPut(event.id) { Silence(event.seconds, null) }
+            "worker-reachable" -> silences[event.id]?.to = event.seconds
+            "worker-lost" -> onWorkerLost(event)
+            "workflow-ended" -> onJobEnded(event)
+            "job-cancel" -> if ("Right" in event.line.field("outcome")) onJobEnded(event)
+            "workflow-known" -> endedJobs -= event.id
+            else -> if (isOpen(event.id)) onTaskEvent(event)
+        }
+        if (event.name in SIGNS) lastSignSeconds = event.seconds
+    }
+
+    private fun isOpen(id: String) = jobOf(id) !in endedJobs && isLongRunning(id)
+
+    private fun onOwnerBegan(event: HostEvent) {
+        lastSignBeforeTerm[event.host] = lastSignSeconds
+        termStarts += event.seconds
+        generalViews += event.seconds to "new owner"
+    }
+
+    private fun onTaskEvent(event: HostEvent) {
+        val task = tasks.getOrPut(event.id) { Task() }
+        when (event.name) {
+            "run-ordered" -> onOrdered(event, task)
+
+            "run-adopted" -> onAdopted(event, task)
+
+            "run-ended" -> onEnded(event, task)
+
+            "run-vanished" -> onVanished(event, task)
+
+            "start-rejected" -> {
+                task.views += event.seconds to "start rejected: ${event.line.field("reason")}"
+                if (event.run == task.run) reopen(event, task, "start rejected")
+            }
+
+            "start-unanswered" -> task.views += event.seconds to "start unanswered"
+
+            "run-stop" -> stopReasons[event.id to event.run] = event.line.field("reason")
+
+            "task-waits" -> task.views += event.seconds to waitOf(event.line)
+
+            "room-reserved" -> task.views += event.seconds to "reserved"
+
+            "task-suspected" -> task.views += event.seconds to "suspect"
+        }
+    }
+
+    private fun onOrdered(event: HostEvent, task: Task) {
+        if (task.loss == null && task.run > 0 && event.run != task.run) {
+            val earliest = earliestEnd(event, task)
+            lose(task, "not found by new owner", earliest, maxOf(earliest, lastTermStart(event)))
+        }
+        task.lossBeforeOrder = task.loss
+        close(event.id, task, event.seconds, OffEnd.RUNS_AGAIN)
+        task.run = event.run
+        task.worker = event.worker
+        task.orderedSeconds = event.seconds
+    }
+
+    /** A run that a new owner finds was never lost. */
+    private fun onAdopted(event: HostEvent, task: Task) {
+        if (task.loss != null && event.run != task.run) {
+            close(event.id, task, event.seconds, OffEnd.RUNS_AGAIN)
+        }
+        task.loss = null
+        task.lossBeforeOrder = null
+        task.run = event.run
+        task.worker = event.worker
+        task.orderedSeconds = event.seconds
+    }
+
+    private fun onEnded(event: HostEvent, task: Task) {
+        if (event.run < task.run || task.loss != null) return
+        val how = event.line.field("how")
+        val reason = stopReasons[event.id to event.run]
+        val cause = if (how == "STOPPED" && reason != null) "stopped: $reason" else "ended: $how"
+        task.run = event.run
+        task.worker = event.worker
+        val isKnown = event.line.field("ranMillis").toLongOrNull() != null
+        val earliest = if (isKnown) event.seconds else earliestEnd(event, task)
+        lose(task, cause, earliest, event.seconds)
+    }
+
+    private fun onVanished(event: HostEvent, task: Task) {
+        if (event.run != task.run || task.loss != null) return
+        if (task.views.lastOrNull()?.second == "start unanswered") {
+            reopen(event, task, "vanished")
+        } else {
+            lose(task, "vanished", silenceStart(event.worker, event.seconds), event.seconds)
+        }
+    }
+
+    private fun onWorkerLost(event: HostEvent) {
+        val since = silenceStart(event.id, event.seconds)
+        val cause = "worker lost: ${event.line.field("reason")}"
+        tasks.values.filter { it.worker == event.id && it.loss == null && it.run > 0 }.forEach {
+            lose(it, cause, maxOf(since, it.orderedSeconds), event.seconds)
+        }
+        silences -= event.id
+    }
+
+    private fun onJobEnded(event: HostEvent) {
+        endedJobs += event.id
+        val ended = tasks.filterKeys { jobOf(it) == event.id }
+        ended.forEach { (name, task) -> close(name, task, event.seconds, OffEnd.JOB_ENDED) }
+        tasks -= ended.keys
+    }
+
+    private fun lose(task: Task, cause: String, earliestSeconds: Double, notedSeconds: Double) {
+        task.loss = Loss(task.worker, cause, earliestSeconds, notedSeconds)
+    }
+
+    /** The last order of [task] wasn't carried out, so it is still without a run. */
+    private fun reopen(event: HostEvent, task: Task, cause: String) {
+        val before = task.lossBeforeOrder
+        if (before == null) {
+            lose(task, cause, task.orderedSeconds, event.seconds)
+            return
+        }
+        closed.indexOfLast { it.first === task }.takeIf { it >= 0 }?.let(closed::removeAt)
+        task.loss = before
+    }
+
+    private fun close(name: String, task: Task, endSeconds: Double, end: OffEnd) {
+        val loss = task.loss ?: return
+        closed += task to OffTime(
+            name,
+            loss.worker,
+            loss.cause,
+            loss.earliestSeconds,
+            loss.notedSeconds,
+            endSeconds,
+            end,
+            views = emptyList()
+        )
+        task.loss = null
+    }
+
+    /** Returns when the run of [task] may have ended that the owner of [event] never knew. */
+    private fun earliestEnd(event: HostEvent, task: Task): Double {
+        val sign = lastSignBeforeTerm[event.host] ?: event.seconds
+        val silence = silenceStart(task.worker, event.seconds)
+        return maxOf(task.orderedSeconds, minOf(sign, silence))
+    }
+
+    private fun lastTermStart(event: HostEvent) =
+        termStarts.lastOrNull { it <= event.seconds } ?: event.seconds
+
+    /** Returns since when [worker] hadn't answered at [seconds], or [seconds] if it had. */
+    private fun silenceStart(worker: String, seconds: Double): Double {
+        val silence = silences[worker] ?: return seconds
+        val to = silence.to ?: return silence.from
+        if (seconds - to < SAME_REPORT_SECONDS) return silence.from
+        silences -= worker
+        return seconds
+    }
+
+    private fun waitOf(line: LogLine): String {
+        val obstacles = line.field("obstacles").split(',').filter { it.isNotEmpty() }
+        val suitable = line.field("suitableWorkers").toIntOrNull() ?: 0
+        return when {
+            line.field("suspect") == "true" -> "suspect"
+            line.field("reservedOn").isNotEmpty() -> "reserved"
+            suitable > 0 -> "room free"
+            obstacles.all { it.startsWith("ACCEPTS_NO_STARTS:") } -> "no worker takes starts"
+            else -> "no room"
+        }
+    }
+
+    /** Returns the views of [task] in [off], each with its number of lines if there are several. */
+    private fun viewsOf(task: Task, off: OffTime): List<String> =
+        (generalViews + task.views).filter { it.first in off.earliestSeconds..off.endSeconds }
+            .groupingBy { it.second }.eachCount()
+            .map { (view, count) -> if (count == 1) view else "$view x$count" }
+
+    private companion object {
+        /** Lines that only an owner writes. */
+        val SIGNS = setOf("run-ordered", "run-ended", "run-stop", "run-pace", "run-moved")
+
+        /** Lines about one report of a worker are written within this time. */
+        const val SAME_REPORT_SECONDS = 0.1
+    }
+}
+
+/**
+ * Tells which jobs are long-running.
+ *
+ * A queue whose jobs appear in lines that are written about long-running tasks only is one of
+ * long-running jobs.
+ */
+private class LongRunningJobs(events: List<HostEvent>) : (String) -> Boolean {
+    private val queues = HashMap<String, String>()
+    private val longRunning: Set<String>
+
+    init {
+        events.filter { it.name == "workflow-known" || it.name == "job-submitted" }
+            .forEach { queues[it.id] = it.line.field("queue") }
+        longRunning = events.filter { it.name in LONG_RUNNING_EVENTS }
+            .mapNotNull { queues[jobOf(it.id)] }.toSet()
+    }
+
+    override fun invoke(id: String): Boolean = queues[jobOf(id)] in longRunning
+
+    private companion object {
+        val LONG_RUNNING_EVENTS = setOf("task-waits", "room-reserved", "run-moved")
+    }
+}
+
+/** Returns the ID of the job of the task [id]. */
+private fun jobOf(id: String) = id.substringBefore('.')
--- a/cli/src/main/kotlin/sycamoremast/cli/Sycamore.kt
+++ b/cli/src/main/kotlin/sycamoremast/cli/Sycamore.kt
@@ -50,6 +50,7 @@
         ProblemsCommand(),
         AuditCommand(),
         ExplainCommand(),
+        OffTimesCommand(),
         CompletionCommand(name = "completion")
     )
 
--- /dev/null
+++ b/cli/src/test/kotlin/sycamoremast/cli/OffTimesTest.kt
@@ -0,0 +1,194 @@
+package sycamoremast.cli
+
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNull
+import strikt.assertions.map
+import strikt.assertions.single
+
+class OffTimesTest {
+    @Test
+    fun `a run that its owner stops is off until the next order`() {
+        val off = offTimesOf(
+            "12.0 run-stop id=job.0.0.0 run=1 worker=w1 reason=\"worker drains\"",
+            "12.2 run-ended id=job.0.0.0 run=1 worker=w1 how=STOPPED ranMillis=2200",
+            "12.5 run-ordered id=job.0.0.0 run=2 worker=w2"
+        )
+        expectThat(off).single().isEqualTo(
+            offTime("stopped: worker drains", earliest = 12.2, noted = 12.2, end = 12.5)
+        )
+    }
+
+    // Guards against times that begin only once the owner gives up a worker that crashed.
+    @Test
+    fun `a run on a lost worker may have ended when the worker became unreachable`() {
+        val off = offTimesOf(
+            "12.0 worker-unreachable id=w1 reason=timeout runs=1",
+            "15.0 worker-lost id=w1 reason=\"lease lapsed\" runs=1",
+            "15.1 task-waits id=job.0.0.0 suspect=false suitableWorkers=0 obstacles=CPU_TAKEN:3",
+            "16.1 task-waits id=job.0.0.0 suspect=false suitableWorkers=0 obstacles=CPU_TAKEN:3",
+            "16.2 room-reserved id=job.0.0.0 worker=w2",
+            "17.0 run-ordered id=job.0.0.0 run=2 worker=w2"
+        )
+        expectThat(off).single().isEqualTo(
+            offTime(
+                "worker lost: lease lapsed",
+                earliest = 12.0,
+                noted = 15.0,
+                end = 17.0,
+                views = listOf("no room x2", "reserved")
+            )
+        )
+    }
+
+    // Guards against times that begin with a new owner's first report, after the run has lapsed.
+    @Test
+    fun `a run that lapsed before a term may have ended with the last sign of the last owner`() {
+        val off = offTimesOf(
+            "12.0 run-ordered id=other.0.0.0 run=1 worker=w1",
+            "19.0 owner-began set=0 epoch=2",
+            "19.3 recovery-waits id=epoch-2 workers=1",
+            "19.5 run-ended id=job.0.0.0 run=1 worker=w1 how=LAPSED",
+            "19.6 run-ordered id=job.0.0.0 run=1001 worker=w2"
+        )
+        expectThat(off).single().isEqualTo(
+            offTime(
+                "ended: LAPSED",
+                earliest = 12.0,
+                noted = 19.5,
+                end = 19.6,
+                views = listOf("new owner", "recovery waits")
+            )
+        )
+    }
+
+    @Test
+    fun `a run that a new owner adopts was never lost`() {
+        val off = offTimesOf(
+            "12.0 worker-unreachable id=w1 reason=timeout runs=1",
+            "19.0 owner-began set=0 epoch=2",
+            "19.5 run-adopted id=job.0.0.0 run=1 worker=w1"
+        )
+        expectThat(off).isEmpty()
+    }
+
+    // Guards against a time that ends with an order that no worker carried out.
+    @Test
+    fun `a rejected start does not end the time without a run`() {
+        val off = offTimesOf(
+            "12.0 run-ended id=job.0.0.0 run=1 worker=w1 how=FAILED ranMillis=2000",
+            "12.1 run-ordered id=job.0.0.0 run=2 worker=w2",
+            "12.2 start-rejected id=job.0.0.0 run=2 worker=w2 reason=FULL",
+            "13.0 run-ordered id=job.0.0.0 run=3 worker=w3"
+        )
+        expectThat(off).single().isEqualTo(
+            offTime(
+                "ended: FAILED",
+                earliest = 12.0,
+                noted = 12.0,
+                end = 13.0,
+                views = listOf("start rejected: FULL")
+            )
+        )
+    }
+
+    @Test
+    fun `a time goes on to the end of the log or of the job`() {
+        val lost = "12.0 run-ended id=job.0.0.0 run=1 worker=w1 how=FAILED ranMillis=2000"
+        expectThat(offTimesOf(lost, "20.0 worker-listed id=w9")).single()
+            .isEqualTo(offTime("ended: FAILED", 12.0, 12.0, 20.0).copy(end = OffEnd.LOG_ENDS))
+        val ended = "14.0 workflow-ended id=job phase=CANCELLED"
+        val late = "14.1 run-ended id=job.0.0.0 run=1 worker=w1 how=STOPPED ranMillis=4100"
+        expectThat(offTimesOf(lost, ended, late, "20.0 worker-listed id=w9")).single()
+            .isEqualTo(offTime("ended: FAILED", 12.0, 12.0, 14.0).copy(end = OffEnd.JOB_ENDED))
+    }
+
+    // Guards against figures that mistake a short task's retries for a serving task's absence.
+    @Test
+    fun `tasks of queues without long-running tasks are left out`() {
+        val play = Play.parse(
+            sequenceOf(
+                line("1.0 workflow-known id=short queue=batch"),
+                line("1.1 run-ordered id=short.0.0.0 run=1 worker=w1"),
+                line("2.0 run-ended id=short.0.0.0 run=1 worker=w1 how=FAILED ranMillis=900"),
+                line("9.0 run-ordered id=short.0.0.0 run=2 worker=w1")
+            )
+        )
+        expectThat(OffTimes(play).all).isEmpty()
+    }
+
+    @Test
+    fun `the calm is the longest stretch without a disruption`() {
+        val play = Play.parse(
+            sequenceOf(
+                line("1.0 host-start host=h1"),
+                line("30.0 host-start host=h1"),
+                "what happened",
+                "     3.5 s to      9.1 s  platform_lost ",
+                "    12.0 s to     20.0 s  config_change (route) ",
+                "    24.0 s to     25.0 s  node_kill h2, h3"
+            ),
+            calmKinds = setOf("config_change")
+        )
+        expectThat(play.calmSeconds(5.0, 40.0)).isEqualTo(14.9)
+        expectThat(play.calmSeconds(26.0, 29.0)).isEqualTo(3.0)
+        expectThat(play.calmSeconds(4.0, 9.0)).isEqualTo(0.0)
+        expectThat(play.lastDisruptionOrNull(28.0)).isEqualTo(Disruption(24.0, 25.0, "node_kill"))
+        expectThat(play.lastDisruptionOrNull(0.5)).isNull()
+    }
+
+    @Test
+    fun `processes' own logs are read by their times`() {
+        val play = Play.parse(
+            sequenceOf(
+                "h2 2026-03-17T20:45:22.500 level=INFO event=owner-began set=0",
+                "h1 2026-03-17T20:45:21.000 level=INFO event=host-start host=h1",
+                "no line of a log"
+            )
+        )
+        expectThat(play.events).map { it.host }.containsExactly("h1", "h2")
+        expectThat(play.events.last().seconds - play.events.first().seconds).isEqualTo(1.5)
+    }
+
+    @Test
+    fun `the report shows the distribution and the longest times`() {
+        val play = Play.parse(
+            (
+                STARTED + "12.0 run-ended id=job.0.0.0 run=1 worker=w1 how=FAILED ranMillis=2000" +
+                    "12.5 run-ordered id=job.0.0.0 run=2 worker=w2"
+                ).asSequence().map(::line)
+        )
+        val report = OffTimeReport(play, OffTimes(play).all)
+        expectThat(report.distribution().lines()[1])
+            .isEqualTo("all            off                      1  0.500  0.500  0.500")
+        expectThat(report.longest(count = 5)).isEqualTo(report.list())
+    }
+
+    private fun offTimesOf(vararg lines: String) =
+        OffTimes(Play.parse((STARTED + lines).asSequence().map(::line))).all
+
+    /** Returns the line of a play's output of [event], a time and the rest of the line. */
+    private fun line(event: String): String {
+        val (seconds, rest) = event.split(' ', limit = 2)
+        return "  $seconds h1 2026-03-17T20:45:21.002 level=INFO logger=EventLogKt event=$rest"
+    }
+
+    private fun offTime(
+        cause: String,
+        earliest: Double,
+        noted: Double,
+        end: Double,
+        views: List<String> = emptyList()
+    ) = OffTime("job.0.0.0", "w1", cause, earliest, noted, end, OffEnd.RUNS_AGAIN, views)
+
+    private companion object {
+        val STARTED = listOf(
+            "9.0 workflow-known id=job queue=serving recovered=false",
+            "9.1 task-waits id=job.0.0.0 suspect=false suitableWorkers=0 obstacles=CPU_TAKEN:3",
+            "10.0 run-ordered id=job.0.0.0 run=1 worker=w1"
+        )
+    }
+}
