--- a/cli/src/main/kotlin/sycamoremast/cli/OffTimes.kt
+++ b/cli/src/main/kotlin/sycamoremast/cli/OffTimes.kt
@@ -77,7 +77,7 @@
         when (event.name) {
             "owner-began" -> onOwnerBegan(event)
             "recovery-waits" -> generalViews += event.seconds to "recovery waits"
-            "worker-unreachable" -> silences.getOrPut(event.id) { Silence(event.seconds, null) }
+            "worker-unreachable" -> onUnreachable(event)
             "worker-reachable" -> silences[event.id]?.to = event.seconds
             "worker-lost" -> onWorkerLost(event)
             "workflow-ended" -> onJobEnded(event)
@@ -85,6 +85,7 @@
             "workflow-known" -> endedJobs -= event.id
             else -> if (isOpen(event.id)) onTaskEvent(event)
         }
+        if (event.name in REPORTS) onReported(event)
         if (event.name in SIGNS) lastSignSeconds = event.seconds
     }
 
@@ -96,6 +97,19 @@
         generalViews += event.seconds to "new owner"
     }
 
+    private fun onUnreachable(event: HostEvent) {
+        val silence = silences[event.id]
+        if (silence == null || silence.to != null) {
+            silences[event.id] = Silence(event.seconds, null)
+        }
+    }
+
+    /** A report shows that the worker answers, whoever found it silent before. */
+    private fun onReported(event: HostEvent) {
+        val silence = silences[event.worker] ?: return
+        if (silence.to == null) silence.to = event.seconds
+    }
+
     private fun onTaskEvent(event: HostEvent) {
         val task = tasks.getOrPut(event.id) { Task() }
         when (event.name) {
@@ -256,6 +270,9 @@
         /** Lines that only an owner writes. */
         val SIGNS = setOf("run-ordered", "run-ended", "run-stop", "run-pace", "run-moved")
 
+        /** Lines about what a worker reports. */
+        val REPORTS = setOf("run-ended", "run-adopted", "run-vanished")
+
         /** Lines about one report of a worker are written within this time. */
         const val SAME_REPORT_SECONDS = 0.1
     }
--- a/cli/src/test/kotlin/sycamoremast/cli/OffTimesTest.kt
+++ b/cli/src/test/kotlin/sycamoremast/cli/OffTimesTest.kt
@@ -65,6 +65,22 @@
         )
     }
 
+    // Guards against a loss that is dated back to a silence after which the run was seen again.
+    @Test
+    fun `a silence is over once a new owner has a report of the worker`() {
+        val off = offTimesOf(
+            "11.0 worker-unreachable id=w1 reason=timeout runs=1",
+            "12.0 owner-began set=0 epoch=2",
+            "12.5 run-adopted id=job.0.0.0 run=1 worker=w1",
+            "20.0 worker-unreachable id=w1 reason=timeout runs=1",
+            "20.2 worker-reachable id=w1 failures=1",
+            "30.0 worker-unreachable id=w1 reason=timeout runs=1",
+            "33.0 worker-lost id=w1 reason=\"lease lapsed\" runs=1",
+            "33.1 run-ordered id=job.0.0.0 run=1001 worker=w2"
+        )
+        expectThat(off).map { it.earliestSeconds }.containsExactly(30.0)
+    }
+
     @Test
     fun `a run that a new owner adopts was never lost`() {
         val off = offTimesOf(
