--- a/daemon/src/main/kotlin/sycamoremast/daemon/peer/PeerSocket.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/peer/PeerSocket.kt
@@ -113,12 +113,15 @@
     }
 
     companion object {
+        /** Covers a large fleet's hosts that dial repeatedly while this one doesn't accept. */
+        private const val MAX_WAITING_CONNECTIONS = 512
+
         /** @throws IOException if [address] can't be bound */
         fun bind(address: InetSocketAddress, selector: ChannelSelector): PeerListener {
             val channel = ServerSocketChannel.open()
             channel.configureBlocking(false)
             channel.setOption(StandardSocketOptions.SO_REUSEADDR, true)
-            channel.bind(address)
+            channel.bind(address, MAX_WAITING_CONNECTIONS)
             return PeerListener(channel, selector)
         }
     }
