--- a/daemon/src/main/kotlin/sycamoremast/daemon/peer/PeerSocket.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/peer/PeerSocket.kt
@@ -10,6 +10,8 @@
 import java.nio.channels.ServerSocketChannel
 import java.nio.channels.SocketChannel
 import kotlin.math.min
+import kotlin.time.Duration
+import kotlinx.coroutines.withTimeoutOrNull
 
 /** A connected socket, read by one coroutine and written by one at a time. */
 internal class PeerSocket private constructor(
@@ -56,6 +58,13 @@
         }
     }
 
+    private suspend fun connect(address: InetSocketAddress) {
+        if (channel.connect(address)) return
+        do {
+            selector.awaitReady(channel, SelectionKey.OP_CONNECT)
+        } while (!channel.finishConnect())
+    }
+
     override fun close() {
         channel.close()
         selector.release(channel)
@@ -67,20 +76,25 @@
         /** The JDK keeps a buffer as large as the largest write for each thread. */
         private const val MAX_WRITE_BYTES = 65_536
 
-        /** @throws IOException if no connection to [address] can be made */
-        suspend fun connect(address: InetSocketAddress, selector: ChannelSelector): PeerSocket {
+        /**
+         * Returns a socket connected to [address], or null if that takes longer than [timeout].
+         *
+         * @throws IOException if no connection to [address] can be made
+         */
+        suspend fun connectOrNull(
+            address: InetSocketAddress,
+            selector: ChannelSelector,
+            timeout: Duration
+        ): PeerSocket? {
             val socket = of(SocketChannel.open(), selector)
+            // A timeout or cancellation may also discard the result of an attempt that has ended.
+            var isConnected = false
             try {
-                if (!socket.channel.connect(address)) {
-                    do {
-                        selector.awaitReady(socket.channel, SelectionKey.OP_CONNECT)
-                    } while (!socket.channel.finishConnect())
-                }
-                return socket
-            } catch (e: Throwable) {
-                socket.close()
-                throw e
+                isConnected = withTimeoutOrNull(timeout) { socket.connect(address) } != null
+            } finally {
+                if (!isConnected) socket.close()
             }
+            return socket.takeIf { isConnected }
         }
 
         /** Returns the socket of the connected or new [channel]. */
--- a/daemon/src/main/kotlin/sycamoremast/daemon/peer/TcpPeerNetwork.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/peer/TcpPeerNetwork.kt
@@ -27,7 +27,6 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.withTimeoutOrNull
 import org.tinylog.kotlin.Logger
 import sycamoremast.coordination.membership.IncarnationClaim
 import sycamoremast.daemon.log.event
@@ -170,10 +169,12 @@
     /** Dials once and serves the connection; returns whether the peer was introduced on it. */
     private suspend fun dialAndServe(peerAddress: String): Boolean {
         val socket = try {
-            withTimeoutOrNull(limits.connectTimeout) {
-                val (host, port) = splitAddress(peerAddress)
-                PeerSocket.connect(InetSocketAddress(host, port), selector)
-            }
+            val (host, port) = splitAddress(peerAddress)
+            PeerSocket.connectOrNull(
+                InetSocketAddress(host, port),
+                selector,
+                limits.connectTimeout
+            )
         } catch (e: IOException) {
             Logger.debug { event("peer-unreachable", "peer" to peerAddress, "reason" to e.message) }
             null
