--- a/daemon/src/test/kotlin/sycamoremast/daemon/peer/TcpPeerNetworkTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/peer/TcpPeerNetworkTest.kt
@@ -251,11 +251,36 @@
         eventually("it is dropped") { "slow" !in node.hosts }
     }
 
+    // Guards against descriptors that scanners and dying hosts take until a host accepts no peer.
+    @Test
+    fun `a connection on which nobody introduces itself is closed in time`() {
+        val node = Node("a1")
+        val raw = connect(node.network.address)
+        raw.soTimeout = READ_LIMIT_MILLIS
+        expectThat(raw.getInputStream().read()).isEqualTo(-1)
+    }
+
+    // Guards against peers that count on a host whose network is closed.
+    @Test
+    fun `closing a network ends its connections, introduced or not`() {
+        val node = Node("a1", limits = quickLimits.copy(connectTimeout = 60.seconds))
+        val (introduced, silent) = List(2) { connect(node.network.address) }
+        introduced.write(hello())
+        expectThat(introduced.readFrame()).isA<PeerFrame.Hello>()
+        eventually("connected") { "raw" in node.hosts }
+        node.network.close()
+        for (socket in listOf(introduced, silent)) {
+            socket.soTimeout = READ_LIMIT_MILLIS
+            expectThat(socket.getInputStream().read()).isEqualTo(-1)
+        }
+    }
+
     private fun isFree(port: Int): Boolean = runCatching {
         ServerSocket().use { it.bind(InetSocketAddress("127.0.0.1", port)) }
     }.isSuccess
 
     private companion object {
         val OBSERVATION = 1.seconds
+        const val READ_LIMIT_MILLIS = 10_000
     }
 }
