--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionTest.kt
@@ -121,7 +121,7 @@
     // Guards against an owner that is stopped as it begins and passes a wait of 37 s on, although the
     // next one knows of a shorter one (LOST, issue 61).
     @Test
-    fun `starts lasting tasks in time after owners that are stopped before they know the last one`() {
+    fun `starts lasting tasks in time after owners stopped before they know the last one`() {
         val kinds = arrayOf(
             KILL_HOST,
             STOP_HOST,
