--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/TaskRestarts.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/TaskRestarts.kt
@@ -3,7 +3,7 @@
  *
  * The users of such a task are cut off until it runs again, whereas a short task is only late. A
  * long-running task also needs more room than a short one leaves when it ends. So if no worker has
- * room, it is reserved on one on which short tasks will free enough.
+ * room, it is reserved on the one on which short tasks are expected to free enough first.
  */
 package sycamoremast.coordination.workflow
 
@@ -28,13 +28,15 @@
     }
 
     private fun reserveRoom(task: OpenTask, nowMillis: Long) {
-        val worker = futureRoom.chooseOrNull(task, nowMillis) ?: return
+        val room = futureRoom.chooseOrNull(task, nowMillis) ?: return
+        val worker = room.worker
         worker.reservations.addFuture(task, nowMillis)
         fleet.log(
             "room-reserved",
             task.name.toString(),
             "worker" to worker.id,
             "waitedMillis" to nowMillis - task.waitingSinceMillis,
+            "expectedMillis" to room.waitMillis,
             "firm" to worker.commitments.reservedMilliCpus,
             "milliCpus" to worker.capacity.milliCpus,
             "memory" to worker.commitments.memoryMib
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/TaskRestartsTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/TaskRestartsTest.kt
@@ -15,11 +15,14 @@
     private val running = ArrayList<StartOrder>()
     private val lastEnds = HashMap<String, Long>()
 
+    /** The percentages that workers show; they show the full pace for runs of other workflows. */
+    private val percents = HashMap<String, Int>()
+
     private fun lasting(milliCpus: Long) =
         WorkflowStep(1, Resources(milliCpus, 1_000), isLongRunning = true)
 
-    private fun short(count: Int, milliCpus: Long) =
-        WorkflowStep(count, Resources(milliCpus, 1_000), estimateMillis = 1_000)
+    private fun short(count: Int, milliCpus: Long, estimateMillis: Long = 1_000) =
+        WorkflowStep(count, Resources(milliCpus, 1_000), estimateMillis = estimateMillis)
 
     private fun submit(id: String, step: WorkflowStep) = driver.submit(driver.workflow(id, step))
 
@@ -49,7 +52,10 @@
 
     private fun report(poll: PollOrder, ended: List<EndedRow> = emptyList()) {
         val rows = running.filter { it.worker == poll.worker }
-            .map { RunningRow(it.task, it.run, "", Placement.FULL_PACE, null) }
+            .map {
+                val percent = percents[it.task.workflow] ?: Placement.FULL_PACE
+                RunningRow(it.task, it.run, "", percent, null)
+            }
         driver.report(poll, rows, ended)
     }
 
@@ -108,6 +114,56 @@
         expectThat(workerOf("watch")).isEqualTo("w2")
     }
 
+    // Guards against a lost task that waits for a long one where a little less room is missing.
+    @Test
+    fun `reserves room where short tasks are expected to end first`() {
+        percents += mapOf("long" to 0, "first" to 0, "second" to 0)
+        driver.listWorkers("w1")
+        submit("watch", lasting(20_000))
+        settle()
+        addWorker("w2")
+        submit("long", short(1, 24_000, estimateMillis = 60_000))
+        settle()
+        addWorker("w3")
+        percents["long"] = 5
+        submit("first", short(1, 16_000))
+        submit("second", short(1, 16_000))
+        settle()
+        lose("w1")
+        submit("third", short(1, 16_000))
+        end("first")
+        settle()
+        expectThat(workerOf("third")).isNull()
+        end("second")
+        settle()
+        expectThat(workerOf("watch")).isEqualTo("w3")
+    }
+
+    // Guards against the estimate of a whole run for one that a new owner finds nearly done.
+    @Test
+    fun `expects a task to end as its progress tells`() {
+        percents += mapOf("late" to 0, "first" to 99, "second" to 99)
+        driver.listWorkers("w1")
+        submit("watch", lasting(20_000))
+        settle()
+        addWorker("w2")
+        submit("late", short(1, 24_000, estimateMillis = 8_000))
+        settle()
+        addWorker("w3")
+        percents["late"] = 5
+        submit("first", short(1, 16_000, estimateMillis = 60_000))
+        submit("second", short(1, 16_000, estimateMillis = 60_000))
+        settle()
+        lose("w1")
+        submit("third", short(1, 16_000))
+        end("first")
+        settle()
+        expectThat(workerOf("third")).isNull()
+        end("second")
+        settle()
+        expectThat(workerOf("watch")).isEqualTo("w3")
+    }
+
     @Test
     fun `reserves no room for a long-running task that has never run`() {
         driver.listWorkers("w1")
