--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
@@ -20,6 +20,10 @@
     private val pendingEnds = LinkedHashMap<FleetWorker, ArrayDeque<PendingEnd>>()
     private var lastChange = 0L
     private var hasRosterChanged = true
+
+    /** Whether the store may hold a roster of this owner. */
+    var hasSentRoster = false
+        private set
     private var firstStepMillis: Long? = null
     private var inFlight: BatchInFlight? = null
     private var lastBatchMillis = Long.MIN_VALUE / 2
@@ -180,6 +184,7 @@
         changed -= batch.toSet()
         val roster = if (hasRosterChanged) fleet.workers.values.map { it.ref } else null
         hasRosterChanged = false
+        if (roster != null) hasSentRoster = true
         val leasesLeft = if (roster != null) leases.limit(nowMillis) else LeasesLeft.NONE
         val namedStandbys =
             roster?.let { standbys.onRosterFormed(it.toSet(), leasesLeft.fixed.keys) }.orEmpty()
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -250,15 +250,22 @@
         return actions
     }
 
-    /** Returns the batch to record for the next owner if no order is sent after [nowMillis]. */
+    /**
+     * Returns the batch to record for the next owner if no order is sent after [nowMillis].
+     *
+     * An owner that has granted no lease and doesn't know how long the last one went on leaves that
+     * one's roster in place: the next owner may know, or learn it from the standbys named there.
+     */
     fun handoverBatch(nowMillis: Long, unixMillis: Long): RecordBatch {
-        val workers = fleet.workers.values
+        val workers = fleet.workers.values.takeIf {
+            recorder.hasSentRoster || !fleet.isLastOwnerUnknown
+        }
+        val left = workers.orEmpty().associate { it.id to it.lease.remainingMillis(nowMillis) }
         return RecordBatch(
             progress = emptyMap(),
-            roster = workers.map { it.ref },
+            roster = workers?.map { it.ref },
             waiting = null,
-            leasesLeft =
-            LeasesLeft(workers.associate { it.id to it.lease.remainingMillis(nowMillis) }),
+            leasesLeft = LeasesLeft(left),
             interference = tails.record(unixMillis),
             recordsPlaces = fleet.arePlacesRecorded,
             lastAnnounced = standbys.lastNumber
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/InheritedLeasesTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/InheritedLeasesTest.kt
@@ -5,6 +5,7 @@
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
+import strikt.assertions.isNull
 
 /** Tests of a host that is no standby and asks the standbys about a limited lease. */
 class InheritedLeasesTest {
@@ -217,6 +218,29 @@
             .isEqualTo(setOf(worker.id, "w1", "w2"))
     }
 
+    private fun handedOverRoster(): List<WorkerRef>? =
+        driver.scheduler.handoverBatch(driver.now, driver.now).roster
+
+    // Guards against a wait of 39 s that an owner passes on which ended before any host answered it
+    // (LOST, issue 61).
+    @Test
+    fun `hands over no roster before it knows how long the last owner went on`() {
+        inherit()
+        expectThat(handedOverRoster()).isNull()
+        answer("h2/a", StandbyReport(0, liftedLimits = emptyMap()))
+        expectThat(handedOverRoster()).isEqualTo(listOf(worker))
+    }
+
+    // Guards against a successor that counts by the roster of an owner before the one that granted
+    // leases (TWICE).
+    @Test
+    fun `hands over a roster if the store may hold an earlier one of its own`() {
+        driver.areRecordsDurableAtOnce = false
+        inherit()
+        do driver.step() while (driver.records.isEmpty())
+        expectThat(handedOverRoster()).isEqualTo(listOf(worker))
+    }
+
     @Test
     fun `logs that the last owner is fenced`() {
         inherit(others = listOf("w1", "w2"))
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionTest.kt
@@ -118,6 +118,29 @@
         expectNoViolations(238L..238, SPLIT, clockError = 20)
     }
 
+    // Guards against an owner that is stopped as it begins and passes a wait of 37 s on, although the
+    // next one knows of a shorter one (LOST, issue 61).
+    @Test
+    fun `starts lasting tasks in time after owners that stop before they know the last one`() {
+        val kinds = arrayOf(
+            KILL_HOST,
+            STOP_HOST,
+            CRASH_WORKER,
+            CUT_WORKER,
+            CUT_HOST_FROM_STORE,
+            CUT_HOST_FROM_WORKER,
+            SPLIT
+        )
+        expectNoViolations(500221L..500221, *kinds)
+        expectNoViolations(
+            500320L..500320,
+            *kinds,
+            clockError = 20,
+            lateCalls = 0.03,
+            lostAnswers = 0.05
+        )
+    }
+
     // Guards against an owner that can't tell how long it was suspended.
     @Test
     fun `starts each lasting task once while old owners are suspended behind cuts`() =
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/SchedulerLoop.kt
@@ -289,13 +289,14 @@
     private fun handOver(limitMillis: Long) {
         val deadlineMillis = clock.nowMillis() + limitMillis
         try {
-            val isRecorded = writer.write(
-                scheduler.handoverBatch(clock.nowMillis(), unixMillis())
-            ) {
-                clock.nowMillis() < deadlineMillis
-            }
+            val batch = scheduler.handoverBatch(clock.nowMillis(), unixMillis())
+            val isRecorded = writer.write(batch) { clock.nowMillis() < deadlineMillis }
             isHandedOver = isRecorded
-            log.add("handed-over", "isRecorded" to isRecorded)
+            log.add(
+                "handed-over",
+                "isRecorded" to isRecorded,
+                "hasRoster" to (batch.roster != null)
+            )
         } catch (_: InterruptedException) {
             log.add("handed-over", "isRecorded" to false)
         }
