--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
@@ -72,6 +72,18 @@
      */
     var isLastOwnerUnknown = false
 
+    /** The latest owner of which more may be learned, with the workers that limits, or null. */
+    var unknownOwner: UnknownOwner? = null
+
+    /** What a roster is to tell of that one: the next owner may know more of it. */
+    val recordedUnknownOwner: UnknownOwner?
+        get() = unknownOwner
+            ?.let { owner ->
+                val unreached = owner.unreached.filter { byId[it]?.lease?.isInherited == true }
+                owner.copy(unreached = unreached.toSet())
+            }
+            ?.takeIf { it.unreached.isNotEmpty() }
+
     /** What the store may tell the next owner about leases of workers. */
     var leaseLimits = LeaseLimits.NONE
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/InheritedLeases.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/InheritedLeases.kt
@@ -8,23 +8,34 @@
  *
  * Without any answer, a bound comes from the workers: those that have answered this owner reject the
  * last one, which can't extend leases by a later heartbeat once no quorum is left for it.
+ *
+ * All of this also holds for owners before the last one, if that one recorded that it didn't know how
+ * long they went on ([UnknownOwner]).
  */
 package sycamoremast.coordination.workflow
 
 internal class InheritedLeases(private val fleet: Fleet) {
-    private class Inheritance(
-        val roster: RosterRecord,
-        val sightings: StoreSightings,
-        val lastHeartbeat: RecordVersion?
-    ) {
+    /** An owner of which this host can't tell how long it went on, and its [roster]. */
+    private class EarlierOwner(val roster: RosterRecord) {
         /** The workers that have answered this owner, also those that were lost later. */
         val fenced = HashSet<WorkerRef>()
         var isFenced = false
 
         /** Whether a host has answered, so that none is asked any more; later answers count too. */
         var isAnswered = false
+        val isUnknown: Boolean get() = !isFenced && !isAnswered
+
+        /** Adds what was last learned of the owner to what this host has seen. */
+        var inform: (StoreSightings) -> StoreSightings = { it }
     }
 
+    private class Inheritance(
+        val roster: RosterRecord,
+        val sightings: StoreSightings,
+        val lastHeartbeat: RecordVersion?,
+        val owners: List<EarlierOwner>
+    )
+
     /** What answers would tell more about, or null. */
     private var inheritance: Inheritance? = null
     private var nextAskMillis = Long.MIN_VALUE
@@ -42,10 +53,29 @@
                 roster.lapsedByMillis(worker, sightings, fleet.settings, lastHeartbeat)
             directory.addRosteredWorker(worker, lapsedBy)
         }
-        if (!roster.isInformed(sightings)) {
-            inheritance = Inheritance(roster, sightings, lastHeartbeat)
-            fleet.isLastOwnerUnknown = true
-        }
+        val owners = generateSequence(roster) { it.unknown?.roster }
+            .filterNot { it.isInformed(sightings) }.map(::EarlierOwner).toList()
+        if (owners.isEmpty()) return
+        inheritance = Inheritance(roster, sightings, lastHeartbeat, owners)
+        updateUnknown()
+    }
+
+    private fun updateUnknown() {
+        val inherited = inheritance
+        val latest = inherited?.owners?.find { it.isUnknown }?.roster
+        fleet.isLastOwnerUnknown = latest != null && latest === inherited.roster
+        fleet.unknownOwner = latest
+            ?.let { UnknownOwner(it, unreachedSince(it, inherited.roster)) }
+            ?.limitedTo()
+    }
+
+    /** Returns the workers that no owner after that of [earlier] has reached, up to that of [last]. */
+    private fun unreachedSince(earlier: RosterRecord, last: RosterRecord): Set<String> {
+        val later = generateSequence(last) { it.unknown?.roster }.takeWhile { it !== earlier }
+        return later.mapNotNull { it.unknown?.unreached }
+            .fold(last.workers.mapTo(HashSet()) { it.id }) { ids, unreached ->
+                ids.apply { retainAll(unreached) }
+            }
     }
 
     /** Asks the standbys until one has answered or no worker is missing. */
@@ -53,13 +83,15 @@
         val inherited = inheritance ?: return
         if (fleet.isFleetReconciled()) {
             inheritance = null
-            fleet.isLastOwnerUnknown = false
-            return
+            return updateUnknown()
         }
-        noteFenced(inherited, nowMillis)
-        if (nowMillis < nextAskMillis || inherited.isAnswered) return
+        inherited.owners.forEach { noteFenced(inherited, it, nowMillis) }
+        if (nowMillis < nextAskMillis) return
+        val unanswered = inherited.owners.filter { !it.isAnswered }
+        if (unanswered.isEmpty()) return
         nextAskMillis = nowMillis + ASK_INTERVAL_MILLIS
-        val roster = inherited.roster
+        // The connections are those for the last question.
+        val roster = unanswered[askedCount % unanswered.size].roster
         if (++askedCount == LOGGED_QUESTION) logUnanswered(roster, nowMillis)
         fleet.outbox += SchedulerAction.AskStandbys(
             fleet.epoch,
@@ -80,29 +112,39 @@
         "leaseLeftMillis" to longestLeftMillis(nowMillis)
     )
 
-    /** Limits inherited leases once so many workers have answered that the last owner is fenced. */
-    private fun noteFenced(inherited: Inheritance, nowMillis: Long) {
-        if (inherited.isFenced) return
-        val roster = inherited.roster
-        roster.workers.filterTo(inherited.fenced) { ref ->
+    /** Limits inherited leases once so many workers have answered that [owner] is fenced. */
+    private fun noteFenced(inherited: Inheritance, owner: EarlierOwner, nowMillis: Long) {
+        if (owner.isFenced) return
+        val roster = owner.roster
+        roster.workers.filterTo(owner.fenced) { ref ->
             fleet.workers[ref.id]?.let { it.ref == ref && it.lease.isClockKnown } ?: false
         }
-        if (!roster.isFencedBy(inherited.fenced)) return
-        inherited.isFenced = true
-        fleet.isLastOwnerUnknown = false
-        limit(inherited, inherited.sightings.copy(fenced = mapOf(roster.epoch to nowMillis)))
+        if (!roster.isFencedBy(owner.fenced)) return
+        owner.isFenced = true
+        learn(inherited, owner) { it.copy(fenced = it.fenced + (roster.epoch to nowMillis)) }
         fleet.log(
             "last-owner-fenced",
             "epoch-${fleet.epoch}",
             "lastEpoch" to roster.epoch,
-            "workers" to inherited.fenced.size,
+            "workers" to owner.fenced.size,
             "ofWorkers" to roster.workers.size,
             "leaseLeftMillis" to longestLeftMillis(nowMillis)
         )
     }
 
-    /** Limits the leases of workers that have not answered by what [sightings] tell. */
-    private fun limit(inherited: Inheritance, sightings: StoreSightings) {
+    /**
+     * Limits the leases of workers that have not answered, as [inform] adds what is learned of [owner]
+     * to what is known of the others.
+     */
+    private fun learn(
+        inherited: Inheritance,
+        owner: EarlierOwner,
+        inform: (StoreSightings) -> StoreSightings
+    ) {
+        val known = inherited.owners.filter { it !== owner }
+            .fold(inherited.sightings) { sightings, other -> other.inform(sightings) }
+        owner.inform = inform
+        val sightings = inform(known)
         val roster = inherited.roster
         for (ref in roster.workers) {
             // Also at another address, the worker has inherited no other lease than this one.
@@ -112,6 +154,7 @@
                 roster.lapsedByMillis(ref, sightings, fleet.settings, inherited.lastHeartbeat)
             worker.lease.limitInherited(lapsedBy)
         }
+        updateUnknown()
     }
 
     private fun longestLeftMillis(nowMillis: Long): Long? =
@@ -123,14 +166,16 @@
      * any more.
      */
     fun onAnswered(process: HostProcess, epoch: Long, report: StandbyReport, nowMillis: Long) {
-        val inherited = inheritance?.takeIf { it.roster.epoch == epoch } ?: return
-        if (!isInformed(process, report, inherited.roster)) return
-        inherited.isAnswered = true
-        fleet.isLastOwnerUnknown = false
-        limit(inherited, seenByHost(inherited, report, nowMillis))
+        val inherited = inheritance ?: return
+        val owner = inherited.owners.find { it.roster.epoch == epoch } ?: return
+        if (!isInformed(process, report, owner.roster)) return
+        if (!owner.isAnswered) nextAskMillis = nowMillis
+        owner.isAnswered = true
+        learn(inherited, owner) { withReport(it, owner.roster, report, nowMillis) }
         fleet.log(
             "standby-answered",
             "epoch-${fleet.epoch}",
+            "lastEpoch" to epoch,
             "process" to process,
             "acknowledgedMillisAgo" to report.millisAgo,
             "isOwnerEnd" to report.isOwnerEnd,
@@ -149,17 +194,16 @@
             HostProcess(process.host) in roster.standbys ||
             (report.isOwnerEnd && process.host == roster.host)
 
-    /** Returns what this host would have seen as the one that has sent [report]. */
-    private fun seenByHost(
-        inherited: Inheritance,
+    /** Returns [own] sightings and what a host has told in [report] of the owner of [roster]. */
+    private fun withReport(
+        own: StoreSightings,
+        roster: RosterRecord,
         report: StandbyReport,
         nowMillis: Long
     ): StoreSightings {
-        val roster = inherited.roster
         val lastMillis = nowMillis - sureMillis(report.millisAgo)
         val lifted = report.liftedLimits
             ?: roster.leasesLeft.orEmpty().mapValues { Long.MAX_VALUE }
-        val own = inherited.sightings
         val seen = report.lastHeartbeat
         val heartbeats = if (seen == null) {
             own.heartbeats
@@ -167,12 +211,13 @@
             val seenMillis = nowMillis - sureMillis(seen.millisAgo)
             own.heartbeats + (seen.version to minOf(seenMillis, own.heartbeatMillis(seen.version)))
         }
+        val end = roster.epoch to lastMillis
         return own.copy(
-            process = roster.standbys.first(),
+            informed = own.informed + roster.epoch,
             heartbeats = heartbeats,
-            acknowledged = mapOf(roster.epoch to lastMillis),
-            ends = if (report.isOwnerEnd) own.ends + (roster.epoch to lastMillis) else own.ends,
-            liftedLimits = mapOf(roster.epoch to lifted)
+            acknowledged = own.acknowledged + end,
+            ends = if (report.isOwnerEnd) own.ends + end else own.ends,
+            liftedLimits = own.liftedLimits + (roster.epoch to lifted)
         )
     }
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
@@ -211,7 +211,8 @@
             recordsPlaces = fleet.arePlacesRecorded,
             standbys = namedStandbys,
             lastAnnounced = standbys.lastNumber,
-            forgotten = forgotten.map { ForgottenWorkflow(it.id, it.isCancelled) }
+            forgotten = forgotten.map { ForgottenWorkflow(it.id, it.isCancelled) },
+            unknown = roster?.let { fleet.recordedUnknownOwner }
         )
         fleet.outbox += SchedulerAction.Record(records)
         newWaiting = null
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RosterRecord.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RosterRecord.kt
@@ -20,6 +20,8 @@
  * [host], which is missing in rosters of earlier versions. If it [needsWorkers], such a heartbeat
  * counts only if a [quorum] of [workers] have accepted an order that was sent after it, which is a
  * majority in rosters of earlier versions.
+ *
+ * If the owner didn't know how long an earlier one went on, [unknown] tells of that one.
  */
 @Serializable
 data class RosterRecord(
@@ -33,7 +35,8 @@
     val lastAnnounced: Long = 0,
     val host: String? = null,
     val needsWorkers: Boolean = false,
-    val quorum: Int? = null
+    val quorum: Int? = null,
+    val unknown: UnknownOwner? = null
 ) {
     val version: RecordVersion get() = RecordVersion(epoch, batch)
 
@@ -76,7 +79,9 @@
     ): Long {
         val succeededMillis = sightings.claimedByMillis(epoch + 1)
         val formedBy = sightings.rosterMillisOrNull(version) ?: succeededMillis
-        val limit = minOf(formedBy, succeededMillis) + left
+        val recorded = minOf(formedBy, succeededMillis) + left
+        val inherited = unknown?.lapsedByMillisOrNull(worker, sightings, settings, lastHeartbeat)
+        val limit = minOf(recorded, inherited ?: recorded)
         if (left == 0L || !mayBeLifted(worker, sightings)) return limit
         return maxOf(limit, grantedByMillis(sightings, settings, lastHeartbeat, isShort = true))
     }
@@ -117,11 +122,12 @@
         get() = quorum ?: AcceptingWorkers.majority(workers.size)
 
     /**
-     * Whether the owner counted a heartbeat that it announced only if the process of [sightings] had
-     * acknowledged it.
+     * Whether the owner counted a heartbeat that it announced only if the process of [sightings], or
+     * one that has answered it, had acknowledged it.
      */
-    internal fun isInformed(sightings: StoreSightings): Boolean =
-        standbys.isEmpty() || sightings.process in standbys
+    internal fun isInformed(sightings: StoreSightings): Boolean = standbys.isEmpty() ||
+        sightings.process in standbys ||
+        epoch in sightings.informed
 
     /**
      * Returns the time by which leases have lapsed that rely on heartbeats announced to standbys,
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerAction.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerAction.kt
@@ -58,7 +58,7 @@
  * changed.
  *
  * [waiting] is the number of workflows without a started task, by queue. [leasesLeft],
- * [recordsPlaces], [standbys] and [lastAnnounced] go with the roster. If [isHeartbeat], the
+ * [recordsPlaces], [standbys], [lastAnnounced] and [unknown] go with the roster. If [isHeartbeat], the
  * transaction also shows other hosts that the owner is at work.
  *
  * All records of [forgotten] workflows are deleted.
@@ -73,7 +73,8 @@
     val recordsPlaces: Boolean = false,
     val standbys: Set<HostProcess> = emptySet(),
     val lastAnnounced: Long = 0,
-    val forgotten: List<ForgottenWorkflow> = emptyList()
+    val forgotten: List<ForgottenWorkflow> = emptyList(),
+    val unknown: UnknownOwner? = null
 ) {
     /** How many workers of the roster a heartbeat needs that isn't durable. */
     val quorum: Int? get() = roster?.let { AcceptingWorkers.quorum(it.size) }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/StoreSightings.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/StoreSightings.kt
@@ -13,7 +13,8 @@
  * heartbeat that the owner of an epoch announced to it, and in [liftedLimits] the workers whose
  * limits these lifted, by the number of the last one that named them. If the owner of an epoch was
  * this process, its leases have lapsed by [leaseEnds]. By the times in [fenced], so many workers
- * rejected the owner of an epoch that no heartbeat counts which it announced later.
+ * rejected the owner of an epoch that no heartbeat counts which it announced later. A host that knows
+ * how long the owner of an epoch in [informed] went on has told this one.
  */
 data class StoreSightings(
     val claimedMillis: Long,
@@ -25,7 +26,8 @@
     val acknowledged: Map<Long, Long> = emptyMap(),
     val leaseEnds: Map<Long, Map<WorkerRef, Long>> = emptyMap(),
     val liftedLimits: Map<Long, Map<String, Long>> = emptyMap(),
-    val fenced: Map<Long, Long> = emptyMap()
+    val fenced: Map<Long, Long> = emptyMap(),
+    val informed: Set<Long> = emptySet()
 ) {
     /** Returns a time not before the claim of [epoch], which may be this host's own. */
     fun claimedByMillis(epoch: Long): Long =
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -268,7 +268,8 @@
             leasesLeft = LeasesLeft(left),
             interference = tails.record(unixMillis),
             recordsPlaces = fleet.arePlacesRecorded,
-            lastAnnounced = standbys.lastNumber
+            lastAnnounced = standbys.lastNumber,
+            unknown = workers?.let { fleet.recordedUnknownOwner }
         )
     }
 
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/InheritedLeasesTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/InheritedLeasesTest.kt
@@ -218,6 +218,106 @@
             .isEqualTo(setOf(worker.id, "w1", "w2"))
     }
 
+    /**
+     * Inherits [worker] by the roster of an owner that had [unreached] workers, and didn't know of the
+     * owner of epoch 2; it is known how long that roster's owner went on.
+     */
+    private fun inheritTwice(unreached: Set<String>) {
+        val earlier = RosterRecord(
+            listOf(worker),
+            epoch = 2,
+            standbys = setOf(HostProcess("h4/a")),
+            host = "h1",
+            needsWorkers = true
+        )
+        val roster = RosterRecord(
+            listOf(worker),
+            epoch = 3,
+            leasesLeft = mapOf(worker.id to LONG_MILLIS),
+            standbys = setOf(HostProcess("h3/a")),
+            host = "h2",
+            unknown = UnknownOwner(earlier, unreached)
+        )
+        val sightings = StoreSightings(
+            claimedMillis,
+            claims = mapOf(3L to claimedMillis, 4L to claimedMillis),
+            process = HostProcess("h3/a")
+        )
+        driver.scheduler.succession.addRoster(roster, sightings, heartbeat, driver.now)
+        driver.step()
+    }
+
+    private fun answerOfEarlier() = driver.scheduler.succession.onStandbyAnswered(
+        HostProcess("h4/a"),
+        2,
+        StandbyReport(0, liftedLimits = emptyMap()),
+        driver.now
+    )
+
+    // Guards against a wait of 37 s that a series of owners passes on, none of which asks those who
+    // know how long the first one went on (LOST, issue 61).
+    @Test
+    fun `asks the standbys of an owner that the last one knew nothing of`() {
+        inheritTwice(unreached = setOf(worker.id))
+        val asked = driver.actions.filterIsInstance<SchedulerAction.AskStandbys>().single()
+        expectThat(asked.lastEpoch).isEqualTo(2L)
+        expectThat(asked.standbys).isEqualTo(setOf(HostProcess("h4/a")))
+        expectThat(lapsedByMillis).isEqualTo(claimedMillis + LONG_MILLIS)
+        answerOfEarlier()
+        expectThat(lapsedByMillis).isEqualTo(settings.lapsedAfterHeartbeat(driver.now))
+    }
+
+    // Guards against a lease that the last owner has granted (TWICE).
+    @Test
+    fun `counts by the last owner for workers that have answered it`() {
+        inheritTwice(unreached = emptySet())
+        answerOfEarlier()
+        expectThat(lapsedByMillis).isEqualTo(claimedMillis + LONG_MILLIS)
+    }
+
+    // Guards against an owner that leaves no word of whom the next one may ask (LOST, issue 61).
+    @Test
+    fun `records which owner it does not know, until it does`() {
+        inherit(others = listOf("w1"), quorum = 1)
+        do driver.step() while (driver.records.isEmpty())
+        val unknown = driver.records.single().unknown
+        expectThat(unknown?.roster?.epoch).isEqualTo(3L)
+        expectThat(unknown?.unreached).isEqualTo(setOf(worker.id, "w1"))
+        answer("h2/a", StandbyReport(0, emptyMap()))
+        do driver.step() while (driver.records.none { it.roster != null })
+        expectThat(driver.records.single().unknown).isNull()
+    }
+
+    // Guards against a lease that an owner has granted and the next one takes for an earlier one's
+    // (TWICE).
+    @Test
+    fun `records no worker as unreached that has answered`() {
+        inherit(others = listOf("w1", "w2", "w3", "w4"), quorum = 1)
+        answerPolls(atMillis = 400, "w1")
+        do driver.step() while (driver.records.isEmpty())
+        expectThat(driver.records.single().unknown?.unreached)
+            .isEqualTo(setOf(worker.id, "w2", "w3", "w4"))
+    }
+
+    /** Returns the epochs that are recorded of a series of four owners with [workers] each. */
+    private fun recordedEpochs(workers: Int): List<Long> {
+        val refs = (1..workers).map { driver.ref("w$it") }
+        val first = RosterRecord(refs, epoch = 1)
+        val last = (2L..4).fold(first) { earlier, epoch ->
+            RosterRecord(refs, epoch, unknown = UnknownOwner(earlier, setOf("w1")))
+        }
+        val limited = UnknownOwner(last, setOf("w1")).limitedTo()
+        return generateSequence(limited?.roster) { it.unknown?.roster }.map { it.epoch }.toList()
+    }
+
+    // Guards against rosters that grow with each owner of a series, until the store refuses them.
+    @Test
+    fun `records few unknown owners, and few workers of those`() {
+        expectThat(recordedEpochs(workers = 1)).isEqualTo(listOf(4L, 3L))
+        expectThat(recordedEpochs(workers = 1_500)).isEqualTo(listOf(4L))
+        expectThat(recordedEpochs(workers = 3_000)).isEmpty()
+    }
+
     private fun handedOverRoster(): List<WorkerRef>? =
         driver.scheduler.handoverBatch(driver.now, driver.now).roster
 
@@ -257,5 +357,6 @@
 
     private companion object {
         const val LEFT_MILLIS = 500L
+        const val LONG_MILLIS = 30_000L
     }
 }
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
@@ -546,7 +546,8 @@
             batch.lastAnnounced,
             name,
             needsWorkers = true,
-            quorum = batch.quorum
+            quorum = batch.quorum,
+            unknown = batch.unknown
         )
     }
 
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/RosterRecordTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/RosterRecordTest.kt
@@ -1,9 +1,11 @@
 package sycamoremast.coordination.workflow
 
+import kotlinx.serialization.json.Json
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
+import strikt.assertions.isLessThan
 
 class RosterRecordTest {
     private val settings = SchedulerSettings()
@@ -21,6 +23,31 @@
             .isEqualTo(settings.lapsedAfterHeartbeat(8_000))
     }
 
+    // Guards against a limit that counts for longer than this host knows the lease to last (LOST,
+    // issue 61).
+    @Test
+    fun `counts by an owner before the last one for workers that this one has not reached`() {
+        val earlier = RosterRecord(listOf(worker), epoch = 2)
+        val unknown = UnknownOwner(earlier, setOf(worker.id))
+        val limited = roster.copy(leasesLeft = mapOf(worker.id to 37_000L), unknown = unknown)
+        val seen = sightings.copy(claims = mapOf(3L to 2_000))
+        val earlierMillis = earlier.lapsedBy(seen, heartbeat)
+        expectThat(earlierMillis).isLessThan(settings.lapsedBy(9_500))
+        expectThat(limited.lapsedBy(seen, heartbeat)).isEqualTo(earlierMillis)
+        val reached = limited.copy(unknown = unknown.copy(unreached = emptySet()))
+        expectThat(reached.lapsedBy(seen, heartbeat)).isEqualTo(47_000)
+        val short = limited.copy(leasesLeft = mapOf(worker.id to 500L))
+        expectThat(short.lapsedBy(seen, heartbeat)).isEqualTo(10_500)
+    }
+
+    @Test
+    fun `writes and reads what is recorded of an earlier owner`() {
+        val unknown = UnknownOwner(RosterRecord(listOf(worker), epoch = 2), setOf(worker.id))
+        val record = roster.copy(unknown = unknown)
+        val text = Json.encodeToString(RosterRecord.serializer(), record)
+        expectThat(Json.decodeFromString<RosterRecord>(text)).isEqualTo(record)
+    }
+
     // Guards against a draining worker that is waited for from the claim of a later host (LOST, issue 52).
     @Test
     fun `counts a draining worker from the claim or the last heartbeat, whichever is sooner`() {
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/SuccessionTest.kt
@@ -118,27 +118,35 @@
         expectNoViolations(238L..238, SPLIT, clockError = 20)
     }
 
+    /** Plays [seed] with hosts and workers that go and are cut off, and late and lost calls if [isLossy]. */
+    private fun expectLastingInTime(seed: Long, isLossy: Boolean) = expectNoViolations(
+        seed..seed,
+        KILL_HOST,
+        STOP_HOST,
+        CRASH_WORKER,
+        CUT_WORKER,
+        CUT_HOST_FROM_STORE,
+        CUT_HOST_FROM_WORKER,
+        SPLIT,
+        clockError = if (isLossy) 20 else 0,
+        lateCalls = if (isLossy) 0.03 else 0.0,
+        lostAnswers = if (isLossy) 0.05 else 0.0
+    )
+
     // Guards against an owner that is stopped as it begins and passes a wait of 37 s on, although the
     // next one knows of a shorter one (LOST, issue 61).
     @Test
     fun `starts lasting tasks in time after owners that stop before they know the last one`() {
-        val kinds = arrayOf(
-            KILL_HOST,
-            STOP_HOST,
-            CRASH_WORKER,
-            CUT_WORKER,
-            CUT_HOST_FROM_STORE,
-            CUT_HOST_FROM_WORKER,
-            SPLIT
-        )
-        expectNoViolations(500221L..500221, *kinds)
-        expectNoViolations(
-            500320L..500320,
-            *kinds,
-            clockError = 20,
-            lateCalls = 0.03,
-            lostAnswers = 0.05
-        )
+        expectLastingInTime(500221, isLossy = false)
+        expectLastingInTime(500320, isLossy = true)
+    }
+
+    // Guards against a series of owners that pass on a wait of 37 s, none of which asks those who know
+    // of a shorter one (LOST, issue 61).
+    @Test
+    fun `starts lasting tasks in time after owners killed before they know the last one`() {
+        expectLastingInTime(500543, isLossy = true)
+        expectLastingInTime(500802, isLossy = true)
     }
 
     // Guards against an owner that can't tell how long it was suspended.
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/Ownership.kt
@@ -151,6 +151,7 @@
             "standbys" to roster.standbys.size,
             "needsWorkers" to roster.needsWorkers,
             "quorum" to roster.quorum,
+            "unknownEpoch" to roster.unknown?.roster?.epoch,
             "isStandby" to (term.sightings.process in roster.standbys),
             "acknowledgedMillisAgo" to
                 term.sightings.acknowledgedMillisOrNull(roster.epoch)
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/RecordWriter.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/RecordWriter.kt
@@ -77,7 +77,8 @@
                 batch.lastAnnounced,
                 term.sightings.process.host,
                 needsWorkers = true,
-                quorum = batch.quorum
+                quorum = batch.quorum,
+                unknown = batch.unknown
             )
             puts += StorePut(WorkflowKeys.roster(set), encodeRecord(record))
             puts +=
