--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/TaskRestartsTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/TaskRestartsTest.kt
@@ -94,15 +94,13 @@
         expectThat(running).map { it.task.workflow }.containsExactly("watch")
     }
 
-    // Guards against short tasks that take each piece of room before enough is free on any worker.
-    @Test
-    fun `reserves room for a lost long-running task where short tasks end`() {
-        driver.listWorkers("w1")
-        submit("watch", lasting(20_000))
-        settle()
-        addWorker("w2")
-        submit("first", short(1, 16_000))
-        submit("second", short(1, 16_000))
+    /**
+     * Fills [worker], which was added last, with two short tasks, and loses the worker of the
+     * long-running one. That one restarts on [worker] once both have ended, before a new short task.
+     */
+    private fun expectRestartAfterShortTasks(worker: String, estimateMillis: Long = 1_000) {
+        submit("first", short(1, 16_000, estimateMillis))
+        submit("second", short(1, 16_000, estimateMillis))
         settle()
         lose("w1")
         submit("third", short(1, 16_000))
@@ -111,7 +109,17 @@
         expectThat(workerOf("third")).isNull()
         end("second")
         settle()
-        expectThat(workerOf("watch")).isEqualTo("w2")
+        expectThat(workerOf("watch")).isEqualTo(worker)
+    }
+
+    // Guards against short tasks that take each piece of room before enough is free on any worker.
+    @Test
+    fun `reserves room for a lost long-running task where short tasks end`() {
+        driver.listWorkers("w1")
+        submit("watch", lasting(20_000))
+        settle()
+        addWorker("w2")
+        expectRestartAfterShortTasks("w2")
     }
 
     // Guards against a lost task that waits for a long one where a little less room is missing.
@@ -126,17 +134,7 @@
         settle()
         addWorker("w3")
         percents["long"] = 5
-        submit("first", short(1, 16_000))
-        submit("second", short(1, 16_000))
-        settle()
-        lose("w1")
-        submit("third", short(1, 16_000))
-        end("first")
-        settle()
-        expectThat(workerOf("third")).isNull()
-        end("second")
-        settle()
-        expectThat(workerOf("watch")).isEqualTo("w3")
+        expectRestartAfterShortTasks("w3")
     }
 
     // Guards against the estimate of a whole run for one that a new owner finds nearly done.
@@ -151,17 +149,7 @@
         settle()
         addWorker("w3")
         percents["late"] = 5
-        submit("first", short(1, 16_000, estimateMillis = 60_000))
-        submit("second", short(1, 16_000, estimateMillis = 60_000))
-        settle()
-        lose("w1")
-        submit("third", short(1, 16_000))
-        end("first")
-        settle()
-        expectThat(workerOf("third")).isNull()
-        end("second")
-        settle()
-        expectThat(workerOf("watch")).isEqualTo("w3")
+        expectRestartAfterShortTasks("w3", estimateMillis = 60_000)
     }
 
     @Test
