--- a/daemon/src/main/kotlin/sycamoremast/daemon/peer/PeerSocket.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/peer/PeerSocket.kt
@@ -1,4 +1,4 @@
-/** TCP sockets whose calls suspend instead of blocking a thread. */
+/** A TCP socket whose calls suspend instead of blocking a thread. */
 package sycamoremast.daemon.peer
 
 import java.io.EOFException
@@ -7,7 +7,6 @@
 import java.net.StandardSocketOptions
 import java.nio.ByteBuffer
 import java.nio.channels.SelectionKey
-import java.nio.channels.ServerSocketChannel
 import java.nio.channels.SocketChannel
 import kotlin.math.min
 import kotlin.time.Duration
@@ -105,38 +104,3 @@
         }
     }
 }
-
-/** A listening socket. */
-internal class PeerListener private constructor(
-    private val channel: ServerSocketChannel,
-    private val selector: ChannelSelector
-) : AutoCloseable {
-    val port: Int get() = (channel.localAddress as InetSocketAddress).port
-
-    /** @throws IOException if no connection can be accepted */
-    suspend fun accept(): PeerSocket {
-        while (true) {
-            channel.accept()?.let { return PeerSocket.of(it, selector) }
-            selector.awaitReady(channel, SelectionKey.OP_ACCEPT)
-        }
-    }
-
-    override fun close() {
-        channel.close()
-        selector.release(channel)
-    }
-
-    companion object {
-        /** Covers a large fleet's hosts that dial repeatedly while this one doesn't accept. */
-        private const val MAX_WAITING_CONNECTIONS = 512
-
-        /** @throws IOException if [address] can't be bound */
-        fun bind(address: InetSocketAddress, selector: ChannelSelector): PeerListener {
-            val channel = ServerSocketChannel.open()
-            channel.configureBlocking(false)
-            channel.setOption(StandardSocketOptions.SO_REUSEADDR, true)
-            channel.bind(address, MAX_WAITING_CONNECTIONS)
-            return PeerListener(channel, selector)
-        }
-    }
-}
