--- a/daemon/src/main/kotlin/sycamoremast/daemon/platform/JsonClient.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/platform/JsonClient.kt
@@ -81,7 +81,7 @@
 
                 override fun onResponse(call: Call, response: Response) = done(
                     try {
-                        response.use(::read)
+                        response.use { read(it, tracker) }
                     } catch (e: IOException) {
                         failure(e, tracker)
                     }
@@ -108,7 +108,8 @@
         if (!tracker.hasStarted) return CallResult.NotSent(reason)
         val idleCount = connections.idleConnectionCount()
         connections.evictAll()
-        return CallResult.AnswerLost("$reason; idle connections discarded: $idleCount")
+        val received = tracker.receivedBytes?.let { "; bytes of the answer: $it" }.orEmpty()
+        return CallResult.AnswerLost("$reason$received; idle connections discarded: $idleCount")
     }
 
     /** Returns a call for a streamed response, limited by [idleTimeout] but not in total time. */
@@ -127,14 +128,22 @@
     private fun execute(builder: Request.Builder, timeout: Duration? = null): CallResult {
         val tracker = SendTracker()
         return try {
-            newCall(builder, tracker, timeout).execute().use(::read)
+            newCall(builder, tracker, timeout).execute().use { read(it, tracker) }
         } catch (e: IOException) {
             failure(e, tracker)
         }
     }
 
-    private fun read(response: Response) =
-        CallResult.Answered(response.code, response.body.string())
+    /** Reads the whole body; [tracker] then knows how much of it came, also if its end didn't. */
+    private fun read(response: Response, tracker: SendTracker): CallResult.Answered {
+        val source = response.body.source()
+        try {
+            source.request(Long.MAX_VALUE)
+        } finally {
+            tracker.receivedBytes = source.buffer.size
+        }
+        return CallResult.Answered(response.code, response.body.string())
+    }
 
     companion object {
         private val CONTENT_TYPE_JSON = "application/json".toMediaType()
@@ -145,12 +154,16 @@
     }
 }
 
-/** Records whether a call has started to send its request. */
+/** Records whether a call has started to send its request, and how much of an answer has come. */
 class SendTracker : EventListener() {
     @Volatile
     var hasStarted = false
         private set
 
+    /** The size of the body, or of the part of it that came in time; null before its first read. */
+    @Volatile
+    var receivedBytes: Long? = null
+
     override fun requestHeadersStart(call: Call) {
         hasStarted = true
     }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/PrefixFollower.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/PrefixFollower.kt
@@ -54,6 +54,8 @@
     @Volatile
     private var isOpen = true
     private var failures = 0
+    private var lastReadMillis = clock.nowMillis()
+    private var lastLoggedMillis = Long.MIN_VALUE / 2
     private val thread = Thread(::run, "follow-$prefix").apply { isDaemon = true }
 
     fun start() = apply { thread.start() }
@@ -88,7 +90,7 @@
     }
 
     private fun list(beganMillis: Long): Boolean = when (val read = listener.read(store, prefix)) {
-        is Either.Left -> recordFailure(read.value.reason)
+        is Either.Left -> recordFailure(read.value, beganMillis)
 
         is Either.Right -> {
             recordSuccess()
@@ -100,7 +102,7 @@
 
     private fun watch(fromRevision: Long, beganMillis: Long): Boolean =
         when (val result = store.changes(prefix, fromRevision, watchTimeout)) {
-            is Either.Left -> recordFailure(result.value.reason)
+            is Either.Left -> recordFailure(result.value, beganMillis)
 
             is Either.Right -> {
                 recordSuccess()
@@ -124,16 +126,49 @@
         }
     }
 
-    private fun recordFailure(reason: String): Boolean {
-        if (isOpen && failures++ == 0) {
-            log.add("store-lost", "prefix" to prefix, "revision" to revision, "reason" to reason)
-        }
+    private fun recordFailure(error: StoreError, beganMillis: Long): Boolean {
+        failures++
+        if (isOpen) logFailure(error, beganMillis)
         return false
     }
 
+    private fun logFailure(error: StoreError, beganMillis: Long) {
+        if (failures == 1) {
+            log.add(
+                "store-lost",
+                "prefix" to prefix,
+                "revision" to revision,
+                "reason" to error.reason
+            )
+        }
+        val now = clock.nowMillis()
+        if (now < lastLoggedMillis + MIN_LOG_INTERVAL_MILLIS) return
+        lastLoggedMillis = now
+        log.add(
+            "follow-failed",
+            "prefix" to prefix,
+            "revision" to revision,
+            "step" to error.step,
+            "peer" to error.peer,
+            "reason" to error.reason,
+            "failures" to failures,
+            "tookMillis" to now - beganMillis,
+            "ageMillis" to now - lastReadMillis
+        )
+    }
+
     private fun recordSuccess() {
-        if (failures > 0) log.add("store-regained", "prefix" to prefix, "failures" to failures)
+        val now = clock.nowMillis()
+        if (failures > 0) {
+            log.add(
+                "store-regained",
+                "prefix" to prefix,
+                "failures" to failures,
+                "ageMillis" to now - lastReadMillis
+            )
+        }
         failures = 0
+        lastReadMillis = now
     }
 
     companion object {
@@ -141,5 +176,8 @@
         val DEFAULT_WATCH_TIMEOUT = 1_000.milliseconds
         private const val INITIAL_BACKOFF_MILLIS = 50L
         private const val MAX_BACKOFF_DOUBLINGS = 2
+
+        /** Bounds the lines of failed tries; the count in each tells of those left out. */
+        private const val MIN_LOG_INTERVAL_MILLIS = 1_000L
     }
 }
--- a/daemon/src/test/kotlin/sycamoremast/daemon/workflow/PrefixFollowerTest.kt
+++ b/daemon/src/test/kotlin/sycamoremast/daemon/workflow/PrefixFollowerTest.kt
@@ -1,14 +1,19 @@
 package sycamoremast.daemon.workflow
 
 import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.TimeUnit.MILLISECONDS
 import java.util.concurrent.TimeUnit.SECONDS
+import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration.Companion.milliseconds
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
+import strikt.assertions.contains
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThanOrEqualTo
 import strikt.assertions.isLessThanOrEqualTo
+import strikt.assertions.isNotNull
+import strikt.assertions.isNull
 import sycamoremast.coordination.MonotonicClock
 import sycamoremast.coordination.StoreChange
 import sycamoremast.coordination.StoreListing
@@ -96,4 +101,36 @@
             expectThat(checkNotNull(times.poll(10, SECONDS))).isGreaterThanOrEqualTo(upMillis)
         }
     }
+
+    // Guards against hosts that stay at an old configuration and don't say why (CONFIG).
+    @Test
+    fun `logs why tries fail, how many and since when, once a second at most`() {
+        val lines = LinkedBlockingQueue<String>()
+        val now = AtomicLong(1_000)
+        val log = EventLog { lines += it }
+        PrefixFollower(store, "a/", log, listener, 20.milliseconds, now::get).use {
+            it.start()
+            expectThat(next()).isEqualTo("listing ")
+            store.isDown = true
+            expectThat(lines.poll(10, SECONDS)).isNotNull().contains("event=store-lost")
+            expectThat(lines.poll(10, SECONDS)).isNotNull()
+                .contains("event=follow-failed prefix=a/")
+                .contains("reason=refused failures=1 tookMillis=0 ageMillis=0")
+            expectThat(lines.poll(SEVERAL_TRIES_MILLIS, MILLISECONDS)).isNull()
+            now.addAndGet(1_000)
+            expectThat(lines.poll(10, SECONDS)).isNotNull()
+                .contains("event=follow-failed prefix=a/")
+                .contains("ageMillis=1000")
+                .not().contains("failures=1 ")
+            store.isDown = false
+            expectThat(lines.poll(10, SECONDS)).isNotNull()
+                .contains("event=store-regained prefix=a/")
+                .contains("ageMillis=1000")
+        }
+    }
+
+    private companion object {
+        /** A failed try is repeated after 200 ms at most. */
+        const val SEVERAL_TRIES_MILLIS = 700L
+    }
 }
