--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/PrefixFollower.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/PrefixFollower.kt
@@ -4,6 +4,9 @@
  * The prefix is listed, then watched from the listing's revision. If the store no longer has the
  * history since that revision, the prefix is listed again. The store's client abandons a watch that
  * stays silent beyond its timeout, so that a silently dead connection delays a change only briefly.
+ *
+ * A watch returns all that was written since its revision, however often the same key was: after a
+ * while without an answer that may be more than the network carries within the timeout.
  */
 package sycamoremast.daemon.workflow
 
@@ -20,6 +23,14 @@
 
 /** Receives the entries and changes under a prefix, on the follower's thread. */
 internal interface PrefixListener {
+    /**
+     * Whether a value replaces all earlier ones, so that these need not be read.
+     *
+     * If so, a prefix is listed again after a watch without an answer, and never catches up on all
+     * values that it has missed.
+     */
+    val needsOnlyNewest: Boolean get() = false
+
     /** Called by [read] with all entries under the prefix. */
     fun onListing(listing: StoreListing) = Unit
 
@@ -102,7 +113,11 @@
 
     private fun watch(fromRevision: Long, beganMillis: Long): Boolean =
         when (val result = store.changes(prefix, fromRevision, watchTimeout)) {
-            is Either.Left -> recordFailure(result.value, beganMillis)
+            is Either.Left -> {
+                recordFailure(result.value, beganMillis)
+                if (listener.needsOnlyNewest) revision = null
+                false
+            }
 
             is Either.Right -> {
                 recordSuccess()
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/RoutingReplica.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/RoutingReplica.kt
@@ -12,6 +12,8 @@
     private val log: EventLog,
     private val onUpdate: (RoutingTable) -> Unit
 ) : PrefixListener {
+    override val needsOnlyNewest = true
+
     /** The active routes, or null until a configuration has been read. */
     @Volatile
     var table: RoutingTable? = null
