--- a/standins/src/main/kotlin/sycamoremast/standins/WorkerServer.kt
+++ b/standins/src/main/kotlin/sycamoremast/standins/WorkerServer.kt
@@ -47,14 +47,15 @@
     val restart: Boolean = false
 )
 
-/** The settings of a server: its port and the number, names, rack and capacity of its workers. */
+/** The settings of a server: its port and the number and the properties of its workers. */
 data class WorkerSettings(
     val port: Int = 0,
     val workers: Int = 1,
     val name: String = "worker",
     val rack: String = "rack-0",
     val capacity: Resources = Resources(milliCpus = 32_000, memoryMib = 128_000),
-    val usageLagMillis: Long = 500
+    val usageLagMillis: Long = 500,
+    val longestLeaseMillis: Long = 10_000
 )
 
 /** A running server of workers. */
@@ -79,7 +80,8 @@
                 if (settings.workers == 1) settings.name else "${settings.name}-$index",
                 settings.rack,
                 settings.capacity,
-                settings.usageLagMillis
+                settings.usageLagMillis,
+                settings.longestLeaseMillis
             ),
             clock.nowMillis()
         )
