--- a/emulator/src/main/kotlin/sycamoremast/emulator/EmulatedFleet.kt
+++ b/emulator/src/main/kotlin/sycamoremast/emulator/EmulatedFleet.kt
@@ -126,6 +126,11 @@
     private fun FaultyWorkers.covers(worker: Int, second: Long) =
         worker < count && second >= fromSecond && second < fromSecond + seconds
 
+    /** Ends what runs on workers whose lease has ended by [nowMillis]. */
+    fun lapse(nowMillis: Long) = workers.values.forEach { worker ->
+        worker.lapse(nowMillis).forEach { onOff(it, nowMillis) }
+    }
+
     fun step(stepMillis: Int, second: Double) = workers.values.forEach {
         it.step(stepMillis, second)
     }
--- a/emulator/src/main/kotlin/sycamoremast/emulator/EmulatedWorker.kt
+++ b/emulator/src/main/kotlin/sycamoremast/emulator/EmulatedWorker.kt
@@ -55,6 +55,11 @@
     val runs = LinkedHashMap<TaskName, EmulatedRun>()
     val ended = ArrayList<EndedRow>()
     private var lastEnd = 0L
+    private var bornMillis = 0L
+    private var fencingToken = 0L
+
+    /** By the emulation's time. */
+    private var leaseEndMillis = Long.MIN_VALUE
 
     /** The share of its capacity that it has at present. */
     var capacityShare = 1.0
@@ -66,14 +71,39 @@
     var incarnation = 1L
         private set
 
-    /** Begins another incarnation, which knows nothing of the one before. */
-    fun restart() {
+    /** Begins another incarnation, which knows nothing of the one before; its clock starts anew. */
+    fun restart(nowMillis: Long) {
         incarnation++
+        bornMillis = nowMillis
+        fencingToken = 0
+        leaseEndMillis = Long.MIN_VALUE
         ended.clear()
         lastEnd = 0
         isGone = false
     }
 
+    /** Returns the reading of this incarnation's clock at [nowMillis]. */
+    fun clockMillis(nowMillis: Long): Long = nowMillis - bornMillis + CLOCK_START_MILLIS
+
+    /** Returns whether an order with [token] is obeyed, and remembers the token if so. */
+    fun obeys(token: Long): Boolean {
+        if (token < fencingToken) return false
+        fencingToken = token
+        return true
+    }
+
+    /** Extends the lease to [untilClockMillis] by its clock, or by the longest one. */
+    fun extendLease(untilClockMillis: Long, nowMillis: Long) {
+        val lastsMillis = minOf(untilClockMillis - clockMillis(nowMillis), LONGEST_LEASE_MILLIS)
+        leaseEndMillis = maxOf(leaseEndMillis, nowMillis + lastsMillis)
+    }
+
+    /** Ends all runs if the lease has ended by [nowMillis], and returns them. */
+    fun lapse(nowMillis: Long): List<EmulatedRun> {
+        if (nowMillis < leaseEndMillis) return emptyList()
+        return runs.values.toList().onEach { end(it, RunEnd.LAPSED) }
+    }
+
     fun load(run: EmulatedRun, second: Double): Double {
         val cycles = second / pattern.periodSeconds + run.phase
         return pattern.meanLoad * (1 + pattern.loadSwing * kotlin.math.sin(TWO_PI * cycles))
@@ -155,15 +185,18 @@
                 if (run.kind.isServing) FULL else (FULL * run.doneMillis / run.workMillis).toInt()
             RunningRow(run.task, run.run, "", percent, gauge)
         }
-        return WorkerReport(nowMillis, incarnation, nowMillis, rows, ended.toList())
+        return WorkerReport(clockMillis(nowMillis), incarnation, nowMillis, rows, ended.toList())
     }
 
-    private companion object {
-        const val TWO_PI = 2 * Math.PI
-        const val MAX_UTILIZATION = 0.99
-        const val ACTIVITY_AMPLITUDE = 0.6
-        const val ACTIVITY_SECONDS = 3.0
-        const val AVERAGING_MILLIS = 500
-        const val FULL = 100
+    companion object {
+        /** The longest lease that it accepts, by its own clock. */
+        const val LONGEST_LEASE_MILLIS = 10_000L
+        private const val CLOCK_START_MILLIS = 1_000L
+        private const val TWO_PI = 2 * Math.PI
+        private const val MAX_UTILIZATION = 0.99
+        private const val ACTIVITY_AMPLITUDE = 0.6
+        private const val ACTIVITY_SECONDS = 3.0
+        private const val AVERAGING_MILLIS = 500
+        private const val FULL = 100
     }
 }
--- a/emulator/src/main/kotlin/sycamoremast/emulator/Emulation.kt
+++ b/emulator/src/main/kotlin/sycamoremast/emulator/Emulation.kt
@@ -121,6 +121,7 @@
         if (now >= WARM_UP_MILLIS && now < pattern.seconds * MILLIS) {
             pattern.kinds.forEach { if (random.nextDouble() < probability(it, second)) submit(it) }
         }
+        fleet.lapse(now)
         fleet.step(TICK_MILLIS, second)
         if (now % SAMPLE_MILLIS == 0L && now > WARM_UP_MILLIS) fleet.sampleServing(SAMPLE_MILLIS)
     }
@@ -149,9 +150,7 @@
         when (action) {
             is SchedulerAction.Start -> schedule(CALL_MILLIS) {
                 starts++
-                val isGone = fleet.worker(action.order.worker.id).isGone
-                if (!isGone) start(action)
-                val answer = if (isGone) NOT_SENT else WorkerAnswer.Done(now, now + CALL_MILLIS)
+                val answer = answerTo(action)
                 schedule(CALL_MILLIS) { scheduler.onStartAnswer(action.order, answer, now) }
             }
 
@@ -159,14 +158,16 @@
 
             is SchedulerAction.Pace -> schedule(PACE_MILLIS) {
                 paceOrders++
-                fleet.worker(action.order.worker.id).runs[action.order.task]
-                    ?.let { it.pace = action.order.percent / PERCENT }
+                val worker = fleet.worker(action.order.worker.id)
+                if (worker.obeys(action.order.fencingToken)) {
+                    worker.runs[action.order.task]?.pace = action.order.percent / PERCENT
+                }
             }
 
             is SchedulerAction.Poll -> {
                 polls++
                 val untilMillis = now + action.order.waitMillis
-                schedule(CALL_MILLIS) { poll(action, untilMillis) }
+                schedule(CALL_MILLIS) { receivePoll(action, untilMillis) }
             }
 
             is SchedulerAction.Record -> schedule(RECORD_MILLIS) {
@@ -181,6 +182,26 @@
         }
     }
 
+    /** Carries out [action], if the worker obeys, and returns its answer. */
+    private fun answerTo(action: SchedulerAction.Start): WorkerAnswer {
+        val order = action.order
+        val worker = fleet.worker(order.worker.id)
+        val clockMillis = worker.clockMillis(now)
+        return when {
+            worker.isGone -> NOT_SENT
+
+            !worker.obeys(order.fencingToken) -> STALE_TOKEN
+
+            order.leaseEndMillis <= clockMillis -> WorkerAnswer.Rejected(RejectReason.LATE)
+
+            else -> {
+                worker.extendLease(order.leaseEndMillis, now)
+                start(action)
+                WorkerAnswer.Done(clockMillis, now + CALL_MILLIS)
+            }
+        }
+    }
+
     private fun start(action: SchedulerAction.Start) {
         val task = action.order.task
         fleet.start(action.order, load.traitsOf(task), now)
@@ -191,23 +212,38 @@
         schedule(CRASH_MILLIS) {
             if (worker.isGone) return@schedule
             fleet.remove(worker, now)
-            schedule(deadly.downMillis) { worker.restart() }
+            schedule(deadly.downMillis) { worker.restart(now) }
         }
     }
 
     private fun stop(action: SchedulerAction.Stop) {
         stops++
         val worker = fleet.worker(action.order.worker.id)
+        if (!worker.isGone && !worker.obeys(action.order.fencingToken)) {
+            schedule(CALL_MILLIS) { scheduler.onStopAnswer(action.order, STALE_TOKEN, now) }
+            return
+        }
         val stopMillis = pattern.shrinkingWorkers?.stopMillis
         if (stopMillis == null) {
             fleet.stop(worker, action.order.task, now)
         } else {
             schedule(stopMillis) { fleet.stop(worker, action.order.task, now) }
         }
-        val answer = if (worker.isGone) NOT_SENT else WorkerAnswer.Done(now, now)
+        val answer =
+            if (worker.isGone) NOT_SENT else WorkerAnswer.Done(worker.clockMillis(now), now)
         schedule(CALL_MILLIS) { scheduler.onStopAnswer(action.order, answer, now) }
     }
 
+    private fun receivePoll(action: SchedulerAction.Poll, untilMillis: Long) {
+        val worker = fleet.worker(action.order.worker.id)
+        if (!worker.isGone && !worker.obeys(action.order.fencingToken)) {
+            schedule(CALL_MILLIS) { scheduler.onPollAnswer(action.order, STALE_TOKEN, now) }
+            return
+        }
+        action.order.leaseEndMillis?.let { worker.extendLease(it, now) }
+        poll(action, untilMillis)
+    }
+
     private fun poll(action: SchedulerAction.Poll, untilMillis: Long) {
         val worker = fleet.worker(action.order.worker.id)
         if (worker.isGone) {
@@ -228,6 +264,7 @@
 
     private companion object {
         val NOT_SENT = WorkerAnswer.Rejected(RejectReason.NOT_SENT)
+        val STALE_TOKEN = WorkerAnswer.Rejected(RejectReason.STALE_TOKEN)
         const val MILLIS = 1_000L
         const val TICK_MILLIS = 10
 
