--- a/cli/src/main/kotlin/sycamoremast/cli/Sycamore.kt
+++ b/cli/src/main/kotlin/sycamoremast/cli/Sycamore.kt
@@ -51,6 +51,7 @@
         AuditCommand(),
         ExplainCommand(),
         OffTimesCommand(),
+        LeaseGapsCommand(),
         CompletionCommand(name = "completion")
     )
 
