--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/OrderWindow.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/OrderWindow.kt
@@ -1,8 +1,10 @@
 /**
  * Bounds the number of orders that are in flight at the same time.
  *
- * As in TCP congestion control, the bound grows while answers are fast and shrinks when they are
- * slow or missing, so that the send rate follows the rate at which orders are carried out.
+ * As in delay-based congestion control, the bound grows while answers are fast and shrinks when they
+ * are slow, so that the send rate follows the rate at which orders are carried out. A missing answer
+ * counts only if no later order was answered: otherwise the path works, and the order gives its
+ * place back.
  */
 package sycamoremast.coordination.workflow
 
@@ -12,7 +14,7 @@
     private var isSlowStart = true
     private var answersUntilNextCut = 0
 
-    /** The number of orders that were sent and not yet answered or lost. */
+    /** The number of orders that were sent and not yet answered, lost or overtaken. */
     var inFlight = 0
         private set
 
@@ -38,7 +40,13 @@
         }
     }
 
-    /** Processes an order that got no answer in time. */
+    /** Processes an order whose answer is overdue while a later order was answered fast. */
+    fun onOvertaken() = onSettled()
+
+    /** Processes the late answer to an order that was overtaken. */
+    fun onAnsweredOvertaken() = shrink(SLOW_ANSWER_FACTOR)
+
+    /** Processes an order that got no answer in time, as no later order did either. */
     fun onLost() {
         onSettled()
         shrink(LOST_ORDER_FACTOR)
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/OrderWindowTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/OrderWindowTest.kt
@@ -89,6 +89,26 @@
         expectThat(window.inFlight).isLessThan(1)
     }
 
+    // Guards against a lost order that shrinks the window of a path that works.
+    @Test
+    fun `gives back the place of an overtaken order and keeps its size`() {
+        val window = OrderWindow(initial = 10)
+        repeat(10) { window.onSent() }
+        window.onOvertaken()
+        expectThat(window.canSend).isEqualTo(true)
+        expectThat(window.limit).isEqualTo(10)
+    }
+
+    @Test
+    fun `shrinks on the late answer to an overtaken order`() {
+        val window = OrderWindow(initial = 10)
+        window.onSent()
+        window.onOvertaken()
+        window.onAnsweredOvertaken()
+        expectThat(window.limit).isEqualTo(8)
+        expectThat(window.inFlight).isEqualTo(0)
+    }
+
     private companion object {
         const val FLOOD_MILLIS = 3_000
         const val DRAIN_MILLIS = 8_000
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/OrderDispatch.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/OrderDispatch.kt
@@ -1,10 +1,10 @@
 /**
  * Sends an owner's orders to workers, through relays if the fleet is too large for one host.
  *
- * Each channel to the workers limits the number of unanswered orders by a window. Further orders
- * wait in the channel's queue, and an order that has waited too long is rejected unsent. Polls
- * bypass the queue, so that leases don't expire behind queued starts. A relay that doesn't answer
- * is replaced by another one.
+ * Each channel to the workers limits the number of unanswered orders by a window, and those to a
+ * worker that doesn't answer. Further orders wait in the channel's queue, and an order that has
+ * waited too long, or for a silent worker, is rejected unsent. Polls bypass the queue, so that
+ * leases don't expire behind queued starts. A relay that doesn't answer is replaced by another one.
  *
  * Except for the list of workers, all state is confined to one thread.
  */
@@ -204,8 +204,7 @@
         nextSweepMillis = nowMillis + SWEEP_INTERVAL_MILLIS
         inFlight.values.filter { it.deadlineMillis < nowMillis }.forEach { expire(it, nowMillis) }
         updateRelays(nowMillis)
-        val congested = (relayChannels.values + directChannel).flatMap { it.takeOverdue(nowMillis) }
-        congested.forEach { it.done(WorkerAnswer.Rejected(RejectReason.CONGESTED)) }
+        (relayChannels.values + directChannel).forEach { giveBackOverdue(it, log, nowMillis) }
     }
 
     private fun expire(entry: DispatchedOrder, nowMillis: Long) {
@@ -289,3 +288,16 @@
         private const val MAX_RELAYS_PER_WORKER = 3
     }
 }
+
+private fun giveBackOverdue(channel: OrderChannel, log: EventLog, nowMillis: Long) {
+    val overdue = channel.takeOverdue(nowMillis)
+    if (overdue.isEmpty()) return
+    log.add(
+        "orders-given-back",
+        "peer" to (channel.host ?: "itself"),
+        "count" to overdue.size,
+        "window" to channel.windowLimit,
+        "silentWorkers" to channel.silentWorkerCount(nowMillis)
+    )
+    overdue.forEach { it.done(WorkerAnswer.Rejected(RejectReason.CONGESTED)) }
+}
