--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
@@ -204,6 +204,9 @@
     fun isIncarnationKnown(nowMillis: Long): Boolean =
         lastReportMillis?.let { nowMillis - it <= INCARNATION_PROOF_MILLIS } ?: false
 
+    /** Returns how long ago the last report was processed, or null if a call has failed since. */
+    fun sinceReportMillisOrNull(nowMillis: Long): Long? = lastReportMillis?.let { nowMillis - it }
+
     /** Whether it has been up for a while, so that it is not one that crashes by itself. */
     fun isSettled(nowMillis: Long): Boolean =
         upSinceMillis?.let { nowMillis - it >= SETTLED_MILLIS } ?: false
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
@@ -176,7 +176,7 @@
         }
         if (worker.updateStartTime(report.startedUnixMillis)) {
             // Runs ordered since then may be running in the new incarnation; the rows below tell.
-            fleet.log("worker-restarted", worker.id, "runs" to worker.placements.size)
+            logRestarted(worker, report, nowMillis)
             recorder.dropPendingEnds(worker)
             worker.resetAfterRestart()
             fleet.fencingTokens.fenceEarlierOrders(worker)
@@ -203,6 +203,22 @@
         colocation.onReport(worker, nowMillis)
     }
 
+    /** Logs what was on its way to the earlier incarnation and may have reached this one. */
+    private fun logRestarted(worker: FleetWorker, report: WorkerReport, nowMillis: Long) {
+        val running = report.running.mapTo(HashSet()) { it.task to it.run }
+        fleet.log(
+            "worker-restarted",
+            worker.id,
+            "runs" to worker.placements.size,
+            "startedUnixMillis" to report.startedUnixMillis,
+            "clockMillis" to report.clockMillis,
+            "startsInFlight" to worker.placements.values.count { !it.wasSeen },
+            "runsHere" to worker.placements.values.count { (it.task.name to it.run) in running },
+            "sinceReportMillis" to worker.sinceReportMillisOrNull(nowMillis),
+            "leaseLeftMillis" to worker.lease.remainingMillis(nowMillis)
+        )
+    }
+
     /** Removes [worker], on which nothing runs any more, and releases its placements. */
     fun markLost(worker: FleetWorker, nowMillis: Long, reason: String, hasEnded: Boolean = true) {
         crashes.onLost(worker, hasEnded, nowMillis)
