--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
@@ -208,6 +208,17 @@
         else -> true
     }
 
+    /**
+     * Returns the start times of the incarnations that reject stray orders, by worker ID, where the
+     * next owner needs them: elsewhere heartbeats bound the leases of all.
+     */
+    fun recordedIncarnations(): Map<String, Long> = if (settings.doHeartbeatsBoundStrayLeases) {
+        emptyMap()
+    } else {
+        byId.values.mapNotNull { worker -> worker.recordedStartUnixMillis?.let { worker.id to it } }
+            .toMap()
+    }
+
     /** Keeps of [workflow] no more than its end if that is durable and none of its runs is left. */
     fun retireIfEnded(workflow: OpenWorkflow) {
         if (!workflow.durablePhase.isFinal || workflow.placedCount > 0) return
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
@@ -23,9 +23,57 @@
     /** What orders carry so that the worker rejects those of earlier owners and incarnations. */
     var fencingToken = 0L
 
+    /** Whether an earlier owner has introduced the incarnation that reported last. */
+    val isInheritedIncarnation: Boolean
+        get() = startedUnixMillis != null && startedUnixMillis == inheritedStartUnixMillis
+
+    /** When the incarnation started that rejects stray orders, or null if that is unknown. */
+    val introducedStartUnixMillis: Long? get() = startedUnixMillis.takeIf { isIntroduced }
+
+    /** The same, or that of an earlier owner if the worker has not answered this one. */
+    val recordedStartUnixMillis: Long?
+        get() = if (startedUnixMillis ==
+            null
+        ) {
+            inheritedStartUnixMillis
+        } else {
+            introducedStartUnixMillis
+        }
+
+    /** Whether no durable roster tells of the leases of the present incarnation. */
+    var isRestartUnrecorded = false
+
     /** Whether the durable roster names this worker; otherwise no task starts on it. */
     var isInRoster = false
 
+    /** The token of the last order that this incarnation has answered by a report. */
+    private var introducedToken = Long.MIN_VALUE
+
+    /**
+     * Whether this incarnation has answered a poll with the present token, so that it rejects the
+     * orders that were sent to earlier ones.
+     */
+    val isIntroduced: Boolean get() = introducedToken == fencingToken
+
+    /** When the incarnation started that an earlier owner introduced, or null if that is unknown. */
+    var inheritedStartUnixMillis: Long? = null
+
+    /** When the incarnation started that reported last, or null if it has not told. */
+    var startedUnixMillis: Long? = null
+        private set
+
+    /**
+     * Records that a durable roster names the worker, with the start of the incarnation that was
+     * introduced when it was formed, [startedMillis].
+     */
+    fun onRosterDurable(startedMillis: Long?) {
+        if (isRestartUnrecorded) {
+            if (startedMillis == null || startedMillis != startedUnixMillis) return
+            isRestartUnrecorded = false
+        }
+        isInRoster = true
+    }
+
     /** Whether this owner knows all runs on the worker, or knows that none is left. */
     var isReconciled = false
 
@@ -34,7 +82,6 @@
 
     /** Whether another incarnation answers at its address or its lease has certainly lapsed. */
     var isLost = false
-    private var startedUnixMillis: Long? = null
 
     /** When the last report was processed, or null if a call has failed since. */
     private var lastReportMillis: Long? = null
@@ -59,6 +106,18 @@
 
     var isPolling = false
 
+    /** Whether the open poll waits for the end of a run, so that its answer may take a while. */
+    var isPollWaiting = false
+
+    /** When the poll was sent that asks for the incarnation beside a waiting one, or null. */
+    var introductionSentMillis: Long? = null
+
+    /** Whether starts wait until the worker has shown which incarnation it is in. */
+    var hasAwaitingStarts = false
+
+    /** Whether the last poll extended no lease only because the incarnation was unknown. */
+    var isLeaseWithheld = false
+
     /** Whether a report is needed although nothing runs on the worker. */
     var isReportDue = false
     var nextPollMillis = Long.MIN_VALUE
@@ -140,13 +199,20 @@
         isReconciled &&
         lease.isClockKnown &&
         contactFailures == 0 &&
+        isIntroduced &&
+        !isIncarnationInDoubt &&
         unknownRuns.isEmpty() &&
         trial == null &&
         nowMillis >= noStartsBeforeMillis
 
-    /** Records the clock that a report shows; other answers don't tell whose clock they show. */
+    /**
+     * Records the clock that a report shows; other answers don't tell whose clock they show.
+     *
+     * A new clock counts once stray orders can't reach its incarnation any more, so that a heartbeat
+     * that was formed when the clock was known comes after all stray leases.
+     */
     fun recordAnswer(clockMillis: Long, receivedMillis: Long) {
-        lease.recordClock(clockMillis, receivedMillis)
+        if (isIntroduced || !isRestartUnrecorded) lease.recordClock(clockMillis, receivedMillis)
         recordContact()
     }
 
@@ -186,6 +252,14 @@
         acknowledgedEnd = 0
     }
 
+    /** Whether a call has failed since the last report, so that the worker may have restarted. */
+    val isIncarnationInDoubt: Boolean get() = lastReportMillis == null
+
+    /** Records that this incarnation rejects orders with lower tokens than [token]. */
+    fun recordToken(token: Long) {
+        introducedToken = maxOf(introducedToken, token)
+    }
+
     /** Records a report that was processed at [nowMillis] and answers a poll sent at [sentMillis]. */
     fun recordReport(sentMillis: Long, nowMillis: Long) {
         lastReportMillis = nowMillis
@@ -215,19 +289,29 @@
     fun isCertainlyUp(nowMillis: Long): Boolean = contactFailures == 0 &&
         ((isPolling && lastReportMillis != null) || isIncarnationKnown(nowMillis))
 
+    /** Whether [startedMillis] shows another incarnation than that of the last report. */
+    fun isOtherIncarnation(startedMillis: Long?): Boolean =
+        startedMillis != null && startedUnixMillis != null && startedMillis != startedUnixMillis
+
+    /** Whether [listing] was written by a later incarnation than the one that reported last. */
+    fun isBefore(listing: WorkerListing): Boolean {
+        val reported = startedUnixMillis ?: return false
+        return listing.startedUnixMillis?.let { it > reported } ?: false
+    }
+
     /**
      * Records the start time of the reporting incarnation; returns whether the worker restarted.
      */
     fun updateStartTime(startedMillis: Long?): Boolean {
-        if (startedMillis == null) return false
-        val previous = startedUnixMillis
-        startedUnixMillis = startedMillis
-        return previous != null && previous != startedMillis
+        val isOther = isOtherIncarnation(startedMillis)
+        if (startedMillis != null) startedUnixMillis = startedMillis
+        return isOther
     }
 
     /** Resets the end numbers, which a restarted worker counts from 1 again. */
     fun resetAfterRestart() {
         lease.forgetClock()
+        introducedToken = Long.MIN_VALUE
         acceptedMillis = null
         upSinceMillis = null
         seenEnd = 0
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/InheritedLeases.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/InheritedLeases.kt
@@ -51,7 +51,9 @@
         for (worker in roster.workers) {
             val lapsedBy =
                 roster.lapsedByMillis(worker, sightings, fleet.settings, lastHeartbeat)
-            directory.addRosteredWorker(worker, lapsedBy)
+            val added = directory.addRosteredWorker(worker, lapsedBy)
+            added.inheritedStartUnixMillis = roster.incarnations?.get(worker.id)
+            roster.strayLapsedByMillisOrNull(worker, sightings)?.let(added.lease::recordStray)
         }
         val owners = generateSequence(roster) { it.unknown?.roster }
             .filterNot { it.isInformed(sightings) }.map(::EarlierOwner).toList()
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/LeaseGrants.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/LeaseGrants.kt
@@ -15,7 +15,8 @@
     /**
      * Returns the end of the lease that a poll sent now grants, on the clock of [worker], or null.
      *
-     * The lease of an unreachable worker is not extended, so that its tasks can restart elsewhere.
+     * The lease of an unreachable worker is not extended, so that its tasks can restart elsewhere, nor
+     * that of a worker which may have restarted: its next incarnation has another clock.
      */
     fun endOrNull(worker: FleetWorker, nowMillis: Long): Long? {
         obstacles -= worker
@@ -29,6 +30,8 @@
     private fun obstacleOrNull(worker: FleetWorker, nowMillis: Long): LeaseObstacle? = when {
         worker.contactFailures > 0 -> LeaseObstacle.UNREACHABLE
         !worker.lease.isClockKnown -> LeaseObstacle.CLOCK_UNKNOWN
+        !worker.isIntroduced -> LeaseObstacle.INCARNATION_UNKNOWN
+        !worker.isIncarnationKnown(nowMillis) -> LeaseObstacle.INCARNATION_UNKNOWN
         !fleet.isRosterDurable -> LeaseObstacle.NO_DURABLE_ROSTER
         !worker.lease.isClockDurable -> LeaseObstacle.NO_HEARTBEAT
         !fleet.mayGrantLease(worker) -> LeaseObstacle.LIMITED_IN_ROSTER
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/LeaseObstacle.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/LeaseObstacle.kt
@@ -4,6 +4,9 @@
 internal enum class LeaseObstacle {
     CLOCK_UNKNOWN,
     UNREACHABLE,
+
+    /** The worker may have restarted since its last report. */
+    INCARNATION_UNKNOWN,
     NO_DURABLE_ROSTER,
 
     /** No heartbeat that was formed since the clock is known is durable yet. */
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placement.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placement.kt
@@ -44,6 +44,9 @@
     var paceChangedMillis = Long.MIN_VALUE / 2
         private set
 
+    /** Whether its start may have reached an incarnation of the worker that has not reported yet. */
+    var mayBeStray = !worker.isIncarnationKnown(startedMillis)
+
     /** Whether the run has not been shown running for long enough to be harmless. */
     var isExposed = true
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Recorder.kt
@@ -41,10 +41,13 @@
         val change = workflow.lastChange
     }
 
-    /** A batch with the time at which it was formed if it is a heartbeat, [heartbeatMillis]. */
+    /**
+     * A batch with the time at which it was formed if it is a heartbeat, [heartbeatMillis]. Its
+     * [roster] has the start times of the introduced incarnations.
+     */
     private class BatchInFlight(
         val workflows: List<RecordedWorkflow>,
-        val roster: Set<WorkerRef>?,
+        val roster: Map<WorkerRef, Long?>?,
         val heartbeatMillis: Long?,
         val forgotten: List<EndedWorkflow>
     )
@@ -195,7 +198,7 @@
         }
         inFlight = BatchInFlight(
             batch.map(::RecordedWorkflow),
-            roster?.toSet(),
+            roster?.associateWith { fleet.workers[it.id]?.introducedStartUnixMillis },
             nowMillis.takeIf { isHeartbeat },
             forgotten
         )
@@ -212,7 +215,8 @@
             standbys = namedStandbys,
             lastAnnounced = standbys.lastNumber,
             forgotten = forgotten.map { ForgottenWorkflow(it.id, it.isCancelled) },
-            unknown = roster?.let { fleet.recordedUnknownOwner }
+            unknown = roster?.let { fleet.recordedUnknownOwner },
+            incarnations = if (roster != null) fleet.recordedIncarnations() else emptyMap()
         )
         fleet.outbox += SchedulerAction.Record(records)
         newWaiting = null
@@ -236,7 +240,8 @@
         if (done.workflows.any { it.workflow.isLongRunning }) fleet.isPlacementDue = true
         pendingEnds.entries.removeIf { (worker, ends) -> releaseDurableEnds(worker, ends) }
         if (done.roster != null) {
-            fleet.workers.values.forEach { if (it.ref in done.roster) it.isInRoster = true }
+            fleet.workers.values.filter { it.ref in done.roster }
+                .forEach { it.onRosterDurable(done.roster[it.ref]) }
             leases.onRecorded()
             standbys.onRosterDurable()
             fleet.isPlacementDue = true
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RosterRecord.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RosterRecord.kt
@@ -22,6 +22,11 @@
  * majority in rosters of earlier versions.
  *
  * If the owner didn't know how long an earlier one went on, [unknown] tells of that one.
+ *
+ * [strayLeasesLeft] gives the time from the record on, by worker, for which a lease may last that a
+ * stray order has granted and that no heartbeat bounds. The [incarnations] of workers, by the Unix
+ * milliseconds of their starts, reject the orders that earlier ones were meant to get; those of
+ * other ones may hold the longest lease that workers accept.
  */
 @Serializable
 data class RosterRecord(
@@ -36,7 +41,9 @@
     val host: String? = null,
     val needsWorkers: Boolean = false,
     val quorum: Int? = null,
-    val unknown: UnknownOwner? = null
+    val unknown: UnknownOwner? = null,
+    val strayLeasesLeft: Map<String, Long>? = null,
+    val incarnations: Map<String, Long>? = null
 ) {
     val version: RecordVersion get() = RecordVersion(epoch, batch)
 
@@ -54,6 +61,27 @@
         lastHeartbeat: RecordVersion?
     ): Long {
         sightings.leaseEnds[epoch]?.get(worker)?.let { return it }
+        val lapsedBy = meantLapsedByMillis(worker, sightings, settings, lastHeartbeat)
+        return maxOf(lapsedBy, strayLapsedByMillisOrNull(worker, sightings) ?: lapsedBy)
+    }
+
+    /** Returns the time by which leases of [worker] by stray orders have lapsed, or null if none. */
+    fun strayLapsedByMillisOrNull(worker: WorkerRef, sightings: StoreSightings): Long? =
+        strayLeasesLeft?.get(worker.id)?.let { formedByMillis(sightings) + it }
+
+    /** Returns a time not before this record was formed. */
+    private fun formedByMillis(sightings: StoreSightings): Long {
+        val succeededMillis = sightings.claimedByMillis(epoch + 1)
+        return minOf(sightings.rosterMillisOrNull(version) ?: succeededMillis, succeededMillis)
+    }
+
+    /** Returns the time by which the leases of [worker] have lapsed that were meant for it. */
+    private fun meantLapsedByMillis(
+        worker: WorkerRef,
+        sightings: StoreSightings,
+        settings: SchedulerSettings,
+        lastHeartbeat: RecordVersion?
+    ): Long {
         val left = leasesLeft?.get(worker.id)
         val drainingLeft = drainingLeasesLeft?.get(worker.id)
         return when {
@@ -77,9 +105,7 @@
         settings: SchedulerSettings,
         lastHeartbeat: RecordVersion?
     ): Long {
-        val succeededMillis = sightings.claimedByMillis(epoch + 1)
-        val formedBy = sightings.rosterMillisOrNull(version) ?: succeededMillis
-        val recorded = minOf(formedBy, succeededMillis) + left
+        val recorded = formedByMillis(sightings) + left
         val inherited = unknown?.lapsedByMillisOrNull(worker, sightings, settings, lastHeartbeat)
         val limit = minOf(recorded, inherited ?: recorded)
         if (left == 0L || !mayBeLifted(worker, sightings)) return limit
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunMaintenance.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunMaintenance.kt
@@ -64,9 +64,15 @@
     /** Adds the polls that are due to the outbox. */
     fun poll(nowMillis: Long) {
         for (worker in fleet.workers.values) {
-            if (worker.isPolling || worker.isLost || isLapseNear(worker, nowMillis)) continue
+            if (worker.isLost || isLapseNear(worker, nowMillis)) continue
             if (nowMillis < worker.nextPollMillis && !worker.isFinalPollDue(nowMillis)) continue
-            if (isPollDue(worker, nowMillis)) poll(worker, nowMillis)
+            when {
+                worker.isPolling -> if (isIntroductionDue(worker, nowMillis)) {
+                    introduce(worker, nowMillis)
+                }
+
+                isPollDue(worker, nowMillis) -> poll(worker, nowMillis)
+            }
         }
         leases.step(nowMillis)
     }
@@ -79,13 +85,46 @@
             nowMillis in
             worker.lease.lapsedByMillis - FAILED_POLL_MILLIS..worker.lease.lapsedByMillis
 
+    /**
+     * Whether the worker has to show its incarnation although a poll is open.
+     *
+     * That one may wait in an incarnation that is gone: where the worker ends silently, it takes
+     * until the timeout to fail.
+     */
+    private fun isIntroductionDue(worker: FleetWorker, nowMillis: Long): Boolean =
+        worker.isPollWaiting &&
+            worker.introductionSentMillis == null &&
+            (
+                worker.isIncarnationInDoubt ||
+                    (worker.hasAwaitingStarts && !worker.isIncarnationKnown(nowMillis))
+                )
+
+    private fun introduce(worker: FleetWorker, nowMillis: Long) {
+        worker.introductionSentMillis = nowMillis
+        worker.lastPollMillis = nowMillis
+        fleet.outbox += SchedulerAction.Poll(
+            PollOrder(
+                worker.ref,
+                worker.fencingToken,
+                acknowledgedEnd = 0,
+                leaseEndMillis = null,
+                waitMillis = 0,
+                sentMillis = nowMillis
+            )
+        )
+    }
+
     private fun isPollDue(worker: FleetWorker, nowMillis: Long): Boolean {
         if (worker.recordedEnd > worker.acknowledgedEnd) return true
         val hasUnrecorded = worker.seenEnd > worker.recordedEnd
         if (hasUnrecorded && worker.isReconciled) {
-            return nowMillis > worker.lastPollMillis + UNRECORDED_POLL_MILLIS
+            return worker.isLeaseWithheld ||
+                nowMillis > worker.lastPollMillis + UNRECORDED_POLL_MILLIS
         }
         return !worker.isReconciled ||
+            !worker.isIntroduced ||
+            worker.isIncarnationInDoubt ||
+            worker.hasAwaitingStarts ||
             worker.contactFailures > 0 ||
             worker.placements.isNotEmpty() ||
             worker.unknownRuns.isNotEmpty() ||
@@ -106,6 +145,11 @@
             worker.seenEnd == worker.recordedEnd &&
             worker.placements.values.none { it.needsImmediateReport }
         worker.isPolling = true
+        worker.isPollWaiting = mayWait
+        worker.isLeaseWithheld = leaseEnd == null &&
+            worker.placements.isNotEmpty() &&
+            worker.contactFailures == 0 &&
+            !isIncarnationKnown
         worker.isReportDue = false
         worker.lastPollMillis = nowMillis
         val acknowledged = if (acknowledges) worker.recordedEnd else 0
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
@@ -17,6 +17,7 @@
         val placement = findPlacementOrNull(order.task, order.worker, order.run) ?: return
         when (answer) {
             is WorkerAnswer.Done -> {
+                recordStrayLease(placement, nowMillis)
                 answer.clockMillis?.let {
                     placement.worker.recordContact()
                     placement.recordSeen(it)
@@ -35,6 +36,7 @@
                     "worker" to order.worker.id,
                     "reason" to answer.reason
                 )
+                recordStrayLease(placement, nowMillis)
                 placement.transition(PlacementEvent.ANSWER_LOST, nowMillis)
                 placement.worker.forgetIncarnation()
                 placement.worker.nextPollMillis = nowMillis
@@ -44,6 +46,12 @@
         }
     }
 
+    /** Records the lease that a start grants if the worker had restarted unnoticed. */
+    private fun recordStrayLease(placement: Placement, nowMillis: Long) {
+        if (!placement.mayBeStray) return
+        placement.worker.lease.recordStray(fleet.settings.strayLapsedBy(nowMillis))
+    }
+
     private fun onStartRejected(
         placement: Placement,
         order: StartOrder,
@@ -113,7 +121,11 @@
 
     fun onPollAnswer(order: PollOrder, answer: WorkerAnswer, nowMillis: Long) {
         val worker = fleet.workers[order.worker.id]?.takeIf { it.ref == order.worker } ?: return
-        worker.isPolling = false
+        if (order.waitMillis == 0L && order.sentMillis == worker.introductionSentMillis) {
+            worker.introductionSentMillis = null
+        } else {
+            worker.isPolling = false
+        }
         when (answer) {
             is WorkerAnswer.Reported -> onReport(worker, order, answer.report, nowMillis)
 
@@ -147,7 +159,7 @@
         worker.failedPollMillis = order.sentMillis
         if (worker.contactFailures == 0) {
             // Another incarnation may answer the next poll.
-            fleet.fencingTokens.fenceEarlierOrders(worker)
+            if (worker.isIntroduced) fleet.fencingTokens.fenceEarlierOrders(worker)
             fleet.log(
                 "worker-unreachable",
                 worker.id,
@@ -171,27 +183,25 @@
         report: WorkerReport,
         nowMillis: Long
     ) {
+        val isOutdated = order.fencingToken < worker.fencingToken
+        if (isOutdated && worker.isOtherIncarnation(report.startedUnixMillis)) {
+            return logOutdated(worker, report)
+        }
         if (worker.contactFailures > 0) {
             fleet.log("worker-reachable", worker.id, "failures" to worker.contactFailures)
         }
         if (worker.updateStartTime(report.startedUnixMillis)) {
-            // Runs ordered since then may be running in the new incarnation; the rows below tell.
-            logRestarted(worker, report, nowMillis)
-            recorder.dropPendingEnds(worker)
-            worker.resetAfterRestart()
-            fleet.fencingTokens.fenceEarlierOrders(worker)
-            // An idle worker would not be told the token before the next start.
-            worker.isReportDue = true
-            worker.placements.values.filter { !it.wasSeen }.forEach { it.awaitReport(nowMillis) }
-            crashes.onRestarted(worker, nowMillis)
+            onRestarted(worker, report, nowMillis)
         } else {
             crashes.onAnswered(worker)
         }
-        worker.recordAnswer(report.clockMillis, report.receivedMillis)
+        worker.recordToken(order.fencingToken)
         worker.recordReport(order.sentMillis, nowMillis)
+        worker.recordAnswer(report.clockMillis, report.receivedMillis)
         if (!worker.isReconciled || worker.contactFailures == 0) fleet.isPlacementDue = true
-        if (!worker.isReconciled) worker.lease.recordFenced(fleet.settings.lapsedBy(nowMillis))
+        if (!worker.isReconciled) onFenced(worker, nowMillis)
         worker.isReconciled = true
+        if (worker.isRestartUnrecorded && worker.isIntroduced) onIntroduced(worker, nowMillis)
         worker.nextPollMillis = nowMillis
         val previousEnd = worker.seenEnd
         report.ended.filter { it.number > previousEnd }.sortedBy { it.number }.forEach {
@@ -203,6 +213,70 @@
         colocation.onReport(worker, nowMillis)
     }
 
+    private fun onRestarted(worker: FleetWorker, report: WorkerReport, nowMillis: Long) {
+        // Runs ordered since then may be running in the new incarnation; the rows below tell.
+        logRestarted(worker, report, nowMillis)
+        recorder.dropPendingEnds(worker)
+        // Orders that may start runs or grant leases are sent to introduced incarnations only.
+        if (worker.isIntroduced) fleet.fencingTokens.fenceEarlierOrders(worker)
+        worker.resetAfterRestart()
+        worker.isRestartUnrecorded = true
+        if (!fleet.settings.doHeartbeatsBoundStrayLeases) worker.isInRoster = false
+        worker.lease.recordStray(fleet.settings.strayLapsedBy(nowMillis))
+        // An idle worker would not be told the token before the next start.
+        worker.isReportDue = true
+        worker.placements.values.filter { !it.wasSeen }.forEach { it.awaitReport(nowMillis) }
+        crashes.onRestarted(worker, nowMillis)
+    }
+
+    /** Asks [worker] for its incarnation, as its entry is one of a later incarnation. */
+    fun onRestartListed(worker: FleetWorker, listing: WorkerListing, nowMillis: Long) {
+        fleet.log(
+            "worker-restart-listed",
+            worker.id,
+            "startedUnixMillis" to listing.startedUnixMillis,
+            "current" to worker.startedUnixMillis,
+            "runs" to worker.placements.size
+        )
+        worker.forgetIncarnation()
+        worker.nextPollMillis = nowMillis
+    }
+
+    /** Bounds the leases of earlier owners, which [worker] rejects from its first answer on. */
+    private fun onFenced(worker: FleetWorker, nowMillis: Long) {
+        val settings = fleet.settings
+        when {
+            !worker.lease.isRecorded -> Unit
+            worker.isInheritedIncarnation -> worker.lease.recordFenced(settings.lapsedBy(nowMillis))
+            else -> worker.lease.recordStrayFenced(settings.strayLapsedBy(nowMillis))
+        }
+    }
+
+    /**
+     * Records the longest lease that stray orders may have granted to the new incarnation of [worker],
+     * which rejects them from now on. The next owner has to know of it before anything starts here.
+     */
+    private fun onIntroduced(worker: FleetWorker, nowMillis: Long) {
+        worker.lease.recordStray(fleet.settings.strayLapsedBy(nowMillis))
+        val isRosterDue = !fleet.settings.doHeartbeatsBoundStrayLeases
+        if (isRosterDue) recorder.markRosterChanged() else worker.isRestartUnrecorded = false
+        fleet.log(
+            "worker-introduced",
+            worker.id,
+            "startedUnixMillis" to worker.startedUnixMillis,
+            "token" to worker.fencingToken,
+            "leaseLeftMillis" to worker.lease.remainingMillis(nowMillis),
+            "isRosterDue" to isRosterDue
+        )
+    }
+
+    private fun logOutdated(worker: FleetWorker, report: WorkerReport) = fleet.log(
+        "report-outdated",
+        worker.id,
+        "startedUnixMillis" to report.startedUnixMillis,
+        "current" to worker.startedUnixMillis
+    )
+
     /** Logs what was on its way to the earlier incarnation and may have reached this one. */
     private fun logRestarted(worker: FleetWorker, report: WorkerReport, nowMillis: Long) {
         val running = report.running.mapTo(HashSet()) { it.task to it.run }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerAction.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerAction.kt
@@ -58,8 +58,8 @@
  * changed.
  *
  * [waiting] is the number of workflows without a started task, by queue. [leasesLeft],
- * [recordsPlaces], [standbys], [lastAnnounced] and [unknown] go with the roster. If [isHeartbeat], the
- * transaction also shows other hosts that the owner is at work.
+ * [recordsPlaces], [standbys], [lastAnnounced], [unknown] and [incarnations] go with the roster. If
+ * [isHeartbeat], the transaction also shows other hosts that the owner is at work.
  *
  * All records of [forgotten] workflows are deleted.
  */
@@ -74,10 +74,28 @@
     val standbys: Set<HostProcess> = emptySet(),
     val lastAnnounced: Long = 0,
     val forgotten: List<ForgottenWorkflow> = emptyList(),
-    val unknown: UnknownOwner? = null
+    val unknown: UnknownOwner? = null,
+    val incarnations: Map<String, Long> = emptyMap()
 ) {
-    /** How many workers of the roster a heartbeat needs that isn't durable. */
-    val quorum: Int? get() = roster?.let { AcceptingWorkers.quorum(it.size) }
+    /** Returns the roster to record as [version] by the owner on [host], or null if unchanged. */
+    fun rosterRecordOrNull(version: RecordVersion, host: String): RosterRecord? = roster?.let {
+        RosterRecord(
+            it,
+            version.epoch,
+            leasesLeft.fixed,
+            leasesLeft.draining,
+            version.batch,
+            recordsPlaces,
+            standbys,
+            lastAnnounced,
+            host,
+            needsWorkers = true,
+            quorum = AcceptingWorkers.quorum(it.size),
+            unknown = unknown,
+            strayLeasesLeft = leasesLeft.stray.ifEmpty { null },
+            incarnations = incarnations.ifEmpty { null }
+        )
+    }
 
     companion object {
         /** The most entries of a transaction, conditions included, that the platform's store takes. */
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerSettings.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/SchedulerSettings.kt
@@ -5,7 +5,8 @@
  * Settings of a [WorkflowScheduler]; all times are in milliseconds.
  *
  * [leaseMillis] is the lease that orders grant to a worker, and [drainingLeaseMillis] the one that
- * they grant to a worker that is about to leave. [stopMillis] is how long a stop may take.
+ * they grant to a worker that is about to leave. Workers shorten longer leases to
+ * [longestLeaseMillis]. [stopMillis] is how long a stop may take.
  * [maxOpenTasks] is how many tasks the owner keeps in memory, those that run included.
  * [statusMillis] is how long after its end the state of a workflow has to be known, [problemMillis]
  * how long that of a failed one, and
@@ -22,7 +23,8 @@
     val statusMillis: Long = DEFAULT_STATUS_MILLIS,
     val problemMillis: Long = maxOf(statusMillis, DEFAULT_PROBLEM_MILLIS),
     val clockJumpMillis: Long = DEFAULT_CLOCK_JUMP_MILLIS,
-    val recordDelayMillis: Long = LONGEST_ANNOUNCED_MILLIS + PAST_LEASE_MILLIS
+    val recordDelayMillis: Long = LONGEST_ANNOUNCED_MILLIS + PAST_LEASE_MILLIS,
+    val longestLeaseMillis: Long = leaseMillis
 ) {
     /**
      * How long the records of a workflow are kept once callers can see that it ended as [phase].
@@ -66,6 +68,24 @@
         return seenMillis + horizon + clockErrors + LAPSE_MARGIN_MILLIS
     }
 
+    /**
+     * Returns when any lease has certainly lapsed that a worker had accepted by [acceptedMillis].
+     *
+     * A stray order, which reaches another incarnation than the one that it was meant for, grants a
+     * lease by a clock that this one doesn't have.
+     */
+    fun strayLapsedBy(acceptedMillis: Long): Long = acceptedMillis +
+        longestLeaseMillis +
+        maxClockError(longestLeaseMillis) +
+        LAPSE_MARGIN_MILLIS
+
+    /**
+     * Whether a successor, which counts from the owner's last heartbeat, also waits for a stray lease
+     * that was accepted before that heartbeat.
+     */
+    val doHeartbeatsBoundStrayLeases: Boolean
+        get() = strayLapsedBy(0) <= lapsedAfterHeartbeat(0)
+
     /** Returns how far a worker's clock may lag after [elapsedMillis], at most half a lease. */
     fun maxDrift(elapsedMillis: Long): Long =
         (elapsedMillis / SLOWEST_CLOCK_DIVISOR).coerceIn(0, leaseMillis / 2)
@@ -99,6 +119,7 @@
             statusMillis: Long = DEFAULT_STATUS_MILLIS
         ) = SchedulerSettings(
             leaseMillis = minOf(maxLeaseMillis, LONGEST_LEASE_MILLIS),
+            longestLeaseMillis = maxLeaseMillis,
             stopMillis = stopMillis,
             maxOpenTasks = maxOpenTasks,
             statusMillis = statusMillis
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Starter.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Starter.kt
@@ -8,7 +8,8 @@
     private val placer: Placer,
     private val neighbours: NeighbourAdmission,
     private val crashes: CrashLedger,
-    private val places: TaskPlaces
+    private val places: TaskPlaces,
+    private val orders: StartOrders
 ) {
     private val trials = TrialPlacer(fleet, placer)
 
@@ -31,7 +32,7 @@
         if (history != null) return startSuspectIfDue(task, history, nowMillis)
         val worker = placer.chooseOrNull(task, nowMillis) ?: return false
         if (places.isReadyOn(worker, task, nowMillis)) {
-            orderStart(place(task, worker, nextRun(task), nowMillis), nowMillis)
+            orders.order(place(task, worker, nextRun(task), nowMillis), nowMillis)
         }
         return true
     }
@@ -53,7 +54,7 @@
         if (!places.isReadyOn(worker, task, nowMillis)) return true
         val placement = place(task, worker, nextRun(task), nowMillis)
         if (history.needsTrial) trials.begin(placement, history)
-        orderStart(placement, nowMillis)
+        orders.order(placement, nowMillis)
         return true
     }
 
@@ -76,7 +77,7 @@
             return
         }
         step.tasks.forEach { it.checkpoint = checkpoint }
-        placed.forEach { orderStart(it, nowMillis) }
+        placed.forEach { orders.order(it, nowMillis) }
     }
 
     private fun place(task: OpenTask, worker: FleetWorker, run: Int, nowMillis: Long): Placement {
@@ -86,35 +87,4 @@
         neighbours.onPlaced(placement)
         return placement
     }
-
-    private fun orderStart(placement: Placement, nowMillis: Long) {
-        val task = placement.task
-        val worker = placement.worker
-        val workflow = task.step.workflow
-        val leaseEnd = checkNotNull(fleet.leaseEndOrNull(worker, nowMillis)) {
-            "no lease can be granted to a worker with a placement: ${worker.id}"
-        }
-        worker.lease.record(fleet.settings.lapsedBy(nowMillis))
-        fleet.orderedStarts++
-        fleet.log(
-            "run-ordered",
-            task.name.toString(),
-            "run" to placement.run,
-            "worker" to worker.id,
-            "waitedMillis" to nowMillis - workflow.acceptedMillis,
-            "firm" to worker.commitments.reservedMilliCpus,
-            "idle" to worker.commitments.opportunisticMilliCpus
-        )
-        fleet.outbox += SchedulerAction.Start(
-            StartOrder(
-                worker.ref,
-                worker.fencingToken,
-                task.name,
-                placement.run,
-                workflow.spec.payload,
-                task.checkpoint,
-                leaseEnd
-            )
-        )
-    }
 }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerDirectory.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerDirectory.kt
@@ -36,6 +36,7 @@
                 fleet.log("worker-draining", listing.ref.id, "runs" to known.placements.size)
             }
             if (listing.capacity != known.capacity) logCapacity(known, listing.capacity)
+            if (known.isBefore(listing)) tracker.onRestartListed(known, listing, nowMillis)
             known.updateListing(listing, nowMillis)
             fleet.resetWorkerIndexes()
             fleet.isPlacementDue = true
@@ -117,17 +118,22 @@
     }
 
     /**
-     * Adds a worker of the last owner's roster, whose lease has lapsed by [lapsedByMillis].
+     * Adds and returns a worker of the last owner's roster, whose lease has lapsed by
+     * [lapsedByMillis].
      *
      * If it is listed at another address, tasks may run at either address.
      */
-    fun addRosteredWorker(ref: WorkerRef, lapsedByMillis: Long) {
-        val known = fleet.workers[ref.id]
-        if (known != null) return known.lease.record(lapsedByMillis)
+    fun addRosteredWorker(ref: WorkerRef, lapsedByMillis: Long): FleetWorker {
+        val worker = fleet.workers[ref.id] ?: placeholder(ref)
+        worker.lease.record(lapsedByMillis)
+        return worker
+    }
+
+    private fun placeholder(ref: WorkerRef): FleetWorker {
         val worker = FleetWorker(placeholderListing(ref), listedMillis = Long.MIN_VALUE / 2)
         worker.unlist()
-        worker.lease.record(lapsedByMillis)
         fleet.add(worker)
+        return worker
     }
 }
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerLease.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerLease.kt
@@ -24,6 +24,13 @@
     var lapsedByMillis = Long.MIN_VALUE
         private set
 
+    /** Whether any owner may have granted a lease. */
+    val isRecorded: Boolean get() = lapsedByMillis > Long.MIN_VALUE
+
+    /** The time by which leases have certainly lapsed that stray orders may have granted. */
+    var strayLapsedByMillis = Long.MIN_VALUE
+        private set
+
     /** Whether the offset of the worker's clock is known, without which no lease can be granted. */
     val isClockKnown: Boolean get() = clockOffsetMillis != null
 
@@ -36,7 +43,7 @@
      *
      * It stays so when that lease has lapsed: the next owner must not wait for it again.
      */
-    val isInherited: Boolean get() = !isClockKnown && lapsedByMillis > Long.MIN_VALUE
+    val isInherited: Boolean get() = !isClockKnown && isRecorded
 
     /** Records that the worker's clock showed [clockMillis] at [receivedMillis]. */
     fun recordClock(clockMillis: Long, receivedMillis: Long) {
@@ -111,12 +118,27 @@
         lapsedByMillis = maxOf(lapsedByMillis, lapsedBy)
     }
 
+    /** Records that stray orders may have granted leases, which have lapsed by [lapsedBy]. */
+    fun recordStray(lapsedBy: Long) {
+        strayLapsedByMillis = maxOf(strayLapsedByMillis, lapsedBy)
+        record(lapsedBy)
+    }
+
     /**
      * Records the first answer to this owner, from which on the worker rejects orders of earlier
-     * ones: their leases have lapsed by [lapsedBy].
+     * ones: their leases have lapsed by [lapsedBy], unless stray orders have granted longer ones.
      */
     fun recordFenced(lapsedBy: Long) {
-        lapsedByMillis = minOf(lapsedByMillis, lapsedBy)
+        lapsedByMillis = minOf(lapsedByMillis, maxOf(lapsedBy, strayLapsedByMillis))
+    }
+
+    /**
+     * Records the first answer to this owner by an incarnation that no earlier owner has recorded:
+     * stray orders may have granted leases, and no lease lasts longer than these, until [lapsedBy].
+     */
+    fun recordStrayFenced(lapsedBy: Long) {
+        strayLapsedByMillis = lapsedBy
+        lapsedByMillis = lapsedBy
     }
 
     /** Records that an inherited lease has lapsed by [lapsedBy], if that is sooner than known. */
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -23,7 +23,8 @@
     private val placer = Placer(fleet, obstacles, reserve, neighbours)
     private val futureRoom = FutureRoom(fleet, obstacles, reserve)
     private val places = TaskPlaces(fleet, recorder)
-    private val starter = Starter(fleet, placer, neighbours, crashes, places)
+    private val orders = StartOrders(fleet, crashes)
+    private val starter = Starter(fleet, placer, neighbours, crashes, places, orders)
     private val restarts = TaskRestarts(fleet, futureRoom, starter)
     private val moves = TaskMoves(fleet)
     private val evacuation = Evacuation(fleet, placer, moves)
@@ -141,8 +142,9 @@
      *
      * If it is listed at another address, tasks may run at either address.
      */
-    fun addRosteredWorker(ref: WorkerRef, lapsedByMillis: Long) =
+    fun addRosteredWorker(ref: WorkerRef, lapsedByMillis: Long) {
         directory.addRosteredWorker(ref, lapsedByMillis)
+    }
 
     /** Adds what an earlier owner has learned about interference between tasks. */
     fun restoreInterference(record: InterferenceRecord, unixMillis: Long) {
@@ -235,6 +237,7 @@
         }
         recoveryWait.step(nowMillis)
         endWorkflows(nowMillis, unixMillis)
+        orders.step(nowMillis)
         if (fleet.isPlacementDue ||
             nowMillis >= nextPlacementMillis
         ) {
@@ -269,7 +272,8 @@
             interference = tails.record(unixMillis),
             recordsPlaces = fleet.arePlacesRecorded,
             lastAnnounced = standbys.lastNumber,
-            unknown = workers?.let { fleet.recordedUnknownOwner }
+            unknown = workers?.let { fleet.recordedUnknownOwner },
+            incarnations = fleet.recordedIncarnations()
         )
     }
 
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/CapacityTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/CapacityTest.kt
@@ -133,8 +133,13 @@
             .copy(startedUnixMillis = 2, capacity = Resources(1_000, 128_000))
         scheduler.onWorkerListed(next, driver.now)
         driver.submit(driver.workflow("job", driver.taskStep(4)))
-        driver.step()
-        expectThat(driver.starts).hasSize(1)
+        val starts = ArrayList<StartOrder>()
+        repeat(8) {
+            driver.step()
+            starts += driver.starts
+            driver.polls.forEach { driver.report(it, started = 2) }
+        }
+        expectThat(starts).hasSize(1)
     }
 
     // Guards against starts that a worker takes although its runs reserve more than its capacity.
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelHost.kt
@@ -534,27 +534,10 @@
         is WorkerAnswer.Rejected, is WorkerAnswer.Unknown -> answer
     }
 
-    private fun rosterRecord(held: Term, batch: RecordBatch, number: Long) = batch.roster?.let {
-        RosterRecord(
-            it,
-            held.epoch,
-            batch.leasesLeft.fixed,
-            batch.leasesLeft.draining,
-            number,
-            batch.recordsPlaces,
-            batch.standbys,
-            batch.lastAnnounced,
-            name,
-            needsWorkers = true,
-            quorum = batch.quorum,
-            unknown = batch.unknown
-        )
-    }
-
     private fun write(held: Term, batch: RecordBatch) {
         held.isWriting = true
         val next = EpochKey(held.epoch, held.batchNumber + 1)
-        val roster = rosterRecord(held, batch, next.batch)
+        val roster = batch.rosterRecordOrNull(RecordVersion(held.epoch, next.batch), name)
         val expected = held.epochVersion
         if (roster != null) world.log("  $name ${held.epoch} writes roster $roster")
         call({ store.commit(expected, next, batch, roster) }) { result ->
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/WorkerRestartTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/WorkerRestartTest.kt
@@ -62,6 +62,8 @@
         driver.report(driver.freshPoll("w1"), started = 2)
         driver.submit(driver.workflow("last"))
         expectThat(driver.step(1).filterIsInstance<SchedulerAction.Start>()).isEmpty()
+        driver.polls.forEach { driver.report(it, started = 2) }
+        expectThat(driver.step(1).filterIsInstance<SchedulerAction.Start>()).isEmpty()
         val nextMillis = SchedulerSettings.HEARTBEAT_INTERVAL_MILLIS / 2
         expectThat(driver.step(nextMillis).any { it is SchedulerAction.Start }).isTrue()
     }
--- a/daemon/src/main/kotlin/sycamoremast/daemon/workflow/RecordWriter.kt
+++ b/daemon/src/main/kotlin/sycamoremast/daemon/workflow/RecordWriter.kt
@@ -15,7 +15,6 @@
 import sycamoremast.coordination.TransactionalStore
 import sycamoremast.coordination.workflow.RecordBatch
 import sycamoremast.coordination.workflow.RecordVersion
-import sycamoremast.coordination.workflow.RosterRecord
 import sycamoremast.daemon.log.EventLog
 
 /** Writes the records of worker set [set] in [term]. */
@@ -61,31 +60,16 @@
     }
 
     private fun transaction(batch: RecordBatch, next: EpochRecord): StoreTransaction {
+        val version = RecordVersion(epoch, next.batch)
         val puts = mutableListOf(StorePut(WorkflowKeys.epoch(set), encodeRecord(next)))
         batch.progress.mapTo(puts) { (id, progress) ->
             StorePut(WorkflowKeys.progress(set, id), encodeRecord(progress))
         }
-        batch.roster?.let {
-            val record = RosterRecord(
-                it,
-                epoch,
-                batch.leasesLeft.fixed,
-                batch.leasesLeft.draining,
-                next.batch,
-                batch.recordsPlaces,
-                batch.standbys,
-                batch.lastAnnounced,
-                term.sightings.process.host,
-                needsWorkers = true,
-                quorum = batch.quorum,
-                unknown = batch.unknown
-            )
-            puts += StorePut(WorkflowKeys.roster(set), encodeRecord(record))
-            puts +=
-                StorePut(WorkflowKeys.owner(set, OwnerDetail.ROSTER), encodeRecord(record.version))
+        batch.rosterRecordOrNull(version, term.sightings.process.host)?.let {
+            puts += StorePut(WorkflowKeys.roster(set), encodeRecord(it))
+            puts += StorePut(WorkflowKeys.owner(set, OwnerDetail.ROSTER), encodeRecord(it.version))
         }
         if (batch.isHeartbeat) {
-            val version = RecordVersion(epoch, next.batch)
             puts += StorePut(WorkflowKeys.owner(set, OwnerDetail.HEARTBEAT), encodeRecord(version))
         }
         batch.waiting?.let {
