--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
@@ -40,6 +40,11 @@
             introducedStartUnixMillis
         }
 
+    /** Whether [listing] is one of another incarnation than the last owner introduced. */
+    fun isUnknownIncarnation(listing: WorkerListing): Boolean = listing.startedUnixMillis != null &&
+        inheritedStartUnixMillis != null &&
+        listing.startedUnixMillis != inheritedStartUnixMillis
+
     /** Whether no durable roster tells of the leases of the present incarnation. */
     var isRestartUnrecorded = false
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/InheritedLeases.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/InheritedLeases.kt
@@ -46,13 +46,15 @@
         roster: RosterRecord,
         sightings: StoreSightings,
         lastHeartbeat: RecordVersion?,
-        directory: WorkerDirectory
+        directory: WorkerDirectory,
+        nowMillis: Long
     ) {
         for (worker in roster.workers) {
             val lapsedBy =
                 roster.lapsedByMillis(worker, sightings, fleet.settings, lastHeartbeat)
             val added = directory.addRosteredWorker(worker, lapsedBy)
-            added.inheritedStartUnixMillis = roster.incarnations?.get(worker.id)
+            val started = roster.incarnations?.get(worker.id)
+            directory.onIncarnationInherited(added, started, nowMillis)
             roster.strayLapsedByMillisOrNull(worker, sightings)?.let(added.lease::recordStray)
         }
         val owners = generateSequence(roster) { it.unknown?.roster }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Succession.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Succession.kt
@@ -36,7 +36,7 @@
         nowMillis: Long
     ) {
         if (roster.recordsPlaces) fleet.arePlacesRecorded = true
-        inheritedLeases.add(roster, sightings, lastHeartbeat, directory)
+        inheritedLeases.add(roster, sightings, lastHeartbeat, directory, nowMillis)
         standbys.onInherited(roster.standbys, nowMillis)
     }
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerDirectory.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerDirectory.kt
@@ -36,6 +36,7 @@
                 fleet.log("worker-draining", listing.ref.id, "runs" to known.placements.size)
             }
             if (listing.capacity != known.capacity) logCapacity(known, listing.capacity)
+            recordUnknownIncarnation(known, listing, nowMillis)
             if (known.isBefore(listing)) tracker.onRestartListed(known, listing, nowMillis)
             known.updateListing(listing, nowMillis)
             fleet.resetWorkerIndexes()
@@ -62,6 +63,27 @@
         )
     }
 
+    /**
+     * Counts on stray leases of [worker], of which no answer has come, if [listing] is one of another
+     * incarnation than the last owner knew: it may have carried out orders of that owner.
+     */
+    private fun recordUnknownIncarnation(
+        worker: FleetWorker,
+        listing: WorkerListing,
+        nowMillis: Long
+    ) {
+        if (worker.isReconciled || !worker.isUnknownIncarnation(listing)) return
+        // Once only: the last owner sends no more orders.
+        worker.inheritedStartUnixMillis = null
+        worker.lease.recordStray(fleet.settings.strayLapsedBy(nowMillis))
+        fleet.log(
+            "worker-incarnation-unknown",
+            worker.id,
+            "startedUnixMillis" to listing.startedUnixMillis,
+            "leaseLeftMillis" to worker.lease.remainingMillis(nowMillis)
+        )
+    }
+
     /** Whether a later entry of the same worker than [listing] was processed. */
     private fun isOutdated(listing: WorkerListing, known: FleetWorker?): Boolean {
         val last = maxOf(
@@ -129,6 +151,12 @@
         return worker
     }
 
+    /** Records that the last owner introduced the incarnation that started at [startedMillis]. */
+    fun onIncarnationInherited(worker: FleetWorker, startedMillis: Long?, nowMillis: Long) {
+        worker.inheritedStartUnixMillis = startedMillis
+        recordUnknownIncarnation(worker, worker.listing, nowMillis)
+    }
+
     private fun placeholder(ref: WorkerRef): FleetWorker {
         val worker = FleetWorker(placeholderListing(ref), listedMillis = Long.MIN_VALUE / 2)
         worker.unlist()
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/StrayLeaseTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/StrayLeaseTest.kt
@@ -146,6 +146,25 @@
         expectThat(leaseEnd(unknown)).isEqualTo(unknown.now + longestMillis)
     }
 
+    // Guards against an owner that is lost before its roster tells of a restart (TWICE).
+    @Test
+    fun `a successor counts on stray leases of a worker whose entry tells of a later incarnation`() {
+        val roster = RosterRecord(
+            listOf(driver.ref("w1")),
+            epoch = 1,
+            leasesLeft = mapOf("w1" to 0L),
+            incarnations = mapOf("w1" to 1L)
+        )
+        val next = inherit(roster, driver.now)
+        expectThat(leaseEnd(next)).isEqualTo(driver.now)
+        val entry = next.listing("w1").copy(startedUnixMillis = 2)
+        next.scheduler.onWorkerListed(entry, next.now)
+        expectThat(leaseEnd(next)).isEqualTo(next.now + longestMillis)
+        next.step(SETTLE_STEPS * STEP_MILLIS)
+        next.scheduler.onWorkerListed(entry.copy(revision = 1), next.now)
+        expectThat(leaseEnd(next)).isLessThan(next.now + longestMillis)
+    }
+
     @Test
     fun `writes and reads stray leases and incarnations`() {
         val record = RosterRecord(
@@ -162,7 +181,7 @@
         const val LONGEST_LEASE_MILLIS = 10_000L
 
         /** The length of a driver's step. */
-        const val STEP_MILLIS = 50
+        const val STEP_MILLIS = 50L
 
         /** Enough for an introduction, and for records to become due. */
         const val SETTLE_STEPS = 12
