--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
@@ -45,6 +45,9 @@
         inheritedStartUnixMillis != null &&
         listing.startedUnixMillis != inheritedStartUnixMillis
 
+    /** Whether the worker has restarted and the new incarnation has not been introduced yet. */
+    var isIntroductionDue = false
+
     /** Whether no durable roster tells of the leases of the present incarnation. */
     var isRestartUnrecorded = false
 
@@ -217,7 +220,7 @@
      * that was formed when the clock was known comes after all stray leases.
      */
     fun recordAnswer(clockMillis: Long, receivedMillis: Long) {
-        if (isIntroduced || !isRestartUnrecorded) lease.recordClock(clockMillis, receivedMillis)
+        if (isIntroduced || !isIntroductionDue) lease.recordClock(clockMillis, receivedMillis)
         recordContact()
     }
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
@@ -201,7 +201,7 @@
         if (!worker.isReconciled || worker.contactFailures == 0) fleet.isPlacementDue = true
         if (!worker.isReconciled) onFenced(worker, nowMillis)
         worker.isReconciled = true
-        if (worker.isRestartUnrecorded && worker.isIntroduced) onIntroduced(worker, nowMillis)
+        if (worker.isIntroductionDue && worker.isIntroduced) onIntroduced(worker, nowMillis)
         worker.nextPollMillis = nowMillis
         val previousEnd = worker.seenEnd
         report.ended.filter { it.number > previousEnd }.sortedBy { it.number }.forEach {
@@ -220,8 +220,11 @@
         // Orders that may start runs or grant leases are sent to introduced incarnations only.
         if (worker.isIntroduced) fleet.fencingTokens.fenceEarlierOrders(worker)
         worker.resetAfterRestart()
-        worker.isRestartUnrecorded = true
-        if (!fleet.settings.doHeartbeatsBoundStrayLeases) worker.isInRoster = false
+        worker.isIntroductionDue = true
+        if (!fleet.settings.doHeartbeatsBoundStrayLeases) {
+            worker.isRestartUnrecorded = true
+            worker.isInRoster = false
+        }
         worker.lease.recordStray(fleet.settings.strayLapsedBy(nowMillis))
         // An idle worker would not be told the token before the next start.
         worker.isReportDue = true
@@ -257,16 +260,16 @@
      * which rejects them from now on. The next owner has to know of it before anything starts here.
      */
     private fun onIntroduced(worker: FleetWorker, nowMillis: Long) {
+        worker.isIntroductionDue = false
         worker.lease.recordStray(fleet.settings.strayLapsedBy(nowMillis))
-        val isRosterDue = !fleet.settings.doHeartbeatsBoundStrayLeases
-        if (isRosterDue) recorder.markRosterChanged() else worker.isRestartUnrecorded = false
+        if (worker.isRestartUnrecorded) recorder.markRosterChanged()
         fleet.log(
             "worker-introduced",
             worker.id,
             "startedUnixMillis" to worker.startedUnixMillis,
             "token" to worker.fencingToken,
             "leaseLeftMillis" to worker.lease.remainingMillis(nowMillis),
-            "isRosterDue" to isRosterDue
+            "isRosterDue" to worker.isRestartUnrecorded
         )
     }
 
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/StrayLeaseTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/StrayLeaseTest.kt
@@ -62,6 +62,8 @@
         driver.step()
         driver.polls.forEach { driver.report(it, started = 2) }
         val roster = settleUntilRoster()
+        settle(driver, started = 2)
+        expectThat(driver.records).isEmpty()
         expectThat(roster.leasesLeft.stray["w1"]).isNotNull()
             .isGreaterThanOrEqualTo(longestMillis - SETTLE_STEPS * STEP_MILLIS)
         expectThat(roster.incarnations["w1"]).isEqualTo(2)
@@ -148,7 +150,7 @@
 
     // Guards against an owner that is lost before its roster tells of a restart (TWICE).
     @Test
-    fun `a successor counts on stray leases of a worker whose entry tells of a later incarnation`() {
+    fun `a successor counts on stray leases where an entry tells of a later incarnation`() {
         val roster = RosterRecord(
             listOf(driver.ref("w1")),
             epoch = 1,
