--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/StartOrders.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/StartOrders.kt
@@ -2,8 +2,9 @@
  * Orders the starts of placed tasks.
  *
  * A worker that has restarted unnoticed carries out a start with a lease by another clock than its
- * own, which lasts as long as the worker accepts. Where a successor waits for less, a start is sent
- * only if the worker has just reported, and waits for a report otherwise.
+ * own, which lasts as long as the worker accepts. Where a successor waits for less, or counts from a
+ * heartbeat that is older than usual, a start is sent only if the worker has just reported, and
+ * waits for a report otherwise.
  */
 package sycamoremast.coordination.workflow
 
@@ -15,7 +16,7 @@
     /** Orders the start of [placement] now or as soon as its worker has reported. */
     fun order(placement: Placement, nowMillis: Long) {
         val worker = placement.worker
-        if (fleet.settings.doHeartbeatsBoundStrayLeases || worker.isIncarnationKnown(nowMillis)) {
+        if (fleet.areStrayLeasesBounded(nowMillis) || worker.isIncarnationKnown(nowMillis)) {
             send(placement, nowMillis)
         } else {
             awaiting += AwaitingStart(placement, nowMillis)
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/StrayLeaseTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/StrayLeaseTest.kt
@@ -148,6 +148,21 @@
         expectThat(leaseEnd(unknown)).isEqualTo(unknown.now + longestMillis)
     }
 
+    // Guards against a stray lease that outlasts what a successor counts from an old heartbeat (TWICE).
+    @Test
+    fun `starts nothing by an old report while the last heartbeat is old`() {
+        val driver = SchedulerDriver()
+        driver.listWorkers("w1")
+        driver.areRecordsDurableAtOnce = false
+        repeat(OLD_HEARTBEAT_STEPS) { driver.step() }
+        driver.submit(driver.workflow())
+        driver.step()
+        expectThat(driver.starts).isEmpty()
+        driver.polls.forEach { driver.report(it) }
+        driver.step()
+        expectThat(driver.starts.single().worker.id).isEqualTo("w1")
+    }
+
     // Guards against an owner that is lost before its roster tells of a restart (TWICE).
     @Test
     fun `a successor counts on stray leases where an entry tells of a later incarnation`() {
@@ -185,6 +200,9 @@
         /** The length of a driver's step. */
         const val STEP_MILLIS = 50L
 
+        /** Longer than the interval of heartbeats and the time that a record usually takes. */
+        const val OLD_HEARTBEAT_STEPS = 20
+
         /** Enough for an introduction, and for records to become due. */
         const val SETTLE_STEPS = 12
         val HEARTBEAT = RecordVersion(1, 7)
