--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
@@ -226,6 +226,15 @@
             .toMap()
     }
 
+    /** Returns how long leases by stray orders may last, by worker ID, where the next owner needs it. */
+    fun strayLeasesLeft(nowMillis: Long): Map<String, Long> =
+        if (settings.doHeartbeatsBoundStrayLeases) {
+            emptyMap()
+        } else {
+            byId.values.filter { it.lease.strayLapsedByMillis > nowMillis }
+                .associate { it.id to it.lease.strayLapsedByMillis - nowMillis }
+        }
+
     /** Keeps of [workflow] no more than its end if that is durable and none of its runs is left. */
     fun retireIfEnded(workflow: OpenWorkflow) {
         if (!workflow.durablePhase.isFinal || workflow.placedCount > 0) return
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/LeaseLimiter.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/LeaseLimiter.kt
@@ -45,18 +45,10 @@
         return LeasesLeft(
             silent.associate { it.id to it.lease.remainingMillis(nowMillis) },
             draining.associate { it.id to maxOf(it.lease.remainingMillis(nowMillis), shortest) },
-            strayLeasesLeft(nowMillis)
+            fleet.strayLeasesLeft(nowMillis)
         )
     }
 
-    private fun strayLeasesLeft(nowMillis: Long): Map<String, Long> =
-        if (fleet.settings.doHeartbeatsBoundStrayLeases) {
-            emptyMap()
-        } else {
-            fleet.workers.values.filter { it.lease.strayLapsedByMillis > nowMillis }
-                .associate { it.id to it.lease.strayLapsedByMillis - nowMillis }
-        }
-
     /** Gives up the limits that the roster formed last, which is durable now, doesn't contain. */
     fun onRecorded() {
         fleet.leaseLimits = fleet.leaseLimits.recorded(formed)
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkflowScheduler.kt
@@ -268,7 +268,7 @@
             progress = emptyMap(),
             roster = workers?.map { it.ref },
             waiting = null,
-            leasesLeft = LeasesLeft(left),
+            leasesLeft = LeasesLeft(left, stray = fleet.strayLeasesLeft(nowMillis)),
             interference = tails.record(unixMillis),
             recordsPlaces = fleet.arePlacesRecorded,
             lastAnnounced = standbys.lastNumber,
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/StrayLeaseTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/StrayLeaseTest.kt
@@ -130,6 +130,25 @@
         expectThat(handover.incarnations["w1"]).isEqualTo(2)
     }
 
+    // Guards against a planned successor that waits too short a time for a restarted worker (TWICE).
+    @Test
+    fun `a successor after a planned handover waits for stray leases`() {
+        driver.scheduler.onWorkersListed(listOf(driver.listing("w1")), driver.now)
+        settle(driver)
+        driver.submit(driver.workflow())
+        driver.step()
+        driver.polls.forEach { driver.report(it, started = 2) }
+        driver.step()
+        driver.polls.forEach { driver.report(it, started = 2) }
+        val introducedMillis = driver.now
+        driver.step()
+        val handover = driver.scheduler.handoverBatch(driver.now, driver.now)
+        val next = inherit(checkNotNull(handover.rosterRecordOrNull(HEARTBEAT, "")), driver.now)
+        next.step()
+        next.polls.forEach { next.report(it, started = 2) }
+        expectThat(leaseEnd(next)).isGreaterThanOrEqualTo(introducedMillis + longestMillis)
+    }
+
     // Guards against stray orders of earlier owners to an incarnation that none of them knew (TWICE).
     @Test
     fun `a successor counts on the longest lease of an incarnation that is not in the roster`() {
