--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
@@ -209,6 +209,7 @@
         contactFailures == 0 &&
         isIntroduced &&
         !isIncarnationInDoubt &&
+        !isListingOutdated &&
         unknownRuns.isEmpty() &&
         trial == null &&
         nowMillis >= noStartsBeforeMillis
@@ -307,6 +308,10 @@
         return listing.startedUnixMillis?.let { it > reported } ?: false
     }
 
+    /** Whether another incarnation than the present one wrote the entry: its kind may differ. */
+    private val isListingOutdated: Boolean
+        get() = isOtherIncarnation(listing.startedUnixMillis)
+
     /**
      * Records the start time of the reporting incarnation; returns whether the worker restarted.
      */
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/CapacityTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/CapacityTest.kt
@@ -142,6 +142,26 @@
         expectThat(starts).hasSize(1)
     }
 
+    // Guards against starts by the capacity and the labels of an incarnation that is gone.
+    @Test
+    fun `starts nothing on a worker whose entry is one of an earlier incarnation`() {
+        val entry = driver.listing("w1").copy(startedUnixMillis = 1)
+        scheduler.onWorkersListed(listOf(entry), driver.now)
+        driver.submit(driver.workflow("job", driver.taskStep(4)))
+        val starts = ArrayList<StartOrder>()
+        fun settle() = repeat(8) {
+            driver.step()
+            starts += driver.starts
+            driver.polls.forEach { driver.report(it, started = 2) }
+        }
+        settle()
+        expectThat(starts).isEmpty()
+        val next = entry.copy(startedUnixMillis = 2, capacity = Resources(1_000, 128_000))
+        scheduler.onWorkerListed(next, driver.now)
+        settle()
+        expectThat(starts).hasSize(1)
+    }
+
     // Guards against starts that a worker takes although its runs reserve more than its capacity.
     @Test
     fun `starts no task on idle CPU where runs reserve more than the capacity`() {
