--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
@@ -133,6 +133,10 @@
 
     /** When the last poll that failed was sent. */
     var failedPollMillis = Long.MIN_VALUE
+        private set
+
+    /** When a poll last failed that was sent after the failure before. */
+    private var pollFailureMillis = Long.MIN_VALUE
     var contactFailures = 0
         private set
     var noStartsBeforeMillis = Long.MIN_VALUE
@@ -255,6 +259,21 @@
         forgetIncarnation()
     }
 
+    /**
+     * Records that a poll sent at [sentMillis] has failed; returns whether that is a new failure.
+     *
+     * One fault may end two polls that are open at the same time.
+     */
+    fun recordPollFailure(sentMillis: Long, nowMillis: Long): Boolean {
+        failedPollMillis = maxOf(failedPollMillis, sentMillis)
+        val isNew = contactFailures == 0 || sentMillis > pollFailureMillis
+        if (isNew) {
+            pollFailureMillis = nowMillis
+            recordContactFailure()
+        }
+        return isNew
+    }
+
     /** Records that the worker may have restarted: acknowledgements must be sent again. */
     fun forgetIncarnation() {
         lastReportMillis = null
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
@@ -156,7 +156,6 @@
         isUnanswered: Boolean,
         nowMillis: Long
     ) {
-        worker.failedPollMillis = order.sentMillis
         if (worker.contactFailures == 0) {
             // Another incarnation may answer the next poll.
             if (worker.isIntroduced) fleet.fencingTokens.fenceEarlierOrders(worker)
@@ -168,8 +167,8 @@
                 "lapsedBy" to worker.lease.lapsedByMillis
             )
         }
-        worker.recordContactFailure()
-        if (isUnanswered) {
+        val isNew = worker.recordPollFailure(order.sentMillis, nowMillis)
+        if (isNew && isUnanswered) {
             val tookMillis = nowMillis - order.sentMillis - order.waitMillis
             crashes.onCallFailed(worker, tookMillis, nowMillis)
         }
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/IncarnationDoubtTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/IncarnationDoubtTest.kt
@@ -8,6 +8,7 @@
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isNotNull
 import strikt.assertions.isNull
+import strikt.assertions.none
 import sycamoremast.coordination.Resources
 
 /**
@@ -130,6 +131,22 @@
             .any { isEqualTo("run-vanished") }
     }
 
+    // Guards against a worker that counts as lost because one fault failed two polls at a time.
+    @Test
+    fun `takes polls that fail at the same time for one failure`() {
+        val first = runOnW1()
+        driver.submit(driver.workflow("next"))
+        driver.step()
+        val start = driver.starts.single()
+        scheduler.onStartAnswer(start, WorkerAnswer.Unknown("timeout"), driver.now)
+        driver.step()
+        val open = driver.polls.also { check(it.size == 2) }
+        open.forEach { driver.answer(it, WorkerAnswer.Unknown("relay disconnected")) }
+        val events = driver.step(1).filterIsInstance<SchedulerAction.Log>().map { it.event.name }
+        expectThat(events).none { isEqualTo("task-suspected") }
+        driver.report(driver.freshPoll("w1"), listOf(row(first), row(start)))
+    }
+
     private companion object {
         val LASTING = WorkflowStep(
             1,
