--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunMaintenance.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunMaintenance.kt
@@ -119,12 +119,11 @@
         val hasUnrecorded = worker.seenEnd > worker.recordedEnd
         if (hasUnrecorded && worker.isReconciled) {
             return worker.isLeaseWithheld ||
+                isIncarnationSought(worker) ||
                 nowMillis > worker.lastPollMillis + UNRECORDED_POLL_MILLIS
         }
         return !worker.isReconciled ||
-            !worker.isIntroduced ||
-            worker.isIncarnationInDoubt ||
-            worker.hasAwaitingStarts ||
+            isIncarnationSought(worker) ||
             worker.contactFailures > 0 ||
             worker.placements.isNotEmpty() ||
             worker.unknownRuns.isNotEmpty() ||
@@ -132,6 +131,11 @@
             !worker.lease.isClockKnown
     }
 
+    /** Whether starts or leases wait until the worker has shown which incarnation it is in. */
+    private fun isIncarnationSought(worker: FleetWorker): Boolean = !worker.isIntroduced ||
+        worker.isIncarnationInDoubt ||
+        worker.hasAwaitingStarts
+
     private fun poll(worker: FleetWorker, nowMillis: Long) {
         val leaseEnd = leases.endOrNull(worker, nowMillis)
         val isIncarnationKnown = worker.isIncarnationKnown(nowMillis)
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/IncarnationDoubtTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/IncarnationDoubtTest.kt
@@ -6,6 +6,7 @@
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isGreaterThan
+import strikt.assertions.isNotEmpty
 import strikt.assertions.isNotNull
 import strikt.assertions.isNull
 import strikt.assertions.none
@@ -147,6 +148,20 @@
         driver.report(driver.freshPoll("w1"), listOf(row(first), row(start)))
     }
 
+    // Guards against starts that wait for the record of ends although the worker would report.
+    @Test
+    fun `asks for the incarnation although ends wait to be recorded`() {
+        driver = SchedulerDriver(settings = SchedulerSettings.within(LONGEST_LEASE_MILLIS, 200))
+        val first = runOnW1()
+        driver.areRecordsDurableAtOnce = false
+        val end = EndedRow(1, first.task, first.run, RunEnd.FAILED, "")
+        driver.polls.forEach { driver.report(it, ended = listOf(end)) }
+        driver.step(OLD_REPORT_MILLIS)
+        driver.submit(driver.workflow("next"))
+        driver.step()
+        expectThat(driver.polls).isNotEmpty()
+    }
+
     private companion object {
         val LASTING = WorkflowStep(
             1,
