--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
@@ -194,13 +194,14 @@
         } else {
             crashes.onAnswered(worker)
         }
+        val wasIntroduced = worker.isIntroduced
         worker.recordToken(order.fencingToken)
         worker.recordReport(order.sentMillis, nowMillis)
         worker.recordAnswer(report.clockMillis, report.receivedMillis)
         if (!worker.isReconciled || worker.contactFailures == 0) fleet.isPlacementDue = true
         if (!worker.isReconciled) onFenced(worker, nowMillis)
         worker.isReconciled = true
-        if (worker.isIntroductionDue && worker.isIntroduced) onIntroduced(worker, nowMillis)
+        if (worker.isIntroduced && !wasIntroduced) onIntroduced(worker, nowMillis)
         worker.nextPollMillis = nowMillis
         val previousEnd = worker.seenEnd
         report.ended.filter { it.number > previousEnd }.sortedBy { it.number }.forEach {
@@ -259,6 +260,8 @@
      * which rejects them from now on. The next owner has to know of it before anything starts here.
      */
     private fun onIntroduced(worker: FleetWorker, nowMillis: Long) {
+        // A roster that was formed while the incarnation was in doubt doesn't tell of it.
+        if (!worker.isIntroductionDue && !worker.isRestartUnrecorded) return
         worker.isIntroductionDue = false
         worker.lease.recordStray(fleet.settings.strayLapsedBy(nowMillis))
         if (worker.isRestartUnrecorded) recorder.markRosterChanged()
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/StrayLeaseTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/StrayLeaseTest.kt
@@ -149,6 +149,26 @@
         expectThat(leaseEnd(next)).isGreaterThanOrEqualTo(introducedMillis + longestMillis)
     }
 
+    // Guards against a restarted worker that gets no starts until the roster changes for another reason.
+    @Test
+    fun `records a roster for an incarnation that was in doubt when the last one was formed`() {
+        driver.scheduler.onWorkersListed(listOf(driver.listing("w1")), driver.now)
+        settle(driver)
+        driver.submit(driver.workflow())
+        driver.step()
+        driver.polls.forEach { driver.report(it, started = 2) }
+        driver.step()
+        val introduction = driver.polls.single().also { driver.report(it, started = 2) }
+        val failed = introduction.copy(sentMillis = driver.now - 1)
+        driver.answer(failed, WorkerAnswer.Unknown("timeout"))
+        repeat(2 * SETTLE_STEPS) {
+            driver.step()
+            if (driver.starts.isNotEmpty()) return
+            driver.polls.forEach { driver.report(it, started = 2) }
+        }
+        error("nothing starts")
+    }
+
     // Guards against stray orders of earlier owners to an incarnation that none of them knew (TWICE).
     @Test
     fun `a successor counts on the longest lease of an incarnation that is not in the roster`() {
