--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
@@ -415,17 +415,17 @@
         servingMilliCpus += sign * spec.demand.milliCpus
     }
 
-    private companion object {
+    companion object {
         /** Assumed to be too short for a restart followed by a complete run. */
         const val INCARNATION_PROOF_MILLIS = 200L
 
         /** Several times as long as a trial usually takes. */
-        const val SETTLED_MILLIS = 3_000L
+        private const val SETTLED_MILLIS = 3_000L
 
         /** A single call fails now and then. */
-        const val SILENT_FAILURES = 2
+        private const val SILENT_FAILURES = 2
 
         /** Longer than the time that any reading covers. */
-        const val DEPARTURE_RETENTION_MILLIS = 1_000L
+        private const val DEPARTURE_RETENTION_MILLIS = 1_000L
     }
 }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placement.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placement.kt
@@ -44,7 +44,10 @@
     var paceChangedMillis = Long.MIN_VALUE / 2
         private set
 
-    /** Whether its start may have reached an incarnation of the worker that has not reported yet. */
+    /** When its start was sent, or the run was placed if it has not been. */
+    var sentMillis = startedMillis
+
+    /** Whether the worker may have restarted unnoticed when the start was sent. */
     var mayBeStray = !worker.isIncarnationKnown(startedMillis)
 
     /** Whether the run has not been shown running for long enough to be harmless. */
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
@@ -17,7 +17,7 @@
         val placement = findPlacementOrNull(order.task, order.worker, order.run) ?: return
         when (answer) {
             is WorkerAnswer.Done -> {
-                recordStrayLease(placement, nowMillis)
+                if (mayBeStray(placement, nowMillis)) suspectStrayLease(placement, nowMillis)
                 answer.clockMillis?.let {
                     placement.worker.recordContact()
                     placement.recordSeen(it)
@@ -36,7 +36,7 @@
                     "worker" to order.worker.id,
                     "reason" to answer.reason
                 )
-                recordStrayLease(placement, nowMillis)
+                suspectStrayLease(placement, nowMillis)
                 placement.transition(PlacementEvent.ANSWER_LOST, nowMillis)
                 placement.worker.forgetIncarnation()
                 placement.worker.nextPollMillis = nowMillis
@@ -46,11 +46,14 @@
         }
     }
 
+    /** Whether a start that was answered now may have been carried out after a restart. */
+    private fun mayBeStray(placement: Placement, nowMillis: Long): Boolean =
+        placement.mayBeStray ||
+            nowMillis > placement.sentMillis + FleetWorker.INCARNATION_PROOF_MILLIS
+
     /** Records the lease that a start grants if the worker had restarted unnoticed. */
-    private fun recordStrayLease(placement: Placement, nowMillis: Long) {
-        if (!placement.mayBeStray) return
-        placement.worker.lease.recordStray(fleet.settings.strayLapsedBy(nowMillis))
-    }
+    private fun suspectStrayLease(placement: Placement, nowMillis: Long) = placement.worker.lease
+        .suspectStray(fleet.settings.strayLapsedBy(nowMillis), nowMillis)
 
     private fun onStartRejected(
         placement: Placement,
@@ -195,6 +198,7 @@
             crashes.onAnswered(worker)
         }
         val wasIntroduced = worker.isIntroduced
+        worker.lease.clearSuspicion(order.sentMillis)
         worker.recordToken(order.fencingToken)
         worker.recordReport(order.sentMillis, nowMillis)
         worker.recordAnswer(report.clockMillis, report.receivedMillis)
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/StartOrders.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/StartOrders.kt
@@ -75,6 +75,7 @@
         val leaseEnd = checkNotNull(fleet.leaseEndOrNull(worker, nowMillis)) {
             "no lease can be granted to a worker with a placement: ${worker.id}"
         }
+        placement.sentMillis = nowMillis
         placement.mayBeStray = !worker.isIncarnationKnown(nowMillis)
         worker.lease.record(fleet.settings.lapsedBy(nowMillis))
         fleet.orderedStarts++
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerLease.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerLease.kt
@@ -20,16 +20,25 @@
     /** Whether a durable heartbeat was formed when the clock of this incarnation was known. */
     val isClockDurable: Boolean get() = durableOffsetMillis != null
 
+    private var recordedLapsedByMillis = Long.MIN_VALUE
+
+    /**
+     * The time by which leases have lapsed that starts have granted if the worker had restarted
+     * unnoticed by [suspectedMillis].
+     */
+    private var suspectedLapsedByMillis = Long.MIN_VALUE
+    private var suspectedMillis = Long.MIN_VALUE
+
     /** The time by which the last lease granted to the worker has certainly lapsed. */
-    var lapsedByMillis = Long.MIN_VALUE
-        private set
+    val lapsedByMillis: Long get() = maxOf(recordedLapsedByMillis, suspectedLapsedByMillis)
 
     /** Whether any owner may have granted a lease. */
     val isRecorded: Boolean get() = lapsedByMillis > Long.MIN_VALUE
 
+    private var recordedStrayMillis = Long.MIN_VALUE
+
     /** The time by which leases have certainly lapsed that stray orders may have granted. */
-    var strayLapsedByMillis = Long.MIN_VALUE
-        private set
+    val strayLapsedByMillis: Long get() = maxOf(recordedStrayMillis, suspectedLapsedByMillis)
 
     /** Whether the offset of the worker's clock is known, without which no lease can be granted. */
     val isClockKnown: Boolean get() = clockOffsetMillis != null
@@ -115,21 +124,36 @@
 
     /** Records a lease that has lapsed by [lapsedBy]. */
     fun record(lapsedBy: Long) {
-        lapsedByMillis = maxOf(lapsedByMillis, lapsedBy)
+        recordedLapsedByMillis = maxOf(recordedLapsedByMillis, lapsedBy)
     }
 
     /** Records that stray orders may have granted leases, which have lapsed by [lapsedBy]. */
     fun recordStray(lapsedBy: Long) {
-        strayLapsedByMillis = maxOf(strayLapsedByMillis, lapsedBy)
+        recordedStrayMillis = maxOf(recordedStrayMillis, lapsedBy)
         record(lapsedBy)
     }
 
+    /**
+     * Records that a start may have granted a lease to an incarnation that nobody knows by [nowMillis],
+     * which has lapsed by [lapsedBy].
+     */
+    fun suspectStray(lapsedBy: Long, nowMillis: Long) {
+        suspectedLapsedByMillis = maxOf(suspectedLapsedByMillis, lapsedBy)
+        suspectedMillis = nowMillis
+    }
+
+    /** Records a report to a poll sent at [polledMillis], which shows a restart if there was one. */
+    fun clearSuspicion(polledMillis: Long) {
+        if (polledMillis > suspectedMillis) suspectedLapsedByMillis = Long.MIN_VALUE
+    }
+
     /**
      * Records the first answer to this owner, from which on the worker rejects orders of earlier
      * ones: their leases have lapsed by [lapsedBy], unless stray orders have granted longer ones.
      */
     fun recordFenced(lapsedBy: Long) {
-        lapsedByMillis = minOf(lapsedByMillis, maxOf(lapsedBy, strayLapsedByMillis))
+        recordedLapsedByMillis =
+            minOf(recordedLapsedByMillis, maxOf(lapsedBy, strayLapsedByMillis))
     }
 
     /**
@@ -137,13 +161,13 @@
      * stray orders may have granted leases, and no lease lasts longer than these, until [lapsedBy].
      */
     fun recordStrayFenced(lapsedBy: Long) {
-        strayLapsedByMillis = lapsedBy
-        lapsedByMillis = lapsedBy
+        recordedStrayMillis = lapsedBy
+        recordedLapsedByMillis = lapsedBy
     }
 
     /** Records that an inherited lease has lapsed by [lapsedBy], if that is sooner than known. */
     fun limitInherited(lapsedBy: Long) {
-        lapsedByMillis = minOf(lapsedByMillis, lapsedBy)
+        recordedLapsedByMillis = minOf(recordedLapsedByMillis, lapsedBy)
     }
 
     /** Returns the longest time that the last lease may still be valid. */
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/StrayLeaseTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/StrayLeaseTest.kt
@@ -169,6 +169,35 @@
         error("nothing starts")
     }
 
+    /** Lists w1 and lets [millis] pass after a start was sent there. */
+    private fun leaveStartUnanswered(millis: Long): StartOrder {
+        driver.scheduler.onWorkersListed(listOf(driver.listing("w1")), driver.now)
+        settle(driver)
+        driver.submit(driver.workflow())
+        driver.step()
+        driver.polls.forEach { driver.report(it) }
+        driver.step()
+        return driver.starts.single().also { driver.step(millis) }
+    }
+
+    // Guards against an owner that takes a lease for lapsed which a start granted after a restart (TWICE).
+    @Test
+    fun `counts on the longest lease after a start without an answer until the worker reports`() {
+        val start = leaveStartUnanswered(TIMEOUT_MILLIS)
+        driver.scheduler.onStartAnswer(start, WorkerAnswer.Unknown("timeout"), driver.now)
+        expectThat(leaseEnd(driver)).isGreaterThanOrEqualTo(driver.now + longestMillis)
+        driver.report(driver.freshPoll("w1"))
+        expectThat(leaseEnd(driver)).isLessThan(driver.now + longestMillis - TIMEOUT_MILLIS)
+    }
+
+    // Guards against an owner that takes a lease for lapsed which a start granted after a restart (TWICE).
+    @Test
+    fun `counts on the longest lease after an answer that took as long as a restart may`() {
+        val start = leaveStartUnanswered(TIMEOUT_MILLIS / 2)
+        driver.confirmStart(start)
+        expectThat(leaseEnd(driver)).isGreaterThanOrEqualTo(driver.now + longestMillis)
+    }
+
     // Guards against stray orders of earlier owners to an incarnation that none of them knew (TWICE).
     @Test
     fun `a successor counts on the longest lease of an incarnation that is not in the roster`() {
@@ -236,6 +265,9 @@
         /** The longest lease that workers accept, longer than any that an owner grants. */
         const val LONGEST_LEASE_MILLIS = 10_000L
 
+        /** How long a start takes that gets no answer. */
+        const val TIMEOUT_MILLIS = 600L
+
         /** The length of a driver's step. */
         const val STEP_MILLIS = 50L
 
