--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Fleet.kt
@@ -208,33 +208,6 @@
         else -> true
     }
 
-    /** Whether a successor also waits for a stray lease that a worker accepts about now. */
-    fun areStrayLeasesBounded(nowMillis: Long): Boolean {
-        val heartbeatMillis = leaseHorizon.knownMillis - settings.leaseHorizonMillis
-        return settings.doHeartbeatsBoundStrayLeases &&
-            nowMillis - heartbeatMillis <= USUAL_HEARTBEAT_AGE_MILLIS
-    }
-
-    /**
-     * Returns the start times of the incarnations that reject stray orders, by worker ID, where the
-     * next owner needs them: elsewhere heartbeats bound the leases of all.
-     */
-    fun recordedIncarnations(): Map<String, Long> = if (settings.doHeartbeatsBoundStrayLeases) {
-        emptyMap()
-    } else {
-        byId.values.mapNotNull { worker -> worker.recordedStartUnixMillis?.let { worker.id to it } }
-            .toMap()
-    }
-
-    /** Returns how long leases by stray orders may last, by worker ID, where the next owner needs it. */
-    fun strayLeasesLeft(nowMillis: Long): Map<String, Long> =
-        if (settings.doHeartbeatsBoundStrayLeases) {
-            emptyMap()
-        } else {
-            byId.values.filter { it.lease.strayLapsedByMillis > nowMillis }
-                .associate { it.id to it.lease.strayLapsedByMillis - nowMillis }
-        }
-
     /** Keeps of [workflow] no more than its end if that is durable and none of its runs is left. */
     fun retireIfEnded(workflow: OpenWorkflow) {
         if (!workflow.durablePhase.isFinal || workflow.placedCount > 0) return
@@ -302,9 +275,6 @@
         /** The size of the range of run numbers that each epoch has for a task. */
         const val RUNS_PER_EPOCH = 1_000L
 
-        /** The interval of heartbeats and the time until one is durable. */
-        const val USUAL_HEARTBEAT_AGE_MILLIS = SchedulerSettings.HEARTBEAT_INTERVAL_MILLIS + 300
-
         /** A shorter lease would lapse before the poll that extends it. */
         const val SHORTEST_FIRST_LEASE_MILLIS = 1_000L
     }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
@@ -23,27 +23,12 @@
     /** What orders carry so that the worker rejects those of earlier owners and incarnations. */
     var fencingToken = 0L
 
-    /** Whether an earlier owner has introduced the incarnation that reported last. */
-    val isInheritedIncarnation: Boolean
-        get() = startedUnixMillis != null && startedUnixMillis == inheritedStartUnixMillis
+    /** Which incarnation answers, as far as this owner knows. */
+    val incarnation = WorkerIncarnation()
 
     /** When the incarnation started that rejects stray orders, or null if that is unknown. */
-    val introducedStartUnixMillis: Long? get() = startedUnixMillis.takeIf { isIntroduced }
-
-    /** The same, or that of an earlier owner if the worker has not answered this one. */
-    val recordedStartUnixMillis: Long?
-        get() = if (startedUnixMillis ==
-            null
-        ) {
-            inheritedStartUnixMillis
-        } else {
-            introducedStartUnixMillis
-        }
-
-    /** Whether [listing] is one of another incarnation than the last owner introduced. */
-    fun isUnknownIncarnation(listing: WorkerListing): Boolean = listing.startedUnixMillis != null &&
-        inheritedStartUnixMillis != null &&
-        listing.startedUnixMillis != inheritedStartUnixMillis
+    val introducedStartUnixMillis: Long?
+        get() = incarnation.startedUnixMillis.takeIf { isIntroduced }
 
     /** Whether the worker has restarted and the new incarnation has not been introduced yet. */
     var isIntroductionDue = false
@@ -54,21 +39,11 @@
     /** Whether the durable roster names this worker; otherwise no task starts on it. */
     var isInRoster = false
 
-    /** The token of the last order that this incarnation has answered by a report. */
-    private var introducedToken = Long.MIN_VALUE
-
     /**
      * Whether this incarnation has answered a poll with the present token, so that it rejects the
      * orders that were sent to earlier ones.
      */
-    val isIntroduced: Boolean get() = introducedToken == fencingToken
-
-    /** When the incarnation started that an earlier owner introduced, or null if that is unknown. */
-    var inheritedStartUnixMillis: Long? = null
-
-    /** When the incarnation started that reported last, or null if it has not told. */
-    var startedUnixMillis: Long? = null
-        private set
+    val isIntroduced: Boolean get() = incarnation.acceptedToken == fencingToken
 
     /**
      * Records that a durable roster names the worker, with the start of the incarnation that was
@@ -76,7 +51,7 @@
      */
     fun onRosterDurable(startedMillis: Long?) {
         if (isRestartUnrecorded) {
-            if (startedMillis == null || startedMillis != startedUnixMillis) return
+            if (startedMillis == null || startedMillis != incarnation.startedUnixMillis) return
             isRestartUnrecorded = false
         }
         isInRoster = true
@@ -91,9 +66,6 @@
     /** Whether another incarnation answers at its address or its lease has certainly lapsed. */
     var isLost = false
 
-    /** When the last report was processed, or null if a call has failed since. */
-    private var lastReportMillis: Long? = null
-
     /** When the last poll was sent that this incarnation has answered, or null if there is none. */
     var acceptedMillis: Long? = null
         private set
@@ -212,7 +184,7 @@
         lease.isClockKnown &&
         contactFailures == 0 &&
         isIntroduced &&
-        !isIncarnationInDoubt &&
+        !incarnation.isInDoubt &&
         !isListingOutdated &&
         unknownRuns.isEmpty() &&
         trial == null &&
@@ -276,74 +248,32 @@
 
     /** Records that the worker may have restarted: acknowledgements must be sent again. */
     fun forgetIncarnation() {
-        lastReportMillis = null
+        incarnation.doubt()
         acknowledgedEnd = 0
     }
 
-    /** Whether a call has failed since the last report, so that the worker may have restarted. */
-    val isIncarnationInDoubt: Boolean get() = lastReportMillis == null
-
-    /** Records that this incarnation rejects orders with lower tokens than [token]. */
-    fun recordToken(token: Long) {
-        introducedToken = maxOf(introducedToken, token)
-    }
-
     /** Records a report that was processed at [nowMillis] and answers a poll sent at [sentMillis]. */
     fun recordReport(sentMillis: Long, nowMillis: Long) {
-        lastReportMillis = nowMillis
+        incarnation.recordReport(nowMillis)
         acceptedMillis = maxOf(sentMillis, acceptedMillis ?: sentMillis)
         if (upSinceMillis == null) upSinceMillis = nowMillis
     }
 
-    /**
-     * Whether the worker is certainly still in the incarnation of its last report.
-     *
-     * A worker that restarts under its ID numbers the ends of its runs from 1 again. If an end of
-     * the earlier incarnation were acknowledged to it, it would discard ends that the owner has not
-     * read. A restart during a poll makes the poll fail, so a restart goes unnoticed only between a
-     * report and the next poll.
-     */
-    fun isIncarnationKnown(nowMillis: Long): Boolean =
-        lastReportMillis?.let { nowMillis - it <= INCARNATION_PROOF_MILLIS } ?: false
-
-    /** Returns how long ago the last report was processed, or null if a call has failed since. */
-    fun sinceReportMillisOrNull(nowMillis: Long): Long? = lastReportMillis?.let { nowMillis - it }
-
     /** Whether it has been up for a while, so that it is not one that crashes by itself. */
     fun isSettled(nowMillis: Long): Boolean =
         upSinceMillis?.let { nowMillis - it >= SETTLED_MILLIS } ?: false
 
     /** Whether a report has just come, or a poll is open that would fail if the worker crashed. */
     fun isCertainlyUp(nowMillis: Long): Boolean = contactFailures == 0 &&
-        ((isPolling && lastReportMillis != null) || isIncarnationKnown(nowMillis))
-
-    /** Whether [startedMillis] shows another incarnation than that of the last report. */
-    fun isOtherIncarnation(startedMillis: Long?): Boolean =
-        startedMillis != null && startedUnixMillis != null && startedMillis != startedUnixMillis
-
-    /** Whether [listing] was written by a later incarnation than the one that reported last. */
-    fun isBefore(listing: WorkerListing): Boolean {
-        val reported = startedUnixMillis ?: return false
-        return listing.startedUnixMillis?.let { it > reported } ?: false
-    }
+        ((isPolling && !incarnation.isInDoubt) || incarnation.isKnown(nowMillis))
 
     /** Whether another incarnation than the present one wrote the entry: its kind may differ. */
     private val isListingOutdated: Boolean
-        get() = isOtherIncarnation(listing.startedUnixMillis)
-
-    /**
-     * Records the start time of the reporting incarnation; returns whether the worker restarted.
-     */
-    fun updateStartTime(startedMillis: Long?): Boolean {
-        val isOther = isOtherIncarnation(startedMillis)
-        if (startedMillis != null) startedUnixMillis = startedMillis
-        return isOther
-    }
+        get() = incarnation.isOther(listing.startedUnixMillis)
 
     /** Resets the end numbers, which a restarted worker counts from 1 again. */
     fun resetAfterRestart() {
         lease.forgetClock()
-        introducedToken = Long.MIN_VALUE
         acceptedMillis = null
         upSinceMillis = null
         seenEnd = 0
@@ -415,17 +345,14 @@
         servingMilliCpus += sign * spec.demand.milliCpus
     }
 
-    companion object {
-        /** Assumed to be too short for a restart followed by a complete run. */
-        const val INCARNATION_PROOF_MILLIS = 200L
-
+    private companion object {
         /** Several times as long as a trial usually takes. */
-        private const val SETTLED_MILLIS = 3_000L
+        const val SETTLED_MILLIS = 3_000L
 
         /** A single call fails now and then. */
-        private const val SILENT_FAILURES = 2
+        const val SILENT_FAILURES = 2
 
         /** Longer than the time that any reading covers. */
-        private const val DEPARTURE_RETENTION_MILLIS = 1_000L
+        const val DEPARTURE_RETENTION_MILLIS = 1_000L
     }
 }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/LeaseGrants.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/LeaseGrants.kt
@@ -31,7 +31,7 @@
         worker.contactFailures > 0 -> LeaseObstacle.UNREACHABLE
         !worker.lease.isClockKnown -> LeaseObstacle.CLOCK_UNKNOWN
         !worker.isIntroduced -> LeaseObstacle.INCARNATION_UNKNOWN
-        !worker.isIncarnationKnown(nowMillis) -> LeaseObstacle.INCARNATION_UNKNOWN
+        !worker.incarnation.isKnown(nowMillis) -> LeaseObstacle.INCARNATION_UNKNOWN
         !fleet.isRosterDurable -> LeaseObstacle.NO_DURABLE_ROSTER
         !worker.lease.isClockDurable -> LeaseObstacle.NO_HEARTBEAT
         !fleet.mayGrantLease(worker) -> LeaseObstacle.LIMITED_IN_ROSTER
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placement.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placement.kt
@@ -48,7 +48,7 @@
     var sentMillis = startedMillis
 
     /** Whether the worker may have restarted unnoticed when the start was sent. */
-    var mayBeStray = !worker.isIncarnationKnown(startedMillis)
+    var mayBeStray = !worker.incarnation.isKnown(startedMillis)
 
     /** Whether the run has not been shown running for long enough to be harmless. */
     var isExposed = true
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunMaintenance.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunMaintenance.kt
@@ -95,8 +95,8 @@
         worker.isPollWaiting &&
             worker.introductionSentMillis == null &&
             (
-                worker.isIncarnationInDoubt ||
-                    (worker.hasAwaitingStarts && !worker.isIncarnationKnown(nowMillis))
+                worker.incarnation.isInDoubt ||
+                    (worker.hasAwaitingStarts && !worker.incarnation.isKnown(nowMillis))
                 )
 
     private fun introduce(worker: FleetWorker, nowMillis: Long) {
@@ -133,21 +133,15 @@
 
     /** Whether starts or leases wait until the worker has shown which incarnation it is in. */
     private fun isIncarnationSought(worker: FleetWorker): Boolean = !worker.isIntroduced ||
-        worker.isIncarnationInDoubt ||
+        worker.incarnation.isInDoubt ||
         worker.hasAwaitingStarts
 
     private fun poll(worker: FleetWorker, nowMillis: Long) {
         val leaseEnd = leases.endOrNull(worker, nowMillis)
-        val isIncarnationKnown = worker.isIncarnationKnown(nowMillis)
+        val isIncarnationKnown = worker.incarnation.isKnown(nowMillis)
         val acknowledges = isIncarnationKnown && worker.recordedEnd > worker.acknowledgedEnd
         // A poll that waits in the worker's next incarnation would acknowledge ends as they come.
-        val mayWait = worker.isReconciled &&
-            isIncarnationKnown &&
-            !acknowledges &&
-            worker.contactFailures == 0 &&
-            worker.placements.isNotEmpty() &&
-            worker.seenEnd == worker.recordedEnd &&
-            worker.placements.values.none { it.needsImmediateReport }
+        val mayWait = isIncarnationKnown && !acknowledges && mayWait(worker)
         worker.isPolling = true
         worker.isPollWaiting = mayWait
         worker.isLeaseWithheld = leaseEnd == null &&
@@ -171,6 +165,12 @@
         )
     }
 
+    private fun mayWait(worker: FleetWorker): Boolean = worker.isReconciled &&
+        worker.contactFailures == 0 &&
+        worker.placements.isNotEmpty() &&
+        worker.seenEnd == worker.recordedEnd &&
+        worker.placements.values.none { it.needsImmediateReport }
+
     private fun maxWaitMillis(worker: FleetWorker, nowMillis: Long): Long {
         val usualMillis = usualWaitMillis(worker)
         val endMillis = fleet.pollsEndMillis ?: return usualMillis
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunTracker.kt
@@ -47,9 +47,8 @@
     }
 
     /** Whether a start that was answered now may have been carried out after a restart. */
-    private fun mayBeStray(placement: Placement, nowMillis: Long): Boolean =
-        placement.mayBeStray ||
-            nowMillis > placement.sentMillis + FleetWorker.INCARNATION_PROOF_MILLIS
+    private fun mayBeStray(placement: Placement, nowMillis: Long): Boolean = placement.mayBeStray ||
+        nowMillis > placement.sentMillis + WorkerIncarnation.PROOF_MILLIS
 
     /** Records the lease that a start grants if the worker had restarted unnoticed. */
     private fun suspectStrayLease(placement: Placement, nowMillis: Long) = placement.worker.lease
@@ -186,20 +185,20 @@
         nowMillis: Long
     ) {
         val isOutdated = order.fencingToken < worker.fencingToken
-        if (isOutdated && worker.isOtherIncarnation(report.startedUnixMillis)) {
+        if (isOutdated && worker.incarnation.isOther(report.startedUnixMillis)) {
             return logOutdated(worker, report)
         }
         if (worker.contactFailures > 0) {
             fleet.log("worker-reachable", worker.id, "failures" to worker.contactFailures)
         }
-        if (worker.updateStartTime(report.startedUnixMillis)) {
+        if (worker.incarnation.updateStart(report.startedUnixMillis)) {
             onRestarted(worker, report, nowMillis)
         } else {
             crashes.onAnswered(worker)
         }
         val wasIntroduced = worker.isIntroduced
         worker.lease.clearSuspicion(order.sentMillis)
-        worker.recordToken(order.fencingToken)
+        worker.incarnation.recordToken(order.fencingToken)
         worker.recordReport(order.sentMillis, nowMillis)
         worker.recordAnswer(report.clockMillis, report.receivedMillis)
         if (!worker.isReconciled || worker.contactFailures == 0) fleet.isPlacementDue = true
@@ -242,7 +241,7 @@
             "worker-restart-listed",
             worker.id,
             "startedUnixMillis" to listing.startedUnixMillis,
-            "current" to worker.startedUnixMillis,
+            "current" to worker.incarnation.startedUnixMillis,
             "runs" to worker.placements.size
         )
         worker.forgetIncarnation()
@@ -254,7 +253,9 @@
         val settings = fleet.settings
         when {
             !worker.lease.isRecorded -> Unit
-            worker.isInheritedIncarnation -> worker.lease.recordFenced(settings.lapsedBy(nowMillis))
+            worker.incarnation.isInherited -> worker.lease.recordFenced(
+                settings.lapsedBy(nowMillis)
+            )
             else -> worker.lease.recordStrayFenced(settings.strayLapsedBy(nowMillis))
         }
     }
@@ -272,7 +273,7 @@
         fleet.log(
             "worker-introduced",
             worker.id,
-            "startedUnixMillis" to worker.startedUnixMillis,
+            "startedUnixMillis" to worker.incarnation.startedUnixMillis,
             "token" to worker.fencingToken,
             "leaseLeftMillis" to worker.lease.remainingMillis(nowMillis),
             "isRosterDue" to worker.isRestartUnrecorded
@@ -283,7 +284,7 @@
         "report-outdated",
         worker.id,
         "startedUnixMillis" to report.startedUnixMillis,
-        "current" to worker.startedUnixMillis
+        "current" to worker.incarnation.startedUnixMillis
     )
 
     /** Logs what was on its way to the earlier incarnation and may have reached this one. */
@@ -297,7 +298,7 @@
             "clockMillis" to report.clockMillis,
             "startsInFlight" to worker.placements.values.count { !it.wasSeen },
             "runsHere" to worker.placements.values.count { (it.task.name to it.run) in running },
-            "sinceReportMillis" to worker.sinceReportMillisOrNull(nowMillis),
+            "sinceReportMillis" to worker.incarnation.sinceReportMillisOrNull(nowMillis),
             "leaseLeftMillis" to worker.lease.remainingMillis(nowMillis)
         )
     }
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/StartOrders.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/StartOrders.kt
@@ -16,7 +16,7 @@
     /** Orders the start of [placement] now or as soon as its worker has reported. */
     fun order(placement: Placement, nowMillis: Long) {
         val worker = placement.worker
-        if (fleet.areStrayLeasesBounded(nowMillis) || worker.isIncarnationKnown(nowMillis)) {
+        if (fleet.areStrayLeasesBounded(nowMillis) || worker.incarnation.isKnown(nowMillis)) {
             send(placement, nowMillis)
         } else {
             awaiting += AwaitingStart(placement, nowMillis)
@@ -47,7 +47,7 @@
 
             nowMillis > start.sinceMillis + LONGEST_WAIT_MILLIS -> giveUp(placement, nowMillis)
 
-            !worker.isIntroduced || !worker.isIncarnationKnown(nowMillis) -> return false
+            !worker.isIntroduced || !worker.incarnation.isKnown(nowMillis) -> return false
 
             fleet.leaseEndOrNull(worker, nowMillis) == null -> giveUp(placement, nowMillis)
 
@@ -62,7 +62,7 @@
             placement.task.name.toString(),
             "run" to placement.run,
             "worker" to placement.worker.id,
-            "sinceReportMillis" to placement.worker.sinceReportMillisOrNull(nowMillis)
+            "sinceReportMillis" to placement.worker.incarnation.sinceReportMillisOrNull(nowMillis)
         )
         crashes.onNotStarted(placement)
         fleet.release(placement, nowMillis)
@@ -76,7 +76,7 @@
             "no lease can be granted to a worker with a placement: ${worker.id}"
         }
         placement.sentMillis = nowMillis
-        placement.mayBeStray = !worker.isIncarnationKnown(nowMillis)
+        placement.mayBeStray = !worker.incarnation.isKnown(nowMillis)
         worker.lease.record(fleet.settings.lapsedBy(nowMillis))
         fleet.orderedStarts++
         fleet.log(
@@ -85,7 +85,7 @@
             "run" to placement.run,
             "worker" to worker.id,
             "waitedMillis" to nowMillis - workflow.acceptedMillis,
-            "sinceReportMillis" to worker.sinceReportMillisOrNull(nowMillis),
+            "sinceReportMillis" to worker.incarnation.sinceReportMillisOrNull(nowMillis),
             "firm" to worker.commitments.reservedMilliCpus,
             "idle" to worker.commitments.opportunisticMilliCpus
         )
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerDirectory.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerDirectory.kt
@@ -37,7 +37,12 @@
             }
             if (listing.capacity != known.capacity) logCapacity(known, listing.capacity)
             recordUnknownIncarnation(known, listing, nowMillis)
-            if (known.isBefore(listing)) tracker.onRestartListed(known, listing, nowMillis)
+            if (known.incarnation.isBefore(
+                    listing
+                )
+            ) {
+                tracker.onRestartListed(known, listing, nowMillis)
+            }
             known.updateListing(listing, nowMillis)
             fleet.resetWorkerIndexes()
             fleet.isPlacementDue = true
@@ -72,9 +77,9 @@
         listing: WorkerListing,
         nowMillis: Long
     ) {
-        if (worker.isReconciled || !worker.isUnknownIncarnation(listing)) return
+        if (worker.isReconciled || !worker.incarnation.isUnknownToLastOwner(listing)) return
         // Once only: the last owner sends no more orders.
-        worker.inheritedStartUnixMillis = null
+        worker.incarnation.inheritedStartUnixMillis = null
         worker.lease.recordStray(fleet.settings.strayLapsedBy(nowMillis))
         fleet.log(
             "worker-incarnation-unknown",
@@ -153,7 +158,7 @@
 
     /** Records that the last owner introduced the incarnation that started at [startedMillis]. */
     fun onIncarnationInherited(worker: FleetWorker, startedMillis: Long?, nowMillis: Long) {
-        worker.inheritedStartUnixMillis = startedMillis
+        worker.incarnation.inheritedStartUnixMillis = startedMillis
         recordUnknownIncarnation(worker, worker.listing, nowMillis)
     }
 
