--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelWorker.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/ModelWorker.kt
@@ -16,6 +16,7 @@
     val ref: WorkerRef,
     workMillis: Long,
     private val clockPerMille: Long = 1_000,
+    private val maxLeaseMillis: Long = SchedulerSettings.DEFAULT_LEASE_MILLIS,
     private val workMillisOf: (TaskName) -> Long = { workMillis }
 ) {
     private class Run(val number: Int, val endsMillis: Long)
@@ -126,6 +127,16 @@
 
     private fun poll(order: PollOrder, nowMillis: Long): WorkerAnswer {
         order.leaseEndMillis?.let { extendLease(it, nowMillis) }
+        return reported(order, nowMillis)
+    }
+
+    /** Returns what [order], which was carried out before and waits for an end, answers now. */
+    fun answerWaiting(order: PollOrder, nowMillis: Long): WorkerAnswer {
+        advance(nowMillis)
+        return reported(order, nowMillis)
+    }
+
+    private fun reported(order: PollOrder, nowMillis: Long): WorkerAnswer {
         ends.removeAll { it.number <= order.acknowledgedEnd }
         unacknowledged.filter { it.number <= order.acknowledgedEnd }
             .forEach {
@@ -146,7 +157,7 @@
     }
 
     private fun extendLease(untilMillis: Long, nowMillis: Long) {
-        val most = clock(nowMillis) + SchedulerSettings.DEFAULT_LEASE_MILLIS
+        val most = clock(nowMillis) + maxLeaseMillis
         leaseEndMillis = maxOf(leaseEndMillis, minOf(untilMillis, most))
     }
 
