--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/StrayLeaseTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/StrayLeaseTest.kt
@@ -62,6 +62,8 @@
         driver.step()
         driver.polls.forEach { driver.report(it, started = 2) }
         val roster = settleUntilRoster()
+        settle(driver, started = 2)
+        expectThat(driver.records).isEmpty()
         expectThat(roster.leasesLeft.stray["w1"]).isNotNull()
             .isGreaterThanOrEqualTo(longestMillis - SETTLE_STEPS * STEP_MILLIS)
         expectThat(roster.incarnations["w1"]).isEqualTo(2)
@@ -146,9 +148,24 @@
         expectThat(leaseEnd(unknown)).isEqualTo(unknown.now + longestMillis)
     }
 
+    // Guards against a stray lease that outlasts what a successor counts from an old heartbeat (TWICE).
+    @Test
+    fun `starts nothing by an old report while the last heartbeat is old`() {
+        val driver = SchedulerDriver()
+        driver.listWorkers("w1")
+        driver.areRecordsDurableAtOnce = false
+        repeat(OLD_HEARTBEAT_STEPS) { driver.step() }
+        driver.submit(driver.workflow())
+        driver.step()
+        expectThat(driver.starts).isEmpty()
+        driver.polls.forEach { driver.report(it) }
+        driver.step()
+        expectThat(driver.starts.single().worker.id).isEqualTo("w1")
+    }
+
     // Guards against an owner that is lost before its roster tells of a restart (TWICE).
     @Test
-    fun `a successor counts on stray leases of a worker whose entry tells of a later incarnation`() {
+    fun `a successor counts on stray leases where an entry tells of a later incarnation`() {
         val roster = RosterRecord(
             listOf(driver.ref("w1")),
             epoch = 1,
@@ -183,6 +200,9 @@
         /** The length of a driver's step. */
         const val STEP_MILLIS = 50L
 
+        /** Longer than the interval of heartbeats and the time that a record usually takes. */
+        const val OLD_HEARTBEAT_STEPS = 20
+
         /** Enough for an introduction, and for records to become due. */
         const val SETTLE_STEPS = 12
         val HEARTBEAT = RecordVersion(1, 7)
