--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/LeaseInterleaving.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/LeaseInterleaving.kt
@@ -12,9 +12,11 @@
     private val choices: ChoicePaths,
     maxLeaseMillis: Long,
     /** How late calls may be carried out, by whichever incarnation is up. */
-    lateMillis: List<Long>
+    lateMillis: List<Long>,
+    bug: PlantedStrayOrderBug? = null
 ) : StrayOrderWorld(
-    SchedulerSettings.within(maxLeaseMillis, SchedulerSettings.DEFAULT_STOP_MILLIS)
+    SchedulerSettings.within(maxLeaseMillis, SchedulerSettings.DEFAULT_STOP_MILLIS),
+    bug
 ) {
     private val first = ModelHost("h1", this, PER_MILLE)
     private val next = ModelHost("h2", this, PER_MILLE)
