--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/LeaseInterleavingTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/LeaseInterleavingTest.kt
@@ -43,7 +43,7 @@
         expectNoViolations(LONG_MILLIS, emptyList())
 
     @Test
-    fun `no task runs twice whichever calls are lost as a worker restarts that accepts short leases`() =
+    fun `no task runs twice whichever calls are lost as a worker of short leases restarts`() =
         expectNoViolations(SHORT_MILLIS, emptyList())
 
     @Test
@@ -51,7 +51,7 @@
         expectNoViolations(LONG_MILLIS, listOf(LATE_MILLIS))
 
     @Test
-    fun `no task runs twice whichever calls are late as a worker restarts that accepts short leases`() =
+    fun `no task runs twice whichever calls are late as a worker of short leases restarts`() =
         expectNoViolations(SHORT_MILLIS, listOf(LATE_MILLIS))
 
     private companion object {
--- a/coordination/src/test/kotlin/sycamoremast/coordination/workflow/StrayOrderTest.kt
+++ b/coordination/src/test/kotlin/sycamoremast/coordination/workflow/StrayOrderTest.kt
@@ -38,15 +38,15 @@
         expectNoViolations(OwnerFault.CUT_FROM_STORE, LONG_MILLIS)
 
     @Test
-    fun `no task runs twice as workers restart that accept short leases and owners are killed`() =
+    fun `no task runs twice as workers of short leases restart and owners are killed`() =
         expectNoViolations(OwnerFault.KILLED, SHORT_MILLIS)
 
     @Test
-    fun `no task runs twice as workers restart that accept short leases and owners freeze`() =
+    fun `no task runs twice as workers of short leases restart and owners freeze`() =
         expectNoViolations(OwnerFault.FROZEN, SHORT_MILLIS)
 
     @Test
-    fun `no task runs twice as workers restart that accept short leases and owners lose the store`() =
+    fun `no task runs twice as workers of short leases restart and owners lose the store`() =
         expectNoViolations(OwnerFault.CUT_FROM_STORE, SHORT_MILLIS)
 
     @Test
@@ -54,7 +54,7 @@
         expectNoViolations(late(LONG_MILLIS))
 
     @Test
-    fun `no task runs twice as workers restart that accept short leases and calls reach them late`() =
+    fun `no task runs twice as workers of short leases restart and calls reach them late`() =
         expectNoViolations(late(SHORT_MILLIS))
 
     /** Returns the seeds with which a task runs twice as calls are late. */
