--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
@@ -23,9 +23,40 @@
     /** What orders carry so that the worker rejects those of earlier owners and incarnations. */
     var fencingToken = 0L
 
+    /** Which incarnation answers, as far as this owner knows. */
+    val incarnation = WorkerIncarnation()
+
+    /** When the incarnation started that rejects stray orders, or null if that is unknown. */
+    val introducedStartUnixMillis: Long?
+        get() = incarnation.startedUnixMillis.takeIf { isIntroduced }
+
+    /** Whether the worker has restarted and the new incarnation has not been introduced yet. */
+    var isIntroductionDue = false
+
+    /** Whether no durable roster tells of the leases of the present incarnation. */
+    var isRestartUnrecorded = false
+
     /** Whether the durable roster names this worker; otherwise no task starts on it. */
     var isInRoster = false
 
+    /**
+     * Whether this incarnation has answered a poll with the present token, so that it rejects the
+     * orders that were sent to earlier ones.
+     */
+    val isIntroduced: Boolean get() = incarnation.acceptedToken == fencingToken
+
+    /**
+     * Records that a durable roster names the worker, with the start of the incarnation that was
+     * introduced when it was formed, [startedMillis].
+     */
+    fun onRosterDurable(startedMillis: Long?) {
+        if (isRestartUnrecorded) {
+            if (startedMillis == null || startedMillis != incarnation.startedUnixMillis) return
+            isRestartUnrecorded = false
+        }
+        isInRoster = true
+    }
+
     /** Whether this owner knows all runs on the worker, or knows that none is left. */
     var isReconciled = false
 
@@ -34,10 +65,6 @@
 
     /** Whether another incarnation answers at its address or its lease has certainly lapsed. */
     var isLost = false
-    private var startedUnixMillis: Long? = null
-
-    /** When the last report was processed, or null if a call has failed since. */
-    private var lastReportMillis: Long? = null
 
     /** When the last poll was sent that this incarnation has answered, or null if there is none. */
     var acceptedMillis: Long? = null
@@ -59,6 +86,18 @@
 
     var isPolling = false
 
+    /** Whether the open poll waits for the end of a run, so that its answer may take a while. */
+    var isPollWaiting = false
+
+    /** When the poll was sent that asks for the incarnation beside a waiting one, or null. */
+    var introductionSentMillis: Long? = null
+
+    /** Whether starts wait until the worker has shown which incarnation it is in. */
+    var hasAwaitingStarts = false
+
+    /** Whether the last poll extended no lease only because the incarnation was unknown. */
+    var isLeaseWithheld = false
+
     /** Whether a report is needed although nothing runs on the worker. */
     var isReportDue = false
     var nextPollMillis = Long.MIN_VALUE
@@ -66,6 +105,10 @@
 
     /** When the last poll that failed was sent. */
     var failedPollMillis = Long.MIN_VALUE
+        private set
+
+    /** When a poll last failed that was sent after the failure before. */
+    private var pollFailureMillis = Long.MIN_VALUE
     var contactFailures = 0
         private set
     var noStartsBeforeMillis = Long.MIN_VALUE
@@ -140,13 +183,21 @@
         isReconciled &&
         lease.isClockKnown &&
         contactFailures == 0 &&
+        isIntroduced &&
+        !incarnation.isInDoubt &&
+        !isListingOutdated &&
         unknownRuns.isEmpty() &&
         trial == null &&
         nowMillis >= noStartsBeforeMillis
 
-    /** Records the clock that a report shows; other answers don't tell whose clock they show. */
+    /**
+     * Records the clock that a report shows; other answers don't tell whose clock they show.
+     *
+     * A new clock counts once stray orders can't reach its incarnation any more, so that a heartbeat
+     * that was formed when the clock was known comes after all stray leases.
+     */
     fun recordAnswer(clockMillis: Long, receivedMillis: Long) {
-        lease.recordClock(clockMillis, receivedMillis)
+        if (isIntroduced || !isIntroductionDue) lease.recordClock(clockMillis, receivedMillis)
         recordContact()
     }
 
@@ -180,47 +231,45 @@
         forgetIncarnation()
     }
 
+    /**
+     * Records that a poll sent at [sentMillis] has failed; returns whether that is a new failure.
+     *
+     * One fault may end two polls that are open at the same time.
+     */
+    fun recordPollFailure(sentMillis: Long, nowMillis: Long): Boolean {
+        failedPollMillis = maxOf(failedPollMillis, sentMillis)
+        val isNew = contactFailures == 0 || sentMillis > pollFailureMillis
+        if (isNew) {
+            pollFailureMillis = nowMillis
+            recordContactFailure()
+        }
+        return isNew
+    }
+
     /** Records that the worker may have restarted: acknowledgements must be sent again. */
     fun forgetIncarnation() {
-        lastReportMillis = null
+        incarnation.doubt()
         acknowledgedEnd = 0
     }
 
     /** Records a report that was processed at [nowMillis] and answers a poll sent at [sentMillis]. */
     fun recordReport(sentMillis: Long, nowMillis: Long) {
-        lastReportMillis = nowMillis
+        incarnation.recordReport(nowMillis)
         acceptedMillis = maxOf(sentMillis, acceptedMillis ?: sentMillis)
         if (upSinceMillis == null) upSinceMillis = nowMillis
     }
 
-    /**
-     * Whether the worker is certainly still in the incarnation of its last report.
-     *
-     * A worker that restarts under its ID numbers the ends of its runs from 1 again. If an end of
-     * the earlier incarnation were acknowledged to it, it would discard ends that the owner has not
-     * read. A restart during a poll makes the poll fail, so a restart goes unnoticed only between a
-     * report and the next poll.
-     */
-    fun isIncarnationKnown(nowMillis: Long): Boolean =
-        lastReportMillis?.let { nowMillis - it <= INCARNATION_PROOF_MILLIS } ?: false
-
     /** Whether it has been up for a while, so that it is not one that crashes by itself. */
     fun isSettled(nowMillis: Long): Boolean =
         upSinceMillis?.let { nowMillis - it >= SETTLED_MILLIS } ?: false
 
     /** Whether a report has just come, or a poll is open that would fail if the worker crashed. */
     fun isCertainlyUp(nowMillis: Long): Boolean = contactFailures == 0 &&
-        ((isPolling && lastReportMillis != null) || isIncarnationKnown(nowMillis))
+        ((isPolling && !incarnation.isInDoubt) || incarnation.isKnown(nowMillis))
 
-    /**
-     * Records the start time of the reporting incarnation; returns whether the worker restarted.
-     */
-    fun updateStartTime(startedMillis: Long?): Boolean {
-        if (startedMillis == null) return false
-        val previous = startedUnixMillis
-        startedUnixMillis = startedMillis
-        return previous != null && previous != startedMillis
-    }
+    /** Whether another incarnation than the present one wrote the entry: its kind may differ. */
+    private val isListingOutdated: Boolean
+        get() = incarnation.isOther(listing.startedUnixMillis)
 
     /** Resets the end numbers, which a restarted worker counts from 1 again. */
     fun resetAfterRestart() {
@@ -297,9 +346,6 @@
     }
 
     private companion object {
-        /** Assumed to be too short for a restart followed by a complete run. */
-        const val INCARNATION_PROOF_MILLIS = 200L
-
         /** Several times as long as a trial usually takes. */
         const val SETTLED_MILLIS = 3_000L
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/InheritedLeases.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/InheritedLeases.kt
@@ -46,12 +46,16 @@
         roster: RosterRecord,
         sightings: StoreSightings,
         lastHeartbeat: RecordVersion?,
-        directory: WorkerDirectory
+        directory: WorkerDirectory,
+        nowMillis: Long
     ) {
         for (worker in roster.workers) {
             val lapsedBy =
                 roster.lapsedByMillis(worker, sightings, fleet.settings, lastHeartbeat)
-            directory.addRosteredWorker(worker, lapsedBy)
+            val added = directory.addRosteredWorker(worker, lapsedBy)
+            val started = roster.incarnations?.get(worker.id)
+            directory.onIncarnationInherited(added, started, nowMillis)
+            roster.strayLapsedByMillisOrNull(worker, sightings)?.let(added.lease::recordStray)
         }
         val owners = generateSequence(roster) { it.unknown?.roster }
             .filterNot { it.isInformed(sightings) }.map(::EarlierOwner).toList()
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placement.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/Placement.kt
@@ -44,6 +44,12 @@
     var paceChangedMillis = Long.MIN_VALUE / 2
         private set
 
+    /** When its start was sent, or the run was placed if it has not been. */
+    var sentMillis = startedMillis
+
+    /** Whether the worker may have restarted unnoticed when the start was sent. */
+    var mayBeStray = !worker.incarnation.isKnown(startedMillis)
+
     /** Whether the run has not been shown running for long enough to be harmless. */
     var isExposed = true
 
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunMaintenance.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/RunMaintenance.kt
@@ -64,9 +64,15 @@
     /** Adds the polls that are due to the outbox. */
     fun poll(nowMillis: Long) {
         for (worker in fleet.workers.values) {
-            if (worker.isPolling || worker.isLost || isLapseNear(worker, nowMillis)) continue
+            if (worker.isLost || isLapseNear(worker, nowMillis)) continue
             if (nowMillis < worker.nextPollMillis && !worker.isFinalPollDue(nowMillis)) continue
-            if (isPollDue(worker, nowMillis)) poll(worker, nowMillis)
+            when {
+                worker.isPolling -> if (isIntroductionDue(worker, nowMillis)) {
+                    introduce(worker, nowMillis)
+                }
+
+                isPollDue(worker, nowMillis) -> poll(worker, nowMillis)
+            }
         }
         leases.step(nowMillis)
     }
@@ -79,13 +85,45 @@
             nowMillis in
             worker.lease.lapsedByMillis - FAILED_POLL_MILLIS..worker.lease.lapsedByMillis
 
+    /**
+     * Whether the worker has to show its incarnation although a poll is open.
+     *
+     * That one may wait in an incarnation that is gone: where the worker ends silently, it takes
+     * until the timeout to fail.
+     */
+    private fun isIntroductionDue(worker: FleetWorker, nowMillis: Long): Boolean =
+        worker.isPollWaiting &&
+            worker.introductionSentMillis == null &&
+            (
+                worker.incarnation.isInDoubt ||
+                    (worker.hasAwaitingStarts && !worker.incarnation.isKnown(nowMillis))
+                )
+
+    private fun introduce(worker: FleetWorker, nowMillis: Long) {
+        worker.introductionSentMillis = nowMillis
+        worker.lastPollMillis = nowMillis
+        fleet.outbox += SchedulerAction.Poll(
+            PollOrder(
+                worker.ref,
+                worker.fencingToken,
+                acknowledgedEnd = 0,
+                leaseEndMillis = null,
+                waitMillis = 0,
+                sentMillis = nowMillis
+            )
+        )
+    }
+
     private fun isPollDue(worker: FleetWorker, nowMillis: Long): Boolean {
         if (worker.recordedEnd > worker.acknowledgedEnd) return true
         val hasUnrecorded = worker.seenEnd > worker.recordedEnd
         if (hasUnrecorded && worker.isReconciled) {
-            return nowMillis > worker.lastPollMillis + UNRECORDED_POLL_MILLIS
+            return worker.isLeaseWithheld ||
+                isIncarnationSought(worker) ||
+                nowMillis > worker.lastPollMillis + UNRECORDED_POLL_MILLIS
         }
         return !worker.isReconciled ||
+            isIncarnationSought(worker) ||
             worker.contactFailures > 0 ||
             worker.placements.isNotEmpty() ||
             worker.unknownRuns.isNotEmpty() ||
@@ -93,19 +131,23 @@
             !worker.lease.isClockKnown
     }
 
+    /** Whether starts or leases wait until the worker has shown which incarnation it is in. */
+    private fun isIncarnationSought(worker: FleetWorker): Boolean = !worker.isIntroduced ||
+        worker.incarnation.isInDoubt ||
+        worker.hasAwaitingStarts
+
     private fun poll(worker: FleetWorker, nowMillis: Long) {
         val leaseEnd = leases.endOrNull(worker, nowMillis)
-        val isIncarnationKnown = worker.isIncarnationKnown(nowMillis)
+        val isIncarnationKnown = worker.incarnation.isKnown(nowMillis)
         val acknowledges = isIncarnationKnown && worker.recordedEnd > worker.acknowledgedEnd
         // A poll that waits in the worker's next incarnation would acknowledge ends as they come.
-        val mayWait = worker.isReconciled &&
-            isIncarnationKnown &&
-            !acknowledges &&
-            worker.contactFailures == 0 &&
-            worker.placements.isNotEmpty() &&
-            worker.seenEnd == worker.recordedEnd &&
-            worker.placements.values.none { it.needsImmediateReport }
+        val mayWait = isIncarnationKnown && !acknowledges && mayWait(worker)
         worker.isPolling = true
+        worker.isPollWaiting = mayWait
+        worker.isLeaseWithheld = leaseEnd == null &&
+            worker.placements.isNotEmpty() &&
+            worker.contactFailures == 0 &&
+            !isIncarnationKnown
         worker.isReportDue = false
         worker.lastPollMillis = nowMillis
         val acknowledged = if (acknowledges) worker.recordedEnd else 0
@@ -123,6 +165,12 @@
         )
     }
 
+    private fun mayWait(worker: FleetWorker): Boolean = worker.isReconciled &&
+        worker.contactFailures == 0 &&
+        worker.placements.isNotEmpty() &&
+        worker.seenEnd == worker.recordedEnd &&
+        worker.placements.values.none { it.needsImmediateReport }
+
     private fun maxWaitMillis(worker: FleetWorker, nowMillis: Long): Long {
         val usualMillis = usualWaitMillis(worker)
         val endMillis = fleet.pollsEndMillis ?: return usualMillis
