--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/FleetWorker.kt
@@ -274,6 +274,7 @@
     /** Resets the end numbers, which a restarted worker counts from 1 again. */
     fun resetAfterRestart() {
         lease.forgetClock()
+        incarnation.forgetToken()
         acceptedMillis = null
         upSinceMillis = null
         seenEnd = 0
--- a/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerIncarnation.kt
+++ b/coordination/src/main/kotlin/sycamoremast/coordination/workflow/WorkerIncarnation.kt
@@ -62,7 +62,6 @@
      */
     fun updateStart(startedMillis: Long?): Boolean {
         val isOther = isOther(startedMillis)
-        if (isOther) acceptedToken = Long.MIN_VALUE
         if (startedMillis != null) startedUnixMillis = startedMillis
         return isOther
     }
@@ -72,6 +71,11 @@
         acceptedToken = maxOf(acceptedToken, token)
     }
 
+    /** Records that the present incarnation has accepted no token yet. */
+    fun forgetToken() {
+        acceptedToken = Long.MIN_VALUE
+    }
+
     /** Records a report that was processed at [nowMillis]. */
     fun recordReport(nowMillis: Long) {
         lastReportMillis = nowMillis
