--- a/review/rig-2/Rig.java
+++ b/review/rig-2/Rig.java
@@ -33,6 +33,9 @@
     /** The share of runs that fail. */
     double failShare;
     private static final long HEARTBEAT_MILLIS = 1_100;
+
+    /** The key in the store, not a path, under which the hosts record their owner (WorkflowKeys). */
+    private static final String OWNER_KEY = "sycamore/work/owner/0";
     private static final long START_MILLIS = System.nanoTime() / 1_000_000;
 
     /** A daemon with the addresses of its settings. */
@@ -202,7 +205,7 @@
 
     /** Returns the daemon that wrote last to the store under a condition as the owner, or null. */
     Daemon ownerOrNull() {
-        String text = store.text("sycamore/work/owner/0");
+        String text = store.text(OWNER_KEY);
         if (text == null) return null;
         Object host = Json.object(text).get("host");
         return daemons.stream().filter(d -> d.name.equals(host)).findFirst().orElse(null);
